--- /dev/null
+++ b/crates/courseshed-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command-line client.
--- /dev/null
+++ b/crates/courseshed-consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log: a sans-I/O consensus state machine and its storages.
--- /dev/null
+++ b/crates/courseshed-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The controller: settings versions, member map, shard placement and budget grants.
--- /dev/null
+++ b/crates/courseshed-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Simulator, load, experiments and reports.
--- /dev/null
+++ b/crates/courseshed-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection, the member map, and placement of shards and dispatchers.
--- /dev/null
+++ b/crates/courseshed-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: gateway, roles, draining and metrics.
--- /dev/null
+++ b/crates/courseshed-transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed MessagePack between the nodes.
--- /dev/null
+++ b/crates/courseshed-types/src/lib.rs
@@ -0,0 +1,1 @@
+//! Identifiers, units, verdicts and the messages that the roles exchange.
