Define the ids, units, verdicts and messages the roles exchange

Cause: gateway, shard, dispatcher and controller are separate state machines and need one vocabulary first.

--- /dev/null
+++ b/crates/courseshed-types/src/control.rs
@@ -0,0 +1,267 @@
+//! What nodes and operators say to the controller, and the member map it commits.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    branch::BranchPath,
+    engine::EngineDirectory,
+    errors::CallError,
+    ids::{
+        ChangeId, EngineId, Incarnation, MapEpoch, NodeId, RegionName, SettingsVersion, ShardId,
+        ZoneName,
+    },
+    policy::PolicySnapshot,
+    time::Timestamp,
+    tokens::Tokens,
+};
+
+/// A part a node plays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NodeRole {
+    /// Serves callers.
+    Gateway,
+    /// Keeps replicas of program shards.
+    Shard,
+    /// Decides for pools.
+    Dispatcher,
+    /// Keeps settings, member map and grants.
+    Controller,
+}
+
+/// Whether a node takes part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NodeState {
+    /// Takes part.
+    Live,
+    /// Hands its work over and takes nothing new.
+    Leaving,
+    /// Has not been heard of for longer than the failure timeout.
+    Down,
+}
+
+/// A node in the member map.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its id.
+    pub node: NodeId,
+    /// Its start; grows with every restart.
+    pub incarnation: Incarnation,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Address for other nodes, `ip:port`.
+    pub peer_address: String,
+    /// Address for callers and operators, `ip:port`.
+    pub http_address: String,
+    /// Parts it plays.
+    pub roles: Vec<NodeRole>,
+    /// Whether it takes part.
+    pub state: NodeState,
+}
+
+impl Member {
+    /// Whether the node plays the part and takes work.
+    pub fn serves(&self, role: NodeRole) -> bool {
+        self.state == NodeState::Live && self.roles.contains(&role)
+    }
+}
+
+/// Where a shard's replicas are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardPlacement {
+    /// The shard.
+    pub shard: ShardId,
+    /// Its region.
+    pub region: RegionName,
+    /// The nodes that keep it, in distinct zones where there are enough; the first is preferred as leader.
+    pub replicas: Vec<NodeId>,
+}
+
+/// The committed member map. Immutable; a newer epoch replaces an older one whole.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct MemberMap {
+    /// Grows with every committed change.
+    pub epoch: MapEpoch,
+    /// Nodes by id.
+    pub members: BTreeMap<NodeId, Member>,
+    /// Shards by id.
+    pub shards: BTreeMap<ShardId, ShardPlacement>,
+    /// Engines.
+    pub engines: EngineDirectory,
+}
+
+/// A change of the settings tree that an operator asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsChange {
+    /// The version the change was made against.
+    pub expected_version: SettingsVersion,
+    /// The operator's name for the change; the same id again gets the first answer.
+    pub change_id: ChangeId,
+    /// The whole tree, TOML.
+    pub tree: String,
+    /// Who asks, for the history.
+    pub author: String,
+}
+
+/// An accepted change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsRecord {
+    /// The version it made.
+    pub version: SettingsVersion,
+    /// The operator's name for it.
+    pub change_id: ChangeId,
+    /// Who asked.
+    pub author: String,
+    /// When it was accepted.
+    pub accepted_at: Timestamp,
+    /// The whole tree, TOML.
+    pub tree: Arc<str>,
+}
+
+/// A request to the controller's leader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlRequest {
+    /// A node that starts or lives: membership heartbeat. Answer: `Heard`.
+    Heartbeat(NodeHeartbeat),
+    /// A relay reports the heartbeats of its zone at once. Answer: `Heard`.
+    ZoneHeartbeats(Vec<NodeHeartbeat>),
+    /// A node leaves. Answer: `Done`.
+    Leave(NodeId),
+    /// Change the settings. Answer: `Settings` or an error with `VersionConflict`.
+    ApplySettings(SettingsChange),
+    /// The settings in force, or an older version. Answer: `Settings`.
+    GetSettings(Option<SettingsVersion>),
+    /// The latest accepted changes, newest first. Answer: `SettingsHistory`.
+    SettingsHistory {
+        /// At most so many.
+        limit: u32,
+    },
+    /// Which nodes don't have a version in force yet. Answer: `Lagging`.
+    Lagging(SettingsVersion),
+    /// Settings and map newer than these. Answer: `Update`.
+    Pull(ControlPosition),
+    /// Escrow of a branch's budget for a shard. Answer: `Granted`.
+    RequestGrant(GrantRequest),
+    /// Give unspent escrow back. Answer: `Done`.
+    ReturnGrant(GrantReturn),
+    /// Mark an engine leaving, or live again. Answer: `Done`.
+    SetEngineLeaving {
+        /// The engine.
+        engine: EngineId,
+        /// Whether it leaves.
+        leaving: bool,
+    },
+    /// Mark a node leaving, or live again. Answer: `Done`.
+    SetNodeLeaving {
+        /// The node.
+        node: NodeId,
+        /// Whether it leaves.
+        leaving: bool,
+    },
+}
+
+/// What a node says of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct NodeHeartbeat {
+    /// The node as it is.
+    pub member: Member,
+    /// What it has in force.
+    pub position: ControlPosition,
+}
+
+/// The settings version and map epoch a node has in force.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlPosition {
+    /// Settings.
+    pub settings: SettingsVersion,
+    /// Member map.
+    pub map: MapEpoch,
+}
+
+/// A shard leader asks for escrow.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRequest {
+    /// The shard.
+    pub shard: ShardId,
+    /// Numbers the shard's requests for this branch and period; the same number again gets the same grant.
+    pub number: u64,
+    /// The branch whose budget it is.
+    pub branch: BranchPath,
+    /// The period, counted since the epoch.
+    pub period: u64,
+    /// Tokens wanted.
+    pub wanted: Tokens,
+}
+
+/// A shard leader gives unspent escrow back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantReturn {
+    /// The shard.
+    pub shard: ShardId,
+    /// Numbers the shard's returns for this branch and period.
+    pub number: u64,
+    /// The branch.
+    pub branch: BranchPath,
+    /// The period.
+    pub period: u64,
+    /// Tokens given back.
+    pub returned: Tokens,
+}
+
+/// Escrow granted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The request it answers.
+    pub request: GrantRequest,
+    /// Tokens granted; may be less than wanted, or zero.
+    pub granted: Tokens,
+}
+
+/// The controller's answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// Heard; the position the controller has.
+    Heard {
+        /// The newest position.
+        position: ControlPosition,
+        /// How long the node may rely on the settings it has once they are as new as `position`.
+        settings_lease: Duration,
+    },
+    /// Settings and map newer than asked for.
+    Update(Box<ControlUpdate>),
+    /// Settings.
+    Settings(SettingsRecord),
+    /// Settings, newest first.
+    SettingsHistory(Vec<SettingsRecord>),
+    /// Nodes that don't have the version in force.
+    Lagging(Vec<NodeId>),
+    /// Escrow.
+    Granted(Grant),
+    /// Done.
+    Done,
+    /// This node does not lead.
+    NotLeader {
+        /// The leader, if known.
+        leader: Option<NodeId>,
+    },
+    /// Refused.
+    Error(CallError),
+}
+
+/// What changed since a position.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ControlUpdate {
+    /// The newest position.
+    pub position: ControlPosition,
+    /// The policy, if newer.
+    pub policy: Option<Arc<PolicySnapshot>>,
+    /// The member map, if newer.
+    pub map: Option<Arc<MemberMap>>,
+    /// How long the settings may be relied on, from when the request was sent.
+    pub settings_lease: Duration,
+}
