Share one report type for model checks

Cause: three crates check specifications and one command prints them all. Change: ModelReport, Counterexample and BrokenVariant in courseshed-types. Measured: builds clean, used by no one yet.

--- a/crates/courseshed-types/src/lib.rs
+++ b/crates/courseshed-types/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine;
 pub mod errors;
 pub mod ids;
+pub mod model_report;
 pub mod policy;
 pub mod program;
 pub mod shard;
@@ -28,6 +29,7 @@
     Attempt, CallId, ChangeId, EngineId, Incarnation, MapEpoch, ModelName, NodeId, ProgramId,
     RegionName, RequestId, Sequence, SettingsVersion, ShardId, ZoneName,
 };
+pub use model_report::{BrokenVariant, Counterexample, ModelReport};
 pub use policy::{BranchPolicy, PolicySnapshot};
 pub use time::Timestamp;
 pub use tokens::Tokens;
