Let control updates carry deltas and relays report in short

Cause: a whole policy of 550 branches or a map of 330 nodes is hundreds of kilobytes, while a change touches a few entries; a node may spend 14 KB a second on control. Change: PolicyDelta and MapDelta with the rule by which they apply, ZoneReport for relays, SetEngines and TakeFence requests.

--- a/crates/courseshed-types/src/control.rs
+++ b/crates/courseshed-types/src/control.rs
@@ -6,6 +6,8 @@
 
 use crate::{
     branch::BranchPath,
+    delta::{MapDelta, PolicyDelta},
+    dispatch::EngineMember,
     engine::EngineDirectory,
     errors::CallError,
     ids::{
@@ -130,6 +132,8 @@
     Heartbeat(NodeHeartbeat),
     /// A relay reports the heartbeats of its zone at once. Answer: `Heard`.
     ZoneHeartbeats(Vec<NodeHeartbeat>),
+    /// A relay reports its zone in short. Answer: `Heard`.
+    ZoneReport(ZoneReport),
     /// A node leaves. Answer: `Done`.
     Leave(NodeId),
     /// Change the settings. Answer: `Settings` or an error with `VersionConflict`.
@@ -149,6 +153,10 @@
     RequestGrant(GrantRequest),
     /// Give unspent escrow back. Answer: `Done`.
     ReturnGrant(GrantReturn),
+    /// The engines that exist now, as the platform's list or the settings file names them. Answer: `Done`.
+    SetEngines(Vec<EngineMember>),
+    /// A fence for the next order to an engine; larger than any given before. Answer: `Fence`.
+    TakeFence(EngineId),
     /// Mark an engine leaving, or live again. Answer: `Done`.
     SetEngineLeaving {
         /// The engine.
@@ -174,6 +182,26 @@
     pub position: ControlPosition,
 }
 
+/// A node as its relay heard of it; the controller knows the rest from the member map.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardNode {
+    /// The node.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// What it has in force.
+    pub position: ControlPosition,
+}
+
+/// What a relay heard since its last report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ZoneReport {
+    /// Nodes that are as the member map says; the relay itself is one of them.
+    pub heard: Vec<HeardNode>,
+    /// Nodes that are new, restarted or otherwise differ from the member map.
+    pub changed: Vec<NodeHeartbeat>,
+}
+
 /// The settings version and map epoch a node has in force.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlPosition {
@@ -242,6 +270,8 @@
     Lagging(Vec<NodeId>),
     /// Escrow.
     Granted(Grant),
+    /// The fence to put into an order.
+    Fence(u64),
     /// Done.
     Done,
     /// This node does not lead.
@@ -258,10 +288,14 @@
 pub struct ControlUpdate {
     /// The newest position.
     pub position: ControlPosition,
-    /// The policy, if newer.
+    /// The policy, if newer and no delta is known.
     pub policy: Option<Arc<PolicySnapshot>>,
-    /// The member map, if newer.
+    /// What changed in the policy, if newer.
+    pub policy_delta: Option<PolicyDelta>,
+    /// The member map, if newer and no delta is known.
     pub map: Option<Arc<MemberMap>>,
+    /// What changed in the member map, if newer.
+    pub map_delta: Option<MapDelta>,
     /// How long the settings may be relied on, from when the request was sent.
     pub settings_lease: Duration,
 }
--- a/crates/courseshed-types/src/lib.rs
+++ b/crates/courseshed-types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod chat;
 pub mod control;
+pub mod delta;
 pub mod dispatch;
 pub mod engine;
 pub mod errors;
