Settle the engine model's timers in the order of time

Cause: an idle engine ended all due leases before any due transfer, so a caller that looked rarely saw other evictions than one that looked often. Change: leases and transfers are settled together, the earliest first.

--- a/crates/courseshed-engine-model/src/step.rs
+++ b/crates/courseshed-engine-model/src/step.rs
@@ -34,8 +34,17 @@
         }
     }
 
-    /// Ends leases and transfers whose time has come.
+    /// Ends leases and transfers whose time has come, the earliest first.
     pub(crate) fn settle_timers(&mut self, now: u64) {
+        while let Some(timer) = self.next_timer()
+            && timer <= now
+        {
+            self.expire_leases(timer);
+            self.finish_transfers(timer);
+        }
+    }
+
+    fn expire_leases(&mut self, now: u64) {
         while let Some((at, program)) = self.leases.expire_next(&mut self.cache, now) {
             self.admission_blocked = false;
             self.events.push(EngineEvent::LeaseExpired {
@@ -43,6 +52,9 @@
                 at: Duration::from_nanos(at),
             });
         }
+    }
+
+    fn finish_transfers(&mut self, now: u64) {
         while let Some((at, transfer)) = self.transfers.finish_next(now) {
             self.finish_transfer(at, transfer);
         }
