Carry typed messages between nodes over framed MessagePack

Cause: the roles on different nodes have to tell and ask each other things, and an asker must know whether a failed request may have been acted upon.

--- /dev/null
+++ b/crates/courseshed-transport/src/protocol.rs
@@ -0,0 +1,82 @@
+//! What a node says over the transport, left to the crate that uses it.
+
+use courseshed_types::{Incarnation, NodeId};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::sync::oneshot;
+
+/// What a message is for; counted apart, and bulk travels on a connection of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum TrafficClass {
+    /// Membership, settings, elections and heartbeats: the fixed cost of being a node.
+    Control,
+    /// What calls cause.
+    Data,
+    /// Snapshots and other large transfers.
+    Bulk,
+}
+
+impl TrafficClass {
+    /// All classes.
+    pub const ALL: [TrafficClass; 3] = [
+        TrafficClass::Control,
+        TrafficClass::Data,
+        TrafficClass::Bulk,
+    ];
+
+    /// The name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TrafficClass::Control => "control",
+            TrafficClass::Data => "data",
+            TrafficClass::Bulk => "bulk",
+        }
+    }
+}
+
+/// The messages of a transport.
+pub trait Protocol: Sized + Send + Sync + 'static {
+    /// Told without an answer.
+    type Message: Serialize + DeserializeOwned + Send + 'static;
+    /// Asked.
+    type Request: Serialize + DeserializeOwned + Send + 'static;
+    /// Answered.
+    type Reply: Serialize + DeserializeOwned + Send + 'static;
+
+    /// What a message is for.
+    fn message_class(message: &Self::Message) -> TrafficClass;
+    /// What a request is for; its answer belongs to the same class.
+    fn request_class(request: &Self::Request) -> TrafficClass;
+}
+
+/// Who speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PeerIdentity {
+    /// The node.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+}
+
+/// Takes what peers say. Called on the transport's own threads: must not block.
+pub trait Handler<P: Protocol>: Send + Sync + 'static {
+    /// A one-way message.
+    fn on_message(&self, from: PeerIdentity, message: P::Message);
+    /// A request; the answer goes through `reply`, now or later. Dropping it fails the request.
+    fn on_request(&self, from: PeerIdentity, request: P::Request, reply: ReplySender<P>);
+}
+
+/// Sends the one answer of a request.
+#[derive(Debug)]
+pub struct ReplySender<P: Protocol>(pub(crate) oneshot::Sender<P::Reply>);
+
+impl<P: Protocol> ReplySender<P> {
+    /// Answers. Nothing happens if the asker is gone.
+    pub fn send(self, reply: P::Reply) {
+        let _ = self.0.send(reply);
+    }
+
+    /// Whether the asker has given up waiting.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+}
