Add the replicated log's state machine and its driver

Cause: controllers and program shards need a log that survives the loss of replicas, and nothing ready-made may be used.

--- /dev/null
+++ b/crates/courseshed-consensus/src/peer/defect.rs
@@ -0,0 +1,20 @@
+//! Deliberate defects, by which the model checker shows that it would find real ones.
+//!
+//! Production code never sets one: nothing outside this crate can.
+
+/// A rule of the protocol to break.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[allow(dead_code)]
+pub(crate) enum Defect {
+    /// All rules are kept.
+    #[default]
+    None,
+    /// A leader commits entries of older terms by counting replicas (Raft paper, section 5.4.2).
+    CommitsOldTerms,
+    /// A leader commits what it alone has.
+    CommitsAlone,
+    /// Votes are given to candidates whose log lacks entries of ours.
+    IgnoresLogEnds,
+    /// Votes count whichever incarnation gives or asked for them.
+    IgnoresIncarnations,
+}
--- /dev/null
+++ b/crates/courseshed-consensus/src/peer/mod.rs
@@ -0,0 +1,322 @@
+//! The state machine of one replica.
+//!
+//! A [`Peer`] is told of messages and of the passing of time, and says through `ready` what to send,
+//! to make durable and to apply. It has no clock, socket, thread or random source, and two peers
+//! that are told the same do the same.
+//!
+//! Invariants: one vote per term; entries are acknowledged only when durable; a leader commits by
+//! counting only entries of its own term, and only voters in the incarnation that was admitted.
+
+mod defect;
+mod election;
+mod follower;
+mod handover;
+mod leader;
+mod membership;
+mod output;
+mod reads;
+mod replication;
+
+use std::time::Duration;
+
+use crate::replica_log::ReplicaLog;
+use crate::{
+    Configuration, FollowerStatus, GroupId, HardState, LogIndex, Message, MessageBody, PeerConfig,
+    PeerStatus, ReadReady, ReplicaAddress, ReplicaId, Restored, RoleChange, RoleName, Snapshot,
+    Term,
+};
+
+pub(crate) use defect::Defect;
+use election::Ballot;
+use follower::PartialSnapshot;
+use leader::LeaderState;
+
+/// The part a replica plays, with what it must remember for it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Role {
+    Follower,
+    PreCandidate(Ballot),
+    Candidate(Ballot),
+    Leader(Box<LeaderState>),
+}
+
+/// The state machine of one replica.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    config: PeerConfig,
+    defect: Defect,
+    now: Duration,
+    hard_state: HardState,
+    persisted_hard_state: HardState,
+    log: ReplicaLog,
+    role: Role,
+    leader: Option<ReplicaId>,
+    election_deadline: Duration,
+    /// When a leader was last heard, or when we may last have promised one to wait.
+    leader_contact: Option<Duration>,
+    partial_snapshot: Option<PartialSnapshot>,
+    to_install: Option<Snapshot>,
+    outbox: Vec<Message>,
+    reads_ready: Vec<ReadReady>,
+    reported: Option<RoleChange>,
+    /// A leader asked to replace what was committed: the group is broken, and this replica stops.
+    halted: bool,
+}
+
+impl Peer {
+    /// Starts a replica from what its storage held.
+    ///
+    /// `now` is monotonic since an origin of the caller's choice; all later times are on that clock.
+    #[must_use]
+    pub fn new(config: PeerConfig, now: Duration, restored: Restored) -> Self {
+        let hard_state = restored.hard_state;
+        let log = ReplicaLog::new(restored, &config.initial_members);
+        let may_have_promised = hard_state.term > Term(0);
+        let mut peer = Self {
+            config,
+            defect: Defect::None,
+            now,
+            hard_state,
+            persisted_hard_state: hard_state,
+            log,
+            role: Role::Follower,
+            leader: None,
+            election_deadline: now,
+            leader_contact: may_have_promised.then_some(now),
+            partial_snapshot: None,
+            to_install: None,
+            outbox: Vec::new(),
+            reads_ready: Vec::new(),
+            reported: None,
+            halted: false,
+        };
+        peer.reset_election_deadline();
+        peer.reported = Some(peer.role_change());
+        peer
+    }
+
+    /// Takes in a message. Messages of other groups, to other replicas, and of incarnations that
+    /// have been replaced are dropped.
+    pub fn step(&mut self, now: Duration, message: Message) {
+        self.observe(now);
+        if self.halted || !self.is_for_us(&message) {
+            return;
+        }
+        self.note_returned_member(message.from);
+        match message.body {
+            MessageBody::PreVoteRequest { log_end } => {
+                self.on_pre_vote_request(message.from, message.term, log_end);
+            }
+            MessageBody::PreVoteResponse { .. } => self.on_pre_vote_response(&message),
+            MessageBody::VoteRequest { handover, .. } if !handover && self.protects_leader() => {}
+            _ => self.step_in_term(message),
+        }
+    }
+
+    /// Takes in the time, without letting anything fall due.
+    pub(crate) fn observe(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    fn step_in_term(&mut self, message: Message) {
+        if message.term < self.hard_state.term {
+            self.answer_stale(&message);
+            return;
+        }
+        if message.term > self.hard_state.term {
+            self.become_follower(message.term, None);
+        }
+        let from = message.from;
+        match message.body {
+            MessageBody::VoteRequest { log_end, .. } => self.on_vote_request(from, log_end),
+            MessageBody::VoteResponse { candidate, granted } => {
+                self.on_vote_response(from, candidate, granted);
+            }
+            MessageBody::Append {
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                probe,
+            } => {
+                let previous = crate::LogEnd {
+                    term: previous_term,
+                    index: previous_index,
+                };
+                self.on_append(from.replica, previous, entries, commit, probe);
+            }
+            MessageBody::AppendResponse { outcome, probe } => {
+                self.on_append_response(from, outcome, probe);
+            }
+            MessageBody::SnapshotChunk {
+                metadata,
+                offset,
+                total,
+                data,
+            } => {
+                self.on_snapshot_chunk(from.replica, metadata, offset, total, &data);
+            }
+            MessageBody::SnapshotResponse { index, next_offset } => {
+                self.on_snapshot_response(from, index, next_offset);
+            }
+            MessageBody::TimeoutNow => self.on_timeout_now(),
+            MessageBody::PreVoteRequest { .. } | MessageBody::PreVoteResponse { .. } => {}
+        }
+    }
+
+    /// Lets time pass: elections, heartbeats and leases fall due. Call it no later than
+    /// [`Peer::next_wakeup`]; calling it more often is harmless.
+    pub fn tick(&mut self, now: Duration) {
+        self.observe(now);
+        if self.halted {
+            return;
+        }
+        if self.is_leader() {
+            self.tick_leader();
+        } else if self.now >= self.election_deadline {
+            self.reset_election_deadline();
+            self.campaign();
+        }
+    }
+
+    /// When [`Peer::tick`] has something to do next; `Duration::MAX` when never.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Duration {
+        if self.halted {
+            return Duration::MAX;
+        }
+        match &self.role {
+            Role::Leader(leader) => leader.next_wakeup(),
+            _ if self.may_campaign() => self.election_deadline,
+            _ => Duration::MAX,
+        }
+    }
+
+    fn is_for_us(&self, message: &Message) -> bool {
+        let addressed = message.group == self.config.group && message.to == self.config.id;
+        let sender = self.log.configuration().member(message.from.replica);
+        let replaced = sender.is_some_and(|member| member.incarnation > message.from.incarnation);
+        addressed && !replaced && message.from.replica != self.config.id
+    }
+
+    fn send(&mut self, to: ReplicaId, body: MessageBody) {
+        self.outbox.push(Message {
+            group: self.config.group,
+            from: self.config.address(),
+            to,
+            term: self.hard_state.term,
+            body,
+        });
+    }
+
+    /// Whether this replica orders the log.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// The leader, as far as known.
+    #[must_use]
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// The current term.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// The last entry known to be committed.
+    #[must_use]
+    pub fn commit_index(&self) -> LogIndex {
+        self.log.committed()
+    }
+
+    /// The last applied entry.
+    #[must_use]
+    pub fn applied_index(&self) -> LogIndex {
+        self.log.applied()
+    }
+
+    /// The members in force at this replica.
+    #[must_use]
+    pub fn configuration(&self) -> &Configuration {
+        self.log.configuration()
+    }
+
+    /// This replica in its present incarnation.
+    #[must_use]
+    pub fn address(&self) -> ReplicaAddress {
+        self.config.address()
+    }
+
+    /// The group this replica belongs to.
+    #[must_use]
+    pub fn group(&self) -> GroupId {
+        self.config.group
+    }
+
+    /// Whether the replica stopped because a leader asked to replace committed entries.
+    #[must_use]
+    pub fn is_halted(&self) -> bool {
+        self.halted
+    }
+
+    /// A summary for operators and metrics.
+    #[must_use]
+    pub fn status(&self) -> PeerStatus {
+        PeerStatus {
+            address: self.address(),
+            role: self.role_name(),
+            term: self.term(),
+            leader: self.leader,
+            configuration: self.configuration().clone(),
+            first_index: self.log.first_index(),
+            last_index: self.log.last_index(),
+            stable_index: self.log.stable(),
+            commit_index: self.log.committed(),
+            applied_index: self.log.applied(),
+            snapshot_index: self.log.snapshot().metadata.index,
+            followers: self.follower_status(),
+        }
+    }
+
+    fn follower_status(&self) -> Vec<FollowerStatus> {
+        match &self.role {
+            Role::Leader(leader) => leader.follower_status(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn role_name(&self) -> RoleName {
+        match self.role {
+            Role::Follower => RoleName::Follower,
+            Role::PreCandidate(_) => RoleName::PreCandidate,
+            Role::Candidate(_) => RoleName::Candidate,
+            Role::Leader(_) => RoleName::Leader,
+        }
+    }
+
+    fn role_change(&self) -> RoleChange {
+        RoleChange {
+            role: self.role_name(),
+            term: self.term(),
+            leader: self.leader,
+        }
+    }
+
+    fn leader_state(&self) -> Option<&LeaderState> {
+        match &self.role {
+            Role::Leader(leader) => Some(leader),
+            _ => None,
+        }
+    }
+
+    fn leader_state_mut(&mut self) -> Option<&mut LeaderState> {
+        match &mut self.role {
+            Role::Leader(leader) => Some(leader),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/courseshed-consensus/src/replica_log.rs
@@ -0,0 +1,328 @@
+//! A replica's view of the log: entries in memory, and how far they are durable, committed, applied.
+//!
+//! Invariants: `offset <= applied <= committed <= last`, `stable <= last`; entries have no gaps; a
+//! committed entry is never cut; the configuration in force is the latest one in the log.
+
+use std::collections::VecDeque;
+
+use crate::{
+    Configuration, Entry, EntryPayload, LogEnd, LogIndex, Restored, Snapshot, SnapshotMetadata,
+    Term,
+};
+
+/// A configuration and the entry it stands in.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct ConfigurationAt {
+    index: LogIndex,
+    configuration: Configuration,
+}
+
+/// Why a leader's entries don't fit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MergeError {
+    /// The entry before them is missing or different; the logs may agree up to the hint.
+    Lacking {
+        /// The last index that may be equal.
+        hint: LogIndex,
+    },
+    /// They would replace what is committed, which no leader may ask for.
+    ReplacesCommitted,
+}
+
+/// The log of one replica.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct ReplicaLog {
+    /// End of the part that was compacted away.
+    offset: LogEnd,
+    entries: VecDeque<Entry>,
+    stable: LogIndex,
+    committed: LogIndex,
+    applied: LogIndex,
+    snapshot: Snapshot,
+    configurations: Vec<ConfigurationAt>,
+}
+
+impl ReplicaLog {
+    pub(crate) fn new(restored: Restored, initial_members: &Configuration) -> Self {
+        let snapshot = restored
+            .snapshot
+            .unwrap_or_else(|| bootstrap_snapshot(initial_members));
+        let mut log = Self::from_snapshot(snapshot);
+        for entry in restored.entries {
+            if entry.index > log.last_index() {
+                log.append(entry);
+            }
+        }
+        log.stable = log.last_index();
+        log
+    }
+
+    fn from_snapshot(snapshot: Snapshot) -> Self {
+        let SnapshotMetadata {
+            index,
+            term,
+            configuration,
+        } = snapshot.metadata.clone();
+        Self {
+            offset: LogEnd { term, index },
+            entries: VecDeque::new(),
+            stable: index,
+            committed: index,
+            applied: index,
+            snapshot,
+            configurations: vec![ConfigurationAt {
+                index,
+                configuration,
+            }],
+        }
+    }
+
+    pub(crate) fn first_index(&self) -> LogIndex {
+        self.offset.index.next()
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.offset.index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn end(&self) -> LogEnd {
+        match self.entries.back() {
+            Some(entry) => LogEnd {
+                term: entry.term,
+                index: entry.index,
+            },
+            None => self.offset,
+        }
+    }
+
+    pub(crate) fn stable(&self) -> LogIndex {
+        self.stable
+    }
+
+    pub(crate) fn committed(&self) -> LogIndex {
+        self.committed
+    }
+
+    pub(crate) fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    pub(crate) fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The members in force: those of the latest configuration, committed or not.
+    pub(crate) fn configuration(&self) -> &Configuration {
+        let latest = self
+            .configurations
+            .last()
+            .expect("a log has a base configuration");
+        &latest.configuration
+    }
+
+    /// The index of the entry that brought the members in force.
+    pub(crate) fn configuration_index(&self) -> LogIndex {
+        self.configurations
+            .last()
+            .map_or(LogIndex(0), |at| at.index)
+    }
+
+    fn configuration_at(&self, index: LogIndex) -> &Configuration {
+        let at = self
+            .configurations
+            .iter()
+            .rev()
+            .find(|at| at.index <= index);
+        at.map_or_else(|| self.configuration(), |at| &at.configuration)
+    }
+
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&Entry> {
+        let position = index.0.checked_sub(self.first_index().0)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// The term of an entry, if it is in the log or is the last one compacted away.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.offset.index {
+            return Some(self.offset.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// Entries from an index on, up to a size; at least one if there is one.
+    pub(crate) fn batch(&self, from: LogIndex, through: LogIndex, max_bytes: usize) -> Vec<Entry> {
+        let mut batch = Vec::new();
+        let mut size = 0;
+        let mut index = from;
+        while index <= through {
+            let Some(entry) = self.entry(index) else {
+                break;
+            };
+            size += entry.size_bytes();
+            if !batch.is_empty() && size > max_bytes {
+                break;
+            }
+            batch.push(entry.clone());
+            index = index.next();
+        }
+        batch
+    }
+
+    /// Appends an entry that follows the last one.
+    pub(crate) fn append(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index().next());
+        if let EntryPayload::Configuration(configuration) = &entry.payload {
+            let configuration = configuration.clone();
+            self.configurations.push(ConfigurationAt {
+                index: entry.index,
+                configuration,
+            });
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Takes over a leader's entries that follow `previous`.
+    ///
+    /// Returns the last index known to be equal to the leader's.
+    pub(crate) fn merge(
+        &mut self,
+        previous: LogEnd,
+        entries: Vec<Entry>,
+    ) -> Result<LogIndex, MergeError> {
+        let matched = LogIndex(previous.index.0 + entries.len() as u64);
+        if previous.index >= self.offset.index
+            && self.term_at(previous.index) != Some(previous.term)
+        {
+            return Err(self.conflict(previous.index));
+        }
+        for entry in entries {
+            if entry.index <= self.offset.index {
+                continue;
+            }
+            match self.term_at(entry.index) {
+                Some(term) if term == entry.term => {}
+                Some(_) if entry.index <= self.committed => {
+                    return Err(MergeError::ReplacesCommitted);
+                }
+                Some(_) => {
+                    self.truncate(entry.index);
+                    self.append(entry);
+                }
+                None => self.append(entry),
+            }
+        }
+        Ok(matched.max(self.offset.index))
+    }
+
+    fn conflict(&self, asked: LogIndex) -> MergeError {
+        if asked <= self.committed {
+            return MergeError::ReplacesCommitted;
+        }
+        MergeError::Lacking {
+            hint: self.conflict_hint(asked),
+        }
+    }
+
+    /// The last index before `asked` that isn't in the term that conflicts.
+    fn conflict_hint(&self, asked: LogIndex) -> LogIndex {
+        if asked > self.last_index() {
+            return self.last_index();
+        }
+        let term = self.term_at(asked);
+        let mut hint = asked.previous();
+        while hint > self.committed && self.term_at(hint) == term {
+            hint = hint.previous();
+        }
+        hint
+    }
+
+    fn truncate(&mut self, from: LogIndex) {
+        self.entries
+            .truncate((from.0 - self.first_index().0) as usize);
+        self.stable = self.stable.min(from.previous());
+        self.configurations.retain(|at| at.index < from);
+    }
+
+    pub(crate) fn commit_to(&mut self, index: LogIndex) {
+        self.committed = self.committed.max(index.min(self.last_index()));
+    }
+
+    pub(crate) fn mark_stable(&mut self, index: LogIndex, term: Term) {
+        if self.term_at(index) == Some(term) {
+            self.stable = self.stable.max(index);
+        }
+    }
+
+    pub(crate) fn mark_applied(&mut self, index: LogIndex) {
+        self.applied = self.applied.max(index);
+    }
+
+    /// Entries that are not durable yet.
+    pub(crate) fn unstable(&self) -> Vec<Entry> {
+        self.batch(self.stable.next(), self.last_index(), usize::MAX)
+    }
+
+    /// Entries that are committed and durable here, and not applied.
+    pub(crate) fn to_apply(&self) -> Vec<Entry> {
+        let through = self.committed.min(self.stable);
+        self.batch(self.applied.next(), through, usize::MAX)
+    }
+
+    pub(crate) fn has_work(&self) -> bool {
+        self.stable < self.last_index() || self.applied < self.committed.min(self.stable)
+    }
+
+    /// Replaces the log by a leader's snapshot.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) {
+        *self = Self::from_snapshot(snapshot);
+    }
+
+    /// Makes a snapshot of the applied state, and drops entries that lie further back than
+    /// `retained`. None if the index isn't applied, or a snapshot reaches as far already.
+    pub(crate) fn compact(
+        &mut self,
+        through: LogIndex,
+        data: bytes::Bytes,
+        retained: u64,
+    ) -> Option<Snapshot> {
+        if through > self.applied || through <= self.snapshot.metadata.index {
+            return None;
+        }
+        let metadata = SnapshotMetadata {
+            index: through,
+            term: self.term_at(through)?,
+            configuration: self.configuration_at(through).clone(),
+        };
+        self.snapshot = Snapshot { metadata, data };
+        self.drop_through(LogIndex(through.0.saturating_sub(retained)));
+        Some(self.snapshot.clone())
+    }
+
+    fn drop_through(&mut self, through: LogIndex) {
+        let Some(term) = self.term_at(through) else {
+            return;
+        };
+        let count = through.0 - self.offset.index.0;
+        self.entries.drain(..count as usize);
+        self.offset = LogEnd {
+            term,
+            index: through,
+        };
+        let base = self
+            .configurations
+            .iter()
+            .rposition(|at| at.index <= through);
+        self.configurations.drain(..base.unwrap_or(0));
+    }
+}
+
+fn bootstrap_snapshot(initial_members: &Configuration) -> Snapshot {
+    let metadata = SnapshotMetadata {
+        configuration: initial_members.clone(),
+        ..SnapshotMetadata::default()
+    };
+    Snapshot {
+        metadata,
+        data: bytes::Bytes::new(),
+    }
+}
--- /dev/null
+++ b/crates/courseshed-consensus/src/storage/volatile.rs
@@ -0,0 +1,28 @@
+//! A storage that keeps nothing, for replicas on machines without disks.
+//!
+//! Invariant: since it forgets votes and acknowledged entries, whoever uses it must give the replica
+//! a higher incarnation at each start. The log itself lives in the peer's memory.
+
+use crate::{Entry, HardState, LogIndex, LogStorage, Restored, Snapshot, StorageError};
+
+/// Keeps nothing. The replica must get a new, higher incarnation at each start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VolatileLog;
+
+impl LogStorage for VolatileLog {
+    fn load(&mut self) -> Result<Restored, StorageError> {
+        Ok(Restored::default())
+    }
+
+    fn append(&mut self, _: Option<&HardState>, _: &[Entry]) -> Result<(), StorageError> {
+        Ok(())
+    }
+
+    fn install(&mut self, _: &Snapshot) -> Result<(), StorageError> {
+        Ok(())
+    }
+
+    fn compact(&mut self, _: &Snapshot, _: LogIndex) -> Result<(), StorageError> {
+        Ok(())
+    }
+}
