Add the disk storage of the replicated log, and a storage that fails on demand

Cause: controllers must keep term, vote and log over restarts, and must not acknowledge what a full or failing disk did not take.

The folder keeps the incarnation it belongs to. FaultyLog fails on demand. A leader whose storage fails hands over and stops.

--- a/crates/courseshed-consensus/src/lib.rs
+++ b/crates/courseshed-consensus/src/lib.rs
@@ -33,4 +33,6 @@
 pub use ready::{Persisted, ReadId, ReadReady, Ready, RoleChange, RoleName};
 pub use settings::{PeerConfig, SettingsError};
 pub use status::{FollowerStatus, PeerStatus};
-pub use storage::{LogStorage, StorageError, VolatileLog};
+pub use storage::{
+    DiskFault, DiskLog, FaultSwitch, FaultyLog, LogStorage, StorageError, VolatileLog,
+};
--- a/crates/courseshed-consensus/src/storage/mod.rs
+++ b/crates/courseshed-consensus/src/storage/mod.rs
@@ -3,6 +3,8 @@
 //! Invariant: when a write returns, it is durable. When a write fails, nothing more is written until
 //! the storage is opened anew, since a failed flush leaves the file's content unknown.
 
+mod disk;
+mod faulty;
 mod volatile;
 
 use std::io;
@@ -12,6 +14,8 @@
 
 use crate::{Entry, HardState, LogIndex, Restored, Snapshot};
 
+pub use disk::DiskLog;
+pub use faulty::{DiskFault, FaultSwitch, FaultyLog};
 pub use volatile::VolatileLog;
 
 /// Keeps term, vote, entries and snapshot of one replica.
--- a/crates/courseshed-consensus/tests/cluster.rs
+++ b/crates/courseshed-consensus/tests/cluster.rs
@@ -7,7 +7,7 @@
 use courseshed_consensus::{
     LogIndex, MemberRole, MembershipChange, ProposeError, ReplicaAddress, ReplicaId, VolatileLog,
 };
-use support::{Cluster, Journal, address, config, voters};
+use support::{Cluster, Group, Journal, address, config, voters};
 use yare::parameterized;
 
 const ELECTION: Duration = Duration::from_secs(5);
@@ -27,12 +27,8 @@
     cluster.propose(b"first");
     cluster.propose(b"second");
     let expected = Journal(vec![b"first".to_vec(), b"second".to_vec()]);
-    assert!(
-        cluster
-            .journals()
-            .into_iter()
-            .all(|journal| *journal == expected)
-    );
+    let mut journals = cluster.groups.values().map(Group::machine);
+    assert!(journals.all(|journal| *journal == expected));
 }
 
 #[test]
--- /dev/null
+++ b/crates/courseshed-consensus/tests/disk.rs
@@ -0,0 +1,253 @@
+//! What the disk storage keeps, cuts, and refuses; and what a failing disk does to a group.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use courseshed_consensus::{
+    DiskFault, DiskLog, Entry, EntryPayload, FaultSwitch, FaultyLog, HardState, LogIndex,
+    LogStorage, ProposeError, ReplicaId, Restored, Snapshot, SnapshotMetadata, StorageError, Term,
+};
+use support::{Cluster, address, config, voters};
+use yare::parameterized;
+
+const INCARNATION: u64 = 1;
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        term: Term(term),
+        index: LogIndex(index),
+        payload: EntryPayload::Data(Bytes::from(vec![index as u8; 40])),
+    }
+}
+
+fn open(folder: &Path) -> DiskLog {
+    DiskLog::open(folder, INCARNATION).expect("the folder opens")
+}
+
+fn reload(folder: &Path) -> Result<Restored, StorageError> {
+    open(folder).load()
+}
+
+fn write_entries(folder: &Path, count: u64) {
+    let mut disk = open(folder);
+    disk.load().unwrap();
+    let hard_state = HardState {
+        term: Term(1),
+        vote: Some(address(2)),
+    };
+    disk.append(Some(&hard_state), &[]).unwrap();
+    for index in 1..=count {
+        disk.append(None, &[entry(index, 1)]).unwrap();
+    }
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    let metadata = SnapshotMetadata {
+        index: LogIndex(index),
+        term: Term(1),
+        configuration: voters(3),
+    };
+    Snapshot {
+        metadata,
+        data: Bytes::from_static(b"state"),
+    }
+}
+
+#[test]
+fn keeps_what_was_written() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 3);
+    let restored = reload(folder.path()).unwrap();
+    assert_eq!(
+        restored.hard_state,
+        HardState {
+            term: Term(1),
+            vote: Some(address(2))
+        }
+    );
+    assert_eq!(
+        restored.entries,
+        vec![entry(1, 1), entry(2, 1), entry(3, 1)]
+    );
+}
+
+#[test]
+fn later_entries_replace_earlier_ones() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 3);
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.append(None, &[entry(2, 2)]).unwrap();
+    drop(disk);
+    let restored = reload(folder.path()).unwrap();
+    assert_eq!(restored.entries, vec![entry(1, 1), entry(2, 2)]);
+}
+
+#[test]
+fn every_cut_of_the_last_record_loses_that_record_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 2);
+    let log = folder.path().join("log");
+    let shorter = fs::read(&log).unwrap().len();
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.append(None, &[entry(3, 1)]).unwrap();
+    drop(disk);
+    let whole = fs::read(&log).unwrap();
+    for length in shorter..whole.len() {
+        fs::write(&log, &whole[..length]).unwrap();
+        let restored = reload(folder.path()).unwrap();
+        assert_eq!(
+            restored.entries,
+            vec![entry(1, 1), entry(2, 1)],
+            "cut at {length}"
+        );
+        assert_eq!(
+            fs::read(&log).unwrap().len(),
+            shorter,
+            "the torn tail is cut"
+        );
+    }
+}
+
+#[test]
+fn every_flipped_byte_before_the_last_record_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 2);
+    let log = folder.path().join("log");
+    let protected = fs::read(&log).unwrap().len();
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.append(None, &[entry(3, 1)]).unwrap();
+    drop(disk);
+    let whole = fs::read(&log).unwrap();
+    for position in 0..protected {
+        let mut damaged = whole.clone();
+        damaged[position] ^= 0x40;
+        fs::write(&log, &damaged).unwrap();
+        let refused = reload(folder.path());
+        assert!(
+            matches!(refused, Err(StorageError::Damaged { .. })),
+            "byte {position}"
+        );
+        assert_eq!(
+            fs::read(&log).unwrap(),
+            damaged,
+            "a damaged log is left as it is"
+        );
+    }
+}
+
+#[test]
+fn compaction_drops_what_the_snapshot_covers() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 4);
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.compact(&snapshot(3), LogIndex(4)).unwrap();
+    disk.append(None, &[entry(5, 1)]).unwrap();
+    drop(disk);
+    let restored = reload(folder.path()).unwrap();
+    assert_eq!(restored.snapshot, Some(snapshot(3)));
+    assert_eq!(restored.entries, vec![entry(4, 1), entry(5, 1)]);
+    assert_eq!(restored.hard_state.vote, Some(address(2)));
+}
+
+#[test]
+fn crash_between_snapshot_and_log_is_harmless() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 4);
+    let log = folder.path().join("log");
+    let before = fs::read(&log).unwrap();
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.compact(&snapshot(3), LogIndex(4)).unwrap();
+    drop(disk);
+    fs::write(&log, before).unwrap();
+    fs::write(folder.path().join("log.unfinished"), b"half a fi").unwrap();
+    let restored = reload(folder.path()).unwrap();
+    assert_eq!(restored.entries, vec![entry(4, 1)]);
+    assert!(!folder.path().join("log.unfinished").exists());
+}
+
+#[test]
+fn gap_between_snapshot_and_log_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 4);
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.compact(&snapshot(3), LogIndex(4)).unwrap();
+    drop(disk);
+    fs::remove_file(folder.path().join("snapshot")).unwrap();
+    assert!(matches!(
+        reload(folder.path()),
+        Err(StorageError::Damaged { .. })
+    ));
+}
+
+#[test]
+fn folder_serves_one_process_and_keeps_its_incarnation() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = open(folder.path());
+    let second = DiskLog::open(folder.path(), 7);
+    assert!(matches!(second, Err(StorageError::Locked { .. })));
+    drop(first);
+    let third = DiskLog::open(folder.path(), 7).unwrap();
+    assert_eq!(third.incarnation(), INCARNATION);
+}
+
+#[test]
+fn log_without_its_incarnation_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 1);
+    fs::remove_file(folder.path().join("incarnation")).unwrap();
+    let refused = DiskLog::open(folder.path(), 2);
+    assert!(matches!(refused, Err(StorageError::Damaged { .. })));
+}
+
+fn disk_cluster(folder: &Path) -> (Cluster<FaultyLog<DiskLog>>, Vec<FaultSwitch>) {
+    let mut cluster = Cluster::empty();
+    let switches: Vec<_> = (1..=3).map(|_| FaultSwitch::default()).collect();
+    for (id, switch) in (1..=3).zip(&switches) {
+        let disk = open(&folder.join(id.to_string()));
+        let storage = FaultyLog::new(disk, switch.clone());
+        cluster.start(config(address(id), voters(3)), storage);
+    }
+    cluster.run(Duration::from_secs(5));
+    (cluster, switches)
+}
+
+#[parameterized(full = { DiskFault::Full }, failing = { DiskFault::Torn })]
+fn leader_with_a_failing_disk_hands_over_without_lying(fault: DiskFault) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut cluster, switches) = disk_cluster(folder.path());
+    cluster.propose(b"before");
+    let old = cluster.leader().unwrap();
+    switches[old.0 as usize - 1].set(fault);
+    cluster.propose(b"during");
+    assert!(!cluster.group(old).is_leader());
+    assert!(cluster.group(old).failure().is_some());
+    let now = cluster.now;
+    let refused = cluster.group(old).propose(now, b"after".to_vec());
+    assert_eq!(refused, Err(ProposeError::StorageFailed));
+    let new = cluster.leader().expect("another replica leads at once");
+    cluster.propose(b"after");
+    assert!(cluster.group(new).machine().0.contains(&b"after".to_vec()));
+}
+
+#[test]
+fn whole_group_restarts_from_its_disks() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut cluster, _) = disk_cluster(folder.path());
+    for number in 0..40_u8 {
+        cluster.propose(&[number]);
+    }
+    drop(cluster);
+    let (mut cluster, _) = disk_cluster(folder.path());
+    cluster.propose(b"new");
+    assert_eq!(cluster.group(ReplicaId(1)).machine().0.len(), 41);
+}
--- a/crates/courseshed-consensus/tests/support/mod.rs
+++ b/crates/courseshed-consensus/tests/support/mod.rs
@@ -144,8 +144,4 @@
         proposed.expect("the leader takes the proposal");
         self.settle();
     }
-
-    pub fn journals(&self) -> Vec<&Journal> {
-        self.groups.values().map(ReplicatedGroup::machine).collect()
-    }
 }
