--- /dev/null
+++ b/crates/courseshed-dispatch/src/explain.rs
@@ -0,0 +1,152 @@
+//! Answers operators' questions from the tables, without changing them.
+
+use std::collections::BTreeMap;
+
+use courseshed_types::{
+    CallId, EngineId, Timestamp, Tokens,
+    dispatch::{EngineState, WaitExplanation},
+};
+
+use crate::{
+    output::{BranchStats, DispatcherStats, EngineStats, Waste},
+    state::State,
+    systems::{engine_choice, fairness},
+    tables::{BranchTable, CallPhase, NodeIndex},
+    units::Service,
+};
+
+/// Why a call waits.
+pub(crate) fn explain(state: &State, now: Timestamp, call: CallId) -> Option<WaitExplanation> {
+    let entry = state.calls.get(&call)?;
+    if !matches!(entry.phase, CallPhase::Waiting(_)) {
+        return None;
+    }
+    let queue = entry.queue;
+    let entitled_share = state.branches.entitled(queue);
+    let attained_share = attained(&state.branches, queue);
+    Some(WaitExplanation {
+        call,
+        position: position(state, call),
+        pool_waiting: state.calls.waiting() as u32,
+        entitled_share,
+        attained_share,
+        reason: reason(state, now, entitled_share, attained_share),
+    })
+}
+
+/// Everything for operators.
+pub(crate) fn stats(state: &State, now: Timestamp) -> DispatcherStats {
+    let waiting = state.calls.waiting();
+    DispatcherStats {
+        waiting,
+        in_flight: state.calls.len() - waiting,
+        programs: state.programs.len(),
+        timers: state.timers.len(),
+        branches: branch_stats(state),
+        engines: engine_stats(state, now),
+        counters: state.counters,
+    }
+}
+
+/// The call's place, by playing the order out on a copy of the tree with the charges that are expected.
+fn position(state: &State, call: CallId) -> u32 {
+    let mut tree = state.branches.clone();
+    let warp = state.config.warp_per_priority;
+    let mut place = 0;
+    while let Some((queue, next)) = fairness::next_call(&tree) {
+        if next == call {
+            break;
+        }
+        place += 1;
+        let charged = expected_charge(state, next);
+        fairness::begin_service(&mut tree, queue);
+        tree.node_mut(queue).queue.pop_first();
+        fairness::charge(&mut tree, queue, charged, warp);
+    }
+    place
+}
+
+fn expected_charge(state: &State, call: CallId) -> Service {
+    let Some(entry) = state.calls.get(&call) else {
+        return Service(1);
+    };
+    let output = state
+        .shapes
+        .expected_output(entry.branch(), entry.call.max_output);
+    let prefix = state
+        .programs
+        .get(&call.program)
+        .and_then(|program| program.prefix.as_ref());
+    let cached = prefix.map_or(Tokens::ZERO, |prefix| prefix.tokens);
+    let uncached = entry.call.prompt_tokens.saturating_sub(cached);
+    Service::weigh(&state.config, uncached, output)
+}
+
+fn attained(tree: &BranchTable, index: NodeIndex) -> f64 {
+    let all = tree.node(NodeIndex::ROOT).served.max(1);
+    tree.node(index).served as f64 / all as f64
+}
+
+fn reason(state: &State, now: Timestamp, entitled: f64, attained: f64) -> String {
+    let live = |state_of: EngineState| state_of == EngineState::Live;
+    if !state
+        .engines
+        .iter()
+        .any(|(_, engine)| live(engine.member.state))
+    {
+        return "no live engine serves the model".to_string();
+    }
+    if now < state.grace_until {
+        return "the dispatcher has just started and learns what runs".to_string();
+    }
+    if engine_choice::any_room(state, now) {
+        return "engines have free slots but not the memory this call needs".to_string();
+    }
+    if attained > entitled {
+        return "all engines are full and the branch has had more than its share".to_string();
+    }
+    "all engines are full and calls before it in the order wait too".to_string()
+}
+
+fn branch_stats(state: &State) -> Vec<BranchStats> {
+    let mut waiting: BTreeMap<NodeIndex, usize> = BTreeMap::new();
+    for (index, node) in state.branches.iter() {
+        for above in state.branches.path_up(index) {
+            *waiting.entry(above).or_default() += node.queue.len();
+        }
+    }
+    let of_node = |(index, node): (NodeIndex, &crate::tables::BranchNode)| {
+        let account = state.caches.get(&node.path).filter(|_| !node.is_own_queue);
+        BranchStats {
+            branch: node.path.clone(),
+            own_queue: node.is_own_queue,
+            entitled_share: state.branches.entitled(index),
+            served: node.served,
+            waiting: waiting.get(&index).copied().unwrap_or(0),
+            leased_tokens: account.map_or(0, |account| account.leased),
+            waste: account.map_or(Waste::default(), |account| account.waste),
+        }
+    };
+    state.branches.iter().map(of_node).collect()
+}
+
+fn engine_stats(state: &State, now: Timestamp) -> BTreeMap<EngineId, EngineStats> {
+    let mut stats = BTreeMap::new();
+    for (id, engine) in state.engines.iter() {
+        let load = engine.report.as_ref().map(|report| &report.load);
+        let entry = EngineStats {
+            engine: id.clone(),
+            state: engine.member.state,
+            takes_work: engine.takes_work(now, &state.pool.model),
+            ejected_until: engine.health.ejected_until,
+            in_flight: engine.in_flight,
+            call_limit: engine.call_limit(&state.config, now),
+            memory_tokens: engine.memory.0,
+            leased_tokens: engine.leased.0,
+            reported_running: load.map(|load| load.running),
+            reported_waiting: load.map(|load| load.waiting),
+        };
+        stats.insert(id.clone(), entry);
+    }
+    stats
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/learn/histogram.rs
@@ -0,0 +1,120 @@
+//! A histogram with logarithmic buckets whose old samples fade.
+//!
+//! A tail is off by at most one bucket, a factor of 2^(1/4). Invariant: the counts sum to `total`.
+
+/// Buckets in each doubling.
+const BUCKETS_PER_DOUBLING: f64 = 4.0;
+/// Buckets in all; covers values up to 2^30.
+const BUCKETS: usize = 121;
+/// When so many samples are held, all are halved, so that the newest few hundred dominate.
+const FADE_AT: f64 = 512.0;
+
+/// Positive values, such as milliseconds or tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct LogHistogram {
+    counts: Vec<f32>,
+    total: f64,
+}
+
+impl Default for LogHistogram {
+    fn default() -> LogHistogram {
+        LogHistogram {
+            counts: vec![0.0; BUCKETS],
+            total: 0.0,
+        }
+    }
+}
+
+impl LogHistogram {
+    /// Adds a sample; the oldest fade.
+    pub(crate) fn record(&mut self, value: u64) {
+        self.counts[bucket_of(value as f64)] += 1.0;
+        self.total += 1.0;
+        if self.total >= FADE_AT {
+            self.counts.iter_mut().for_each(|count| *count *= 0.5);
+            self.total *= 0.5;
+        }
+    }
+
+    /// The weight of all samples held.
+    pub(crate) fn weight(&self) -> f64 {
+        self.total
+    }
+
+    /// The mean, each bucket counted at its middle; none without samples.
+    pub(crate) fn mean(&self) -> Option<f64> {
+        if self.total <= 0.0 {
+            return None;
+        }
+        let sum: f64 = self
+            .counts
+            .iter()
+            .enumerate()
+            .map(|(bucket, count)| f64::from(*count) * middle_of(bucket))
+            .sum();
+        Some(sum / self.total)
+    }
+
+    /// The weight of samples above a value.
+    pub(crate) fn weight_above(&self, value: f64) -> f64 {
+        let first = bucket_of(value) + 1;
+        self.counts[first.min(BUCKETS)..]
+            .iter()
+            .map(|count| f64::from(*count))
+            .sum()
+    }
+
+    /// The probability that a duration which has lasted `elapsed` ends within `horizon` more; none where no
+    /// sample lasted so long.
+    pub(crate) fn ends_within(&self, elapsed: f64, horizon: f64) -> Option<f64> {
+        let alive = self.weight_above(elapsed);
+        if alive < 0.5 {
+            return None;
+        }
+        Some(1.0 - self.weight_above(elapsed + horizon) / alive)
+    }
+}
+
+fn bucket_of(value: f64) -> usize {
+    let bucket = ((value + 1.0).log2() * BUCKETS_PER_DOUBLING) as usize;
+    bucket.min(BUCKETS - 1)
+}
+
+fn middle_of(bucket: usize) -> f64 {
+    ((bucket as f64 + 0.5) / BUCKETS_PER_DOUBLING).exp2() - 1.0
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tails_and_means_are_within_a_bucket() {
+        let mut histogram = LogHistogram::default();
+        (1..=400).for_each(|value| histogram.record(value));
+        let above = histogram.weight_above(200.0);
+        assert!((165.0..=200.0).contains(&above), "{above}");
+        let mean = histogram.mean().expect("samples");
+        assert!((185.0..=215.0).contains(&mean), "{mean}");
+    }
+
+    #[test]
+    fn old_samples_fade() {
+        let mut histogram = LogHistogram::default();
+        (0..2_000).for_each(|_| histogram.record(1_000));
+        (0..2_000).for_each(|_| histogram.record(10));
+        assert!(histogram.mean().expect("samples") < 20.0);
+        assert!(histogram.weight() <= FADE_AT);
+    }
+
+    #[test]
+    fn a_long_wait_changes_the_odds() {
+        let mut histogram = LogHistogram::default();
+        (0..90).for_each(|_| histogram.record(100));
+        (0..10).for_each(|_| histogram.record(100_000));
+        let fresh = histogram.ends_within(0.0, 1_000.0).expect("samples");
+        let waited = histogram.ends_within(2_000.0, 1_000.0).expect("samples");
+        assert!(fresh > 0.85 && waited < 0.05);
+        assert_eq!(histogram.ends_within(1e9, 1.0), None);
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/learn/shapes.rs
@@ -0,0 +1,95 @@
+//! Distributions of output lengths, tool pauses and turns by branch, with the whole pool as a prior.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use courseshed_types::{BranchPath, Tokens};
+
+use crate::learn::LogHistogram;
+
+/// Samples a branch needs before its own distribution is used.
+const ENOUGH_SAMPLES: f64 = 24.0;
+/// Output assumed before anything was learned, in tokens.
+const ASSUMED_OUTPUT: f64 = 200.0;
+
+/// What is learned of one branch.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BranchShape {
+    output_tokens: LogHistogram,
+    pause_millis: LogHistogram,
+    turns: LogHistogram,
+}
+
+/// What is learned of all branches.
+#[derive(Debug, Default)]
+pub(crate) struct Shapes {
+    pool: BranchShape,
+    branches: BTreeMap<BranchPath, BranchShape>,
+}
+
+impl Shapes {
+    /// A call of the branch generated so many tokens.
+    pub(crate) fn record_output(&mut self, branch: &BranchPath, output: Tokens) {
+        self.pool.output_tokens.record(output.0);
+        self.of_branch(branch).output_tokens.record(output.0);
+    }
+
+    /// A program of the branch came back after a pause.
+    pub(crate) fn record_pause(&mut self, branch: &BranchPath, pause: Duration) {
+        let millis = pause.as_millis() as u64;
+        self.pool.pause_millis.record(millis);
+        self.of_branch(branch).pause_millis.record(millis);
+    }
+
+    /// A program of the branch ended after so many calls.
+    pub(crate) fn record_turns(&mut self, branch: &BranchPath, turns: u32) {
+        self.pool.turns.record(u64::from(turns));
+        self.of_branch(branch).turns.record(u64::from(turns));
+    }
+
+    /// Tokens a call of the branch is expected to generate, at most `limit`.
+    pub(crate) fn expected_output(&self, branch: &BranchPath, limit: Tokens) -> Tokens {
+        let histogram = self.select(branch, |shape| &shape.output_tokens);
+        let mean = histogram.mean().unwrap_or(ASSUMED_OUTPUT);
+        Tokens(mean as u64).min(limit).max(Tokens(1))
+    }
+
+    /// The probability that a program paused for `elapsed` makes its next call within `horizon`.
+    pub(crate) fn returns_within(
+        &self,
+        branch: &BranchPath,
+        elapsed: Duration,
+        horizon: Duration,
+    ) -> Option<f64> {
+        let histogram = self.select(branch, |shape| &shape.pause_millis);
+        let elapsed = elapsed.as_millis() as f64;
+        histogram.ends_within(elapsed, horizon.as_millis() as f64)
+    }
+
+    /// The probability that a program which has made `turns` calls makes another one.
+    pub(crate) fn goes_on_after(&self, branch: &BranchPath, turns: u32) -> Option<f64> {
+        let histogram = self.select(branch, |shape| &shape.turns);
+        let reached = histogram.weight_above(f64::from(turns.saturating_sub(1)));
+        if reached < 0.5 {
+            return None;
+        }
+        Some(histogram.weight_above(f64::from(turns)) / reached)
+    }
+
+    fn of_branch(&mut self, branch: &BranchPath) -> &mut BranchShape {
+        if !self.branches.contains_key(branch) {
+            self.branches.insert(branch.clone(), BranchShape::default());
+        }
+        self.branches.get_mut(branch).expect("just inserted")
+    }
+
+    fn select(
+        &self,
+        branch: &BranchPath,
+        part: impl Fn(&BranchShape) -> &LogHistogram,
+    ) -> &LogHistogram {
+        match self.branches.get(branch).map(&part) {
+            Some(own) if own.weight() >= ENOUGH_SAMPLES => own,
+            _ => part(&self.pool),
+        }
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/state.rs
@@ -0,0 +1,80 @@
+//! Everything a dispatcher knows: its tables, and what waits to be sent.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use courseshed_types::{
+    BranchPath, PolicySnapshot, ShardId, Timestamp,
+    dispatch::{
+        DispatchEvent, DispatchEventBody, DispatcherIdentity, EngineOrder, EngineOrderBody, PoolId,
+    },
+    ids::EngineId,
+};
+
+use crate::{
+    baselines::Strategy,
+    config::DispatcherConfig,
+    learn::Shapes,
+    output::{DispatchCounters, DispatchOutput, Waste},
+    tables::{BranchTable, CallTable, EngineTable, ProgramTable, ShardTable, TimerTable},
+};
+
+/// What is counted of a branch's cache.
+#[derive(Debug, Default)]
+pub(crate) struct CacheAccount {
+    /// Tokens held by leases now.
+    pub(crate) leased: u64,
+    /// Waste caused.
+    pub(crate) waste: Waste,
+}
+
+/// The state of one dispatcher.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) pool: PoolId,
+    pub(crate) identity: DispatcherIdentity,
+    pub(crate) config: DispatcherConfig,
+    pub(crate) strategy: Strategy,
+    pub(crate) policy: Arc<PolicySnapshot>,
+    pub(crate) grace_until: Timestamp,
+    pub(crate) branches: BranchTable,
+    pub(crate) calls: CallTable,
+    pub(crate) programs: ProgramTable,
+    pub(crate) engines: EngineTable,
+    pub(crate) shards: ShardTable,
+    pub(crate) timers: TimerTable,
+    pub(crate) shapes: Shapes,
+    pub(crate) caches: BTreeMap<BranchPath, CacheAccount>,
+    pub(crate) counters: DispatchCounters,
+    pub(crate) outputs: Vec<DispatchOutput>,
+}
+
+impl State {
+    /// Says something to a shard's leader, if the shard is known.
+    pub(crate) fn say(&mut self, shard: ShardId, body: DispatchEventBody) {
+        let Some(entry) = self.shards.get(shard) else {
+            return;
+        };
+        let to = entry.leader;
+        let event = DispatchEvent {
+            shard,
+            pool: self.pool.clone(),
+            dispatcher: self.identity,
+            body,
+        };
+        self.outputs.push(DispatchOutput::Event { to, event });
+    }
+
+    /// Asks something of an engine.
+    pub(crate) fn order(&mut self, engine: EngineId, body: EngineOrderBody) {
+        self.outputs
+            .push(DispatchOutput::Order(EngineOrder { engine, body }));
+    }
+
+    /// The cache account of a branch.
+    pub(crate) fn cache_account(&mut self, branch: &BranchPath) -> &mut CacheAccount {
+        if !self.caches.contains_key(branch) {
+            self.caches.insert(branch.clone(), CacheAccount::default());
+        }
+        self.caches.get_mut(branch).expect("just inserted")
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/engine_health.rs
@@ -0,0 +1,163 @@
+//! Engines join, leave, report, fail, are ejected for a while and come back slowly.
+
+use std::collections::BTreeSet;
+
+use courseshed_types::{
+    EngineId, Timestamp,
+    dispatch::{EngineLoad, EngineMember, EngineState},
+};
+
+use crate::{
+    state::State,
+    systems::cache_view,
+    tables::{EngineEntry, Timer},
+};
+
+/// Takes the list of engines over; it names all engines, those of other pools too.
+pub(crate) fn take_directory(state: &mut State, now: Timestamp, members: &[EngineMember]) {
+    let of_pool = |member: &&EngineMember| {
+        member.region == state.pool.region && member.models.contains(&state.pool.model)
+    };
+    let members: Vec<EngineMember> = members.iter().filter(of_pool).cloned().collect();
+    let named: BTreeSet<EngineId> = members.iter().map(|member| member.engine.clone()).collect();
+    let gone: Vec<EngineId> = state
+        .engines
+        .iter()
+        .map(|(id, _)| id.clone())
+        .filter(|id| !named.contains(id))
+        .collect();
+    for engine in gone {
+        cache_view::lost(state, &engine);
+        state.engines.remove(&engine);
+    }
+    for member in members {
+        take_member(state, now, member);
+    }
+}
+
+/// Takes a load report over.
+pub(crate) fn take_load(state: &mut State, now: Timestamp, engine: &EngineId, load: EngineLoad) {
+    let Some(entry) = state.engines.get_mut(engine) else {
+        return;
+    };
+    if entry.take_report(now, load) {
+        begin_slow_start(state, now, engine);
+        cache_view::lost(state, engine);
+    }
+}
+
+/// The engine can't be reached: it is ejected at once.
+pub(crate) fn unreachable(state: &mut State, now: Timestamp, engine: &EngineId) {
+    let needed = state.config.failures_to_eject;
+    if let Some(entry) = state.engines.get_mut(engine) {
+        entry.health.failures = entry.health.failures.max(needed);
+        eject(state, now, engine);
+    }
+}
+
+/// A call ended well there.
+pub(crate) fn succeeded(state: &mut State, engine: &EngineId) {
+    if let Some(entry) = state.engines.get_mut(engine) {
+        entry.health.failures = 0;
+        entry.health.ejections = 0;
+    }
+}
+
+/// A call failed there by the engine's fault.
+pub(crate) fn failed(state: &mut State, now: Timestamp, engine: &EngineId) {
+    let needed = state.config.failures_to_eject;
+    let Some(entry) = state.engines.get_mut(engine) else {
+        return;
+    };
+    entry.health.failures += 1;
+    let is_warming = entry.warming_since.is_some();
+    if entry.health.failures >= needed || is_warming {
+        eject(state, now, engine);
+    }
+}
+
+/// An ejection ended or slow start went on.
+pub(crate) fn recheck(state: &mut State, now: Timestamp, engine: &EngineId) {
+    let slow_start = state.config.slow_start;
+    let Some(entry) = state.engines.get_mut(engine) else {
+        return;
+    };
+    if entry.health.ejected_until.is_some_and(|until| until <= now) {
+        entry.health.ejected_until = None;
+        begin_slow_start(state, now, engine);
+        return;
+    }
+    let Some(since) = entry.warming_since else {
+        return;
+    };
+    if now >= since + slow_start {
+        entry.warming_since = None;
+    } else {
+        set_warming_timer(state, now, engine);
+    }
+}
+
+fn take_member(state: &mut State, now: Timestamp, member: EngineMember) {
+    let engine = member.engine.clone();
+    match state.engines.get_mut(&engine) {
+        None => {
+            let mut entry = EngineEntry::new(member);
+            adopt_calls(state, &mut entry);
+            state.engines.insert(entry);
+        }
+        Some(entry) => {
+            let was_down = entry.member.state == EngineState::Down;
+            let comes_back = was_down && member.state == EngineState::Live;
+            let goes_down = !was_down && member.state == EngineState::Down;
+            entry.member = member;
+            if comes_back {
+                begin_slow_start(state, now, &engine);
+            }
+            if goes_down {
+                cache_view::lost(state, &engine);
+            }
+        }
+    }
+}
+
+/// Counts calls that were placed on an engine before it was listed.
+fn adopt_calls(state: &State, entry: &mut EngineEntry) {
+    for (_, call) in state.calls.iter() {
+        match call.placement() {
+            Some(placement) if placement.engine == entry.member.engine => {
+                entry.add_call(placement.memory);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn eject(state: &mut State, now: Timestamp, engine: &EngineId) {
+    let (first, longest) = (state.config.ejection, state.config.max_ejection);
+    let Some(entry) = state.engines.get_mut(engine) else {
+        return;
+    };
+    if entry.health.ejected_until.is_some_and(|until| now < until) {
+        return;
+    }
+    let doublings = entry.health.ejections.min(16);
+    let until = now + (first * (1 << doublings)).min(longest);
+    entry.health.ejections += 1;
+    entry.health.ejected_until = Some(until);
+    entry.warming_since = None;
+    state.counters.ejections += 1;
+    state.timers.set(until, Timer::Engine(engine.clone()));
+}
+
+fn begin_slow_start(state: &mut State, now: Timestamp, engine: &EngineId) {
+    if let Some(entry) = state.engines.get_mut(engine) {
+        entry.warming_since = Some(now);
+        set_warming_timer(state, now, engine);
+    }
+}
+
+/// Slow start is looked at again in a tenth of its time.
+fn set_warming_timer(state: &mut State, now: Timestamp, engine: &EngineId) {
+    let step = state.config.slow_start / 10;
+    state.timers.set(now + step, Timer::Engine(engine.clone()));
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -0,0 +1,252 @@
+//! Takes in what shard leaders say. Every message may come twice, late, or of a leader that was replaced.
+
+use courseshed_types::{
+    CallId, EngineId, ProgramId, RequestId, ShardId, Timestamp, Usage,
+    dispatch::{DispatchRequest, DispatchRequestBody, WaitingCall},
+};
+
+use crate::{
+    state::State,
+    systems::{announcing, assignment, cache_view, engine_health, fairness, pauses, queueing},
+    tables::{CallEntry, CallPhase, TermCheck, Timer},
+    units::Service,
+};
+
+/// Takes one message.
+pub(crate) fn take(state: &mut State, now: Timestamp, request: DispatchRequest) {
+    if request.pool != state.pool {
+        return;
+    }
+    let shard = request.shard;
+    match state.shards.check(shard, request.leader, request.term) {
+        TermCheck::Stale => {
+            state.counters.stale_terms += 1;
+            return;
+        }
+        TermCheck::New => announcing::expect(state, now, shard),
+        TermCheck::Current => {}
+    }
+    match request.body {
+        DispatchRequestBody::Enqueue(call) => enqueue(state, now, shard, call),
+        DispatchRequestBody::Withdraw(call) => forget_call(state, call),
+        DispatchRequestBody::Started { call, engine } => started(state, now, shard, call, engine),
+        DispatchRequestBody::Finished { request, usage } => finished(state, now, request, usage),
+        DispatchRequestBody::Failed {
+            request,
+            engine_fault,
+        } => failed(state, now, request, engine_fault),
+        DispatchRequestBody::ProgramEnded(program) => program_ended(state, program),
+        DispatchRequestBody::AnnounceComplete => announcing::complete(state, shard),
+    }
+}
+
+/// Removes a call whatever it is doing, and undoes what it was charged but did not use.
+pub(crate) fn forget_call(state: &mut State, call: CallId) {
+    queueing::dequeue(state, call);
+    if let Some(entry) = state.calls.remove(&call) {
+        settle(state, &entry, Some(Service(0)));
+    }
+}
+
+fn enqueue(state: &mut State, now: Timestamp, shard: ShardId, call: Box<WaitingCall>) {
+    if !make_room(state, shard, &call) {
+        return;
+    }
+    let id = call.call;
+    let give_up_at = call.give_up_at;
+    note_return(state, now, shard, &call);
+    insert(state, shard, call);
+    state.timers.set(give_up_at, Timer::GiveUp(id));
+    queueing::enqueue(state, now, id);
+}
+
+fn started(
+    state: &mut State,
+    now: Timestamp,
+    shard: ShardId,
+    call: Box<WaitingCall>,
+    engine: EngineId,
+) {
+    let id = call.call;
+    if confirm(state, shard, &call, &engine) {
+        return;
+    }
+    if has_ended(state, &call) {
+        state.counters.stale_attempts += 1;
+        return;
+    }
+    let is_newer = state
+        .calls
+        .get(&id)
+        .is_none_or(|known| known.call.attempt <= call.attempt);
+    if !is_newer {
+        state.counters.stale_attempts += 1;
+        return;
+    }
+    forget_call(state, id);
+    note_return(state, now, shard, &call);
+    insert(state, shard, call);
+    assignment::place(state, now, id, &engine);
+    confirm_phase(state, id);
+}
+
+fn finished(state: &mut State, now: Timestamp, request: RequestId, usage: Usage) {
+    let Some(entry) = end_attempt(state, &request) else {
+        return;
+    };
+    let counted = Service::of_usage(&state.config, &usage);
+    settle(state, &entry, Some(counted));
+    state
+        .shapes
+        .record_output(entry.branch(), usage.completion_tokens);
+    let Some(engine) = entry.placement().map(|placement| placement.engine.clone()) else {
+        return;
+    };
+    engine_health::succeeded(state, &engine);
+    cache_view::filled(state, request.call.program, &engine, &usage);
+    let turns = entry.call.turn + 1;
+    if let Some(program) = state.programs.get_mut(&request.call.program) {
+        program.turns = turns;
+        program.paused_since = Some(now);
+    }
+    pauses::begin(state, now, request.call.program);
+}
+
+fn failed(state: &mut State, now: Timestamp, request: RequestId, engine_fault: bool) {
+    let Some(entry) = end_attempt(state, &request) else {
+        return;
+    };
+    settle(state, &entry, Some(Service(0)));
+    let engine = entry.placement().map(|placement| placement.engine.clone());
+    if let (true, Some(engine)) = (engine_fault, engine) {
+        engine_health::failed(state, now, &engine);
+    }
+}
+
+fn program_ended(state: &mut State, program: ProgramId) {
+    pauses::end(state, program);
+    if let Some(entry) = state.programs.remove(&program) {
+        state.shapes.record_turns(&entry.branch, entry.turns);
+    }
+}
+
+/// Whether a call is new here; an older attempt of it is removed, and a lost assignment is sent again.
+fn make_room(state: &mut State, shard: ShardId, call: &WaitingCall) -> bool {
+    if has_ended(state, call) {
+        state.counters.stale_attempts += 1;
+        return false;
+    }
+    let generation = generation_of(state, shard);
+    let Some(known) = state.calls.get_mut(&call.call) else {
+        return true;
+    };
+    if known.call.attempt > call.attempt {
+        state.counters.stale_attempts += 1;
+        return false;
+    }
+    if known.call.attempt < call.attempt {
+        forget_call(state, call.call);
+        return true;
+    }
+    known.generation = generation;
+    if matches!(known.phase, CallPhase::Assigned(_)) {
+        assignment::announce(state, call.call);
+    }
+    false
+}
+
+fn insert(state: &mut State, shard: ShardId, call: Box<WaitingCall>) {
+    let queue = state.branches.queue_of(&call.branch);
+    let generation = generation_of(state, shard);
+    state.calls.insert(CallEntry {
+        call,
+        shard,
+        queue,
+        generation,
+        phase: CallPhase::Waiting(Default::default()),
+    });
+}
+
+/// Confirms an assignment this dispatcher made; false if the call is not known so.
+fn confirm(state: &mut State, shard: ShardId, call: &WaitingCall, engine: &EngineId) -> bool {
+    let generation = generation_of(state, shard);
+    let Some(known) = state.calls.get_mut(&call.call) else {
+        return false;
+    };
+    let placed_there = known
+        .placement()
+        .is_some_and(|placement| placement.engine == *engine);
+    if known.call.attempt != call.attempt || !placed_there {
+        return false;
+    }
+    known.generation = generation;
+    confirm_phase(state, call.call);
+    true
+}
+
+fn confirm_phase(state: &mut State, call: CallId) {
+    let Some(entry) = state.calls.get(&call) else {
+        return;
+    };
+    if let CallPhase::Assigned(placement) = &entry.phase {
+        let placement = placement.clone();
+        state.calls.set_phase(&call, CallPhase::Running(placement));
+    }
+}
+
+/// Removes an attempt that ended, if it is the one known, and notes its end in any case.
+fn end_attempt(state: &mut State, request: &RequestId) -> Option<CallEntry> {
+    let program = state.programs.get_mut(&request.call.program)?;
+    if program.has_ended(request) {
+        state.counters.stale_attempts += 1;
+        return None;
+    }
+    program.note_ended(request);
+    let known = state.calls.get(&request.call)?;
+    if known.call.attempt > request.attempt {
+        return None;
+    }
+    queueing::dequeue(state, request.call);
+    state.calls.remove(&request.call)
+}
+
+/// Gives an engine's room back and replaces the charged estimate by what was counted.
+fn settle(state: &mut State, entry: &CallEntry, counted: Option<Service>) {
+    let Some(placement) = entry.placement() else {
+        return;
+    };
+    if let Some(engine) = state.engines.get_mut(&placement.engine) {
+        engine.remove_call(placement.memory);
+    }
+    if let Some(counted) = counted {
+        let warp = state.config.warp_per_priority;
+        let charged = placement.charged;
+        fairness::correct(&mut state.branches, entry.queue, charged, counted, warp);
+    }
+}
+
+/// Notes that a program makes a call again, and learns from its pause.
+fn note_return(state: &mut State, now: Timestamp, shard: ShardId, call: &WaitingCall) {
+    let program = call.call.program;
+    let entry = state.programs.get_or_insert(program, &call.branch, shard);
+    entry.shard = shard;
+    if let Some(since) = entry.paused_since.take() {
+        let pause = now.since(since);
+        state.shapes.record_pause(&call.branch, pause);
+    }
+}
+
+fn has_ended(state: &State, call: &WaitingCall) -> bool {
+    let request = RequestId {
+        call: call.call,
+        attempt: call.attempt,
+    };
+    state
+        .programs
+        .get(&call.call.program)
+        .is_some_and(|program| program.has_ended(&request))
+}
+
+fn generation_of(state: &State, shard: ShardId) -> u64 {
+    state.shards.get(shard).map_or(0, |entry| entry.generation)
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/mod.rs
@@ -0,0 +1,14 @@
+//! The systems that run over the tables.
+
+pub(crate) mod announcing;
+pub(crate) mod assignment;
+pub(crate) mod cache_view;
+pub(crate) mod engine_choice;
+pub(crate) mod engine_health;
+pub(crate) mod expiry;
+pub(crate) mod fairness;
+pub(crate) mod intake;
+pub(crate) mod ordering;
+pub(crate) mod pauses;
+pub(crate) mod queueing;
+pub(crate) mod shedding;
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/ordering.rs
@@ -0,0 +1,71 @@
+//! The order of calls inside a branch.
+//!
+//! A call's rank is its arrival moved by bounded amounts, so every call is overtaken only by calls that arrive
+//! within a bounded time after it: none starves. Programs that have attained little service go first (least
+//! attained service over the whole family of calls, as in Autellix, Luo et al. 2025), because most programs are
+//! short and which ones are is not known; programs close to their aim go before that, weighed by worth; programs
+//! that have missed their aim give way.
+
+use std::time::Duration;
+
+use courseshed_types::{Timestamp, dispatch::WaitingCall};
+
+use crate::{
+    baselines::{Ordering, Strategy},
+    config::DispatcherConfig,
+    tables::Rank,
+};
+
+/// Delay of each doubling of attained service.
+const DELAY_PER_DOUBLING: Duration = Duration::from_millis(500);
+/// Attained service below which there is no delay, in tokens.
+const LEAST_ATTAINED: f64 = 1_000.0;
+/// Longest delay by attained service.
+const MAX_DELAY: Duration = Duration::from_secs(8);
+/// Delay of a program that has missed its aim.
+const MISSED_DELAY: Duration = Duration::from_secs(20);
+/// Head start of each step of priority.
+const PRIORITY_HEAD_START: Duration = Duration::from_secs(4);
+/// Worths are kept within this factor of one.
+const WORTH_RANGE: f64 = 8.0;
+
+/// The rank of a call now, and when it will change by itself.
+pub(crate) fn rank(
+    config: &DispatcherConfig,
+    strategy: Strategy,
+    call: &WaitingCall,
+    now: Timestamp,
+) -> (Rank, Option<Timestamp>) {
+    let steps = config.priority_steps;
+    let urgency = match strategy.honours_priority {
+        true => call.priority.clamp(-steps, steps),
+        false => 0,
+    };
+    let arrival = call.accepted_at.0 as i64;
+    if strategy.ordering == Ordering::FirstCome {
+        let rank = Rank {
+            at: arrival,
+            urgency,
+        };
+        return (rank, None);
+    }
+    let missed = call.aim_at.is_some_and(|aim| aim <= now);
+    let delay = attained_delay(call) + if missed { micros(MISSED_DELAY) } else { 0 };
+    let head_start = i64::from(urgency) * micros(PRIORITY_HEAD_START);
+    let rank = Rank {
+        at: arrival + delay - head_start,
+        urgency,
+    };
+    (rank, call.aim_at.filter(|_| !missed))
+}
+
+fn attained_delay(call: &WaitingCall) -> i64 {
+    let doublings = (call.attained.0 as f64 / LEAST_ATTAINED).max(1.0).log2();
+    let worth = call.worth.clamp(1.0 / WORTH_RANGE, WORTH_RANGE);
+    let delay = doublings * micros(DELAY_PER_DOUBLING) as f64 / worth;
+    (delay as i64).min(micros(MAX_DELAY))
+}
+
+fn micros(duration: Duration) -> i64 {
+    duration.as_micros() as i64
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/pauses.rs
@@ -0,0 +1,202 @@
+//! What happens to a program's prefix while its tools are at work.
+//!
+//! The prefix is held by a lease while the chance that it is used soon is worth the memory: the hazard of the
+//! learned pause distribution (the best chance of a return per second, over several horizons) is compared with a
+//! price per second that rises with the engine's memory pressure. Both sides scale with the prefix's tokens, so
+//! the comparison needs no size. Invariants: only known, paused programs have leases; what an engine's entry and a
+//! branch's account count as leased is the sum over programs.
+
+use std::time::Duration;
+
+use courseshed_types::{EngineId, ProgramId, Timestamp, Tokens, dispatch::EngineOrderBody};
+
+use crate::{
+    state::State,
+    tables::{EngineEntry, Timer},
+};
+
+/// Horizons over which a return is weighed.
+const HORIZONS_SECONDS: [u64; 7] = [1, 2, 5, 10, 30, 90, 300];
+/// Chance that a program goes on, before anything was learned.
+const ASSUMED_GOES_ON: f64 = 0.75;
+/// Returns per second expected of a pause before anything was learned.
+const ASSUMED_HAZARD: f64 = 0.05;
+/// Price of holding an idle engine's memory: one return in so many seconds pays.
+const IDLE_PRICE: f64 = 1.0 / 300.0;
+/// Price of holding a full engine's memory.
+const FULL_PRICE: f64 = 1.0 / 3.0;
+/// Part of the memory in use up to which the idle price holds.
+const PRESSURE_FROM: f64 = 0.5;
+
+/// A program's call ended: its prefix is held or not, and the program is forgotten if it never returns.
+pub(crate) fn begin(state: &mut State, now: Timestamp, program: ProgramId) {
+    let forget_at = now + state.config.forget_program;
+    state.timers.set(forget_at, Timer::Forget(program));
+    review(state, now, program);
+}
+
+/// Decides again whether a paused program's prefix is held, and renews its lease.
+pub(crate) fn review(state: &mut State, now: Timestamp, program: ProgramId) {
+    if !state.strategy.holds_prefixes {
+        return;
+    }
+    let Some(engine) = paused_on(state, program) else {
+        return;
+    };
+    if is_worth_holding(state, now, program, &engine) {
+        renew(state, now, program, engine);
+    } else {
+        release(state, program);
+    }
+}
+
+/// The program makes a call again: the memory is the call's now.
+pub(crate) fn resume(state: &mut State, program: ProgramId) {
+    unlease(state, program);
+}
+
+/// The program is over: its prefix is useless.
+pub(crate) fn end(state: &mut State, program: ProgramId) {
+    unlease(state, program);
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return;
+    };
+    let branch = entry.branch.clone();
+    let Some(prefix) = entry.prefix.take() else {
+        return;
+    };
+    state.cache_account(&branch).waste.abandoned += prefix.unused.0;
+    if state.strategy.holds_prefixes {
+        state.counters.leases_released += 1;
+        state.order(prefix.engine, EngineOrderBody::ReleaseLease { program });
+    }
+}
+
+/// Takes a program's lease out of the accounts; true if it had one.
+pub(crate) fn unlease(state: &mut State, program: ProgramId) -> bool {
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return false;
+    };
+    let branch = entry.branch.clone();
+    let Some(prefix) = entry.prefix.as_mut() else {
+        return false;
+    };
+    let had_lease = prefix.leased_until.take().is_some();
+    let tokens = std::mem::take(&mut prefix.leased_tokens);
+    if let Some(engine) = state.engines.get_mut(&prefix.engine) {
+        engine.leased = engine.leased.saturating_sub(tokens);
+    }
+    let account = state.cache_account(&branch);
+    account.leased = account.leased.saturating_sub(tokens.0);
+    had_lease
+}
+
+/// Gives a program's lease up; the engine may evict the prefix when it needs the memory.
+fn release(state: &mut State, program: ProgramId) {
+    if !unlease(state, program) {
+        return;
+    }
+    let prefix = state
+        .programs
+        .get(&program)
+        .and_then(|entry| entry.prefix.as_ref());
+    let Some(engine) = prefix.map(|prefix| prefix.engine.clone()) else {
+        return;
+    };
+    state.counters.leases_released += 1;
+    state.order(engine, EngineOrderBody::ReleaseLease { program });
+}
+
+fn renew(state: &mut State, now: Timestamp, program: ProgramId, engine: EngineId) {
+    let time_to_live = state.config.lease;
+    unlease(state, program);
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return;
+    };
+    let branch = entry.branch.clone();
+    let Some(prefix) = entry.prefix.as_mut() else {
+        return;
+    };
+    prefix.leased_until = Some(now + time_to_live);
+    prefix.leased_tokens = prefix.tokens;
+    let tokens = prefix.tokens;
+    if let Some(engine) = state.engines.get_mut(&engine) {
+        engine.leased = engine.leased.saturating_add(tokens);
+    }
+    state.cache_account(&branch).leased += tokens.0;
+    state.counters.leases_renewed += 1;
+    let body = EngineOrderBody::RenewLease {
+        program,
+        time_to_live,
+    };
+    state.order(engine, body);
+    state
+        .timers
+        .set(now + time_to_live / 2, Timer::Hold(program));
+}
+
+/// The engine that holds the prefix of a program that is paused.
+fn paused_on(state: &State, program: ProgramId) -> Option<EngineId> {
+    let entry = state.programs.get(&program)?;
+    entry.paused_since?;
+    let prefix = entry.prefix.as_ref()?;
+    (prefix.tokens > Tokens::ZERO).then(|| prefix.engine.clone())
+}
+
+fn is_worth_holding(state: &State, now: Timestamp, program: ProgramId, engine: &EngineId) -> bool {
+    let Some(entry) = state.programs.get(&program) else {
+        return false;
+    };
+    let Some(since) = entry.paused_since else {
+        return false;
+    };
+    let elapsed = now.since(since);
+    let Some(holder) = state.engines.get(engine) else {
+        return false;
+    };
+    if elapsed > state.config.max_hold || !holder.takes_work(now, &state.pool.model) {
+        return false;
+    }
+    let goes_on = state
+        .shapes
+        .goes_on_after(&entry.branch, entry.turns)
+        .unwrap_or(ASSUMED_GOES_ON);
+    let hazard = HORIZONS_SECONDS
+        .iter()
+        .map(|seconds| {
+            let horizon = Duration::from_secs(*seconds);
+            let returns = state.shapes.returns_within(&entry.branch, elapsed, horizon);
+            returns.map_or(ASSUMED_HAZARD, |chance| chance / *seconds as f64)
+        })
+        .fold(0.0, f64::max);
+    goes_on * hazard >= price(state, program, holder)
+}
+
+/// The price of memory per second, as the chance of a return that would pay for it.
+fn price(state: &State, program: ProgramId, engine: &EngineEntry) -> f64 {
+    let Some(size) = engine.memory_size() else {
+        return IDLE_PRICE;
+    };
+    let used = engine.memory.saturating_add(engine.leased).0 as f64 / size.0 as f64;
+    let pressure = ((used - PRESSURE_FROM) / (1.0 - PRESSURE_FROM)).clamp(0.0, 1.0);
+    let price = IDLE_PRICE * (FULL_PRICE / IDLE_PRICE).powf(pressure);
+    if over_cache_share(state, program, size) {
+        return FULL_PRICE;
+    }
+    price
+}
+
+/// Whether the program's branch holds more of the pool's memory by leases than its cache share.
+fn over_cache_share(state: &State, program: ProgramId, engine_size: Tokens) -> bool {
+    let Some(entry) = state.programs.get(&program) else {
+        return false;
+    };
+    let held = state
+        .caches
+        .get(&entry.branch)
+        .map_or(0, |account| account.leased);
+    let queue = state.branches.queue_of(&entry.branch);
+    let share = state.branches.node(queue).cache_share;
+    let engines = state.engines.iter().count() as f64;
+    held as f64 > share * engines * engine_size.0 as f64
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/queueing.rs
@@ -0,0 +1,73 @@
+//! Calls enter and leave the queues of their branches, always together with the branches' listings.
+
+use courseshed_types::{CallId, Timestamp};
+
+use crate::{
+    state::State,
+    systems::{fairness, ordering},
+    tables::{CallPhase, NodeIndex, Rank, Timer},
+};
+
+/// Puts a call of the call table into its queue.
+pub(crate) fn enqueue(state: &mut State, now: Timestamp, call: CallId) {
+    let Some(entry) = state.calls.get(&call) else {
+        return;
+    };
+    let (rank, changes_at) = ordering::rank(&state.config, state.strategy, &entry.call, now);
+    let queue = entry.queue;
+    if let Some(at) = changes_at {
+        state.timers.set(at, Timer::Rerank(call));
+    }
+    state.calls.set_phase(&call, CallPhase::Waiting(rank));
+    insert(state, queue, rank, call, false);
+}
+
+/// Takes a waiting call out of its queue; its rank and queue are returned.
+pub(crate) fn dequeue(state: &mut State, call: CallId) -> Option<(NodeIndex, Rank)> {
+    let entry = state.calls.get(&call)?;
+    let CallPhase::Waiting(rank) = entry.phase else {
+        return None;
+    };
+    let queue = entry.queue;
+    let node = state.branches.node_mut(queue);
+    node.queue.remove(&(rank, call));
+    node.first_calls.remove(&(rank, call));
+    refresh(state, queue, true);
+    Some((queue, rank))
+}
+
+/// Puts a call that was taken out for a moment back at its place; its branch keeps its credit.
+pub(crate) fn put_back(state: &mut State, queue: NodeIndex, rank: Rank, call: CallId) {
+    insert(state, queue, rank, call, true);
+}
+
+/// Ranks a waiting call anew.
+pub(crate) fn rerank(state: &mut State, now: Timestamp, call: CallId) {
+    if let Some((queue, _)) = dequeue(state, call) {
+        let entry = state.calls.get(&call).expect("it was in a queue");
+        let (rank, changes_at) = ordering::rank(&state.config, state.strategy, &entry.call, now);
+        if let Some(at) = changes_at {
+            state.timers.set(at, Timer::Rerank(call));
+        }
+        state.calls.set_phase(&call, CallPhase::Waiting(rank));
+        insert(state, queue, rank, call, true);
+    }
+}
+
+fn insert(state: &mut State, queue: NodeIndex, rank: Rank, call: CallId, keeps_credit: bool) {
+    let is_first = state
+        .calls
+        .get(&call)
+        .is_some_and(|entry| entry.call.attained.0 == 0);
+    let node = state.branches.node_mut(queue);
+    node.queue.insert((rank, call));
+    if is_first {
+        node.first_calls.insert((rank, call));
+    }
+    refresh(state, queue, keeps_credit);
+}
+
+fn refresh(state: &mut State, queue: NodeIndex, keeps_credit: bool) {
+    let warp = state.config.warp_per_priority;
+    fairness::refresh(&mut state.branches, queue, warp, keeps_credit);
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/tables/branches.rs
@@ -0,0 +1,268 @@
+//! The tree of branches with its accounts and queues.
+//!
+//! A branch with children gets one more child, its own queue with weight one, so that only nodes without
+//! children hold calls. Invariants: weights of siblings sum to one; a node is listed in its parent's `active` set
+//! if and only if calls wait below it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use courseshed_types::{BranchPath, CallId, PolicySnapshot};
+
+use crate::{baselines::Sharing, tables::Rank, units::VirtualTime};
+
+/// The place of a node in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct NodeIndex(pub(crate) u32);
+
+impl NodeIndex {
+    /// The root of the tree.
+    pub(crate) const ROOT: NodeIndex = NodeIndex(0);
+}
+
+/// The share given to a branch's own calls beside its children.
+const OWN_QUEUE_SHARE: f64 = 1.0;
+
+/// How a node stands in its parent's sets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Listing {
+    /// Where it stands in the order of service.
+    pub(crate) key: VirtualTime,
+    /// Its most urgent next call, in steps of priority above zero.
+    pub(crate) urgency: i32,
+    /// Its place in the order of floors, for nodes that have one.
+    pub(crate) floor: Option<VirtualTime>,
+}
+
+/// A node of the tree.
+#[derive(Debug, Clone)]
+pub(crate) struct BranchNode {
+    pub(crate) path: BranchPath,
+    /// Whether it is a branch's own queue beside the branch's children.
+    pub(crate) is_own_queue: bool,
+    pub(crate) parent: Option<NodeIndex>,
+    pub(crate) children: Vec<NodeIndex>,
+    /// Part of the parent's service, 0 to 1.
+    pub(crate) weight: f64,
+    /// Part of the pool guaranteed, 0 to 1.
+    pub(crate) floor: f64,
+    /// Part of the engines' cache that leases of the branch may hold, 0 to 1.
+    pub(crate) cache_share: f64,
+    /// Virtual time at which the node's next service starts.
+    pub(crate) start: VirtualTime,
+    /// Virtual time of the node's children.
+    pub(crate) virtual_now: VirtualTime,
+    /// Virtual time by the floor.
+    pub(crate) floor_start: VirtualTime,
+    /// Service charged so far, corrected by what engines counted.
+    pub(crate) served: u64,
+    pub(crate) listing: Option<Listing>,
+    /// Children below which calls wait, in order of service.
+    pub(crate) active: BTreeSet<(VirtualTime, NodeIndex)>,
+    /// Children with urgent calls.
+    pub(crate) urgent: BTreeSet<(i32, NodeIndex)>,
+    /// Calls waiting here, in order; only at nodes without children.
+    pub(crate) queue: BTreeSet<(Rank, CallId)>,
+    /// Those of `queue` that are first calls of their family.
+    pub(crate) first_calls: BTreeSet<(Rank, CallId)>,
+}
+
+impl BranchNode {
+    fn new(path: BranchPath, parent: Option<NodeIndex>, weight: f64) -> BranchNode {
+        BranchNode {
+            path,
+            is_own_queue: false,
+            parent,
+            children: Vec::new(),
+            weight,
+            floor: 0.0,
+            cache_share: 1.0,
+            start: VirtualTime::default(),
+            virtual_now: VirtualTime::default(),
+            floor_start: VirtualTime::default(),
+            served: 0,
+            listing: None,
+            active: BTreeSet::new(),
+            urgent: BTreeSet::new(),
+            queue: BTreeSet::new(),
+            first_calls: BTreeSet::new(),
+        }
+    }
+}
+
+/// All branches of one pool.
+#[derive(Debug, Clone)]
+pub(crate) struct BranchTable {
+    nodes: Vec<BranchNode>,
+    /// The node that queues a branch's calls.
+    queues: BTreeMap<BranchPath, NodeIndex>,
+    /// Nodes with a floor below which calls wait, in order of their floors.
+    pub(crate) floors: BTreeSet<(VirtualTime, NodeIndex)>,
+}
+
+impl BranchTable {
+    /// Builds the tree of a policy, empty of calls, and carries the accounts of an older tree over.
+    pub(crate) fn build(
+        policy: &PolicySnapshot,
+        sharing: Sharing,
+        older: Option<&BranchTable>,
+    ) -> BranchTable {
+        let mut table = BranchTable {
+            nodes: vec![BranchNode::new(BranchPath::root(), None, 1.0)],
+            queues: BTreeMap::new(),
+            floors: BTreeSet::new(),
+        };
+        match sharing {
+            Sharing::Single => {}
+            Sharing::Flat => table.add_flat(policy),
+            Sharing::Tree => table.add_tree(policy),
+        }
+        table.list_queues();
+        if let Some(older) = older {
+            table.carry_over(older);
+        }
+        table
+    }
+
+    pub(crate) fn node(&self, index: NodeIndex) -> &BranchNode {
+        &self.nodes[index.0 as usize]
+    }
+
+    pub(crate) fn node_mut(&mut self, index: NodeIndex) -> &mut BranchNode {
+        &mut self.nodes[index.0 as usize]
+    }
+
+    /// All nodes with their indices, parents before children.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (NodeIndex, &BranchNode)> {
+        let indexed = self.nodes.iter().enumerate();
+        indexed.map(|(index, node)| (NodeIndex(index as u32), node))
+    }
+
+    /// The node that queues the calls of a branch, or of the nearest branch above it that exists.
+    pub(crate) fn queue_of(&self, branch: &BranchPath) -> NodeIndex {
+        if let Some(index) = self.queues.get(branch) {
+            return *index;
+        }
+        branch
+            .ancestry()
+            .find_map(|path| self.queues.get(&path).copied())
+            .unwrap_or(NodeIndex::ROOT)
+    }
+
+    /// The node and all above it, the root last.
+    pub(crate) fn path_up(&self, from: NodeIndex) -> impl Iterator<Item = NodeIndex> {
+        std::iter::successors(Some(from), |index| self.node(*index).parent)
+    }
+
+    /// Part of the pool a node is entitled to by shares alone, 0 to 1.
+    pub(crate) fn entitled(&self, index: NodeIndex) -> f64 {
+        self.path_up(index)
+            .map(|node| self.node(node).weight)
+            .product()
+    }
+
+    fn add(&mut self, parent: NodeIndex, mut node: BranchNode) -> NodeIndex {
+        let index = NodeIndex(self.nodes.len() as u32);
+        node.parent = Some(parent);
+        self.nodes.push(node);
+        self.node_mut(parent).children.push(index);
+        index
+    }
+
+    fn add_tree(&mut self, policy: &PolicySnapshot) {
+        let mut indices = BTreeMap::from([(BranchPath::root(), NodeIndex::ROOT)]);
+        for (path, branch) in &policy.branches {
+            let Some(parent) = path.parent() else {
+                continue;
+            };
+            let Some(parent) = indices.get(&parent).copied() else {
+                continue;
+            };
+            let mut node = BranchNode::new(path.clone(), None, branch.share.max(f64::MIN_POSITIVE));
+            node.floor = branch.floor.clamp(0.0, 1.0);
+            node.cache_share = branch.cache_share;
+            indices.insert(path.clone(), self.add(parent, node));
+        }
+        self.add_own_queues();
+        self.normalise_weights();
+    }
+
+    fn add_flat(&mut self, policy: &PolicySnapshot) {
+        let mut tree = BranchTable {
+            nodes: vec![BranchNode::new(BranchPath::root(), None, 1.0)],
+            queues: BTreeMap::new(),
+            floors: BTreeSet::new(),
+        };
+        tree.add_tree(policy);
+        for (index, node) in tree.iter().filter(|(_, node)| node.children.is_empty()) {
+            if index == NodeIndex::ROOT {
+                continue;
+            }
+            let weight = tree.entitled(index);
+            self.add(
+                NodeIndex::ROOT,
+                BranchNode::new(node.path.clone(), None, weight),
+            );
+        }
+        self.normalise_weights();
+    }
+
+    fn add_own_queues(&mut self) {
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            if node.children.is_empty() {
+                continue;
+            }
+            let mut own = BranchNode::new(node.path.clone(), None, OWN_QUEUE_SHARE);
+            own.is_own_queue = true;
+            own.cache_share = node.cache_share;
+            self.add(NodeIndex(index as u32), own);
+        }
+    }
+
+    fn normalise_weights(&mut self) {
+        for index in 0..self.nodes.len() {
+            let children = self.nodes[index].children.clone();
+            let sum: f64 = children.iter().map(|child| self.node(*child).weight).sum();
+            for child in children {
+                self.node_mut(child).weight /= sum;
+            }
+        }
+    }
+
+    fn list_queues(&mut self) {
+        let queues = self
+            .iter()
+            .filter(|(_, node)| node.children.is_empty())
+            .map(|(index, node)| (node.path.clone(), index))
+            .collect();
+        self.queues = queues;
+    }
+
+    fn carry_over(&mut self, older: &BranchTable) {
+        let accounts: BTreeMap<_, _> = older
+            .nodes
+            .iter()
+            .map(|node| ((node.path.clone(), node.is_own_queue), node))
+            .collect();
+        for index in 0..self.nodes.len() {
+            let key = (
+                self.nodes[index].path.clone(),
+                self.nodes[index].is_own_queue,
+            );
+            let parent_now = self.nodes[index]
+                .parent
+                .map(|parent| self.node(parent).virtual_now)
+                .unwrap_or_default();
+            let node = &mut self.nodes[index];
+            match accounts.get(&key) {
+                Some(old) => {
+                    node.start = old.start;
+                    node.virtual_now = old.virtual_now;
+                    node.floor_start = old.floor_start;
+                    node.served = old.served;
+                }
+                None => node.start = parent_now,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/tables/engines.rs
@@ -0,0 +1,183 @@
+//! The engines of a pool: what the list says, what they report, and the dispatcher's own account.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use courseshed_types::{
+    EngineId, ModelName, Timestamp, Tokens,
+    dispatch::{EngineLoad, EngineMember, EngineState},
+};
+
+use crate::config::DispatcherConfig;
+
+/// A load report and when it came.
+#[derive(Debug, Clone)]
+pub(crate) struct LoadReport {
+    pub(crate) load: EngineLoad,
+    pub(crate) at: Timestamp,
+}
+
+/// Whether an engine may be tried.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Health {
+    /// Failures in a row.
+    pub(crate) failures: u32,
+    /// Ejections since the last success.
+    pub(crate) ejections: u32,
+    /// No work before this.
+    pub(crate) ejected_until: Option<Timestamp>,
+}
+
+/// An engine.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineEntry {
+    pub(crate) member: EngineMember,
+    pub(crate) report: Option<LoadReport>,
+    pub(crate) health: Health,
+    /// When slow start began; none once the engine takes its whole batch.
+    pub(crate) warming_since: Option<Timestamp>,
+    /// Calls this dispatcher has there.
+    pub(crate) in_flight: u32,
+    /// KV memory those calls are expected to take.
+    pub(crate) memory: Tokens,
+    /// Most calls in flight since the report before the last.
+    pub(crate) peaks: [u32; 2],
+    /// KV memory held by leases of paused programs, as this dispatcher believes.
+    pub(crate) leased: Tokens,
+    /// The last cache event heard.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl EngineEntry {
+    pub(crate) fn new(member: EngineMember) -> EngineEntry {
+        EngineEntry {
+            member,
+            report: None,
+            health: Health::default(),
+            warming_since: None,
+            in_flight: 0,
+            memory: Tokens::ZERO,
+            peaks: [0; 2],
+            leased: Tokens::ZERO,
+            last_event: None,
+        }
+    }
+
+    /// Whether the engine may be given new calls of the model.
+    pub(crate) fn takes_work(&self, now: Timestamp, model: &ModelName) -> bool {
+        let ejected = self.health.ejected_until.is_some_and(|until| now < until);
+        self.member.state == EngineState::Live && !ejected && self.serves(model)
+    }
+
+    fn serves(&self, model: &ModelName) -> bool {
+        match &self.report {
+            Some(report) if report.load.leaving => false,
+            Some(report) if !report.load.models.is_empty() => report.load.models.contains(model),
+            _ => self.member.models.contains(model),
+        }
+    }
+
+    /// Calls that may be in flight at once, from this dispatcher.
+    pub(crate) fn call_limit(&self, config: &DispatcherConfig, now: Timestamp) -> u32 {
+        let batch = match &self.report {
+            Some(report) if report.load.max_batch > 0 => report.load.max_batch,
+            _ => config.assumed_batch,
+        };
+        let ahead = (f64::from(batch) * config.send_ahead).ceil() as u32;
+        let limit = (batch + ahead).saturating_sub(self.foreign_calls(config, now));
+        match self.warm_part(config.slow_start, now) {
+            Some(part) => ((f64::from(limit) * part) as u32).max(1),
+            None => limit,
+        }
+    }
+
+    /// Calls on the engine that are not this dispatcher's, from the last report. The report lags: what was ours
+    /// at any time since the report before it is not held against the engine.
+    fn foreign_calls(&self, config: &DispatcherConfig, now: Timestamp) -> u32 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        if now.since(report.at) > config.stale_report {
+            return 0;
+        }
+        let reported = report.load.running + report.load.waiting;
+        let ours = self.peaks[0].max(self.peaks[1]).max(self.in_flight);
+        reported.saturating_sub(ours)
+    }
+
+    /// KV memory in tokens, if reported.
+    pub(crate) fn memory_size(&self) -> Option<Tokens> {
+        let load = &self.report.as_ref()?.load;
+        let tokens = u64::from(load.total_blocks) * u64::from(load.block_tokens);
+        (tokens > 0).then_some(Tokens(tokens))
+    }
+
+    /// KV memory left for another call, if the size is known.
+    pub(crate) fn memory_room(&self, config: &DispatcherConfig) -> Option<Tokens> {
+        let size = self.memory_size()?;
+        let usable = Tokens((size.0 as f64 * config.memory_limit) as u64);
+        Some(
+            usable
+                .saturating_sub(self.memory)
+                .saturating_sub(self.leased),
+        )
+    }
+
+    /// Part of the batch an engine that comes back may have; none when it is warm.
+    fn warm_part(&self, slow_start: Duration, now: Timestamp) -> Option<f64> {
+        let since = self.warming_since?;
+        let part = now.since(since).as_secs_f64() / slow_start.as_secs_f64().max(f64::EPSILON);
+        (part < 1.0).then_some(part)
+    }
+
+    /// A call was given to the engine.
+    pub(crate) fn add_call(&mut self, memory: Tokens) {
+        self.in_flight += 1;
+        self.memory = self.memory.saturating_add(memory);
+        self.peaks[0] = self.peaks[0].max(self.in_flight);
+    }
+
+    /// A call left the engine.
+    pub(crate) fn remove_call(&mut self, memory: Tokens) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.memory = self.memory.saturating_sub(memory);
+    }
+
+    /// Takes a report over; true if the engine restarted since the one before.
+    pub(crate) fn take_report(&mut self, now: Timestamp, load: EngineLoad) -> bool {
+        let restarted = self
+            .report
+            .as_ref()
+            .is_some_and(|report| report.load.start != load.start);
+        self.report = Some(LoadReport { load, at: now });
+        self.peaks = [self.in_flight, self.peaks[0]];
+        restarted
+    }
+}
+
+/// All engines of a pool, by id.
+#[derive(Debug, Default)]
+pub(crate) struct EngineTable {
+    engines: BTreeMap<EngineId, EngineEntry>,
+}
+
+impl EngineTable {
+    pub(crate) fn get(&self, engine: &EngineId) -> Option<&EngineEntry> {
+        self.engines.get(engine)
+    }
+
+    pub(crate) fn get_mut(&mut self, engine: &EngineId) -> Option<&mut EngineEntry> {
+        self.engines.get_mut(engine)
+    }
+
+    pub(crate) fn insert(&mut self, entry: EngineEntry) {
+        self.engines.insert(entry.member.engine.clone(), entry);
+    }
+
+    pub(crate) fn remove(&mut self, engine: &EngineId) -> Option<EngineEntry> {
+        self.engines.remove(engine)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&EngineId, &EngineEntry)> {
+        self.engines.iter()
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/tables/mod.rs
@@ -0,0 +1,15 @@
+//! The entities of one pool, in tables; systems run over them.
+
+mod branches;
+mod calls;
+mod engines;
+mod programs;
+mod shards;
+mod timers;
+
+pub(crate) use branches::{BranchNode, BranchTable, Listing, NodeIndex};
+pub(crate) use calls::{CallEntry, CallPhase, CallTable, Placement, Rank};
+pub(crate) use engines::{EngineEntry, EngineTable};
+pub(crate) use programs::{CachedPrefix, ProgramTable};
+pub(crate) use shards::{ShardTable, TermCheck};
+pub(crate) use timers::{Timer, TimerTable};
--- /dev/null
+++ b/crates/courseshed-dispatch/src/tables/programs.rs
@@ -0,0 +1,107 @@
+//! Programs that make calls in the pool, and where their prefixes are cached.
+
+use std::collections::BTreeMap;
+
+use courseshed_types::{
+    Attempt, BranchPath, EngineId, ProgramId, RequestId, Sequence, ShardId, Timestamp, Tokens,
+};
+
+/// Prefix memory of a program on one engine, as far as is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CachedPrefix {
+    pub(crate) engine: EngineId,
+    pub(crate) tokens: Tokens,
+    /// Those of them that no call has found in the cache yet.
+    pub(crate) unused: Tokens,
+    /// Until when a lease holds it.
+    pub(crate) leased_until: Option<Timestamp>,
+    /// Tokens counted in the engine's leased memory.
+    pub(crate) leased_tokens: Tokens,
+}
+
+/// A program.
+#[derive(Debug, Clone)]
+pub(crate) struct ProgramEntry {
+    pub(crate) branch: BranchPath,
+    pub(crate) shard: ShardId,
+    /// Calls settled.
+    pub(crate) turns: u32,
+    /// The last attempt that ended; what comes late of it or of earlier ones is dropped.
+    pub(crate) last_ended: Option<(Sequence, Attempt)>,
+    /// Since when no call of the program is known.
+    pub(crate) paused_since: Option<Timestamp>,
+    /// Where its prefix is.
+    pub(crate) prefix: Option<CachedPrefix>,
+}
+
+impl ProgramEntry {
+    pub(crate) fn new(branch: BranchPath, shard: ShardId) -> ProgramEntry {
+        ProgramEntry {
+            branch,
+            shard,
+            turns: 0,
+            last_ended: None,
+            paused_since: None,
+            prefix: None,
+        }
+    }
+
+    /// Whether an attempt ended before, or a later one did.
+    pub(crate) fn has_ended(&self, request: &RequestId) -> bool {
+        let attempt = (request.call.sequence, request.attempt);
+        self.last_ended.is_some_and(|last| attempt <= last)
+    }
+
+    /// Notes the end of an attempt.
+    pub(crate) fn note_ended(&mut self, request: &RequestId) {
+        let attempt = (request.call.sequence, request.attempt);
+        self.last_ended = self.last_ended.max(Some(attempt));
+    }
+
+    /// Tokens of the program's prefix believed cached on an engine.
+    pub(crate) fn cached_on(&self, engine: &EngineId) -> Tokens {
+        match &self.prefix {
+            Some(prefix) if prefix.engine == *engine => prefix.tokens,
+            _ => Tokens::ZERO,
+        }
+    }
+}
+
+/// All programs of a pool.
+#[derive(Debug, Default)]
+pub(crate) struct ProgramTable {
+    programs: BTreeMap<ProgramId, ProgramEntry>,
+}
+
+impl ProgramTable {
+    pub(crate) fn get(&self, program: &ProgramId) -> Option<&ProgramEntry> {
+        self.programs.get(program)
+    }
+
+    pub(crate) fn get_mut(&mut self, program: &ProgramId) -> Option<&mut ProgramEntry> {
+        self.programs.get_mut(program)
+    }
+
+    pub(crate) fn get_or_insert(
+        &mut self,
+        program: ProgramId,
+        branch: &BranchPath,
+        shard: ShardId,
+    ) -> &mut ProgramEntry {
+        self.programs
+            .entry(program)
+            .or_insert_with(|| ProgramEntry::new(branch.clone(), shard))
+    }
+
+    pub(crate) fn remove(&mut self, program: &ProgramId) -> Option<ProgramEntry> {
+        self.programs.remove(program)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&ProgramId, &ProgramEntry)> {
+        self.programs.iter()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.programs.len()
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/src/tables/timers.rs
@@ -0,0 +1,54 @@
+//! What is due when. A timer that no longer applies is ignored when it fires.
+
+use std::collections::BTreeSet;
+
+use courseshed_types::{CallId, EngineId, ProgramId, ShardId, Timestamp};
+
+/// Something that falls due.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// The call has waited as long as it may.
+    GiveUp(CallId),
+    /// The call's place in its branch may have changed.
+    Rerank(CallId),
+    /// The assignment was not confirmed yet.
+    Resend(CallId),
+    /// The paused program's prefix is looked at again.
+    Hold(ProgramId),
+    /// The program may have been silent for too long.
+    Forget(ProgramId),
+    /// The engine may be tried again, or takes more calls now.
+    Engine(EngineId),
+    /// The shard has had time to announce its calls.
+    Announce(ShardId),
+    /// Engines that have not reported yet may be tried now.
+    GraceEnds,
+}
+
+/// All timers, in order of time.
+#[derive(Debug, Default)]
+pub(crate) struct TimerTable {
+    due: BTreeSet<(Timestamp, Timer)>,
+}
+
+impl TimerTable {
+    pub(crate) fn set(&mut self, at: Timestamp, timer: Timer) {
+        self.due.insert((at, timer));
+    }
+
+    pub(crate) fn next(&self) -> Option<Timestamp> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    pub(crate) fn pop_due(&mut self, now: Timestamp) -> Option<Timer> {
+        let (at, _) = self.due.first()?;
+        if *at > now {
+            return None;
+        }
+        self.due.pop_first().map(|(_, timer)| timer)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.due.len()
+    }
+}
--- /dev/null
+++ b/crates/courseshed-dispatch/tests/calls.rs
@@ -0,0 +1,190 @@
+//! A call's way through the dispatcher, with messages twice, late, or of a replaced leader.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Driver, call, usage};
+use courseshed_dispatch::{DispatcherConfig, PolicyKind};
+use courseshed_types::{
+    Attempt, ErrorCode, Verdict,
+    dispatch::{DispatchRequestBody, EngineState},
+};
+
+#[test]
+fn a_call_is_assigned_once_and_its_slot_comes_back() {
+    let mut driver = Driver::with_engines(&["e1"], 1);
+    let first = call(1, 1, "/", driver.now);
+    let second = call(2, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    driver.enqueue(second.clone());
+    let assigned = driver.tick();
+    assert_eq!(assigned.len(), 1, "one slot, one call");
+    assert_eq!(assigned[0].call, first.call);
+    driver.started(first.clone(), "e1");
+    assert!(driver.tick().is_empty());
+    driver.finished(first.call, usage(500, 0, 20));
+    assert_eq!(driver.tick()[0].call, second.call);
+}
+
+#[test]
+fn a_repeated_enqueue_repeats_the_assignment_and_takes_no_second_slot() {
+    let mut driver = Driver::with_engines(&["e1", "e2"], 4);
+    let first = call(1, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    let assigned = driver.tick();
+    driver.enqueue(first.clone());
+    assert_eq!(driver.tick(), assigned);
+    let stats = driver.dispatcher.stats(driver.now);
+    assert_eq!((stats.waiting, stats.in_flight), (0, 1));
+}
+
+#[test]
+fn an_unconfirmed_assignment_is_sent_again_until_it_is_confirmed() {
+    let mut driver = Driver::with_engines(&["e1"], 4);
+    let first = call(1, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    driver.tick();
+    assert_eq!(driver.pass(Duration::from_secs(3)).len(), 1);
+    driver.started(first, "e1");
+    assert!(driver.pass(Duration::from_secs(10)).is_empty());
+}
+
+#[test]
+fn what_comes_late_of_an_ended_attempt_is_dropped() {
+    let mut driver = Driver::with_engines(&["e1"], 4);
+    let first = call(1, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    driver.tick();
+    driver.started(first.clone(), "e1");
+    driver.finished(first.call, usage(500, 0, 20));
+    driver.finished(first.call, usage(500, 0, 20));
+    driver.started(first.clone(), "e1");
+    driver.enqueue(first);
+    assert!(driver.tick().is_empty());
+    let stats = driver.dispatcher.stats(driver.now);
+    assert_eq!(stats.in_flight, 0);
+    assert_eq!(stats.counters.stale_attempts, 3);
+}
+
+#[test]
+fn a_failed_attempt_may_be_followed_by_the_next() {
+    let mut driver = Driver::with_engines(&["e1", "e2"], 4);
+    let first = call(1, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    let engine = driver.tick()[0].engine.clone();
+    driver.failed(first.call, true);
+    let mut second = first.clone();
+    second.attempt = Attempt(2);
+    second.avoid = vec![engine.clone()];
+    driver.enqueue(second);
+    driver.enqueue(first);
+    let assigned = driver.tick();
+    assert_eq!(assigned.len(), 1);
+    assert_eq!(assigned[0].attempt, Attempt(2));
+    assert_ne!(assigned[0].engine, engine);
+}
+
+#[test]
+fn messages_of_a_replaced_leader_are_dropped() {
+    let mut driver = Driver::with_engines(&["e1"], 4);
+    driver.term = 5;
+    driver.enqueue(call(1, 1, "/", driver.now));
+    driver.term = 4;
+    driver.enqueue(call(2, 1, "/", driver.now));
+    assert_eq!(driver.tick().len(), 1);
+    let stats = driver.dispatcher.stats(driver.now);
+    assert_eq!(stats.counters.stale_terms, 1);
+}
+
+#[test]
+fn calls_that_a_new_leader_does_not_name_are_forgotten() {
+    let mut driver = Driver::with_engines(&["e1"], 4);
+    let (lost, kept) = (call(1, 1, "/", driver.now), call(2, 1, "/", driver.now));
+    driver.enqueue(lost);
+    driver.enqueue(kept.clone());
+    driver.tick();
+    driver.term = 2;
+    driver.started(kept, "e1");
+    driver.say(DispatchRequestBody::AnnounceComplete);
+    let stats = driver.dispatcher.stats(driver.now);
+    assert_eq!(stats.in_flight, 1);
+    assert_eq!(stats.engines[&"e1".into()].in_flight, 1);
+    assert_eq!(stats.counters.forgotten_calls, 1);
+}
+
+#[test]
+fn a_shard_that_does_not_announce_is_asked_a_bounded_number_of_times() {
+    let mut driver = Driver::with_engines(&["e1"], 4);
+    let first = call(1, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    driver.tick();
+    driver.started(first, "e1");
+    driver.pass(Duration::from_secs(600));
+    assert_eq!(driver.announce_asked, 5);
+}
+
+#[test]
+fn a_withdrawn_call_gives_its_place_back() {
+    let mut driver = Driver::with_engines(&["e1"], 1);
+    let (first, second) = (call(1, 1, "/", driver.now), call(2, 1, "/", driver.now));
+    driver.enqueue(first.clone());
+    driver.enqueue(second.clone());
+    driver.tick();
+    driver.say(DispatchRequestBody::Withdraw(first.call));
+    assert_eq!(driver.tick()[0].call, second.call);
+}
+
+#[test]
+fn a_call_that_waits_too_long_is_refused_as_not_run() {
+    let mut driver = Driver::with_engines(&["e1"], 1);
+    driver.enqueue(call(1, 1, "/", driver.now));
+    let late = call(2, 1, "/", driver.now);
+    driver.enqueue(late.clone());
+    driver.pass(Duration::from_secs(61));
+    assert_eq!(driver.shed.len(), 1, "an assigned call is never refused");
+    let (refused, error) = &driver.shed[0];
+    assert_eq!(*refused, late.call);
+    assert_eq!(error.verdict, Verdict::NotRun);
+    assert_eq!(error.code, ErrorCode::DeadlineExceeded);
+    assert!(error.retry_after.is_some());
+}
+
+#[test]
+fn a_new_dispatcher_waits_for_reports_before_it_fills_engines() {
+    let mut driver = Driver::new(PolicyKind::Courseshed, DispatcherConfig::default());
+    driver.list_engines(&["e1"]);
+    driver.enqueue(call(1, 1, "/", driver.now));
+    assert!(driver.tick().is_empty(), "what runs there is not known");
+    driver.report("e1", common::load(9, 8));
+    assert!(
+        driver.tick().is_empty(),
+        "it is full of calls not announced"
+    );
+    driver.report("e1", common::load(3, 8));
+    assert_eq!(driver.tick().len(), 1);
+}
+
+#[test]
+fn an_engine_that_never_reports_is_used_after_the_grace() {
+    let mut driver = Driver::new(PolicyKind::Courseshed, DispatcherConfig::default());
+    driver.list_engines(&["e1"]);
+    driver.enqueue(call(1, 1, "/", driver.now));
+    assert!(driver.tick().is_empty());
+    assert_eq!(driver.pass(Duration::from_secs(1)).len(), 1);
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_work_at_once() {
+    let mut driver = Driver::with_engines(&["e1"], 4);
+    let mut leaving = common::member("e1");
+    leaving.state = EngineState::Leaving;
+    driver.dispatcher.on_engines(driver.now, &[leaving]);
+    driver.enqueue(call(1, 1, "/", driver.now));
+    assert!(driver.tick().is_empty());
+    driver.list_engines(&["e1"]);
+    let mut report = common::load(0, 4);
+    report.leaving = true;
+    driver.report("e1", report);
+    assert!(driver.tick().is_empty(), "the engine itself says so");
+}
--- a/crates/courseshed-types/src/dispatch.rs
+++ b/crates/courseshed-types/src/dispatch.rs
@@ -244,6 +244,17 @@
     Evicted(Tokens),
 }
 
+/// One cached prefix in an engine's own listing, against which a dispatcher reconciles what it believes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseEntry {
+    /// The program whose prefix it is.
+    pub program: ProgramId,
+    /// Tokens cached.
+    pub tokens: Tokens,
+    /// How long a lease still holds them; none where the engine may evict them.
+    pub leased_for: Option<Duration>,
+}
+
 /// What a dispatcher asks of an engine besides calls.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineOrder {
