Bound how long an order to start an attempt may be followed

Cause: a leader that takes over asks the engine about a dispatched attempt. If the engine refuses the attempt from then on but restarts and forgets the refusal, a late order to start could run it beside a second attempt. Change: a StartOrder carries valid_until; a gateway reports the attempt as not started after it. A finding "never started" of a call that is not repeatable is acted upon only when no order can be followed any more. A question to an engine carries the time of the dispatch, so that an engine started later is told from one that never got the attempt. "Not started" is believed only from the gateway that got the order.

--- a/crates/courseshed-programs/src/leader/config.rs
+++ b/crates/courseshed-programs/src/leader/config.rs
@@ -19,6 +19,9 @@
     pub max_in_flight: usize,
     /// An attempt whose gateway was not heard of for so long is looked up at its engine.
     pub stream_silence: Duration,
+    /// Bound of the difference between two nodes' clocks and of the time a gateway takes to send a call to its
+    /// engine. An attempt is not given up as never started before its order to start has run out by this much.
+    pub start_margin: Duration,
     /// Time between two questions about the same attempt.
     pub query_interval: Duration,
     /// An engine that can't be reached for so long counts as lost, with all that ran there.
@@ -63,6 +66,7 @@
             shards_in_region: 1,
             max_in_flight: 4_096,
             stream_silence: Duration::from_secs(10),
+            start_margin: Duration::from_secs(2),
             query_interval: Duration::from_secs(1),
             unreachable_limit: Duration::from_secs(15),
             runner_wait: Duration::from_secs(2),
--- a/crates/courseshed-programs/src/leader/output.rs
+++ b/crates/courseshed-programs/src/leader/output.rs
@@ -1,7 +1,7 @@
 //! What the leader hands to its driver, and the small types of its interface.
 
 use courseshed_types::{
-    EngineId, NodeId, RequestId,
+    EngineId, NodeId, RequestId, Timestamp,
     control::{GrantRequest, GrantReturn},
     dispatch::DispatchRequest,
     shard::ShardReply,
@@ -69,4 +69,7 @@
     pub engine: EngineId,
     /// The engine's HTTP address, `ip:port`.
     pub engine_address: String,
+    /// When the attempt was bound to the engine. An engine that does not know the attempt and started after this
+    /// time may have run it before: that is `Forgotten`, not `NeverStarted`.
+    pub dispatched_at: Timestamp,
 }
--- a/crates/courseshed-programs/src/leader/recovery.rs
+++ b/crates/courseshed-programs/src/leader/recovery.rs
@@ -15,7 +15,7 @@
 use crate::{
     call::OpenCall,
     command::{CommandBody, RetryCall},
-    state::ShardState,
+    state::{START_ORDER_VALIDITY, ShardState},
     verdicts::{AttemptEnd, AttemptLimits, NextStep},
 };
 
@@ -42,6 +42,10 @@
         live.heard_at = now;
         match report.result {
             AttemptResult::Answered(answer) => self.complete(now, request, answer),
+            // Only the gateway that got the order to start can be certain that it did not follow it.
+            AttemptResult::NotStarted(_) if !is_runner(state, request, report.gateway) => {
+                self.query_soon(now, request.call);
+            }
             AttemptResult::NotStarted(reason) => {
                 self.attempt_ended(now, state, request, AttemptEnd::Refused(reason));
             }
@@ -67,6 +71,9 @@
             EngineFinding::Answered(answer) => self.complete(now, request, answer),
             EngineFinding::Running => self.still_running(now, request.call),
             EngineFinding::NeverStarted => {
+                if self.may_still_start(now, state, request) {
+                    return;
+                }
                 self.attempt_ended(now, state, request, AttemptEnd::NeverArrived);
             }
             EngineFinding::Failed(reason) => {
@@ -134,16 +141,33 @@
                 continue;
             }
             live.query_at = now + interval;
-            if let Some(order) = state.attach_order(*call) {
+            let open = state.open_call(*call);
+            let dispatch = open.and_then(|open| open.dispatch.as_ref());
+            if let Some((open, dispatch)) = open.zip(dispatch) {
                 self.outputs.push(ShardOutput::QueryEngine(EngineQuery {
-                    request: order.request,
-                    engine: order.engine,
-                    engine_address: order.engine_address,
+                    request: open.request(*call),
+                    engine: dispatch.engine.clone(),
+                    engine_address: dispatch.engine_address.clone(),
+                    dispatched_at: dispatch.at,
                 }));
             }
         }
     }
 
+    /// Whether a gateway may still follow the order to start an attempt. Acting on "never started" before that
+    /// could run a call twice if its engine restarted and forgot to refuse it. A repeatable call need not wait.
+    fn may_still_start(&self, now: Timestamp, state: &ShardState, request: RequestId) -> bool {
+        let Some(open) = state
+            .open_call(request.call)
+            .filter(|open| !open.repeatable)
+        else {
+            return false;
+        };
+        let order_age = START_ORDER_VALIDITY + self.config.start_margin;
+        let dispatch = open.dispatch.as_ref();
+        dispatch.is_some_and(|dispatch| now <= dispatch.at + order_age)
+    }
+
     fn query_soon(&mut self, now: Timestamp, call: CallId) {
         if let Some(live) = self.live_mut(call) {
             live.query_at = now;
@@ -274,6 +298,13 @@
     }
 }
 
+/// Whether the order to start the current attempt went to this gateway.
+fn is_runner(state: &ShardState, request: RequestId, gateway: NodeId) -> bool {
+    let open = state.open_call(request.call);
+    let dispatch = open.and_then(|open| open.dispatch.as_ref());
+    dispatch.is_some_and(|dispatch| dispatch.gateway == gateway)
+}
+
 /// Whether this is the current attempt of an open call, and dispatched.
 fn is_running(state: &ShardState, request: RequestId) -> bool {
     let open = state.open_call(request.call);
--- a/crates/courseshed-programs/src/state/mod.rs
+++ b/crates/courseshed-programs/src/state/mod.rs
@@ -18,7 +18,7 @@
 
 use courseshed_types::{BranchPath, CallId, ProgramId, ShardId, Timestamp, shard::ShardReply};
 
-pub use self::{accept::AcceptCheck, snapshot::SnapshotError};
+pub use self::{accept::AcceptCheck, read::START_ORDER_VALIDITY, snapshot::SnapshotError};
 use crate::{
     command::{CommandBody, ShardCommand},
     escrow::EscrowLedger,
--- a/crates/courseshed-programs/src/state/read.rs
+++ b/crates/courseshed-programs/src/state/read.rs
@@ -1,5 +1,7 @@
 //! What can be read from the state: programs, histories, calls and the orders to run them.
 
+use std::time::Duration;
+
 use courseshed_types::{
     BranchPath, CallAnswer, CallError, CallId, CallOutcome, EngineCall, ProgramId, RequestId,
     Timestamp,
@@ -18,6 +20,9 @@
     verdicts,
 };
 
+/// How long after its dispatch an order to start may be followed.
+pub const START_ORDER_VALIDITY: Duration = Duration::from_secs(3);
+
 /// Most programs one listing gives.
 const MAX_LISTED: u32 = 1_000;
 
@@ -157,6 +162,7 @@
             engine: dispatch.engine.clone(),
             engine_address: dispatch.engine_address.clone(),
             call,
+            valid_until: dispatch.at + START_ORDER_VALIDITY,
         })
     }
 
--- a/crates/courseshed-types/src/shard.rs
+++ b/crates/courseshed-types/src/shard.rs
@@ -12,6 +12,7 @@
     errors::CallError,
     ids::{CallId, EngineId, NodeId, ProgramId, RequestId, Sequence, ShardId},
     program::{CallState, EndReason, NewProgram, ProgramView},
+    time::Timestamp,
     tokens::Tokens,
 };
 
@@ -153,6 +154,9 @@
     pub engine_address: String,
     /// What to send.
     pub call: EngineCall,
+    /// After this time, by the gateway's clock, the order must not be followed any more: the gateway reports the
+    /// attempt as not started, since its shard may be about to give the call another attempt.
+    pub valid_until: Timestamp,
 }
 
 /// The order to resume a stream.
