--- /dev/null
+++ b/crates/courseshed-emulator/src/main.rs
@@ -0,0 +1,3 @@
+//! The binary `courseshed-emulator`.
+
+fn main() {}
