Add the controller's state machine, leader and node view

Cause: nodes need settings with versions, a member map, placement, grants and fences that survive the controllers' failures. Change: ControlState applied from the replicated log, ControlLeader for hearing nodes and answering, NodeControlView for the settings lease, pulls by delta and relaying per zone.

--- a/crates/courseshed-control/src/lib.rs
+++ b/crates/courseshed-control/src/lib.rs
@@ -1,1 +1,25 @@
 //! The controller: settings versions, member map, shard placement and budget grants.
+//!
+//! Three parts, all free of I/O:
+//!
+//! - [`state::ControlState`] is the replicated state machine; every controller applies the same commands to it.
+//! - [`leader::ControlLeader`] is the soft logic of the controller that leads: it hears nodes, proposes commands
+//!   and answers requests.
+//! - [`node::NodeControlView`] is what every node runs: it keeps the newest settings and member map, holds the
+//!   settings lease, and relays for its zone.
+//!
+//! The promises: an accepted version never goes down, on no node, over no restart; a node whose settings lease has
+//! run out starts nothing new unless the branch says to go on; the sum of grants never exceeds a budget.
+
+pub mod command;
+pub mod compiler;
+pub mod leader;
+pub mod node;
+pub mod publish;
+pub mod state;
+
+pub use command::{CommandBody, CommandOrigin, ControlCommand};
+pub use compiler::TreeCompiler;
+pub use leader::{ControlLeader, LeaderOptions, LeaderOutput, LeaderRole, RequestToken};
+pub use node::{ControlTarget, ControllerSeed, NodeControlView, ViewOptions, ViewOutput};
+pub use state::{Applied, ApplyOutcome, ControlState, FleetOptions};
--- /dev/null
+++ b/crates/courseshed-control/src/state/fleet.rs
@@ -0,0 +1,205 @@
+//! Nodes, engines and shard placement: how commands change the member map.
+//!
+//! Every change that makes a difference raises the epoch by one and places shards anew; a command that makes none
+//! leaves the epoch alone, so repeating is free.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use courseshed_membership::place_shards;
+use courseshed_types::{
+    CallError, EngineId, ErrorCode, Incarnation, MapEpoch, NodeId,
+    control::{Member, MemberMap, NodeState},
+    dispatch::{EngineMember, EngineState},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    publish::Published,
+    state::{ApplyOutcome, FleetOptions},
+};
+
+type Outcome = Result<ApplyOutcome, CallError>;
+
+/// What is known of the fleet beside the member map.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(super) struct Fleet {
+    options: Option<FleetOptions>,
+    drained_nodes: BTreeSet<NodeId>,
+    /// Kept for engines that the list of engines does not name, since it lags and may name them again.
+    drained_engines: BTreeSet<EngineId>,
+}
+
+impl Fleet {
+    pub(super) fn options(&self) -> Option<FleetOptions> {
+        self.options
+    }
+
+    pub(super) fn configure(&mut self, published: &mut Published, wanted: FleetOptions) -> Outcome {
+        let mut options = wanted;
+        if let Some(old) = self.options {
+            let kept = old.placement.shards_per_region;
+            options.placement.shards_per_region = kept.max(wanted.placement.shards_per_region);
+        }
+        self.options = Some(options);
+        self.edit(published, |_| ());
+        Ok(ApplyOutcome::Done)
+    }
+
+    pub(super) fn register(&mut self, published: &mut Published, mut member: Member) -> Outcome {
+        let known = published.map().members.get(&member.node);
+        if let Some(known) = known.filter(|known| known.incarnation > member.incarnation) {
+            let message = format!(
+                "start {} of node {} is older than its start {}",
+                member.incarnation, member.node, known.incarnation
+            );
+            return Err(CallError::not_run(ErrorCode::Forbidden, message));
+        }
+        if self.drained_nodes.contains(&member.node) {
+            member.state = NodeState::Leaving;
+        }
+        self.edit(published, |map| {
+            map.members.insert(member.node, member);
+        });
+        Ok(ApplyOutcome::Done)
+    }
+
+    pub(super) fn node_down(
+        &mut self,
+        published: &mut Published,
+        node: NodeId,
+        incarnation: Incarnation,
+    ) -> Outcome {
+        self.edit(published, |map| {
+            let member = map.members.get_mut(&node);
+            if let Some(member) = member.filter(|member| member.incarnation == incarnation) {
+                member.state = NodeState::Down;
+            }
+        });
+        Ok(ApplyOutcome::Done)
+    }
+
+    pub(super) fn node_leaving(&mut self, published: &mut Published, node: NodeId) -> Outcome {
+        self.set_node_state(published, node, NodeState::Leaving)
+    }
+
+    pub(super) fn drain_node(
+        &mut self,
+        published: &mut Published,
+        node: NodeId,
+        leaving: bool,
+    ) -> Outcome {
+        if !published.map().members.contains_key(&node) {
+            return Err(unknown_node(node));
+        }
+        if leaving {
+            self.drained_nodes.insert(node);
+            self.set_node_state(published, node, NodeState::Leaving)
+        } else {
+            self.drained_nodes.remove(&node);
+            self.set_node_state(published, node, NodeState::Live)
+        }
+    }
+
+    /// Sets the state of a node that is not down; a node that is down stays down until it is heard.
+    fn set_node_state(
+        &mut self,
+        published: &mut Published,
+        node: NodeId,
+        state: NodeState,
+    ) -> Outcome {
+        if !published.map().members.contains_key(&node) {
+            return Err(unknown_node(node));
+        }
+        self.edit(published, |map| {
+            let member = map.members.get_mut(&node);
+            if let Some(member) = member.filter(|member| member.state != NodeState::Down) {
+                member.state = state;
+            }
+        });
+        Ok(ApplyOutcome::Done)
+    }
+
+    /// Forgets a node that is down and keeps no replica.
+    pub(super) fn node_gone(&mut self, published: &mut Published, node: NodeId) -> Outcome {
+        let map = published.map();
+        let down = map
+            .members
+            .get(&node)
+            .is_some_and(|member| member.state == NodeState::Down);
+        let keeps_replicas = map
+            .shards
+            .values()
+            .any(|placement| placement.replicas.contains(&node));
+        if down && !keeps_replicas {
+            self.drained_nodes.remove(&node);
+            self.edit(published, |map| {
+                map.members.remove(&node);
+            });
+        }
+        Ok(ApplyOutcome::Done)
+    }
+
+    pub(super) fn set_engines(
+        &mut self,
+        published: &mut Published,
+        mut engines: Vec<EngineMember>,
+    ) -> Outcome {
+        engines.sort_by(|left, right| left.engine.cmp(&right.engine));
+        engines.dedup_by(|later, first| later.engine == first.engine);
+        for member in &mut engines {
+            if self.drained_engines.contains(&member.engine) {
+                member.state = EngineState::Leaving;
+            }
+        }
+        self.edit(published, |map| map.engines.engines = engines);
+        Ok(ApplyOutcome::Done)
+    }
+
+    pub(super) fn drain_engine(
+        &mut self,
+        published: &mut Published,
+        engine: EngineId,
+        leaving: bool,
+    ) -> Outcome {
+        let known = published.map().engines.engines.iter();
+        if !known.clone().any(|member| member.engine == engine) {
+            let message = format!("no engine is called {engine}");
+            return Err(CallError::not_run(ErrorCode::NotFound, message));
+        }
+        let state = if leaving {
+            self.drained_engines.insert(engine.clone());
+            EngineState::Leaving
+        } else {
+            self.drained_engines.remove(&engine);
+            EngineState::Live
+        };
+        self.edit(published, |map| {
+            let engines = map.engines.engines.iter_mut();
+            for member in engines.filter(|member| member.engine == engine) {
+                member.state = state;
+            }
+        });
+        Ok(ApplyOutcome::Done)
+    }
+
+    fn edit(&mut self, published: &mut Published, change: impl FnOnce(&mut MemberMap)) {
+        let old = Arc::clone(published.map());
+        let mut map = MemberMap::clone(&old);
+        change(&mut map);
+        if let Some(options) = self.options {
+            map.shards = place_shards(&map, &options.placement);
+        }
+        if map == *old {
+            return;
+        }
+        map.epoch = MapEpoch(old.epoch.0 + 1);
+        if map.engines != old.engines {
+            map.engines.epoch = map.epoch;
+        }
+        published.set_map(Arc::new(map));
+    }
+}
+
+fn unknown_node(node: NodeId) -> CallError {
+    CallError::not_run(ErrorCode::NotFound, format!("no node has the id {node}"))
+}
--- a/crates/courseshed-membership/src/selection.rs
+++ b/crates/courseshed-membership/src/selection.rs
@@ -8,7 +8,7 @@
 
 use courseshed_types::{
     NodeId, ZoneName,
-    control::{MemberMap, NodeRole},
+    control::{MemberMap, NodeRole, NodeState},
     dispatch::PoolId,
 };
 
@@ -36,13 +36,14 @@
     rendezvous::preferred(&pool_key(pool), candidates)
 }
 
-/// The live nodes of a zone from the most to the least preferred as relay.
+/// The live nodes of a zone from the most to the least preferred as relay. Controllers are none: they answer for
+/// themselves.
 pub fn relays_for(zone: &ZoneName, map: &MemberMap) -> Vec<NodeId> {
     let candidates = map
         .members
         .values()
-        .filter(|member| &member.zone == zone && !member.roles.is_empty())
-        .filter(|member| member.roles.iter().any(|role| member.serves(*role)))
+        .filter(|member| &member.zone == zone && member.state == NodeState::Live)
+        .filter(|member| !member.roles.contains(&NodeRole::Controller))
         .map(|member| member.node);
     rendezvous::ranked(zone.as_str(), candidates)
 }
@@ -58,7 +59,7 @@
 
 #[cfg(test)]
 mod tests {
-    use courseshed_types::{ModelName, RegionName, control::NodeState};
+    use courseshed_types::{ModelName, RegionName};
 
     use super::*;
     use crate::placement::tests::fleet;
--- a/crates/courseshed-types/src/control.rs
+++ b/crates/courseshed-types/src/control.rs
@@ -196,12 +196,30 @@
 /// What a relay heard since its last report.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ZoneReport {
-    /// Nodes that are as the member map says; the relay itself is one of them.
+    /// The node that speaks; it stands in one of the lists too.
+    pub from: NodeId,
+    /// Nodes that are as the member map says.
     pub heard: Vec<HeardNode>,
     /// Nodes that are new, restarted or otherwise differ from the member map.
     pub changed: Vec<NodeHeartbeat>,
 }
 
+impl ZoneReport {
+    /// Which start of the sender speaks; none if the sender is missing from its own report.
+    pub fn sender_incarnation(&self) -> Option<Incarnation> {
+        let heard = self
+            .heard
+            .iter()
+            .map(|entry| (entry.node, entry.incarnation));
+        let changed = self.changed.iter().map(|entry| &entry.member);
+        let changed = changed.map(|member| (member.node, member.incarnation));
+        heard
+            .chain(changed)
+            .find(|(node, _)| *node == self.from)
+            .map(|(_, incarnation)| incarnation)
+    }
+}
+
 /// The settings version and map epoch a node has in force.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlPosition {
@@ -296,6 +314,6 @@
     pub map: Option<Arc<MemberMap>>,
     /// What changed in the member map, if newer.
     pub map_delta: Option<MapDelta>,
-    /// How long the settings may be relied on, from when the request was sent.
+    /// How long the settings may be relied on, from when the request was sent; zero leaves the lease as it was.
     pub settings_lease: Duration,
 }
