--- a/crates/courseshed-settings/src/tree/check.rs
+++ b/crates/courseshed-settings/src/tree/check.rs
@@ -21,7 +21,11 @@
 
 /// Reports every fault of the draft.
 pub(super) fn check(draft: &Draft, report: &Report) {
-    let checker = Checker { draft, report };
+    let checker = Checker {
+        draft,
+        report,
+        children: children_by_parent(draft),
+    };
     for (path, branch) in &draft.branches {
         checker.check_parent(path, branch);
         checker.check_models(path, branch);
@@ -35,6 +39,18 @@
 struct Checker<'d> {
     draft: &'d Draft,
     report: &'d Report,
+    /// The branches directly below each branch that has any.
+    children: BTreeMap<BranchPath, Vec<&'d BranchPath>>,
+}
+
+fn children_by_parent(draft: &Draft) -> BTreeMap<BranchPath, Vec<&BranchPath>> {
+    let mut children: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for path in draft.branches.keys() {
+        if let Some(parent) = path.parent() {
+            children.entry(parent).or_default().push(path);
+        }
+    }
+    children
 }
 
 impl Checker<'_> {
@@ -81,9 +97,8 @@
         }
     }
 
-    fn children<'c>(&'c self, path: &'c BranchPath) -> impl Iterator<Item = &'c BranchPath> {
-        let paths = self.draft.branches.keys();
-        paths.filter(move |candidate| candidate.parent().as_ref() == Some(path))
+    fn children(&self, path: &BranchPath) -> impl Iterator<Item = &'_ BranchPath> {
+        self.children.get(path).into_iter().flatten().copied()
     }
 
     fn check_parent(&self, path: &BranchPath, branch: &Branch) {
