Keep the tables of a dispatcher in agreement whatever arrives

Cause: a test that drives the dispatcher with arbitrary messages found a program whose call was announced while an older one was still known, so that its lease stood beside a running call; and a lease was not renewed while the program's next call waited. Change: an earlier call of a program is dropped when a later one is named, since its shard must have settled it; leases are renewed while a call waits. The test checks queues, listings, engine accounts and leases after every message.

--- a/crates/courseshed-dispatch/src/dispatcher.rs
+++ b/crates/courseshed-dispatch/src/dispatcher.rs
@@ -30,7 +30,7 @@
 /// [`Dispatcher::next_wakeup`], and send what [`Dispatcher::take_outputs`] returns.
 #[derive(Debug)]
 pub struct Dispatcher {
-    state: State,
+    pub(crate) state: State,
 }
 
 impl Dispatcher {
--- a/crates/courseshed-dispatch/src/lib.rs
+++ b/crates/courseshed-dispatch/src/lib.rs
@@ -17,6 +17,8 @@
 mod config;
 mod dispatcher;
 mod explain;
+#[cfg(test)]
+mod invariants;
 mod learn;
 mod output;
 mod state;
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -1,5 +1,7 @@
 //! Takes in what shard leaders say. Every message may come twice, late, or of a leader that was replaced.
 
+use std::cmp::Ordering;
+
 use courseshed_types::{
     CallId, EngineId, ProgramId, RequestId, ShardId, Timestamp, Usage,
     dispatch::{DispatchRequest, DispatchRequestBody, WaitingCall},
@@ -75,15 +77,14 @@
         state.counters.stale_attempts += 1;
         return;
     }
-    let is_newer = state
-        .calls
-        .get(&id)
-        .is_none_or(|known| known.call.attempt <= call.attempt);
-    if !is_newer {
-        state.counters.stale_attempts += 1;
-        return;
+    let known = state.calls.of_program(id.program);
+    if let Some(known) = known.map(CallEntry::request) {
+        if known > request_of(&call) {
+            state.counters.stale_attempts += 1;
+            return;
+        }
+        forget_call(state, known.call);
     }
-    forget_call(state, id);
     note_return(state, now, shard, &call);
     insert(state, shard, call);
     assignment::place(state, now, id, &engine);
@@ -130,29 +131,41 @@
     }
 }
 
-/// Whether a call is new here; an older attempt of it is removed, and a lost assignment is sent again.
+/// Whether a call is new here; an earlier attempt or call of its program is removed, since the program's shard
+/// must have settled it.
 fn make_room(state: &mut State, shard: ShardId, call: &WaitingCall) -> bool {
     if has_ended(state, call) {
         state.counters.stale_attempts += 1;
         return false;
     }
-    let generation = generation_of(state, shard);
-    let Some(known) = state.calls.get_mut(&call.call) else {
+    let known = state.calls.of_program(call.call.program);
+    let Some(known) = known.map(CallEntry::request) else {
         return true;
     };
-    if known.call.attempt > call.attempt {
-        state.counters.stale_attempts += 1;
-        return false;
-    }
-    if known.call.attempt < call.attempt {
-        forget_call(state, call.call);
-        return true;
+    match known.cmp(&request_of(call)) {
+        Ordering::Greater => {
+            state.counters.stale_attempts += 1;
+            false
+        }
+        Ordering::Less => {
+            forget_call(state, known.call);
+            true
+        }
+        Ordering::Equal => {
+            name_again(state, shard, call.call);
+            false
+        }
     }
-    known.generation = generation;
-    if matches!(known.phase, CallPhase::Assigned(_)) {
-        assignment::announce(state, call.call);
+}
+
+/// A call that is known is named again; its assignment may have been lost.
+fn name_again(state: &mut State, shard: ShardId, call: CallId) {
+    let generation = generation_of(state, shard);
+    if let Some(known) = state.calls.get_mut(&call) {
+        known.generation = generation;
+        known.shard = shard;
     }
-    false
+    assignment::announce(state, call);
 }
 
 fn insert(state: &mut State, shard: ShardId, call: Box<WaitingCall>) {
@@ -237,16 +250,20 @@
 }
 
 fn has_ended(state: &State, call: &WaitingCall) -> bool {
-    let request = RequestId {
-        call: call.call,
-        attempt: call.attempt,
-    };
+    let request = request_of(call);
     state
         .programs
         .get(&call.call.program)
         .is_some_and(|program| program.has_ended(&request))
 }
 
+fn request_of(call: &WaitingCall) -> RequestId {
+    RequestId {
+        call: call.call,
+        attempt: call.attempt,
+    }
+}
+
 fn generation_of(state: &State, shard: ShardId) -> u64 {
     state.shards.get(shard).map_or(0, |entry| entry.generation)
 }
--- a/crates/courseshed-dispatch/src/systems/pauses.rs
+++ b/crates/courseshed-dispatch/src/systems/pauses.rs
@@ -3,7 +3,8 @@
 //! The prefix is held by a lease while the chance that it is used soon is worth the memory: the hazard of the
 //! learned pause distribution (the best chance of a return per second, over several horizons) is compared with a
 //! price per second that rises with the engine's memory pressure. Both sides scale with the prefix's tokens, so
-//! the comparison needs no size. Invariants: only known, paused programs have leases; what an engine's entry and a
+//! the comparison needs no size. A lease is kept on while
+//! the next call waits. Invariants: only known programs without a call on an engine have leases; what an engine's entry and a
 //! branch's account count as leased is the sum over programs.
 
 use std::time::Duration;
@@ -40,7 +41,7 @@
     if !state.strategy.holds_prefixes {
         return;
     }
-    let Some(engine) = paused_on(state, program) else {
+    let Some(engine) = held_on(state, program) else {
         return;
     };
     if is_worth_holding(state, now, program, &engine) {
@@ -135,11 +136,13 @@
         .set(now + time_to_live / 2, Timer::Hold(program));
 }
 
-/// The engine that holds the prefix of a program that is paused.
-fn paused_on(state: &State, program: ProgramId) -> Option<EngineId> {
+/// The engine that holds the prefix of a program that is paused, or whose next call waits while a lease holds.
+fn held_on(state: &State, program: ProgramId) -> Option<EngineId> {
     let entry = state.programs.get(&program)?;
-    entry.paused_since?;
     let prefix = entry.prefix.as_ref()?;
+    if entry.paused_since.is_none() && prefix.leased_until.is_none() {
+        return None;
+    }
     (prefix.tokens > Tokens::ZERO).then(|| prefix.engine.clone())
 }
 
@@ -147,14 +150,17 @@
     let Some(entry) = state.programs.get(&program) else {
         return false;
     };
-    let Some(since) = entry.paused_since else {
+    let Some(holder) = state.engines.get(engine) else {
         return false;
     };
-    let elapsed = now.since(since);
-    let Some(holder) = state.engines.get(engine) else {
+    if !holder.takes_work(now, &state.pool.model) {
         return false;
+    }
+    let Some(since) = entry.paused_since else {
+        return true;
     };
-    if elapsed > state.config.max_hold || !holder.takes_work(now, &state.pool.model) {
+    let elapsed = now.since(since);
+    if elapsed > state.config.max_hold {
         return false;
     }
     let goes_on = state
--- a/crates/courseshed-dispatch/src/tables/calls.rs
+++ b/crates/courseshed-dispatch/src/tables/calls.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use courseshed_types::{
-    BranchPath, CallId, EngineId, ShardId, Timestamp, Tokens, dispatch::WaitingCall,
+    BranchPath, CallId, EngineId, ProgramId, RequestId, Sequence, ShardId, Timestamp, Tokens,
+    dispatch::WaitingCall,
 };
 
 use crate::{tables::NodeIndex, units::Service};
@@ -61,6 +62,14 @@
         }
     }
 
+    /// The attempt.
+    pub(crate) fn request(&self) -> RequestId {
+        RequestId {
+            call: self.call.call,
+            attempt: self.call.attempt,
+        }
+    }
+
     /// The branch that pays.
     pub(crate) fn branch(&self) -> &BranchPath {
         &self.call.branch
@@ -92,6 +101,19 @@
         self.calls.iter_mut()
     }
 
+    /// The call known of a program; a program has one at a time.
+    pub(crate) fn of_program(&self, program: ProgramId) -> Option<&CallEntry> {
+        let first = CallId {
+            program,
+            sequence: Sequence(0),
+        };
+        let last = CallId {
+            program,
+            sequence: Sequence(u64::MAX),
+        };
+        self.calls.range(first..=last).next().map(|(_, call)| call)
+    }
+
     pub(crate) fn insert(&mut self, entry: CallEntry) {
         self.waiting += usize::from(is_waiting(&entry.phase));
         let replaced = self.calls.insert(entry.call.call, entry);
