Measure the cost of a decision, and cancel timers that no longer apply

Change: a timer is set for one time at most and is cancelled when its call or program is gone; programs without any call are forgotten. The example dispatch_cost times a decision (a call ends, its program calls again, the next call and its engine are chosen) over sizes.

--- /dev/null
+++ b/crates/courseshed-dispatch/examples/dispatch_cost.rs
@@ -0,0 +1,290 @@
+//! Measures what a decision costs against waiting calls, engines and programs.
+//!
+//! One decision is: a call ends, its program calls again, and the dispatcher chooses the next call and its engine.
+//! Run it with `cargo run --release -p courseshed-dispatch --example dispatch_cost`.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use courseshed_dispatch::{DispatchOutput, Dispatcher, DispatcherConfig, PolicyKind};
+use courseshed_types::{
+    Attempt, BranchPath, BranchPolicy, CallId, Incarnation, NodeId, PolicySnapshot, ProgramId,
+    RequestId, Sequence, SettingsVersion, ShardId, Timestamp, Tokens, Usage,
+    dispatch::{
+        DispatchEventBody, DispatchRequest, DispatchRequestBody, DispatcherIdentity, EngineLoad,
+        EngineMember, EngineState, PoolId, WaitingCall,
+    },
+};
+
+/// Branches in the tree: groups, and teams below each.
+const GROUPS: u64 = 10;
+const TEAMS: u64 = 10;
+/// Decisions timed for each size.
+const DECISIONS: u64 = 10_000;
+/// Rounds of which the fastest counts, since other processes share the machine.
+const ROUNDS: usize = 5;
+/// Bytes of a page, as `/proc/self/statm` counts.
+const PAGE_BYTES: u64 = 4_096;
+
+#[derive(Clone, Copy)]
+struct Size {
+    engines: u64,
+    batch: u32,
+    programs: u64,
+    waiting: u64,
+}
+
+struct Bench {
+    dispatcher: Dispatcher,
+    size: Size,
+    now: Timestamp,
+    sequences: Vec<u64>,
+    running: Vec<CallId>,
+    paused: VecDeque<u64>,
+}
+
+fn main() {
+    let base = Size {
+        engines: 20,
+        batch: 64,
+        programs: 3_600,
+        waiting: 2_000,
+    };
+    println!("engines programs waiting | us/decision | KB");
+    for waiting in [0, 250, 500, 1_000, 2_000] {
+        measure(Size { waiting, ..base });
+    }
+    for scale in [2, 4] {
+        measure(Size {
+            waiting: base.waiting * scale,
+            programs: base.programs * scale,
+            ..base
+        });
+    }
+    for engines in [5, 10, 40, 80] {
+        let batch = (20 * 64 / engines) as u32;
+        measure(Size {
+            engines,
+            batch,
+            ..base
+        });
+    }
+}
+
+fn measure(size: Size) {
+    let before = resident_bytes();
+    let mut bench = Bench::new(size);
+    bench.fill();
+    let memory = resident_bytes().saturating_sub(before);
+    let micros = (0..ROUNDS)
+        .map(|_| bench.time_decision())
+        .fold(f64::INFINITY, f64::min);
+    println!(
+        "{:7} {:8} {:7} | {micros:11.2} | {}",
+        size.engines,
+        size.programs,
+        size.waiting,
+        memory / 1_024
+    );
+    // Kept, so that the memory of the next size is not this one's reused.
+    std::mem::forget(bench);
+}
+
+impl Bench {
+    fn new(size: Size) -> Bench {
+        let now = Timestamp::from_millis(1_000);
+        let identity = DispatcherIdentity {
+            node: NodeId(1),
+            incarnation: Incarnation(1),
+        };
+        let config = DispatcherConfig {
+            max_waiting: 100_000,
+            send_ahead: 0.0,
+            ..DispatcherConfig::default()
+        };
+        let kind = PolicyKind::Courseshed;
+        let mut dispatcher = Dispatcher::new(pool(), identity, config, kind, now);
+        dispatcher.on_policy(now, Arc::new(policy()));
+        let members: Vec<EngineMember> = (0..size.engines).map(member).collect();
+        dispatcher.on_engines(now, &members);
+        for member in &members {
+            dispatcher.on_engine_load(now, &member.engine, load(size.batch));
+        }
+        Bench {
+            dispatcher,
+            size,
+            now,
+            sequences: vec![0; size.programs as usize],
+            running: Vec::new(),
+            paused: (0..size.programs).collect(),
+        }
+    }
+
+    /// Fills the engines and the queue.
+    fn fill(&mut self) {
+        let slots = self.size.engines * u64::from(self.size.batch);
+        for _ in 0..slots + self.size.waiting {
+            self.call_next();
+        }
+        self.decide();
+    }
+
+    fn run(&mut self, decisions: u64) {
+        for step in 0..decisions {
+            self.now += Duration::from_millis(4);
+            let ended = (step * 7_919) as usize % self.running.len();
+            self.end(ended);
+            self.call_next();
+            self.decide();
+        }
+    }
+
+    /// Microseconds a decision takes, over one round.
+    fn time_decision(&mut self) -> f64 {
+        let start = Instant::now();
+        self.run(DECISIONS);
+        start.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
+    }
+
+    fn call_next(&mut self) {
+        let number = self.paused.pop_front().expect("enough programs");
+        let sequence = &mut self.sequences[number as usize];
+        *sequence += 1;
+        let call = call(number, *sequence, self.now);
+        self.say(DispatchRequestBody::Enqueue(Box::new(call)));
+    }
+
+    fn end(&mut self, running: usize) {
+        let call = self.running.swap_remove(running);
+        let usage = Usage {
+            prompt_tokens: Tokens(6_000),
+            cached_tokens: Tokens(5_000),
+            completion_tokens: Tokens(200 + call.program.number % 100),
+        };
+        let request = RequestId {
+            call,
+            attempt: Attempt(1),
+        };
+        self.say(DispatchRequestBody::Finished { request, usage });
+        self.paused.push_back(call.program.number);
+    }
+
+    fn decide(&mut self) {
+        self.dispatcher.tick(self.now);
+        for output in self.dispatcher.take_outputs() {
+            let DispatchOutput::Event { event, .. } = output else {
+                continue;
+            };
+            if let DispatchEventBody::Assigned { call, engine, .. } = event.body {
+                let number = call.program.number;
+                let call = crate::call(number, call.sequence.0, self.now);
+                self.running.push(call.call);
+                let call = Box::new(call);
+                self.say(DispatchRequestBody::Started { call, engine });
+            }
+        }
+    }
+
+    fn say(&mut self, body: DispatchRequestBody) {
+        let request = DispatchRequest {
+            pool: pool(),
+            shard: ShardId(1),
+            leader: NodeId(2),
+            term: 1,
+            body,
+        };
+        self.dispatcher.on_request(self.now, request);
+    }
+}
+
+fn pool() -> PoolId {
+    PoolId {
+        region: "r1".into(),
+        model: "m1".into(),
+    }
+}
+
+fn policy() -> PolicySnapshot {
+    let mut snapshot = PolicySnapshot {
+        version: SettingsVersion(1),
+        ..PolicySnapshot::default()
+    };
+    let policy = BranchPolicy::default();
+    snapshot.branches.insert(BranchPath::root(), policy.clone());
+    for group in 0..GROUPS {
+        snapshot
+            .branches
+            .insert(path(&format!("g{group}")), policy.clone());
+        for team in 0..TEAMS {
+            let path = path(&format!("g{group}/t{team}"));
+            snapshot.branches.insert(path, policy.clone());
+        }
+    }
+    snapshot
+}
+
+fn path(text: &str) -> BranchPath {
+    text.parse().expect("a valid path")
+}
+
+fn member(number: u64) -> EngineMember {
+    EngineMember {
+        engine: format!("engine-{number:03}").into(),
+        address: "127.0.0.1:9000".to_string(),
+        region: "r1".into(),
+        zone: format!("r1-{}", number % 3).into(),
+        models: vec!["m1".into()],
+        state: EngineState::Live,
+    }
+}
+
+fn load(max_batch: u32) -> EngineLoad {
+    EngineLoad {
+        max_batch,
+        total_blocks: 65_536,
+        block_tokens: 16,
+        start: 1,
+        models: vec!["m1".into()],
+        ..EngineLoad::default()
+    }
+}
+
+fn call(number: u64, sequence: u64, now: Timestamp) -> WaitingCall {
+    let program = ProgramId {
+        shard: ShardId(1),
+        number,
+    };
+    let branch = format!("g{}/t{}", number % GROUPS, number / GROUPS % TEAMS);
+    WaitingCall {
+        call: CallId {
+            program,
+            sequence: Sequence(sequence),
+        },
+        attempt: Attempt(1),
+        root: program,
+        branch: path(&branch),
+        model: "m1".into(),
+        priority: (number % 3) as i32,
+        prompt_tokens: Tokens(6_000),
+        max_output: Tokens(1_000),
+        attained: Tokens(sequence * 6_000),
+        turn: sequence as u32 - 1,
+        root_started_at: now,
+        aim_at: Some(now + Duration::from_secs(60)),
+        worth: 1.0,
+        accepted_at: now,
+        give_up_at: now + Duration::from_secs(3_600),
+        last_engine: None,
+        avoid: Vec::new(),
+        repeatable: true,
+    }
+}
+
+fn resident_bytes() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).unwrap_or("0");
+    pages.parse::<u64>().unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/courseshed-dispatch/src/invariants.rs
+++ b/crates/courseshed-dispatch/src/invariants.rs
@@ -24,6 +24,7 @@
     check_listings(state);
     check_engines(state);
     check_leases(state);
+    check_timers(state);
 }
 
 fn check_queues(state: &State) {
@@ -96,6 +97,13 @@
     }
 }
 
+/// Timers are bounded by the entities they are of.
+fn check_timers(state: &State) {
+    let entities = state.calls.len() * 2 + state.programs.len() * 2;
+    let few = ENGINES.len() + 2;
+    assert!(state.timers.len() <= entities + few);
+}
+
 /// Something that arrives; small numbers make collisions likely.
 #[derive(Debug, Clone)]
 enum Input {
--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -26,6 +26,7 @@
             Some(engine) => {
                 fairness::begin_service(&mut state.branches, queue);
                 queueing::dequeue(state, call);
+                queueing::stop_waiting(state, call);
                 place(state, now, call, &engine);
                 announce(state, call);
                 state.counters.assigned += 1;
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -44,8 +44,7 @@
 
 /// Removes a call whatever it is doing, and undoes what it was charged but did not use.
 pub(crate) fn forget_call(state: &mut State, call: CallId) {
-    queueing::dequeue(state, call);
-    if let Some(entry) = state.calls.remove(&call) {
+    if let Some(entry) = queueing::remove(state, call) {
         settle(state, &entry, Some(Service(0)));
     }
 }
@@ -55,10 +54,8 @@
         return;
     }
     let id = call.call;
-    let give_up_at = call.give_up_at;
     note_return(state, now, shard, &call);
     insert(state, shard, call);
-    state.timers.set(give_up_at, Timer::GiveUp(id));
     queueing::enqueue(state, now, id);
 }
 
@@ -125,8 +122,7 @@
 }
 
 fn program_ended(state: &mut State, program: ProgramId) {
-    pauses::end(state, program);
-    if let Some(entry) = state.programs.remove(&program) {
+    if let Some(entry) = pauses::end(state, program) {
         state.shapes.record_turns(&entry.branch, entry.turns);
     }
 }
@@ -202,6 +198,7 @@
         return;
     };
     if let CallPhase::Assigned(placement) = &entry.phase {
+        state.timers.cancel(Timer::Resend(call));
         let placement = placement.clone();
         state.calls.set_phase(&call, CallPhase::Running(placement));
     }
@@ -219,8 +216,7 @@
     if known.call.attempt > request.attempt {
         return None;
     }
-    queueing::dequeue(state, request.call);
-    state.calls.remove(&request.call)
+    queueing::remove(state, request.call)
 }
 
 /// Gives an engine's room back and replaces the charged estimate by what was counted.
@@ -243,6 +239,10 @@
     let program = call.call.program;
     let entry = state.programs.get_or_insert(program, &call.branch, shard);
     entry.shard = shard;
+    pauses::remember(state, now, program);
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return;
+    };
     if let Some(since) = entry.paused_since.take() {
         let pause = now.since(since);
         state.shapes.record_pause(&call.branch, pause);
--- a/crates/courseshed-dispatch/src/systems/pauses.rs
+++ b/crates/courseshed-dispatch/src/systems/pauses.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     state::State,
-    tables::{EngineEntry, Timer},
+    tables::{EngineEntry, ProgramEntry, Timer},
 };
 
 /// Horizons over which a return is weighed.
@@ -31,9 +31,23 @@
 
 /// A program's call ended: its prefix is held or not, and the program is forgotten if it never returns.
 pub(crate) fn begin(state: &mut State, now: Timestamp, program: ProgramId) {
+    remember(state, now, program);
+    review(state, now, program);
+}
+
+/// Keeps a program from being forgotten for a while.
+pub(crate) fn remember(state: &mut State, now: Timestamp, program: ProgramId) {
     let forget_at = now + state.config.forget_program;
     state.timers.set(forget_at, Timer::Forget(program));
-    review(state, now, program);
+}
+
+/// Forgets a program that was silent for longer than any program may pause, unless a call of it is known.
+pub(crate) fn forget(state: &mut State, now: Timestamp, program: ProgramId) {
+    if state.calls.of_program(program).is_some() {
+        remember(state, now, program);
+    } else {
+        end(state, program);
+    }
 }
 
 /// Decides again whether a paused program's prefix is held, and renews its lease.
@@ -56,21 +70,21 @@
     unlease(state, program);
 }
 
-/// The program is over: its prefix is useless.
-pub(crate) fn end(state: &mut State, program: ProgramId) {
+/// The program is over: its prefix is useless, and it is known no more.
+pub(crate) fn end(state: &mut State, program: ProgramId) -> Option<ProgramEntry> {
     unlease(state, program);
-    let Some(entry) = state.programs.get_mut(&program) else {
-        return;
+    state.timers.cancel(Timer::Forget(program));
+    let entry = state.programs.remove(&program)?;
+    let Some(prefix) = &entry.prefix else {
+        return Some(entry);
     };
-    let branch = entry.branch.clone();
-    let Some(prefix) = entry.prefix.take() else {
-        return;
-    };
-    state.cache_account(&branch).waste.abandoned += prefix.unused.0;
+    state.cache_account(&entry.branch).waste.abandoned += prefix.unused.0;
     if state.strategy.holds_prefixes {
         state.counters.leases_released += 1;
-        state.order(prefix.engine, EngineOrderBody::ReleaseLease { program });
+        let engine = prefix.engine.clone();
+        state.order(engine, EngineOrderBody::ReleaseLease { program });
     }
+    Some(entry)
 }
 
 /// Takes a program's lease out of the accounts; true if it had one.
@@ -83,6 +97,9 @@
         return false;
     };
     let had_lease = prefix.leased_until.take().is_some();
+    if had_lease {
+        state.timers.cancel(Timer::Hold(program));
+    }
     let tokens = std::mem::take(&mut prefix.leased_tokens);
     if let Some(engine) = state.engines.get_mut(&prefix.engine) {
         engine.leased = engine.leased.saturating_sub(tokens);
--- a/crates/courseshed-dispatch/src/systems/queueing.rs
+++ b/crates/courseshed-dispatch/src/systems/queueing.rs
@@ -5,7 +5,7 @@
 use crate::{
     state::State,
     systems::{fairness, ordering},
-    tables::{CallPhase, NodeIndex, Rank, Timer},
+    tables::{CallEntry, CallPhase, NodeIndex, Rank, Timer},
 };
 
 /// Puts a call of the call table into its queue.
@@ -15,6 +15,7 @@
     };
     let (rank, changes_at) = ordering::rank(&state.config, state.strategy, &entry.call, now);
     let queue = entry.queue;
+    state.timers.set(entry.call.give_up_at, Timer::GiveUp(call));
     if let Some(at) = changes_at {
         state.timers.set(at, Timer::Rerank(call));
     }
@@ -36,6 +37,20 @@
     Some((queue, rank))
 }
 
+/// Takes a call out of its queue, if it waits, and out of the call table.
+pub(crate) fn remove(state: &mut State, call: CallId) -> Option<CallEntry> {
+    dequeue(state, call);
+    stop_waiting(state, call);
+    state.timers.cancel(Timer::Resend(call));
+    state.calls.remove(&call)
+}
+
+/// Cancels what falls due while a call waits.
+pub(crate) fn stop_waiting(state: &mut State, call: CallId) {
+    state.timers.cancel(Timer::GiveUp(call));
+    state.timers.cancel(Timer::Rerank(call));
+}
+
 /// Puts a call that was taken out for a moment back at its place; its branch keeps its credit.
 pub(crate) fn put_back(state: &mut State, queue: NodeIndex, rank: Rank, call: CallId) {
     insert(state, queue, rank, call, true);
--- a/crates/courseshed-dispatch/src/systems/shedding.rs
+++ b/crates/courseshed-dispatch/src/systems/shedding.rs
@@ -50,8 +50,7 @@
 }
 
 fn shed(state: &mut State, call: CallId, error: CallError) {
-    queueing::dequeue(state, call);
-    if let Some(entry) = state.calls.remove(&call) {
+    if let Some(entry) = queueing::remove(state, call) {
         state.say(entry.shard, DispatchEventBody::Shed { call, error });
     }
 }
--- a/crates/courseshed-dispatch/src/tables/mod.rs
+++ b/crates/courseshed-dispatch/src/tables/mod.rs
@@ -10,6 +10,6 @@
 pub(crate) use branches::{BranchNode, BranchTable, Listing, NodeIndex};
 pub(crate) use calls::{CallEntry, CallPhase, CallTable, Placement, Rank};
 pub(crate) use engines::{EngineEntry, EngineTable};
-pub(crate) use programs::{CachedPrefix, ProgramTable};
+pub(crate) use programs::{CachedPrefix, ProgramEntry, ProgramTable};
 pub(crate) use shards::{ShardTable, TermCheck};
 pub(crate) use timers::{Timer, TimerTable};
--- a/crates/courseshed-dispatch/src/tables/timers.rs
+++ b/crates/courseshed-dispatch/src/tables/timers.rs
@@ -1,6 +1,7 @@
-//! What is due when. A timer that no longer applies is ignored when it fires.
+//! What is due when. Timers of calls and programs that are gone are cancelled, so that the table stays as small as
+//! the others.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use courseshed_types::{CallId, EngineId, ProgramId, ShardId, Timestamp};
 
@@ -25,17 +26,28 @@
     GraceEnds,
 }
 
-/// All timers, in order of time.
+/// All timers, in order of time; each is set for one time at most.
 #[derive(Debug, Default)]
 pub(crate) struct TimerTable {
     due: BTreeSet<(Timestamp, Timer)>,
+    times: BTreeMap<Timer, Timestamp>,
 }
 
 impl TimerTable {
+    /// Sets a timer, in place of the time it was set for before.
     pub(crate) fn set(&mut self, at: Timestamp, timer: Timer) {
+        if let Some(earlier) = self.times.insert(timer.clone(), at) {
+            self.due.remove(&(earlier, timer.clone()));
+        }
         self.due.insert((at, timer));
     }
 
+    pub(crate) fn cancel(&mut self, timer: Timer) {
+        if let Some(at) = self.times.remove(&timer) {
+            self.due.remove(&(at, timer));
+        }
+    }
+
     pub(crate) fn next(&self) -> Option<Timestamp> {
         self.due.first().map(|(at, _)| *at)
     }
@@ -45,7 +57,9 @@
         if *at > now {
             return None;
         }
-        self.due.pop_first().map(|(_, timer)| timer)
+        let (_, timer) = self.due.pop_first()?;
+        self.times.remove(&timer);
+        Some(timer)
     }
 
     pub(crate) fn len(&self) -> usize {
