Emulate tools, the weight store and the members list

Cause: programs pause for tools, engines load models at a limited rate, and the list of engines lags; tests and fleets need all three.

--- a/crates/courseshed-emulator/src/lib.rs
+++ b/crates/courseshed-emulator/src/lib.rs
@@ -8,6 +8,9 @@
 
 pub mod answer;
 pub mod engine;
+pub mod members;
 mod server;
+pub mod tools;
+pub mod weights;
 
 pub use engine::{EmulatedEngine, EngineHandle, EngineOptions};
