--- a/crates/courseshed-settings/src/tree/compile.rs
+++ b/crates/courseshed-settings/src/tree/compile.rs
@@ -15,6 +15,15 @@
 use super::value::SettingValue;
 use super::{Branch, SettingsTree};
 use crate::digest::KeyDigest;
+use crate::problem::Problem;
+
+/// Reads, checks and compiles the text of a tree, as `version`.
+///
+/// # Errors
+/// Every fault of the text at once, in the order of their lines.
+pub fn compile_text(text: &str, version: SettingsVersion) -> Result<PolicySnapshot, Vec<Problem>> {
+    SettingsTree::parse(text).map(|tree| tree.compile(version))
+}
 
 impl SettingsTree {
     /// The effective policy of every branch, as `version`.
--- a/crates/courseshed-settings/src/tree/mod.rs
+++ b/crates/courseshed-settings/src/tree/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::digest::KeyDigest;
 
+pub use compile::compile_text;
 pub use diff::{Change, diff};
 pub use effective::{EffectiveSetting, Source};
 pub use key::{Inheritance, KindKey, KindName, PlainKey, SettingKey};
--- a/crates/courseshed-settings/tests/deployments.rs
+++ b/crates/courseshed-settings/tests/deployments.rs
@@ -161,11 +161,10 @@
         let models = engine
             .models
             .iter()
-            .map(ToString::to_string)
-            .collect::<Vec<_>>()
-            .join(",");
+            .map(|model| format!(" --model {model}"));
+        let models: String = models.collect();
         let starts = |command: &&str| {
-            command.contains(&id) && command.contains(&listen) && command.contains(&models)
+            command.contains(&id) && command.contains(&listen) && command.ends_with(&models)
         };
         assert_eq!(
             commands.iter().filter(|command| starts(command)).count(),
