Serve a streaming call through one node

Cause: the roles existed as pure state machines and had no daemon that gives them time, messages and threads. Change: an embeddable node with HTTP gateway, shards under their own locks, dispatchers, engine polling, metrics and the binary courseshedd; a call runs in a task of its own, so that a caller who goes away stops nothing; the end of a stream is told only after the shard committed the answer; control of a lone node stands in for the controllers.

--- /dev/null
+++ b/crates/courseshed-node/src/gateway/mod.rs
@@ -0,0 +1,52 @@
+//! The gateway role: callers' HTTP interface and token streams.
+//!
+//! A gateway keeps nothing that matters: any gateway serves any caller, and a stream resumes from the shard's
+//! record and the engine's copy. Calls run in tasks of their own, so that a caller who goes away stops nothing.
+
+mod auth;
+mod branches;
+mod call;
+mod calls;
+mod completions;
+mod documents;
+mod driver;
+mod error;
+mod events;
+mod parse;
+mod programs;
+mod reader;
+mod routes;
+mod sse;
+mod streams;
+
+pub use auth::{is_operator, sha256_hex};
+pub use documents::ProgramDocument;
+pub use error::ApiError;
+pub use routes::{GatewayWorker, configure};
+pub use streams::StreamReporter;
+
+use branches::BranchCache;
+use streams::{ActiveCalls, StreamRegistry};
+
+/// The tables of a gateway.
+#[derive(Default)]
+pub struct GatewayState {
+    /// Branches of programs seen.
+    branches: BranchCache,
+    /// Attempts whose streams this gateway runs.
+    streams: StreamRegistry,
+    /// Calls under way.
+    calls: ActiveCalls,
+}
+
+impl GatewayState {
+    /// Attempts whose streams run here.
+    pub fn streams(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Calls under way.
+    pub fn active_calls(&self) -> usize {
+        self.calls.count()
+    }
+}
--- /dev/null
+++ b/crates/courseshed-node/src/health.rs
@@ -0,0 +1,56 @@
+//! `/healthz`, `/readyz` and `/metrics`.
+
+use actix_web::{
+    HttpResponse,
+    web::{self, ServiceConfig},
+};
+use serde::Serialize;
+
+use crate::context::{NodeContext, SharedContext};
+
+/// Adds the paths to an application that holds the node's context.
+pub fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/healthz", web::get().to(alive))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics));
+}
+
+#[derive(Serialize)]
+struct Health {
+    status: &'static str,
+}
+
+async fn alive() -> HttpResponse {
+    HttpResponse::Ok().json(Health { status: "alive" })
+}
+
+async fn ready(context: web::Data<SharedContext>) -> HttpResponse {
+    match readiness(&context) {
+        Ok(()) => HttpResponse::Ok().json(Health { status: "ready" }),
+        Err(status) => HttpResponse::ServiceUnavailable().json(Health { status }),
+    }
+}
+
+/// Whether the node can serve.
+///
+/// # Errors
+/// Why not.
+pub fn readiness(context: &NodeContext) -> Result<(), &'static str> {
+    if context.drain.is_draining() {
+        return Err("draining");
+    }
+    if context.view.policy().snapshot.branches.is_empty() {
+        return Err("no settings in force");
+    }
+    if context.view.map().shards.is_empty() {
+        return Err("no program shard is placed");
+    }
+    Ok(())
+}
+
+async fn metrics(context: web::Data<SharedContext>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(context.metrics.render(&context))
+}
--- a/crates/courseshed-node/src/lib.rs
+++ b/crates/courseshed-node/src/lib.rs
@@ -1,1 +1,22 @@
-//! The daemon: gateway, roles, draining and metrics.
+//! The daemon `courseshedd`: gateway, program shards, dispatchers and controllers of one node, behind real sockets.
+//!
+//! The roles' logic lives in crates of its own, free of I/O. This crate gives it time, messages and threads: it
+//! can be embedded ([`Node::start`]), and many nodes may share a process.
+
+pub mod clock;
+pub mod context;
+pub mod control;
+pub mod dispatchers;
+pub mod drain;
+pub mod gateway;
+mod handler;
+pub mod health;
+pub mod logging;
+pub mod metrics;
+mod node;
+pub mod protocol;
+pub mod shards;
+mod signals;
+pub mod view;
+
+pub use node::{Node, NodeError, NodeHandle, NodeOptions};
--- /dev/null
+++ b/crates/courseshed-node/src/protocol.rs
@@ -0,0 +1,85 @@
+//! What nodes say to each other.
+
+use courseshed_consensus::{Message as LogMessage, MessageBody};
+use courseshed_transport::{Protocol, TrafficClass};
+use courseshed_types::{
+    CallId,
+    control::{ControlReply, ControlRequest},
+    dispatch::{DispatchEvent, DispatchRequest, PoolId, WaitExplanation},
+    shard::{ShardReply, ShardRequest},
+};
+use serde::{Deserialize, Serialize};
+
+/// The protocol between nodes.
+#[derive(Debug)]
+pub enum NodeProtocol {}
+
+/// Told without an answer. All of it may be lost or come twice.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum NodeMessage {
+    /// Between the replicas of a program shard; the group's number is the shard's.
+    ShardLog(Box<LogMessage>),
+    /// Between the controllers.
+    ControlLog(Box<LogMessage>),
+    /// From a shard's leader to a dispatcher.
+    Dispatch(Box<DispatchRequest>),
+    /// From a dispatcher to a shard's leader.
+    DispatchEvent(Box<DispatchEvent>),
+}
+
+/// Asked.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum NodeRequest {
+    /// Of a shard's leader.
+    Shard(Box<ShardRequest>),
+    /// Of the controllers' leader.
+    Control(Box<ControlRequest>),
+    /// Of a dispatcher: why a call waits.
+    Explain {
+        /// The pool.
+        pool: PoolId,
+        /// The call.
+        call: CallId,
+    },
+}
+
+/// Answered.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum NodeReply {
+    /// By a shard's replica.
+    Shard(Box<ShardReply>),
+    /// By a controller.
+    Control(Box<ControlReply>),
+    /// By a dispatcher; none if the call does not wait there.
+    Explanation(Option<WaitExplanation>),
+}
+
+impl Protocol for NodeProtocol {
+    type Message = NodeMessage;
+    type Request = NodeRequest;
+    type Reply = NodeReply;
+
+    fn message_class(message: &NodeMessage) -> TrafficClass {
+        match message {
+            NodeMessage::ShardLog(message) => log_class(&message.body),
+            NodeMessage::ControlLog(_) => TrafficClass::Control,
+            NodeMessage::Dispatch(_) | NodeMessage::DispatchEvent(_) => TrafficClass::Data,
+        }
+    }
+
+    fn request_class(request: &NodeRequest) -> TrafficClass {
+        match request {
+            NodeRequest::Control(_) => TrafficClass::Control,
+            NodeRequest::Shard(_) | NodeRequest::Explain { .. } => TrafficClass::Data,
+        }
+    }
+}
+
+/// Heartbeats and elections are the cost of being a replica, entries are caused by calls.
+fn log_class(body: &MessageBody) -> TrafficClass {
+    match body {
+        MessageBody::SnapshotChunk { .. } => TrafficClass::Bulk,
+        MessageBody::Append { entries, .. } if !entries.is_empty() => TrafficClass::Data,
+        _ => TrafficClass::Control,
+    }
+}
--- /dev/null
+++ b/crates/courseshed-node/src/shards/client.rs
@@ -0,0 +1,219 @@
+//! Finds the leader of a shard and asks it, again where that is harmless.
+//!
+//! Invariant: "not run" is said only if no replica was ever handed the request, or the leader said so itself.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use courseshed_transport::{Backoff, RequestError};
+use courseshed_types::{
+    CallError, ErrorCode, NodeId, ShardId, Verdict,
+    shard::{ShardReply, ShardRequest, ShardRequestBody},
+};
+use parking_lot::RwLock;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    context::NodeContext,
+    protocol::{NodeReply, NodeRequest},
+    shards::retry_budget::RetryBudget,
+};
+
+/// First wait before asking again.
+const RETRY_BASE: Duration = Duration::from_millis(20);
+/// Longest wait before asking again.
+const RETRY_LIMIT: Duration = Duration::from_millis(400);
+/// What a refused caller is told to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How long a request may take.
+#[derive(Debug, Clone, Copy)]
+pub struct ShardPatience {
+    /// Until a leader has taken the request.
+    pub find_leader: Duration,
+    /// Until it has answered.
+    pub answer: Duration,
+}
+
+impl ShardPatience {
+    /// For requests that are answered at once.
+    pub const PROMPT: ShardPatience = ShardPatience {
+        find_leader: Duration::from_secs(8),
+        answer: Duration::from_secs(8),
+    };
+
+    /// For calls, whose answer waits for an engine.
+    pub fn for_calls(queue_wait: Duration) -> ShardPatience {
+        let slack = Duration::from_secs(20);
+        ShardPatience {
+            find_leader: Duration::from_secs(8),
+            answer: queue_wait + slack,
+        }
+    }
+}
+
+/// What became of asking one node.
+enum Asked {
+    Reply(Box<ShardReply>),
+    NotHandedOver,
+    Lost,
+}
+
+/// Asks shards' leaders.
+#[derive(Default)]
+pub struct ShardClient {
+    leaders: RwLock<BTreeMap<ShardId, NodeId>>,
+    retries: RetryBudget,
+    seed: AtomicU64,
+}
+
+impl ShardClient {
+    /// Asks the leader of a shard. The request must be harmless when it comes twice.
+    ///
+    /// # Errors
+    /// The leader's refusal, or that no leader answered, with the verdict.
+    pub async fn ask(
+        &self,
+        context: &Arc<NodeContext>,
+        shard: ShardId,
+        body: ShardRequestBody,
+        patience: ShardPatience,
+    ) -> Result<ShardReply, CallError> {
+        let started = Instant::now();
+        let deadline = started + patience.answer;
+        let find_deadline = started + patience.find_leader;
+        let mut backoff = Backoff::new(RETRY_BASE, RETRY_LIMIT, self.next_seed(context));
+        let mut doubt = false;
+        let mut hint = None;
+        let mut tries = 0_usize;
+        self.retries.earn();
+        loop {
+            let node = hint
+                .take()
+                .or_else(|| self.candidate(context, shard, tries));
+            let Some(node) = node else {
+                return Err(no_replica(shard));
+            };
+            tries += 1;
+            match self.ask_node(context, node, shard, &body, deadline).await {
+                Asked::Reply(reply) => match *reply {
+                    ShardReply::NotLeader { leader } => {
+                        self.forget_leader(shard, node);
+                        hint = leader.filter(|leader| *leader != node);
+                    }
+                    ShardReply::Error(error) if is_passing(&error) => {
+                        doubt |= error.verdict != Verdict::NotRun;
+                    }
+                    reply => {
+                        self.leaders.write().insert(shard, node);
+                        return match reply {
+                            ShardReply::Error(error) => Err(error),
+                            reply => Ok(reply),
+                        };
+                    }
+                },
+                Asked::NotHandedOver => self.forget_leader(shard, node),
+                Asked::Lost => {
+                    doubt = true;
+                    self.forget_leader(shard, node);
+                }
+            }
+            let is_redirect = hint.is_some() && tries < 4;
+            if is_redirect {
+                continue;
+            }
+            let wait = backoff.next_wait();
+            let now = Instant::now();
+            let gives_up = now + wait >= find_deadline && !doubt;
+            if gives_up || now + wait >= deadline || !self.retries.spend() {
+                return Err(no_leader(shard, doubt));
+            }
+            sleep(wait).await;
+        }
+    }
+
+    /// The leader of a shard, as last seen.
+    pub fn leader(&self, context: &NodeContext, shard: ShardId) -> Option<NodeId> {
+        let cached = self.leaders.read().get(&shard).copied();
+        cached.or_else(|| context.shards.leader(shard))
+    }
+
+    fn next_seed(&self, context: &NodeContext) -> u64 {
+        let count = self.seed.fetch_add(1, Ordering::Relaxed);
+        context.identity.incarnation.0.wrapping_add(count)
+    }
+
+    fn candidate(&self, context: &NodeContext, shard: ShardId, tries: usize) -> Option<NodeId> {
+        if let Some(leader) = self.leader(context, shard) {
+            return Some(leader);
+        }
+        let map = context.view.map();
+        let replicas = &map.shards.get(&shard)?.replicas;
+        replicas.get(tries % replicas.len().max(1)).copied()
+    }
+
+    fn forget_leader(&self, shard: ShardId, node: NodeId) {
+        let mut leaders = self.leaders.write();
+        if leaders.get(&shard) == Some(&node) {
+            leaders.remove(&shard);
+        }
+    }
+
+    async fn ask_node(
+        &self,
+        context: &Arc<NodeContext>,
+        node: NodeId,
+        shard: ShardId,
+        body: &ShardRequestBody,
+        deadline: Instant,
+    ) -> Asked {
+        let request = Box::new(ShardRequest {
+            shard,
+            body: body.clone(),
+        });
+        if node == context.identity.node {
+            let answer = context.shards.request_local(context, request);
+            return match timeout_at(deadline, answer).await {
+                Ok(Ok(reply)) => Asked::Reply(Box::new(reply)),
+                _ => Asked::Lost,
+            };
+        }
+        let limit = deadline.saturating_duration_since(Instant::now());
+        let asked = context
+            .transport()
+            .request(node, NodeRequest::Shard(request), limit);
+        match asked.await {
+            Ok(NodeReply::Shard(reply)) => Asked::Reply(reply),
+            Ok(_) | Err(RequestError::ConnectionLost { .. } | RequestError::TimedOut { .. }) => {
+                Asked::Lost
+            }
+            Err(RequestError::NotHandedOver { .. }) => Asked::NotHandedOver,
+        }
+    }
+}
+
+/// Whether the refusal may be gone in a moment: the leader changed or has no settings yet.
+fn is_passing(error: &CallError) -> bool {
+    error.code == ErrorCode::Unavailable
+}
+
+fn no_replica(shard: ShardId) -> CallError {
+    let message = format!("shard {shard} is not placed yet");
+    CallError::not_run(ErrorCode::Unavailable, message).retry_after(RETRY_AFTER)
+}
+
+fn no_leader(shard: ShardId, doubt: bool) -> CallError {
+    let message = format!("shard {shard} has no leader that answers");
+    let error = if doubt {
+        CallError::may_have_run(ErrorCode::Unavailable, message)
+    } else {
+        CallError::not_run(ErrorCode::Unavailable, message)
+    };
+    error.retry_after(RETRY_AFTER)
+}
