Check a call's life by model, and fix what it found

Cause: at most once, "not run" and order must hold under lost leaders, lost and doubled messages and an engine that forgets; tests of single cases don't show that. Change: courseshed_programs::model explores a caller, gateways, a dispatcher, an engine and a chain of leaders by breadth-first search, driving the real Shard. Two faults were found and fixed: - a finding "never started" gathered while the order to start could still be followed was believed later; if the engine restarted in between, a call that is not repeatable ran twice (19 steps). Engines are now asked about such a call only once its order has run out; - a copy of an answered call that arrived while the next call was being accepted was refused with "not run" (14 steps). What was accepted before is now answered first, also by a leader without settings.

--- a/crates/courseshed-programs/src/command.rs
+++ b/crates/courseshed-programs/src/command.rs
@@ -87,6 +87,27 @@
     Retire(RetireRule),
 }
 
+impl CommandBody {
+    /// The name of the command, for traces.
+    pub fn name(&self) -> &'static str {
+        match self {
+            CommandBody::CreateProgram(_) => "CreateProgram",
+            CommandBody::AcceptCall(_) => "AcceptCall",
+            CommandBody::DispatchCall(_) => "DispatchCall",
+            CommandBody::CompleteCall { .. } => "CompleteCall",
+            CommandBody::RetryCall(_) => "RetryCall",
+            CommandBody::RefuseCall { .. } => "RefuseCall",
+            CommandBody::FailCall { .. } => "FailCall",
+            CommandBody::Heartbeat(_) => "Heartbeat",
+            CommandBody::EndProgram(_) => "EndProgram",
+            CommandBody::ApplyGrant(_) => "ApplyGrant",
+            CommandBody::ReturnEscrow(_) => "ReturnEscrow",
+            CommandBody::ReturnTaken(_) => "ReturnTaken",
+            CommandBody::Retire(_) => "Retire",
+        }
+    }
+}
+
 /// Starts a program.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CreateProgram {
--- a/crates/courseshed-programs/src/leader/applied.rs
+++ b/crates/courseshed-programs/src/leader/applied.rs
@@ -54,7 +54,7 @@
     fn finish_own(&mut self, now: Timestamp, state: &ShardState, own: Option<Purpose>) {
         match own {
             Some(Purpose::ShowProgram { token, program }) => self.reply_view(state, token, program),
-            Some(Purpose::Dispatch { request, .. }) => self.dispatch_lost(now, request),
+            Some(Purpose::Dispatch { request, .. }) => self.dispatch_lost(request),
             Some(Purpose::EndAttempt { call }) => self.ending_failed(now, state, call),
             _ => {}
         }
@@ -91,7 +91,7 @@
 
     fn accepted(&mut self, now: Timestamp, state: &ShardState, call: CallId, own: Option<Purpose>) {
         self.retries.call_accepted();
-        let mut live = LiveCall::new(now, Stage::Enqueued);
+        let mut live = LiveCall::new(Stage::Enqueued);
         live.waiters = own.map(waiters_of).unwrap_or_default();
         self.live.insert(call, live);
         self.enqueue(now, state, call);
@@ -113,10 +113,9 @@
     ) {
         let call = request.call;
         let silence = self.config.stream_silence;
-        let fresh = || LiveCall::new(now, Stage::Running);
+        let fresh = || LiveCall::new(Stage::Running);
         let live = self.live.entry(call).or_insert_with(fresh);
         live.stage = Stage::Running;
-        live.heard_at = now;
         live.unreachable_since = None;
         let runner = match own {
             Some(Purpose::Dispatch { token, .. }) => live.remove(token),
@@ -149,7 +148,7 @@
             let model = open.model.clone();
             self.tell_dispatcher(model, attempt_failed(ended.request, ended.engine_fault));
         }
-        let fresh = || LiveCall::new(now, Stage::Parked);
+        let fresh = || LiveCall::new(Stage::Parked);
         let live = self.live.entry(call).or_insert_with(fresh);
         live.is_ending = false;
         live.unreachable_since = None;
--- a/crates/courseshed-programs/src/leader/config.rs
+++ b/crates/courseshed-programs/src/leader/config.rs
@@ -20,7 +20,7 @@
     /// An attempt whose gateway was not heard of for so long is looked up at its engine.
     pub stream_silence: Duration,
     /// Bound of the difference between two nodes' clocks and of the time a gateway takes to send a call to its
-    /// engine. An attempt is not given up as never started before its order to start has run out by this much.
+    /// engine. A call that is not repeatable is not asked about before its order to start has run out by this much.
     pub start_margin: Duration,
     /// Time between two questions about the same attempt.
     pub query_interval: Duration,
--- a/crates/courseshed-programs/src/leader/dispatching.rs
+++ b/crates/courseshed-programs/src/leader/dispatching.rs
@@ -110,12 +110,11 @@
 
     /// The proposal of a dispatch may be lost: wait for another assignment. If it does commit, the applied
     /// command is treated like one of another leader.
-    pub(super) fn dispatch_lost(&mut self, now: Timestamp, request: RequestId) {
+    pub(super) fn dispatch_lost(&mut self, request: RequestId) {
         if let Some(live) = self.live_mut(request.call)
             && live.stage == Stage::Dispatching
         {
             live.stage = Stage::BackingOff;
-            live.heard_at = now;
         }
     }
 
@@ -127,7 +126,7 @@
         call: CallId,
         waiter: Waiter,
     ) {
-        let fresh = || LiveCall::new(now, Stage::Parked);
+        let fresh = || LiveCall::new(Stage::Parked);
         let live = self.live.entry(call).or_insert_with(fresh);
         live.waiters.push(waiter);
         if waiter.runner.is_none() {
--- a/crates/courseshed-programs/src/leader/live.rs
+++ b/crates/courseshed-programs/src/leader/live.rs
@@ -5,7 +5,7 @@
 use super::output::RequestToken;
 
 /// A request that waits for a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct Waiter {
     pub token: RequestToken,
     /// The gateway that can run an attempt for this request; none can only attach.
@@ -13,7 +13,7 @@
 }
 
 /// An engine chosen by the dispatcher, not committed yet.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct Assignment {
     pub attempt: Attempt,
     pub engine: EngineId,
@@ -23,7 +23,7 @@
 }
 
 /// Where the leader is with a call that is not settled.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) enum Stage {
     /// Accepted; no gateway waits that could run it, so it is not enqueued.
     Parked,
@@ -40,12 +40,10 @@
 }
 
 /// Soft state of one call that is not settled.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct LiveCall {
     pub stage: Stage,
     pub waiters: Vec<Waiter>,
-    /// The last sign of life of the current attempt's stream.
-    pub heard_at: Timestamp,
     /// When the engine is asked about the current attempt, unless its stream is heard of before.
     pub query_at: Timestamp,
     /// Since when the engine can't be reached.
@@ -55,11 +53,10 @@
 }
 
 impl LiveCall {
-    pub fn new(now: Timestamp, stage: Stage) -> LiveCall {
+    pub fn new(stage: Stage) -> LiveCall {
         LiveCall {
             stage,
             waiters: Vec::new(),
-            heard_at: now,
             query_at: Timestamp::MAX,
             unreachable_since: None,
             is_ending: false,
--- a/crates/courseshed-programs/src/leader/mod.rs
+++ b/crates/courseshed-programs/src/leader/mod.rs
@@ -23,7 +23,11 @@
 mod submit;
 mod upkeep;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
 
 use courseshed_types::{
     CallError, CallId, ModelName, NodeId, PolicySnapshot, ProgramId, Timestamp, shard::ShardReply,
@@ -126,6 +130,19 @@
         self.grants = GrantTable::default();
     }
 
+    /// Feeds what decides the leader's next steps, for model checking.
+    pub(crate) fn hash_soft_state(&self, hasher: &mut impl Hasher) {
+        for (call, live) in &self.live {
+            call.hash(hasher);
+            live.hash(hasher);
+        }
+        for purpose in self.proposals.in_flight() {
+            purpose.hash(hasher);
+        }
+        self.retries.hash(hasher);
+        self.next_sweep.hash(hasher);
+    }
+
     fn term(&self) -> Option<u64> {
         match self.role {
             ShardRole::Leader { term } => Some(term),
--- a/crates/courseshed-programs/src/leader/proposals.rs
+++ b/crates/courseshed-programs/src/leader/proposals.rs
@@ -16,7 +16,7 @@
 };
 
 /// Why a command was proposed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) enum Purpose {
     Create {
         token: RequestToken,
@@ -42,7 +42,7 @@
 }
 
 /// A call being accepted, and the requests that wait for it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct PendingAccept {
     pub call: CallId,
     pub digest: BodyDigest,
@@ -59,6 +59,11 @@
 }
 
 impl ProposalTable {
+    /// Proposals in flight, oldest first.
+    pub fn in_flight(&self) -> impl Iterator<Item = &Purpose> {
+        self.in_flight.values()
+    }
+
     pub fn len(&self) -> usize {
         self.in_flight.len()
     }
@@ -151,7 +156,7 @@
 
     fn lose(&mut self, now: Timestamp, purpose: Purpose, loss: ProposalLoss) {
         match &purpose {
-            Purpose::Dispatch { request, .. } => self.dispatch_lost(now, *request),
+            Purpose::Dispatch { request, .. } => self.dispatch_lost(*request),
             Purpose::EndAttempt { call } => {
                 if let Some(live) = self.live_mut(*call) {
                     live.is_ending = false;
--- a/crates/courseshed-programs/src/leader/recovery.rs
+++ b/crates/courseshed-programs/src/leader/recovery.rs
@@ -1,5 +1,7 @@
 //! The ends of attempts: reports of gateways, and what engines tell when a gateway or a leader was lost.
 
+use std::time::Duration;
+
 use courseshed_types::{
     CallAnswer, CallError, CallId, NodeId, RequestId, Timestamp,
     shard::{AttemptReport, AttemptResult, EngineFinding},
@@ -13,7 +15,7 @@
     retry::backoff,
 };
 use crate::{
-    call::OpenCall,
+    call::{Dispatch, OpenCall},
     command::{CommandBody, RetryCall},
     state::{START_ORDER_VALIDITY, ShardState},
     verdicts::{AttemptEnd, AttemptLimits, NextStep},
@@ -36,10 +38,9 @@
         if !is_running(state, request) {
             return self.answer_or_wait(now, state, request.call, waiter);
         }
-        let fresh = || LiveCall::new(now, Stage::Running);
+        let fresh = || LiveCall::new(Stage::Running);
         let live = self.live.entry(request.call).or_insert_with(fresh);
         live.waiters.push(waiter);
-        live.heard_at = now;
         match report.result {
             AttemptResult::Answered(answer) => self.complete(now, request, answer),
             // Only the gateway that got the order to start can be certain that it did not follow it.
@@ -71,9 +72,6 @@
             EngineFinding::Answered(answer) => self.complete(now, request, answer),
             EngineFinding::Running => self.still_running(now, request.call),
             EngineFinding::NeverStarted => {
-                if self.may_still_start(now, state, request) {
-                    return;
-                }
                 self.attempt_ended(now, state, request, AttemptEnd::NeverArrived);
             }
             EngineFinding::Failed(reason) => {
@@ -120,7 +118,7 @@
                 true => Stage::Running,
                 false => Stage::Enqueued,
             };
-            let mut live = LiveCall::new(now, stage);
+            let mut live = LiveCall::new(stage);
             if is_dispatched {
                 live.query_at = now;
             }
@@ -136,38 +134,32 @@
     /// Asks the engines of attempts that were not heard of for too long.
     pub(super) fn ask_engines(&mut self, now: Timestamp, state: &ShardState) {
         let interval = self.config.query_interval;
+        let order_age = START_ORDER_VALIDITY + self.config.start_margin;
         for (call, live) in &mut self.live {
             if live.stage != Stage::Running || live.is_ending || live.query_at > now {
                 continue;
             }
-            live.query_at = now + interval;
             let open = state.open_call(*call);
-            let dispatch = open.and_then(|open| open.dispatch.as_ref());
-            if let Some((open, dispatch)) = open.zip(dispatch) {
-                self.outputs.push(ShardOutput::QueryEngine(EngineQuery {
-                    request: open.request(*call),
-                    engine: dispatch.engine.clone(),
-                    engine_address: dispatch.engine_address.clone(),
-                    dispatched_at: dispatch.at,
-                }));
+            let Some((open, dispatch)) =
+                open.and_then(|open| Some((open, open.dispatch.as_ref()?)))
+            else {
+                continue;
+            };
+            let ask_from = earliest_question(open, dispatch, order_age);
+            if now < ask_from {
+                live.query_at = ask_from;
+                continue;
             }
+            live.query_at = now + interval;
+            self.outputs.push(ShardOutput::QueryEngine(EngineQuery {
+                request: open.request(*call),
+                engine: dispatch.engine.clone(),
+                engine_address: dispatch.engine_address.clone(),
+                dispatched_at: dispatch.at,
+            }));
         }
     }
 
-    /// Whether a gateway may still follow the order to start an attempt. Acting on "never started" before that
-    /// could run a call twice if its engine restarted and forgot to refuse it. A repeatable call need not wait.
-    fn may_still_start(&self, now: Timestamp, state: &ShardState, request: RequestId) -> bool {
-        let Some(open) = state
-            .open_call(request.call)
-            .filter(|open| !open.repeatable)
-        else {
-            return false;
-        };
-        let order_age = START_ORDER_VALIDITY + self.config.start_margin;
-        let dispatch = open.dispatch.as_ref();
-        dispatch.is_some_and(|dispatch| now <= dispatch.at + order_age)
-    }
-
     fn query_soon(&mut self, now: Timestamp, call: CallId) {
         if let Some(live) = self.live_mut(call) {
             live.query_at = now;
@@ -177,7 +169,6 @@
     fn still_running(&mut self, now: Timestamp, call: CallId) {
         let interval = self.config.query_interval;
         if let Some(live) = self.live_mut(call) {
-            live.heard_at = now;
             live.unreachable_since = None;
             live.query_at = live.query_at.max(now + interval);
         }
@@ -265,7 +256,7 @@
     }
 
     /// How long an attempt of a call may wait, as its branch's policy says now.
-    fn queue_wait(&self, state: &ShardState, call: CallId) -> std::time::Duration {
+    fn queue_wait(&self, state: &ShardState, call: CallId) -> Duration {
         let program = state.program(call.program);
         let policy = self.policy.as_ref();
         let policy = program.zip(policy);
@@ -298,6 +289,16 @@
     }
 }
 
+/// When an engine may be asked about an attempt first. While a gateway may still follow the order to start it, the
+/// answer "never started" proves nothing if the engine restarts after it: it forgets to refuse the attempt. So a
+/// call that is not repeatable is not asked about before the order has run out. A repeatable one need not wait.
+fn earliest_question(open: &OpenCall, dispatch: &Dispatch, order_age: Duration) -> Timestamp {
+    match open.repeatable {
+        true => dispatch.at,
+        false => dispatch.at + order_age + Duration::from_micros(1),
+    }
+}
+
 /// Whether the order to start the current attempt went to this gateway.
 fn is_runner(state: &ShardState, request: RequestId, gateway: NodeId) -> bool {
     let open = state.open_call(request.call);
--- a/crates/courseshed-programs/src/leader/requests.rs
+++ b/crates/courseshed-programs/src/leader/requests.rs
@@ -140,7 +140,6 @@
         let silence = self.config.stream_silence;
         for request in requests {
             if let Some(live) = self.live_mut(request.call) {
-                live.heard_at = now;
                 live.query_at = now + silence;
             }
         }
--- a/crates/courseshed-programs/src/leader/resolve.rs
+++ b/crates/courseshed-programs/src/leader/resolve.rs
@@ -26,6 +26,34 @@
     pub shards_in_region: u32,
 }
 
+/// What the settings make of a call.
+#[derive(Debug, Clone)]
+pub(super) struct ResolvedCall {
+    pub model: ModelName,
+    pub max_output: Tokens,
+    pub priority: i32,
+    pub give_up_at: Timestamp,
+    pub limits: CallLimits,
+}
+
+impl ResolvedCall {
+    /// For a call that was accepted before: none of this is looked at.
+    pub fn of_known_call() -> ResolvedCall {
+        ResolvedCall {
+            model: ModelName::from(""),
+            max_output: Tokens::ZERO,
+            priority: 0,
+            give_up_at: Timestamp::ZERO,
+            limits: CallLimits {
+                turns: 0,
+                history_tokens: Tokens::ZERO,
+                calls_at_once: Vec::new(),
+                budgets: Vec::new(),
+            },
+        }
+    }
+}
+
 impl Settings<'_> {
     /// The policy of a branch that may start new work now.
     pub fn branch(&self, now: Timestamp, branch: &BranchPath) -> Result<&BranchPolicy, CallError> {
--- a/crates/courseshed-programs/src/leader/retry.rs
+++ b/crates/courseshed-programs/src/leader/retry.rs
@@ -16,7 +16,7 @@
 const MAX_CREDIT: u32 = 100 * RETRY_COST;
 
 /// Limits retries that cost engine time to a part of the calls accepted.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct RetryBudget {
     credit: u32,
 }
--- a/crates/courseshed-programs/src/leader/submit.rs
+++ b/crates/courseshed-programs/src/leader/submit.rs
@@ -10,7 +10,7 @@
     live::Waiter,
     output::RequestToken,
     proposals::{PendingAccept, Purpose},
-    resolve::max_output,
+    resolve::{ResolvedCall, max_output},
 };
 use crate::{
     command::{AcceptCall, BudgetPeriod, CommandBody, EndProgram},
@@ -59,15 +59,17 @@
             token,
             runner: Some(parked.submit.gateway),
         };
+        let checked = state.check_accept(&accept);
+        // What was accepted before is answered first, whatever else of the program is under way.
+        if let Ok(AcceptCheck::Known(call)) = checked {
+            return self.answer_or_wait(now, state, call, waiter);
+        }
         if self.join_pending(&parked.submit, &accept, waiter) {
             return;
         }
-        match state.check_accept(&accept) {
-            Ok(AcceptCheck::Known(call)) => self.answer_or_wait(now, state, call, waiter),
-            Ok(AcceptCheck::New(_)) if self.is_overloaded() => {
-                self.reply_error(token, verdicts::overloaded());
-            }
-            Ok(AcceptCheck::New(_)) => self.propose_accept(now, accept, waiter),
+        match checked {
+            Ok(_) if self.is_overloaded() => self.reply_error(token, verdicts::overloaded()),
+            Ok(_) => self.propose_accept(now, accept, waiter),
             Err(error) => self.refuse_submit(now, state, parked, &accept, error),
         }
     }
@@ -157,32 +159,42 @@
             program: program.id,
             sequence,
         };
-        let settings = self.settings()?;
         let messages = new_messages(program, sequence, submit)?;
-        let digest = digest_of(submit, &messages);
         let is_known = program.call(sequence).is_some();
-        let policy = match settings.branch(now, &program.branch) {
+        let resolved = self.resolve_call(now, program, submit);
+        let resolved = match resolved {
             // A call made before is answered whatever the settings say now.
-            Err(error) if !is_known => return Err(error),
-            Err(_) => &courseshed_types::BranchPolicy::default(),
-            Ok(policy) => policy,
-        };
-        let model = match settings.model(policy, submit) {
-            Err(error) if !is_known => return Err(error),
-            Err(_) => courseshed_types::ModelName::from(""),
-            Ok(model) => model,
+            Err(_) if is_known => ResolvedCall::of_known_call(),
+            other => other?,
         };
-        let kind = policy.kind(program.kind.as_deref());
         Ok(AcceptCall {
             call,
             idempotency_key: submit.idempotency_key.clone(),
-            digest,
-            model,
+            digest: digest_of(submit, &messages),
+            model: resolved.model,
             messages,
-            max_output: max_output(policy, submit),
+            max_output: resolved.max_output,
             repeatable: submit.call.repeatable,
             parameters: submit.call.parameters.clone(),
             gateway: submit.gateway,
+            priority: resolved.priority,
+            give_up_at: resolved.give_up_at,
+            limits: resolved.limits,
+        })
+    }
+
+    fn resolve_call(
+        &self,
+        now: Timestamp,
+        program: &ProgramRecord,
+        submit: &SubmitCall,
+    ) -> Result<ResolvedCall, CallError> {
+        let settings = self.settings()?;
+        let policy = settings.branch(now, &program.branch)?;
+        let kind = policy.kind(program.kind.as_deref());
+        Ok(ResolvedCall {
+            model: settings.model(policy, submit)?,
+            max_output: max_output(policy, submit),
             priority: policy.priority.saturating_add(kind.priority),
             give_up_at: now + policy.limits.queue_wait,
             limits: settings.call_limits(now, program, policy),
--- a/crates/courseshed-programs/src/lib.rs
+++ b/crates/courseshed-programs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod escrow;
 pub mod history;
 pub mod leader;
+pub mod model;
 pub mod program;
 pub mod result;
 pub mod shard;
--- a/crates/courseshed-programs/src/state/snapshot.rs
+++ b/crates/courseshed-programs/src/state/snapshot.rs
@@ -1,6 +1,6 @@
 //! The state as bytes, to be handed to a replica that lags behind or to a new one.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, hash::Hasher};
 
 use courseshed_types::{ProgramId, ShardId};
 use serde::{Deserialize, Serialize};
@@ -68,7 +68,12 @@
 impl ShardState {
     /// The whole state as bytes (MessagePack).
     pub fn snapshot(&self) -> Vec<u8> {
-        let snapshot = SnapshotOut {
+        // Encoding plain data into memory can't fail; an empty snapshot would be refused by `restore`.
+        rmp_serde::to_vec(&self.contents()).unwrap_or_default()
+    }
+
+    fn contents(&self) -> SnapshotOut<'_> {
+        SnapshotOut {
             format: SNAPSHOT_FORMAT,
             shard: self.shard,
             applied: self.applied,
@@ -76,9 +81,16 @@
             programs: self.programs.values().collect(),
             tombstones: self.tombstones.values().collect(),
             escrow: &self.escrow,
+        }
+    }
+
+    /// Feeds all contents but the position in the log, for model checking.
+    pub(crate) fn hash_contents(&self, hasher: &mut impl Hasher) {
+        let contents = SnapshotOut {
+            applied: 0,
+            ..self.contents()
         };
-        // Encoding plain data into memory can't fail; an empty snapshot would be refused by `restore`.
-        rmp_serde::to_vec(&snapshot).unwrap_or_default()
+        hasher.write(&rmp_serde::to_vec(&contents).unwrap_or_default());
     }
 
     /// Replaces the state by that of a snapshot; on an error the state stays as it was.
