Check the replicated log's protocol exhaustively, driving the real peer

Cause: the promises of the log must be shown to hold for every order of elections, deliveries, losses, restarts and membership changes, not for those a test thinks of.

Change: breadth-first search (pathfinding) over groups of three real Peers with a bounded lossy, reordering network. Peers, messages and histories are interned and steps remembered, so a state is a few words. Each scenario must reach what it is about, and is run again with rules broken on purpose.

--- a/crates/courseshed-consensus/src/entry.rs
+++ b/crates/courseshed-consensus/src/entry.rs
@@ -6,7 +6,7 @@
 use crate::{Configuration, LogIndex, ReplicaAddress, Term};
 
 /// Bytes that an entry is taken to need besides its payload, when batches are measured.
-const ENTRY_OVERHEAD_BYTES: usize = 24;
+pub(crate) const ENTRY_OVERHEAD_BYTES: usize = 24;
 
 /// What an entry asks the group to do.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/courseshed-consensus/src/lib.rs
+++ b/crates/courseshed-consensus/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 
 mod message;
+pub mod model;
 mod peer;
 mod progress;
 mod ready;
--- a/crates/courseshed-consensus/src/peer/defect.rs
+++ b/crates/courseshed-consensus/src/peer/defect.rs
@@ -4,7 +4,6 @@
 
 /// A rule of the protocol to break.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-#[allow(dead_code)]
 pub(crate) enum Defect {
     /// All rules are kept.
     #[default]
@@ -13,6 +12,8 @@
     CommitsOldTerms,
     /// A leader commits what it alone has.
     CommitsAlone,
+    /// Membership changes are proposed while an earlier one is uncommitted.
+    ChangesAtOnce,
     /// Votes are given to candidates whose log lacks entries of ours.
     IgnoresLogEnds,
     /// Votes count whichever incarnation gives or asked for them.
--- a/crates/courseshed-consensus/src/peer/membership.rs
+++ b/crates/courseshed-consensus/src/peer/membership.rs
@@ -9,7 +9,7 @@
     ReplicaId,
 };
 
-use super::Peer;
+use super::{Defect, Peer};
 
 impl Peer {
     /// Proposes a change of the members. It is in force as soon as it is in the log.
@@ -35,6 +35,9 @@
 
     /// The entry that must be committed before the members may change.
     fn pending_change(&self) -> Option<LogIndex> {
+        if self.defect == Defect::ChangesAtOnce {
+            return None;
+        }
         let first = self.leader_state()?.first_index;
         let pending = first.max(self.log.configuration_index());
         (pending > self.log.committed()).then_some(pending)
--- a/crates/courseshed-consensus/src/peer/mod.rs
+++ b/crates/courseshed-consensus/src/peer/mod.rs
@@ -95,6 +95,17 @@
         peer
     }
 
+    /// Breaks a rule on purpose, for the model checker.
+    pub(crate) fn with_defect(mut self, defect: Defect) -> Self {
+        self.defect = defect;
+        self
+    }
+
+    /// Term and vote.
+    pub(crate) fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
     /// Takes in a message. Messages of other groups, to other replicas, and of incarnations that
     /// have been replaced are dropped.
     pub fn step(&mut self, now: Duration, message: Message) {
--- a/crates/courseshed-consensus/src/peer/output.rs
+++ b/crates/courseshed-consensus/src/peer/output.rs
@@ -76,7 +76,6 @@
         self.log.snapshot()
     }
 
-    #[allow(dead_code)]
     pub(crate) fn entry(&self, index: LogIndex) -> Option<&crate::Entry> {
         self.log.entry(index)
     }
