Test what a settings tree only just accepts

Cause: two deliberate faults (an equal budget refused, problems left unsorted) survived the tests.

Change: a table of values at the edge of each check, and a list of faults whose natural order is not that of their lines.

--- a/crates/courseshed-settings/tests/tree_problems.rs
+++ b/crates/courseshed-settings/tests/tree_problems.rs
@@ -124,7 +124,24 @@
         .replace("share = 3", "share = 0")
         .replace("\"2M\"", "\"20M\"")
         .replace("priority = 5", "prioriti = 5")
-        .replace("[\"quote-8b\"]", "[\"quote-9b\"]");
+        .replace("\"40%\"", "\"400%\"");
     let lines: Vec<_> = problems(&text).iter().map(|problem| problem.line).collect();
-    assert_eq!(lines, [Some(10), Some(16), Some(17), Some(28)]);
+    assert_eq!(lines, [Some(10), Some(16), Some(17), Some(27)]);
+}
+
+#[parameterized(
+    budget_of_the_parent = { "\"2M\"", "\"10M\"" },
+    same_rate_in_a_shorter_period = { "\"2M\"", "\"5M\", period = \"30m\"" },
+    floors_that_fill_the_parent = { "floor = \"10%\"", "floor = \"10.0%\"" },
+    program_budget_of_the_branch = { "\"100k\"", "\"2M\"" },
+    cache_shares_that_fill_the_whole = { "share = 3", "share = 3\ncache.share = \"60%\"" },
+    share_at_the_ratio = { "share = 3", "share = 15000" },
+    floors_that_fill_the_pool = { "floor = \"50%\"", "floor = \"70%\"" },
+    empty_branch = { "[branch.\"ski\"]", "[branch.\"idle\"]\n[branch.\"ski\"]" },
+)]
+fn what_only_just_holds_is_taken(sound: &str, other: &str) {
+    let text = TREE.replacen(sound, other, 1);
+    if let Err(problems) = SettingsTree::parse(&text) {
+        panic!("{problems:#?}");
+    }
 }
