Found shards by generation, in the member map

Cause: a replica in memory must know whether it founds its shard's log or waits to be admitted; a node that restarts and founds again would split the log. And a shard whose replicas all restarted must come back, empty. Change: a placement names its generation and the voters last reported; the controller founds a new generation only when every one of those voters has restarted. Program numbers of generations differ, so that no lost program's id returns. Falls short: when two of three voters restart before either was readmitted, the shard waits until the third restarts.

--- a/crates/courseshed-control/src/command.rs
+++ b/crates/courseshed-control/src/command.rs
@@ -4,7 +4,7 @@
 
 use courseshed_types::{
     EngineId, Incarnation, NodeId, PolicySnapshot, Timestamp,
-    control::{GrantRequest, GrantReturn, Member, SettingsChange},
+    control::{GrantRequest, GrantReturn, Member, SettingsChange, ShardVoters},
     dispatch::EngineMember,
 };
 use serde::{Deserialize, Serialize};
@@ -81,6 +81,8 @@
     },
     /// A node that has been down for long is forgotten.
     NodeGone(NodeId),
+    /// Who votes in a shard's log.
+    ReportVoters(ShardVoters),
     /// The engines that exist now.
     SetEngines(Vec<EngineMember>),
     /// An operator marks an engine leaving, whatever the list of engines says, or live again.
--- a/crates/courseshed-control/src/leader/requests.rs
+++ b/crates/courseshed-control/src/leader/requests.rs
@@ -134,6 +134,7 @@
         let body = match request {
             ControlRequest::Leave(node) => CommandBody::NodeLeaving(node),
             ControlRequest::SetEngines(engines) => CommandBody::SetEngines(engines),
+            ControlRequest::ReportVoters(report) => CommandBody::ReportVoters(report),
             ControlRequest::TakeFence(engine) => CommandBody::TakeFence(engine),
             ControlRequest::SetEngineLeaving { engine, leaving } => {
                 CommandBody::DrainEngine { engine, leaving }
--- a/crates/courseshed-control/src/state/fleet.rs
+++ b/crates/courseshed-control/src/state/fleet.rs
@@ -8,14 +8,14 @@
 use courseshed_membership::place_shards;
 use courseshed_types::{
     CallError, EngineId, ErrorCode, Incarnation, MapEpoch, NodeId,
-    control::{Member, MemberMap, NodeState},
+    control::{Member, MemberMap, NodeState, ShardVoters},
     dispatch::{EngineMember, EngineState},
 };
 use serde::{Deserialize, Serialize};
 
 use crate::{
     publish::Published,
-    state::{ApplyOutcome, FleetOptions},
+    state::{ApplyOutcome, FleetOptions, founding::found_shards},
 };
 
 type Outcome = Result<ApplyOutcome, CallError>;
@@ -139,6 +139,22 @@
         Ok(ApplyOutcome::Done)
     }
 
+    /// A report of an older generation changes nothing.
+    pub(super) fn report_voters(
+        &mut self,
+        published: &mut Published,
+        report: ShardVoters,
+    ) -> Outcome {
+        self.edit(published, |map| {
+            let placement = map.shards.get_mut(&report.shard);
+            let current = placement.filter(|placement| placement.generation == report.generation);
+            if let Some(placement) = current {
+                placement.voters = report.voters;
+            }
+        });
+        Ok(ApplyOutcome::Done)
+    }
+
     pub(super) fn set_engines(
         &mut self,
         published: &mut Published,
@@ -188,6 +204,7 @@
         change(&mut map);
         if let Some(options) = self.options {
             map.shards = place_shards(&map, &options.placement);
+            found_shards(&mut map);
         }
         if map == *old {
             return;
--- a/crates/courseshed-control/src/state/mod.rs
+++ b/crates/courseshed-control/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! answers with an error.
 
 mod fleet;
+mod founding;
 mod ledger;
 mod settings;
 
@@ -176,6 +177,7 @@
             CommandBody::NodeLeaving(node) => fleet.node_leaving(published, node),
             CommandBody::DrainNode { node, leaving } => fleet.drain_node(published, node, leaving),
             CommandBody::NodeGone(node) => fleet.node_gone(published, node),
+            CommandBody::ReportVoters(report) => fleet.report_voters(published, report),
             CommandBody::SetEngines(engines) => fleet.set_engines(published, engines),
             CommandBody::DrainEngine { engine, leaving } => {
                 fleet.drain_engine(published, engine, leaving)
--- a/crates/courseshed-membership/src/placement.rs
+++ b/crates/courseshed-membership/src/placement.rs
@@ -96,6 +96,8 @@
                 shard: ShardId(next),
                 region: region.clone(),
                 replicas: Vec::new(),
+                generation: 0,
+                voters: Vec::new(),
             };
             shards.insert(ShardId(next), placement);
         }
--- a/crates/courseshed-node/src/control/standalone.rs
+++ b/crates/courseshed-node/src/control/standalone.rs
@@ -99,6 +99,8 @@
         shard,
         region: settings.region.clone(),
         replicas: vec![node],
+        generation: 1,
+        voters: Vec::new(),
     };
     let engines = settings.engines.iter().map(|entry| EngineMember {
         engine: entry.id.clone(),
--- a/crates/courseshed-programs/src/leader/config.rs
+++ b/crates/courseshed-programs/src/leader/config.rs
@@ -11,6 +11,8 @@
     pub node: NodeId,
     /// The shard.
     pub shard: ShardId,
+    /// How often the shard was founded; numbers of programs of different generations differ.
+    pub generation: u32,
     /// The region whose dispatchers decide.
     pub region: RegionName,
     /// Shards of the region; limits of a branch "per region" are divided by it, rounded up.
@@ -62,6 +64,7 @@
         LeaderConfig {
             node,
             shard,
+            generation: 1,
             region,
             shards_in_region: 1,
             max_in_flight: 4_096,
--- a/crates/courseshed-programs/src/shard.rs
+++ b/crates/courseshed-programs/src/shard.rs
@@ -27,7 +27,7 @@
     /// A replica before its first command.
     pub fn new(config: LeaderConfig) -> Shard {
         Shard {
-            state: ShardState::new(config.shard),
+            state: ShardState::of_generation(config.shard, config.generation),
             leader: ShardLeader::new(config),
         }
     }
--- a/crates/courseshed-programs/src/state/mod.rs
+++ b/crates/courseshed-programs/src/state/mod.rs
@@ -27,6 +27,9 @@
     usage::UsageTable,
 };
 
+/// Numbers a generation may give to programs, as a power of two.
+const GENERATION_SHIFT: u32 = 40;
+
 /// A caller's key for a program, unique within the branch that pays.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct ProgramKey {
@@ -50,10 +53,17 @@
 impl ShardState {
     /// The state of a shard before its first command.
     pub fn new(shard: ShardId) -> ShardState {
+        ShardState::of_generation(shard, 1)
+    }
+
+    /// The state of a shard that was founded for the `generation`th time, before its first command. Earlier
+    /// generations were lost with all their replicas; their programs' numbers are not given again.
+    pub fn of_generation(shard: ShardId, generation: u32) -> ShardState {
+        let lost = u64::from(generation.saturating_sub(1));
         ShardState {
             shard,
             applied: 0,
-            last_program: 0,
+            last_program: lost << GENERATION_SHIFT,
             programs: BTreeMap::new(),
             tombstones: BTreeMap::new(),
             escrow: EscrowLedger::default(),
--- a/crates/courseshed-types/src/control.rs
+++ b/crates/courseshed-types/src/control.rs
@@ -82,6 +82,32 @@
     pub region: RegionName,
     /// The nodes that keep it, in distinct zones where there are enough; the first is preferred as leader.
     pub replicas: Vec<NodeId>,
+    /// Counts how often the shard was founded; replicas of an older generation have lost all they held.
+    #[serde(default)]
+    pub generation: u32,
+    /// The replicas that vote, as the shard's leader reported last; those that found the generation until then.
+    #[serde(default)]
+    pub voters: Vec<ShardVoter>,
+}
+
+/// One start of a node that votes in a shard's log; a later start of it has forgotten everything.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ShardVoter {
+    /// The node.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+}
+
+/// A shard's leader reports who votes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardVoters {
+    /// The shard.
+    pub shard: ShardId,
+    /// Its generation.
+    pub generation: u32,
+    /// The replicas that vote.
+    pub voters: Vec<ShardVoter>,
 }
 
 /// The committed member map. Immutable; a newer epoch replaces an older one whole.
@@ -157,6 +183,8 @@
     SetEngines(Vec<EngineMember>),
     /// A fence for the next order to an engine; larger than any given before. Answer: `Fence`.
     TakeFence(EngineId),
+    /// Who votes in a shard's log. Answer: `Done`.
+    ReportVoters(ShardVoters),
     /// Mark an engine leaving, or live again. Answer: `Done`.
     SetEngineLeaving {
         /// The engine.
