Try engines after an ejection, let urgent calls overtake, and take memory back

Cause: an engine that came back from an ejection got its whole batch by time alone, whether or not a call had ended well there. An urgent call waited for a free slot although engines can let it overtake. A call that needed much memory was passed by smaller ones until it gave up, and one that needed memory leased to a paused program waited up to half a lease for the next review. A cache share counted the very branch only, not those below it.

Change: an ejected engine is tried with one call until one ends well, then starts slowly. Urgent calls may be sent to a full engine on top of less urgent ones, up to a tenth of its batch. A call passed over for a second closes one engine to the calls after it; before that it takes leases back, the least useful first. Leased tokens count to all branches above.

--- a/crates/courseshed-dispatch/src/config.rs
+++ b/crates/courseshed-dispatch/src/config.rs
@@ -31,6 +31,9 @@
     pub assumed_batch: u32,
     /// Calls sent ahead of an engine's free slots, as a part of its batch, so that it never idles.
     pub send_ahead: f64,
+    /// Urgent calls sent to an engine whose slots are taken by less urgent ones, as a part of its batch; the
+    /// engine lets them overtake.
+    pub urgent_ahead: f64,
     /// Part of an engine's KV memory that calls under way may fill.
     pub memory_limit: f64,
     /// Units of service that a full engine costs against an empty one in the choice.
@@ -41,6 +44,10 @@
     pub max_waiting: usize,
     /// Calls each branch may always have waiting, whatever the others do.
     pub min_branch_waiting: usize,
+    /// How long smaller calls may pass a call that fits no engine; then an engine is kept free for it.
+    pub pass_over: Duration,
+    /// A call is refused at once if the wait expected of it is so many times the wait its branch allows.
+    pub hopeless_wait: f64,
     /// After this an assignment that was not confirmed is sent again.
     pub assignment_resend: Duration,
     /// How long a rebuilt dispatcher waits for shards to announce their calls.
@@ -51,6 +58,8 @@
     pub max_ejection: Duration,
     /// Failures in a row after which an engine is ejected.
     pub failures_to_eject: u32,
+    /// Calls an engine is tried with after an ejection until one of them ends well.
+    pub probe_calls: u32,
     /// Time over which an engine that comes back is given its whole batch.
     pub slow_start: Duration,
     /// Time to live of a cache lease.
@@ -72,16 +81,20 @@
             priority_steps: 10,
             assumed_batch: 8,
             send_ahead: 0.1,
+            urgent_ahead: 0.1,
             memory_limit: 0.95,
             load_penalty: 2_000,
             zone_penalty: 100,
             max_waiting: 4_000,
             min_branch_waiting: 32,
+            pass_over: Duration::from_secs(1),
+            hopeless_wait: 1.5,
             assignment_resend: Duration::from_secs(2),
             announce_grace: Duration::from_millis(500),
             ejection: Duration::from_secs(1),
             max_ejection: Duration::from_secs(60),
             failures_to_eject: 3,
+            probe_calls: 1,
             slow_start: Duration::from_secs(5),
             lease: Duration::from_secs(10),
             max_hold: Duration::from_secs(300),
--- a/crates/courseshed-dispatch/src/dispatcher.rs
+++ b/crates/courseshed-dispatch/src/dispatcher.rs
@@ -1,6 +1,10 @@
 //! The dispatcher of one pool, as its drivers see it.
 
-use std::{collections::BTreeMap, mem, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    sync::Arc,
+};
 
 use courseshed_types::{
     CallId, EngineId, PolicySnapshot, Timestamp,
@@ -14,7 +18,7 @@
     baselines::Strategy,
     config::{DispatcherConfig, PolicyKind},
     explain,
-    learn::Shapes,
+    learn::{DrainRate, Shapes},
     output::{DispatchOutput, DispatcherStats, ShardLeader},
     state::State,
     systems::{assignment, cache_view, engine_health, expiry, intake, queueing, shedding},
@@ -62,8 +66,10 @@
             shards: ShardTable::default(),
             timers,
             shapes: Shapes::default(),
+            drain_rate: DrainRate::new(now),
             caches: BTreeMap::new(),
             counters: Default::default(),
+            grown_queues: BTreeSet::new(),
             outputs: Vec::new(),
         };
         Dispatcher { state }
--- a/crates/courseshed-dispatch/src/explain.rs
+++ b/crates/courseshed-dispatch/src/explain.rs
@@ -30,7 +30,7 @@
         pool_waiting: state.calls.waiting() as u32,
         entitled_share,
         attained_share,
-        reason: reason(state, now, entitled_share, attained_share),
+        reason: reason(state, now, call, entitled_share, attained_share),
     })
 }
 
@@ -87,7 +87,7 @@
     tree.node(index).served as f64 / all as f64
 }
 
-fn reason(state: &State, now: Timestamp, entitled: f64, attained: f64) -> String {
+fn reason(state: &State, now: Timestamp, call: CallId, entitled: f64, attained: f64) -> String {
     let live = |state_of: EngineState| state_of == EngineState::Live;
     if !state
         .engines
@@ -99,7 +99,7 @@
     if now < state.grace_until {
         return "the dispatcher has just started and learns what runs".to_string();
     }
-    if engine_choice::any_room(state, now) {
+    if engine_choice::any_room(state, now, call) {
         return "engines have free slots but not the memory this call needs".to_string();
     }
     if attained > entitled {
--- a/crates/courseshed-dispatch/src/invariants.rs
+++ b/crates/courseshed-dispatch/src/invariants.rs
@@ -83,7 +83,9 @@
             continue;
         };
         *by_engine.entry(prefix.engine.clone()).or_default() += prefix.leased_tokens.0;
-        *by_branch.entry(program.branch.clone()).or_default() += prefix.leased_tokens.0;
+        for path in program.branch.ancestry() {
+            *by_branch.entry(path).or_default() += prefix.leased_tokens.0;
+        }
         if prefix.leased_until.is_some() {
             let mut calls = state.calls.iter().filter(|(call, _)| call.program == *id);
             assert!(calls.all(|(_, call)| call.placement().is_none()));
@@ -91,6 +93,14 @@
     }
     for (id, engine) in state.engines.iter() {
         assert_eq!(engine.leased.0, by_engine.get(id).copied().unwrap_or(0));
+        let is_held = |program: &ProgramId| {
+            let prefix = state
+                .programs
+                .get(program)
+                .and_then(|entry| entry.prefix.as_ref());
+            prefix.is_some_and(|prefix| prefix.leased_until.is_some() && prefix.engine == *id)
+        };
+        assert!(engine.lessees.iter().all(is_held));
     }
     for (branch, account) in &state.caches {
         assert_eq!(account.leased, by_branch.get(branch).copied().unwrap_or(0));
--- a/crates/courseshed-dispatch/src/output.rs
+++ b/crates/courseshed-dispatch/src/output.rs
@@ -117,6 +117,10 @@
     pub leases_renewed: u64,
     /// Leases given up.
     pub leases_released: u64,
+    /// Leases given up because a call that waited needed the memory.
+    pub leases_reclaimed: u64,
+    /// Calls refused because the wait expected of them was far longer than their branch allows.
+    pub shed_hopeless: u64,
     /// Calls forgotten because their shard no longer names them.
     pub forgotten_calls: u64,
 }
--- a/crates/courseshed-dispatch/src/state.rs
+++ b/crates/courseshed-dispatch/src/state.rs
@@ -1,9 +1,12 @@
 //! Everything a dispatcher knows: its tables, and what waits to be sent.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use courseshed_types::{
-    BranchPath, PolicySnapshot, ShardId, Timestamp,
+    BranchPath, PolicySnapshot, ShardId, Timestamp, Tokens,
     dispatch::{
         DispatchEvent, DispatchEventBody, DispatcherIdentity, EngineOrder, EngineOrderBody, PoolId,
     },
@@ -13,17 +16,19 @@
 use crate::{
     baselines::Strategy,
     config::DispatcherConfig,
-    learn::Shapes,
+    learn::{DrainRate, Shapes},
     output::{DispatchCounters, DispatchOutput, Waste},
-    tables::{BranchTable, CallTable, EngineTable, ProgramTable, ShardTable, TimerTable},
+    tables::{
+        BranchTable, CallTable, EngineTable, NodeIndex, ProgramTable, ShardTable, TimerTable,
+    },
 };
 
 /// What is counted of a branch's cache.
 #[derive(Debug, Default)]
 pub(crate) struct CacheAccount {
-    /// Tokens held by leases now.
+    /// Tokens held by leases now, those of branches below included.
     pub(crate) leased: u64,
-    /// Waste caused.
+    /// Waste that its own programs caused.
     pub(crate) waste: Waste,
 }
 
@@ -43,8 +48,11 @@
     pub(crate) shards: ShardTable,
     pub(crate) timers: TimerTable,
     pub(crate) shapes: Shapes,
+    pub(crate) drain_rate: DrainRate,
     pub(crate) caches: BTreeMap<BranchPath, CacheAccount>,
     pub(crate) counters: DispatchCounters,
+    /// Queues that calls entered since shedding last ran.
+    pub(crate) grown_queues: BTreeSet<NodeIndex>,
     pub(crate) outputs: Vec<DispatchOutput>,
 }
 
@@ -70,6 +78,21 @@
             .push(DispatchOutput::Order(EngineOrder { engine, body }));
     }
 
+    /// Counts leased tokens to a branch and all above it.
+    pub(crate) fn add_leased(&mut self, branch: &BranchPath, tokens: Tokens) {
+        for path in branch.ancestry() {
+            self.cache_account(&path).leased += tokens.0;
+        }
+    }
+
+    /// Counts leased tokens of a branch and all above it no more.
+    pub(crate) fn remove_leased(&mut self, branch: &BranchPath, tokens: Tokens) {
+        for path in branch.ancestry() {
+            let account = self.cache_account(&path);
+            account.leased = account.leased.saturating_sub(tokens.0);
+        }
+    }
+
     /// The cache account of a branch.
     pub(crate) fn cache_account(&mut self, branch: &BranchPath) -> &mut CacheAccount {
         if !self.caches.contains_key(branch) {
--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -1,4 +1,7 @@
 //! Gives waiting calls to engines while there is room: decided as late as engines stay full.
+//!
+//! A call that no engine has the memory for first takes memory back from paused programs; then smaller calls pass
+//! it, but not for ever: after a while one engine is kept free of other calls until it fits there.
 
 use courseshed_types::{
     CallId, EngineId, Timestamp, Tokens,
@@ -7,7 +10,7 @@
 
 use crate::{
     state::State,
-    systems::{engine_choice, fairness, pauses, queueing},
+    systems::{engine_choice, engine_choice::Closed, fairness, pauses, queueing, reclaim},
     tables::{CallPhase, NodeIndex, Placement, Rank, Timer},
     units::Service,
 };
@@ -18,32 +21,63 @@
 /// Assigns calls until no engine has room or no call is left that fits.
 pub(crate) fn run(state: &mut State, now: Timestamp) {
     let mut passed_over: Vec<(NodeIndex, Rank, CallId)> = Vec::new();
-    while passed_over.len() < MAX_PASSED_OVER && engine_choice::any_room(state, now) {
+    let mut closed = Closed::default();
+    while passed_over.len() < MAX_PASSED_OVER {
         let Some((queue, call)) = fairness::next_call(&state.branches) else {
             break;
         };
-        match engine_choice::choose(state, now, call) {
-            Some(engine) => {
-                fairness::begin_service(&mut state.branches, queue);
-                queueing::dequeue(state, call);
-                queueing::stop_waiting(state, call);
-                place(state, now, call, &engine);
-                announce(state, call);
-                state.counters.assigned += 1;
-            }
-            None => {
-                let Some((queue, rank)) = queueing::dequeue(state, call) else {
-                    break;
-                };
-                passed_over.push((queue, rank, call));
-            }
+        if !engine_choice::any_room(state, now, call) {
+            break;
+        }
+        if let Some(engine) = choose(state, now, call, &closed) {
+            give(state, now, queue, call, &engine);
+            continue;
         }
+        keep_engine(state, now, call, &mut closed);
+        let Some((queue, rank)) = queueing::dequeue(state, call) else {
+            break;
+        };
+        passed_over.push((queue, rank, call));
     }
     for (queue, rank, call) in passed_over {
         queueing::put_back(state, queue, rank, call);
     }
 }
 
+/// The engine for a call, with memory taken back from paused programs if nothing else helps.
+fn choose(state: &mut State, now: Timestamp, call: CallId, closed: &Closed) -> Option<EngineId> {
+    let chosen = engine_choice::choose(state, now, call, closed);
+    if chosen.is_some() || !reclaim::make_room(state, now, call, closed) {
+        return chosen;
+    }
+    engine_choice::choose(state, now, call, closed)
+}
+
+fn give(state: &mut State, now: Timestamp, queue: NodeIndex, call: CallId, engine: &EngineId) {
+    fairness::begin_service(&mut state.branches, queue);
+    queueing::dequeue(state, call);
+    queueing::stop_waiting(state, call);
+    place(state, now, call, engine);
+    announce(state, call);
+    state.counters.assigned += 1;
+    state.drain_rate.record(now);
+}
+
+/// Notes that a call is passed over; if it has been for long, closes an engine to the calls after it.
+fn keep_engine(state: &mut State, now: Timestamp, call: CallId, closed: &mut Closed) {
+    let patience = state.config.pass_over;
+    let Some(entry) = state.calls.get_mut(&call) else {
+        return;
+    };
+    let since = *entry.passed_over_since.get_or_insert(now);
+    if now.since(since) < patience {
+        return;
+    }
+    if let Some(engine) = engine_choice::roomiest(state, now, call, closed) {
+        closed.close(engine);
+    }
+}
+
 /// Accounts for a call on an engine: its room, its charge, its program's lease.
 pub(crate) fn place(state: &mut State, now: Timestamp, call: CallId, engine: &EngineId) {
     let Some(entry) = state.calls.get(&call) else {
@@ -53,7 +87,7 @@
     let placement = estimate(state, &entry.call, engine, now);
     pauses::resume(state, call.program);
     if let Some(engine) = state.engines.get_mut(engine) {
-        engine.add_call(placement.memory);
+        engine.add_call(placement.memory, placement.priority);
     }
     let warp = state.config.warp_per_priority;
     fairness::charge(&mut state.branches, queue, placement.charged, warp);
@@ -106,15 +140,11 @@
         .get(&call.call.program)
         .map_or(Tokens::ZERO, |program| program.cached_on(engine));
     let uncached = call.prompt_tokens.saturating_sub(cached);
-    let priority = match state.strategy.honours_priority {
-        true => call.priority,
-        false => 0,
-    };
     Placement {
         engine: engine.clone(),
         charged: Service::weigh(&state.config, uncached, output),
         memory: call.prompt_tokens.saturating_add(output),
         since: now,
-        priority,
+        priority: engine_choice::sent_priority(state, call.call),
     }
 }
--- a/crates/courseshed-dispatch/src/systems/engine_health.rs
+++ b/crates/courseshed-dispatch/src/systems/engine_health.rs
@@ -56,10 +56,14 @@
 }
 
 /// A call ended well there.
-pub(crate) fn succeeded(state: &mut State, engine: &EngineId) {
+pub(crate) fn succeeded(state: &mut State, now: Timestamp, engine: &EngineId) {
     if let Some(entry) = state.engines.get_mut(engine) {
         entry.health.failures = 0;
         entry.health.ejections = 0;
+        if entry.health.is_probing {
+            entry.health.is_probing = false;
+            begin_slow_start(state, now, engine);
+        }
     }
 }
 
@@ -70,8 +74,8 @@
         return;
     };
     entry.health.failures += 1;
-    let is_warming = entry.warming_since.is_some();
-    if entry.health.failures >= needed || is_warming {
+    let is_on_trial = entry.warming_since.is_some() || entry.health.is_probing;
+    if entry.health.failures >= needed || is_on_trial {
         eject(state, now, engine);
     }
 }
@@ -84,7 +88,7 @@
     };
     if entry.health.ejected_until.is_some_and(|until| until <= now) {
         entry.health.ejected_until = None;
-        begin_slow_start(state, now, engine);
+        entry.health.is_probing = true;
         return;
     }
     let Some(since) = entry.warming_since else {
@@ -125,7 +129,7 @@
     for (_, call) in state.calls.iter() {
         match call.placement() {
             Some(placement) if placement.engine == entry.member.engine => {
-                entry.add_call(placement.memory);
+                entry.add_call(placement.memory, placement.priority);
             }
             _ => {}
         }
@@ -144,6 +148,7 @@
     let until = now + (first * (1 << doublings)).min(longest);
     entry.health.ejections += 1;
     entry.health.ejected_until = Some(until);
+    entry.health.is_probing = false;
     entry.warming_since = None;
     state.counters.ejections += 1;
     state.timers.set(until, Timer::Engine(engine.clone()));
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -100,7 +100,7 @@
     let Some(engine) = entry.placement().map(|placement| placement.engine.clone()) else {
         return;
     };
-    engine_health::succeeded(state, &engine);
+    engine_health::succeeded(state, now, &engine);
     cache_view::filled(state, request.call.program, &engine, &usage);
     let turns = entry.call.turn + 1;
     if let Some(program) = state.programs.get_mut(&request.call.program) {
@@ -172,6 +172,7 @@
         shard,
         queue,
         generation,
+        passed_over_since: None,
         phase: CallPhase::Waiting(Default::default()),
     });
 }
@@ -225,7 +226,7 @@
         return;
     };
     if let Some(engine) = state.engines.get_mut(&placement.engine) {
-        engine.remove_call(placement.memory);
+        engine.remove_call(placement.memory, placement.priority);
     }
     if let Some(counted) = counted {
         let warp = state.config.warp_per_priority;
--- a/crates/courseshed-dispatch/src/systems/mod.rs
+++ b/crates/courseshed-dispatch/src/systems/mod.rs
@@ -11,4 +11,5 @@
 pub(crate) mod ordering;
 pub(crate) mod pauses;
 pub(crate) mod queueing;
+pub(crate) mod reclaim;
 pub(crate) mod shedding;
--- a/crates/courseshed-dispatch/src/systems/pauses.rs
+++ b/crates/courseshed-dispatch/src/systems/pauses.rs
@@ -9,7 +9,9 @@
 
 use std::time::Duration;
 
-use courseshed_types::{EngineId, ProgramId, Timestamp, Tokens, dispatch::EngineOrderBody};
+use courseshed_types::{
+    BranchPath, EngineId, ProgramId, Timestamp, Tokens, dispatch::EngineOrderBody,
+};
 
 use crate::{
     state::State,
@@ -103,14 +105,14 @@
     let tokens = std::mem::take(&mut prefix.leased_tokens);
     if let Some(engine) = state.engines.get_mut(&prefix.engine) {
         engine.leased = engine.leased.saturating_sub(tokens);
+        engine.lessees.remove(&program);
     }
-    let account = state.cache_account(&branch);
-    account.leased = account.leased.saturating_sub(tokens.0);
+    state.remove_leased(&branch, tokens);
     had_lease
 }
 
 /// Gives a program's lease up; the engine may evict the prefix when it needs the memory.
-fn release(state: &mut State, program: ProgramId) {
+pub(crate) fn release(state: &mut State, program: ProgramId) {
     if !unlease(state, program) {
         return;
     }
@@ -140,8 +142,9 @@
     let tokens = prefix.tokens;
     if let Some(engine) = state.engines.get_mut(&engine) {
         engine.leased = engine.leased.saturating_add(tokens);
+        engine.lessees.insert(program);
     }
-    state.cache_account(&branch).leased += tokens.0;
+    state.add_leased(&branch, tokens);
     state.counters.leases_renewed += 1;
     let body = EngineOrderBody::RenewLease {
         program,
@@ -176,10 +179,22 @@
     let Some(since) = entry.paused_since else {
         return true;
     };
-    let elapsed = now.since(since);
-    if elapsed > state.config.max_hold {
+    if now.since(since) > state.config.max_hold {
         return false;
     }
+    expected_use(state, now, program) >= price(state, program, holder)
+}
+
+/// Returns per second expected of a program: the best chance over several horizons. A program whose next call
+/// waits already is sure to return.
+pub(crate) fn expected_use(state: &State, now: Timestamp, program: ProgramId) -> f64 {
+    let Some(entry) = state.programs.get(&program) else {
+        return 0.0;
+    };
+    let Some(since) = entry.paused_since else {
+        return 1.0;
+    };
+    let elapsed = now.since(since);
     let goes_on = state
         .shapes
         .goes_on_after(&entry.branch, entry.turns)
@@ -192,7 +207,7 @@
             returns.map_or(ASSUMED_HAZARD, |chance| chance / *seconds as f64)
         })
         .fold(0.0, f64::max);
-    goes_on * hazard >= price(state, program, holder)
+    goes_on * hazard
 }
 
 /// The price of memory per second, as the chance of a return that would pay for it.
@@ -209,17 +224,17 @@
     price
 }
 
-/// Whether the program's branch holds more of the pool's memory by leases than its cache share.
+/// Whether the program's branch, or one above it, holds more of the pool's memory by leases than its cache share.
 fn over_cache_share(state: &State, program: ProgramId, engine_size: Tokens) -> bool {
     let Some(entry) = state.programs.get(&program) else {
         return false;
     };
-    let held = state
-        .caches
-        .get(&entry.branch)
-        .map_or(0, |account| account.leased);
-    let queue = state.branches.queue_of(&entry.branch);
-    let share = state.branches.node(queue).cache_share;
-    let engines = state.engines.iter().count() as f64;
-    held as f64 > share * engines * engine_size.0 as f64
+    let memory = state.engines.len() as f64 * engine_size.0 as f64;
+    let is_over = |path: BranchPath| {
+        let held = state.caches.get(&path).map_or(0, |account| account.leased);
+        let policy = state.policy.branches.get(&path);
+        let share = policy.map_or(1.0, |policy| policy.cache_share);
+        held as f64 > share * memory
+    };
+    entry.branch.ancestry().any(is_over)
 }
--- a/crates/courseshed-dispatch/src/systems/queueing.rs
+++ b/crates/courseshed-dispatch/src/systems/queueing.rs
@@ -20,6 +20,7 @@
         state.timers.set(at, Timer::Rerank(call));
     }
     state.calls.set_phase(&call, CallPhase::Waiting(rank));
+    state.grown_queues.insert(queue);
     insert(state, queue, rank, call, false);
 }
 
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/reclaim.rs
@@ -0,0 +1,84 @@
+//! Takes memory back from paused programs when a call that waits needs it: the leases least likely to be used
+//! soon go first.
+
+use courseshed_types::{CallId, EngineId, ProgramId, Timestamp, Tokens};
+
+use crate::{
+    state::State,
+    systems::{engine_choice, engine_choice::Closed, pauses},
+};
+
+/// Gives leases up on one engine until the call fits there; false if no engine has a slot and enough leased memory.
+pub(crate) fn make_room(state: &mut State, now: Timestamp, call: CallId, closed: &Closed) -> bool {
+    let Some((engine, missing)) = cheapest(state, now, call, closed) else {
+        return false;
+    };
+    let mut freed = Tokens::ZERO;
+    for program in least_useful(state, now, call.program, &engine) {
+        if freed >= missing {
+            break;
+        }
+        freed = freed.saturating_add(leased_by(state, program));
+        state.counters.leases_reclaimed += 1;
+        pauses::release(state, program);
+    }
+    true
+}
+
+/// The engine on which the fewest leased tokens have to be given up for the call, and how many.
+fn cheapest(
+    state: &State,
+    now: Timestamp,
+    call: CallId,
+    closed: &Closed,
+) -> Option<(EngineId, Tokens)> {
+    let memory = engine_choice::needed_memory(state, call);
+    let priority = engine_choice::sent_priority(state, call);
+    let waiting = &state.calls.get(&call)?.call;
+    let mut best: Option<(Tokens, EngineId)> = None;
+    for (id, engine) in state.engines.iter() {
+        let is_candidate =
+            closed.is_open(id) && engine_choice::has_slot(state, engine, now, priority);
+        let Some(room) = engine.memory_room(&state.config) else {
+            continue;
+        };
+        let own = engine_choice::held_for(state, waiting, id);
+        let missing = memory.saturating_sub(room.saturating_add(own));
+        let others = engine.leased.saturating_sub(own);
+        if !is_candidate || missing > others {
+            continue;
+        }
+        if best.as_ref().is_none_or(|(least, _)| missing < *least) {
+            best = Some((missing, id.clone()));
+        }
+    }
+    best.map(|(missing, engine)| (engine, missing))
+}
+
+/// Paused programs with a lease on the engine, the least likely to come back soon first.
+fn least_useful(
+    state: &State,
+    now: Timestamp,
+    except: ProgramId,
+    engine: &EngineId,
+) -> Vec<ProgramId> {
+    let Some(entry) = state.engines.get(engine) else {
+        return Vec::new();
+    };
+    let mut programs: Vec<(f64, ProgramId)> = entry
+        .lessees
+        .iter()
+        .filter(|program| **program != except)
+        .map(|program| (pauses::expected_use(state, now, *program), *program))
+        .collect();
+    programs.sort_by(|(left, left_id), (right, right_id)| {
+        left.total_cmp(right).then(left_id.cmp(right_id))
+    });
+    programs.into_iter().map(|(_, program)| program).collect()
+}
+
+fn leased_by(state: &State, program: ProgramId) -> Tokens {
+    let entry = state.programs.get(&program);
+    let prefix = entry.and_then(|entry| entry.prefix.as_ref());
+    prefix.map_or(Tokens::ZERO, |prefix| prefix.leased_tokens)
+}
--- a/crates/courseshed-dispatch/src/tables/branches.rs
+++ b/crates/courseshed-dispatch/src/tables/branches.rs
@@ -160,6 +160,31 @@
             .product()
     }
 
+    /// A node, if the table has so many.
+    pub(crate) fn find(&self, index: NodeIndex) -> Option<&BranchNode> {
+        self.nodes.get(index.0 as usize)
+    }
+
+    /// Part of the pool a node gets by shares among the branches with calls waiting, itself counted, 0 to 1.
+    pub(crate) fn active_part(&self, index: NodeIndex) -> f64 {
+        self.path_up(index)
+            .map(|node| self.active_weight(node))
+            .product()
+    }
+
+    fn active_weight(&self, index: NodeIndex) -> f64 {
+        let node = self.node(index);
+        let Some(parent) = node.parent else {
+            return 1.0;
+        };
+        let siblings = self.node(parent).active.iter();
+        let others: f64 = siblings
+            .filter(|(_, sibling)| *sibling != index)
+            .map(|(_, sibling)| self.node(*sibling).weight)
+            .sum();
+        node.weight / (node.weight + others)
+    }
+
     fn add(&mut self, parent: NodeIndex, mut node: BranchNode) -> NodeIndex {
         let index = NodeIndex(self.nodes.len() as u32);
         node.parent = Some(parent);
--- a/crates/courseshed-dispatch/src/tables/calls.rs
+++ b/crates/courseshed-dispatch/src/tables/calls.rs
@@ -50,6 +50,8 @@
     pub(crate) queue: NodeIndex,
     /// The shard's announcement that last named the call.
     pub(crate) generation: u64,
+    /// Since when smaller calls pass it because it fits no engine.
+    pub(crate) passed_over_since: Option<Timestamp>,
     pub(crate) phase: CallPhase,
 }
 
--- a/crates/courseshed-dispatch/src/tables/engines.rs
+++ b/crates/courseshed-dispatch/src/tables/engines.rs
@@ -1,9 +1,12 @@
 //! The engines of a pool: what the list says, what they report, and the dispatcher's own account.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use courseshed_types::{
-    EngineId, ModelName, Timestamp, Tokens,
+    EngineId, ModelName, ProgramId, Timestamp, Tokens,
     dispatch::{EngineLoad, EngineMember, EngineState},
 };
 
@@ -25,6 +28,8 @@
     pub(crate) ejections: u32,
     /// No work before this.
     pub(crate) ejected_until: Option<Timestamp>,
+    /// Whether an ejection ended and no call has ended well since.
+    pub(crate) is_probing: bool,
 }
 
 /// An engine.
@@ -37,12 +42,16 @@
     pub(crate) warming_since: Option<Timestamp>,
     /// Calls this dispatcher has there.
     pub(crate) in_flight: u32,
+    /// Those calls by the priority sent to the engine.
+    by_priority: BTreeMap<i32, u32>,
     /// KV memory those calls are expected to take.
     pub(crate) memory: Tokens,
     /// Most calls in flight since the report before the last.
     pub(crate) peaks: [u32; 2],
     /// KV memory held by leases of paused programs, as this dispatcher believes.
     pub(crate) leased: Tokens,
+    /// Programs with a lease there.
+    pub(crate) lessees: BTreeSet<ProgramId>,
     /// The last cache event heard.
     pub(crate) last_event: Option<u64>,
 }
@@ -55,9 +64,11 @@
             health: Health::default(),
             warming_since: None,
             in_flight: 0,
+            by_priority: BTreeMap::new(),
             memory: Tokens::ZERO,
             peaks: [0; 2],
             leased: Tokens::ZERO,
+            lessees: BTreeSet::new(),
             last_event: None,
         }
     }
@@ -78,18 +89,43 @@
 
     /// Calls that may be in flight at once, from this dispatcher.
     pub(crate) fn call_limit(&self, config: &DispatcherConfig, now: Timestamp) -> u32 {
-        let batch = match &self.report {
-            Some(report) if report.load.max_batch > 0 => report.load.max_batch,
-            _ => config.assumed_batch,
-        };
+        let batch = self.batch(config);
         let ahead = (f64::from(batch) * config.send_ahead).ceil() as u32;
         let limit = (batch + ahead).saturating_sub(self.foreign_calls(config, now));
+        if self.health.is_probing {
+            return limit.min(config.probe_calls);
+        }
         match self.warm_part(config.slow_start, now) {
             Some(part) => ((f64::from(limit) * part) as u32).max(1),
             None => limit,
         }
     }
 
+    /// Whether a call of this priority may be sent although the slots are taken: the engine lets it overtake a less
+    /// urgent one. Bounded, so that less urgent calls are held up by a part of the batch at most.
+    pub(crate) fn has_urgent_slot(
+        &self,
+        config: &DispatcherConfig,
+        now: Timestamp,
+        priority: i32,
+    ) -> bool {
+        let is_outranked = self
+            .by_priority
+            .first_key_value()
+            .is_some_and(|(least, _)| *least < priority);
+        let ahead = (f64::from(self.batch(config)) * config.urgent_ahead).ceil() as u32;
+        let is_steady = !self.health.is_probing && self.warming_since.is_none();
+        let limit = self.call_limit(config, now) + ahead;
+        priority > 0 && is_outranked && is_steady && self.in_flight < limit
+    }
+
+    fn batch(&self, config: &DispatcherConfig) -> u32 {
+        match &self.report {
+            Some(report) if report.load.max_batch > 0 => report.load.max_batch,
+            _ => config.assumed_batch,
+        }
+    }
+
     /// Calls on the engine that are not this dispatcher's, from the last report. The report lags: what was ours
     /// at any time since the report before it is not held against the engine.
     fn foreign_calls(&self, config: &DispatcherConfig, now: Timestamp) -> u32 {
@@ -130,15 +166,22 @@
     }
 
     /// A call was given to the engine.
-    pub(crate) fn add_call(&mut self, memory: Tokens) {
+    pub(crate) fn add_call(&mut self, memory: Tokens, priority: i32) {
         self.in_flight += 1;
+        *self.by_priority.entry(priority).or_default() += 1;
         self.memory = self.memory.saturating_add(memory);
         self.peaks[0] = self.peaks[0].max(self.in_flight);
     }
 
     /// A call left the engine.
-    pub(crate) fn remove_call(&mut self, memory: Tokens) {
+    pub(crate) fn remove_call(&mut self, memory: Tokens, priority: i32) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(calls) = self.by_priority.get_mut(&priority) {
+            *calls = calls.saturating_sub(1);
+            if *calls == 0 {
+                self.by_priority.remove(&priority);
+            }
+        }
         self.memory = self.memory.saturating_sub(memory);
     }
 
@@ -177,6 +220,10 @@
         self.engines.remove(engine)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.engines.len()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&EngineId, &EngineEntry)> {
         self.engines.iter()
     }
