Number escrow by generation of the shard, and count it while a budget is lifted

Cause: a shard founded again after losing all replicas numbers its requests for escrow from 1. The ledger took them for the lost generation's and granted the same tokens a second time, or refused them for the rest of the period; a late answer to the lost generation was taken as the new one's. A grant made while a budget was lifted was not counted, so setting the budget again granted it in full beside what shards still held. Change: requests and returns carry the generation; the ledger starts a shard's numbers afresh with each and keeps what the lost one held until the period is over. Grants without a budget have an account too. A shard takes a grant only as the answer to the very request it made. Measured: both new tests of the ledger fail without the change (60 granted twice of 100; 60 granted beside 80 of 100) and pass with it; the tests of both crates pass.

--- a/crates/courseshed-control/src/state/ledger.rs
+++ b/crates/courseshed-control/src/state/ledger.rs
@@ -8,7 +8,8 @@
 //! escrow of all of them before it lets an attempt start.
 //!
 //! Requests carry numbers that grow: the last number again gets the same grant, an older one is refused, so that
-//! neither a resent request nor a late copy takes tokens twice. Unspent escrow of a period that is over lapses.
+//! neither a resent request nor a late copy takes tokens twice. The numbers belong to a generation of the shard: one
+//! that was lost takes what it held with it until the period is over. Unspent escrow of a period that is over lapses.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -21,6 +22,9 @@
 
 use crate::state::ApplyOutcome;
 
+/// How long an account is kept that was made while its branch had no budget.
+const KEPT_WITHOUT_BUDGET: Duration = Duration::from_secs(2 * 24 * 60 * 60);
+
 /// One branch's budget in one period.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 struct AccountId {
@@ -37,14 +41,61 @@
     shards: BTreeMap<ShardId, ShardEscrow>,
 }
 
+impl Account {
+    /// Grants what is wanted as far as it is left, once for each number.
+    fn grant_within(&mut self, request: &GrantRequest, limit: Tokens) -> Result<Tokens, CallError> {
+        let escrow = self.shards.entry(request.shard).or_default();
+        escrow.meet_generation(request)?;
+        if request.number == escrow.last_request {
+            return Ok(escrow.last_granted);
+        }
+        if request.number < escrow.last_request {
+            return Err(refused(format!(
+                "request {} of shard {} is older than its request {}",
+                request.number, request.shard, escrow.last_request
+            )));
+        }
+        let left = limit.saturating_sub(self.held);
+        let granted = request.wanted.min(left);
+        escrow.last_request = request.number;
+        escrow.last_granted = granted;
+        escrow.held = escrow.held.saturating_add(granted);
+        self.held = self.held.saturating_add(granted);
+        Ok(granted)
+    }
+}
+
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct ShardEscrow {
+    /// The generation of the shard that the numbers below belong to.
+    generation: u32,
     last_request: u64,
     last_granted: Tokens,
     last_return: u64,
     held: Tokens,
 }
 
+impl ShardEscrow {
+    /// A new generation of a shard has forgotten what it was granted, so its numbers start afresh. What the lost one
+    /// held stays held until the period is over, since it may have been spent.
+    fn meet_generation(&mut self, request: &GrantRequest) -> Result<(), CallError> {
+        if request.generation < self.generation {
+            return Err(refused(format!(
+                "generation {} of shard {} was lost; generation {} has been founded since",
+                request.generation, request.shard, self.generation
+            )));
+        }
+        if request.generation > self.generation {
+            *self = ShardEscrow {
+                generation: request.generation,
+                held: self.held,
+                ..ShardEscrow::default()
+            };
+        }
+        Ok(())
+    }
+}
+
 /// All accounts of periods that are not long over.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct BudgetLedger {
@@ -76,7 +127,7 @@
     ) -> Result<ApplyOutcome, CallError> {
         self.forget_old(at);
         let Some(budget) = budget? else {
-            let granted = request.wanted;
+            let granted = self.grant_without_budget(at, &request)?;
             return Ok(ApplyOutcome::Granted(Grant { request, granted }));
         };
         if !period_is_near(at, request.period, budget.period) {
@@ -94,29 +145,29 @@
         request: &GrantRequest,
         budget: PeriodBudget,
     ) -> Result<Tokens, CallError> {
+        let account = self.account_for(request);
+        account.forget_at = forget_at(request.period, budget.period).max(account.forget_at);
+        account.grant_within(request, budget.tokens)
+    }
+
+    /// A shard that has not seen yet that a budget was lifted asks all the same. It gets all it wants, and that is
+    /// accounted for: the budget may be set again while the shard still holds the tokens.
+    fn grant_without_budget(
+        &mut self,
+        at: Timestamp,
+        request: &GrantRequest,
+    ) -> Result<Tokens, CallError> {
+        let account = self.account_for(request);
+        account.forget_at = account.forget_at.max(at + KEPT_WITHOUT_BUDGET);
+        account.grant_within(request, Tokens(u64::MAX))
+    }
+
+    fn account_for(&mut self, request: &GrantRequest) -> &mut Account {
         let id = AccountId {
             branch: request.branch.clone(),
             period: request.period,
         };
-        let account = self.accounts.entry(id).or_default();
-        account.forget_at = forget_at(request.period, budget.period).max(account.forget_at);
-        let escrow = account.shards.entry(request.shard).or_default();
-        if request.number == escrow.last_request {
-            return Ok(escrow.last_granted);
-        }
-        if request.number < escrow.last_request {
-            return Err(refused(format!(
-                "request {} of shard {} is older than its request {}",
-                request.number, request.shard, escrow.last_request
-            )));
-        }
-        let left = budget.tokens.saturating_sub(account.held);
-        let granted = request.wanted.min(left);
-        escrow.last_request = request.number;
-        escrow.last_granted = granted;
-        escrow.held = escrow.held.saturating_add(granted);
-        account.held = account.held.saturating_add(granted);
-        Ok(granted)
+        self.accounts.entry(id).or_default()
     }
 
     pub(super) fn give_back(&mut self, returned: &GrantReturn) -> Result<ApplyOutcome, CallError> {
@@ -130,7 +181,7 @@
         let Some(escrow) = account.shards.get_mut(&returned.shard) else {
             return Ok(ApplyOutcome::Done);
         };
-        if returned.number > escrow.last_return {
+        if returned.generation == escrow.generation && returned.number > escrow.last_return {
             let tokens = returned.returned.min(escrow.held);
             escrow.last_return = returned.number;
             escrow.held = escrow.held.saturating_sub(tokens);
--- a/crates/courseshed-control/src/state/tests.rs
+++ b/crates/courseshed-control/src/state/tests.rs
@@ -98,8 +98,13 @@
 }
 
 fn request(shard: u32, number: u64, wanted: u64) -> CommandBody {
+    request_of(shard, 1, number, wanted)
+}
+
+fn request_of(shard: u32, generation: u32, number: u64, wanted: u64) -> CommandBody {
     CommandBody::Grant(GrantRequest {
         shard: ShardId(shard),
+        generation,
         number,
         branch: BranchPath::root(),
         period: 0,
@@ -108,8 +113,13 @@
 }
 
 fn give_back(shard: u32, number: u64, returned: u64) -> CommandBody {
+    give_back_of(shard, 1, number, returned)
+}
+
+fn give_back_of(shard: u32, generation: u32, number: u64, returned: u64) -> CommandBody {
     CommandBody::ReturnGrant(GrantReturn {
         shard: ShardId(shard),
+        generation,
         number,
         branch: BranchPath::root(),
         period: 0,
@@ -267,6 +277,45 @@
     assert_eq!(granted(log.run(request(2, 2, 30))), 10);
 }
 
+#[test]
+fn a_shard_founded_again_is_not_granted_what_the_lost_one_held() {
+    let mut log = Log::new();
+    log.apply(0, "a", 100);
+    assert_eq!(granted(log.run(request_of(1, 1, 1, 60))), 60);
+    assert_eq!(granted(log.run(request_of(1, 2, 1, 60))), 40);
+    assert_eq!(
+        refusal(log.run(request_of(1, 1, 2, 10))),
+        ErrorCode::InvalidRequest
+    );
+    log.run(give_back_of(1, 1, 1, 60));
+    assert_eq!(log.state.ledger().held(&BranchPath::root(), 0), Tokens(100));
+    log.run(give_back_of(1, 2, 1, 10));
+    assert_eq!(log.state.ledger().held(&BranchPath::root(), 0), Tokens(90));
+}
+
+#[test]
+fn a_budget_lifted_and_set_again_counts_what_was_granted_meanwhile() {
+    let mut log = Log::new();
+    log.apply(0, "a", 100);
+    let lifted = CommandBody::ApplySettings {
+        change: SettingsChange {
+            expected_version: SettingsVersion(1),
+            change_id: "lift".into(),
+            tree: String::new(),
+            author: "ada".to_owned(),
+        },
+        policy: Arc::new(PolicySnapshot {
+            version: SettingsVersion(2),
+            branches: [(BranchPath::root(), BranchPolicy::default())].into(),
+            ..PolicySnapshot::default()
+        }),
+    };
+    log.run(lifted);
+    assert_eq!(granted(log.run(request(1, 1, 80))), 80);
+    log.apply(2, "b", 100);
+    assert_eq!(granted(log.run(request(2, 1, 60))), 20);
+}
+
 #[test]
 fn a_period_that_is_over_gives_nothing_and_is_forgotten() {
     let mut log = Log::new();
--- a/crates/courseshed-programs/src/escrow.rs
+++ b/crates/courseshed-programs/src/escrow.rs
@@ -124,7 +124,12 @@
     }
 
     /// Takes what is not reserved or spent out of an account, unless an earlier return is still unconfirmed.
-    pub fn begin_return(&mut self, shard: ShardId, budget: &BudgetPeriod) -> Option<GrantReturn> {
+    pub fn begin_return(
+        &mut self,
+        shard: ShardId,
+        generation: u32,
+        budget: &BudgetPeriod,
+    ) -> Option<GrantReturn> {
         let account = self.accounts.get_mut(budget)?;
         let unspent = account.available();
         if account.pending_return.is_some() || unspent == Tokens::ZERO {
@@ -134,6 +139,7 @@
         account.last_return += 1;
         let returned = GrantReturn {
             shard,
+            generation,
             number: account.last_return,
             branch: budget.branch.clone(),
             period: budget.period,
--- a/crates/courseshed-programs/src/leader/grants.rs
+++ b/crates/courseshed-programs/src/leader/grants.rs
@@ -98,6 +98,7 @@
         let wanted = Tokens(needed.0.saturating_mul(self.config.grant_multiple));
         let request = GrantRequest {
             shard: self.config.shard,
+            generation: state.generation(),
             number: last + 1,
             branch: budget.branch.clone(),
             period: budget.period,
@@ -119,7 +120,9 @@
             period: grant.request.period,
         };
         let purpose = Purpose::Grant(budget.clone());
-        let is_asked = self.grants.asked.contains_key(&budget);
+        let asked = self.grants.asked.get(&budget);
+        // A late answer to a lost generation names a number that this one uses again.
+        let is_asked = asked.is_some_and(|asked| asked.request == grant.request);
         if self.term().is_none() || !is_asked || self.proposals.contains(&purpose) {
             return;
         }
--- a/crates/courseshed-programs/src/state/mod.rs
+++ b/crates/courseshed-programs/src/state/mod.rs
@@ -77,6 +77,12 @@
         self.shard
     }
 
+    /// The generation in which the shard was founded without programs.
+    pub fn generation(&self) -> u32 {
+        let lost = self.last_program >> GENERATION_SHIFT;
+        u32::try_from(lost).map_or(u32::MAX, |lost| lost.saturating_add(1))
+    }
+
     /// Index of the last command applied.
     pub fn applied(&self) -> u64 {
         self.applied
--- a/crates/courseshed-programs/src/state/programs.rs
+++ b/crates/courseshed-programs/src/state/programs.rs
@@ -184,7 +184,10 @@
     }
 
     pub(super) fn return_escrow(&mut self, budget: &BudgetPeriod) -> Effect {
-        match self.escrow.begin_return(self.shard, budget) {
+        match self
+            .escrow
+            .begin_return(self.shard, self.generation(), budget)
+        {
             Some(returned) => Effect::Returning(returned),
             None => Effect::Nothing,
         }
--- a/crates/courseshed-types/src/control.rs
+++ b/crates/courseshed-types/src/control.rs
@@ -262,6 +262,9 @@
 pub struct GrantRequest {
     /// The shard.
     pub shard: ShardId,
+    /// The generation of the shard; a new one has forgotten what was granted before and numbers afresh.
+    #[serde(default)]
+    pub generation: u32,
     /// Numbers the shard's requests for this branch and period; the same number again gets the same grant.
     pub number: u64,
     /// The branch whose budget it is.
@@ -277,6 +280,9 @@
 pub struct GrantReturn {
     /// The shard.
     pub shard: ShardId,
+    /// The generation of the shard that held the tokens.
+    #[serde(default)]
+    pub generation: u32,
     /// Numbers the shard's returns for this branch and period.
     pub number: u64,
     /// The branch.
