--- a/crates/courseshed-control/src/lib.rs
+++ b/crates/courseshed-control/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod command;
 pub mod compiler;
+pub mod hollow;
 pub mod leader;
 pub mod node;
 pub mod publish;
