Follow the member map with the replicas of shards

Cause: replicas were opened once at start, each alone in its shard, and a request was answered by a leader whether or not it still led. Change: `NodeContext::put_map_in_force` (or `FollowedMap::follow`) opens and closes replicas as a map wants, founds a generation only where the map names this start as a voter, and gives leaders their target: newcomers learn, then vote, then the surplus goes, and a settled leader hands over to the preferred replica. Voters are reported to the controllers. Messages of a shard's log name their generation. Followers tick only when their log asks to, idle leaders once a second. An embedder may put settings and map in force in place of controllers. `Peer` shows whether its members are committed.

--- a/crates/courseshed-consensus/src/peer/mod.rs
+++ b/crates/courseshed-consensus/src/peer/mod.rs
@@ -256,6 +256,13 @@
         self.log.configuration()
     }
 
+    /// The members in force, if the entry they stand in is known to be committed.
+    #[must_use]
+    pub fn committed_configuration(&self) -> Option<&Configuration> {
+        let is_committed = self.log.configuration_index() <= self.log.committed();
+        is_committed.then(|| self.configuration())
+    }
+
     /// This replica in its present incarnation.
     #[must_use]
     pub fn address(&self) -> ReplicaAddress {
--- a/crates/courseshed-node/src/context.rs
+++ b/crates/courseshed-node/src/context.rs
@@ -7,7 +7,7 @@
 
 use courseshed_settings::NodeSettings;
 use courseshed_transport::{PeerIdentity, Transport};
-use courseshed_types::{EngineId, Incarnation, NodeId};
+use courseshed_types::{EngineId, Incarnation, NodeId, control::MemberMap};
 
 use crate::{
     clock::Clock,
@@ -17,7 +17,7 @@
     gateway::GatewayState,
     metrics::NodeMetrics,
     protocol::{NodeMessage, NodeProtocol},
-    shards::{ShardClient, ShardTable, StepTime},
+    shards::{FollowedMap, ShardClient, ShardTable, StepTime},
     view::NodeView,
 };
 
@@ -33,6 +33,8 @@
     pub view: NodeView,
     /// Replicas of shards.
     pub shards: ShardTable,
+    /// The member map that the replicas follow.
+    pub followed_map: FollowedMap,
     /// Finds leaders of shards.
     pub shard_client: ShardClient,
     /// Dispatchers.
@@ -65,6 +67,7 @@
             clock,
             view: NodeView::new(),
             shards: ShardTable::default(),
+            followed_map: FollowedMap::default(),
             shard_client: ShardClient::default(),
             dispatchers: DispatcherTable::default(),
             engines: EngineTasks::new(),
@@ -107,6 +110,15 @@
         }
     }
 
+    /// Puts a member map in force, with the replicas of shards that it places here; false if it is not newer.
+    pub fn put_map_in_force(&self, map: Arc<MemberMap>) -> bool {
+        if !self.view.set_map(map.clone()) {
+            return false;
+        }
+        self.followed_map.follow(self, &map);
+        true
+    }
+
     /// A number that no dispatcher of this node had before, over restarts too.
     pub fn next_dispatcher_incarnation(&self) -> Incarnation {
         let count = self.dispatcher_starts.fetch_add(1, Ordering::Relaxed);
--- a/crates/courseshed-node/src/handler.rs
+++ b/crates/courseshed-node/src/handler.rs
@@ -19,12 +19,7 @@
             return;
         };
         match message {
-            NodeMessage::ShardLog(message) => {
-                let shard = courseshed_types::ShardId(message.group.0);
-                context
-                    .shards
-                    .step(&context, shard, ShardInput::Log(message));
-            }
+            NodeMessage::ShardLog(log) => context.shards.on_log(&context, log),
             NodeMessage::ControlLog(message) => context.control.on_log(message),
             NodeMessage::Dispatch(request) => context.dispatchers.on_request(&context, *request),
             NodeMessage::DispatchEvent(event) => {
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -41,6 +41,8 @@
     pub http_workers: usize,
     /// The settings tree to start with where no controller has one.
     pub initial_tree: Option<SettingsTree>,
+    /// Whether the embedder puts settings, lease and member map in force itself, in place of controllers.
+    pub is_embedder_in_control: bool,
 }
 
 impl NodeOptions {
@@ -50,6 +52,7 @@
             settings,
             http_workers: DEFAULT_HTTP_WORKERS,
             initial_tree: None,
+            is_embedder_in_control: false,
         }
     }
 }
@@ -190,12 +193,14 @@
         &runtime,
     );
     context.set_transport(transport.context(PeersSnafu)?);
-    Standalone::start(
-        context.clone(),
-        options.initial_tree.as_ref(),
-        sockets.http_address.to_string(),
-        sockets.peer_address.to_string(),
-    );
+    if !options.is_embedder_in_control {
+        Standalone::start(
+            context.clone(),
+            options.initial_tree.as_ref(),
+            sockets.http_address.to_string(),
+            sockets.peer_address.to_string(),
+        );
+    }
     start_actors(&context);
     let server = serve(&context, options.http_workers, sockets.http)?;
     log::info!(
--- a/crates/courseshed-node/src/protocol.rs
+++ b/crates/courseshed-node/src/protocol.rs
@@ -17,8 +17,8 @@
 /// Told without an answer. All of it may be lost or come twice.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum NodeMessage {
-    /// Between the replicas of a program shard; the group's number is the shard's.
-    ShardLog(Box<LogMessage>),
+    /// Between the replicas of a program shard.
+    ShardLog(ShardLogMessage),
     /// Between the controllers.
     ControlLog(Box<LogMessage>),
     /// From a shard's leader to a dispatcher.
@@ -27,6 +27,15 @@
     DispatchEvent(Box<DispatchEvent>),
 }
 
+/// A message between the replicas of one generation of a shard.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ShardLogMessage {
+    /// The generation; replicas of another one hold another log.
+    pub generation: u32,
+    /// The message; the number of its group is the shard's.
+    pub message: Box<LogMessage>,
+}
+
 /// Asked.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum NodeRequest {
@@ -61,7 +70,7 @@
 
     fn message_class(message: &NodeMessage) -> TrafficClass {
         match message {
-            NodeMessage::ShardLog(message) => log_class(&message.body),
+            NodeMessage::ShardLog(log) => log_class(&log.message.body),
             NodeMessage::ControlLog(_) => TrafficClass::Control,
             NodeMessage::Dispatch(_) | NodeMessage::DispatchEvent(_) => TrafficClass::Data,
         }
--- a/crates/courseshed-node/src/shards/client.rs
+++ b/crates/courseshed-node/src/shards/client.rs
@@ -144,6 +144,11 @@
         cached.or_else(|| context.shards.leader(shard))
     }
 
+    /// Forgets what a node led, since the start of it that led is over.
+    pub fn forget_node(&self, node: NodeId) {
+        self.leaders.write().retain(|_, leader| *leader != node);
+    }
+
     fn next_seed(&self, context: &NodeContext) -> u64 {
         let count = self.seed.fetch_add(1, Ordering::Relaxed);
         context.identity.incarnation.0.wrapping_add(count)
--- a/crates/courseshed-node/src/shards/recovery.rs
+++ b/crates/courseshed-node/src/shards/recovery.rs
@@ -14,7 +14,7 @@
     shard::EngineFinding,
 };
 
-use crate::{context::NodeContext, shards::replica::ShardInput};
+use crate::{context::NodeContext, shards::input::ShardInput};
 
 /// A question of a shard's leader.
 #[derive(Debug, Clone)]
--- a/crates/courseshed-node/src/shards/table.rs
+++ b/crates/courseshed-node/src/shards/table.rs
@@ -1,73 +1,76 @@
-//! The replicas of a node, each under its own lock, and what is done with what comes of them.
+//! The replicas of a node, each under its own lock.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc};
 
-use courseshed_consensus::Message;
-use courseshed_membership::dispatcher_for;
-use courseshed_programs::{ShardOutput, ShardRole};
+use arc_swap::ArcSwap;
 use courseshed_types::{
     NodeId, ShardId,
+    control::ShardVoters,
     shard::{ShardReply, ShardRequest},
 };
-use parking_lot::{Mutex, RwLock};
+use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
 use crate::{
     context::NodeContext,
-    protocol::NodeMessage,
+    protocol::ShardLogMessage,
     shards::{
-        recovery::EngineQuestion,
-        replica::{PendingReply, ReplicaStart, ShardAction, ShardInput, ShardReplica},
+        input::{PendingReply, ReplicaStart, ShardInput},
+        plan::KnownReplica,
+        replica::ShardReplica,
+        slot::ShardSlot,
     },
 };
 
-/// Time between two ticks of a shard's logic; its replicated log ticks when it asks to.
-const LOGIC_TICK: Duration = Duration::from_millis(100);
+type Slots = BTreeMap<ShardId, Arc<ShardSlot>>;
 
-/// One replica under its lock.
-pub struct ShardSlot {
-    replica: Mutex<ShardReplica>,
-    next_logic_tick: Mutex<Duration>,
-}
-
-/// The replicas of a node.
+/// The replicas of a node. Looked up without a lock; opening and closing copies the table.
 #[derive(Default)]
 pub struct ShardTable {
-    slots: RwLock<BTreeMap<ShardId, Arc<ShardSlot>>>,
+    slots: ArcSwap<Slots>,
+    /// The latest generation of each shard opened by this start of the node; guards changes of `slots`.
+    opened: Mutex<BTreeMap<ShardId, u32>>,
 }
 
 impl ShardTable {
     /// The shards this node keeps replicas of.
     pub fn ids(&self) -> Vec<ShardId> {
-        self.slots.read().keys().copied().collect()
+        self.slots.load().keys().copied().collect()
     }
 
     /// The shards this node leads.
     pub fn led(&self) -> Vec<ShardId> {
-        let slots = self.all();
-        let is_led =
-            |slot: &ShardSlot| matches!(slot.replica.lock().role(), ShardRole::Leader { .. });
-        slots
-            .into_iter()
-            .filter(|(_, slot)| is_led(slot))
-            .map(|(shard, _)| shard)
-            .collect()
+        self.shards_where(ShardReplica::leads)
+    }
+
+    /// The shards this node leads that another replica could lead instead.
+    pub fn led_with_successor(&self) -> Vec<ShardId> {
+        self.shards_where(ShardReplica::can_hand_over)
+    }
+
+    /// The reports that leaders here owe the controllers.
+    pub fn owed_reports(&self) -> Vec<ShardVoters> {
+        let slots = self.slots.load();
+        let reports = slots
+            .values()
+            .filter_map(|slot| slot.with(ShardReplica::owed_report));
+        reports.flatten().collect()
     }
 
     /// The leader of a shard, as far as this node's replica knows.
     pub fn leader(&self, shard: ShardId) -> Option<NodeId> {
-        let slot = self.get(shard)?;
-        slot.replica.lock().leader()
+        self.get(shard)?.with(ShardReplica::leader)?
     }
 
     /// Whether this node keeps a replica.
     pub fn contains(&self, shard: ShardId) -> bool {
-        self.slots.read().contains_key(&shard)
+        self.slots.load().contains_key(&shard)
     }
 
     /// Opens a replica and gives it the settings in force.
     pub fn open(&self, context: &NodeContext, start: ReplicaStart) {
         let shard = start.leader.shard;
+        let generation = start.leader.generation;
         let replica = match ShardReplica::open(start, context.step_time()) {
             Ok(replica) => replica,
             Err(error) => {
@@ -75,23 +78,42 @@
                 return;
             }
         };
-        let slot = ShardSlot {
-            replica: Mutex::new(replica),
-            next_logic_tick: Mutex::new(Duration::ZERO),
-        };
-        self.slots.write().insert(shard, Arc::new(slot));
-        log::info!(shard = shard.0; "replica opened");
+        let slot = Arc::new(ShardSlot::new(replica));
         let policy = ShardInput::Policy(context.view.policy(), context.view.lease_until());
-        self.step(context, shard, policy);
+        slot.step(context, policy);
+        let mut opened = self.opened.lock();
+        opened.insert(shard, generation);
+        self.change(|slots| slots.insert(shard, slot));
+        log::info!(shard = shard.0, generation = generation; "replica opened");
     }
 
     /// Drops a replica; its owed answers are dropped with it.
     pub fn close(&self, shard: ShardId) {
-        if self.slots.write().remove(&shard).is_some() {
-            log::info!(shard = shard.0; "replica closed");
+        let opened = self.opened.lock();
+        let closed = self.change(|slots| slots.remove(&shard));
+        drop(opened);
+        if let Some(slot) = closed {
+            slot.close();
+            log::info!(shard = shard.0, generation = slot.generation(); "replica closed");
         }
     }
 
+    /// What is known of every replica that this start of the node ever opened.
+    pub fn known(&self) -> BTreeMap<ShardId, KnownReplica> {
+        let opened = self.opened.lock().clone();
+        let known = |(shard, generation)| {
+            let slot = self.get(shard);
+            let open = slot.and_then(|slot| slot.with(ShardReplica::known));
+            let closed = KnownReplica {
+                generation,
+                is_open: false,
+                is_member: false,
+            };
+            (shard, open.unwrap_or(closed))
+        };
+        opened.into_iter().map(known).collect()
+    }
+
     /// Hands an input to a replica; false if there is none here.
     pub fn step(&self, context: &NodeContext, shard: ShardId, input: ShardInput) -> bool {
         let Some(slot) = self.get(shard) else {
@@ -103,11 +125,20 @@
 
     /// Hands an input to every replica.
     pub fn step_all(&self, context: &NodeContext, input: impl Fn() -> ShardInput) {
-        for slot in self.all().into_values() {
+        for slot in self.slots.load().values() {
             slot.step(context, input());
         }
     }
 
+    /// Hands on what another replica says; of another generation it means nothing here.
+    pub fn on_log(&self, context: &NodeContext, log: ShardLogMessage) {
+        let shard = ShardId(log.message.group.0);
+        let slot = self.get(shard);
+        if let Some(slot) = slot.filter(|slot| slot.generation() == log.generation) {
+            slot.step(context, ShardInput::Log(log.message));
+        }
+    }
+
     /// Takes a request; answers at once if there is no replica here.
     pub fn request(&self, context: &NodeContext, request: Box<ShardRequest>, reply: PendingReply) {
         let Some(slot) = self.get(request.shard) else {
@@ -128,84 +159,36 @@
         receiver
     }
 
-    /// Lets time pass for all replicas.
+    /// Lets time pass for the replicas that have something due.
     pub fn tick(&self, context: &NodeContext) {
-        for slot in self.all().into_values() {
-            slot.tick(context);
+        let elapsed = context.clock.elapsed();
+        for slot in self.slots.load().values() {
+            slot.tick(context, elapsed);
         }
     }
 
     /// Runs `look` on a replica.
-    pub fn with<T>(&self, shard: ShardId, look: impl FnOnce(&mut ShardReplica) -> T) -> Option<T> {
-        let slot = self.get(shard)?;
-        let mut replica = slot.replica.lock();
-        Some(look(&mut replica))
-    }
-
-    fn get(&self, shard: ShardId) -> Option<Arc<ShardSlot>> {
-        self.slots.read().get(&shard).cloned()
+    pub fn with<T>(&self, shard: ShardId, look: impl FnOnce(&ShardReplica) -> T) -> Option<T> {
+        self.get(shard)?.with(look)
     }
 
-    fn all(&self) -> BTreeMap<ShardId, Arc<ShardSlot>> {
-        self.slots.read().clone()
+    fn shards_where(&self, holds: impl Fn(&ShardReplica) -> bool) -> Vec<ShardId> {
+        let slots = self.slots.load();
+        let found = slots
+            .values()
+            .filter(|slot| slot.with(&holds) == Some(true));
+        found.map(|slot| slot.shard()).collect()
     }
-}
 
-impl ShardSlot {
-    /// Steps the replica and sends what comes of it before the lock is released.
-    fn step(&self, context: &NodeContext, input: ShardInput) {
-        let mut actions = Vec::new();
-        let mut replica = self.replica.lock();
-        replica.step(context.step_time(), input, &mut actions);
-        let shard = replica.id();
-        for action in actions {
-            execute(context, shard, action);
-        }
-    }
-
-    fn tick(&self, context: &NodeContext) {
-        let elapsed = context.clock.elapsed();
-        let mut next_logic_tick = self.next_logic_tick.lock();
-        let logic_due = elapsed >= *next_logic_tick;
-        let log_due = self.replica.lock().group().next_wakeup() <= elapsed;
-        if logic_due {
-            *next_logic_tick = elapsed + LOGIC_TICK;
-        }
-        drop(next_logic_tick);
-        if logic_due || log_due {
-            self.step(context, ShardInput::Tick);
-        }
+    fn get(&self, shard: ShardId) -> Option<Arc<ShardSlot>> {
+        self.slots.load().get(&shard).cloned()
     }
-}
 
-fn execute(context: &NodeContext, shard: ShardId, action: ShardAction) {
-    match action {
-        ShardAction::Log(message) => send_log(context, message),
-        ShardAction::Output(ShardOutput::Dispatch(request)) => {
-            let map = context.view.map();
-            let Some(dispatcher) = dispatcher_for(&request.pool, &map) else {
-                log::debug!(shard = shard.0; "no live dispatcher for {}", request.pool.model);
-                return;
-            };
-            let message = NodeMessage::Dispatch(Box::new(request));
-            context.tell(dispatcher, message);
-        }
-        ShardAction::Output(ShardOutput::QueryEngine(query)) => {
-            context.engines.ask(EngineQuestion { shard, query });
-        }
-        ShardAction::Output(ShardOutput::RequestGrant(request)) => {
-            context.control.request_grant(request);
-        }
-        ShardAction::Output(ShardOutput::ReturnGrant(returned)) => {
-            context.control.return_grant(returned);
-        }
-        ShardAction::Output(ShardOutput::Propose(_) | ShardOutput::Reply { .. }) => {
-            unreachable!("the replica executes these itself")
-        }
+    /// Changes a copy of the table and puts it in place; `opened` must be locked.
+    fn change<T>(&self, change: impl FnOnce(&mut Slots) -> T) -> T {
+        let mut slots = Slots::clone(&self.slots.load());
+        let result = change(&mut slots);
+        self.slots.store(Arc::new(slots));
+        result
     }
 }
-
-fn send_log(context: &NodeContext, message: Message) {
-    let to = NodeId(message.to.0 as u32);
-    context.tell(to, NodeMessage::ShardLog(Box::new(message)));
-}
--- a/crates/courseshed-node/src/shards/ticker.rs
+++ b/crates/courseshed-node/src/shards/ticker.rs
@@ -1,10 +1,16 @@
 //! The actor that lets time pass for all replicas of a node.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use actix::{Actor, AsyncContext, Context};
 
-use crate::{context::NodeContext, shards::replica::ShardInput};
+use crate::{
+    context::NodeContext,
+    shards::{input::ShardInput, reports::VoterReports},
+};
+
+/// Time between two looks at what the controllers must be told.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Ticks replicas, and hands them newer settings.
 pub struct ShardTicker {
@@ -13,6 +19,7 @@
         courseshed_types::SettingsVersion,
         courseshed_types::Timestamp,
     ),
+    reports: VoterReports,
 }
 
 impl ShardTicker {
@@ -21,6 +28,7 @@
         ShardTicker {
             context,
             seen: Default::default(),
+            reports: VoterReports::default(),
         }
     }
 
@@ -45,5 +53,8 @@
     fn started(&mut self, context: &mut Context<ShardTicker>) {
         let interval = self.context.settings.timeouts.tick;
         context.run_interval(interval, |ticker, _| ticker.tick());
+        context.run_interval(REPORT_INTERVAL, |ticker, _| {
+            ticker.reports.send_owed(&ticker.context);
+        });
     }
 }
--- a/crates/courseshed-programs/src/leader/grants.rs
+++ b/crates/courseshed-programs/src/leader/grants.rs
@@ -39,6 +39,10 @@
 }
 
 impl GrantTable {
+    pub fn has_no_parked(&self) -> bool {
+        self.parked.is_empty()
+    }
+
     pub fn take_parked(&mut self) -> Vec<ParkedSubmit> {
         std::mem::take(&mut self.parked)
     }
--- a/crates/courseshed-programs/src/leader/mod.rs
+++ b/crates/courseshed-programs/src/leader/mod.rs
@@ -88,6 +88,11 @@
         self.role
     }
 
+    /// Whether no call and no proposal is under way, so that nothing is due soon.
+    pub fn is_idle(&self) -> bool {
+        self.live.is_empty() && self.proposals.len() == 0 && self.grants.has_no_parked()
+    }
+
     /// Takes the actions that wait for the driver, in order.
     pub fn take_outputs(&mut self) -> Vec<ShardOutput> {
         std::mem::take(&mut self.outputs)
