--- a/crates/courseshed-lab/src/lib.rs
+++ b/crates/courseshed-lab/src/lib.rs
@@ -1,1 +1,5 @@
 //! Simulator, load, experiments and reports.
+
+#![forbid(unsafe_code)]
+
+pub mod workload;
