Leave streams without arrivals out before drawing

Cause: a loop's condition that its body never changed reads as if it could end it. Change: the check stands before the loop.

--- a/crates/courseshed-lab/src/workload/arrivals.rs
+++ b/crates/courseshed-lab/src/workload/arrivals.rs
@@ -97,11 +97,14 @@
         seed: u64,
         arrivals: &mut Vec<Arrival>,
     ) {
+        if stream.batches_per_second <= 0.0 {
+            return;
+        }
         let mut random = stream_random(seed, stream.number, TIMES);
         let end = self.duration.as_secs_f64();
         let mut second = 0.0;
         let mut number = 0;
-        while stream.batches_per_second > 0.0 {
+        loop {
             second = self.next_arrival(stream, second, random.random::<f64>());
             if second >= end {
                 return;
