Add the laboratory's binary, with a command that checks every model

Cause: the models of the replicated log and of the program shard could only be run as tests, and each reported in a type of its own. Change: courseshed-lab check runs them all under one report type, prints states explored and the variants caught, and exits with 1 on a violation.

--- a/crates/courseshed-lab/src/lib.rs
+++ b/crates/courseshed-lab/src/lib.rs
@@ -1,5 +1,7 @@
 //! Simulator, load, experiments and reports.
+//!
+//! Each command of `courseshed-lab` has a module in [`commands`]; what it runs has a module beside it.
 
-#![forbid(unsafe_code)]
-
+pub mod check;
+pub mod commands;
 pub mod workload;
