Replicate the controllers in the daemon, and serve the operators' interface

Cause: the daemon made up its own map and policy, and no node could be joined by another, nor steered.

Change: nodes with the role controller run the control state over the replicated log in their data folder, on a thread of its own that takes in all that came while it wrote before the next flush. Every node follows them: it registers, reports, holds the settings lease, and puts policy and map in force once it has a lease. An empty folder is founded only if every other controller answers that it knows no group; otherwise the controller joins under an incarnation it never had. The operators' paths under /v1/admin are served by any node. Callers are refused (503, not run) until the node has read its settings.

Measured: cargo test -p courseshed-node: a change at one of four nodes with three controllers comes into force at all; the calls through one node pass on a real controller in a folder.

--- a/crates/courseshed-consensus/src/storage/disk/mod.rs
+++ b/crates/courseshed-consensus/src/storage/disk/mod.rs
@@ -78,6 +78,13 @@
         })
     }
 
+    /// Whether a folder holds a log, whole or not.
+    #[must_use]
+    pub fn is_kept_in(folder: &Path) -> bool {
+        let files = [INCARNATION_FILE, SNAPSHOT_FILE, LOG_FILE];
+        files.iter().any(|name| folder.join(name).exists())
+    }
+
     /// The incarnation that this folder belongs to.
     #[must_use]
     pub fn incarnation(&self) -> u64 {
--- a/crates/courseshed-control/src/leader/mod.rs
+++ b/crates/courseshed-control/src/leader/mod.rs
@@ -15,8 +15,8 @@
 
 use courseshed_membership::{DampingOptions, DetectorOptions, FailureDetector, FlapDamper};
 use courseshed_types::{
-    CallError, ErrorCode, Incarnation, NodeId, Timestamp, control::ControlPosition,
-    control::ControlReply,
+    CallError, ErrorCode, Incarnation, NodeId, Timestamp,
+    control::{ControlPosition, ControlReply, HeardNode},
 };
 
 use crate::{
@@ -188,6 +188,29 @@
         self.positions.get(&node).map(|heard| heard.position)
     }
 
+    /// All nodes heard since this controller leads, with what they had in force.
+    pub(super) fn heard_nodes(&self) -> Vec<HeardNode> {
+        let heard = self.positions.iter();
+        heard
+            .map(|(node, heard)| HeardNode {
+                node: *node,
+                incarnation: heard.incarnation,
+                position: heard.position,
+            })
+            .collect()
+    }
+
+    /// The replicated log did not take a command: nothing was written.
+    pub fn on_not_proposed(&mut self, origin: CommandOrigin) -> Vec<LeaderOutput> {
+        let pending = self.pending.remove(&origin.serial);
+        let token = pending.and_then(|pending| pending.token);
+        let error = CallError::not_run(ErrorCode::Unavailable, "the controllers' log is busy");
+        token
+            .map(|token| reply(token, ControlReply::Error(error)))
+            .into_iter()
+            .collect()
+    }
+
     /// The replicated log guarantees until then that no other controller leads. Without such a guarantee the leader
     /// must confirm its leadership with a quorum before it passes requests in, and may give `Timestamp::MAX`.
     pub fn extend_read_lease(&mut self, until: Timestamp) {
--- a/crates/courseshed-control/src/leader/requests.rs
+++ b/crates/courseshed-control/src/leader/requests.rs
@@ -49,6 +49,9 @@
                 let answer = self.lagging_reply(now, version, state);
                 vec![reply(token, answer)]
             }
+            ControlRequest::HeardNodes => {
+                vec![reply(token, ControlReply::HeardNodes(self.heard_nodes()))]
+            }
             ControlRequest::ApplySettings(change) => {
                 vec![self.apply_settings(now, token, change, state)]
             }
--- a/crates/courseshed-control/src/node/lease.rs
+++ b/crates/courseshed-control/src/node/lease.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// When the lease ends, or ended; none before the first.
+    pub fn until(&self) -> Option<Timestamp> {
+        self.until
+    }
+
     /// The state at a time.
     pub fn state(&self, now: Timestamp) -> LeaseState {
         match self.until {
--- a/crates/courseshed-control/src/node/mod.rs
+++ b/crates/courseshed-control/src/node/mod.rs
@@ -178,6 +178,11 @@
         self.lease.state(now)
     }
 
+    /// When the settings lease ends, or ended; none before the first.
+    pub fn lease_until(&self) -> Option<Timestamp> {
+        self.lease.until()
+    }
+
     /// Whether the settings may be relied on.
     pub fn lease_valid(&self, now: Timestamp) -> bool {
         self.lease(now) == LeaseState::Valid
--- a/crates/courseshed-node/src/context.rs
+++ b/crates/courseshed-node/src/context.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::Clock,
-    control::ControlTasks,
+    control::{ControlClient, ControlTasks},
     dispatchers::{DispatcherTable, EngineTasks},
     drain::DrainState,
     gateway::GatewayState,
@@ -41,8 +41,10 @@
     pub dispatchers: DispatcherTable,
     /// Work for engines.
     pub engines: EngineTasks,
-    /// Work for the controllers.
+    /// Work for control.
     pub control: ControlTasks,
+    /// Finds the controllers' leader.
+    pub control_client: ControlClient,
     /// The gateway's tables.
     pub gateway: GatewayState,
     /// Counters.
@@ -62,6 +64,8 @@
             incarnation: Incarnation(clock.now().0),
         };
         NodeContext {
+            control: ControlTasks::new(&settings),
+            control_client: ControlClient::default(),
             settings,
             identity,
             clock,
@@ -71,7 +75,6 @@
             shard_client: ShardClient::default(),
             dispatchers: DispatcherTable::default(),
             engines: EngineTasks::new(),
-            control: ControlTasks::new(),
             gateway: GatewayState::default(),
             metrics: NodeMetrics::new(),
             drain: DrainState::default(),
--- a/crates/courseshed-node/src/control/tasks.rs
+++ b/crates/courseshed-node/src/control/tasks.rs
@@ -1,78 +1,151 @@
-//! The queue of what comes for the control worker: peers' messages and requests, and shards' wishes for escrow.
+//! The queues of control: what comes for this node's controller, for its follower, and shards' wishes.
+//!
+//! All of it may be dropped when a queue is full, since all of it is sent again.
 
 use courseshed_consensus::Message;
+use courseshed_settings::NodeSettings;
 use courseshed_transport::ReplySender;
-use courseshed_types::control::{ControlRequest, GrantRequest, GrantReturn};
+use courseshed_types::control::{
+    ControlReply, ControlRequest, GrantRequest, GrantReturn, NodeRole,
+};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use crate::protocol::NodeProtocol;
+use crate::{control::founding::ControlLogState, protocol::NodeProtocol};
 
-/// Work that may wait; more is dropped, since all of it is sent again.
+/// Work that may wait in one queue.
 const CAPACITY: usize = 16_384;
 
-/// One thing that came.
-pub enum ControlTask {
+/// For the controller.
+pub enum ControllerTask {
     /// From another controller.
     Log(Box<Message>),
     /// From another node, or from this one.
     Request(Box<ControlRequest>, ReplySender<NodeProtocol>),
-    /// A shard here wants escrow.
-    RequestGrant(GrantRequest),
-    /// A shard here gives escrow back.
-    ReturnGrant(GrantReturn),
 }
 
-/// The queue.
-pub struct ControlTasks {
-    sender: mpsc::Sender<ControlTask>,
-    receiver: Mutex<Option<mpsc::Receiver<ControlTask>>>,
+/// For what every node runs.
+pub enum FollowerTask {
+    /// Another node asks this one as its relay.
+    Request(Box<ControlRequest>, ReplySender<NodeProtocol>),
+    /// An answer to a request of the follower, or that none came.
+    Answered {
+        /// The follower's number of the request.
+        number: u64,
+        /// The answer.
+        reply: Option<Box<ControlReply>>,
+    },
+    /// This node's controller leads, or follows another.
+    ControllerRole,
 }
 
-impl ControlTasks {
-    /// An empty queue.
-    pub fn new() -> ControlTasks {
+/// What a shard here wants of the controllers.
+#[derive(Debug, Clone)]
+pub enum ShardWish {
+    /// Escrow.
+    Grant(GrantRequest),
+    /// To give escrow back.
+    Return(GrantReturn),
+}
+
+/// One queue, whose receiving end is taken once.
+struct Queue<T> {
+    name: &'static str,
+    sender: mpsc::Sender<T>,
+    receiver: Mutex<Option<mpsc::Receiver<T>>>,
+}
+
+impl<T> Queue<T> {
+    fn new(name: &'static str) -> Queue<T> {
         let (sender, receiver) = mpsc::channel(CAPACITY);
-        ControlTasks {
+        Queue {
+            name,
             sender,
             receiver: Mutex::new(Some(receiver)),
         }
     }
 
+    fn push(&self, task: T) {
+        if self.sender.try_send(task).is_err() {
+            log::warn!(
+                "the queue of {} is full or closed; one piece is dropped",
+                self.name
+            );
+        }
+    }
+}
+
+/// The queues.
+pub struct ControlTasks {
+    is_controller: bool,
+    controller: Queue<ControllerTask>,
+    follower: Queue<FollowerTask>,
+    wishes: Queue<ShardWish>,
+    log_state: Mutex<Option<ControlLogState>>,
+}
+
+impl ControlTasks {
+    /// Empty queues of a node with these settings.
+    pub fn new(settings: &NodeSettings) -> ControlTasks {
+        ControlTasks {
+            is_controller: settings.roles.contains(&NodeRole::Controller),
+            controller: Queue::new("the controller"),
+            follower: Queue::new("control traffic"),
+            wishes: Queue::new("shards' requests to the controllers"),
+            log_state: Mutex::new(None),
+        }
+    }
+
     /// A message between controllers.
     pub fn on_log(&self, message: Box<Message>) {
-        self.push(ControlTask::Log(message));
+        if self.is_controller {
+            self.controller.push(ControllerTask::Log(message));
+        }
     }
 
-    /// A request to the controllers.
+    /// A request to the controllers, or to this node as a relay.
     pub fn on_request(&self, request: ControlRequest, reply: ReplySender<NodeProtocol>) {
-        self.push(ControlTask::Request(Box::new(request), reply));
+        let request = Box::new(request);
+        if self.is_controller {
+            self.controller
+                .push(ControllerTask::Request(request, reply));
+        } else {
+            self.follower.push(FollowerTask::Request(request, reply));
+        }
+    }
+
+    /// What this node's controller says of its log; none while it has not looked, or if there is no controller here.
+    pub fn log_state(&self) -> Option<ControlLogState> {
+        *self.log_state.lock()
     }
 
     /// A shard here wants escrow.
     pub fn request_grant(&self, request: GrantRequest) {
-        self.push(ControlTask::RequestGrant(request));
+        self.wishes.push(ShardWish::Grant(request));
     }
 
     /// A shard here gives escrow back.
     pub fn return_grant(&self, returned: GrantReturn) {
-        self.push(ControlTask::ReturnGrant(returned));
+        self.wishes.push(ShardWish::Return(returned));
     }
 
-    /// The end that executes; taken once.
-    pub fn take_receiver(&self) -> Option<mpsc::Receiver<ControlTask>> {
-        self.receiver.lock().take()
+    pub(super) fn set_log_state(&self, state: ControlLogState) {
+        *self.log_state.lock() = Some(state);
     }
 
-    fn push(&self, task: ControlTask) {
-        if self.sender.try_send(task).is_err() {
-            log::warn!("the queue of control work is full; one piece is dropped");
-        }
+    pub(super) fn tell_follower(&self, task: FollowerTask) {
+        self.follower.push(task);
+    }
+
+    pub(super) fn take_controller(&self) -> Option<mpsc::Receiver<ControllerTask>> {
+        self.controller.receiver.lock().take()
+    }
+
+    pub(super) fn take_follower(&self) -> Option<mpsc::Receiver<FollowerTask>> {
+        self.follower.receiver.lock().take()
     }
-}
 
-impl Default for ControlTasks {
-    fn default() -> ControlTasks {
-        ControlTasks::new()
+    pub(super) fn take_wishes(&self) -> Option<mpsc::Receiver<ShardWish>> {
+        self.wishes.receiver.lock().take()
     }
 }
--- a/crates/courseshed-node/src/gateway/mod.rs
+++ b/crates/courseshed-node/src/gateway/mod.rs
@@ -19,9 +19,9 @@
 mod sse;
 mod streams;
 
-pub use auth::{is_operator, sha256_hex};
+pub use auth::{Caller, authenticate, is_operator, sha256_hex};
 pub use documents::ProgramDocument;
-pub use error::ApiError;
+pub use error::{ApiError, unknown_path};
 pub use routes::{GatewayWorker, configure};
 pub use streams::StreamReporter;
 
--- a/crates/courseshed-node/src/handler.rs
+++ b/crates/courseshed-node/src/handler.rs
@@ -47,6 +47,11 @@
                     .request(&context, request, PendingReply::Remote(reply));
             }
             NodeRequest::Control(request) => context.control.on_request(*request, reply),
+            NodeRequest::ControlLogState => {
+                if let Some(state) = context.control.log_state() {
+                    reply.send(NodeReply::ControlLogState(state));
+                }
+            }
             NodeRequest::Explain { pool, call } => {
                 let explanation = context.dispatchers.explain(&context, &pool, call);
                 reply.send(NodeReply::Explanation(explanation));
--- a/crates/courseshed-node/src/lib.rs
+++ b/crates/courseshed-node/src/lib.rs
@@ -3,6 +3,8 @@
 //! The roles' logic lives in crates of its own, free of I/O. This crate gives it time, messages and threads: it
 //! can be embedded ([`Node::start`]), and many nodes may share a process.
 
+pub mod admin;
+mod admission;
 pub mod clock;
 pub mod context;
 pub mod control;
@@ -19,4 +21,4 @@
 mod signals;
 pub mod view;
 
-pub use node::{Node, NodeError, NodeHandle, NodeOptions};
+pub use node::{Node, NodeError, NodeHandle, NodeOptions, NodeSockets};
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -9,7 +9,7 @@
 
 use actix::Actor;
 use actix_rt::{Arbiter, System, SystemRunner};
-use actix_web::{App, HttpServer, dev::ServerHandle};
+use actix_web::{App, HttpServer, dev::ServerHandle, middleware::from_fn};
 use courseshed_engine::EngineConnector;
 use courseshed_settings::{NodeSettings, SettingsTree};
 use courseshed_transport::{StartError, Transport, TransportSettings};
@@ -17,8 +17,10 @@
 use tokio::{runtime::Handle, sync::oneshot};
 
 use crate::{
+    admin,
+    admission::require_settings,
     context::{NodeContext, SharedContext},
-    control::Standalone,
+    control::{self, ControlThreads, ControllerError, Reachable},
     dispatchers::{DispatcherTicker, EngineWorker, engine_timeouts},
     drain,
     gateway::{self, GatewayWorker, StreamReporter},
@@ -82,6 +84,12 @@
         /// Why.
         source: StartError,
     },
+    /// The controller's folder can't be used.
+    #[snafu(display("{source}"))]
+    Controller {
+        /// Why.
+        source: ControllerError,
+    },
     /// The node ended before it was ready.
     #[snafu(display("the node ended while it started; its log says why"))]
     EndedEarly,
@@ -97,28 +105,74 @@
     peer_address: SocketAddr,
     system: System,
     server: ServerHandle,
+    /// The threads of control, which hold the lock of the data folder until they have ended.
+    control: Vec<Arbiter>,
     thread: Option<JoinHandle<()>>,
 }
 
 struct Started {
     system: System,
     server: ServerHandle,
+    control: Vec<Arbiter>,
 }
 
-struct Sockets {
+/// The listening sockets of a node that has not started yet, so that its addresses are known before.
+#[derive(Debug)]
+pub struct NodeSockets {
     http: TcpListener,
     peer: TcpListener,
     http_address: SocketAddr,
     peer_address: SocketAddr,
 }
 
+impl NodeSockets {
+    /// Listens on the addresses of the settings.
+    ///
+    /// # Errors
+    /// When one can't be had.
+    pub fn bind(settings: &NodeSettings) -> Result<NodeSockets, NodeError> {
+        let (http_address, http) = listen("listen", settings.listen)?;
+        let (peer_address, peer) = listen("peer_listen", settings.peer_listen)?;
+        Ok(NodeSockets {
+            http,
+            peer,
+            http_address,
+            peer_address,
+        })
+    }
+
+    /// Where callers and operators will reach the node.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Where other nodes will reach the node.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+}
+
+fn listen(key: &'static str, address: SocketAddr) -> Result<(SocketAddr, TcpListener), NodeError> {
+    let bound = TcpListener::bind(address);
+    let bound = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
+    bound.context(ListenSnafu { key, address })
+}
+
 impl Node {
     /// Starts a node on threads of its own.
     ///
     /// # Errors
-    /// When its addresses can't be had.
+    /// When its addresses can't be had, or its data folder can't be used.
     pub fn start(options: NodeOptions) -> Result<NodeHandle, NodeError> {
-        let sockets = bind(&options.settings)?;
+        let sockets = NodeSockets::bind(&options.settings)?;
+        Node::start_on(sockets, options)
+    }
+
+    /// Starts a node on sockets that listen already.
+    ///
+    /// # Errors
+    /// When its data folder can't be used.
+    pub fn start_on(sockets: NodeSockets, options: NodeOptions) -> Result<NodeHandle, NodeError> {
         let (http_address, peer_address) = (sockets.http_address, sockets.peer_address);
         let context = Arc::new(NodeContext::new(options.settings.clone()));
         let (ready, started) = std::sync::mpsc::channel();
@@ -129,38 +183,27 @@
             .context(ThreadSnafu)?;
         let started: Result<Started, NodeError> =
             started.recv().unwrap_or(Err(NodeError::EndedEarly));
-        let Started { system, server } = started?;
+        let Started {
+            system,
+            server,
+            control,
+        } = started?;
         Ok(NodeHandle {
             context,
             http_address,
             peer_address,
             system,
             server,
+            control,
             thread: Some(thread),
         })
     }
 }
 
-fn bind(settings: &NodeSettings) -> Result<Sockets, NodeError> {
-    let listen = |key, address: SocketAddr| {
-        let bound = TcpListener::bind(address);
-        let bound = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
-        bound.context(ListenSnafu { key, address })
-    };
-    let (http_address, http) = listen("listen", settings.listen)?;
-    let (peer_address, peer) = listen("peer_listen", settings.peer_listen)?;
-    Ok(Sockets {
-        http,
-        peer,
-        http_address,
-        peer_address,
-    })
-}
-
 fn run_thread(
     context: SharedContext,
     options: NodeOptions,
-    sockets: Sockets,
+    sockets: NodeSockets,
     ready: std::sync::mpsc::Sender<Result<Started, NodeError>>,
 ) {
     let runner: SystemRunner = System::new();
@@ -178,7 +221,7 @@
 async fn start_parts(
     context: SharedContext,
     options: NodeOptions,
-    sockets: Sockets,
+    sockets: NodeSockets,
 ) -> Result<Started, NodeError> {
     let peers = Arbiter::new();
     let runtime = runtime_of(&peers).await?;
@@ -193,13 +236,18 @@
         &runtime,
     );
     context.set_transport(transport.context(PeersSnafu)?);
+    let (controller, follower) = (Arbiter::new(), Arbiter::new());
     if !options.is_embedder_in_control {
-        Standalone::start(
-            context.clone(),
-            options.initial_tree.as_ref(),
-            sockets.http_address.to_string(),
-            sockets.peer_address.to_string(),
-        );
+        let threads = ControlThreads {
+            controller: controller.handle(),
+            follower: follower.handle(),
+        };
+        let reachable = Reachable {
+            http_address: sockets.http_address.to_string(),
+            peer_address: sockets.peer_address.to_string(),
+        };
+        control::start(&context, &threads, reachable, options.initial_tree)
+            .context(ControllerSnafu)?;
     }
     start_actors(&context);
     let server = serve(&context, options.http_workers, sockets.http)?;
@@ -212,6 +260,7 @@
     Ok(Started {
         system: System::current(),
         server,
+        control: vec![controller, follower],
     })
 }
 
@@ -251,7 +300,9 @@
             connector: EngineConnector::new(engine_timeouts(&app_context)),
         };
         App::new()
+            .wrap(from_fn(require_settings))
             .configure(health::configure)
+            .configure(admin::configure)
             .configure(|config| gateway::configure(config, worker))
     })
     .workers(workers.max(1))
@@ -311,6 +362,12 @@
         };
         self.context.transport().stop();
         self.system.stop();
+        for arbiter in self.control.drain(..) {
+            arbiter.stop();
+            if arbiter.join().is_err() {
+                log::error!("a thread of control panicked");
+            }
+        }
         if thread.join().is_err() {
             log::error!("a thread of the node panicked");
         }
--- a/crates/courseshed-node/src/protocol.rs
+++ b/crates/courseshed-node/src/protocol.rs
@@ -10,6 +10,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::control::ControlLogState;
+
 /// The protocol between nodes.
 #[derive(Debug)]
 pub enum NodeProtocol {}
@@ -41,8 +43,10 @@
 pub enum NodeRequest {
     /// Of a shard's leader.
     Shard(Box<ShardRequest>),
-    /// Of the controllers' leader.
+    /// Of the controllers' leader, or of a relay.
     Control(Box<ControlRequest>),
+    /// Of a controller: what it knows of the control log.
+    ControlLogState,
     /// Of a dispatcher: why a call waits.
     Explain {
         /// The pool.
@@ -57,8 +61,10 @@
 pub enum NodeReply {
     /// By a shard's replica.
     Shard(Box<ShardReply>),
-    /// By a controller.
+    /// By a controller, or a relay.
     Control(Box<ControlReply>),
+    /// By a controller.
+    ControlLogState(ControlLogState),
     /// By a dispatcher; none if the call does not wait there.
     Explanation(Option<WaitExplanation>),
 }
@@ -78,7 +84,7 @@
 
     fn request_class(request: &NodeRequest) -> TrafficClass {
         match request {
-            NodeRequest::Control(_) => TrafficClass::Control,
+            NodeRequest::Control(_) | NodeRequest::ControlLogState => TrafficClass::Control,
             NodeRequest::Shard(_) | NodeRequest::Explain { .. } => TrafficClass::Data,
         }
     }
--- /dev/null
+++ b/crates/courseshed-node/tests/support/fleet.rs
@@ -0,0 +1,206 @@
+//! Several nodes in one process, each in a zone of its own, that can be stopped and started again.
+
+use std::net::SocketAddr;
+
+use courseshed_node::{Node, NodeHandle, NodeOptions, NodeSockets};
+use courseshed_settings::{NodeSettings, Overrides, SettingsTree};
+use courseshed_types::{NodeId, SettingsVersion};
+use tempfile::TempDir;
+
+use super::{EngineHandle, PATIENCE, engine_entry};
+
+const ALL_ROLES: &str = r#"["gateway", "shard", "dispatcher", "controller"]"#;
+const ALL_BUT_CONTROLLER: &str = r#"["gateway", "shard", "dispatcher"]"#;
+
+/// How a fleet is made up.
+pub struct FleetPlan<'a> {
+    /// Nodes that are controllers; they come first.
+    pub controllers: usize,
+    /// Nodes that are not.
+    pub others: usize,
+    /// Engines, known to all nodes.
+    pub engines: &'a [&'a EngineHandle],
+    /// The first settings tree.
+    pub tree: &'a str,
+    /// More of the node settings, such as `operator_keys`.
+    pub more: &'a str,
+}
+
+impl Default for FleetPlan<'_> {
+    fn default() -> Self {
+        FleetPlan {
+            controllers: 3,
+            others: 0,
+            engines: &[],
+            tree: super::TREE,
+            more: "",
+        }
+    }
+}
+
+struct FleetNode {
+    settings: NodeSettings,
+    handle: Option<NodeHandle>,
+}
+
+/// Nodes numbered from 1.
+pub struct Fleet {
+    nodes: Vec<FleetNode>,
+    tree: Option<SettingsTree>,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts all nodes.
+    pub fn start(plan: FleetPlan<'_>) -> Fleet {
+        let folder = tempfile::tempdir().expect("a folder");
+        let count = plan.controllers + plan.others;
+        let mut bound: Vec<NodeSettings> = (1..=count)
+            .map(|number| {
+                let roles = if number <= plan.controllers {
+                    ALL_ROLES
+                } else {
+                    ALL_BUT_CONTROLLER
+                };
+                let data_dir = folder.path().join(format!("node-{number}"));
+                parse(&node_text(number, roles, &data_dir, &plan))
+            })
+            .collect();
+        let sockets: Vec<NodeSockets> = bound
+            .iter()
+            .map(|settings| NodeSockets::bind(settings).expect("ports"))
+            .collect();
+        let peers: Vec<SocketAddr> = sockets.iter().map(NodeSockets::peer_address).collect();
+        for (settings, sockets) in bound.iter_mut().zip(&sockets) {
+            settings.listen = sockets.http_address();
+            settings.peer_listen = sockets.peer_address();
+            for (seed, peer) in settings.seeds.iter_mut().zip(&peers) {
+                seed.peer = *peer;
+            }
+        }
+        let tree = Some(SettingsTree::parse(plan.tree).expect("valid tree"));
+        let nodes = bound
+            .into_iter()
+            .zip(sockets)
+            .map(|(settings, sockets)| FleetNode {
+                handle: Some(start(sockets, &settings, tree.clone())),
+                settings,
+            })
+            .collect();
+        Fleet {
+            nodes,
+            tree,
+            _folder: folder,
+        }
+    }
+
+    /// A running node.
+    pub fn node(&self, number: u32) -> &NodeHandle {
+        let node = &self.nodes[number as usize - 1];
+        node.handle.as_ref().expect("the node runs")
+    }
+
+    /// The numbers of the running nodes.
+    pub fn running(&self) -> Vec<u32> {
+        let numbers = (1..).zip(&self.nodes);
+        numbers
+            .filter(|(_, node)| node.handle.is_some())
+            .map(|(number, _)| number)
+            .collect()
+    }
+
+    /// Ends a node as a crash would.
+    pub fn kill(&mut self, number: u32) {
+        let node = &mut self.nodes[number as usize - 1];
+        node.handle.take().expect("the node runs").stop();
+    }
+
+    /// Starts a node again at its addresses, on what its folder holds.
+    pub fn restart(&mut self, number: u32) {
+        let node = &mut self.nodes[number as usize - 1];
+        assert!(node.handle.is_none(), "the node runs");
+        let sockets = NodeSockets::bind(&node.settings).expect("its ports");
+        node.handle = Some(start(sockets, &node.settings, self.tree.clone()));
+    }
+
+    /// The settings version that a node has in force.
+    pub fn version(&self, number: u32) -> SettingsVersion {
+        self.node(number).context().view.position().settings
+    }
+
+    /// The controller that leads, as the running controllers see it once they agree.
+    pub async fn control_leader(&self) -> u32 {
+        let mut leader = None;
+        wait_until("one controller leads", || {
+            let seen = self.running().into_iter();
+            let mut seen = seen.map(|number| self.node(number).context().view.control_leader());
+            let first = seen.next().flatten();
+            let agreed = seen.all(|other| other == first);
+            let runs = first.is_some_and(|NodeId(node)| self.running().contains(&node));
+            leader = first.filter(|_| agreed && runs);
+            leader.is_some()
+        })
+        .await;
+        leader.expect("a leader").0
+    }
+
+    /// Waits until all running nodes have a version in force.
+    pub async fn wait_in_force(&self, version: u64) {
+        wait_until(&format!("version {version} in force"), || {
+            let running = self.running().into_iter();
+            running
+                .map(|number| self.version(number))
+                .all(|in_force| in_force >= SettingsVersion(version))
+        })
+        .await;
+    }
+}
+
+/// Waits until something holds.
+pub async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = std::time::Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(std::time::Instant::now() < deadline, "in vain: {what}");
+        actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
+fn start(sockets: NodeSockets, settings: &NodeSettings, tree: Option<SettingsTree>) -> NodeHandle {
+    let mut options = NodeOptions::new(settings.clone());
+    options.http_workers = 1;
+    options.initial_tree = tree;
+    Node::start_on(sockets, options).expect("the node starts")
+}
+
+fn parse(text: &str) -> NodeSettings {
+    NodeSettings::parse(text, "node.toml", Overrides::default()).expect("valid settings")
+}
+
+fn node_text(
+    number: usize,
+    roles: &str,
+    data_dir: &std::path::Path,
+    plan: &FleetPlan<'_>,
+) -> String {
+    let mut text = format!(
+        "node_id = {number}\nregion = \"south\"\nzone = \"{}\"\nlisten = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\nroles = {roles}\ndata_dir = {data_dir:?}\n{}\n",
+        zone(number),
+        plan.more,
+    );
+    for seed in 1..=plan.controllers {
+        // The ports are put in when they are known.
+        text.push_str(&format!(
+            "[[seeds]]\nnode_id = {seed}\npeer = \"127.0.0.1:{seed}\"\nroles = {ALL_ROLES}\nregion = \"south\"\nzone = \"{}\"\n",
+            zone(seed),
+        ));
+    }
+    for engine in plan.engines {
+        text.push_str(&engine_entry(engine));
+    }
+    text
+}
+
+/// Three zones, so that a fourth node has a neighbour.
+fn zone(number: usize) -> &'static str {
+    ["south-a", "south-b", "south-c"][(number - 1) % 3]
+}
--- a/crates/courseshed-node/tests/support/mod.rs
+++ b/crates/courseshed-node/tests/support/mod.rs
@@ -2,15 +2,19 @@
 
 #![allow(dead_code)]
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::Deref, path::Path, time::Duration};
+
+pub mod fleet;
 
 use awc::{ClientResponse, http::StatusCode};
 use bytes::Bytes;
-use courseshed_emulator::engine::{EmulatedEngine, EngineHandle, EngineOptions};
+pub use courseshed_emulator::engine::EngineHandle;
+use courseshed_emulator::engine::{EmulatedEngine, EngineOptions};
 use courseshed_node::{Node, NodeHandle, NodeOptions};
 use courseshed_settings::{NodeSettings, Overrides, SettingsTree};
 use futures_util::{Stream, StreamExt};
 use serde_json::{Value, json};
+use tempfile::TempDir;
 
 /// Longest wait for anything in a test.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -39,7 +43,7 @@
     .expect("the engine starts")
 }
 
-fn engine_entry(engine: &EngineHandle) -> String {
+pub fn engine_entry(engine: &EngineHandle) -> String {
     format!(
         "[[engines]]\nid = \"{}\"\naddress = \"{}\"\nmodels = [\"base\"]\nregion = \"south\"\nzone = \"south-a\"\n",
         engine.id(),
@@ -47,30 +51,48 @@
     )
 }
 
-/// The settings of one node that stands alone.
-pub fn lone_settings(engines: &[&EngineHandle]) -> NodeSettings {
+/// The settings of one node that stands alone and keeps its state in a folder.
+pub fn lone_settings(engines: &[&EngineHandle], folder: &Path) -> NodeSettings {
     let mut text = r#"
 node_id = 1
 region = "south"
 zone = "south-a"
 listen = "127.0.0.1:0"
 peer_listen = "127.0.0.1:0"
-data_dir = "unused"
 roles = ["gateway", "shard", "dispatcher", "controller"]
 "#
     .to_owned();
+    text.push_str(&format!("data_dir = {:?}\n", folder.join("node-1")));
     for engine in engines {
         text.push_str(&engine_entry(engine));
     }
     NodeSettings::parse(&text, "node.toml", Overrides::default()).expect("valid settings")
 }
 
+/// A node that stands alone, with the folder of its state.
+pub struct LoneNode {
+    handle: NodeHandle,
+    _folder: TempDir,
+}
+
+impl Deref for LoneNode {
+    type Target = NodeHandle;
+
+    fn deref(&self) -> &NodeHandle {
+        &self.handle
+    }
+}
+
 /// One node that stands alone.
-pub fn start_lone(engines: &[&EngineHandle], tree: &str) -> NodeHandle {
-    let mut options = NodeOptions::new(lone_settings(engines));
+pub fn start_lone(engines: &[&EngineHandle], tree: &str) -> LoneNode {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut options = NodeOptions::new(lone_settings(engines, folder.path()));
     options.http_workers = 1;
     options.initial_tree = Some(SettingsTree::parse(tree).expect("valid tree"));
-    Node::start(options).expect("the node starts")
+    LoneNode {
+        handle: Node::start(options).expect("the node starts"),
+        _folder: folder,
+    }
 }
 
 /// A caller of one node.
--- a/crates/courseshed-types/src/control.rs
+++ b/crates/courseshed-types/src/control.rs
@@ -173,6 +173,8 @@
     },
     /// Which nodes don't have a version in force yet. Answer: `Lagging`.
     Lagging(SettingsVersion),
+    /// What the nodes heard of lately have in force. Answer: `HeardNodes`.
+    HeardNodes,
     /// Settings and map newer than these. Answer: `Update`.
     Pull(ControlPosition),
     /// Escrow of a branch's budget for a shard. Answer: `Granted`.
@@ -320,6 +322,8 @@
     SettingsHistory(Vec<SettingsRecord>),
     /// Nodes that don't have the version in force.
     Lagging(Vec<NodeId>),
+    /// Nodes with what they had in force when last heard.
+    HeardNodes(Vec<HeardNode>),
     /// Escrow.
     Granted(Grant),
     /// The fence to put into an order.
