Let calls wait a moment for the engine that holds their prefix

Cause: with all engines full, the slot that frees next is on the engine of the next call's prefix only one time in as many as there are engines, so nearly every call moved and left its prefix behind.

Change: a call whose engine is full is parked for it, for no longer than computing the prefix anew would take (2 s at most), once a call, and a quarter of a batch at one engine at most. Its branch is charged when it is parked, so the shares move by no more than with corrections under way.

--- a/crates/courseshed-dispatch/src/baselines/mod.rs
+++ b/crates/courseshed-dispatch/src/baselines/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) sharing: Sharing,
     pub(crate) ordering: Ordering,
     pub(crate) choice: Choice,
+    /// Whether a call may wait a moment for the engine that holds its prefix.
+    pub(crate) parks: bool,
     /// Whether prefixes of paused programs are held by leases.
     pub(crate) holds_prefixes: bool,
     /// Whether priorities overtake.
@@ -56,6 +58,7 @@
             sharing: Sharing::Single,
             ordering: Ordering::FirstCome,
             choice: Choice::LeastLoad,
+            parks: false,
             holds_prefixes: false,
             honours_priority: false,
         };
@@ -64,6 +67,7 @@
                 sharing: Sharing::Tree,
                 ordering: Ordering::Program,
                 choice: Choice::Balanced,
+                parks: true,
                 holds_prefixes: true,
                 honours_priority: true,
             },
--- a/crates/courseshed-dispatch/src/config.rs
+++ b/crates/courseshed-dispatch/src/config.rs
@@ -40,6 +40,14 @@
     pub load_penalty: u64,
     /// Units of service that another zone costs in the choice.
     pub zone_penalty: u64,
+    /// Longest wait for the engine that holds a call's prefix while another has room.
+    pub affinity_wait: Duration,
+    /// Shorter waits are not worth it.
+    pub least_affinity_wait: Duration,
+    /// Calls that may wait so for one engine, as a part of its batch.
+    pub affinity_ahead: f64,
+    /// Prompt tokens an engine is assumed to compute a second.
+    pub prefill_tokens_per_second: u64,
     /// Calls that may wait in the pool before the dispatcher sheds.
     pub max_waiting: usize,
     /// Calls each branch may always have waiting, whatever the others do.
@@ -85,6 +93,10 @@
             memory_limit: 0.95,
             load_penalty: 2_000,
             zone_penalty: 100,
+            affinity_wait: Duration::from_secs(2),
+            least_affinity_wait: Duration::from_millis(20),
+            affinity_ahead: 0.25,
+            prefill_tokens_per_second: 16_000,
             max_waiting: 4_000,
             min_branch_waiting: 32,
             pass_over: Duration::from_secs(1),
--- a/crates/courseshed-dispatch/src/explain.rs
+++ b/crates/courseshed-dispatch/src/explain.rs
@@ -18,7 +18,7 @@
 /// Why a call waits.
 pub(crate) fn explain(state: &State, now: Timestamp, call: CallId) -> Option<WaitExplanation> {
     let entry = state.calls.get(&call)?;
-    if !matches!(entry.phase, CallPhase::Waiting(_)) {
+    if !entry.is_waiting() {
         return None;
     }
     let queue = entry.queue;
@@ -50,6 +50,13 @@
 
 /// The call's place, by playing the order out on a copy of the tree with the charges that are expected.
 fn position(state: &State, call: CallId) -> u32 {
+    let is_queued = state
+        .calls
+        .get(&call)
+        .is_some_and(|entry| matches!(entry.phase, CallPhase::Waiting(_)));
+    if !is_queued {
+        return 0;
+    }
     let mut tree = state.branches.clone();
     let warp = state.config.warp_per_priority;
     let mut place = 0;
@@ -88,6 +95,10 @@
 }
 
 fn reason(state: &State, now: Timestamp, call: CallId, entitled: f64, attained: f64) -> String {
+    if let Some(CallPhase::Parked(parking)) = state.calls.get(&call).map(|entry| &entry.phase) {
+        let engine = &parking.engine;
+        return format!("the call waits a moment for engine {engine}, which holds its prefix");
+    }
     let live = |state_of: EngineState| state_of == EngineState::Live;
     if !state
         .engines
@@ -141,6 +152,7 @@
             ejected_until: engine.health.ejected_until,
             in_flight: engine.in_flight,
             call_limit: engine.call_limit(&state.config, now),
+            parked: engine.parked.len(),
             memory_tokens: engine.memory.0,
             leased_tokens: engine.leased.0,
             reported_running: load.map(|load| load.running),
--- a/crates/courseshed-dispatch/src/invariants.rs
+++ b/crates/courseshed-dispatch/src/invariants.rs
@@ -38,10 +38,23 @@
         }
         assert!(node.first_calls.is_subset(&node.queue));
     }
-    let waiting = state.calls.iter();
-    let waiting = waiting.filter(|(_, call)| matches!(call.phase, CallPhase::Waiting(_)));
-    assert_eq!(queued, waiting.count());
-    assert_eq!(queued, state.calls.waiting());
+    let parked: usize = state
+        .engines
+        .iter()
+        .map(|(_, engine)| engine.parked.len())
+        .sum();
+    let waiting = state.calls.iter().filter(|(_, call)| call.is_waiting());
+    assert_eq!(queued + parked, waiting.count());
+    assert_eq!(queued + parked, state.calls.waiting());
+    for (id, engine) in state.engines.iter() {
+        for call in &engine.parked {
+            let entry = state.calls.get(call).expect("a parked call is known");
+            let CallPhase::Parked(parking) = &entry.phase else {
+                panic!("{call:?} is listed as parked");
+            };
+            assert_eq!(parking.engine, *id);
+        }
+    }
 }
 
 fn check_listings(state: &State) {
@@ -109,7 +122,7 @@
 
 /// Timers are bounded by the entities they are of.
 fn check_timers(state: &State) {
-    let entities = state.calls.len() * 2 + state.programs.len() * 2;
+    let entities = state.calls.len() * 3 + state.programs.len() * 2;
     let few = ENGINES.len() + 2;
     assert!(state.timers.len() <= entities + few);
 }
--- a/crates/courseshed-dispatch/src/output.rs
+++ b/crates/courseshed-dispatch/src/output.rs
@@ -84,6 +84,8 @@
     pub in_flight: u32,
     /// Most calls it may have there now.
     pub call_limit: u32,
+    /// Calls that wait for a slot there, for the sake of their prefix.
+    pub parked: usize,
     /// KV tokens those calls are expected to take.
     pub memory_tokens: u64,
     /// KV tokens held by leases.
@@ -117,6 +119,8 @@
     pub leases_renewed: u64,
     /// Leases given up.
     pub leases_released: u64,
+    /// Calls that waited for the engine that holds their prefix.
+    pub parked: u64,
     /// Leases given up because a call that waited needed the memory.
     pub leases_reclaimed: u64,
     /// Calls refused because the wait expected of them was far longer than their branch allows.
--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     state::State,
-    systems::{engine_choice, engine_choice::Closed, fairness, pauses, queueing, reclaim},
+    systems::{engine_choice, engine_choice::Closed, fairness, parking, pauses, queueing, reclaim},
     tables::{CallPhase, NodeIndex, Placement, Rank, Timer},
     units::Service,
 };
@@ -20,6 +20,7 @@
 
 /// Assigns calls until no engine has room or no call is left that fits.
 pub(crate) fn run(state: &mut State, now: Timestamp) {
+    parking::run(state, now);
     let mut passed_over: Vec<(NodeIndex, Rank, CallId)> = Vec::new();
     let mut closed = Closed::default();
     while passed_over.len() < MAX_PASSED_OVER {
@@ -29,8 +30,13 @@
         if !engine_choice::any_room(state, now, call) {
             break;
         }
+        if parking::park(state, now, queue, call) {
+            continue;
+        }
         if let Some(engine) = choose(state, now, call, &closed) {
-            give(state, now, queue, call, &engine);
+            fairness::begin_service(&mut state.branches, queue);
+            queueing::dequeue(state, call);
+            give(state, now, call, &engine);
             continue;
         }
         keep_engine(state, now, call, &mut closed);
@@ -53,9 +59,8 @@
     engine_choice::choose(state, now, call, closed)
 }
 
-fn give(state: &mut State, now: Timestamp, queue: NodeIndex, call: CallId, engine: &EngineId) {
-    fairness::begin_service(&mut state.branches, queue);
-    queueing::dequeue(state, call);
+/// Gives a call that is in no queue any more to an engine.
+pub(crate) fn give(state: &mut State, now: Timestamp, call: CallId, engine: &EngineId) {
     queueing::stop_waiting(state, call);
     place(state, now, call, engine);
     announce(state, call);
@@ -133,17 +138,24 @@
     state.timers.set(at, Timer::Resend(call));
 }
 
-fn estimate(state: &State, call: &WaitingCall, engine: &EngineId, now: Timestamp) -> Placement {
+/// The service a call is expected to take on an engine.
+pub(crate) fn expected_charge(state: &State, call: CallId, engine: &EngineId) -> Service {
+    let Some(entry) = state.calls.get(&call) else {
+        return Service(1);
+    };
+    let call = &entry.call;
     let output = state.shapes.expected_output(&call.branch, call.max_output);
-    let cached = state
-        .programs
-        .get(&call.call.program)
-        .map_or(Tokens::ZERO, |program| program.cached_on(engine));
+    let program = state.programs.get(&call.call.program);
+    let cached = program.map_or(Tokens::ZERO, |program| program.cached_on(engine));
     let uncached = call.prompt_tokens.saturating_sub(cached);
+    Service::weigh(&state.config, uncached, output)
+}
+
+fn estimate(state: &State, call: &WaitingCall, engine: &EngineId, now: Timestamp) -> Placement {
     Placement {
         engine: engine.clone(),
-        charged: Service::weigh(&state.config, uncached, output),
-        memory: call.prompt_tokens.saturating_add(output),
+        charged: expected_charge(state, call.call, engine),
+        memory: engine_choice::needed_memory(state, call.call),
         since: now,
         priority: engine_choice::sent_priority(state, call.call),
     }
--- a/crates/courseshed-dispatch/src/systems/engine_choice.rs
+++ b/crates/courseshed-dispatch/src/systems/engine_choice.rs
@@ -62,6 +62,16 @@
     best.map(|(_, engine)| engine.clone())
 }
 
+/// Whether an engine has a slot and the memory for a call.
+pub(crate) fn has_room(state: &State, now: Timestamp, call: CallId, engine: &EngineId) -> bool {
+    let priority = sent_priority(state, call);
+    let memory = needed_memory(state, call);
+    let (Some(entry), Some(engine)) = (state.calls.get(&call), state.engines.get(engine)) else {
+        return false;
+    };
+    has_slot(state, engine, now, priority) && fits(state, now, engine, &entry.call, memory)
+}
+
 /// The engine on which the least has to end before a call fits; none if the call is too large for all, or if
 /// engines that are closed already would leave less than half.
 pub(crate) fn roomiest(
--- a/crates/courseshed-dispatch/src/systems/engine_health.rs
+++ b/crates/courseshed-dispatch/src/systems/engine_health.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     state::State,
-    systems::cache_view,
+    systems::{cache_view, parking},
     tables::{EngineEntry, Timer},
 };
 
@@ -27,6 +27,7 @@
         .filter(|id| !named.contains(id))
         .collect();
     for engine in gone {
+        parking::abandon(state, now, &engine);
         cache_view::lost(state, &engine);
         state.engines.remove(&engine);
     }
--- a/crates/courseshed-dispatch/src/systems/expiry.rs
+++ b/crates/courseshed-dispatch/src/systems/expiry.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     state::State,
-    systems::{announcing, assignment, engine_health, pauses, queueing, shedding},
+    systems::{announcing, assignment, engine_health, parking, pauses, queueing, shedding},
     tables::Timer,
 };
 
@@ -14,6 +14,7 @@
         match timer {
             Timer::GiveUp(call) => shedding::give_up(state, now, call),
             Timer::Rerank(call) => queueing::rerank(state, now, call),
+            Timer::Unpark(call) => parking::send_back(state, now, call),
             Timer::Resend(call) => assignment::resend(state, now, call),
             Timer::Hold(program) => pauses::review(state, now, program),
             Timer::Forget(program) => pauses::forget(state, now, program),
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -173,6 +173,7 @@
         queue,
         generation,
         passed_over_since: None,
+        was_parked: false,
         phase: CallPhase::Waiting(Default::default()),
     });
 }
--- a/crates/courseshed-dispatch/src/systems/mod.rs
+++ b/crates/courseshed-dispatch/src/systems/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod fairness;
 pub(crate) mod intake;
 pub(crate) mod ordering;
+pub(crate) mod parking;
 pub(crate) mod pauses;
 pub(crate) mod queueing;
 pub(crate) mod reclaim;
--- a/crates/courseshed-dispatch/src/systems/queueing.rs
+++ b/crates/courseshed-dispatch/src/systems/queueing.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     state::State,
-    systems::{fairness, ordering},
+    systems::{fairness, ordering, parking},
     tables::{CallEntry, CallPhase, NodeIndex, Rank, Timer},
 };
 
@@ -41,6 +41,7 @@
 /// Takes a call out of its queue, if it waits, and out of the call table.
 pub(crate) fn remove(state: &mut State, call: CallId) -> Option<CallEntry> {
     dequeue(state, call);
+    parking::take_out(state, call);
     stop_waiting(state, call);
     state.timers.cancel(Timer::Resend(call));
     state.calls.remove(&call)
@@ -59,17 +60,25 @@
 
 /// Ranks a waiting call anew.
 pub(crate) fn rerank(state: &mut State, now: Timestamp, call: CallId) {
-    if let Some((queue, _)) = dequeue(state, call) {
-        let entry = state.calls.get(&call).expect("it was in a queue");
-        let (rank, changes_at) = ordering::rank(&state.config, state.strategy, &entry.call, now);
-        if let Some(at) = changes_at {
-            state.timers.set(at, Timer::Rerank(call));
-        }
-        state.calls.set_phase(&call, CallPhase::Waiting(rank));
-        insert(state, queue, rank, call, true);
+    if dequeue(state, call).is_some() {
+        return_to_queue(state, now, call);
     }
 }
 
+/// Puts a call that is in no queue into its own, ranked anew; its branch keeps its credit.
+pub(crate) fn return_to_queue(state: &mut State, now: Timestamp, call: CallId) {
+    let Some(entry) = state.calls.get(&call) else {
+        return;
+    };
+    let queue = entry.queue;
+    let (rank, changes_at) = ordering::rank(&state.config, state.strategy, &entry.call, now);
+    if let Some(at) = changes_at {
+        state.timers.set(at, Timer::Rerank(call));
+    }
+    state.calls.set_phase(&call, CallPhase::Waiting(rank));
+    insert(state, queue, rank, call, true);
+}
+
 fn insert(state: &mut State, queue: NodeIndex, rank: Rank, call: CallId, keeps_credit: bool) {
     let is_first = state
         .calls
--- a/crates/courseshed-dispatch/src/systems/shedding.rs
+++ b/crates/courseshed-dispatch/src/systems/shedding.rs
@@ -10,7 +10,7 @@
 use crate::{
     state::State,
     systems::queueing,
-    tables::{BranchNode, CallPhase, NodeIndex},
+    tables::{BranchNode, NodeIndex},
 };
 
 /// Shortest wait suggested to a caller.
@@ -72,7 +72,7 @@
     let Some(entry) = state.calls.get(&call) else {
         return;
     };
-    if !matches!(entry.phase, CallPhase::Waiting(_)) || entry.call.give_up_at > now {
+    if !entry.is_waiting() || entry.call.give_up_at > now {
         return;
     }
     let error = CallError::not_run(
--- a/crates/courseshed-dispatch/src/tables/calls.rs
+++ b/crates/courseshed-dispatch/src/tables/calls.rs
@@ -31,11 +31,21 @@
     pub(crate) priority: i32,
 }
 
+/// A wait for the engine that holds the call's prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Parking {
+    pub(crate) engine: EngineId,
+    /// Service charged to the branch.
+    pub(crate) charged: Service,
+}
+
 /// What a call is doing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum CallPhase {
     /// In its branch's queue at this rank.
     Waiting(Rank),
+    /// Out of its queue for a moment, for the sake of its prefix.
+    Parked(Parking),
     /// An engine was chosen; the shard has not confirmed.
     Assigned(Placement),
     /// The shard committed the dispatch.
@@ -52,14 +62,21 @@
     pub(crate) generation: u64,
     /// Since when smaller calls pass it because it fits no engine.
     pub(crate) passed_over_since: Option<Timestamp>,
+    /// Whether it has waited for its prefix's engine before.
+    pub(crate) was_parked: bool,
     pub(crate) phase: CallPhase,
 }
 
 impl CallEntry {
+    /// Whether the call has no engine yet.
+    pub(crate) fn is_waiting(&self) -> bool {
+        is_waiting(&self.phase)
+    }
+
     /// Where the call runs or shall run.
     pub(crate) fn placement(&self) -> Option<&Placement> {
         match &self.phase {
-            CallPhase::Waiting(_) => None,
+            CallPhase::Waiting(_) | CallPhase::Parked(_) => None,
             CallPhase::Assigned(placement) | CallPhase::Running(placement) => Some(placement),
         }
     }
@@ -152,5 +169,5 @@
 }
 
 fn is_waiting(phase: &CallPhase) -> bool {
-    matches!(phase, CallPhase::Waiting(_))
+    matches!(phase, CallPhase::Waiting(_) | CallPhase::Parked(_))
 }
--- a/crates/courseshed-dispatch/src/tables/engines.rs
+++ b/crates/courseshed-dispatch/src/tables/engines.rs
@@ -6,7 +6,7 @@
 };
 
 use courseshed_types::{
-    EngineId, ModelName, ProgramId, Timestamp, Tokens,
+    CallId, EngineId, ModelName, ProgramId, Timestamp, Tokens,
     dispatch::{EngineLoad, EngineMember, EngineState},
 };
 
@@ -52,6 +52,8 @@
     pub(crate) leased: Tokens,
     /// Programs with a lease there.
     pub(crate) lessees: BTreeSet<ProgramId>,
+    /// Calls that wait for a slot here because their prefix is here.
+    pub(crate) parked: BTreeSet<CallId>,
     /// The last cache event heard.
     pub(crate) last_event: Option<u64>,
 }
@@ -69,6 +71,7 @@
             peaks: [0; 2],
             leased: Tokens::ZERO,
             lessees: BTreeSet::new(),
+            parked: BTreeSet::new(),
             last_event: None,
         }
     }
@@ -119,6 +122,11 @@
         priority > 0 && is_outranked && is_steady && self.in_flight < limit
     }
 
+    /// Calls that may be parked for the engine.
+    pub(crate) fn parking_limit(&self, config: &DispatcherConfig) -> usize {
+        (f64::from(self.batch(config)) * config.affinity_ahead).ceil() as usize
+    }
+
     fn batch(&self, config: &DispatcherConfig) -> u32 {
         match &self.report {
             Some(report) if report.load.max_batch > 0 => report.load.max_batch,
