Copy prefixes of long pauses out of engines, and charge waste to its cause

Cause: a paused program's prefix was held or left to be evicted; moving it out was never ordered. A pause longer than any seen before was given the chance of a return that an unknown one gets. The engines' listing names leases only, but was read as all that is cached: every ten seconds prefixes without a lease were forgotten and counted as evicted. Evictions were charged to the owner, even when another branch filled the cache.

Change: the decision to hold, export or drop is a pure function of learned returns, memory pressure and the link's cost; an export's copy is imported at the engine chosen for the next call before the call is announced. The chance of a return falls while a program stays away longer than others did. A listing corrects leases only, and a call that finds less than believed corrects the rest. An eviction is charged to the branch that has more cached than its part of the pool.

--- a/crates/courseshed-dispatch/src/config.rs
+++ b/crates/courseshed-dispatch/src/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use courseshed_types::Tokens;
+
 /// How a dispatcher decides.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PolicyKind {
@@ -48,6 +50,10 @@
     pub affinity_ahead: f64,
     /// Prompt tokens an engine is assumed to compute a second.
     pub prefill_tokens_per_second: u64,
+    /// Prefix tokens an engine's link is assumed to move a second, in or out.
+    pub transfer_tokens_per_second: u64,
+    /// Prefix tokens of paused programs that may be kept outside of engines; zero keeps none.
+    pub export_capacity: Tokens,
     /// Calls that may wait in the pool before the dispatcher sheds.
     pub max_waiting: usize,
     /// Calls each branch may always have waiting, whatever the others do.
@@ -97,6 +103,8 @@
             least_affinity_wait: Duration::from_millis(20),
             affinity_ahead: 0.25,
             prefill_tokens_per_second: 16_000,
+            transfer_tokens_per_second: 120_000,
+            export_capacity: Tokens(8_000_000),
             max_waiting: 4_000,
             min_branch_waiting: 32,
             pass_over: Duration::from_secs(1),
--- a/crates/courseshed-dispatch/src/dispatcher.rs
+++ b/crates/courseshed-dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
 };
 
 use courseshed_types::{
-    CallId, EngineId, PolicySnapshot, Timestamp,
+    CallId, EngineId, PolicySnapshot, Timestamp, Tokens,
     dispatch::{
         CacheEvent, DispatchEventBody, DispatchRequest, DispatcherIdentity, EngineLoad,
         EngineMember, LeaseEntry, PoolId, WaitExplanation,
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    baselines::Strategy,
+    baselines::{Sharing, Strategy},
     config::{DispatcherConfig, PolicyKind},
     explain,
     learn::{DrainRate, Shapes},
@@ -68,7 +68,9 @@
             shapes: Shapes::default(),
             drain_rate: DrainRate::new(now),
             caches: BTreeMap::new(),
+            entitlements: BTreeMap::new(),
             counters: Default::default(),
+            exported: Tokens::ZERO,
             grown_queues: BTreeSet::new(),
             outputs: Vec::new(),
         };
@@ -108,6 +110,7 @@
         }
         let older = &state.branches;
         state.branches = BranchTable::build(&policy, state.strategy.sharing, Some(older));
+        state.entitlements = BranchTable::build(&policy, Sharing::Tree, None).entitlements();
         state.policy = policy;
         let mut waiting = Vec::new();
         for (id, entry) in state.calls.iter_mut() {
--- a/crates/courseshed-dispatch/src/explain.rs
+++ b/crates/courseshed-dispatch/src/explain.rs
@@ -134,6 +134,7 @@
             entitled_share: state.branches.entitled(index),
             served: node.served,
             waiting: waiting.get(&index).copied().unwrap_or(0),
+            cached_tokens: account.map_or(0, |account| account.cached),
             leased_tokens: account.map_or(0, |account| account.leased),
             waste: account.map_or(Waste::default(), |account| account.waste),
         }
--- a/crates/courseshed-dispatch/src/invariants.rs
+++ b/crates/courseshed-dispatch/src/invariants.rs
@@ -104,6 +104,21 @@
             assert!(calls.all(|(_, call)| call.placement().is_none()));
         }
     }
+    for (branch, account) in &state.caches {
+        let programs = state
+            .programs
+            .iter()
+            .filter(|(_, program)| program.branch == *branch);
+        let tokens = programs.filter_map(|(_, program)| program.prefix.as_ref());
+        let cached: u64 = tokens.map(|prefix| prefix.tokens.0).sum();
+        assert_eq!(account.cached, cached);
+    }
+    let exported: u64 = state
+        .programs
+        .iter()
+        .map(|(_, program)| program.exported.0)
+        .sum();
+    assert_eq!(state.exported.0, exported);
     for (id, engine) in state.engines.iter() {
         assert_eq!(engine.leased.0, by_engine.get(id).copied().unwrap_or(0));
         let is_held = |program: &ProgramId| {
--- a/crates/courseshed-dispatch/src/learn/shapes.rs
+++ b/crates/courseshed-dispatch/src/learn/shapes.rs
@@ -62,7 +62,17 @@
     ) -> Option<f64> {
         let histogram = self.select(branch, |shape| &shape.pause_millis);
         let elapsed = elapsed.as_millis() as f64;
-        histogram.ends_within(elapsed, horizon.as_millis() as f64)
+        let chance = histogram.ends_within(elapsed, horizon.as_millis() as f64);
+        let is_beyond_all = histogram.weight() >= ENOUGH_SAMPLES;
+        chance.or(is_beyond_all.then_some(0.0))
+    }
+
+    /// The probability that a pause which ends by a return lasts longer than `elapsed`.
+    pub(crate) fn lasts_longer(&self, branch: &BranchPath, elapsed: Duration) -> Option<f64> {
+        let histogram = self.select(branch, |shape| &shape.pause_millis);
+        let all = histogram.weight();
+        let longer = histogram.weight_above(elapsed.as_millis() as f64);
+        (all >= ENOUGH_SAMPLES).then(|| longer / all)
     }
 
     /// The probability that a program which has made `turns` calls makes another one.
--- a/crates/courseshed-dispatch/src/output.rs
+++ b/crates/courseshed-dispatch/src/output.rs
@@ -33,7 +33,8 @@
 /// Prefix tokens that were filled and not reused, by cause.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Waste {
-    /// Evicted while a branch filled more than its own part of the cache.
+    /// Evicted; charged to the owner if more was cached for it than its part of the pool, else to the branch that
+    /// exceeded its part most.
     pub evicted: u64,
     /// Left behind by programs that ended.
     pub abandoned: u64,
@@ -63,7 +64,9 @@
     pub served: u64,
     /// Calls waiting in it and below.
     pub waiting: usize,
-    /// Prefix tokens held by leases.
+    /// Prefix tokens of its own programs believed cached.
+    pub cached_tokens: u64,
+    /// Prefix tokens held by leases, those of branches below included.
     pub leased_tokens: u64,
     /// Waste that it caused.
     pub waste: Waste,
@@ -117,8 +120,14 @@
     pub event_gaps: u64,
     /// Leases renewed.
     pub leases_renewed: u64,
+    /// Leases that an engine no longer listed.
+    pub leases_lost: u64,
     /// Leases given up.
     pub leases_released: u64,
+    /// Prefixes copied out of engines.
+    pub exports: u64,
+    /// Copies brought to an engine.
+    pub imports: u64,
     /// Calls that waited for the engine that holds their prefix.
     pub parked: u64,
     /// Leases given up because a call that waited needed the memory.
--- a/crates/courseshed-dispatch/src/state.rs
+++ b/crates/courseshed-dispatch/src/state.rs
@@ -26,9 +26,11 @@
 /// What is counted of a branch's cache.
 #[derive(Debug, Default)]
 pub(crate) struct CacheAccount {
+    /// Tokens of its own programs' prefixes believed cached now.
+    pub(crate) cached: u64,
     /// Tokens held by leases now, those of branches below included.
     pub(crate) leased: u64,
-    /// Waste that its own programs caused.
+    /// Waste that it caused.
     pub(crate) waste: Waste,
 }
 
@@ -50,7 +52,11 @@
     pub(crate) shapes: Shapes,
     pub(crate) drain_rate: DrainRate,
     pub(crate) caches: BTreeMap<BranchPath, CacheAccount>,
+    /// Part of the pool each branch is entitled to by the tree of shares, whatever the policy kind does with it.
+    pub(crate) entitlements: BTreeMap<BranchPath, f64>,
     pub(crate) counters: DispatchCounters,
+    /// Tokens of prefixes kept outside of engines.
+    pub(crate) exported: Tokens,
     /// Queues that calls entered since shedding last ran.
     pub(crate) grown_queues: BTreeSet<NodeIndex>,
     pub(crate) outputs: Vec<DispatchOutput>,
--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -10,7 +10,10 @@
 
 use crate::{
     state::State,
-    systems::{engine_choice, engine_choice::Closed, fairness, parking, pauses, queueing, reclaim},
+    systems::{
+        engine_choice, engine_choice::Closed, fairness, parking, pauses, queueing, reclaim,
+        transfers,
+    },
     tables::{CallPhase, NodeIndex, Placement, Rank, Timer},
     units::Service,
 };
@@ -62,8 +65,12 @@
 /// Gives a call that is in no queue any more to an engine.
 pub(crate) fn give(state: &mut State, now: Timestamp, call: CallId, engine: &EngineId) {
     queueing::stop_waiting(state, call);
+    let import = transfers::import(state, call, engine);
     place(state, now, call, engine);
-    announce(state, call);
+    match import {
+        Some(wait) => transfers::set_import_timer(state, now, call, wait),
+        None => announce(state, call),
+    }
     state.counters.assigned += 1;
     state.drain_rate.record(now);
 }
--- a/crates/courseshed-dispatch/src/systems/cache_view.rs
+++ b/crates/courseshed-dispatch/src/systems/cache_view.rs
@@ -8,25 +8,67 @@
     dispatch::{CacheChange, CacheEvent, EngineOrderBody, LeaseEntry},
 };
 
-use crate::{output::Waste, state::State, systems::pauses, tables::CachedPrefix};
+use crate::{
+    output::Waste,
+    state::{CacheAccount, State},
+    systems::pauses,
+    tables::CachedPrefix,
+};
 
 /// A listing may be so old: prefixes filled since are not held against it.
 const LISTING_LAG: Duration = Duration::from_secs(3);
+/// A lookup may find so much less than is cached: it rounds down to blocks and leaves a token to compute.
+const LOOKUP_ROUNDING: Tokens = Tokens(64);
 
 /// A call of the program ended on the engine, so its prefix is cached there.
 pub(crate) fn filled(state: &mut State, program: ProgramId, engine: &EngineId, usage: &Usage) {
+    note_found(state, program, engine, usage.cached_tokens);
     leave_behind(state, program, engine);
+    let tokens = usage.total();
+    let unused = tokens.saturating_sub(usage.cached_tokens);
+    put(state, program, engine, tokens, unused);
+}
+
+/// Notes what is cached of a program now; an earlier prefix of it is replaced.
+pub(crate) fn put(
+    state: &mut State,
+    program: ProgramId,
+    engine: &EngineId,
+    tokens: Tokens,
+    unused: Tokens,
+) {
     let Some(entry) = state.programs.get_mut(&program) else {
         return;
     };
-    let tokens = usage.total();
-    entry.prefix = Some(CachedPrefix {
+    let older = entry.prefix.replace(CachedPrefix {
         engine: engine.clone(),
         tokens,
-        unused: tokens.saturating_sub(usage.cached_tokens),
+        unused,
         leased_until: None,
         leased_tokens: Tokens::ZERO,
     });
+    let branch = entry.branch.clone();
+    let before = older.map_or(Tokens::ZERO, |prefix| prefix.tokens);
+    recount(state, &branch, before, tokens);
+}
+
+/// Brings the account of what is cached for a branch up to date.
+pub(crate) fn recount(state: &mut State, branch: &BranchPath, before: Tokens, after: Tokens) {
+    let account = state.cache_account(branch);
+    account.cached = (account.cached + after.0).saturating_sub(before.0);
+}
+
+/// A call found less of its prefix than was believed there: the rest was evicted unheard.
+fn note_found(state: &mut State, program: ProgramId, engine: &EngineId, found: Tokens) {
+    let prefix = state
+        .programs
+        .get(&program)
+        .and_then(|entry| entry.prefix.as_ref());
+    let believed = prefix.filter(|prefix| prefix.engine == *engine);
+    let believed = believed.map_or(Tokens::ZERO, |prefix| prefix.tokens);
+    if found.saturating_add(LOOKUP_ROUNDING) < believed {
+        shrink(state, program, engine, found);
+    }
 }
 
 /// Takes an event of an engine's cache.
@@ -48,7 +90,8 @@
     }
 }
 
-/// Takes an engine's own listing of its cached prefixes.
+/// Takes an engine's own listing of its leases. A prefix without lease may be cached all the same, so only what
+/// is believed of leases is corrected.
 pub(crate) fn take_listing(
     state: &mut State,
     now: Timestamp,
@@ -60,9 +103,10 @@
         .map(|entry| (entry.program, entry.tokens))
         .collect();
     for (program, believed) in believed_on(state, now, engine) {
-        let left = listed.get(&program).copied().unwrap_or(Tokens::ZERO);
-        if left < believed {
-            shrink(state, program, engine, left);
+        match listed.get(&program) {
+            None => pauses::lease_lost(state, now, program),
+            Some(held) if *held < believed => pauses::lease_shrank(state, program, *held),
+            Some(_) => {}
         }
     }
     release_strangers(state, now, engine, listing);
@@ -86,7 +130,7 @@
 }
 
 /// A program that goes on elsewhere leaves its prefix behind.
-fn leave_behind(state: &mut State, program: ProgramId, engine: &EngineId) {
+pub(crate) fn leave_behind(state: &mut State, program: ProgramId, engine: &EngineId) {
     let prefix = state
         .programs
         .get(&program)
@@ -117,10 +161,12 @@
     }
     let evicted = prefix.tokens.saturating_sub(left);
     let wasted = evicted.min(prefix.unused);
-    prefix.tokens = left;
+    let before = std::mem::replace(&mut prefix.tokens, left);
     prefix.unused = prefix.unused.saturating_sub(wasted);
     let is_gone = left == Tokens::ZERO;
-    state.cache_account(&branch).waste.evicted += wasted.0;
+    let cause = cause_of_eviction(state, &branch);
+    state.cache_account(&cause).waste.evicted += wasted.0;
+    recount(state, &branch, before, left);
     if is_gone {
         drop_prefix(state, program, |_, _| {});
     }
@@ -133,11 +179,38 @@
     };
     let branch: BranchPath = entry.branch.clone();
     if let Some(prefix) = entry.prefix.take() {
+        recount(state, &branch, prefix.tokens, Tokens::ZERO);
         count(&mut state.cache_account(&branch).waste, prefix.unused.0);
     }
 }
 
-/// Prefixes of programs paused for longer than a listing lags.
+/// The branch that an eviction is charged to: the owner if it has more cached than its part of the pool, else the
+/// branch that exceeds its part most.
+fn cause_of_eviction(state: &State, owner: &BranchPath) -> BranchPath {
+    let all: u64 = state.caches.values().map(|account| account.cached).sum();
+    let excess = |branch: &BranchPath, cached: u64| {
+        let entitled = state.entitlements.get(branch).copied().unwrap_or(1.0);
+        cached as f64 - entitled * all as f64
+    };
+    let of_owner = state.caches.get(owner).map_or(0, |account| account.cached);
+    if excess(owner, of_owner) > 0.0 {
+        return owner.clone();
+    }
+    let exceeds = |(branch, account): (&BranchPath, &CacheAccount)| {
+        (excess(branch, account.cached), branch.clone())
+    };
+    let most = state
+        .caches
+        .iter()
+        .map(exceeds)
+        .max_by(|(left, _), (right, _)| left.total_cmp(right));
+    match most {
+        Some((excess, branch)) if excess > 0.0 => branch,
+        _ => owner.clone(),
+    }
+}
+
+/// Leases of programs paused for longer than a listing lags, and their tokens.
 fn believed_on(state: &State, now: Timestamp, engine: &EngineId) -> Vec<(ProgramId, Tokens)> {
     let mut believed = Vec::new();
     for (id, program) in state.programs.iter() {
@@ -145,8 +218,8 @@
             .paused_since
             .is_some_and(|since| now.since(since) > LISTING_LAG);
         match &program.prefix {
-            Some(prefix) if is_settled && prefix.engine == *engine => {
-                believed.push((*id, prefix.tokens));
+            Some(prefix) if is_settled && prefix.engine == *engine && is_leased(prefix) => {
+                believed.push((*id, prefix.leased_tokens));
             }
             _ => {}
         }
@@ -174,6 +247,10 @@
     }
 }
 
+fn is_leased(prefix: &CachedPrefix) -> bool {
+    prefix.leased_until.is_some()
+}
+
 fn is_on(prefix: Option<&CachedPrefix>, engine: &EngineId) -> bool {
     prefix.is_some_and(|prefix| prefix.engine == *engine)
 }
--- a/crates/courseshed-dispatch/src/systems/engine_choice.rs
+++ b/crates/courseshed-dispatch/src/systems/engine_choice.rs
@@ -7,7 +7,12 @@
 
 use courseshed_types::{CallId, EngineId, Timestamp, Tokens, dispatch::WaitingCall};
 
-use crate::{baselines::Choice, state::State, tables::EngineEntry};
+use crate::{
+    baselines::Choice,
+    state::State,
+    systems::transfers,
+    tables::{EngineEntry, ProgramEntry},
+};
 
 /// Engines that take no more calls in one run, because a large call needs their memory.
 #[derive(Debug, Default)]
@@ -151,7 +156,7 @@
 fn cost(state: &State, now: Timestamp, call: &WaitingCall, engine: &EngineEntry) -> u64 {
     let limit = u64::from(engine.call_limit(&state.config, now).max(1));
     let load = u64::from(engine.in_flight) * state.config.load_penalty / limit;
-    let cached = cached_on(state, call, &engine.member.engine);
+    let cached = spared_on(state, call, &engine.member.engine);
     let uncached = call.prompt_tokens.saturating_sub(cached).0 * state.config.prefill_weight;
     let avoided = call.avoid.contains(&engine.member.engine);
     let avoidance = if avoided { u64::MAX / 4 } else { 0 };
@@ -164,10 +169,11 @@
     base + avoidance
 }
 
-fn cached_on(state: &State, call: &WaitingCall, engine: &EngineId) -> Tokens {
+fn spared_on(state: &State, call: &WaitingCall, engine: &EngineId) -> Tokens {
     let program = state.programs.get(&call.call.program);
+    let is_known = |program: &ProgramEntry| program.prefix.is_some() || program.exported.0 > 0;
     match program {
-        Some(program) if program.prefix.is_some() => program.cached_on(engine),
+        Some(program) if is_known(program) => transfers::spared_on(state, call.call, engine),
         _ if call.last_engine.as_ref() == Some(engine) => call.prompt_tokens,
         _ => Tokens::ZERO,
     }
--- a/crates/courseshed-dispatch/src/systems/expiry.rs
+++ b/crates/courseshed-dispatch/src/systems/expiry.rs
@@ -15,6 +15,7 @@
             Timer::GiveUp(call) => shedding::give_up(state, now, call),
             Timer::Rerank(call) => queueing::rerank(state, now, call),
             Timer::Unpark(call) => parking::send_back(state, now, call),
+            Timer::Imported(call) => assignment::announce(state, call),
             Timer::Resend(call) => assignment::resend(state, now, call),
             Timer::Hold(program) => pauses::review(state, now, program),
             Timer::Forget(program) => pauses::forget(state, now, program),
--- a/crates/courseshed-dispatch/src/systems/mod.rs
+++ b/crates/courseshed-dispatch/src/systems/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod queueing;
 pub(crate) mod reclaim;
 pub(crate) mod shedding;
+pub(crate) mod transfers;
--- a/crates/courseshed-dispatch/src/systems/parking.rs
+++ b/crates/courseshed-dispatch/src/systems/parking.rs
@@ -111,7 +111,8 @@
     if !is_full || is_crowded || is_avoided || !takes_work {
         return None;
     }
-    let saved = prefix.tokens.min(entry.call.prompt_tokens);
+    let saved = prefix.tokens.saturating_sub(program.exported);
+    let saved = saved.min(entry.call.prompt_tokens);
     let wait = recompute_time(state, saved).min(state.config.affinity_wait);
     (wait >= state.config.least_affinity_wait).then(|| (prefix.engine.clone(), wait))
 }
--- a/crates/courseshed-dispatch/src/systems/pauses.rs
+++ b/crates/courseshed-dispatch/src/systems/pauses/mod.rs
@@ -1,11 +1,12 @@
 //! What happens to a program's prefix while its tools are at work.
 //!
-//! The prefix is held by a lease while the chance that it is used soon is worth the memory: the hazard of the
-//! learned pause distribution (the best chance of a return per second, over several horizons) is compared with a
-//! price per second that rises with the engine's memory pressure. Both sides scale with the prefix's tokens, so
-//! the comparison needs no size. A lease is kept on while
-//! the next call waits. Invariants: only known programs without a call on an engine have leases; what an engine's entry and a
-//! branch's account count as leased is the sum over programs.
+//! The prefix is held by a lease while the chance that it is used soon is worth the memory, else copied out of the
+//! engine or left to be evicted ([`decision`]). The hazard of the learned pause distribution (the best chance of a
+//! return per second, over several horizons) is compared with a price per second that rises with the engine's memory
+//! pressure. A lease is kept on while the next call waits. Invariants: only known programs without a call on an
+//! engine have leases; what an engine's entry and a branch's account count as leased is the sum over programs.
+
+mod decision;
 
 use std::time::Duration;
 
@@ -15,9 +16,12 @@
 
 use crate::{
     state::State,
+    systems::{cache_view, transfers},
     tables::{EngineEntry, ProgramEntry, Timer},
 };
 
+use decision::{CopyState, PauseDecision, PauseOutlook, decide};
+
 /// Horizons over which a return is weighed.
 const HORIZONS_SECONDS: [u64; 7] = [1, 2, 5, 10, 30, 90, 300];
 /// Chance that a program goes on, before anything was learned.
@@ -60,10 +64,14 @@
     let Some(engine) = held_on(state, program) else {
         return;
     };
-    if is_worth_holding(state, now, program, &engine) {
-        renew(state, now, program, engine);
-    } else {
-        release(state, program);
+    match decision_for(state, now, program, &engine) {
+        PauseDecision::Hold => renew(state, now, program, engine),
+        PauseDecision::Drop => release(state, program),
+        PauseDecision::Export => {
+            renew(state, now, program, engine);
+            let done_at = transfers::export(state, now, program);
+            state.timers.set(done_at, Timer::Hold(program));
+        }
     }
 }
 
@@ -75,11 +83,13 @@
 /// The program is over: its prefix is useless, and it is known no more.
 pub(crate) fn end(state: &mut State, program: ProgramId) -> Option<ProgramEntry> {
     unlease(state, program);
+    transfers::forget_copy(state, program);
     state.timers.cancel(Timer::Forget(program));
     let entry = state.programs.remove(&program)?;
     let Some(prefix) = &entry.prefix else {
         return Some(entry);
     };
+    cache_view::recount(state, &entry.branch, prefix.tokens, Tokens::ZERO);
     state.cache_account(&entry.branch).waste.abandoned += prefix.unused.0;
     if state.strategy.holds_prefixes {
         state.counters.leases_released += 1;
@@ -127,6 +137,31 @@
     state.order(engine, EngineOrderBody::ReleaseLease { program });
 }
 
+/// The engine lists no lease of the program: it ran out or was broken. What it is worth is decided again.
+pub(crate) fn lease_lost(state: &mut State, now: Timestamp, program: ProgramId) {
+    if unlease(state, program) {
+        state.counters.leases_lost += 1;
+        review(state, now, program);
+    }
+}
+
+/// The engine holds fewer tokens by the program's lease than was asked for.
+pub(crate) fn lease_shrank(state: &mut State, program: ProgramId, held: Tokens) {
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return;
+    };
+    let branch = entry.branch.clone();
+    let Some(prefix) = entry.prefix.as_mut() else {
+        return;
+    };
+    let less = prefix.leased_tokens.saturating_sub(held);
+    prefix.leased_tokens = prefix.leased_tokens.min(held);
+    if let Some(engine) = state.engines.get_mut(&prefix.engine) {
+        engine.leased = engine.leased.saturating_sub(less);
+    }
+    state.remove_leased(&branch, less);
+}
+
 fn renew(state: &mut State, now: Timestamp, program: ProgramId, engine: EngineId) {
     let time_to_live = state.config.lease;
     unlease(state, program);
@@ -166,23 +201,59 @@
     (prefix.tokens > Tokens::ZERO).then(|| prefix.engine.clone())
 }
 
-fn is_worth_holding(state: &State, now: Timestamp, program: ProgramId, engine: &EngineId) -> bool {
-    let Some(entry) = state.programs.get(&program) else {
-        return false;
-    };
-    let Some(holder) = state.engines.get(engine) else {
-        return false;
+fn decision_for(
+    state: &State,
+    now: Timestamp,
+    program: ProgramId,
+    engine: &EngineId,
+) -> PauseDecision {
+    let (Some(entry), Some(holder)) = (state.programs.get(&program), state.engines.get(engine))
+    else {
+        return PauseDecision::Drop;
     };
     if !holder.takes_work(now, &state.pool.model) {
-        return false;
+        return PauseDecision::Drop;
     }
     let Some(since) = entry.paused_since else {
-        return true;
+        return PauseDecision::Hold;
     };
-    if now.since(since) > state.config.max_hold {
-        return false;
+    let decision = decide(&outlook(state, now, program, entry, holder));
+    match decision {
+        PauseDecision::Hold if now.since(since) > state.config.max_hold => PauseDecision::Drop,
+        _ => decision,
+    }
+}
+
+fn outlook(
+    state: &State,
+    now: Timestamp,
+    program: ProgramId,
+    entry: &ProgramEntry,
+    holder: &EngineEntry,
+) -> PauseOutlook {
+    let pressure = pressure_on(state, entry, holder);
+    PauseOutlook {
+        returns_per_second: expected_use(state, now, program),
+        returns: returns_at_all(state, now, entry),
+        memory_price: IDLE_PRICE * (FULL_PRICE / IDLE_PRICE).powf(pressure),
+        eviction: pressure,
+        transfer: transfers::part_of_prefill(state),
+        copy: copy_state(state, entry),
+    }
+}
+
+fn copy_state(state: &State, entry: &ProgramEntry) -> CopyState {
+    let tokens = entry
+        .prefix
+        .as_ref()
+        .map_or(Tokens::ZERO, |prefix| prefix.tokens);
+    if entry.exported > Tokens::ZERO && entry.exported >= tokens {
+        return CopyState::Exists;
+    }
+    match transfers::has_space(state, tokens) {
+        true => CopyState::Possible,
+        false => CopyState::Impossible,
     }
-    expected_use(state, now, program) >= price(state, program, holder)
 }
 
 /// Returns per second expected of a program: the best chance over several horizons. A program whose next call
@@ -195,10 +266,6 @@
         return 1.0;
     };
     let elapsed = now.since(since);
-    let goes_on = state
-        .shapes
-        .goes_on_after(&entry.branch, entry.turns)
-        .unwrap_or(ASSUMED_GOES_ON);
     let hazard = HORIZONS_SECONDS
         .iter()
         .map(|seconds| {
@@ -207,28 +274,46 @@
             returns.map_or(ASSUMED_HAZARD, |chance| chance / *seconds as f64)
         })
         .fold(0.0, f64::max);
-    goes_on * hazard
+    returns_at_all(state, now, entry) * hazard
 }
 
-/// The price of memory per second, as the chance of a return that would pay for it.
-fn price(state: &State, program: ProgramId, engine: &EngineEntry) -> f64 {
+/// The chance that a paused program makes another call: by its turns so far, less the longer it stays away
+/// compared with programs that came back.
+fn returns_at_all(state: &State, now: Timestamp, entry: &ProgramEntry) -> f64 {
+    let goes_on = state
+        .shapes
+        .goes_on_after(&entry.branch, entry.turns)
+        .unwrap_or(ASSUMED_GOES_ON);
+    let elapsed = entry
+        .paused_since
+        .map_or(Duration::ZERO, |since| now.since(since));
+    let still_away = state
+        .shapes
+        .lasts_longer(&entry.branch, elapsed)
+        .unwrap_or(1.0);
+    let returns_later = goes_on * still_away;
+    returns_later / (returns_later + 1.0 - goes_on).max(f64::MIN_POSITIVE)
+}
+
+/// How much the engine's memory, or the branch's part of the pool's, is wanted: 0 to 1.
+fn pressure_on(state: &State, entry: &ProgramEntry, engine: &EngineEntry) -> f64 {
     let Some(size) = engine.memory_size() else {
-        return IDLE_PRICE;
+        return 0.0;
     };
-    let used = engine.memory.saturating_add(engine.leased).0 as f64 / size.0 as f64;
-    let pressure = ((used - PRESSURE_FROM) / (1.0 - PRESSURE_FROM)).clamp(0.0, 1.0);
-    let price = IDLE_PRICE * (FULL_PRICE / IDLE_PRICE).powf(pressure);
-    if over_cache_share(state, program, size) {
-        return FULL_PRICE;
+    if over_cache_share(state, entry, size) {
+        return 1.0;
     }
-    price
+    let prefix = entry.prefix.as_ref();
+    let own = prefix.map_or(Tokens::ZERO, |prefix| {
+        prefix.tokens.saturating_sub(prefix.leased_tokens)
+    });
+    let used = engine.memory.saturating_add(engine.leased);
+    let used = used.saturating_add(own).0 as f64 / size.0 as f64;
+    ((used - PRESSURE_FROM) / (1.0 - PRESSURE_FROM)).clamp(0.0, 1.0)
 }
 
 /// Whether the program's branch, or one above it, holds more of the pool's memory by leases than its cache share.
-fn over_cache_share(state: &State, program: ProgramId, engine_size: Tokens) -> bool {
-    let Some(entry) = state.programs.get(&program) else {
-        return false;
-    };
+fn over_cache_share(state: &State, entry: &ProgramEntry, engine_size: Tokens) -> bool {
     let memory = state.engines.len() as f64 * engine_size.0 as f64;
     let is_over = |path: BranchPath| {
         let held = state.caches.get(&path).map_or(0, |account| account.leased);
--- a/crates/courseshed-dispatch/src/systems/queueing.rs
+++ b/crates/courseshed-dispatch/src/systems/queueing.rs
@@ -44,6 +44,7 @@
     parking::take_out(state, call);
     stop_waiting(state, call);
     state.timers.cancel(Timer::Resend(call));
+    state.timers.cancel(Timer::Imported(call));
     state.calls.remove(&call)
 }
 
--- /dev/null
+++ b/crates/courseshed-dispatch/src/systems/transfers.rs
@@ -0,0 +1,93 @@
+//! Prefixes copied out of engines, and brought back to the engine of a program's next call.
+//!
+//! The copies lie with whoever executes the orders; the dispatcher counts their tokens and keeps them under
+//! `export_capacity`. A copy that is lost costs no more than computing the prefix: the engine counts what it found.
+
+use std::time::Duration;
+
+use courseshed_types::{CallId, EngineId, ProgramId, Timestamp, Tokens, dispatch::EngineOrderBody};
+
+use crate::{state::State, systems::cache_view, tables::Timer};
+
+/// Time added to an export before its lease is given up.
+const EXPORT_MARGIN: Duration = Duration::from_millis(500);
+/// Fewer tokens than this are not worth an import.
+const LEAST_IMPORT: Tokens = Tokens(256);
+
+/// Orders a copy of a paused program's prefix; returns when it should be done.
+pub(crate) fn export(state: &mut State, now: Timestamp, program: ProgramId) -> Timestamp {
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return now;
+    };
+    let Some(prefix) = entry.prefix.as_mut() else {
+        return now;
+    };
+    let (engine, tokens) = (prefix.engine.clone(), prefix.tokens);
+    prefix.unused = Tokens::ZERO;
+    let older = std::mem::replace(&mut entry.exported, tokens);
+    state.exported = state.exported.saturating_sub(older).saturating_add(tokens);
+    state.counters.exports += 1;
+    state.order(engine, EngineOrderBody::Export { program });
+    now + transfer_time(state, tokens) + EXPORT_MARGIN
+}
+
+/// Orders a program's copy to an engine that holds less of it, for a call placed there; returns how long the call
+/// should wait for it.
+pub(crate) fn import(state: &mut State, call: CallId, engine: &EngineId) -> Option<Duration> {
+    let program = call.program;
+    let prompt = state.calls.get(&call)?.call.prompt_tokens;
+    let entry = state.programs.get(&program)?;
+    let tokens = entry.exported.min(prompt);
+    let missing = tokens.saturating_sub(entry.cached_on(engine));
+    if missing < LEAST_IMPORT {
+        return None;
+    }
+    cache_view::leave_behind(state, program, engine);
+    cache_view::put(state, program, engine, tokens, Tokens::ZERO);
+    state.counters.imports += 1;
+    state.order(engine.clone(), EngineOrderBody::Import { program });
+    Some(transfer_time(state, missing))
+}
+
+/// Tokens of a call's prompt that need not be computed on an engine, an import counted at its cost.
+pub(crate) fn spared_on(state: &State, call: CallId, engine: &EngineId) -> Tokens {
+    let Some(entry) = state.programs.get(&call.program) else {
+        return Tokens::ZERO;
+    };
+    let cached = entry.cached_on(engine);
+    let brought = entry.exported.saturating_sub(cached);
+    let gain = (brought.0 as f64 * (1.0 - part_of_prefill(state))) as u64;
+    cached.saturating_add(Tokens(gain))
+}
+
+/// The program is over or its copy useless.
+pub(crate) fn forget_copy(state: &mut State, program: ProgramId) {
+    if let Some(entry) = state.programs.get_mut(&program) {
+        let tokens = std::mem::take(&mut entry.exported);
+        state.exported = state.exported.saturating_sub(tokens);
+    }
+}
+
+/// Whether a copy of so many tokens may be made.
+pub(crate) fn has_space(state: &State, tokens: Tokens) -> bool {
+    tokens >= LEAST_IMPORT && state.exported.saturating_add(tokens) <= state.config.export_capacity
+}
+
+/// Cost of moving a prefix once, as a part of computing it.
+pub(crate) fn part_of_prefill(state: &State) -> f64 {
+    let config = &state.config;
+    let rates = config.prefill_tokens_per_second as f64 / config.transfer_tokens_per_second as f64;
+    rates.min(1.0)
+}
+
+/// Sends the assignment of a call whose import should be done.
+pub(crate) fn set_import_timer(state: &mut State, now: Timestamp, call: CallId, wait: Duration) {
+    let resend = state.config.assignment_resend;
+    state.timers.set(now + wait, Timer::Imported(call));
+    state.timers.set(now + wait + resend, Timer::Resend(call));
+}
+
+fn transfer_time(state: &State, tokens: Tokens) -> Duration {
+    let rate = state.config.transfer_tokens_per_second.max(1);
+    Duration::from_secs_f64(tokens.0 as f64 / rate as f64)
+}
--- a/crates/courseshed-dispatch/src/tables/branches.rs
+++ b/crates/courseshed-dispatch/src/tables/branches.rs
@@ -185,6 +185,13 @@
         node.weight / (node.weight + others)
     }
 
+    /// What each branch that queues calls is entitled to, 0 to 1.
+    pub(crate) fn entitlements(&self) -> BTreeMap<BranchPath, f64> {
+        let queues = self.queues.iter();
+        let entitled = queues.map(|(path, index)| (path.clone(), self.entitled(*index)));
+        entitled.collect()
+    }
+
     fn add(&mut self, parent: NodeIndex, mut node: BranchNode) -> NodeIndex {
         let index = NodeIndex(self.nodes.len() as u32);
         node.parent = Some(parent);
--- a/crates/courseshed-dispatch/src/tables/programs.rs
+++ b/crates/courseshed-dispatch/src/tables/programs.rs
@@ -30,6 +30,8 @@
     pub(crate) last_ended: Option<(Sequence, Attempt)>,
     /// Since when no call of the program is known.
     pub(crate) paused_since: Option<Timestamp>,
+    /// Tokens of its prefix kept outside of engines.
+    pub(crate) exported: Tokens,
     /// Where its prefix is.
     pub(crate) prefix: Option<CachedPrefix>,
 }
@@ -42,6 +44,7 @@
             turns: 0,
             last_ended: None,
             paused_since: None,
+            exported: Tokens::ZERO,
             prefix: None,
         }
     }
--- a/crates/courseshed-dispatch/src/tables/timers.rs
+++ b/crates/courseshed-dispatch/src/tables/timers.rs
@@ -12,6 +12,8 @@
     GiveUp(CallId),
     /// The call's place in its branch may have changed.
     Rerank(CallId),
+    /// The import for the call should be done.
+    Imported(CallId),
     /// The call has waited long enough for its prefix's engine.
     Unpark(CallId),
     /// The assignment was not confirmed yet.
--- a/crates/courseshed-dispatch/tests/affinity.rs
+++ b/crates/courseshed-dispatch/tests/affinity.rs
@@ -148,7 +148,7 @@
     fn call_again(&mut self, number: u64) {
         let sequence = self.sequences.entry(number).or_default();
         *sequence += 1;
-        let path = if number % 2 == 0 { "a" } else { "b" };
+        let path = if number.is_multiple_of(2) { "a" } else { "b" };
         let mut next = call(number, *sequence, path, self.driver.now);
         next.prompt_tokens = Tokens(PROMPT);
         next.max_output = Tokens(1);
--- /dev/null
+++ b/crates/courseshed-dispatch/tests/pauses.rs
@@ -0,0 +1,227 @@
+//! Prefixes of paused programs: held, copied out or let go, and who pays for what is lost.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Driver, branch, call, policy, usage};
+use courseshed_dispatch::{BranchStats, DispatchCounters};
+use courseshed_types::{
+    BranchPolicy, ProgramId, Tokens,
+    dispatch::{
+        CacheChange, CacheEvent, DispatchRequestBody, EngineOrderBody, LeaseEntry, WaitingCall,
+    },
+};
+
+/// One engine of 65,536 tokens and the branches `a` and `b` of equal share.
+fn driver(engines: &[&str]) -> Driver {
+    let mut driver = Driver::with_engines(engines, 8);
+    driver.set_policy(policy(&[("a", 1.0), ("b", 1.0)]));
+    driver
+}
+
+fn turn(number: u64, sequence: u64, path: &str, prompt: u64, driver: &Driver) -> WaitingCall {
+    let mut turn = call(number, sequence, path, driver.now);
+    turn.prompt_tokens = Tokens(prompt);
+    turn
+}
+
+/// Runs one call of a program to its end, at once.
+fn run_turn(driver: &mut Driver, (number, sequence, path, prompt): (u64, u64, &str, u64)) {
+    let turn = turn(number, sequence, path, prompt, driver);
+    driver.enqueue(turn.clone());
+    driver.tick();
+    driver.finished(turn.call, usage(turn.prompt_tokens.0, 0, 10));
+    driver.tick();
+}
+
+/// Teaches that programs of branch `a` come back after so long; all of them do.
+fn teach_pauses(driver: &mut Driver, pause: Duration) {
+    for number in 1_000..1_040 {
+        run_turn(driver, (number, 1, "a", 100));
+    }
+    driver.pass(pause);
+    for number in 1_000..1_040 {
+        run_turn(driver, (number, 2, "a", 100));
+        let program = common::program(number);
+        driver.say(DispatchRequestBody::ProgramEnded(program));
+    }
+    driver.tick();
+    driver.orders.clear();
+}
+
+fn counters(driver: &Driver) -> DispatchCounters {
+    driver.dispatcher.stats(driver.now).counters
+}
+
+fn stats_of(driver: &Driver, path: &str) -> BranchStats {
+    let stats = driver.dispatcher.stats(driver.now);
+    let mut branches = stats.branches.into_iter();
+    branches
+        .find(|stats| stats.branch == branch(path) && !stats.own_queue)
+        .expect("the branch exists")
+}
+
+fn has_order(driver: &Driver, wanted: impl Fn(&EngineOrderBody) -> bool) -> bool {
+    driver.orders.iter().any(|order| wanted(&order.body))
+}
+
+fn exports(program: ProgramId) -> impl Fn(&EngineOrderBody) -> bool {
+    move |body| *body == EngineOrderBody::Export { program }
+}
+
+#[test]
+fn a_pause_that_is_usually_short_is_held_to_its_end() {
+    let mut driver = driver(&["e1"]);
+    teach_pauses(&mut driver, Duration::from_secs(4));
+    run_turn(&mut driver, (1, 1, "a", 30_000));
+    driver.pass(Duration::from_secs(4));
+    assert_eq!(stats_of(&driver, "a").leased_tokens, 30_010);
+    assert_eq!(
+        stats_of(&driver, "/").leased_tokens,
+        30_010,
+        "also above it"
+    );
+}
+
+#[test]
+fn a_prefix_is_let_go_when_its_program_stays_away_longer_than_any_before() {
+    let mut driver = driver(&["e1"]);
+    teach_pauses(&mut driver, Duration::from_secs(4));
+    run_turn(&mut driver, (1, 1, "a", 30_000));
+    driver.pass(Duration::from_secs(30));
+    assert_eq!(stats_of(&driver, "a").leased_tokens, 0);
+}
+
+/// Fills most of the engine's memory with calls of branch `b`.
+fn press(driver: &mut Driver) {
+    for number in 500..504 {
+        let prompt = 7_000;
+        let next = turn(number, 1, "b", prompt, driver);
+        driver.enqueue(next);
+    }
+    driver.tick();
+}
+
+#[test]
+fn a_long_pause_under_pressure_is_copied_out_and_brought_back_before_the_call_starts() {
+    let mut driver = driver(&["e1"]);
+    teach_pauses(&mut driver, Duration::from_secs(100));
+    press(&mut driver);
+    run_turn(&mut driver, (1, 1, "a", 30_000));
+    let program = common::program(1);
+    driver.pass(Duration::from_secs(20));
+    assert!(has_order(&driver, exports(program)));
+    assert_eq!(stats_of(&driver, "a").leased_tokens, 0);
+    let gone = CacheEvent {
+        number: 1,
+        program,
+        change: CacheChange::Evicted(Tokens(0)),
+    };
+    driver
+        .dispatcher
+        .on_cache_event(driver.now, &"e1".into(), gone);
+    assert_eq!(stats_of(&driver, "b").waste.evicted, 0, "a copy exists");
+    let next = turn(1, 2, "a", 30_020, &driver);
+    driver.enqueue(next);
+    assert!(driver.tick().is_empty(), "the import comes first");
+    assert!(has_order(&driver, |body| *body == EngineOrderBody::Import { program }));
+    assert_eq!(driver.pass(Duration::from_millis(300)).len(), 1);
+    assert_eq!(
+        (counters(&driver).exports, counters(&driver).imports),
+        (1, 1)
+    );
+}
+
+#[test]
+fn without_pressure_nothing_is_copied() {
+    let mut driver = driver(&["e1"]);
+    teach_pauses(&mut driver, Duration::from_secs(100));
+    run_turn(&mut driver, (1, 1, "a", 10_000));
+    driver.pass(Duration::from_secs(400));
+    assert_eq!(counters(&driver).exports, 0);
+}
+
+#[test]
+fn a_listing_without_a_lease_ends_the_lease_but_not_the_prefix() {
+    let mut driver = driver(&["e1", "e2"]);
+    run_turn(&mut driver, (1, 1, "a", 10_000));
+    driver.pass(Duration::from_secs(4));
+    assert!(stats_of(&driver, "a").leased_tokens > 0);
+    driver
+        .dispatcher
+        .on_cache_listing(driver.now, &"e1".into(), &[]);
+    let stats = stats_of(&driver, "a");
+    assert_eq!(
+        stats.cached_tokens, 10_010,
+        "it may be cached without a lease"
+    );
+    assert_eq!(stats.waste.total(), 0);
+    assert_eq!(counters(&driver).leases_lost, 1);
+}
+
+#[test]
+fn a_listing_with_fewer_tokens_corrects_what_is_held() {
+    let mut driver = driver(&["e1"]);
+    run_turn(&mut driver, (1, 1, "a", 10_000));
+    driver.pass(Duration::from_secs(4));
+    let entry = LeaseEntry {
+        program: common::program(1),
+        tokens: Tokens(4_000),
+        leased_for: Some(Duration::from_secs(5)),
+    };
+    driver
+        .dispatcher
+        .on_cache_listing(driver.now, &"e1".into(), &[entry]);
+    assert_eq!(stats_of(&driver, "a").leased_tokens, 4_000);
+}
+
+#[test]
+fn a_cache_share_counts_what_branches_below_hold() {
+    let mut driver = Driver::with_engines(&["e1"], 8);
+    let mut tree = policy(&[("a", 1.0), ("a/x", 1.0), ("b", 1.0)]);
+    let capped = BranchPolicy {
+        cache_share: 0.1,
+        ..BranchPolicy::default()
+    };
+    tree.branches.insert(branch("a"), capped);
+    driver.set_policy(tree);
+    run_turn(&mut driver, (1, 1, "a/x", 10_000));
+    run_turn(&mut driver, (2, 1, "b", 10_000));
+    driver.pass(Duration::from_secs(6));
+    assert_eq!(
+        stats_of(&driver, "a/x").leased_tokens,
+        0,
+        "a tenth is 6,553"
+    );
+    assert_eq!(stats_of(&driver, "b").leased_tokens, 10_010);
+}
+
+#[test]
+fn an_eviction_is_charged_to_the_branch_that_has_too_much() {
+    let mut driver = driver(&["e1"]);
+    run_turn(&mut driver, (1, 1, "a", 5_000));
+    run_turn(&mut driver, (2, 1, "b", 40_000));
+    let evicted = CacheEvent {
+        number: 1,
+        program: common::program(1),
+        change: CacheChange::Evicted(Tokens(1_000)),
+    };
+    driver
+        .dispatcher
+        .on_cache_event(driver.now, &"e1".into(), evicted);
+    assert_eq!(stats_of(&driver, "a").waste.evicted, 0);
+    assert_eq!(stats_of(&driver, "b").waste.evicted, 4_010);
+}
+
+#[test]
+fn what_a_call_does_not_find_was_evicted_unheard() {
+    let mut driver = driver(&["e1"]);
+    run_turn(&mut driver, (1, 1, "a", 5_000));
+    let next = turn(1, 2, "a", 5_100, &driver);
+    driver.enqueue(next.clone());
+    driver.tick();
+    driver.finished(next.call, usage(5_100, 2_000, 10));
+    driver.tick();
+    assert_eq!(stats_of(&driver, "a").waste.evicted, 3_010);
+}
