--- a/crates/courseshed-node/src/dispatchers/engines.rs
+++ b/crates/courseshed-node/src/dispatchers/engines.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     context::NodeContext,
-    dispatchers::orders::EngineTask,
+    dispatchers::{exports::ExportStore, orders::EngineTask},
     shards::{EngineQuestion, find_attempt, give_finding},
 };
 
@@ -233,20 +233,27 @@
     mut tasks: mpsc::Receiver<EngineTask>,
 ) {
     let slots = Arc::new(Semaphore::new(TASKS_AT_ONCE));
+    let exports = Rc::new(ExportStore::default());
     while let Some(task) = tasks.recv().await {
         let Ok(permit) = slots.clone().acquire_owned().await else {
             return;
         };
         let context = context.clone();
         let connector = connector.clone();
+        let exports = exports.clone();
         actix_rt::spawn(async move {
-            run_task(&context, &connector, task).await;
+            run_task(&context, &connector, &exports, task).await;
             drop(permit);
         });
     }
 }
 
-async fn run_task(context: &Arc<NodeContext>, connector: &EngineConnector, task: EngineTask) {
+async fn run_task(
+    context: &Arc<NodeContext>,
+    connector: &EngineConnector,
+    exports: &ExportStore,
+    task: EngineTask,
+) {
     match task {
         EngineTask::Question(EngineQuestion { shard, query }) => {
             let client = connector.engine(&query.engine_address);
@@ -258,14 +265,18 @@
                 return;
             };
             let client = connector.engine(&address);
-            if let Err(error) = execute(&client, &order).await {
+            if let Err(error) = execute(&client, exports, &order).await {
                 log::debug!(engine = order.engine.as_str(); "order failed: {error}");
             }
         }
     }
 }
 
-async fn execute(client: &EngineClient, order: &EngineOrder) -> Result<(), EngineError> {
+async fn execute(
+    client: &EngineClient,
+    exports: &ExportStore,
+    order: &EngineOrder,
+) -> Result<(), EngineError> {
     use courseshed_engine::protocol::FencedOrder;
     match &order.body {
         EngineOrderBody::RenewLease {
@@ -273,9 +284,15 @@
             time_to_live,
         } => client.put_lease(*program, *time_to_live).await.map(drop),
         EngineOrderBody::ReleaseLease { program } => client.delete_lease(*program).await,
-        EngineOrderBody::Export { program } => client.export(*program, true).await.map(drop),
-        // A prefix that was moved out is not kept anywhere yet, so there is nothing to bring in.
-        EngineOrderBody::Import { .. } => Ok(()),
+        EngineOrderBody::Export { program } => {
+            let prefix = client.export(*program, false).await?;
+            exports.put(prefix);
+            Ok(())
+        }
+        EngineOrderBody::Import { program } => match exports.get(program) {
+            Some(prefix) => client.import(&prefix).await.map(drop),
+            None => Ok(()),
+        },
         EngineOrderBody::LoadModel { model, fence } => {
             let model = model.clone();
             let order = FencedOrder::LoadModel {
--- a/crates/courseshed-node/src/dispatchers/mod.rs
+++ b/crates/courseshed-node/src/dispatchers/mod.rs
@@ -1,6 +1,7 @@
 //! The dispatcher role: one dispatcher per pool this node owns, fed by shards' leaders and by engines.
 
 mod engines;
+mod exports;
 mod orders;
 mod slot;
 mod table;
--- a/crates/courseshed-types/src/dispatch.rs
+++ b/crates/courseshed-types/src/dispatch.rs
@@ -279,12 +279,12 @@
         /// The program.
         program: ProgramId,
     },
-    /// Move a program's prefix out of the engine's memory.
+    /// Copy a program's prefix out of the engine's memory; the engine may evict it once no lease holds it.
     Export {
         /// The program.
         program: ProgramId,
     },
-    /// Bring a program's prefix back.
+    /// Bring a program's prefix that was copied out into this engine's memory.
     Import {
         /// The program.
         program: ProgramId,
