Refuse changes of members that a quorum can't commit, and let a removed leader finish

A change of the members is in force as soon as it is in the leader's log. (a) A live voter was removed while another one had just lost its memory: the leader then needed the lost one, and the others refused votes to anyone with a shorter log than the leader's. (b) A leader that had removed itself lost its place before the removal was committed; it held the longest log, so nobody else could be elected, and it didn't stand, since by its own log it was no voter. Ruled out: stale incarnations (the lost replica's new life was waiting to be admitted, as it should) and pre-votes (the same deadlock stands without them). Reading the code for this showed (c) names of read barriers starting anew with every term, so that a caller could take one answer for another.

Change: a change is refused with TooFewAlive unless a quorum of the voters after it was heard within an election timeout; a replica may stand for election while its removal is not known to be committed (Ongaro's thesis, 4.2.2); names of reads are never given twice, and reads of an ended leadership are dropped.

--- a/crates/courseshed-consensus/src/error.rs
+++ b/crates/courseshed-consensus/src/error.rs
@@ -68,6 +68,16 @@
         /// The entry that must be committed first.
         pending: LogIndex,
     },
+    /// Too few of the voters there would be are alive to commit the change or anything after it.
+    #[snafu(display(
+        "only {alive} of the {needed} voters needed after the change were heard lately"
+    ))]
+    TooFewAlive {
+        /// Voters after the change that were heard within an election timeout.
+        alive: usize,
+        /// Voters that make a majority after the change.
+        needed: usize,
+    },
     /// The learner lacks too much of the log to vote.
     #[snafu(display("replica {replica} has the log up to {matched} of {last}"))]
     NotCaughtUp {
--- a/crates/courseshed-consensus/src/group.rs
+++ b/crates/courseshed-consensus/src/group.rs
@@ -246,6 +246,10 @@
 
     fn process(&mut self, ready: Ready) -> Result<(), GroupError> {
         let persisted = ready.persisted();
+        if ready.role_change.is_some() {
+            // Reads that wait were confirmed for a leadership that has ended.
+            self.waiting_reads.clear();
+        }
         self.outputs.messages.extend(ready.messages);
         self.outputs.role_changes.extend(ready.role_change);
         if let Some(snapshot) = &ready.install {
--- a/crates/courseshed-consensus/src/peer/election.rs
+++ b/crates/courseshed-consensus/src/peer/election.rs
@@ -30,8 +30,13 @@
         }
     }
 
+    /// Whether this replica is a voter, or would be if its last change of the members didn't become
+    /// committed. A leader that removed itself may be the only one with the entries that the others
+    /// need, and they don't elect anyone with a shorter log: it must lead until its removal is
+    /// committed (Ongaro, section 4.2.2).
     pub(super) fn may_campaign(&self) -> bool {
-        self.configuration().is_voter(self.address())
+        let committed = self.log.committed_configuration();
+        self.configuration().is_voter(self.address()) || committed.is_voter(self.address())
     }
 
     fn ask_for_pre_votes(&mut self) {
@@ -75,7 +80,7 @@
         log_end: LogEnd,
     ) {
         let in_time = term >= self.hard_state.term;
-        let granted = in_time && log_end >= self.log.end() && !self.protects_leader();
+        let granted = in_time && self.is_complete(log_end) && !self.protects_leader();
         let body = MessageBody::PreVoteResponse {
             candidate: from,
             asked_in: term,
@@ -117,8 +122,7 @@
             .hard_state
             .vote
             .is_none_or(|candidate| candidate == from);
-        let is_complete = log_end >= self.log.end() || self.defect == Defect::IgnoresLogEnds;
-        let granted = is_free && is_complete;
+        let granted = is_free && self.is_complete(log_end);
         if granted {
             self.hard_state.vote = Some(from);
             self.reset_election_deadline();
@@ -130,6 +134,11 @@
         self.send(from.replica, body);
     }
 
+    /// Whether a candidate's log has all that ours has.
+    fn is_complete(&self, log_end: LogEnd) -> bool {
+        log_end >= self.log.end() || self.defect == Defect::IgnoresLogEnds
+    }
+
     pub(super) fn on_vote_response(
         &mut self,
         from: ReplicaAddress,
@@ -182,11 +191,17 @@
 
     /// Whether a leader may rely on us not to elect another one now.
     pub(super) fn protects_leader(&self) -> bool {
-        let is_recent = |contact: Duration| self.now < contact + self.config.election_timeout;
-        let is_following = self.leader_contact.is_some_and(is_recent);
+        let is_following = self
+            .leader_contact
+            .is_some_and(|contact| self.is_recent(contact));
         self.config.check_quorum && (self.is_leader() || is_following)
     }
 
+    /// Whether a time lies less than an election timeout back.
+    pub(super) fn is_recent(&self, time: Duration) -> bool {
+        self.now < time + self.config.election_timeout
+    }
+
     /// Answers a message of an older term, so that its sender learns of ours.
     pub(super) fn answer_stale(&mut self, message: &Message) {
         let from = message.from;
--- a/crates/courseshed-consensus/src/peer/leader.rs
+++ b/crates/courseshed-consensus/src/peer/leader.rs
@@ -29,7 +29,6 @@
     pub(super) replication_due: bool,
     pub(super) heartbeat_deadline: Duration,
     pub(super) pending_reads: VecDeque<PendingRead>,
-    pub(super) last_read: u64,
     pub(super) handover: Option<Handover>,
     /// Another replica was asked to start an election against our lease.
     pub(super) lease_surrendered: bool,
@@ -82,7 +81,6 @@
             replication_due: true,
             heartbeat_deadline: self.now + self.config.heartbeat_interval,
             pending_reads: VecDeque::new(),
-            last_read: 0,
             handover: None,
             lease_surrendered: false,
             returned: BTreeMap::new(),
@@ -186,7 +184,7 @@
             return true;
         }
         let heard = self.quorum_of_followers(self.now, |progress| progress.last_heard);
-        heard.is_some_and(|heard| self.now < heard + self.config.election_timeout)
+        heard.is_some_and(|heard| self.is_recent(heard))
     }
 
     /// The greatest value that a quorum reaches, where we ourselves count with `own`.
--- a/crates/courseshed-consensus/src/peer/membership.rs
+++ b/crates/courseshed-consensus/src/peer/membership.rs
@@ -5,8 +5,8 @@
 
 use crate::progress::Feed;
 use crate::{
-    ChangeError, EntryPayload, LogIndex, MemberRole, MembershipChange, ProposalId, ReplicaAddress,
-    ReplicaId,
+    ChangeError, Configuration, EntryPayload, LogIndex, MemberRole, MembershipChange, ProposalId,
+    ReplicaAddress, ReplicaId,
 };
 
 use super::{Defect, Peer};
@@ -28,6 +28,7 @@
         if let MembershipChange::PromoteLearner(replica) = change {
             self.check_caught_up(replica)?;
         }
+        self.check_alive(&next)?;
         let id = self.append_own(EntryPayload::Configuration(next));
         self.adopt_configuration(change);
         Ok(id)
@@ -43,6 +44,22 @@
         (pending > self.log.committed()).then_some(pending)
     }
 
+    /// Checks that a quorum of the next voters was heard lately.
+    fn check_alive(&self, next: &Configuration) -> Result<(), ChangeError> {
+        let is_alive = |voter: &ReplicaId| {
+            let leader = self.leader_state();
+            let follower = leader.and_then(|leader| leader.followers.get(voter));
+            // Whoever is no follower yet is this replica itself.
+            follower.is_none_or(|follower| self.is_recent(follower.last_heard))
+        };
+        let alive = next.voters().filter(is_alive).count();
+        let needed = next.quorum();
+        if alive >= needed {
+            return Ok(());
+        }
+        Err(ChangeError::TooFewAlive { alive, needed })
+    }
+
     fn check_caught_up(&self, replica: ReplicaId) -> Result<(), ChangeError> {
         let last = self.log.last_index();
         let follower = self
--- a/crates/courseshed-consensus/src/peer/mod.rs
+++ b/crates/courseshed-consensus/src/peer/mod.rs
@@ -58,6 +58,8 @@
     to_install: Option<Snapshot>,
     outbox: Vec<Message>,
     reads_ready: Vec<ReadReady>,
+    /// The last read barrier asked for, in any term: a name is never given twice.
+    last_read: u64,
     reported: Option<RoleChange>,
     /// A leader asked to replace what was committed: the group is broken, and this replica stops.
     halted: bool,
@@ -87,6 +89,7 @@
             to_install: None,
             outbox: Vec::new(),
             reads_ready: Vec::new(),
+            last_read: 0,
             reported: None,
             halted: false,
         };
--- a/crates/courseshed-consensus/src/peer/reads.rs
+++ b/crates/courseshed-consensus/src/peer/reads.rs
@@ -9,6 +9,7 @@
 use crate::{LogIndex, ProposeError, ReadId, ReadReady};
 
 use super::Peer;
+use super::leader::LeaderState;
 
 /// A read barrier that a quorum has not confirmed yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -17,6 +18,18 @@
     round: u64,
 }
 
+impl LeaderState {
+    /// Lets a read wait for a round that starts after it was asked for.
+    fn await_round(&mut self, read: ReadReady) {
+        if !self.probe_requested {
+            self.round += 1;
+            self.probe_requested = true;
+        }
+        let round = self.round;
+        self.pending_reads.push_back(PendingRead { read, round });
+    }
+}
+
 impl Peer {
     /// Whether this replica certainly is the leader at `now` and knows all that is committed, so
     /// that its state machine may be read once it has applied the commit index.
@@ -59,24 +72,20 @@
         let has_lease = self.lease_valid(self.now);
         let committed = self.log.committed();
         let leader = self.leader;
+        let id = ReadId(self.last_read + 1);
         let Some(state) = self.leader_state_mut() else {
             return Err(ProposeError::NotLeader { leader });
         };
-        state.last_read += 1;
-        let id = ReadId(state.last_read);
         let index: LogIndex = committed.max(state.first_index);
         let read = ReadReady { id, index };
-        if has_lease {
-            self.reads_ready.push(read);
-            return Ok(id);
+        if !has_lease {
+            state.await_round(read);
         }
-        if !state.probe_requested {
-            state.round += 1;
-            state.probe_requested = true;
+        self.last_read = id.0;
+        match has_lease {
+            true => self.reads_ready.push(read),
+            false => self.confirm_reads(),
         }
-        let round = state.round;
-        state.pending_reads.push_back(PendingRead { read, round });
-        self.confirm_reads();
         Ok(id)
     }
 
--- a/crates/courseshed-consensus/src/replica_log.rs
+++ b/crates/courseshed-consensus/src/replica_log.rs
@@ -127,6 +127,11 @@
             .map_or(LogIndex(0), |at| at.index)
     }
 
+    /// The members as of the last entry known to be committed.
+    pub(crate) fn committed_configuration(&self) -> &Configuration {
+        self.configuration_at(self.committed)
+    }
+
     fn configuration_at(&self, index: LogIndex) -> &Configuration {
         let at = self
             .configurations
