Simulate replicated groups in virtual time, with everything failing that may

Change: run_seed(seed, options) drives 3 to 5 real replicas and a spare over lossy, slow, repeating and reordering links, one-way cuts, skewed clocks, crashes in the middle of writes, lost disks and memories, full and failing disks, pauses, hand-overs and changes of members. An observer checks what clients asked and were told: positions in one list, so that linearizability needs no search.

--- a/crates/courseshed-consensus/src/group.rs
+++ b/crates/courseshed-consensus/src/group.rs
@@ -165,6 +165,12 @@
         })
     }
 
+    /// Breaks a rule on purpose, for the simulation.
+    pub(crate) fn with_defect(mut self, defect: crate::peer::Defect) -> Self {
+        self.peer = self.peer.with_defect(defect);
+        self
+    }
+
     /// Takes in a message from another replica.
     pub fn handle(&mut self, now: Duration, message: Message) {
         if self.failure.is_none() {
--- a/crates/courseshed-consensus/src/lib.rs
+++ b/crates/courseshed-consensus/src/lib.rs
@@ -21,6 +21,7 @@
 mod ready;
 mod replica_log;
 mod settings;
+pub mod simulation;
 mod status;
 mod storage;
 
--- /dev/null
+++ b/crates/courseshed-consensus/tests/simulation.rs
@@ -0,0 +1,68 @@
+//! Seeds of the simulation keep all promises, and broken variants are caught.
+
+use std::collections::BTreeSet;
+
+use courseshed_consensus::simulation::{
+    Fault, SimulationOptions, SimulationReport, Variant, run_seed,
+};
+use yare::parameterized;
+
+/// Seeds within which a broken variant must be caught.
+const SEEDS_PER_VARIANT: u64 = 120;
+
+fn run(seed: u64) -> SimulationReport {
+    run_seed(seed, &SimulationOptions::default())
+}
+
+fn run_all(seeds: std::ops::Range<u64>) {
+    let reports: Vec<SimulationReport> = seeds.map(run).collect();
+    let broken: Vec<_> = reports
+        .iter()
+        .filter(|report| !report.violations.is_empty())
+        .collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    let faults: BTreeSet<Fault> = reports
+        .iter()
+        .flat_map(|report| report.faults.keys().copied())
+        .collect();
+    assert_eq!(
+        faults.len(),
+        Fault::ALL.len(),
+        "not all faults came: {faults:?}"
+    );
+    let confirmed: u64 = reports.iter().map(|report| report.writes_confirmed).sum();
+    assert!(confirmed > 100 * reports.len() as u64, "{confirmed} writes");
+}
+
+#[parameterized(
+    first = { 0 }, second = { 1 }, third = { 2 }, fourth = { 3 },
+)]
+fn promises_hold(part: u64) {
+    const SEEDS: u64 = 60;
+    run_all(part * SEEDS..(part + 1) * SEEDS);
+}
+
+#[test]
+fn same_seed_gives_the_same_run() {
+    assert_eq!(run(7), run(7));
+}
+
+#[parameterized(
+    disk = { Variant::AcknowledgesBeforeFlush },
+    incarnation = { Variant::ReturnsUnderOldIncarnation },
+    lease = { Variant::ReadsWithoutLease },
+    clocks = { Variant::ClocksBeyondBounds },
+    alone = { Variant::CommitsAlone },
+    log_ends = { Variant::IgnoresLogEnds },
+    incarnations = { Variant::IgnoresIncarnations },
+)]
+fn broken_variant_is_caught(variant: Variant) {
+    let options = SimulationOptions {
+        variant,
+        ..SimulationOptions::default()
+    };
+    let caught =
+        (0..SEEDS_PER_VARIANT).find(|seed| !run_seed(*seed, &options).violations.is_empty());
+    println!("{}: caught by seed {caught:?}", variant.name());
+    assert!(caught.is_some(), "{} was not caught", variant.name());
+}
