Test the controllers in real nodes: lost leaders, missed changes, lost folders, no quorum

Cause: only the way without failures was tested. Change: fleets in one process whose nodes are killed, restarted on their ports and folders, or lose a folder; a controller tells its node whether it votes and whether its disk failed.

--- a/crates/courseshed-node/src/control/controller.rs
+++ b/crates/courseshed-node/src/control/controller.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use courseshed_consensus::{GroupError, LogStorage, Message, PeerConfig, ReplicatedGroup};
+use courseshed_consensus::{GroupError, LogStorage, Message, PeerConfig, ReplicatedGroup, Term};
 use courseshed_control::{
     CommandOrigin, ControlCommand, ControlLeader, ControlState, LeaderOptions, LeaderOutput,
     LeaderRole, RequestToken, TreeCompiler,
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    control::machine::ControlMachine,
+    control::{founding::ControlLogState, machine::ControlMachine, tasks::ControllerStatus},
     protocol::{NodeProtocol, NodeReply},
     shards::StepTime,
 };
@@ -73,9 +73,20 @@
         &self.group.machine().state
     }
 
-    /// The replicated log, for reading.
-    pub fn group(&self) -> &ReplicatedGroup<S, ControlMachine> {
-        &self.group
+    /// What the controller says of itself.
+    pub fn status(&self) -> ControllerStatus {
+        let log = if self.group.term() == Term(0) {
+            ControlLogState::Blank
+        } else {
+            ControlLogState::Established
+        };
+        let peer = self.group.status();
+        let failed = self.group.failure().is_some();
+        ControllerStatus {
+            log,
+            votes: !failed && peer.configuration.is_voter(peer.address),
+            failed,
+        }
     }
 
     /// The part this controller plays.
--- a/crates/courseshed-node/src/control/mod.rs
+++ b/crates/courseshed-node/src/control/mod.rs
@@ -26,7 +26,7 @@
 pub use follower::Reachable;
 pub use founding::{ControlLogState, Decision, decide};
 pub use machine::ControlMachine;
-pub use tasks::{ControlTasks, ControllerTask, FollowerTask, ShardWish};
+pub use tasks::{ControlTasks, ControllerStatus, ControllerTask, FollowerTask, ShardWish};
 pub use worker::ControllerError;
 
 use crate::context::NodeContext;
--- a/crates/courseshed-node/src/control/tasks.rs
+++ b/crates/courseshed-node/src/control/tasks.rs
@@ -48,6 +48,17 @@
     Return(GrantReturn),
 }
 
+/// What this node's controller says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ControllerStatus {
+    /// What it knows of the log.
+    pub log: ControlLogState,
+    /// Whether it counts for a quorum.
+    pub votes: bool,
+    /// Whether its disk failed, so that it takes part no more.
+    pub failed: bool,
+}
+
 /// One queue, whose receiving end is taken once.
 struct Queue<T> {
     name: &'static str,
@@ -81,7 +92,7 @@
     controller: Queue<ControllerTask>,
     follower: Queue<FollowerTask>,
     wishes: Queue<ShardWish>,
-    log_state: Mutex<Option<ControlLogState>>,
+    status: Mutex<Option<ControllerStatus>>,
 }
 
 impl ControlTasks {
@@ -92,7 +103,7 @@
             controller: Queue::new("the controller"),
             follower: Queue::new("control traffic"),
             wishes: Queue::new("shards' requests to the controllers"),
-            log_state: Mutex::new(None),
+            status: Mutex::new(None),
         }
     }
 
@@ -114,9 +125,9 @@
         }
     }
 
-    /// What this node's controller says of its log; none while it has not looked, or if there is no controller here.
-    pub fn log_state(&self) -> Option<ControlLogState> {
-        *self.log_state.lock()
+    /// This node's controller; none while it has not looked at its folder, or if there is no controller here.
+    pub fn controller(&self) -> Option<ControllerStatus> {
+        *self.status.lock()
     }
 
     /// A shard here wants escrow.
@@ -129,8 +140,8 @@
         self.wishes.push(ShardWish::Return(returned));
     }
 
-    pub(super) fn set_log_state(&self, state: ControlLogState) {
-        *self.log_state.lock() = Some(state);
+    pub(super) fn set_controller(&self, status: ControllerStatus) {
+        *self.status.lock() = Some(status);
     }
 
     pub(super) fn tell_follower(&self, task: FollowerTask) {
--- a/crates/courseshed-node/src/control/worker.rs
+++ b/crates/courseshed-node/src/control/worker.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, path::PathBuf, sync::Arc, time::Duration};
 
-use courseshed_consensus::{DiskLog, GroupError, Message, StorageError, Term};
+use courseshed_consensus::{DiskLog, GroupError, Message, StorageError};
 use courseshed_control::LeaderRole;
 use courseshed_transport::ReplySender;
 use courseshed_types::{
@@ -21,7 +21,7 @@
         controller::Controller,
         founding::{self, ControlLogState, Decision},
         options::leader_options,
-        tasks::{ControllerTask, FollowerTask},
+        tasks::{ControllerStatus, ControllerTask, FollowerTask},
     },
     protocol::{NodeMessage, NodeProtocol, NodeReply, NodeRequest},
 };
@@ -83,7 +83,11 @@
         if DiskLog::is_kept_in(&folder) {
             worker.open_log(Decision::Wait)?;
         } else {
-            worker.context.control.set_log_state(ControlLogState::Empty);
+            worker.context.control.set_controller(ControllerStatus {
+                log: ControlLogState::Empty,
+                votes: false,
+                failed: false,
+            });
         }
         Ok(Some(worker))
     }
@@ -117,7 +121,7 @@
         let time = self.context.step_time();
         let controller = Controller::open(node, config, log, options, time).context(GroupSnafu)?;
         self.controller = Some(controller);
-        self.note_log_state();
+        self.note_status();
         Ok(())
     }
 
@@ -228,7 +232,7 @@
         if new_role != role {
             self.tell_role(new_role);
         }
-        self.note_log_state();
+        self.note_status();
         self.note_failure();
     }
 
@@ -243,16 +247,10 @@
             .tell_follower(FollowerTask::ControllerRole);
     }
 
-    fn note_log_state(&self) {
-        let Some(controller) = &self.controller else {
-            return;
-        };
-        let state = if controller.group().term() == Term(0) {
-            ControlLogState::Blank
-        } else {
-            ControlLogState::Established
-        };
-        self.context.control.set_log_state(state);
+    fn note_status(&self) {
+        if let Some(controller) = &self.controller {
+            self.context.control.set_controller(controller.status());
+        }
     }
 
     fn note_failure(&mut self) {
--- a/crates/courseshed-node/src/handler.rs
+++ b/crates/courseshed-node/src/handler.rs
@@ -48,8 +48,8 @@
             }
             NodeRequest::Control(request) => context.control.on_request(*request, reply),
             NodeRequest::ControlLogState => {
-                if let Some(state) = context.control.log_state() {
-                    reply.send(NodeReply::ControlLogState(state));
+                if let Some(controller) = context.control.controller() {
+                    reply.send(NodeReply::ControlLogState(controller.log));
                 }
             }
             NodeRequest::Explain { pool, call } => {
--- a/crates/courseshed-node/tests/control.rs
+++ b/crates/courseshed-node/tests/control.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use support::{
     Answer, Caller, TREE,
-    fleet::{Fleet, FleetPlan},
+    fleet::{Fleet, FleetPlan, wait_until},
 };
 
 fn changed_tree(share: u32) -> String {
@@ -43,3 +43,174 @@
         assert_eq!(policy.snapshot.version, SettingsVersion(2));
     }
 }
+
+#[actix_web::test]
+async fn a_change_survives_its_leader_and_counts_once_when_resent() {
+    let mut fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_in_force(1).await;
+    let leader = fleet.control_leader().await;
+    let other = (1..=3).find(|node| *node != leader).expect("another node");
+    let caller = caller_of(&fleet, other);
+    let tree = changed_tree(3);
+    let sent = actix_rt::spawn({
+        let (caller, tree) = (caller.clone(), tree.clone());
+        async move { apply(&caller, 1, "contested", &tree).await }
+    });
+    // The change is on its way when the leader dies; it may or may not have been accepted.
+    actix_rt::time::sleep(std::time::Duration::from_millis(2)).await;
+    fleet.kill(leader);
+    let first = sent.await.expect("an answer");
+    let again = apply(&caller, 1, "contested", &tree).await;
+    assert_eq!(again.status, 200, "{:?}", again.body);
+    assert_eq!(again.json()["version"], json!(2), "{:?}", first.body);
+    let history = caller.get("/v1/admin/settings/history?limit=9", &[]).await;
+    assert_eq!(history.json().as_array().map(Vec::len), Some(2));
+    fleet.wait_in_force(2).await;
+    fleet.restart(leader);
+    fleet.wait_in_force(2).await;
+}
+
+#[actix_web::test]
+async fn a_node_that_missed_hundreds_of_changes_never_serves_an_older_version() {
+    const CHANGES: u64 = 500;
+    let mut fleet = Fleet::start(FleetPlan {
+        others: 1,
+        ..FleetPlan::default()
+    });
+    fleet.wait_in_force(1).await;
+    fleet.kill(4);
+    let caller = caller_of(&fleet, 1);
+    for change in 1..=CHANGES {
+        let tree = changed_tree(1 + change as u32 % 7);
+        let answer = apply(&caller, change, &format!("change-{change}"), &tree).await;
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+    }
+    let committed = SettingsVersion(1 + CHANGES);
+    fleet.restart(4);
+    let late = caller_of(&fleet, 4);
+    let seen = || fleet.version(4);
+    let mut served = Vec::new();
+    wait_until("the node has caught up", || {
+        served.push(seen());
+        seen() == committed
+    })
+    .await;
+    let before = |version: &SettingsVersion| *version < committed;
+    assert!(
+        served
+            .iter()
+            .filter(|version| before(version))
+            .all(|version| *version == SettingsVersion(0)),
+        "{served:?}"
+    );
+    late.wait_ready().await;
+    let status = late.get("/v1/admin/status", &[]).await.json();
+    assert_eq!(status["settings_version"], json!(committed.0));
+}
+
+#[actix_web::test]
+async fn of_two_operators_with_the_same_version_one_is_told_of_the_conflict() {
+    let fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_in_force(1).await;
+    let (left, right) = (caller_of(&fleet, 1), caller_of(&fleet, 2));
+    let (left_tree, right_tree) = (changed_tree(3), changed_tree(4));
+    let (left, right) = futures_util::join!(
+        apply(&left, 1, "left", &left_tree),
+        apply(&right, 1, "right", &right_tree),
+    );
+    let mut answers = [left, right];
+    answers.sort_by_key(|answer| answer.status);
+    assert_eq!(answers[0].status, 200, "{:?}", answers[0].body);
+    assert_eq!(answers[1].status, 409, "{:?}", answers[1].body);
+    assert_eq!(answers[1].error_code(), "version_conflict");
+    assert_eq!(answers[1].header("Courseshed-Verdict"), Some("not_run"));
+}
+
+#[actix_web::test]
+async fn a_fleet_that_restarts_on_its_folders_goes_on_where_it_was() {
+    let mut fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_in_force(1).await;
+    let changed = apply(&caller_of(&fleet, 1), 1, "second", &changed_tree(5)).await;
+    assert_eq!(changed.status, 200, "{:?}", changed.body);
+    fleet.wait_in_force(2).await;
+    let epoch = fleet.node(1).context().view.position().map;
+    for node in 1..=3 {
+        fleet.kill(node);
+    }
+    for node in 1..=3 {
+        fleet.restart(node);
+    }
+    fleet.wait_in_force(2).await;
+    for node in 1..=3 {
+        assert_eq!(fleet.version(node), SettingsVersion(2));
+        assert!(fleet.node(node).context().view.position().map >= epoch);
+    }
+    let again = apply(&caller_of(&fleet, 3), 1, "second", &changed_tree(5)).await;
+    assert_eq!(again.json()["version"], json!(2), "{:?}", again.body);
+}
+
+#[actix_web::test]
+async fn a_controller_that_lost_its_folder_joins_instead_of_founding() {
+    let mut fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_in_force(1).await;
+    fleet.kill(2);
+    let changed = apply(&caller_of(&fleet, 1), 1, "second", &changed_tree(5)).await;
+    assert_eq!(changed.status, 200, "{:?}", changed.body);
+    fleet.lose_folder(2);
+    fleet.restart(2);
+    fleet.wait_in_force(2).await;
+    // It counts for a quorum again once it has been admitted in its new incarnation.
+    fleet.wait_until_voting(2).await;
+    fleet.kill(3);
+    let changed = apply(&caller_of(&fleet, 2), 2, "third", &changed_tree(6)).await;
+    assert_eq!(changed.status, 200, "{:?}", changed.body);
+}
+
+#[actix_web::test]
+async fn without_a_quorum_nothing_new_starts_once_the_lease_has_run_out() {
+    let engine = support::start_engine("e1");
+    let tree = format!(
+        "{TREE}when_cut_off = \"refuse\"\n\n[branch.\"islands\"]\nwhen_cut_off = \"continue\"\n"
+    );
+    let mut fleet = Fleet::start(FleetPlan {
+        controllers_serve: false,
+        others: 1,
+        engines: &[&engine],
+        tree: &tree,
+        more: "[timeouts]\nsettings_lease = \"2s\"\n",
+        ..FleetPlan::default()
+    });
+    fleet.wait_in_force(1).await;
+    let caller = caller_of(&fleet, 4);
+    caller.wait_ready().await;
+    let refused = caller.program("guild/quotes").await;
+    let goes_on = caller.program("islands").await;
+    for program in [&refused, &goes_on] {
+        let path = format!("/v1/programs/{program}/calls");
+        let answer = caller
+            .post(&path, &[], &support::call_body("a", 5, false))
+            .await;
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+    }
+    fleet.kill(1);
+    fleet.kill(2);
+    wait_until("every lease has run out", || {
+        fleet.running().into_iter().all(|node| {
+            let context = fleet.node(node).context();
+            !context.view.lease_valid(context.clock.now())
+        })
+    })
+    .await;
+    let path = format!("/v1/programs/{refused}/calls");
+    let answer = caller
+        .post(&path, &[], &support::call_body("b", 5, false))
+        .await;
+    assert_eq!(answer.status, 503, "{:?}", answer.body);
+    assert_eq!(answer.error_code(), "settings_lease_expired");
+    assert_eq!(answer.header("Courseshed-Verdict"), Some("not_run"));
+    let path = format!("/v1/programs/{goes_on}/calls");
+    let answer = caller
+        .post(&path, &[], &support::call_body("b", 5, false))
+        .await;
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+}
--- a/crates/courseshed-node/tests/support/fleet.rs
+++ b/crates/courseshed-node/tests/support/fleet.rs
@@ -10,13 +10,16 @@
 use super::{EngineHandle, PATIENCE, engine_entry};
 
 const ALL_ROLES: &str = r#"["gateway", "shard", "dispatcher", "controller"]"#;
+const ONLY_CONTROLLER: &str = r#"["controller"]"#;
 const ALL_BUT_CONTROLLER: &str = r#"["gateway", "shard", "dispatcher"]"#;
 
 /// How a fleet is made up.
 pub struct FleetPlan<'a> {
     /// Nodes that are controllers; they come first.
     pub controllers: usize,
-    /// Nodes that are not.
+    /// Whether the controllers play all other roles too.
+    pub controllers_serve: bool,
+    /// Nodes that are not controllers and play all other roles.
     pub others: usize,
     /// Engines, known to all nodes.
     pub engines: &'a [&'a EngineHandle],
@@ -30,6 +33,7 @@
     fn default() -> Self {
         FleetPlan {
             controllers: 3,
+            controllers_serve: true,
             others: 0,
             engines: &[],
             tree: super::TREE,
@@ -57,10 +61,10 @@
         let count = plan.controllers + plan.others;
         let mut bound: Vec<NodeSettings> = (1..=count)
             .map(|number| {
-                let roles = if number <= plan.controllers {
-                    ALL_ROLES
-                } else {
-                    ALL_BUT_CONTROLLER
+                let roles = match (number <= plan.controllers, plan.controllers_serve) {
+                    (true, true) => ALL_ROLES,
+                    (true, false) => ONLY_CONTROLLER,
+                    (false, _) => ALL_BUT_CONTROLLER,
                 };
                 let data_dir = folder.path().join(format!("node-{number}"));
                 parse(&node_text(number, roles, &data_dir, &plan))
@@ -123,6 +127,23 @@
         node.handle = Some(start(sockets, &node.settings, self.tree.clone()));
     }
 
+    /// Deletes what a stopped node kept.
+    pub fn lose_folder(&mut self, number: u32) {
+        let node = &self.nodes[number as usize - 1];
+        assert!(node.handle.is_none(), "the node runs");
+        let folder = node.settings.data_dir.as_deref().expect("a folder");
+        std::fs::remove_dir_all(folder).expect("deleted");
+    }
+
+    /// Waits until a controller counts for a quorum.
+    pub async fn wait_until_voting(&self, number: u32) {
+        wait_until("the controller votes", || {
+            let controller = self.node(number).context().control.controller();
+            controller.is_some_and(|controller| controller.votes)
+        })
+        .await;
+    }
+
     /// The settings version that a node has in force.
     pub fn version(&self, number: u32) -> SettingsVersion {
         self.node(number).context().view.position().settings
