Measure what control costs with courseshed-lab hollow

Cause: the limits for control per node (14 KB/s, 2.8% of a core, 64 MB, 12 s) had no measurement. Change: the command runs hollow fleets of one or three sizes through virtual time with changes of settings, bursts, failures, restarts, a region cut off and a zone lost, and prints bytes, messages, processor time and memory by role and mechanism, and the time from accepted to in force everywhere, as text or JSON.

--- a/crates/courseshed-control/src/hollow/fleet.rs
+++ b/crates/courseshed-control/src/hollow/fleet.rs
@@ -250,6 +250,7 @@
     /// Submits a change, again and again until it is answered for good. One at a time; see [`Self::is_changing`].
     pub fn submit(&mut self, change: SettingsChange) {
         self.operators.submit(self.now, change);
+        self.tick_operators();
     }
 
     /// Whether a submitted change is not answered for good yet.
@@ -437,9 +438,12 @@
                 node.traffic.close_minute();
             }
         }
+        self.tick_operators();
+    }
+
+    fn tick_operators(&mut self) {
         let leader = self.leader();
-        let change = self.operators.tick(self.now, leader);
-        if let Some(change) = change {
+        if let Some(change) = self.operators.tick(self.now, leader) {
             self.send(change);
         }
     }
--- a/crates/courseshed-control/src/hollow/tests.rs
+++ b/crates/courseshed-control/src/hollow/tests.rs
@@ -184,7 +184,14 @@
     apply(&mut fleet, 1);
     let leader = fleet.leader().expect("a controller leads");
     fleet.submit(change(2, 1));
-    fleet.run_for(Duration::from_millis(1_050));
+    // The change has reached the leader, and no other controller yet.
+    fleet.run_for(Duration::from_millis(2));
+    let has_change = |fleet: &HollowFleet, node| {
+        fleet
+            .state(node)
+            .is_some_and(|state| state.position().settings.0 > 1)
+    };
+    assert!(fleet.is_changing() && !has_change(&fleet, leader));
     fleet.crash(leader);
     assert!(fleet.run_until(MINUTE, |fleet| !fleet.is_changing()));
     let answer = fleet.changes().last().expect("answered").reply.clone();
--- a/crates/courseshed-lab/src/commands/mod.rs
+++ b/crates/courseshed-lab/src/commands/mod.rs
@@ -3,6 +3,7 @@
 //! Results go to standard output, progress and logs to standard error.
 
 mod check;
+mod hollow;
 mod output;
 
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
 #[argh(subcommand)]
 enum Command {
     Check(check::CheckArguments),
+    Hollow(hollow::HollowArguments),
 }
 
 /// What a command came to.
@@ -75,6 +77,7 @@
     pub fn run(self) -> Result<CommandOutcome, CommandError> {
         match self.command {
             Command::Check(arguments) => arguments.run(),
+            Command::Hollow(arguments) => arguments.run(),
         }
     }
 }
--- a/crates/courseshed-lab/src/lib.rs
+++ b/crates/courseshed-lab/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod check;
 pub mod commands;
+pub mod hollow;
 pub mod workload;
--- a/crates/courseshed-node/src/shards/mod.rs
+++ b/crates/courseshed-node/src/shards/mod.rs
@@ -10,7 +10,6 @@
 mod handover;
 mod held;
 mod input;
-mod leader_watch;
 mod machine;
 mod members;
 mod plan;
