Hand control over on a planned stop, and serve callers only under accepted settings

Cause: a controller that stopped as planned left its lead to a timeout, and its pools waited until it was missed; a node whose fleet had no tree yet was ready, without a key or a branch; explain asked for the call after the one under way; the interface for operators was tried by hand only.

Change: a draining node is announced as leaving and waits until another controller leads. The last dispatcher of a region decides on while it leaves. Readiness and callers wait for the first accepted version.

--- a/crates/courseshed-membership/src/selection.rs
+++ b/crates/courseshed-membership/src/selection.rs
@@ -14,7 +14,8 @@
 
 use crate::rendezvous;
 
-/// The dispatcher of a pool; none if the region has no live dispatcher.
+/// The dispatcher of a pool, among the live nodes, or the leaving ones if there are no others; none if the region has
+/// no dispatcher that is not down.
 pub fn dispatcher_for(pool: &PoolId, map: &MemberMap) -> Option<NodeId> {
     dispatcher_for_reachable(pool, map, &BTreeSet::new())
 }
@@ -27,13 +28,17 @@
     map: &MemberMap,
     unreachable: &BTreeSet<NodeId>,
 ) -> Option<NodeId> {
-    let candidates = map
-        .members
-        .values()
-        .filter(|member| member.region == pool.region && member.serves(NodeRole::Dispatcher))
-        .map(|member| member.node)
-        .filter(|node| !unreachable.contains(node));
-    rendezvous::preferred(&pool_key(pool), candidates)
+    let in_state = |state: NodeState| {
+        map.members
+            .values()
+            .filter(move |member| member.region == pool.region && member.state == state)
+            .filter(|member| member.roles.contains(&NodeRole::Dispatcher))
+            .map(|member| member.node)
+            .filter(|node| !unreachable.contains(node))
+    };
+    let preferred = |state| rendezvous::preferred(&pool_key(pool), in_state(state));
+    // Calls that wait must be decided about to the end, also where no node stays.
+    preferred(NodeState::Live).or_else(|| preferred(NodeState::Leaving))
 }
 
 /// The live nodes of a zone from the most to the least preferred as relay. Controllers are none: they answer for
@@ -80,6 +85,23 @@
         }
     }
 
+    #[test]
+    fn the_last_dispatcher_of_a_region_decides_while_it_leaves() {
+        let mut map = fleet(1, 1, 2);
+        for member in map.members.values_mut() {
+            member.state = NodeState::Leaving;
+        }
+        let leaving = dispatcher_for(&pool(0), &map).expect("a leaving dispatcher");
+        for member in map.members.values_mut() {
+            member.state = if member.node == leaving {
+                NodeState::Leaving
+            } else {
+                NodeState::Live
+            };
+        }
+        assert_ne!(dispatcher_for(&pool(0), &map), Some(leaving));
+    }
+
     #[test]
     fn a_pool_moves_only_when_its_dispatcher_goes() {
         let map = fleet(1, 3, 4);
--- a/crates/courseshed-node/src/admin/explain.rs
+++ b/crates/courseshed-node/src/admin/explain.rs
@@ -5,7 +5,7 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use courseshed_membership::dispatcher_for;
 use courseshed_types::{
-    CallId, RegionName,
+    CallId, RegionName, Sequence, Timestamp,
     admin::ProgramExplanation,
     dispatch::{PoolId, WaitExplanation},
     program::{CallState, ProgramPhase, ProgramView},
@@ -56,7 +56,7 @@
     Ok(HttpResponse::Ok().json(explanation))
 }
 
-fn paused(view: &ProgramView, now: courseshed_types::Timestamp) -> String {
+fn paused(view: &ProgramView, now: Timestamp) -> String {
     let since = view.last_answer_at.unwrap_or(view.created_at);
     let seconds = now.since(since).as_secs();
     format!(
@@ -70,10 +70,7 @@
     view: &ProgramView,
     explanation: &mut ProgramExplanation,
 ) {
-    let call = CallId {
-        program: view.id,
-        sequence: view.next_sequence,
-    };
+    let call = call_under_way(view);
     match call_state(context, call).await {
         Some(CallState::Dispatched { attempt, engine }) => {
             explanation.reason = format!("call {call} runs on {engine}, attempt {attempt}");
@@ -95,6 +92,14 @@
     }
 }
 
+/// A program that waits or runs has given the sequence number before the next one to the call under way.
+fn call_under_way(view: &ProgramView) -> CallId {
+    CallId {
+        program: view.id,
+        sequence: Sequence(view.next_sequence.0.saturating_sub(1)),
+    }
+}
+
 fn take_wait(explanation: &mut ProgramExplanation, wait: WaitExplanation) {
     explanation.position = Some(wait.position);
     explanation.pool_waiting = Some(wait.pool_waiting);
--- a/crates/courseshed-node/src/admin/programs.rs
+++ b/crates/courseshed-node/src/admin/programs.rs
@@ -4,7 +4,7 @@
 use courseshed_types::{
     BranchPath, CallError, ErrorCode, ProgramId, ShardId, Timestamp,
     admin::ProgramSummary,
-    program::{EndReason, ProgramView},
+    program::{EndReason, ProgramPhase, ProgramView},
     shard::{ShardReply, ShardRequestBody},
 };
 use serde::Deserialize;
@@ -101,13 +101,15 @@
 /// A program as operators see it.
 pub fn summary(view: ProgramView, now: Timestamp) -> ProgramSummary {
     let since = view.first_call_at.unwrap_or(view.created_at);
+    let made = view.next_sequence.0.saturating_sub(1);
+    let is_calling = matches!(view.phase, ProgramPhase::Waiting | ProgramPhase::Running);
     ProgramSummary {
         id: view.id,
         branch: view.branch,
         kind: view.kind,
         parent: view.parent,
         phase: view.phase,
-        calls: view.next_sequence.0.saturating_sub(1),
+        calls: made.saturating_sub(u64::from(is_calling)),
         history_tokens: view.history_tokens.0,
         spent_tokens: view.spent.0,
         budget_tokens: view.budget.map(|budget| budget.0),
--- a/crates/courseshed-node/src/admission.rs
+++ b/crates/courseshed-node/src/admission.rs
@@ -1,6 +1,6 @@
-//! Keeps callers away until the node has read its settings.
+//! Keeps callers away until the node has an accepted settings tree in force.
 //!
-//! A node that starts has no keys and no branches yet, so that it could neither refuse a key nor find a branch.
+//! Until then the node has no keys and no branches, so that it could neither refuse a key nor find a branch.
 
 use std::time::Duration;
 
@@ -33,10 +33,9 @@
     let path = request.path();
     let is_callers = path.starts_with(API) && !path.starts_with(ADMIN_API);
     let context = request.app_data::<web::Data<SharedContext>>();
-    let has_settings =
-        context.is_some_and(|context| !context.view.policy().snapshot.branches.is_empty());
+    let has_settings = context.is_some_and(|context| context.view.has_settings());
     if is_callers && !has_settings {
-        let message = "the node has not read its settings yet";
+        let message = "the node has no accepted settings in force yet";
         let error = CallError::not_run(ErrorCode::Unavailable, message);
         return Err(ApiError::from(error.retry_after(RETRY_AFTER)).into());
     }
--- a/crates/courseshed-node/src/control/client.rs
+++ b/crates/courseshed-node/src/control/client.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     context::NodeContext,
+    control::founding::controllers,
     protocol::{NodeReply, NodeRequest},
 };
 
@@ -108,7 +109,7 @@
     let map = context.view.map();
     let known = map.members.values();
     let known = known.filter(|member| member.roles.contains(&NodeRole::Controller));
-    let mut nodes = super::founding::controllers(&context.settings);
+    let mut nodes = controllers(&context.settings);
     nodes.extend(known.map(|member| member.node));
     nodes.sort();
     nodes.dedup();
--- a/crates/courseshed-node/src/control/controller.rs
+++ b/crates/courseshed-node/src/control/controller.rs
@@ -84,6 +84,7 @@
         let failed = self.group.failure().is_some();
         ControllerStatus {
             log,
+            leads: self.group.is_leader(),
             votes: !failed && peer.configuration.is_voter(peer.address),
             failed,
         }
@@ -145,6 +146,27 @@
         }
     }
 
+    /// Hands leadership to the follower that has most of the log, if this controller leads and there is one.
+    pub fn hand_over(&mut self, time: StepTime) {
+        if !self.group.is_leader() {
+            return;
+        }
+        let peer = self.group.status();
+        let voters = peer
+            .followers
+            .iter()
+            .filter(|follower| peer.configuration.voters().any(|id| id == follower.replica));
+        let Some(successor) = voters.max_by_key(|follower| follower.matched) else {
+            return;
+        };
+        let handed = self
+            .group
+            .transfer_leadership(time.elapsed, successor.replica);
+        if let Err(error) = handed {
+            log::debug!("the controller can't hand over: {error}");
+        }
+    }
+
     /// Why the controller stopped, if it did.
     pub fn failure(&self) -> Option<&GroupError> {
         self.group.failure()
--- a/crates/courseshed-node/src/control/tasks.rs
+++ b/crates/courseshed-node/src/control/tasks.rs
@@ -53,6 +53,8 @@
 pub struct ControllerStatus {
     /// What it knows of the log.
     pub log: ControlLogState,
+    /// Whether it leads.
+    pub leads: bool,
     /// Whether it counts for a quorum.
     pub votes: bool,
     /// Whether its disk failed, so that it takes part no more.
--- a/crates/courseshed-node/src/control/worker.rs
+++ b/crates/courseshed-node/src/control/worker.rs
@@ -32,6 +32,8 @@
 const BATCH: usize = 1_024;
 /// Time between two rounds of asking the other controllers for their logs.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two tries to hand leadership over while the node drains.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(500);
 /// Rounds between two log lines while controllers don't answer.
 const ROUNDS_PER_LINE: u64 = 50;
 
@@ -62,6 +64,8 @@
     /// The controller, once its log is open.
     controller: Option<Controller<DiskLog>>,
     told_failure: bool,
+    /// When leadership may be handed over, by the node's clock.
+    hand_over_after: Duration,
 }
 
 impl ControllerWorker {
@@ -78,6 +82,7 @@
             tasks,
             controller: None,
             told_failure: false,
+            hand_over_after: Duration::ZERO,
         };
         let folder = worker.folder()?;
         if DiskLog::is_kept_in(&folder) {
@@ -85,6 +90,7 @@
         } else {
             worker.context.control.set_controller(ControllerStatus {
                 log: ControlLogState::Empty,
+                leads: false,
                 votes: false,
                 failed: false,
             });
@@ -217,6 +223,10 @@
             controller.handle(time, message);
         }
         controller.tick(time);
+        if self.context.drain.is_draining() && time.elapsed >= self.hand_over_after {
+            self.hand_over_after = time.elapsed + HAND_OVER_INTERVAL;
+            controller.hand_over(time);
+        }
         let mut outgoing = controller.settle(time);
         let time = self.context.step_time();
         for (request, reply) in requests {
--- a/crates/courseshed-node/src/health.rs
+++ b/crates/courseshed-node/src/health.rs
@@ -40,7 +40,7 @@
     if context.drain.is_draining() {
         return Err("draining");
     }
-    if context.view.policy().snapshot.branches.is_empty() {
+    if !context.view.has_settings() {
         return Err("no settings in force");
     }
     if context.view.map().shards.is_empty() {
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -348,7 +348,7 @@
 
     /// Takes no new work, lets calls under way end, and returns when they did or the limit has passed.
     pub async fn drain(&self) {
-        drain::drain(&self.context).await;
+        futures_util::join!(drain::drain(&self.context), control::leave(&self.context));
     }
 
     /// Ends the node at once, as a crash would: nothing is handed over.
--- a/crates/courseshed-node/src/view.rs
+++ b/crates/courseshed-node/src/view.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use courseshed_types::{
-    BranchPath, NodeId, PolicySnapshot, Timestamp,
+    BranchPath, NodeId, PolicySnapshot, SettingsVersion, Timestamp,
     control::{ControlPosition, MemberMap},
 };
 
@@ -66,6 +66,11 @@
         self.policy.load_full()
     }
 
+    /// Whether an accepted settings tree is in force. Version 0 is the empty one that a new fleet has.
+    pub fn has_settings(&self) -> bool {
+        self.policy.load().snapshot.version > SettingsVersion(0)
+    }
+
     /// The member map in force.
     pub fn map(&self) -> Arc<MemberMap> {
         self.map.load_full()
--- a/crates/courseshed-node/tests/control.rs
+++ b/crates/courseshed-node/tests/control.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use courseshed_types::SettingsVersion;
+use courseshed_types::{NodeId, SettingsVersion, control::NodeState};
 use serde_json::json;
 use support::{
     Answer, Caller, TREE,
@@ -214,3 +214,21 @@
         .await;
     assert_eq!(answer.status, 200, "{:?}", answer.body);
 }
+
+#[actix_web::test]
+async fn a_leader_that_stops_as_planned_hands_over_and_is_known_to_leave() {
+    let fleet = Fleet::start(FleetPlan::default());
+    fleet.wait_in_force(1).await;
+    let leader = fleet.control_leader().await;
+    fleet.node(leader).drain().await;
+    let other = (1..=3).find(|node| *node != leader).expect("another node");
+    let controller = fleet.node(leader).context().control.controller();
+    assert!(controller.is_some_and(|controller| !controller.leads));
+    wait_until("the others know that it leaves", || {
+        let map = fleet.node(other).context().view.map();
+        map.members[&NodeId(leader)].state == NodeState::Leaving
+    })
+    .await;
+    let changed = apply(&caller_of(&fleet, other), 1, "second", &changed_tree(5)).await;
+    assert_eq!(changed.status, 200, "{:?}", changed.body);
+}
