--- a/crates/courseshed-dispatch/examples/dispatch_cost.rs
+++ b/crates/courseshed-dispatch/examples/dispatch_cost.rs
@@ -46,6 +46,12 @@
     paused: VecDeque<u64>,
 }
 
+/// What one size costs.
+struct Cost {
+    micros: f64,
+    bytes: f64,
+}
+
 fn main() {
     let base = Size {
         engines: 20,
@@ -54,31 +60,67 @@
         waiting: 2_000,
     };
     println!("engines programs waiting | us/decision | KB");
-    for waiting in [0, 250, 500, 1_000, 2_000] {
-        measure(Size { waiting, ..base });
-    }
-    for scale in [2, 4] {
-        measure(Size {
-            waiting: base.waiting * scale,
-            programs: base.programs * scale,
+    sweep(
+        "waiting calls, programs with them",
+        [500, 2_000, 8_000, 32_000],
+        |waiting| Size {
+            waiting,
+            programs: waiting + 1_600,
             ..base
-        });
-    }
-    for engines in [5, 10, 40, 80] {
-        let batch = (20 * 64 / engines) as u32;
-        measure(Size {
+        },
+    );
+    sweep("engines, of 1,280 slots together", [5, 20, 80], |engines| {
+        Size {
             engines,
-            batch,
+            batch: (20 * 64 / engines) as u32,
             ..base
-        });
-    }
+        }
+    });
+    sweep(
+        "programs, 500 calls waiting, 320 slots",
+        [900, 3_600, 14_400],
+        |programs| Size {
+            programs,
+            waiting: 500,
+            batch: 16,
+            ..base
+        },
+    );
+}
+
+/// Measures sizes and prints how the cost grows: cost = a * size ^ exponent, fitted to the logarithms.
+fn sweep<const N: usize>(name: &str, values: [u64; N], size: impl Fn(u64) -> Size) {
+    println!("{name}:");
+    let costs = values.map(|value| measure(size(value)));
+    let sizes = values.map(|value| value as f64);
+    let time = exponent(&sizes, &costs.each_ref().map(|cost| cost.micros));
+    let memory = exponent(&sizes, &costs.each_ref().map(|cost| cost.bytes));
+    let more = costs[N - 1].bytes - costs[0].bytes;
+    let slope = more / (sizes[N - 1] - sizes[0]);
+    println!("  time grows as size^{time:.2}, memory as size^{memory:.2} ({slope:.0} bytes each)");
 }
 
-fn measure(size: Size) {
+/// The slope of a straight line through the logarithms, by least squares.
+fn exponent(sizes: &[f64], costs: &[f64]) -> f64 {
+    let count = sizes.len() as f64;
+    let points = || {
+        sizes
+            .iter()
+            .zip(costs)
+            .map(|(x, y)| (x.ln(), y.max(1.0e-3).ln()))
+    };
+    let mean_x = points().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    covariance / variance
+}
+
+fn measure(size: Size) -> Cost {
     let before = resident_bytes();
     let mut bench = Bench::new(size);
     bench.fill();
-    let memory = resident_bytes().saturating_sub(before);
+    let bytes = resident_bytes().saturating_sub(before);
     let micros = (0..ROUNDS)
         .map(|_| bench.time_decision())
         .fold(f64::INFINITY, f64::min);
@@ -87,10 +129,14 @@
         size.engines,
         size.programs,
         size.waiting,
-        memory / 1_024
+        bytes / 1_024
     );
     // Kept, so that the memory of the next size is not this one's reused.
     std::mem::forget(bench);
+    Cost {
+        micros,
+        bytes: bytes as f64,
+    }
 }
 
 impl Bench {
