Make the baselines what their sources describe, and look a call up once for all engines

Cause: prefix affinity followed a prefix whatever the loads and however little of the prompt it covered; per-call fairness charged only what the cache did not hold, unlike virtual token counters. The choice of an engine looked the call and its program up for every engine, and every tick looked at every parked call.

Change: prefix affinity gives way when loads are out of balance or less than half of the prompt is cached; virtual token counters charge the whole prompt at the start and the output when it is counted. The load of an engine is the fuller of its slots and its memory. A call is looked up once a choice, and parked calls are looked at only where there is a slot.

--- a/crates/courseshed-dispatch/examples/dispatch_cost.rs
+++ b/crates/courseshed-dispatch/examples/dispatch_cost.rs
@@ -3,11 +3,7 @@
 //! One decision is: a call ends, its program calls again, and the dispatcher chooses the next call and its engine.
 //! Run it with `cargo run --release -p courseshed-dispatch --example dispatch_cost`.
 
-use std::{
-    collections::VecDeque,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use courseshed_dispatch::{DispatchOutput, Dispatcher, DispatcherConfig, PolicyKind};
 use courseshed_types::{
--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    baselines::Charging,
     state::State,
     systems::{
         engine_choice, engine_choice::Closed, fairness, parking, pauses, queueing, reclaim,
@@ -154,8 +155,13 @@
     let output = state.shapes.expected_output(&call.branch, call.max_output);
     let program = state.programs.get(&call.call.program);
     let cached = program.map_or(Tokens::ZERO, |program| program.cached_on(engine));
-    let uncached = call.prompt_tokens.saturating_sub(cached);
-    Service::weigh(&state.config, uncached, output)
+    match state.strategy.charging {
+        Charging::Service => {
+            let uncached = call.prompt_tokens.saturating_sub(cached);
+            Service::weigh(&state.config, uncached, output)
+        }
+        Charging::VirtualTokens => Service::weigh(&state.config, call.prompt_tokens, Tokens::ZERO),
+    }
 }
 
 fn estimate(state: &State, call: &WaitingCall, engine: &EngineId, now: Timestamp) -> Placement {
--- a/crates/courseshed-dispatch/src/systems/engine_choice.rs
+++ b/crates/courseshed-dispatch/src/systems/engine_choice.rs
@@ -14,6 +14,15 @@
     tables::{EngineEntry, ProgramEntry},
 };
 
+/// Cost of an engine that failed the call before: only if there is no other.
+const AVOIDED_COST: u64 = u64::MAX / 4;
+/// Part of a prompt that must be cached on an engine for prefix affinity to follow it.
+const AFFINITY_LEAST_MATCH: f64 = 0.5;
+/// Calls by which the most loaded engine may exceed the least loaded before prefix affinity gives way ...
+const AFFINITY_IMBALANCE: u32 = 32;
+/// ... if it also exceeds it by this factor.
+const AFFINITY_IMBALANCE_RATIO: f64 = 1.1;
+
 /// Engines that take no more calls in one run, because a large call needs their memory.
 #[derive(Debug, Default)]
 pub(crate) struct Closed(BTreeSet<EngineId>);
@@ -30,6 +39,47 @@
     }
 }
 
+/// A call as the choice sees it, looked up once for all engines.
+struct Wanted<'a> {
+    call: &'a WaitingCall,
+    program: Option<&'a ProgramEntry>,
+    /// KV memory it is expected to take.
+    memory: Tokens,
+    /// The priority that engines are told.
+    priority: i32,
+}
+
+impl<'a> Wanted<'a> {
+    fn of(state: &'a State, call: CallId) -> Option<Wanted<'a>> {
+        let waiting = &state.calls.get(&call)?.call;
+        Some(Wanted {
+            call: waiting,
+            program: state.programs.get(&call.program),
+            memory: memory_of(state, waiting),
+            priority: priority_of(state, waiting),
+        })
+    }
+
+    /// Memory already held on the engine for the call's own program.
+    fn held_on(&self, engine: &EngineId) -> Tokens {
+        let prefix = self.program.and_then(|program| program.prefix.as_ref());
+        match prefix {
+            Some(prefix) if prefix.engine == *engine => prefix.leased_tokens,
+            _ => Tokens::ZERO,
+        }
+    }
+
+    /// Tokens of the prompt that need not be computed there, as far as is known.
+    fn spared_on(&self, state: &State, engine: &EngineId) -> Tokens {
+        let is_known = |program: &&ProgramEntry| program.prefix.is_some() || program.exported.0 > 0;
+        match self.program.filter(is_known) {
+            Some(program) => transfers::spared_on(state, program, engine),
+            None if self.call.last_engine.as_ref() == Some(engine) => self.call.prompt_tokens,
+            None => Tokens::ZERO,
+        }
+    }
+}
+
 /// Whether any engine has a free slot, or one that the call may overtake another for.
 pub(crate) fn any_room(state: &State, now: Timestamp, call: CallId) -> bool {
     let priority = sent_priority(state, call);
@@ -41,10 +91,19 @@
 
 /// The priority that engines are told.
 pub(crate) fn sent_priority(state: &State, call: CallId) -> i32 {
-    match state.calls.get(&call) {
-        Some(entry) if state.strategy.honours_priority => entry.call.priority,
-        _ => 0,
-    }
+    let entry = state.calls.get(&call);
+    entry.map_or(0, |entry| priority_of(state, &entry.call))
+}
+
+/// KV memory a call is expected to take.
+pub(crate) fn needed_memory(state: &State, call: CallId) -> Tokens {
+    let entry = state.calls.get(&call);
+    entry.map_or(Tokens::ZERO, |entry| memory_of(state, &entry.call))
+}
+
+/// Memory already held on the engine for the call's own program.
+pub(crate) fn held_for(state: &State, call: CallId, engine: &EngineId) -> Tokens {
+    Wanted::of(state, call).map_or(Tokens::ZERO, |wanted| wanted.held_on(engine))
 }
 
 /// The engine for a waiting call, if one has room for it.
@@ -54,27 +113,23 @@
     call: CallId,
     closed: &Closed,
 ) -> Option<EngineId> {
-    let priority = sent_priority(state, call);
-    let memory = needed_memory(state, call);
-    let call = &state.calls.get(&call)?.call;
+    let wanted = Wanted::of(state, call)?;
     let best = state
         .engines
         .iter()
-        .filter(|(id, engine)| closed.is_open(id) && has_slot(state, engine, now, priority))
-        .filter(|(_, engine)| fits(state, now, engine, call, memory))
-        .map(|(id, engine)| (cost(state, now, call, engine), id))
+        .filter(|(id, engine)| closed.is_open(id) && has_slot(state, engine, now, wanted.priority))
+        .filter(|(_, engine)| fits(state, now, engine, &wanted))
+        .map(|(id, engine)| (cost(state, now, &wanted, engine), id))
         .min();
     best.map(|(_, engine)| engine.clone())
 }
 
 /// Whether an engine has a slot and the memory for a call.
 pub(crate) fn has_room(state: &State, now: Timestamp, call: CallId, engine: &EngineId) -> bool {
-    let priority = sent_priority(state, call);
-    let memory = needed_memory(state, call);
-    let (Some(entry), Some(engine)) = (state.calls.get(&call), state.engines.get(engine)) else {
+    let (Some(wanted), Some(engine)) = (Wanted::of(state, call), state.engines.get(engine)) else {
         return false;
     };
-    has_slot(state, engine, now, priority) && fits(state, now, engine, &entry.call, memory)
+    has_slot(state, engine, now, wanted.priority) && fits(state, now, engine, &wanted)
 }
 
 /// The engine on which the least has to end before a call fits; none if the call is too large for all, or if
@@ -88,9 +143,11 @@
     if (closed.0.len() + 1) * 2 > state.engines.len().max(2) {
         return None;
     }
-    let memory = needed_memory(state, call);
-    let call = &state.calls.get(&call)?.call;
-    let could_fit = |engine: &EngineEntry| engine.memory_size().is_some_and(|size| size >= memory);
+    let wanted = Wanted::of(state, call)?;
+    let could_fit = |engine: &EngineEntry| {
+        let size = engine.memory_size();
+        size.is_some_and(|size| size >= wanted.memory)
+    };
     state
         .engines
         .iter()
@@ -98,21 +155,11 @@
         .filter(|(_, engine)| could_fit(engine))
         .max_by_key(|(id, engine)| {
             let room = engine.memory_room(&state.config).unwrap_or_default();
-            room.saturating_add(held_for(state, call, id))
+            room.saturating_add(wanted.held_on(id))
         })
         .map(|(id, _)| id.clone())
 }
 
-/// KV memory a call is expected to take.
-pub(crate) fn needed_memory(state: &State, call: CallId) -> Tokens {
-    let Some(entry) = state.calls.get(&call) else {
-        return Tokens::ZERO;
-    };
-    let call = &entry.call;
-    let output = state.shapes.expected_output(&call.branch, call.max_output);
-    call.prompt_tokens.saturating_add(output)
-}
-
 /// Whether an engine would take a call of this priority, memory apart.
 pub(crate) fn has_slot(state: &State, engine: &EngineEntry, now: Timestamp, priority: i32) -> bool {
     let in_grace = now < state.grace_until && engine.report.is_none();
@@ -123,60 +170,90 @@
     is_free || engine.has_urgent_slot(&state.config, now, priority)
 }
 
+fn priority_of(state: &State, call: &WaitingCall) -> i32 {
+    match state.strategy.honours_priority {
+        true => call.priority,
+        false => 0,
+    }
+}
+
+fn memory_of(state: &State, call: &WaitingCall) -> Tokens {
+    let output = state.shapes.expected_output(&call.branch, call.max_output);
+    call.prompt_tokens.saturating_add(output)
+}
+
 /// Whether an engine has the memory. A call that overtakes takes the memory of the one that gives way.
-fn fits(
-    state: &State,
-    now: Timestamp,
-    engine: &EngineEntry,
-    call: &WaitingCall,
-    memory: Tokens,
-) -> bool {
+fn fits(state: &State, now: Timestamp, engine: &EngineEntry, wanted: &Wanted) -> bool {
     let Some(room) = engine.memory_room(&state.config) else {
         return true;
     };
     let overtakes = engine.in_flight >= engine.call_limit(&state.config, now);
-    if overtakes && engine.memory_size().is_some_and(|size| size >= memory) {
+    let size = engine.memory_size();
+    if overtakes && size.is_some_and(|size| size >= wanted.memory) {
         return true;
     }
-    let held = held_for(state, call, &engine.member.engine);
-    engine.in_flight == 0 || room.saturating_add(held) >= memory
-}
-
-/// Memory already held on the engine for the call's own program.
-pub(crate) fn held_for(state: &State, call: &WaitingCall, engine: &EngineId) -> Tokens {
-    let program = state.programs.get(&call.call.program);
-    let prefix = program.and_then(|program| program.prefix.as_ref());
-    match prefix {
-        Some(prefix) if prefix.engine == *engine => prefix.leased_tokens,
-        _ => Tokens::ZERO,
-    }
+    let held = wanted.held_on(&engine.member.engine);
+    engine.in_flight == 0 || room.saturating_add(held) >= wanted.memory
 }
 
 /// What the choice costs, in units of service; the call's own decode is the same everywhere.
-fn cost(state: &State, now: Timestamp, call: &WaitingCall, engine: &EngineEntry) -> u64 {
-    let limit = u64::from(engine.call_limit(&state.config, now).max(1));
-    let load = u64::from(engine.in_flight) * state.config.load_penalty / limit;
-    let cached = spared_on(state, call, &engine.member.engine);
-    let uncached = call.prompt_tokens.saturating_sub(cached).0 * state.config.prefill_weight;
-    let avoided = call.avoid.contains(&engine.member.engine);
-    let avoidance = if avoided { u64::MAX / 4 } else { 0 };
+fn cost(state: &State, now: Timestamp, wanted: &Wanted, engine: &EngineEntry) -> u64 {
+    let id = &engine.member.engine;
+    let load = load_cost(state, now, engine);
+    let spared = wanted.spared_on(state, id);
+    let uncached = wanted.call.prompt_tokens.saturating_sub(spared);
+    let prefill = uncached.0 * state.config.prefill_weight;
+    let avoidance = match wanted.call.avoid.contains(id) {
+        true => AVOIDED_COST,
+        false => 0,
+    };
     let base = match state.strategy.choice {
         Choice::LeastLoad => load,
-        Choice::Affinity if cached > Tokens::ZERO => 0,
-        Choice::Affinity => 1 + load,
-        Choice::Balanced => uncached + load + zone_cost(state, call, engine),
+        Choice::Affinity => affinity_cost(state, now, wanted, engine, load),
+        Choice::Balanced => prefill + load + zone_cost(state, wanted.call, engine),
     };
     base + avoidance
 }
 
-fn spared_on(state: &State, call: &WaitingCall, engine: &EngineId) -> Tokens {
-    let program = state.programs.get(&call.call.program);
-    let is_known = |program: &ProgramEntry| program.prefix.is_some() || program.exported.0 > 0;
-    match program {
-        Some(program) if is_known(program) => transfers::spared_on(state, call.call, engine),
-        _ if call.last_engine.as_ref() == Some(engine) => call.prompt_tokens,
-        _ => Tokens::ZERO,
+/// The load of an engine: the fuller of its slots and its memory.
+fn load_cost(state: &State, now: Timestamp, engine: &EngineEntry) -> u64 {
+    let penalty = state.config.load_penalty;
+    let limit = u64::from(engine.call_limit(&state.config, now).max(1));
+    let slots = u64::from(engine.in_flight) * penalty / limit;
+    let size = engine.memory_size().map_or(0, |size| size.0);
+    let used = engine.memory.saturating_add(engine.leased).0;
+    match state.strategy.choice {
+        Choice::Balanced => slots.max(used * penalty / size.max(1)),
+        _ => slots,
+    }
+}
+
+/// Cache-aware routing: the engine with the prefix, unless loads are out of balance or too little of the prompt is
+/// cached there; then the least loaded.
+fn affinity_cost(
+    state: &State,
+    now: Timestamp,
+    wanted: &Wanted,
+    engine: &EngineEntry,
+    load: u64,
+) -> u64 {
+    let spared = wanted.spared_on(state, &engine.member.engine);
+    let matches = spared.0 as f64 > AFFINITY_LEAST_MATCH * wanted.call.prompt_tokens.0 as f64;
+    if matches && !is_out_of_balance(state, now) {
+        return 0;
     }
+    1 + load
+}
+
+fn is_out_of_balance(state: &State, now: Timestamp) -> bool {
+    let takes_work = |engine: &&EngineEntry| engine.takes_work(now, &state.pool.model);
+    let engines = state.engines.iter().map(|(_, engine)| engine);
+    let loads = engines.filter(takes_work).map(|engine| engine.in_flight);
+    let (least, most) = loads.fold((u32::MAX, 0), |(least, most), load| {
+        (least.min(load), most.max(load))
+    });
+    let apart = most.saturating_sub(least) > AFFINITY_IMBALANCE;
+    apart && f64::from(most) > AFFINITY_IMBALANCE_RATIO * f64::from(least)
 }
 
 /// Moving a prefix or a stream over zones costs; the program's last engine names its zone.
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -3,11 +3,12 @@
 use std::cmp::Ordering;
 
 use courseshed_types::{
-    CallId, EngineId, ProgramId, RequestId, ShardId, Timestamp, Usage,
+    CallId, EngineId, ProgramId, RequestId, ShardId, Timestamp, Tokens, Usage,
     dispatch::{DispatchRequest, DispatchRequestBody, WaitingCall},
 };
 
 use crate::{
+    baselines::Charging,
     state::State,
     systems::{announcing, assignment, cache_view, engine_health, fairness, pauses, queueing},
     tables::{CallEntry, CallPhase, TermCheck, Timer},
@@ -92,7 +93,7 @@
     let Some(entry) = end_attempt(state, &request) else {
         return;
     };
-    let counted = Service::of_usage(&state.config, &usage);
+    let counted = counted_service(state, &usage);
     settle(state, &entry, Some(counted));
     state
         .shapes
@@ -110,6 +111,15 @@
     pauses::begin(state, now, request.call.program);
 }
 
+fn counted_service(state: &State, usage: &Usage) -> Service {
+    let cached = match state.strategy.charging {
+        Charging::Service => usage.cached_tokens,
+        Charging::VirtualTokens => Tokens::ZERO,
+    };
+    let uncached = usage.prompt_tokens.saturating_sub(cached);
+    Service::weigh(&state.config, uncached, usage.completion_tokens)
+}
+
 fn failed(state: &mut State, now: Timestamp, request: RequestId, engine_fault: bool) {
     let Some(entry) = end_attempt(state, &request) else {
         return;
--- a/crates/courseshed-dispatch/src/systems/parking.rs
+++ b/crates/courseshed-dispatch/src/systems/parking.rs
@@ -43,19 +43,31 @@
 
 /// Gives parked calls to their engines where there is room now, and sends those back whose engine takes no work.
 pub(crate) fn run(state: &mut State, now: Timestamp) {
-    for call in all_parked(state) {
-        let Some(engine) = engine_of(state, call) else {
-            continue;
-        };
+    for engine in with_parked(state) {
         let takes_work = state
             .engines
             .get(&engine)
             .is_some_and(|entry| entry.takes_work(now, &state.pool.model));
-        if !takes_work {
-            send_back(state, now, call);
-        } else if engine_choice::has_room(state, now, call, &engine) {
+        match takes_work {
+            true => give_parked(state, now, &engine),
+            false => abandon(state, now, &engine),
+        }
+    }
+}
+
+fn give_parked(state: &mut State, now: Timestamp, engine: &EngineId) {
+    let has_slot = |state: &State| {
+        let entry = state.engines.get(engine);
+        entry.is_some_and(|entry| engine_choice::has_slot(state, entry, now, i32::MAX))
+    };
+    if !has_slot(state) {
+        return;
+    }
+    let parked = state.engines.get(engine).map(|entry| entry.parked.clone());
+    for call in parked.unwrap_or_default() {
+        if engine_choice::has_room(state, now, call, engine) {
             take_out(state, call);
-            assignment::give(state, now, call, &engine);
+            assignment::give(state, now, call, engine);
         }
     }
 }
@@ -123,14 +135,8 @@
     Duration::from_secs_f64(tokens.0 as f64 / rate as f64)
 }
 
-fn all_parked(state: &State) -> Vec<CallId> {
-    let parked = state.engines.iter().map(|(_, engine)| &engine.parked);
-    parked.flatten().copied().collect()
-}
-
-fn engine_of(state: &State, call: CallId) -> Option<EngineId> {
-    match &state.calls.get(&call)?.phase {
-        CallPhase::Parked(parking) => Some(parking.engine.clone()),
-        _ => None,
-    }
+fn with_parked(state: &State) -> Vec<EngineId> {
+    let engines = state.engines.iter();
+    let crowded = engines.filter(|(_, engine)| !engine.parked.is_empty());
+    crowded.map(|(id, _)| id.clone()).collect()
 }
--- a/crates/courseshed-dispatch/src/systems/reclaim.rs
+++ b/crates/courseshed-dispatch/src/systems/reclaim.rs
@@ -34,7 +34,6 @@
 ) -> Option<(EngineId, Tokens)> {
     let memory = engine_choice::needed_memory(state, call);
     let priority = engine_choice::sent_priority(state, call);
-    let waiting = &state.calls.get(&call)?.call;
     let mut best: Option<(Tokens, EngineId)> = None;
     for (id, engine) in state.engines.iter() {
         let is_candidate =
@@ -42,7 +41,7 @@
         let Some(room) = engine.memory_room(&state.config) else {
             continue;
         };
-        let own = engine_choice::held_for(state, waiting, id);
+        let own = engine_choice::held_for(state, call, id);
         let missing = memory.saturating_sub(room.saturating_add(own));
         let others = engine.leased.saturating_sub(own);
         if !is_candidate || missing > others {
--- a/crates/courseshed-dispatch/src/systems/transfers.rs
+++ b/crates/courseshed-dispatch/src/systems/transfers.rs
@@ -7,7 +7,11 @@
 
 use courseshed_types::{CallId, EngineId, ProgramId, Timestamp, Tokens, dispatch::EngineOrderBody};
 
-use crate::{state::State, systems::cache_view, tables::Timer};
+use crate::{
+    state::State,
+    systems::cache_view,
+    tables::{ProgramEntry, Timer},
+};
 
 /// Time added to an export before its lease is given up.
 const EXPORT_MARGIN: Duration = Duration::from_millis(500);
@@ -49,13 +53,10 @@
     Some(transfer_time(state, missing))
 }
 
-/// Tokens of a call's prompt that need not be computed on an engine, an import counted at its cost.
-pub(crate) fn spared_on(state: &State, call: CallId, engine: &EngineId) -> Tokens {
-    let Some(entry) = state.programs.get(&call.program) else {
-        return Tokens::ZERO;
-    };
-    let cached = entry.cached_on(engine);
-    let brought = entry.exported.saturating_sub(cached);
+/// Tokens of a program's prefix that need not be computed on an engine, an import counted at its cost.
+pub(crate) fn spared_on(state: &State, program: &ProgramEntry, engine: &EngineId) -> Tokens {
+    let cached = program.cached_on(engine);
+    let brought = program.exported.saturating_sub(cached);
     let gain = (brought.0 as f64 * (1.0 - part_of_prefill(state))) as u64;
     cached.saturating_add(Tokens(gain))
 }
