--- a/crates/courseshed-node/src/shards/client.rs
+++ b/crates/courseshed-node/src/shards/client.rs
@@ -1,5 +1,8 @@
 //! Finds the leader of a shard and asks it, again where that is harmless.
 //!
+//! An answer may take as long as a call waits for an engine. While one is awaited, another replica is asked now and
+//! then who leads, so that a leader that is cut off or frozen is left as soon as another one leads.
+//!
 //! Invariant: "not run" is said only if no replica was ever handed the request, or the leader said so itself.
 
 use std::{
@@ -22,7 +25,7 @@
 use crate::{
     context::NodeContext,
     protocol::{NodeReply, NodeRequest},
-    shards::retry_budget::RetryBudget,
+    shards::{leader_watch::LeaderWatch, retry_budget::RetryBudget},
 };
 
 /// First wait before asking again.
@@ -63,12 +66,15 @@
     Reply(Box<ShardReply>),
     NotHandedOver,
     Lost,
+    /// Another replica leads; what the node makes of the request is lost.
+    Deposed(NodeId),
 }
 
 /// Asks shards' leaders.
 #[derive(Default)]
 pub struct ShardClient {
     leaders: RwLock<BTreeMap<ShardId, NodeId>>,
+    watch: LeaderWatch,
     retries: RetryBudget,
     seed: AtomicU64,
 }
@@ -123,6 +129,11 @@
                     doubt = true;
                     self.forget_leader(shard, node);
                 }
+                Asked::Deposed(leader) => {
+                    doubt = true;
+                    self.forget_leader(shard, node);
+                    hint = Some(leader);
+                }
             }
             let is_redirect = hint.is_some() && tries < 4;
             if is_redirect {
@@ -193,7 +204,13 @@
         let asked = context
             .transport()
             .request(node, NodeRequest::Shard(request), limit);
-        match asked.await {
+        let answer = tokio::select! {
+            answer = asked => answer,
+            leader = self.watch.until_deposed(context, shard, node) => {
+                return Asked::Deposed(leader);
+            }
+        };
+        match answer {
             Ok(NodeReply::Shard(reply)) => Asked::Reply(reply),
             Ok(_) | Err(RequestError::ConnectionLost { .. } | RequestError::TimedOut { .. }) => {
                 Asked::Lost
--- a/crates/courseshed-node/src/shards/mod.rs
+++ b/crates/courseshed-node/src/shards/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod held;
 mod input;
+mod leader_watch;
 mod machine;
 mod members;
 mod plan;
--- a/crates/courseshed-node/tests/support/mod.rs
+++ b/crates/courseshed-node/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::{net::SocketAddr, ops::Deref, path::Path, time::Duration};
 
 pub mod fleet;
+pub mod mapped_fleet;
 
 use awc::{ClientResponse, http::StatusCode};
 use bytes::Bytes;
@@ -159,6 +160,23 @@
         read(request.send().await.expect("answered")).await
     }
 
+    /// Makes a call and reads its answer as it comes.
+    pub async fn stream_call(
+        &self,
+        program: &str,
+        sequence: u32,
+        body: &Value,
+    ) -> SseReader<impl Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + use<>>
+    {
+        let request = self
+            .client
+            .post(self.url(&format!("/v1/programs/{program}/calls")))
+            .insert_header(("Courseshed-Sequence", sequence.to_string()));
+        let response = request.send_json(body).await.expect("answered");
+        assert_eq!(response.status(), StatusCode::OK);
+        SseReader::new(response)
+    }
+
     /// Creates a program and gives its id.
     pub async fn program(&self, branch: &str) -> String {
         let answer = self
