--- a/crates/courseshed-node/tests/support/mapped_fleet.rs
+++ b/crates/courseshed-node/tests/support/mapped_fleet.rs
@@ -19,39 +19,67 @@
 
 use super::{Caller, PATIENCE};
 
-/// The shards of a fleet.
-pub const SHARDS: u32 = 4;
+/// The shards of a fleet, unless its plan says otherwise.
+const SHARDS: u32 = 4;
 /// Replicas of each shard.
 const REPLICAS: usize = 3;
 /// Time between two looks at what is waited for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Nodes `1..=count` that keep shards `0..SHARDS`, and the engines behind them.
+/// How a fleet is made up.
+pub struct MappedPlan<'a> {
+    /// Nodes, numbered from 1.
+    pub nodes: u32,
+    /// Shards, numbered from 0.
+    pub shards: u32,
+    /// Engines.
+    pub engines: &'a [&'a EngineHandle],
+    /// The settings tree.
+    pub tree: &'a str,
+    /// More of the node settings, such as `[timeouts]`.
+    pub more: &'a str,
+}
+
+/// Nodes that keep shards, and the engines behind them.
 pub struct MappedFleet {
     nodes: BTreeMap<NodeId, NodeHandle>,
     map: MemberMap,
     tree: SettingsTree,
+    more: String,
     /// A frozen node hears of no map.
     frozen: Option<NodeId>,
 }
 
 impl MappedFleet {
     /// Starts nodes, each in a zone of its own, and founds the shards on the first three.
-    pub fn start(count: u32, engines: &[&EngineHandle], tree: &str) -> MappedFleet {
+    pub fn start(nodes: u32, engines: &[&EngineHandle], tree: &str) -> MappedFleet {
+        MappedFleet::start_planned(&MappedPlan {
+            nodes,
+            shards: SHARDS,
+            engines,
+            tree,
+            more: "",
+        })
+    }
+
+    /// Starts a fleet as planned.
+    pub fn start_planned(plan: &MappedPlan<'_>) -> MappedFleet {
         let mut fleet = MappedFleet {
             nodes: BTreeMap::new(),
             map: MemberMap::default(),
-            tree: SettingsTree::parse(tree).expect("a valid tree"),
+            tree: SettingsTree::parse(plan.tree).expect("a valid tree"),
+            more: plan.more.to_owned(),
             frozen: None,
         };
-        fleet.map.engines.engines = engines.iter().map(|engine| engine_member(engine)).collect();
-        for node in 1..=count {
+        let engines = plan.engines.iter().map(|engine| engine_member(engine));
+        fleet.map.engines.engines = engines.collect();
+        for node in 1..=plan.nodes {
             fleet.start_node(NodeId(node));
         }
         let nodes: Vec<NodeId> = fleet.nodes.keys().copied().collect();
-        for shard in 0..SHARDS {
-            let placement =
-                fleet.first_placement(ShardId(shard), &nodes[..REPLICAS.min(nodes.len())]);
+        let founders = &nodes[..REPLICAS.min(nodes.len())];
+        for shard in 0..plan.shards {
+            let placement = fleet.first_placement(ShardId(shard), founders);
             fleet.map.shards.insert(placement.shard, placement);
         }
         fleet.publish(|_| ());
@@ -78,7 +106,7 @@
 
     /// Starts a node, or a killed one again with nothing of what it held.
     pub fn start_node(&mut self, node: NodeId) {
-        let mut options = NodeOptions::new(settings(node));
+        let mut options = NodeOptions::new(settings(node, &self.more));
         options.http_workers = 1;
         options.is_embedder_in_control = true;
         let handle = Node::start(options).expect("the node starts");
@@ -196,8 +224,8 @@
 
     /// Waits until every shard has a leader.
     pub fn wait_led(&self) {
-        for shard in 0..SHARDS {
-            self.wait_leader(ShardId(shard));
+        for shard in self.map.shards.keys() {
+            self.wait_leader(*shard);
         }
     }
 
@@ -285,7 +313,7 @@
     }
 }
 
-fn settings(node: NodeId) -> NodeSettings {
+fn settings(node: NodeId, more: &str) -> NodeSettings {
     let text = format!(
         r#"
 node_id = {node}
@@ -295,6 +323,7 @@
 peer_listen = "127.0.0.1:0"
 data_dir = "unused"
 roles = ["gateway", "shard", "dispatcher", "controller"]
+{more}
 "#
     );
     NodeSettings::parse(&text, "node.toml", Overrides::default()).expect("valid settings")
