Plan which models, adapters and roles engines hold

Cause: engines accept orders to load and drop models, but nothing decided them.

Change: a pure function from demand and what engines hold to the next moves: copies of models, adapters, and the split into prefill and decode. The dispatcher measures the service its calls ask for.

--- a/crates/courseshed-dispatch/src/dispatcher.rs
+++ b/crates/courseshed-dispatch/src/dispatcher.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     mem,
     sync::Arc,
+    time::Duration,
 };
 
 use courseshed_types::{
@@ -18,15 +19,18 @@
     baselines::{Sharing, Strategy},
     config::{DispatcherConfig, PolicyKind},
     explain,
-    learn::{DrainRate, Shapes},
-    output::{DispatchOutput, DispatcherStats, ShardLeader},
-    state::State,
+    learn::{FadingRate, Shapes},
+    output::{DispatchOutput, DispatcherStats, PoolDemand, ShardLeader},
+    state::{DemandMeter, State},
     systems::{assignment, cache_view, engine_health, expiry, intake, queueing, shedding},
     tables::{
         BranchTable, CallPhase, CallTable, EngineTable, ProgramTable, ShardTable, Timer, TimerTable,
     },
 };
 
+/// Time in which the rate of calls served fades.
+const DRAIN_FADE: Duration = Duration::from_secs(20);
+
 /// Decides for one pool whose call runs on which engine. Free of I/O and deterministic: the same calls at the same
 /// times give the same outputs.
 ///
@@ -66,7 +70,8 @@
             shards: ShardTable::default(),
             timers,
             shapes: Shapes::default(),
-            drain_rate: DrainRate::new(now),
+            drain_rate: FadingRate::new(now, DRAIN_FADE),
+            demand: DemandMeter::new(now),
             caches: BTreeMap::new(),
             entitlements: BTreeMap::new(),
             counters: Default::default(),
@@ -171,6 +176,13 @@
         explain::explain(&self.state, now, call)
     }
 
+    /// Service that calls asked for of late, for placement; none until enough was seen.
+    pub fn demand(&self, now: Timestamp) -> Option<PoolDemand> {
+        let prefill = self.state.demand.prefill.per_second(now)?;
+        let decode = self.state.demand.decode.per_second(now)?;
+        Some(PoolDemand { prefill, decode })
+    }
+
     /// Counters and tables for operators. Costs time in proportion to branches and engines.
     pub fn stats(&self, now: Timestamp) -> DispatcherStats {
         explain::stats(&self.state, now)
--- /dev/null
+++ b/crates/courseshed-dispatch/src/learn/fading_rate.rs
@@ -0,0 +1,80 @@
+//! A rate measured over the recent past: calls taken out of queues, or service asked for.
+
+use std::time::Duration;
+
+use courseshed_types::Timestamp;
+
+/// Time that must pass before a rate says anything, as a part of the time in which samples fade.
+const LEAST_TIME: f64 = 0.25;
+/// Weight of samples that must be held before a rate says anything.
+const LEAST_SAMPLES: f64 = 8.0;
+
+/// An exponentially fading sum of amounts.
+#[derive(Debug, Clone)]
+pub(crate) struct FadingRate {
+    /// Time in which a sample fades to 1/e.
+    fade: Duration,
+    started: Timestamp,
+    updated: Timestamp,
+    samples: f64,
+    amount: f64,
+}
+
+impl FadingRate {
+    pub(crate) fn new(now: Timestamp, fade: Duration) -> FadingRate {
+        FadingRate {
+            fade,
+            started: now,
+            updated: now,
+            samples: 0.0,
+            amount: 0.0,
+        }
+    }
+
+    /// Adds an amount.
+    pub(crate) fn record(&mut self, now: Timestamp, amount: f64) {
+        let kept = self.kept_at(now);
+        self.samples = self.samples * kept + 1.0;
+        self.amount = self.amount * kept + amount;
+        self.updated = self.updated.max(now);
+    }
+
+    /// The amount per second of late; none while too little was seen to tell.
+    pub(crate) fn per_second(&self, now: Timestamp) -> Option<f64> {
+        let time = now.since(self.started).as_secs_f64();
+        let fade = self.fade.as_secs_f64();
+        let kept = self.kept_at(now);
+        if time < fade * LEAST_TIME || self.samples * kept < LEAST_SAMPLES {
+            return None;
+        }
+        let seen = fade * (1.0 - (-time / fade).exp());
+        Some(self.amount * kept / seen)
+    }
+
+    /// The part of what was held that is left now.
+    fn kept_at(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.updated).as_secs_f64();
+        (-age / self.fade.as_secs_f64()).exp()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_steady_rate_is_found_and_fades_when_it_stops() {
+        let mut now = Timestamp::from_millis(1_000);
+        let mut rate = FadingRate::new(now, Duration::from_secs(20));
+        assert_eq!(rate.per_second(now), None);
+        for _ in 0..600 {
+            now += Duration::from_millis(100);
+            rate.record(now, 1.0);
+        }
+        let steady = rate.per_second(now).expect("enough samples");
+        assert!((9.0..11.0).contains(&steady), "{steady}");
+        now += Duration::from_secs(20);
+        let faded = rate.per_second(now).expect("enough samples");
+        assert!((3.0..5.0).contains(&faded), "{faded}");
+    }
+}
--- a/crates/courseshed-dispatch/src/lib.rs
+++ b/crates/courseshed-dispatch/src/lib.rs
@@ -8,7 +8,8 @@
 //! - `systems`: intake of messages, fair sharing, order inside a branch, choice of engine, assignment, pauses and
 //!   leases, the view of caches, engine health, shedding, expiry;
 //! - `learn`: distributions learned online;
-//! - `baselines`: what each policy kind is made of.
+//! - `baselines`: what each policy kind is made of;
+//! - [`placement`]: which models, adapters and roles engines hold.
 //!
 //! Safety does not rest here: an assignment takes effect only when the shard has committed it, and a call that is
 //! refused here was never sent to an engine by this dispatcher's word.
@@ -21,6 +22,7 @@
 mod invariants;
 mod learn;
 mod output;
+pub mod placement;
 mod state;
 mod systems;
 mod tables;
@@ -29,6 +31,7 @@
 pub use config::{DispatcherConfig, PolicyKind};
 pub use dispatcher::Dispatcher;
 pub use output::{
-    BranchStats, DispatchCounters, DispatchOutput, DispatcherStats, EngineStats, ShardLeader, Waste,
+    BranchStats, DispatchCounters, DispatchOutput, DispatcherStats, EngineStats, PoolDemand,
+    ShardLeader, Waste,
 };
 pub use units::Service;
--- a/crates/courseshed-dispatch/src/output.rs
+++ b/crates/courseshed-dispatch/src/output.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// Service asked of a pool, in units a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PoolDemand {
+    /// For prompt tokens not found in a cache.
+    pub prefill: f64,
+    /// For generated tokens.
+    pub decode: f64,
+}
+
 /// One branch as the dispatcher sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BranchStats {
--- /dev/null
+++ b/crates/courseshed-dispatch/src/placement/fleet.rs
@@ -0,0 +1,150 @@
+//! The engines as a plan changes them, and what is left of its allowance.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use courseshed_types::{EngineId, ModelName, ZoneName};
+
+use super::{
+    EngineHolding, ModelDemand, PlacementChange, PlacementInput, PlacementMove, PlacementSettings,
+};
+
+/// A plan in the making.
+pub(super) struct Fleet<'a> {
+    pub(super) settings: &'a PlacementSettings,
+    pub(super) input: &'a PlacementInput,
+    /// Engines as they will be after the moves so far.
+    pub(super) engines: BTreeMap<EngineId, EngineHolding>,
+    /// Engines that this plan changes already.
+    touched: BTreeSet<EngineId>,
+    moves: Vec<PlacementMove>,
+    moves_left: usize,
+    bytes_left: u64,
+}
+
+impl<'a> Fleet<'a> {
+    pub(super) fn new(settings: &'a PlacementSettings, input: &'a PlacementInput) -> Fleet<'a> {
+        let is_recent = |at| input.now.since(at) < settings.period;
+        let recent = || input.past.iter().filter(|past| is_recent(past.at));
+        let bytes: u64 = recent().map(|past| past.bytes).sum();
+        Fleet {
+            settings,
+            input,
+            engines: input.engines.clone(),
+            touched: BTreeSet::new(),
+            moves: Vec::new(),
+            moves_left: settings.moves_per_period.saturating_sub(recent().count()),
+            bytes_left: settings.bytes_per_period.saturating_sub(bytes),
+        }
+    }
+
+    pub(super) fn into_moves(self) -> Vec<PlacementMove> {
+        self.moves
+    }
+
+    pub(super) fn demand_of(&self, model: &ModelName) -> Option<&'a ModelDemand> {
+        let demand = self.input.demand.get(model);
+        demand.filter(|demand| demand.service > 0.0)
+    }
+
+    /// Whether so many moves with so many bytes in all are allowed.
+    pub(super) fn allows(&self, moves: usize, bytes: u64) -> bool {
+        moves <= self.moves_left && bytes <= self.bytes_left
+    }
+
+    /// Whether an engine takes orders and has been left alone for long enough.
+    pub(super) fn is_settled(&self, engine: &EngineId) -> bool {
+        let Some(holding) = self.engines.get(engine) else {
+            return false;
+        };
+        let dwell = self.settings.minimum_dwell;
+        let rested = holding
+            .changed_at
+            .is_none_or(|at| self.input.now.since(at) >= dwell);
+        holding.is_live && rested && !self.touched.contains(engine)
+    }
+
+    /// Whether an engine takes orders and this plan has not changed it.
+    pub(super) fn is_free(&self, engine: &EngineId) -> bool {
+        let is_live = self
+            .engines
+            .get(engine)
+            .is_some_and(|holding| holding.is_live);
+        is_live && !self.touched.contains(engine)
+    }
+
+    /// Adds a move and makes it.
+    pub(super) fn push(&mut self, engine: &EngineId, change: PlacementChange, bytes: u64) {
+        let Some(holding) = self.engines.get_mut(engine) else {
+            return;
+        };
+        apply(holding, &change);
+        self.touched.insert(engine.clone());
+        self.moves_left = self.moves_left.saturating_sub(1);
+        self.bytes_left = self.bytes_left.saturating_sub(bytes);
+        let engine = engine.clone();
+        self.moves.push(PlacementMove { engine, change });
+    }
+
+    /// Live engines that hold a model.
+    pub(super) fn holders(
+        &self,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&EngineId, &EngineHolding)> {
+        let live = self.engines.iter().filter(|(_, holding)| holding.is_live);
+        live.filter(move |(_, holding)| holding.models.contains_key(model))
+    }
+
+    /// Units of service a second the model's engines give it; an engine is shared evenly by its models.
+    pub(super) fn service_for(&self, model: &ModelName) -> f64 {
+        let parts = self.holders(model).map(|(_, holding)| part_of(holding));
+        parts.sum()
+    }
+
+    /// Demand over service, were the service changed by so much; infinite without any service.
+    pub(super) fn utilisation_with(&self, model: &ModelName, change: f64) -> f64 {
+        let Some(demand) = self.demand_of(model) else {
+            return 0.0;
+        };
+        let service = self.service_for(model) + change;
+        match service > SERVICE_ROUNDING {
+            true => demand.service / service,
+            false => f64::INFINITY,
+        }
+    }
+
+    /// Copies of a model in a zone.
+    pub(super) fn copies_in(&self, model: &ModelName, zone: &ZoneName) -> usize {
+        let holders = self.holders(model);
+        holders.filter(|(_, holding)| holding.zone == *zone).count()
+    }
+}
+
+/// Less service than this is none.
+const SERVICE_ROUNDING: f64 = 1.0e-9;
+
+/// Units of service a second an engine gives each of its models.
+pub(super) fn part_of(holding: &EngineHolding) -> f64 {
+    holding.service / holding.models.len().max(1) as f64
+}
+
+fn apply(holding: &mut EngineHolding, change: &PlacementChange) {
+    match change {
+        PlacementChange::LoadModel(model) => {
+            holding.models.insert(model.clone(), Vec::new());
+        }
+        PlacementChange::DropModel(model) => {
+            holding.models.remove(model);
+        }
+        PlacementChange::LoadAdapter(model, adapter) => {
+            if let Some(adapters) = holding.models.get_mut(model) {
+                adapters.push(adapter.clone());
+            }
+        }
+        PlacementChange::DropAdapter(model, adapter) => {
+            if let Some(adapters) = holding.models.get_mut(model) {
+                adapters.retain(|held| held != adapter);
+            }
+        }
+        PlacementChange::SetRole(role) => holding.role = *role,
+    }
+}
--- a/crates/courseshed-dispatch/src/state.rs
+++ b/crates/courseshed-dispatch/src/state.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use courseshed_types::{
@@ -16,13 +17,32 @@
 use crate::{
     baselines::Strategy,
     config::DispatcherConfig,
-    learn::{DrainRate, Shapes},
+    learn::{FadingRate, Shapes},
     output::{DispatchCounters, DispatchOutput, Waste},
     tables::{
         BranchTable, CallTable, EngineTable, NodeIndex, ProgramTable, ShardTable, TimerTable,
     },
 };
 
+/// Service that calls ask for, by its parts.
+#[derive(Debug)]
+pub(crate) struct DemandMeter {
+    pub(crate) prefill: FadingRate,
+    pub(crate) decode: FadingRate,
+}
+
+impl DemandMeter {
+    /// Time in which demand fades; placement moves weights, which takes minutes.
+    const FADE: Duration = Duration::from_secs(120);
+
+    pub(crate) fn new(now: Timestamp) -> DemandMeter {
+        DemandMeter {
+            prefill: FadingRate::new(now, DemandMeter::FADE),
+            decode: FadingRate::new(now, DemandMeter::FADE),
+        }
+    }
+}
+
 /// What is counted of a branch's cache.
 #[derive(Debug, Default)]
 pub(crate) struct CacheAccount {
@@ -50,7 +70,10 @@
     pub(crate) shards: ShardTable,
     pub(crate) timers: TimerTable,
     pub(crate) shapes: Shapes,
-    pub(crate) drain_rate: DrainRate,
+    /// Calls taken out of the queues.
+    pub(crate) drain_rate: FadingRate,
+    /// Service asked for, in units.
+    pub(crate) demand: DemandMeter,
     pub(crate) caches: BTreeMap<BranchPath, CacheAccount>,
     /// Part of the pool each branch is entitled to by the tree of shares, whatever the policy kind does with it.
     pub(crate) entitlements: BTreeMap<BranchPath, f64>,
--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -73,7 +73,7 @@
         None => announce(state, call),
     }
     state.counters.assigned += 1;
-    state.drain_rate.record(now);
+    state.drain_rate.record(now, 1.0);
 }
 
 /// Notes that a call is passed over; if it has been for long, closes an engine to the calls after it.
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -56,10 +56,24 @@
     }
     let id = call.call;
     note_return(state, now, shard, &call);
+    note_demand(state, now, &call);
     insert(state, shard, call);
     queueing::enqueue(state, now, id);
 }
 
+/// Counts what a call asks of the pool, what is cached of its prompt left out.
+fn note_demand(state: &mut State, now: Timestamp, call: &WaitingCall) {
+    let program = state.programs.get(&call.call.program);
+    let prefix = program.and_then(|program| program.prefix.as_ref());
+    let cached = prefix.map_or(Tokens::ZERO, |prefix| prefix.tokens);
+    let uncached = call.prompt_tokens.saturating_sub(cached);
+    let output = state.shapes.expected_output(&call.branch, call.max_output);
+    let prefill = uncached.0.saturating_mul(state.config.prefill_weight);
+    let decode = output.0.saturating_mul(state.config.decode_weight);
+    state.demand.prefill.record(now, prefill as f64);
+    state.demand.decode.record(now, decode as f64);
+}
+
 fn started(
     state: &mut State,
     now: Timestamp,
--- a/crates/courseshed-dispatch/tests/calls.rs
+++ b/crates/courseshed-dispatch/tests/calls.rs
@@ -188,3 +188,22 @@
     driver.report("e1", report);
     assert!(driver.tick().is_empty(), "the engine itself says so");
 }
+
+#[test]
+fn demand_is_what_calls_ask_for_a_second() {
+    let mut driver = Driver::with_engines(&["e1"], 8);
+    assert_eq!(driver.dispatcher.demand(driver.now), None);
+    for number in 0..600 {
+        let asked = call(number, 1, "/", driver.now);
+        driver.enqueue(asked.clone());
+        driver.tick();
+        driver.finished(asked.call, usage(500, 0, 20));
+        driver.pass(Duration::from_millis(500));
+    }
+    let demand = driver
+        .dispatcher
+        .demand(driver.now)
+        .expect("enough was seen");
+    assert!((900.0..1_100.0).contains(&demand.prefill), "{demand:?}");
+    assert!((130.0..210.0).contains(&demand.decode), "{demand:?}");
+}
