--- a/crates/courseshed-node/src/gateway/auth.rs
+++ b/crates/courseshed-node/src/gateway/auth.rs
@@ -53,6 +53,16 @@
     from_tree.contains(&digest) || from_file.iter().any(|known| known.to_string() == digest)
 }
 
+/// Whether a request may see what is told by branch. Where callers have keys, only operators with a key may, even
+/// while no operator has one.
+pub fn sees_branches(context: &NodeContext, request: &HttpRequest) -> bool {
+    let policy = context.view.policy();
+    let has_operator_keys = !policy.snapshot.operator_key_digests.is_empty()
+        || !context.settings.operator_keys.is_empty();
+    let is_guarded = has_operator_keys || policy.keys.is_empty();
+    is_guarded && is_operator(context, request)
+}
+
 /// The SHA-256 digest of a key in lower-case hexadecimal.
 pub fn sha256_hex(key: &str) -> String {
     use std::fmt::Write as _;
--- a/crates/courseshed-node/src/health.rs
+++ b/crates/courseshed-node/src/health.rs
@@ -1,12 +1,16 @@
 //! `/healthz`, `/readyz` and `/metrics`.
 
 use actix_web::{
-    HttpResponse,
+    HttpRequest, HttpResponse,
     web::{self, ServiceConfig},
 };
 use serde::Serialize;
 
-use crate::context::{NodeContext, SharedContext};
+use crate::{
+    context::{NodeContext, SharedContext},
+    gateway::sees_branches,
+    metrics::Audience,
+};
 
 /// Adds the paths to an application that holds the node's context.
 pub fn configure(config: &mut ServiceConfig) {
@@ -49,8 +53,12 @@
     Ok(())
 }
 
-async fn metrics(context: web::Data<SharedContext>) -> HttpResponse {
+async fn metrics(context: web::Data<SharedContext>, request: HttpRequest) -> HttpResponse {
+    let audience = match sees_branches(&context, &request) {
+        true => Audience::Operator,
+        false => Audience::Anyone,
+    };
     HttpResponse::Ok()
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-        .body(context.metrics.render(&context))
+        .body(context.metrics.render(&context, audience))
 }
--- a/crates/courseshed-node/src/protocol.rs
+++ b/crates/courseshed-node/src/protocol.rs
@@ -1,7 +1,7 @@
 //! What nodes say to each other.
 
 use courseshed_consensus::{Message as LogMessage, MessageBody};
-use courseshed_transport::{Protocol, TrafficClass};
+use courseshed_transport::{Mechanism, Protocol, TrafficClass};
 use courseshed_types::{
     CallId,
     control::{ControlReply, ControlRequest},
@@ -88,6 +88,47 @@
             NodeRequest::Shard(_) | NodeRequest::Explain { .. } => TrafficClass::Data,
         }
     }
+
+    fn message_mechanism(message: &NodeMessage) -> Mechanism {
+        Mechanism {
+            class: Self::message_class(message),
+            name: message_name(message),
+        }
+    }
+
+    fn request_mechanism(request: &NodeRequest) -> Mechanism {
+        Mechanism {
+            class: Self::request_class(request),
+            name: request_name(request),
+        }
+    }
+}
+
+/// The part of a message's name that says what it is part of.
+fn message_name(message: &NodeMessage) -> &'static str {
+    match message {
+        NodeMessage::ShardLog(message) => log_name(&message.body, "shard_log", "shard_election"),
+        NodeMessage::ControlLog(message) => {
+            log_name(&message.body, "control_log", "control_election")
+        }
+        NodeMessage::Dispatch(_) => "dispatch_request",
+        NodeMessage::DispatchEvent(_) => "dispatch_event",
+    }
+}
+
+fn request_name(request: &NodeRequest) -> &'static str {
+    match request {
+        NodeRequest::Shard(_) => "shard_request",
+        NodeRequest::Control(_) => "control_request",
+        NodeRequest::Explain { .. } => "explain",
+    }
+}
+
+fn log_name(body: &MessageBody, replication: &'static str, election: &'static str) -> &'static str {
+    match log_class(body) {
+        TrafficClass::Control => election,
+        TrafficClass::Data | TrafficClass::Bulk => replication,
+    }
 }
 
 /// Heartbeats and elections are the cost of being a replica, entries are caused by calls.
--- a/crates/courseshed-transport/src/connection.rs
+++ b/crates/courseshed-transport/src/connection.rs
@@ -30,7 +30,7 @@
     frame::{
         BackwardFrame, ForwardFrame, Hello, LENGTH_BYTES, PROTOCOL_VERSION, codec, decode, encode,
     },
-    protocol::{Protocol, TrafficClass},
+    protocol::{Mechanism, Protocol},
     transport::Shared,
 };
 
@@ -90,7 +90,7 @@
 
 struct PendingReply<P: Protocol> {
     answer: oneshot::Sender<Result<P::Reply, RequestError>>,
-    class: TrafficClass,
+    mechanism: Mechanism,
 }
 
 /// The task that owns one connection to a peer.
@@ -181,8 +181,8 @@
     fn refuse(&self, outgoing: Outgoing<P>) {
         match outgoing {
             Outgoing::Message(message) => {
-                let class = P::message_class(&message);
-                self.shared.counters.count_dropped(class);
+                let mechanism = P::message_mechanism(&message);
+                self.shared.counters.count_dropped(mechanism);
             }
             Outgoing::Request(request) => {
                 let error = RequestError::NotHandedOver {
@@ -211,10 +211,10 @@
         let mut batch = 0;
         while let Some(outgoing) = next.take() {
             next_id += 1;
-            if let Some((class, frame)) = encode_outgoing(outgoing, next_id, waiting)? {
+            if let Some((mechanism, frame)) = encode_outgoing(outgoing, next_id, waiting)? {
                 shared
                     .counters
-                    .count_sent(class, frame.len() + LENGTH_BYTES);
+                    .count_sent(mechanism, frame.len() + LENGTH_BYTES);
                 within(WRITE_TIMEOUT, writer.feed(frame)).await?;
             }
             batch += 1;
@@ -232,7 +232,7 @@
                 if !waiting.lock().is_empty() {
                     check_silence(*heard.lock())?;
                     let frame = encode(&ForwardFrame::<P>::Ping)?;
-                    shared.counters.count_sent(TrafficClass::Control, frame.len() + LENGTH_BYTES);
+                    shared.counters.count_sent(Mechanism::KEEP_ALIVE, frame.len() + LENGTH_BYTES);
                     within(WRITE_TIMEOUT, writer.feed(frame)).await?;
                 }
             }
@@ -250,7 +250,7 @@
     Ok(())
 }
 
-type EncodedFrame = Option<(TrafficClass, Bytes)>;
+type EncodedFrame = Option<(Mechanism, Bytes)>;
 
 fn encode_outgoing<P: Protocol>(
     outgoing: Outgoing<P>,
@@ -259,24 +259,24 @@
 ) -> io::Result<EncodedFrame> {
     match outgoing {
         Outgoing::Message(message) => {
-            let class = P::message_class(&message);
+            let mechanism = P::message_mechanism(&message);
             let frame = encode(&ForwardFrame::<P>::Message(message))?;
-            Ok(Some((class, frame)))
+            Ok(Some((mechanism, frame)))
         }
         Outgoing::Request(outgoing) => {
             let outgoing = *outgoing;
             if !outgoing.handover.take() {
                 return Ok(None);
             }
-            let class = P::request_class(&outgoing.request);
+            let mechanism = P::request_mechanism(&outgoing.request);
             let pending = PendingReply {
                 answer: outgoing.answer,
-                class,
+                mechanism,
             };
             waiting.lock().insert(id, pending);
             let request = outgoing.request;
             let frame = encode(&ForwardFrame::<P>::Request { id, request })?;
-            Ok(Some((class, frame)))
+            Ok(Some((mechanism, frame)))
         }
     }
 }
@@ -294,7 +294,7 @@
         match decode::<BackwardFrame<P>>(&frame)? {
             BackwardFrame::Reply { id, reply } => {
                 if let Some(pending) = waiting.lock().remove(&id) {
-                    shared.counters.count_received(pending.class, bytes);
+                    shared.counters.count_received(pending.mechanism, bytes);
                     let _ = pending.answer.send(Ok(reply));
                 }
             }
@@ -302,7 +302,7 @@
                 // Dropping the sender tells the asker that no answer will come.
                 waiting.lock().remove(&id);
             }
-            BackwardFrame::Pong => shared.counters.count_received(TrafficClass::Control, bytes),
+            BackwardFrame::Pong => shared.counters.count_received(Mechanism::KEEP_ALIVE, bytes),
         }
     }
     Err(io::ErrorKind::UnexpectedEof.into())
--- a/crates/courseshed-transport/src/lib.rs
+++ b/crates/courseshed-transport/src/lib.rs
@@ -20,8 +20,8 @@
 mod transport;
 
 pub use backoff::Backoff;
-pub use counters::{ClassCounters, TrafficCounters, TrafficSnapshot};
+pub use counters::{TrafficCounters, TrafficSnapshot};
 pub use error::{RequestError, SendError, StartError};
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION};
-pub use protocol::{Handler, PeerIdentity, Protocol, ReplySender, TrafficClass};
+pub use protocol::{Handler, Mechanism, PeerIdentity, Protocol, ReplySender, TrafficClass};
 pub use transport::{Transport, TransportSettings};
--- a/crates/courseshed-transport/src/listener.rs
+++ b/crates/courseshed-transport/src/listener.rs
@@ -17,7 +17,7 @@
     frame::{
         BackwardFrame, ForwardFrame, Hello, LENGTH_BYTES, PROTOCOL_VERSION, codec, decode, encode,
     },
-    protocol::{PeerIdentity, Protocol, ReplySender, TrafficClass},
+    protocol::{Mechanism, PeerIdentity, Protocol, ReplySender},
     transport::Shared,
 };
 
@@ -34,7 +34,7 @@
 /// An answer that is still to come.
 struct OpenAnswer<P: Protocol> {
     id: u64,
-    class: TrafficClass,
+    mechanism: Mechanism,
     answer: oneshot::Receiver<P::Reply>,
 }
 
@@ -106,22 +106,26 @@
         let bytes = frame.len() + LENGTH_BYTES;
         match decode::<ForwardFrame<P>>(&frame)? {
             ForwardFrame::Message(message) => {
-                let class = P::message_class(&message);
-                shared.counters.count_received(class, bytes);
+                let mechanism = P::message_mechanism(&message);
+                shared.counters.count_received(mechanism, bytes);
                 shared.handler().on_message(from, message);
             }
             ForwardFrame::Request { id, request } => {
-                let class = P::request_class(&request);
-                shared.counters.count_received(class, bytes);
+                let mechanism = P::request_mechanism(&request);
+                shared.counters.count_received(mechanism, bytes);
                 let (sender, answer) = oneshot::channel();
-                let open = OpenAnswer { id, class, answer };
+                let open = OpenAnswer {
+                    id,
+                    mechanism,
+                    answer,
+                };
                 let _ = answers.send(Answer::Open(open));
                 shared
                     .handler()
                     .on_request(from, request, ReplySender(sender));
             }
             ForwardFrame::Ping => {
-                shared.counters.count_received(TrafficClass::Control, bytes);
+                shared.counters.count_received(Mechanism::KEEP_ALIVE, bytes);
                 let _ = answers.send(Answer::Pong);
             }
         }
@@ -136,13 +140,13 @@
 ) -> io::Result<()> {
     let mut open = FuturesUnordered::new();
     loop {
-        let (class, frame) = tokio::select! {
+        let (mechanism, frame) = tokio::select! {
             received = answers.recv() => match received {
                 Some(Answer::Open(answer)) => {
                     open.push(wait_for(answer));
                     continue;
                 }
-                Some(Answer::Pong) => (TrafficClass::Control, BackwardFrame::<P>::Pong),
+                Some(Answer::Pong) => (Mechanism::KEEP_ALIVE, BackwardFrame::<P>::Pong),
                 None => return Ok(()),
             },
             Some(answered) = open.next() => answered,
@@ -150,17 +154,17 @@
         let frame = encode(&frame)?;
         shared
             .counters
-            .count_sent(class, frame.len() + LENGTH_BYTES);
+            .count_sent(mechanism, frame.len() + LENGTH_BYTES);
         timeout(WRITE_TIMEOUT, writer.send(frame))
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     }
 }
 
-async fn wait_for<P: Protocol>(open: OpenAnswer<P>) -> (TrafficClass, BackwardFrame<P>) {
+async fn wait_for<P: Protocol>(open: OpenAnswer<P>) -> (Mechanism, BackwardFrame<P>) {
     let id = open.id;
     match open.answer.await {
-        Ok(reply) => (open.class, BackwardFrame::Reply { id, reply }),
-        Err(_) => (open.class, BackwardFrame::NoReply { id }),
+        Ok(reply) => (open.mechanism, BackwardFrame::Reply { id, reply }),
+        Err(_) => (open.mechanism, BackwardFrame::NoReply { id }),
     }
 }
--- a/crates/courseshed-transport/src/protocol.rs
+++ b/crates/courseshed-transport/src/protocol.rs
@@ -33,6 +33,31 @@
     }
 }
 
+/// What a message is part of, such as elections or settings; traffic is counted by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Mechanism {
+    /// The class it counts to.
+    pub class: TrafficClass,
+    /// The name used in metrics.
+    pub name: &'static str,
+}
+
+impl Mechanism {
+    /// What the transport itself says to find out whether peers are alive.
+    pub(crate) const KEEP_ALIVE: Mechanism = Mechanism {
+        class: TrafficClass::Control,
+        name: "keep_alive",
+    };
+
+    /// A class as a whole.
+    pub fn of_class(class: TrafficClass) -> Mechanism {
+        Mechanism {
+            class,
+            name: class.as_str(),
+        }
+    }
+}
+
 /// The messages of a transport.
 pub trait Protocol: Sized + Send + Sync + 'static {
     /// Told without an answer.
@@ -46,6 +71,16 @@
     fn message_class(message: &Self::Message) -> TrafficClass;
     /// What a request is for; its answer belongs to the same class.
     fn request_class(request: &Self::Request) -> TrafficClass;
+
+    /// What a message is part of.
+    fn message_mechanism(message: &Self::Message) -> Mechanism {
+        Mechanism::of_class(Self::message_class(message))
+    }
+
+    /// What a request is part of; its answer belongs to the same.
+    fn request_mechanism(request: &Self::Request) -> Mechanism {
+        Mechanism::of_class(Self::request_class(request))
+    }
 }
 
 /// Who speaks.
--- a/crates/courseshed-transport/src/transport.rs
+++ b/crates/courseshed-transport/src/transport.rs
@@ -159,13 +159,13 @@
     /// # Errors
     /// When the message was not even queued.
     pub fn send(&self, to: NodeId, message: P::Message) -> Result<(), SendError> {
-        let class = P::message_class(&message);
-        let Some(queue) = self.queue(to, class) else {
-            self.shared.counters.count_dropped(class);
+        let mechanism = P::message_mechanism(&message);
+        let Some(queue) = self.queue(to, mechanism.class) else {
+            self.shared.counters.count_dropped(mechanism);
             return Err(SendError::UnknownPeer { node: to });
         };
         queue.try_send(Outgoing::Message(message)).map_err(|_| {
-            self.shared.counters.count_dropped(class);
+            self.shared.counters.count_dropped(mechanism);
             SendError::QueueFull { node: to }
         })
     }
