Give a repeatable call another engine two seconds after its own is lost

Cause: an attempt whose engine could not be reached counted as lost after 15 s, whatever its kind; a repeatable call loses nothing but engine time by going on earlier. A call that waited too long was told no time to come back. Change: a limit of 2 s for repeatable calls; Retry-After on the refusal of calls that waited too long.

--- a/crates/courseshed-programs/src/leader/config.rs
+++ b/crates/courseshed-programs/src/leader/config.rs
@@ -28,6 +28,8 @@
     pub query_interval: Duration,
     /// An engine that can't be reached for so long counts as lost, with all that ran there.
     pub unreachable_limit: Duration,
+    /// The same for attempts of repeatable calls, which lose nothing but engine time if the engine comes back.
+    pub unreachable_repeatable: Duration,
     /// An assignment is held for so long until a gateway is there to run it.
     pub runner_wait: Duration,
     /// Attempts of one call, whatever their end.
@@ -72,6 +74,7 @@
             start_margin: Duration::from_secs(2),
             query_interval: Duration::from_secs(1),
             unreachable_limit: Duration::from_secs(15),
+            unreachable_repeatable: Duration::from_secs(2),
             runner_wait: Duration::from_secs(2),
             max_attempts: 8,
             max_doubtful_attempts: 3,
--- a/crates/courseshed-programs/src/leader/recovery.rs
+++ b/crates/courseshed-programs/src/leader/recovery.rs
@@ -181,7 +181,14 @@
         request: RequestId,
         reason: String,
     ) {
-        let limit = self.config.unreachable_limit;
+        let repeatable = state
+            .open_call(request.call)
+            .is_some_and(|open| open.repeatable);
+        let limit = match repeatable {
+            true => self.config.unreachable_repeatable,
+            false => self.config.unreachable_limit,
+        };
+        let limit = limit.min(self.config.unreachable_limit);
         let interval = self.config.query_interval;
         let Some(live) = self.live_mut(request.call) else {
             return;
--- a/crates/courseshed-programs/src/verdicts/mod.rs
+++ b/crates/courseshed-programs/src/verdicts/mod.rs
@@ -186,6 +186,7 @@
         ErrorCode::DeadlineExceeded,
         "no engine was free before the call's waiting time ran out",
     )
+    .retry_after(LIMIT_RETRY)
 }
 
 /// The controller did not grant escrow in time.
