Poll only the engines of a node's own pools, and announce calls to new owners

Cause: each node with one dispatcher polled every engine of its region four times a second. A shard leader with an older map answered a new owner's question to the old owner, and nothing asked again. A lost message left a call waiting, or an engine's place taken, until the call's end.

--- a/crates/courseshed-node/src/dispatchers/engines.rs
+++ b/crates/courseshed-node/src/dispatchers/engines.rs
@@ -1,93 +1,41 @@
 //! The actor that talks to engines besides calls: polls load and cache events for this node's dispatchers, and
 //! executes orders and questions.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use actix::{Actor, AsyncContext, Context};
 use courseshed_engine::{EngineClient, EngineConnector, EngineError, EngineTimeouts};
-use courseshed_types::{
-    EngineId,
-    dispatch::{EngineLoad, EngineMember, EngineOrder, EngineOrderBody, LeaseEntry},
-};
-use parking_lot::Mutex;
+use courseshed_types::dispatch::{EngineOrder, EngineOrderBody};
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::{
     context::NodeContext,
-    dispatchers::{exports::ExportStore, orders::EngineTask},
+    dispatchers::{exports::ExportStore, orders::EngineTask, polling::EnginePoller},
     shards::{EngineQuestion, find_attempt, give_finding},
 };
 
-/// Time between two polls of an engine.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Polls between two listings of an engine's leases.
-const POLLS_PER_LISTING: u64 = 40;
-/// Polls that fail in a row before an engine counts as unreachable.
-const FAILURES_TO_REPORT: u32 = 3;
+/// Time between two looks at which engines are to be polled.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Orders and questions under way at once.
 const TASKS_AT_ONCE: usize = 64;
 
-/// What is known of one engine between polls.
-#[derive(Debug, Default)]
-struct Watch {
-    is_polled: bool,
-    polls: u64,
-    failures: u32,
-    start: u64,
-    last_event: u64,
-}
-
-type Watches = Rc<Mutex<BTreeMap<EngineId, Watch>>>;
-
 /// Talks to engines.
 pub struct EngineWorker {
     context: Arc<NodeContext>,
     connector: EngineConnector,
-    watches: Watches,
+    poller: EnginePoller,
 }
 
 impl EngineWorker {
     /// A worker for the node; must be started on the arbiter it stays on.
     pub fn new(context: Arc<NodeContext>) -> EngineWorker {
-        let timeouts = engine_timeouts(&context);
+        let connector = EngineConnector::new(engine_timeouts(&context));
         EngineWorker {
+            poller: EnginePoller::new(context.clone(), connector.clone()),
             context,
-            connector: EngineConnector::new(timeouts),
-            watches: Watches::default(),
-        }
-    }
-
-    fn poll_all(&self) {
-        if self.context.dispatchers.all().is_empty() {
-            return;
-        }
-        let map = self.context.view.map();
-        let region = &self.context.settings.region;
-        let engines = &map.engines.engines;
-        self.watches
-            .lock()
-            .retain(|id, _| engines.iter().any(|engine| &engine.engine == id));
-        for engine in engines.iter().filter(|engine| &engine.region == region) {
-            self.poll(engine);
+            connector,
         }
     }
-
-    fn poll(&self, engine: &EngineMember) {
-        let mut watches = self.watches.lock();
-        let watch = watches.entry(engine.engine.clone()).or_default();
-        if watch.is_polled {
-            return;
-        }
-        watch.is_polled = true;
-        drop(watches);
-        let poll = Poll {
-            context: self.context.clone(),
-            client: self.connector.engine(&engine.address),
-            engine: engine.engine.clone(),
-            watches: self.watches.clone(),
-        };
-        actix_rt::spawn(poll.run());
-    }
 }
 
 /// How long this node waits for engines.
@@ -105,7 +53,7 @@
     type Context = Context<EngineWorker>;
 
     fn started(&mut self, context: &mut Context<EngineWorker>) {
-        context.run_interval(POLL_INTERVAL, |worker, _| worker.poll_all());
+        context.run_interval(LOOK_INTERVAL, |worker, _| worker.poller.poll_due());
         if let Some(tasks) = self.context.engines.take_receiver() {
             let executor = run_tasks(self.context.clone(), self.connector.clone(), tasks);
             actix_rt::spawn(executor);
@@ -113,120 +61,6 @@
     }
 }
 
-/// One poll of one engine.
-struct Poll {
-    context: Arc<NodeContext>,
-    client: EngineClient,
-    engine: EngineId,
-    watches: Watches,
-}
-
-impl Poll {
-    async fn run(self) {
-        let result = self.ask().await;
-        let mut watches = self.watches.lock();
-        let Some(watch) = watches.get_mut(&self.engine) else {
-            return;
-        };
-        watch.is_polled = false;
-        watch.polls += 1;
-        match result {
-            Ok(()) => watch.failures = 0,
-            Err(error) => {
-                watch.failures += 1;
-                if watch.failures == FAILURES_TO_REPORT {
-                    log::warn!(engine = self.engine.as_str(); "engine unreachable: {error}");
-                }
-                if watch.failures >= FAILURES_TO_REPORT {
-                    self.report_unreachable();
-                }
-            }
-        }
-    }
-
-    async fn ask(&self) -> Result<(), EngineError> {
-        let load = self.client.load().await?;
-        let lists = self.note_start(&load);
-        self.report_load(load);
-        self.ask_events().await?;
-        if lists {
-            self.ask_leases().await?;
-        }
-        Ok(())
-    }
-
-    /// Whether the leases are to be listed this time.
-    fn note_start(&self, load: &EngineLoad) -> bool {
-        let mut watches = self.watches.lock();
-        let Some(watch) = watches.get_mut(&self.engine) else {
-            return false;
-        };
-        if watch.start != load.start {
-            watch.start = load.start;
-            watch.last_event = 0;
-        }
-        watch.polls % POLLS_PER_LISTING == POLLS_PER_LISTING - 1
-    }
-
-    async fn ask_events(&self) -> Result<(), EngineError> {
-        let after = self
-            .watches
-            .lock()
-            .get(&self.engine)
-            .map(|watch| watch.last_event);
-        let batch = self.client.cache_events(after.unwrap_or_default()).await?;
-        if let Some(watch) = self.watches.lock().get_mut(&self.engine) {
-            watch.last_event = batch.last;
-        }
-        if batch.events.is_empty() {
-            return Ok(());
-        }
-        for slot in self.context.dispatchers.all() {
-            slot.step(&self.context, |dispatcher, now| {
-                for event in &batch.events {
-                    dispatcher.on_cache_event(now, &self.engine, event.clone());
-                }
-            });
-        }
-        Ok(())
-    }
-
-    async fn ask_leases(&self) -> Result<(), EngineError> {
-        let listing = self.client.leases().await?;
-        let entries: Vec<LeaseEntry> = listing
-            .leases
-            .iter()
-            .map(|lease| LeaseEntry {
-                program: lease.program,
-                tokens: lease.held_tokens,
-                leased_for: Some(Duration::from_millis(lease.ttl_ms)),
-            })
-            .collect();
-        for slot in self.context.dispatchers.all() {
-            slot.step(&self.context, |dispatcher, now| {
-                dispatcher.on_cache_listing(now, &self.engine, &entries);
-            });
-        }
-        Ok(())
-    }
-
-    fn report_load(&self, load: EngineLoad) {
-        for slot in self.context.dispatchers.all() {
-            slot.step(&self.context, |dispatcher, now| {
-                dispatcher.on_engine_load(now, &self.engine, load.clone());
-            });
-        }
-    }
-
-    fn report_unreachable(&self) {
-        for slot in self.context.dispatchers.all() {
-            slot.step(&self.context, |dispatcher, now| {
-                dispatcher.on_engine_unreachable(now, &self.engine);
-            });
-        }
-    }
-}
-
 async fn run_tasks(
     context: Arc<NodeContext>,
     connector: EngineConnector,
--- a/crates/courseshed-node/src/dispatchers/mod.rs
+++ b/crates/courseshed-node/src/dispatchers/mod.rs
@@ -2,7 +2,9 @@
 
 mod engines;
 mod exports;
+mod handover;
 mod orders;
+mod polling;
 mod slot;
 mod table;
 mod ticker;
--- a/crates/courseshed-node/src/dispatchers/table.rs
+++ b/crates/courseshed-node/src/dispatchers/table.rs
@@ -14,7 +14,10 @@
 };
 use parking_lot::RwLock;
 
-use crate::{context::NodeContext, dispatchers::slot::DispatcherSlot};
+use crate::{
+    context::NodeContext,
+    dispatchers::{handover::pools_of_region, slot::DispatcherSlot},
+};
 
 /// The dispatchers a node owns.
 #[derive(Default)]
@@ -84,6 +87,18 @@
         }
     }
 
+    /// Asks the shards again for all their calls: what was lost between a leader and a dispatcher, calls and ends of
+    /// calls alike, is made good by it.
+    pub fn reconcile_calls(&self, context: &NodeContext) {
+        let map = context.view.map();
+        for slot in self.all() {
+            let leaders = replicas_of(&map, slot.pool());
+            slot.step(context, |dispatcher, _| {
+                dispatcher.ask_announcements(&leaders)
+            });
+        }
+    }
+
     fn start(&self, context: &NodeContext, map: &MemberMap, pool: PoolId) -> Arc<DispatcherSlot> {
         log::info!(region = pool.region.as_str(), model = pool.model.as_str(); "dispatcher started");
         let identity = DispatcherIdentity {
@@ -126,19 +141,7 @@
     map: &MemberMap,
     policy: &PolicySnapshot,
 ) -> BTreeSet<PoolId> {
-    let region = &context.settings.region;
-    let of_region = map
-        .engines
-        .engines
-        .iter()
-        .filter(|engine| &engine.region == region);
-    let served = of_region.flat_map(|engine| engine.models.iter());
-    served
-        .chain(policy.models.iter())
-        .map(|model| PoolId {
-            region: region.clone(),
-            model: model.clone(),
-        })
-        .filter(|pool| dispatcher_for(pool, map) == Some(context.identity.node))
-        .collect()
+    let mut pools = pools_of_region(&context.settings.region, map, policy);
+    pools.retain(|pool| dispatcher_for(pool, map) == Some(context.identity.node));
+    pools
 }
