Share one buffer of text between a call and its caller, and test the callers' interface

Cause: each token was copied into an event of its own, queued, and rendered alone; a caller that read slowly was cut off. An attempt whose stream was lost stayed reported as alive while its end was reported, so its shard never asked the engine, and the call hung for two minutes. An order to start was followed however old it was. Change: task and connection share the text; what is new leaves in one event; a caller that stops reading a settled answer is let go after timeouts.caller_stall beyond limits.stream_buffer. An attempt leaves the list of live streams before its end is reported. Orders past their validity are refused as not started.

--- a/crates/courseshed-emulator/tests/engine.rs
+++ b/crates/courseshed-emulator/tests/engine.rs
@@ -10,7 +10,6 @@
 use courseshed_types::call::FinishReason;
 use courseshed_types::dispatch::CacheChange;
 use courseshed_types::{ChatMessage, ChatRole, EngineCall, ModelName, Sequence, Tokens, Verdict};
-use futures_util::StreamExt;
 use std::time::Duration;
 use support::*;
 
--- a/crates/courseshed-node/src/dispatchers/engines.rs
+++ b/crates/courseshed-node/src/dispatchers/engines.rs
@@ -1,7 +1,7 @@
 //! The actor that talks to engines besides calls: polls load and cache events for this node's dispatchers, and
 //! executes orders and questions.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use actix::{Actor, AsyncContext, Context};
 use courseshed_engine::{EngineClient, EngineConnector, EngineError, EngineTimeouts};
--- a/crates/courseshed-node/src/gateway/call.rs
+++ b/crates/courseshed-node/src/gateway/call.rs
@@ -7,7 +7,7 @@
     program::EndReason,
     shard::{SettledCall, ShardReply, ShardRequestBody, SubmitCall},
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::{
     context::SharedContext,
@@ -16,10 +16,10 @@
         documents::CompletionDocument,
         driver::CallDriver,
         error::{ApiError, HEADER_VERDICT, internal},
-        events::{CallEvent, CallSink},
+        events::{CallEnd, CallProgress, CallReader, StallBounds, call_text},
         parse::{HEADER_ATTEMPT, HEADER_PROGRAM, HEADER_SEQUENCE},
         sse::{EventId, SseBody, StreamShape},
-        streams::ActiveCall,
+        streams::{ActiveCall, OpenBody},
     },
     shards::ShardPatience,
 };
@@ -62,9 +62,12 @@
     let active = ActiveCall::enter(context, limit).ok_or_else(too_many)?;
     let shape = plan.shape.clone();
     let program = plan.program;
-    let buffer_bytes = context.settings.limits.stream_buffer_bytes;
+    let bounds = StallBounds {
+        buffer_bytes: context.settings.limits.stream_buffer_bytes,
+        patience: context.settings.timeouts.caller_stall,
+    };
     let skip = shape.had.map_or(0, |had| had.bytes);
-    let (sink, mut events) = CallSink::channel(buffer_bytes, shape.stream, skip);
+    let (sink, reader) = call_text(bounds, shape.stream, skip);
     let (placed, place) = oneshot::channel();
     let driver = CallDriver {
         context: context.clone(),
@@ -72,41 +75,30 @@
         patience: patience(context),
         sink,
         resumed_attempt: shape.had.map(|had| had.attempt),
+        only_follows: matches!(plan.first, ShardRequestBody::AttachCall(_)),
     };
     actix_rt::spawn(run(driver, plan, placed, active));
     let call = place.await.ok();
-    match events.recv().await {
-        Some(CallEvent::Broken(error)) => Err(error.into()),
-        Some(CallEvent::Settled(settled)) if !shape.stream => {
-            settled_response(context, &shape, &settled)
-        }
-        Some(CallEvent::Settled(settled)) => match &settled.outcome {
-            CallOutcome::Failed(error) => Err(error.clone().into()),
-            CallOutcome::Answered(answer) => {
-                let attempt = answer.attempt;
-                let call = settled.call;
-                let first = CallEvent::Settled(settled);
-                Ok(stream_response(
-                    context, call, attempt, shape, first, events,
-                ))
-            }
-        },
-        Some(CallEvent::Text {
-            attempt,
-            end,
-            delta,
-        }) => {
+    let end = match reader.progress().await {
+        CallProgress::Text => {
             let call = call.ok_or_else(|| internal_doubt(program))?;
-            let first = CallEvent::Text {
-                attempt,
-                end,
-                delta,
-            };
-            Ok(stream_response(
-                context, call, attempt, shape, first, events,
-            ))
+            let attempt = reader.attempt();
+            return Ok(stream_response(context, call, attempt, shape, reader, None));
+        }
+        CallProgress::End(end) => end,
+    };
+    let settled = match end {
+        CallEnd::Broken(error) => return Err(error.into()),
+        CallEnd::Settled(settled) => settled,
+    };
+    match &settled.outcome {
+        CallOutcome::Failed(error) => Err(error.clone().into()),
+        CallOutcome::Answered(_) if !shape.stream => settled_response(context, &shape, &settled),
+        CallOutcome::Answered(answer) => {
+            let (call, attempt) = (settled.call, answer.attempt);
+            let end = Some(CallEnd::Settled(settled));
+            Ok(stream_response(context, call, attempt, shape, reader, end))
         }
-        None => Err(internal_doubt(program)),
     }
 }
 
@@ -204,8 +196,8 @@
     call: CallId,
     attempt: Attempt,
     shape: AnswerShape,
-    first: CallEvent,
-    events: mpsc::Receiver<CallEvent>,
+    reader: CallReader,
+    end: Option<CallEnd>,
 ) -> HttpResponse {
     let stream_shape = StreamShape {
         call,
@@ -214,7 +206,7 @@
         include_usage: shape.include_usage,
     };
     let had = shape.had.filter(|had| had.attempt == attempt);
-    let body = SseBody::new(stream_shape, first, events, had);
+    let body = SseBody::new(stream_shape, reader, end, had).counted(OpenBody::enter(context));
     HttpResponse::Ok()
         .content_type("text/event-stream")
         .insert_header((header::CACHE_CONTROL, "no-cache"))
--- a/crates/courseshed-node/src/gateway/driver.rs
+++ b/crates/courseshed-node/src/gateway/driver.rs
@@ -36,6 +36,8 @@
     pub sink: CallSink,
     /// The attempt of which the caller had the offset, if it came back.
     pub resumed_attempt: Option<Attempt>,
+    /// Whether the task is there for its caller's sake only, since the call was made by another request.
+    pub only_follows: bool,
 }
 
 impl CallDriver {
@@ -45,6 +47,7 @@
         loop {
             reply = match reply {
                 Ok(ShardReply::Start(order)) => self.run(*order).await,
+                Ok(ShardReply::Attach(_)) if self.only_follows && !self.sink.has_reader() => return,
                 Ok(ShardReply::Attach(order)) => self.follow(order).await,
                 Ok(ShardReply::Outcome(settled)) => return self.sink.settled(settled),
                 Ok(other) => return self.sink.broken(unexpected(&other)),
@@ -65,11 +68,15 @@
             max_bytes: self.max_answer_bytes(),
             sink: &mut self.sink,
         };
-        let result = reader.start(&order.call).await;
-        self.context.metrics.attempt_ended(&result);
-        let reply = self.report(request.call, request, result).await;
+        let result = match self.context.clock.now() > order.valid_until {
+            // Its shard may be about to give the call another attempt.
+            true => AttemptResult::NotStarted("the order to start it came too late".to_owned()),
+            false => reader.start(&order.call).await,
+        };
+        // From here on the stream is not alive: a shard that is told otherwise would not ask the engine about it.
         self.context.gateway.streams.remove(request);
-        reply
+        self.context.metrics.attempt_ended(&result);
+        self.report(request.call, request, result).await
     }
 
     /// Reads along an attempt that was sent to its engine before.
--- a/crates/courseshed-node/src/gateway/mod.rs
+++ b/crates/courseshed-node/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 mod sse;
 mod streams;
 
-pub use auth::{Caller, authenticate, is_operator, sha256_hex};
+pub use auth::{Caller, authenticate, is_operator, sees_branches, sha256_hex};
 pub use documents::ProgramDocument;
 pub use error::{ApiError, unknown_path};
 pub use routes::{GatewayWorker, configure};
@@ -49,4 +49,9 @@
     pub fn active_calls(&self) -> usize {
         self.calls.count()
     }
+
+    /// Streams that callers are still reading.
+    pub fn open_bodies(&self) -> usize {
+        self.calls.open_bodies()
+    }
 }
--- a/crates/courseshed-node/src/gateway/reader.rs
+++ b/crates/courseshed-node/src/gateway/reader.rs
@@ -37,10 +37,9 @@
     pub sink: &'a mut CallSink,
 }
 
-/// The text read so far.
+/// How far the answer was read; its text is in the sink.
 #[derive(Default)]
 struct Reading {
-    text: String,
     offset: u64,
     resumes: u32,
 }
@@ -48,7 +47,7 @@
 impl AttemptReader<'_> {
     /// Sends the attempt to its engine and reads the whole answer.
     pub async fn start(mut self, call: &EngineCall) -> AttemptResult {
-        self.sink.begin_attempt();
+        self.sink.begin_attempt(self.request.attempt);
         let mut reading = Reading::default();
         match self.client.start_stream(call).await {
             Ok(stream) => self.read(stream, &mut reading).await,
@@ -61,7 +60,7 @@
 
     /// Reads the whole answer of an attempt that was sent before; none if that can't be done from here.
     pub async fn follow(mut self) -> Option<AttemptResult> {
-        self.sink.begin_attempt();
+        self.sink.begin_attempt(self.request.attempt);
         let stream = self.client.resume(&self.request, 0).await.ok()?;
         let mut reading = Reading::default();
         match self.read(stream, &mut reading).await {
@@ -118,14 +117,13 @@
             if !event.delta.is_empty() {
                 reading.resumes = 0;
                 reading.offset = event.offset;
-                reading.text.push_str(&event.delta);
-                self.sink.text(self.request.attempt, &event.delta);
+                self.sink.text(&event.delta);
             }
-            if reading.text.len() > self.max_bytes {
+            if self.sink.attempt_bytes() > self.max_bytes {
                 return self.give_up_too_large().await;
             }
             if let Some(finish) = event.finish {
-                return self.answered(std::mem::take(&mut reading.text), finish);
+                return self.answered(finish);
             }
         }
         AttemptResult::Lost("the stream ended without an end".to_owned())
@@ -137,7 +135,8 @@
         AttemptResult::Failed(message)
     }
 
-    fn answered(&self, text: String, finish: StreamFinish) -> AttemptResult {
+    fn answered(&self, finish: StreamFinish) -> AttemptResult {
+        let text = self.sink.attempt_text();
         AttemptResult::Answered(CallAnswer {
             message: ChatMessage::text(ChatRole::Assistant, text),
             finish_reason: finish.reason,
--- a/crates/courseshed-node/src/gateway/sse.rs
+++ b/crates/courseshed-node/src/gateway/sse.rs
@@ -4,7 +4,6 @@
 //! comes back with it gets the rest, from whichever gateway, engine or record holds it.
 
 use std::{
-    collections::VecDeque,
     fmt::Write as _,
     pin::Pin,
     str::FromStr,
@@ -12,20 +11,18 @@
 };
 
 use bytes::Bytes;
-use courseshed_types::{
-    Attempt, CallAnswer, CallError, CallId, CallOutcome, ErrorCode, Verdict, shard::SettledCall,
-};
+use courseshed_types::{Attempt, CallAnswer, CallError, CallId, CallOutcome, ErrorCode, Verdict};
 use futures_util::Stream;
-use tokio::sync::mpsc;
 
 use crate::gateway::{
     documents::{UsageDocument, completion_id},
     error::ApiError,
-    events::CallEvent,
+    events::{CallEnd, CallProgress, CallReader, diverged},
+    streams::OpenBody,
 };
 
-/// Events put into one write at most.
-const EVENTS_PER_WRITE: usize = 64;
+/// Bytes of an event beside its head and its text, roughly.
+const EVENT_BYTES: usize = 128;
 
 /// The place of an event in an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,46 +58,68 @@
     pub include_usage: bool,
 }
 
-/// The events of one call as the body of a response.
+/// The answer of one call as the body of a response.
 pub struct SseBody {
-    events: mpsc::Receiver<CallEvent>,
-    first: VecDeque<CallEvent>,
+    reader: CallReader,
+    /// The end, if it was told before the body was made.
+    end: Option<CallEnd>,
     renderer: Renderer,
     ended: bool,
+    /// Counts the body as open until its connection has taken it whole or is gone.
+    counted: Option<OpenBody>,
 }
 
 impl SseBody {
-    /// The body that begins with `first`, for a caller that had `had` bytes.
+    /// The body for a caller that had `had` bytes; `end` if there is no more text.
     pub fn new(
         shape: StreamShape,
-        first: CallEvent,
-        events: mpsc::Receiver<CallEvent>,
+        reader: CallReader,
+        end: Option<CallEnd>,
         had: Option<EventId>,
     ) -> SseBody {
         SseBody {
-            events,
-            first: VecDeque::from([first]),
+            reader,
+            end,
             renderer: Renderer::new(shape, had),
             ended: false,
+            counted: None,
         }
     }
 
-    fn take(&mut self, event: CallEvent, out: &mut String) {
-        match event {
-            CallEvent::Text {
-                attempt,
-                end,
-                delta,
-            } => self.renderer.text(attempt, end, &delta, out),
-            CallEvent::Settled(settled) => {
-                self.ended = true;
-                self.renderer.settled(&settled, out);
-            }
-            CallEvent::Broken(error) => {
-                self.ended = true;
-                render_error(error, out);
-            }
+    /// The same body, counted as open.
+    pub fn counted(mut self, counted: OpenBody) -> SseBody {
+        self.counted = Some(counted);
+        self
+    }
+
+    fn render_text(&mut self, out: &mut String) {
+        let renderer = &mut self.renderer;
+        let rendered = self
+            .reader
+            .take_text(|attempt, end, text| renderer.text(attempt, end, text, out));
+        if rendered.is_none() {
+            self.ended = true;
+            render_error(not_a_place(), out);
+        }
+    }
+
+    fn render_end(&mut self, end: CallEnd, out: &mut String) {
+        self.ended = true;
+        match end {
+            CallEnd::Broken(error) => render_error(error, out),
+            CallEnd::Settled(settled) => match &settled.outcome {
+                CallOutcome::Failed(error) => render_error(error.clone(), out),
+                CallOutcome::Answered(answer) => self.render_answer(answer, out),
+            },
+        }
+    }
+
+    fn render_answer(&mut self, answer: &CallAnswer, out: &mut String) {
+        let text = answer.message.content.as_str().unwrap_or_default();
+        if !self.reader.agrees_with(text) {
+            return render_error(diverged(), out);
         }
+        self.renderer.answered(answer, text, out);
     }
 }
 
@@ -113,34 +132,23 @@
             return Poll::Ready(None);
         }
         let mut out = String::new();
-        for _ in 0..EVENTS_PER_WRITE {
-            let event = match this.first.pop_front() {
-                Some(event) => Poll::Ready(Some(event)),
-                None => this.events.poll_recv(context),
-            };
-            match event {
-                Poll::Ready(Some(event)) => this.take(event, &mut out),
-                Poll::Ready(None) => {
-                    this.ended = true;
-                    render_error(let_go(), &mut out);
-                }
+        if let Some(end) = this.end.take() {
+            this.render_end(end, &mut out);
+            return Poll::Ready(Some(Ok(Bytes::from(out))));
+        }
+        // Text and the end that follows it leave in one write.
+        while !this.ended {
+            match this.reader.poll_progress(context) {
+                Poll::Ready(CallProgress::Text) => this.render_text(&mut out),
+                Poll::Ready(CallProgress::End(end)) => this.render_end(end, &mut out),
                 Poll::Pending if out.is_empty() => return Poll::Pending,
                 Poll::Pending => break,
             }
-            if this.ended {
-                break;
-            }
         }
         Poll::Ready(Some(Ok(Bytes::from(out))))
     }
 }
 
-fn let_go() -> CallError {
-    let message =
-        "the stream was read too slowly; the call goes on: ask for it again with Last-Event-ID";
-    CallError::may_have_run(ErrorCode::Unavailable, message)
-}
-
 /// Renders chunks.
 struct Renderer {
     shape: StreamShape,
@@ -176,32 +184,21 @@
         } else {
             ""
         };
-        let delta = quoted(delta);
         let head = &self.head;
+        out.reserve(EVENT_BYTES + head.len() + delta.len());
         let _ = write!(
             out,
-            "id: {attempt}.{end}\n{head}{{\"index\":0,\"delta\":{{{role}\"content\":{delta}}},\"finish_reason\":null}}]}}\n\n"
+            "id: {attempt}.{end}\n{head}{{\"index\":0,\"delta\":{{{role}\"content\":{}}},\"finish_reason\":null}}]}}\n\n",
+            quoted(delta)
         );
     }
 
-    fn settled(&mut self, settled: &SettledCall, out: &mut String) {
-        match &settled.outcome {
-            CallOutcome::Answered(answer) => self.answered(answer, out),
-            CallOutcome::Failed(error) => render_error(error.clone(), out),
-        }
-    }
-
-    fn answered(&mut self, answer: &CallAnswer, out: &mut String) {
-        let text = answer.message.content.as_str().unwrap_or_default();
-        let had = if self.attempt == answer.attempt || self.attempt == Attempt(0) {
-            usize::try_from(self.bytes).unwrap_or(usize::MAX)
-        } else {
-            0
-        };
+    fn answered(&mut self, answer: &CallAnswer, text: &str, out: &mut String) {
+        let had = usize::try_from(self.bytes).unwrap_or(usize::MAX);
         match text.get(had..) {
             Some("") => {}
             Some(rest) => self.text(answer.attempt, text.len() as u64, rest, out),
-            None => return render_error(beyond_answer(), out),
+            None => return render_error(not_a_place(), out),
         }
         self.finish(answer, out);
     }
@@ -223,8 +220,8 @@
     }
 }
 
-fn beyond_answer() -> CallError {
-    let message = "Last-Event-ID lies beyond the answer; ask again without it";
+fn not_a_place() -> CallError {
+    let message = "Last-Event-ID is no place of this answer; ask again without it";
     CallError {
         code: ErrorCode::InvalidRequest,
         verdict: Verdict::Ran,
--- a/crates/courseshed-node/src/gateway/streams.rs
+++ b/crates/courseshed-node/src/gateway/streams.rs
@@ -63,9 +63,12 @@
     }
 }
 
-/// Counts calls under way.
+/// Counts calls under way, and answers that callers are still reading.
 #[derive(Default)]
-pub struct ActiveCalls(AtomicUsize);
+pub struct ActiveCalls {
+    calls: AtomicUsize,
+    bodies: AtomicUsize,
+}
 
 /// One call under way; counted until it is dropped.
 pub struct ActiveCall(Arc<NodeContext>);
@@ -73,14 +76,38 @@
 impl ActiveCalls {
     /// Calls under way.
     pub fn count(&self) -> usize {
-        self.0.load(Ordering::Acquire)
+        self.calls.load(Ordering::Acquire)
+    }
+
+    /// Streams that callers are still reading.
+    pub fn open_bodies(&self) -> usize {
+        self.bodies.load(Ordering::Acquire)
+    }
+}
+
+/// One stream that a caller is reading; counted until it is dropped.
+pub struct OpenBody(Arc<NodeContext>);
+
+impl OpenBody {
+    /// Counts a stream.
+    pub fn enter(context: &SharedContext) -> OpenBody {
+        let bodies = &context.gateway.calls.bodies;
+        bodies.fetch_add(1, Ordering::AcqRel);
+        OpenBody(context.clone())
+    }
+}
+
+impl Drop for OpenBody {
+    fn drop(&mut self) {
+        let bodies = &self.0.gateway.calls.bodies;
+        bodies.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
 impl ActiveCall {
     /// Counts a call, unless `limit` are under way already.
     pub fn enter(context: &SharedContext, limit: usize) -> Option<ActiveCall> {
-        let count = &context.gateway.calls.0;
+        let count = &context.gateway.calls.calls;
         if count.fetch_add(1, Ordering::AcqRel) >= limit {
             count.fetch_sub(1, Ordering::AcqRel);
             return None;
@@ -91,7 +118,8 @@
 
 impl Drop for ActiveCall {
     fn drop(&mut self) {
-        self.0.gateway.calls.0.fetch_sub(1, Ordering::AcqRel);
+        let count = &self.0.gateway.calls.calls;
+        count.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
--- a/crates/courseshed-node/src/metrics/mod.rs
+++ b/crates/courseshed-node/src/metrics/mod.rs
@@ -38,6 +38,8 @@
     Lost,
 }
 
+/// Reads one count of a dispatcher.
+type CountOf = fn(&DispatcherStats) -> u64;
 type WholeGauge = Gauge<i64, AtomicI64>;
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -274,11 +276,11 @@
     }
 
     fn refresh_pools(&self, pools: &BTreeMap<PoolId, DispatcherStats>) {
-        let sum = |of: fn(&DispatcherStats) -> u64| pools.values().map(of).sum::<u64>() as i64;
+        let sum = |of: CountOf| pools.values().map(of).sum::<u64>() as i64;
         self.pools.set(pools.len() as i64);
         self.waiting_calls.set(sum(|stats| stats.waiting as u64));
         self.running_calls.set(sum(|stats| stats.in_flight as u64));
-        let kinds: [(&'static str, fn(&DispatcherStats) -> u64); 11] = [
+        let kinds: [(&'static str, CountOf); 11] = [
             ("assigned", |stats| stats.counters.assigned),
             ("resent", |stats| stats.counters.resent),
             ("shed_overload", |stats| stats.counters.shed_overload),
--- a/crates/courseshed-node/src/protocol.rs
+++ b/crates/courseshed-node/src/protocol.rs
@@ -107,7 +107,7 @@
 /// The part of a message's name that says what it is part of.
 fn message_name(message: &NodeMessage) -> &'static str {
     match message {
-        NodeMessage::ShardLog(message) => log_name(&message.body, "shard_log", "shard_election"),
+        NodeMessage::ShardLog(log) => log_name(&log.message.body, "shard_log", "shard_election"),
         NodeMessage::ControlLog(message) => {
             log_name(&message.body, "control_log", "control_election")
         }
@@ -120,6 +120,7 @@
     match request {
         NodeRequest::Shard(_) => "shard_request",
         NodeRequest::Control(_) => "control_request",
+        NodeRequest::ControlLogState => "control_log_state",
         NodeRequest::Explain { .. } => "explain",
     }
 }
--- a/crates/courseshed-node/tests/support/mod.rs
+++ b/crates/courseshed-node/tests/support/mod.rs
@@ -86,10 +86,20 @@
 
 /// One node that stands alone.
 pub fn start_lone(engines: &[&EngineHandle], tree: &str) -> LoneNode {
+    start_lone_with(engines, tree, |_| {})
+}
+
+/// One node that stands alone, with some of its settings changed.
+pub fn start_lone_with(
+    engines: &[&EngineHandle],
+    tree: &str,
+    change: impl FnOnce(&mut NodeSettings),
+) -> LoneNode {
     let folder = tempfile::tempdir().expect("a folder");
     let mut options = NodeOptions::new(lone_settings(engines, folder.path()));
     options.http_workers = 1;
     options.initial_tree = Some(SettingsTree::parse(tree).expect("valid tree"));
+    change(&mut options.settings);
     LoneNode {
         handle: Node::start(options).expect("the node starts"),
         _folder: folder,
@@ -305,3 +315,38 @@
 pub fn is_whole(events: &[SseEvent]) -> bool {
     events.last().is_some_and(|event| event.data == "[DONE]")
 }
+
+impl Caller {
+    /// Posts a body as it is, well formed or not.
+    pub async fn post_text(&self, path: &str, body: &str) -> Answer {
+        let request = self.client.post(self.url(path));
+        let request = request.insert_header(("Content-Type", "application/json"));
+        read(request.send_body(body.to_owned()).await.expect("answered")).await
+    }
+
+    /// Posts and gives the stream of events as it comes.
+    pub async fn stream(
+        &self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> SseReader<impl Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + use<>>
+    {
+        let mut request = self.client.post(self.url(path));
+        for (name, value) in headers {
+            request = request.insert_header((*name, *value));
+        }
+        let response = request.send_json(body).await.expect("answered");
+        assert_eq!(response.status(), StatusCode::OK);
+        SseReader::new(response)
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until(mut holds: impl AsyncFnMut() -> bool) {
+    let started = std::time::Instant::now();
+    while !holds().await {
+        assert!(started.elapsed() < PATIENCE, "it does not come to hold");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
