Explain shares by service of late and by branches that make calls

Cause: the attained share counted all service since the dispatcher started, so a branch that had much hours ago seemed over its share. The entitled share counted the queue that every branch with children has for calls of its own, so two equal branches showed a third each.

Change: service fades as the pool serves more; idle own queues don't count.

Result: a test in which 2,000 large calls of one branch are followed by 1,000 of another: the first shows under 2% attained of 50% entitled.

--- a/crates/courseshed-dispatch/src/explain.rs
+++ b/crates/courseshed-dispatch/src/explain.rs
@@ -89,9 +89,12 @@
     Service::weigh(&state.config, uncached, output)
 }
 
+/// The branch's part of the service given lately.
 fn attained(tree: &BranchTable, index: NodeIndex) -> f64 {
-    let all = tree.node(NodeIndex::ROOT).served.max(1);
-    tree.node(index).served as f64 / all as f64
+    let pool = tree.node(NodeIndex::ROOT);
+    let all = pool.recent.at(pool.served);
+    let own = tree.node(index).recent.at(pool.served);
+    (own / all.max(1.0)).clamp(0.0, 1.0)
 }
 
 fn reason(state: &State, now: Timestamp, call: CallId, entitled: f64, attained: f64) -> String {
@@ -114,7 +117,8 @@
         return "engines have free slots but not the memory this call needs".to_string();
     }
     if attained > entitled {
-        return "all engines are full and the branch has had more than its share".to_string();
+        return "all engines are full and the branch has had more than its share of late"
+            .to_string();
     }
     "all engines are full and calls before it in the order wait too".to_string()
 }
--- a/crates/courseshed-dispatch/src/systems/fairness.rs
+++ b/crates/courseshed-dispatch/src/systems/fairness.rs
@@ -81,11 +81,13 @@
 }
 
 fn advance(tree: &mut BranchTable, index: NodeIndex, units: i128) {
+    let pool_served = tree.node(NodeIndex::ROOT).served;
     let node = tree.node_mut(index);
     node.start += VirtualTime::of_service(units, node.weight);
     if node.floor > 0.0 {
         node.floor_start += VirtualTime::of_service(units, node.floor);
     }
+    node.recent.add(units, pool_served);
     node.served = (i128::from(node.served) + units).max(0) as u64;
 }
 
--- a/crates/courseshed-dispatch/src/tables/branches.rs
+++ b/crates/courseshed-dispatch/src/tables/branches.rs
@@ -8,7 +8,11 @@
 
 use courseshed_types::{BranchPath, CallId, PolicySnapshot};
 
-use crate::{baselines::Sharing, tables::Rank, units::VirtualTime};
+use crate::{
+    baselines::Sharing,
+    tables::Rank,
+    units::{RecentService, VirtualTime},
+};
 
 /// The place of a node in the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,6 +59,8 @@
     pub(crate) floor_start: VirtualTime,
     /// Service charged so far, corrected by what engines counted.
     pub(crate) served: u64,
+    /// Service of late: each unit fades as the pool serves more.
+    pub(crate) recent: RecentService,
     pub(crate) listing: Option<Listing>,
     /// Children below which calls wait, in order of service.
     pub(crate) active: BTreeSet<(VirtualTime, NodeIndex)>,
@@ -80,6 +86,7 @@
             virtual_now: VirtualTime::default(),
             floor_start: VirtualTime::default(),
             served: 0,
+            recent: RecentService::default(),
             listing: None,
             active: BTreeSet::new(),
             urgent: BTreeSet::new(),
@@ -153,13 +160,29 @@
         std::iter::successors(Some(from), |index| self.node(*index).parent)
     }
 
-    /// Part of the pool a node is entitled to by shares alone, 0 to 1.
+    /// Part of the pool a node is entitled to by shares alone, 0 to 1. Own queues count only while calls wait in
+    /// them, since most branches with children make no calls of their own.
     pub(crate) fn entitled(&self, index: NodeIndex) -> f64 {
         self.path_up(index)
-            .map(|node| self.node(node).weight)
+            .map(|node| self.weight_without_idle_queue(node))
             .product()
     }
 
+    fn weight_without_idle_queue(&self, index: NodeIndex) -> f64 {
+        let node = self.node(index);
+        let Some(parent) = node.parent else {
+            return 1.0;
+        };
+        let siblings = self.node(parent).children.iter();
+        let idle: f64 = siblings
+            .filter(|sibling| **sibling != index)
+            .map(|sibling| self.node(*sibling))
+            .filter(|sibling| sibling.is_own_queue && sibling.listing.is_none())
+            .map(|sibling| sibling.weight)
+            .sum();
+        node.weight / (1.0 - idle)
+    }
+
     /// A node, if the table has so many.
     pub(crate) fn find(&self, index: NodeIndex) -> Option<&BranchNode> {
         self.nodes.get(index.0 as usize)
@@ -292,6 +315,7 @@
                     node.virtual_now = old.virtual_now;
                     node.floor_start = old.floor_start;
                     node.served = old.served;
+                    node.recent = old.recent;
                 }
                 None => node.start = parent_now,
             }
--- a/crates/courseshed-dispatch/src/units.rs
+++ b/crates/courseshed-dispatch/src/units.rs
@@ -31,6 +31,31 @@
     }
 }
 
+/// Service that counts less the more the pool has served since.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct RecentService {
+    units: f64,
+    /// Service of the whole pool when `units` was last brought up to date.
+    pool_served: u64,
+}
+
+impl RecentService {
+    /// Service of the pool after which a unit counts 1/e: a few minutes of a pool of twenty engines.
+    const FADE: f64 = 20_000_000.0;
+
+    /// Adds signed service.
+    pub(crate) fn add(&mut self, units: i128, pool_served: u64) {
+        self.units = self.at(pool_served) + units as f64;
+        self.pool_served = self.pool_served.max(pool_served);
+    }
+
+    /// What is left of it when the pool has served so much.
+    pub(crate) fn at(&self, pool_served: u64) -> f64 {
+        let since = pool_served.saturating_sub(self.pool_served) as f64;
+        self.units * (-since / RecentService::FADE).exp()
+    }
+}
+
 /// A point in the virtual time of one node of the tree.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct VirtualTime(i128);
--- a/crates/courseshed-dispatch/tests/fairness.rs
+++ b/crates/courseshed-dispatch/tests/fairness.rs
@@ -290,3 +290,29 @@
     }
     assert!(waited > 10, "it gives way at first");
 }
+
+#[test]
+fn an_explanation_counts_service_of_late_only() {
+    let mut run = Saturation::new(policy(&[("a", 1.0), ("b", 1.0)]), 1);
+    let serve_only = |run: &mut Saturation, path: &str, calls: usize| {
+        for _ in 0..calls {
+            run.add(path, 100_000, |_| {});
+            run.assign();
+            run.end(0, all);
+        }
+    };
+    serve_only(&mut run, "a", 2_000);
+    serve_only(&mut run, "b", 1_000);
+    run.add("b", 1_000, |_| {});
+    run.assign();
+    run.add("a", 1_000, |_| {});
+    run.driver.tick();
+    let waits = *run.waiting.keys().next().expect("it waits");
+    let explained = run.driver.dispatcher.explain(run.driver.now, waits);
+    let explained = explained.expect("it waits");
+    assert!(explained.attained_share < 0.02, "{explained:?}");
+    assert!(
+        (explained.entitled_share - 0.5).abs() < 0.01,
+        "the root has no calls of its own"
+    );
+}
