Number starts beyond a clock set back, and order engines' roles

Cause: a node whose clock was set back would be refused as an older start of itself; a failing disk, the decision to found and the merging of the platform's list had no tests; nothing could order an engine's role; a node drained by operators stayed ready.

Change: a node with a data folder keeps the number of its last start; courseshed engines role; readiness is false while the map says that the node leaves; the leader's logic ticks ten times a second instead of with every message; a refusal by the controllers is logged once.

Measured: cargo test -p courseshed-node -p courseshed-cli passes; a controller whose disk is full or tears a write steps down, answers may_have_run to the change under way and not-the-leader from then on.

--- a/crates/courseshed-cli/src/arguments/fleet.rs
+++ b/crates/courseshed-cli/src/arguments/fleet.rs
@@ -1,6 +1,7 @@
 //! Arguments of the commands that speak of programs, engines and nodes.
 
 use argh::FromArgs;
+use courseshed_types::engine::EngineRole;
 use courseshed_types::{BranchPath, EngineId, ModelName, NodeId, ProgramId};
 
 /// Show and end programs.
@@ -69,6 +70,7 @@
     List(EnginesList),
     Drain(EnginesDrain),
     Order(EnginesOrder),
+    Role(EnginesRole),
 }
 
 /// List engines.
@@ -103,6 +105,18 @@
     pub(crate) model: ModelName,
 }
 
+/// Order an engine to compute prompts, answers or both.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "role")]
+pub(crate) struct EnginesRole {
+    /// the engine
+    #[argh(positional, from_str_fn(engine))]
+    pub(crate) engine: EngineId,
+    /// both, prefill or decode
+    #[argh(positional, from_str_fn(role))]
+    pub(crate) role: EngineRole,
+}
+
 /// What an engine is ordered to do with a model.
 #[derive(Clone, Copy)]
 pub(crate) enum OrderVerb {
@@ -172,6 +186,15 @@
     path_segment(text).map(EngineId::from)
 }
 
+fn role(text: &str) -> Result<EngineRole, String> {
+    match text {
+        "both" => Ok(EngineRole::Both),
+        "prefill" => Ok(EngineRole::Prefill),
+        "decode" => Ok(EngineRole::Decode),
+        _ => Err(format!("`{text}` is neither both, prefill nor decode")),
+    }
+}
+
 fn model(text: &str) -> Result<ModelName, String> {
     if text.is_empty() {
         return Err("a model has a name".to_owned());
--- a/crates/courseshed-cli/src/commands/engines.rs
+++ b/crates/courseshed-cli/src/commands/engines.rs
@@ -1,8 +1,9 @@
 //! `courseshed engines`.
 
+use courseshed_types::EngineId;
 use courseshed_types::admin::{DrainOrder, EngineSummary, ModelOrder, ModelOrderResult};
 
-use crate::arguments::{EnginesAction, EnginesOrder, OrderVerb};
+use crate::arguments::{EnginesAction, OrderVerb};
 use crate::client::{AdminClient, Request};
 use crate::error::{CliError, Exit};
 use crate::output::{Printer, Readable, fields, joined, or_dash, percent, table, variant_name};
@@ -31,22 +32,30 @@
             printer.print(&vec![engine])?;
             Ok(Exit::Done)
         }
-        EnginesAction::Order(order) => send_order(order, client, printer).await,
+        EnginesAction::Order(order) => {
+            let model = order.model;
+            let body = match order.order {
+                OrderVerb::Load => ModelOrder::LoadModel { model },
+                OrderVerb::Drop => ModelOrder::DropModel { model },
+            };
+            send_order(&order.engine, &body, client, printer).await
+        }
+        EnginesAction::Role(order) => {
+            let body = ModelOrder::SetRole { role: order.role };
+            send_order(&order.engine, &body, client, printer).await
+        }
     }
 }
 
 async fn send_order(
-    order: EnginesOrder,
+    engine: &EngineId,
+    order: &ModelOrder,
     client: &AdminClient,
     printer: &mut Printer<'_>,
 ) -> Result<Exit, CliError> {
-    let path = format!("/v1/admin/engines/{}/orders", order.engine);
-    let order = match order.order {
-        OrderVerb::Load => ModelOrder::LoadModel { model: order.model },
-        OrderVerb::Drop => ModelOrder::DropModel { model: order.model },
-    };
+    let path = format!("/v1/admin/engines/{engine}/orders");
     let hint = "; `courseshed engines list` shows the models it serves".to_owned();
-    let request = Request::post(path, &order, Repeat::Harmful).with_hint(hint);
+    let request = Request::post(path, order, Repeat::Harmful).with_hint(hint);
     let result: ModelOrderResult = client.send(request).await?;
     printer.print(&result)?;
     Ok(if result.accepted {
--- a/crates/courseshed-cli/tests/commands.rs
+++ b/crates/courseshed-cli/tests/commands.rs
@@ -211,6 +211,7 @@
     bad_url = { &["status", "--url", "https://a"], "is no http:// URL" },
     bad_program = { &["explain", "3a7"], "p1f-3a7" },
     engine_with_slash = { &["engines", "drain", "a/b"], "is no name of an engine" },
+    bad_role = { &["engines", "role", "engine-1", "draft"], "neither both, prefill nor decode" },
     no_file = { &["settings", "check", "-f", "/nowhere/tree.toml"], "/nowhere/tree.toml: cannot be read" },
     file_and_version = { &["settings", "diff"], "give either a file" },
 )]
--- a/crates/courseshed-engine/src/protocol.rs
+++ b/crates/courseshed-engine/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use courseshed_types::call::{FinishReason, Usage};
 use courseshed_types::dispatch::CacheEvent;
+pub use courseshed_types::engine::EngineRole;
 use courseshed_types::{BranchPath, ChatMessage, ModelName, ProgramId, Tokens, Verdict};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
@@ -340,19 +341,6 @@
     },
 }
 
-/// What an engine computes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EngineRole {
-    /// Prompts and answers.
-    #[default]
-    Both,
-    /// Prompts.
-    Prefill,
-    /// Answers.
-    Decode,
-}
-
 /// Answer of `POST /v1/orders`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OrderStatus {
--- a/crates/courseshed-node/src/admin/engines.rs
+++ b/crates/courseshed-node/src/admin/engines.rs
@@ -121,6 +121,7 @@
             version: None,
         },
         ModelOrder::DropModel { model } => FencedOrder::DropModel { model },
+        ModelOrder::SetRole { role } => FencedOrder::SetRole { role },
     }
 }
 
--- a/crates/courseshed-node/src/context.rs
+++ b/crates/courseshed-node/src/context.rs
@@ -1,8 +1,11 @@
 //! What the parts of one node share.
 
-use std::sync::{
-    Arc, OnceLock,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    path::Path,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use courseshed_settings::NodeSettings;
@@ -15,6 +18,7 @@
     dispatchers::{DispatcherTable, EngineTasks},
     drain::DrainState,
     gateway::GatewayState,
+    incarnation,
     metrics::NodeMetrics,
     protocol::{NodeMessage, NodeProtocol},
     shards::{FollowedMap, ShardClient, ShardTable, StepTime},
@@ -56,12 +60,12 @@
 }
 
 impl NodeContext {
-    /// The context of a node that has not started yet.
-    pub fn new(settings: NodeSettings) -> NodeContext {
+    /// The context of a node that has not started yet. `starts` is the folder that keeps the number of its last start.
+    pub fn new(settings: NodeSettings, starts: Option<&Path>) -> NodeContext {
         let clock = Clock::new();
         let identity = PeerIdentity {
             node: settings.node_id,
-            incarnation: Incarnation(clock.now().0),
+            incarnation: incarnation::next(starts, clock.now()),
         };
         NodeContext {
             control: ControlTasks::new(&settings),
--- a/crates/courseshed-node/src/control/controller.rs
+++ b/crates/courseshed-node/src/control/controller.rs
@@ -4,7 +4,7 @@
 //! serves all that came in since the last one. A controller whose disk failed leads nothing and answers every request
 //! with "not the leader"; its node goes on without it.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use courseshed_consensus::{GroupError, LogStorage, Message, PeerConfig, ReplicatedGroup, Term};
 use courseshed_control::{
@@ -24,6 +24,9 @@
     shards::StepTime,
 };
 
+/// Time between two ticks of the leader's logic, which looks at every node; the log ticks more often.
+const LOGIC_TICK: Duration = Duration::from_millis(100);
+
 /// Compiles trees with the checks that the client makes too.
 #[derive(Debug, Clone, Copy)]
 pub struct SettingsCompiler;
@@ -43,6 +46,7 @@
     role: LeaderRole,
     pending: BTreeMap<RequestToken, ReplySender<NodeProtocol>>,
     next_token: u64,
+    next_logic_tick: Duration,
 }
 
 impl<S: LogStorage> Controller<S> {
@@ -65,6 +69,7 @@
             role: LeaderRole::Following(None),
             pending: BTreeMap::new(),
             next_token: 0,
+            next_logic_tick: Duration::ZERO,
         })
     }
 
@@ -122,6 +127,10 @@
     /// Lets time pass.
     pub fn tick(&mut self, time: StepTime) {
         self.group.tick(time.elapsed);
+        if time.elapsed < self.next_logic_tick {
+            return;
+        }
+        self.next_logic_tick = time.elapsed + LOGIC_TICK;
         let outputs = self.leader.tick(time.now, &self.group.machine().state);
         self.execute(time, outputs);
         self.pending.retain(|_, reply| !reply.is_closed());
--- a/crates/courseshed-node/src/control/engine_list.rs
+++ b/crates/courseshed-node/src/control/engine_list.rs
@@ -53,7 +53,8 @@
     }
 
     async fn look(&mut self) {
-        let leads = self.context.view.control_leader() == Some(self.context.identity.node);
+        let controller = self.context.control.controller();
+        let leads = controller.is_some_and(|controller| controller.leads);
         let in_force = !self.context.view.policy().snapshot.branches.is_empty();
         if !leads || !in_force {
             self.told = None;
@@ -125,7 +126,7 @@
 }
 
 /// The engines by id; see the module for the rules.
-fn merge(
+pub(super) fn merge(
     settings: &NodeSettings,
     listed: &[EngineMember],
     states: &BTreeMap<EngineId, EngineState>,
--- a/crates/courseshed-node/src/control/follower.rs
+++ b/crates/courseshed-node/src/control/follower.rs
@@ -8,7 +8,7 @@
 use courseshed_control::{ControlTarget, NodeControlView, ViewOutput};
 use courseshed_settings::SettingsTree;
 use courseshed_types::{
-    SettingsVersion,
+    CallError, ErrorCode, SettingsVersion,
     control::{
         ControlPosition, ControlReply, ControlRequest, Member, NodeRole, NodeState, SettingsChange,
     },
@@ -52,6 +52,7 @@
     kept_file: Option<PathBuf>,
     kept: ControlPosition,
     keep_after: Duration,
+    told_refusal: bool,
 }
 
 impl Follower {
@@ -80,6 +81,7 @@
             in_force: None,
             kept_file,
             keep_after: Duration::ZERO,
+            told_refusal: false,
             context,
         })
     }
@@ -114,7 +116,7 @@
                 number,
                 reply: Some(reply),
             } => {
-                self.note_leader(&reply);
+                self.note(&reply);
                 let outputs = self.view.on_reply(now, number, *reply);
                 self.execute(outputs);
             }
@@ -173,15 +175,25 @@
         });
     }
 
-    /// A refusal of this very start is told to the operator once per answer; the node can't mend it.
-    fn note_leader(&self, reply: &ControlReply) {
+    /// Remembers who leads, and tells the operator once that this start is refused: another process has taken the
+    /// node's number since, and the node can't mend that.
+    fn note(&mut self, reply: &ControlReply) {
         match reply {
             ControlReply::NotLeader { leader } => self.context.view.set_control_leader(*leader),
-            ControlReply::Error(error) => log::warn!("the controllers refuse this node: {error}"),
+            ControlReply::Error(error) if error.code == ErrorCode::Forbidden => {
+                self.tell_refusal(error);
+            }
+            ControlReply::Heard { .. } => self.told_refusal = false,
             _ => {}
         }
     }
 
+    fn tell_refusal(&mut self, error: &CallError) {
+        if !std::mem::replace(&mut self.told_refusal, true) {
+            log::error!("the controllers refuse this node: {error}");
+        }
+    }
+
     fn put_in_force(&mut self) {
         let Some(until) = self.view.lease_until() else {
             return;
--- a/crates/courseshed-node/src/control/mod.rs
+++ b/crates/courseshed-node/src/control/mod.rs
@@ -71,3 +71,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/courseshed-node/src/health.rs
+++ b/crates/courseshed-node/src/health.rs
@@ -44,6 +44,9 @@
     if context.drain.is_draining() {
         return Err("draining");
     }
+    if context.view.is_leaving(context.identity.node) {
+        return Err("leaving");
+    }
     if !context.view.has_settings() {
         return Err("no settings in force");
     }
--- a/crates/courseshed-node/src/lib.rs
+++ b/crates/courseshed-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gateway;
 mod handler;
 pub mod health;
+mod incarnation;
 pub mod logging;
 pub mod metrics;
 mod node;
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -174,7 +174,11 @@
     /// When its data folder can't be used.
     pub fn start_on(sockets: NodeSockets, options: NodeOptions) -> Result<NodeHandle, NodeError> {
         let (http_address, peer_address) = (sockets.http_address, sockets.peer_address);
-        let context = Arc::new(NodeContext::new(options.settings.clone()));
+        let settings = options.settings.clone();
+        // An embedder that stands in for control may stand in for folders too.
+        let data_dir = options.settings.data_dir.as_deref();
+        let starts = data_dir.filter(|_| !options.is_embedder_in_control);
+        let context = Arc::new(NodeContext::new(settings, starts));
         let (ready, started) = std::sync::mpsc::channel();
         let thread_context = context.clone();
         let thread = std::thread::Builder::new()
--- a/crates/courseshed-node/src/view.rs
+++ b/crates/courseshed-node/src/view.rs
@@ -13,7 +13,7 @@
 use arc_swap::ArcSwap;
 use courseshed_types::{
     BranchPath, NodeId, PolicySnapshot, SettingsVersion, Timestamp,
-    control::{ControlPosition, MemberMap},
+    control::{ControlPosition, MemberMap, NodeState},
 };
 
 /// No controller leads, as far as known.
@@ -76,6 +76,13 @@
         self.map.load_full()
     }
 
+    /// Whether the map says that a node leaves, because it stops or an operator drains it.
+    pub fn is_leaving(&self, node: NodeId) -> bool {
+        let map = self.map.load();
+        let member = map.members.get(&node);
+        member.is_some_and(|member| member.state == NodeState::Leaving)
+    }
+
     /// Versions in force.
     pub fn position(&self) -> ControlPosition {
         ControlPosition {
--- a/crates/courseshed-node/tests/admin.rs
+++ b/crates/courseshed-node/tests/admin.rs
@@ -237,6 +237,8 @@
         early["fence"].as_u64() < late["fence"].as_u64(),
         "{early} {late}"
     );
+    let role = done(node, &["engines", "role", "e1", "prefill"]).await;
+    assert_eq!(role["accepted"], json!(true));
     assert!(first.ran().requests.is_empty());
 
     let drained = done(node, &["nodes", "drain", "3"]).await;
--- a/crates/courseshed-transport/src/protocol.rs
+++ b/crates/courseshed-transport/src/protocol.rs
@@ -105,6 +105,12 @@
 pub struct ReplySender<P: Protocol>(pub(crate) oneshot::Sender<P::Reply>);
 
 impl<P: Protocol> ReplySender<P> {
+    /// A sender whose answer comes out of the receiver, for requests that no peer sent.
+    pub fn channel() -> (ReplySender<P>, oneshot::Receiver<P::Reply>) {
+        let (sender, receiver) = oneshot::channel();
+        (ReplySender(sender), receiver)
+    }
+
     /// Answers. Nothing happens if the asker is gone.
     pub fn send(self, reply: P::Reply) {
         let _ = self.0.send(reply);
--- a/crates/courseshed-types/src/admin.rs
+++ b/crates/courseshed-types/src/admin.rs
@@ -26,6 +26,7 @@
     branch::BranchPath,
     control::{NodeRole, NodeState},
     dispatch::EngineState,
+    engine::EngineRole,
     ids::{
         ChangeId, EngineId, MapEpoch, ModelName, NodeId, ProgramId, RegionName, SettingsVersion,
         ZoneName,
@@ -204,7 +205,7 @@
     pub leaving: bool,
 }
 
-/// Asks an engine to load or drop a model.
+/// Asks an engine to load or drop a model, or to change its role.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "order", rename_all = "snake_case")]
 pub enum ModelOrder {
@@ -218,6 +219,11 @@
         /// The model.
         model: ModelName,
     },
+    /// Change what the engine computes.
+    SetRole {
+        /// The role.
+        role: EngineRole,
+    },
 }
 
 /// What became of a model order.
--- a/crates/courseshed-types/src/engine.rs
+++ b/crates/courseshed-types/src/engine.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other about the engines of a region.
+//! What is said of engines: who they are, and what they compute.
 
 use serde::{Deserialize, Serialize};
 
@@ -12,3 +12,16 @@
     /// All engines, by id.
     pub engines: Vec<EngineMember>,
 }
+
+/// What an engine computes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// Prompts and answers.
+    #[default]
+    Both,
+    /// Prompts.
+    Prefill,
+    /// Answers.
+    Decode,
+}
