--- a/crates/courseshed-dispatch/examples/dispatch_cost.rs
+++ b/crates/courseshed-dispatch/examples/dispatch_cost.rs
@@ -49,6 +49,9 @@
 }
 
 fn main() {
+    if let Some(size) = size_asked_for() {
+        return measure_here(size);
+    }
     let base = Size {
         engines: 20,
         batch: 64,
@@ -112,7 +115,38 @@
     covariance / variance
 }
 
+/// Measures one size in a process of its own, so that no memory of another size is counted or reused.
 fn measure(size: Size) -> Cost {
+    let program = std::env::current_exe().expect("this program has a path");
+    let numbers = [
+        size.engines,
+        u64::from(size.batch),
+        size.programs,
+        size.waiting,
+    ];
+    let output = std::process::Command::new(program)
+        .args(numbers.map(|number| number.to_string()))
+        .output()
+        .expect("this program can be started");
+    let line = String::from_utf8_lossy(&output.stdout);
+    let mut figures = line.split_whitespace().map(|figure| figure.parse::<f64>());
+    let mut next = || figures.next().and_then(Result::ok).expect("two figures");
+    let cost = Cost {
+        micros: next(),
+        bytes: next(),
+    };
+    println!(
+        "{:7} {:8} {:7} | {:11.2} | {:.0}",
+        size.engines,
+        size.programs,
+        size.waiting,
+        cost.micros,
+        cost.bytes / 1_024.0
+    );
+    cost
+}
+
+fn measure_here(size: Size) {
     let before = resident_bytes();
     let mut bench = Bench::new(size);
     bench.fill();
@@ -121,19 +155,24 @@
         .fold(f64::INFINITY, f64::min);
     // Only now is every program known.
     let bytes = resident_bytes().saturating_sub(before);
-    println!(
-        "{:7} {:8} {:7} | {micros:11.2} | {}",
-        size.engines,
-        size.programs,
-        size.waiting,
-        bytes / 1_024
-    );
-    // Kept, so that the memory of the next size is not this one's reused.
-    std::mem::forget(bench);
-    Cost {
-        micros,
-        bytes: bytes as f64,
-    }
+    println!("{micros} {bytes}");
+}
+
+/// The size that the arguments name: engines, batch, programs, waiting calls.
+fn size_asked_for() -> Option<Size> {
+    let numbers: Vec<u64> = std::env::args()
+        .skip(1)
+        .filter_map(|number| number.parse().ok())
+        .collect();
+    let [engines, batch, programs, waiting] = numbers[..] else {
+        return None;
+    };
+    Some(Size {
+        engines,
+        batch: batch as u32,
+        programs,
+        waiting,
+    })
 }
 
 impl Bench {
