Drain: hand shards over, wait for callers that read, and for others to take pools over

Cause: a planned stop waited for calls only. Shards led there were missed until an election, callers that still read an answer were cut off, and the process ended before its last answers had left. Change: leaderships are handed over while calls end; answers that callers are reading count as under way; the node then waits, at most 5 s, until others have its pools and replicas, and stops the HTTP server last.

--- a/crates/courseshed-node/src/drain.rs
+++ b/crates/courseshed-node/src/drain.rs
@@ -5,12 +5,16 @@
     time::Duration,
 };
 
+use courseshed_types::control::NodeRole;
+use futures_util::join;
 use tokio::time::{Instant, sleep};
 
-use crate::context::SharedContext;
+use crate::{context::SharedContext, shards::hand_over_all};
 
 /// Time between two looks at what is still under way.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// How long others are given to take pools and replicas over once nothing is under way here.
+const TAKE_OVER_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Whether the node is stopping.
 #[derive(Debug, Default)]
@@ -28,11 +32,48 @@
     }
 }
 
-/// Stops a node in a planned way. Returns when nothing is under way any more, or the limit has passed.
+/// Stops a node in a planned way. Returns when nothing is under way any more and others have taken over what was
+/// decided and led here, or when the limit has passed.
 pub async fn drain(context: &SharedContext) {
-    let deadline = Instant::now() + context.settings.timeouts.drain;
+    let limit = context.settings.timeouts.drain;
+    let deadline = Instant::now() + limit;
     context.drain.begin();
-    while context.gateway.active_calls() > 0 && Instant::now() < deadline {
+    let calls_end = wait_while(deadline, || has_calls(context));
+    let (handed_over, ()) = join!(hand_over_all(context, limit), calls_end);
+    if !handed_over {
+        log::warn!("shards are still led here: no other replica took them in time");
+    }
+    let calls = context.gateway.active_calls();
+    let bodies = context.gateway.open_bodies();
+    if calls + bodies > 0 {
+        log::warn!(calls, streams = bodies; "the limit of draining cuts off what is still under way");
+    }
+    let patience = Instant::now() + TAKE_OVER_PATIENCE;
+    wait_while(patience.min(deadline), || others_lag(context)).await;
+}
+
+async fn wait_while(deadline: Instant, holds: impl Fn() -> bool) {
+    while holds() && Instant::now() < deadline {
         sleep(LOOK_INTERVAL).await;
     }
 }
+
+/// Whether calls run here, or callers still read what has run.
+fn has_calls(context: &SharedContext) -> bool {
+    context.gateway.active_calls() + context.gateway.open_bodies() > 0
+}
+
+/// Whether there are others in the region that have not yet taken over its pools and replicas from here.
+fn others_lag(context: &SharedContext) -> bool {
+    let map = context.view.map();
+    let serves_beside = |role| {
+        let others = map.members.values().filter(|member| {
+            member.region == context.settings.region && !context.is_self(member.node)
+        });
+        others.into_iter().any(|member| member.serves(role))
+    };
+    let has_pools = !context.dispatchers.all().is_empty();
+    let has_replicas = !context.shards.ids().is_empty();
+    has_pools && serves_beside(NodeRole::Dispatcher)
+        || has_replicas && serves_beside(NodeRole::Shard)
+}
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -353,6 +353,7 @@
     /// Takes no new work, lets calls under way end, and returns when they did or the limit has passed.
     pub async fn drain(&self) {
         futures_util::join!(drain::drain(&self.context), control::leave(&self.context));
+        self.server.stop(true).await;
     }
 
     /// Ends the node at once, as a crash would: nothing is handed over.
