Count a peer's silence only from when it owes an answer

Cause: a connection that carried only one-way messages for five seconds, as between replicas of idle shards, was given up at the first ping after a request, though the peer had been asked a moment ago; the request ended in doubt. And the first ping went out at once with the first request, so that a test that counts messages failed now and then (21 for 20). Change: while nothing is owed, each ping interval starts the count anew; the first ping comes after an interval.

--- a/crates/courseshed-transport/src/connection.rs
+++ b/crates/courseshed-transport/src/connection.rs
@@ -20,7 +20,7 @@
     net::TcpStream,
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::{mpsc, oneshot},
-    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+    time::{Instant, MissedTickBehavior, interval_at, sleep, timeout},
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
@@ -204,7 +204,7 @@
     heard: &Mutex<Instant>,
 ) -> io::Result<()> {
     let mut next_id = 0;
-    let mut ping = interval(PING_INTERVAL);
+    let mut ping = interval_at(Instant::now() + PING_INTERVAL, PING_INTERVAL);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut next = Some(first);
     loop {
@@ -229,7 +229,10 @@
                 None => return Ok(()),
             },
             _ = ping.tick() => {
-                if !waiting.lock().is_empty() {
+                if waiting.lock().is_empty() {
+                    // The peer owes no answer: its silence counts only from when it does.
+                    *heard.lock() = Instant::now();
+                } else {
                     check_silence(*heard.lock())?;
                     let frame = encode(&ForwardFrame::<P>::Ping)?;
                     shared.counters.count_sent(Mechanism::KEEP_ALIVE, frame.len() + LENGTH_BYTES);
--- a/crates/courseshed-transport/tests/exchange.rs
+++ b/crates/courseshed-transport/tests/exchange.rs
@@ -221,3 +221,25 @@
     let error = asked.await.expect_err("not node 9");
     assert_eq!(error.verdict(), Verdict::NotRun);
 }
+
+/// Longer than a peer that owes an answer may be silent.
+const LONG_SILENCE: Duration = Duration::from_millis(5_500);
+/// Longer than the time between two looks at a peer's silence.
+const LONG_THOUGHT: Duration = Duration::from_millis(1_300);
+
+#[tokio::test]
+async fn a_peer_that_owed_nothing_for_long_may_still_take_its_time() {
+    let first = start(1);
+    let mut second = start(2);
+    introduce(&first, &second);
+    let node = second.transport.identity().node;
+    first.transport.send(node, 1).expect("queued");
+    assert_eq!(second.heard.recv().await, Some(1));
+    tokio::time::sleep(LONG_SILENCE).await;
+    let asked = first.transport.request(node, Question::Hold, LONG_THOUGHT);
+    let outcome = asked.await;
+    assert!(
+        matches!(outcome, Err(RequestError::TimedOut { .. })),
+        "the connection was given up: {outcome:?}"
+    );
+}
