Encode messages between replicas by position

Cause: the names of fields were most of a heartbeat: 194 bytes on the wire. Change: a message of a replicated log travels as bytes, encoded by position, within the named frame.

--- a/crates/courseshed-node/src/lib.rs
+++ b/crates/courseshed-node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 mod admission;
 pub mod clock;
+mod compact;
 pub mod context;
 pub mod control;
 pub mod dispatchers;
--- a/crates/courseshed-node/src/protocol.rs
+++ b/crates/courseshed-node/src/protocol.rs
@@ -10,6 +10,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::compact;
+
 use crate::control::ControlLogState;
 
 /// The protocol between nodes.
@@ -20,9 +22,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum NodeMessage {
     /// Between the replicas of a program shard.
-    ShardLog(ShardLogMessage),
+    ShardLog(#[serde(with = "compact")] ShardLogMessage),
     /// Between the controllers.
-    ControlLog(Box<LogMessage>),
+    ControlLog(#[serde(with = "compact")] Box<LogMessage>),
     /// From a shard's leader to a dispatcher.
     Dispatch(Box<DispatchRequest>),
     /// From a dispatcher to a shard's leader.
