Let emulated engines tell when requests ran and what came too late

Cause: from the outside nobody could judge whether the calls of a program ran in order, nor whether an engine got new work while it was leaving. Change: the account of what ran carries the start and the end of every request by the machine's clock, and every request that came while the engine was leaving; both fields are optional in JSON. Measured: the engine's tests pass, one of them now on the late arrival.

--- a/crates/courseshed-emulator/src/engine/chat.rs
+++ b/crates/courseshed-emulator/src/engine/chat.rs
@@ -127,6 +127,9 @@
         return Err(error::known_body(known.progress().phase.state()));
     }
     let id = arrival.fixed.id.clone();
+    if state.leaving {
+        state.ran.note_late_arrival(&id);
+    }
     let refusal = match state.refusal(&arrival.fixed, shared.options.max_waiting) {
         Some(refusal) => refusal,
         None => match state.submit(arrival, now) {
--- a/crates/courseshed-emulator/src/engine/mod.rs
+++ b/crates/courseshed-emulator/src/engine/mod.rs
@@ -23,4 +23,4 @@
 pub use faults::{EventFaults, FaultOrder};
 pub use handle::{EmulatedEngine, EngineHandle};
 pub use options::EngineOptions;
-pub use ran::{BranchTokens, RanReport, RanRequest};
+pub use ran::{BranchTokens, LateArrival, RanReport, RanRequest};
--- a/crates/courseshed-emulator/src/engine/ran.rs
+++ b/crates/courseshed-emulator/src/engine/ran.rs
@@ -2,9 +2,10 @@
 //!
 //! It survives emulated crashes, and no answer of the engine protocol is drawn from it.
 
-use courseshed_types::BranchPath;
+use courseshed_types::{BranchPath, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What one request id took.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +22,21 @@
     pub prompt_tokens: u64,
     /// Tokens generated in all runs.
     pub output_tokens: u64,
+    /// When it first began to run, by the machine's clock.
+    #[serde(default)]
+    pub started_at: Timestamp,
+    /// When it last ran to its end, by the machine's clock.
+    #[serde(default)]
+    pub finished_at: Option<Timestamp>,
+}
+
+/// New work that came to an engine while it was leaving; it was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LateArrival {
+    /// The request id.
+    pub request: String,
+    /// When it came, by the machine's clock.
+    pub at: Timestamp,
 }
 
 /// What a branch took.
@@ -41,6 +57,9 @@
     pub requests: Vec<RanRequest>,
     /// Sums by branch.
     pub branches: BTreeMap<BranchPath, BranchTokens>,
+    /// New work that came while the engine was leaving.
+    #[serde(default)]
+    pub late_arrivals: Vec<LateArrival>,
 }
 
 /// The account itself.
@@ -48,9 +67,17 @@
 pub(crate) struct RanLedger {
     requests: BTreeMap<String, RanRequest>,
     branches: BTreeMap<BranchPath, BranchTokens>,
+    late_arrivals: Vec<LateArrival>,
 }
 
 impl RanLedger {
+    pub(crate) fn note_late_arrival(&mut self, id: &str) {
+        self.late_arrivals.push(LateArrival {
+            request: id.to_owned(),
+            at: machine_time(),
+        });
+    }
+
     pub(crate) fn note_start(&mut self, id: &str, branch: &BranchPath, prompt_tokens: u32) {
         let request = self
             .requests
@@ -62,6 +89,8 @@
                 finished: 0,
                 prompt_tokens: 0,
                 output_tokens: 0,
+                started_at: machine_time(),
+                finished_at: None,
             });
         request.runs += 1;
         request.prompt_tokens += u64::from(prompt_tokens);
@@ -78,6 +107,7 @@
     pub(crate) fn note_finish(&mut self, id: &str) {
         if let Some(request) = self.requests.get_mut(id) {
             request.finished += 1;
+            request.finished_at = Some(machine_time());
         }
     }
 
@@ -97,6 +127,13 @@
         RanReport {
             requests: self.requests.values().cloned().collect(),
             branches: self.branches.clone(),
+            late_arrivals: self.late_arrivals.clone(),
         }
     }
 }
+
+/// The time of the machine's clock, which the checkers of one machine share.
+fn machine_time() -> Timestamp {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Timestamp(since.unwrap_or_default().as_micros() as u64)
+}
--- a/crates/courseshed-emulator/tests/engine.rs
+++ b/crates/courseshed-emulator/tests/engine.rs
@@ -228,6 +228,11 @@
             .err()
             .expect("refused");
         assert_eq!(late.known_state(), Some(RequestState::NeverStarted));
+        let report = setup.engine.ran();
+        assert!(report.requests.is_empty());
+        let arrivals = report.late_arrivals.iter();
+        let names: Vec<_> = arrivals.map(|arrival| arrival.request.clone()).collect();
+        assert_eq!(names, [call.request.to_string()]);
     });
 }
 
