Drive programs over HTTP and judge every promise from outside

Cause: nothing ran whole programs against a deployment, and no promise was checked by anyone but the system itself. Change: callers in an open loop (programs of the bundled workloads; some leave and come back at another gateway, send twice, send ahead, vanish), checks of ten promises from what callers, engines and nodes showed, and the commands quickstart (three embedded nodes, four emulated engines, of which one crashes, one leaves and one is slow), load and bench.

--- a/crates/courseshed-lab/src/commands/mod.rs
+++ b/crates/courseshed-lab/src/commands/mod.rs
@@ -2,10 +2,14 @@
 //!
 //! Results go to standard output, progress and logs to standard error.
 
+mod bench;
 mod check;
 mod experiment;
 mod hollow;
+mod load;
 mod output;
+mod progress;
+mod quickstart;
 mod report;
 mod simulate;
 
@@ -33,11 +37,14 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 enum Command {
+    Bench(bench::BenchArguments),
     Check(check::CheckArguments),
     Hollow(hollow::HollowArguments),
     Experiment(experiment::ExperimentArguments),
     Report(report::ReportArguments),
     Simulate(simulate::SimulateArguments),
+    Load(load::LoadArguments),
+    Quickstart(quickstart::QuickstartArguments),
 }
 
 /// What a command came to.
@@ -71,6 +78,12 @@
         /// Why.
         source: crate::experiment::ExperimentError,
     },
+    /// What the command runs can't be started.
+    #[snafu(display("{reason}"))]
+    Run {
+        /// Why.
+        reason: String,
+    },
     /// An option has a value that can't be used.
     #[snafu(display("{option}: {reason}"))]
     Option {
@@ -88,11 +101,24 @@
     /// When options are wrong or a result can't be written.
     pub fn run(self) -> Result<CommandOutcome, CommandError> {
         match self.command {
+            Command::Bench(arguments) => arguments.run(),
             Command::Check(arguments) => arguments.run(),
             Command::Hollow(arguments) => arguments.run(),
             Command::Experiment(arguments) => arguments.run(),
             Command::Report(arguments) => arguments.run(),
             Command::Simulate(arguments) => arguments.run(),
+            Command::Load(arguments) => arguments.run(),
+            Command::Quickstart(arguments) => arguments.run(),
+        }
+    }
+}
+
+impl CommandOutcome {
+    /// The outcome of checks that held, or did not.
+    pub fn of(held: bool) -> CommandOutcome {
+        match held {
+            true => CommandOutcome::Held,
+            false => CommandOutcome::Violated,
         }
     }
 }
--- a/crates/courseshed-lab/src/main.rs
+++ b/crates/courseshed-lab/src/main.rs
@@ -19,7 +19,13 @@
     }
 }
 
+/// Names the least severe log lines that are printed; embedded nodes warn of every failure that is brought about.
+const LOG_VARIABLE: &str = "COURSESHED_LAB_LOG";
+
 fn start_logging() -> Result<(), log::SetLoggerError> {
+    let asked = std::env::var(LOG_VARIABLE).ok();
+    let level = asked.and_then(|level| level.parse().ok());
+    let level = level.unwrap_or(log::LevelFilter::Error);
     fern::Dispatch::new()
         .format(|out, message, record| {
             out.finish(format_args!(
@@ -28,7 +34,9 @@
                 record.target()
             ));
         })
-        .level(log::LevelFilter::Warn)
+        .level(level)
+        // Connections that break off are what the laboratory brings about.
+        .level_for("actix_http", log::LevelFilter::Off)
         .chain(std::io::stderr())
         .apply()
 }
--- /dev/null
+++ b/crates/courseshed-lab/tests/quickstart.rs
@@ -0,0 +1,50 @@
+//! The quickstart in small: a whole fleet in the test's process, and every promise judged from outside.
+
+use std::time::Duration;
+
+use courseshed_emulator::EngineOptions;
+use courseshed_engine_model::EngineModelConfig;
+use courseshed_lab::quickstart::{self, FleetOptions, QuickstartOptions};
+
+/// Engines several times faster than usual, so that the test ends soon.
+fn fast_fleet() -> FleetOptions {
+    let usual = FleetOptions::default();
+    FleetOptions {
+        engine: EngineOptions {
+            config: EngineModelConfig {
+                step_base: Duration::from_millis(2),
+                ..EngineModelConfig::default()
+            },
+            ..usual.engine.clone()
+        },
+        ..usual
+    }
+}
+
+#[test]
+fn a_small_fleet_keeps_every_promise() {
+    let options = QuickstartOptions {
+        seed: 7,
+        programs: 14,
+        fleet: fast_fleet(),
+        ..QuickstartOptions::default()
+    };
+    let run = quickstart::run(&options, |_| {});
+    let report = actix_rt::System::new().block_on(run).expect("it runs");
+    assert!(report.held(), "{report}");
+    // Lookups beside quotes are programs of their own.
+    assert!(report.figures.programs.started >= 14, "{report}");
+    assert_eq!(report.figures.programs.failed, 0, "{report}");
+    for promise in [
+        "order",
+        "history",
+        "whole_answer",
+        "budget",
+        "engine_memory",
+    ] {
+        assert!(
+            report.judged[promise] > 0,
+            "{promise} was not judged: {report}"
+        );
+    }
+}
