Check budget escrow by model, driving the real ledger and the real accounts

Cause: that shards never spend more than the ledger granted rested on tests of either side alone. Change: a specification in which the controllers' ledger and the shards' accounts talk over messages that are late, lost or doubled, with leaders lost, a shard founded again empty, budgets lowered, lifted and set again, a branch moved, and the end of a period. The search of the programs' models is public, so that there is one.

--- a/crates/courseshed-control/src/lib.rs
+++ b/crates/courseshed-control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod compiler;
 pub mod hollow;
 pub mod leader;
+pub mod model;
 pub mod node;
 pub mod publish;
 pub mod state;
--- a/crates/courseshed-control/src/state/ledger.rs
+++ b/crates/courseshed-control/src/state/ledger.rs
@@ -96,6 +96,15 @@
     }
 }
 
+/// The last grant made to a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LastGrant {
+    /// The number of the request.
+    pub number: u64,
+    /// Tokens granted.
+    pub granted: Tokens,
+}
+
 /// All accounts of periods that are not long over.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct BudgetLedger {
@@ -114,6 +123,24 @@
             .map_or(Tokens::ZERO, |account| account.held)
     }
 
+    /// The last grant made to a shard out of a branch's budget of a period.
+    pub fn last_grant(
+        &self,
+        shard: ShardId,
+        branch: &BranchPath,
+        period: u64,
+    ) -> Option<LastGrant> {
+        let id = AccountId {
+            branch: branch.clone(),
+            period,
+        };
+        let escrow = self.accounts.get(&id)?.shards.get(&shard)?;
+        Some(LastGrant {
+            number: escrow.last_request,
+            granted: escrow.last_granted,
+        })
+    }
+
     /// Accounts kept.
     pub fn accounts(&self) -> usize {
         self.accounts.len()
--- a/crates/courseshed-control/src/state/mod.rs
+++ b/crates/courseshed-control/src/state/mod.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-pub use ledger::BudgetLedger;
+pub use ledger::{BudgetLedger, LastGrant};
 pub use settings::SettingsHistory;
 
 use crate::{
--- a/crates/courseshed-programs/src/lib.rs
+++ b/crates/courseshed-programs/src/lib.rs
@@ -23,7 +23,9 @@
 pub mod usage;
 pub mod verdicts;
 
-pub use command::{CommandBody, ProposalId, ShardCommand, decode_command, encode_command};
+pub use command::{
+    ApplyGrant, BudgetPeriod, CommandBody, ProposalId, ShardCommand, decode_command, encode_command,
+};
 pub use leader::{
     EngineQuery, LeaderConfig, ProposalLoss, RequestToken, ShardLeader, ShardOutput, ShardRole,
 };
--- a/crates/courseshed-programs/src/model/mod.rs
+++ b/crates/courseshed-programs/src/model/mod.rs
@@ -12,7 +12,7 @@
 
 mod call_life;
 mod escrow;
-mod search;
+pub mod search;
 
 use courseshed_types::model_report::ModelReport;
 
--- a/crates/courseshed-programs/src/model/search.rs
+++ b/crates/courseshed-programs/src/model/search.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// One state of a model.
-pub(super) trait World: Sized {
+pub trait World: Sized {
     /// Feeds all that decides the future of this state, and nothing else.
     fn fingerprint(&self, hasher: &mut Xxh3);
 
@@ -24,8 +24,10 @@
 
 /// What a search found.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Exploration {
+pub struct Exploration {
+    /// Distinct states visited.
     pub states: u64,
+    /// The shortest way to a violation, if there is one.
     pub counterexample: Option<Counterexample>,
 }
 
@@ -79,7 +81,7 @@
 
 /// Explores everything reachable from `initial`. More states than `limit` count as a violation, since then
 /// nothing was proved.
-pub(super) fn explore<W: World>(initial: W, limit: u64) -> Exploration {
+pub fn explore<W: World>(initial: W, limit: u64) -> Exploration {
     let states = Cell::new(0);
     let start = Node::new(initial, "start".to_owned());
     let path = bfs(
@@ -111,7 +113,7 @@
 }
 
 /// Hashes the MessagePack form of a value that has no `Hash`.
-pub(super) fn hash_encoded(value: &impl serde::Serialize, hasher: &mut Xxh3) {
+pub fn hash_encoded(value: &impl serde::Serialize, hasher: &mut Xxh3) {
     let bytes = rmp_serde::to_vec(value).unwrap_or_default();
     hasher.write(&bytes);
 }
