--- a/crates/courseshed-lab/src/check/models.rs
+++ b/crates/courseshed-lab/src/check/models.rs
@@ -10,6 +10,7 @@
         .map(from_log_report)
         .collect();
     reports.extend(courseshed_programs::model::check_all());
+    reports.extend(courseshed_control::model::check_all());
     reports
 }
 
