Carry exports and imports in the simulator, and count copies that nothing uses

A copied prefix whose program ended was counted as no waste. A listed prefix without a lease was taken for a lease.

Change: the simulator's engines copy out and bring in; an unused copy is abandoned with its program; a listing's entries without a lease say nothing of leases.

--- a/crates/courseshed-dispatch/src/systems/cache_view.rs
+++ b/crates/courseshed-dispatch/src/systems/cache_view.rs
@@ -11,7 +11,7 @@
 use crate::{
     output::Waste,
     state::{CacheAccount, State},
-    systems::pauses,
+    systems::{pauses, transfers},
     tables::CachedPrefix,
 };
 
@@ -23,6 +23,9 @@
 /// A call of the program ended on the engine, so its prefix is cached there.
 pub(crate) fn filled(state: &mut State, program: ProgramId, engine: &EngineId, usage: &Usage) {
     note_found(state, program, engine, usage.cached_tokens);
+    if usage.cached_tokens > Tokens::ZERO {
+        transfers::note_used(state, program);
+    }
     leave_behind(state, program, engine);
     let tokens = usage.total();
     let unused = tokens.saturating_sub(usage.cached_tokens);
@@ -100,6 +103,7 @@
 ) {
     let listed: BTreeMap<ProgramId, Tokens> = listing
         .iter()
+        .filter(|entry| entry.leased_for.is_some())
         .map(|entry| (entry.program, entry.tokens))
         .collect();
     for (program, believed) in believed_on(state, now, engine) {
--- a/crates/courseshed-dispatch/src/systems/transfers.rs
+++ b/crates/courseshed-dispatch/src/systems/transfers.rs
@@ -27,7 +27,8 @@
         return now;
     };
     let (engine, tokens) = (prefix.engine.clone(), prefix.tokens);
-    prefix.unused = Tokens::ZERO;
+    let unused = std::mem::take(&mut prefix.unused);
+    entry.exported_unused = entry.exported_unused.saturating_add(unused);
     let older = std::mem::replace(&mut entry.exported, tokens);
     state.exported = state.exported.saturating_sub(older).saturating_add(tokens);
     state.counters.exports += 1;
@@ -48,6 +49,7 @@
     }
     cache_view::leave_behind(state, program, engine);
     cache_view::put(state, program, engine, tokens, Tokens::ZERO);
+    note_used(state, program);
     state.counters.imports += 1;
     state.order(engine.clone(), EngineOrderBody::Import { program });
     Some(transfer_time(state, missing))
@@ -61,14 +63,25 @@
     cached.saturating_add(Tokens(gain))
 }
 
-/// The program is over or its copy useless.
-pub(crate) fn forget_copy(state: &mut State, program: ProgramId) {
+/// A call found what was copied out, in its engine or by an import.
+pub(crate) fn note_used(state: &mut State, program: ProgramId) {
     if let Some(entry) = state.programs.get_mut(&program) {
-        let tokens = std::mem::take(&mut entry.exported);
-        state.exported = state.exported.saturating_sub(tokens);
+        entry.exported_unused = Tokens::ZERO;
     }
 }
 
+/// The program is over: its copy is useless, and abandoned if nothing ever used it.
+pub(crate) fn forget_copy(state: &mut State, program: ProgramId) {
+    let Some(entry) = state.programs.get_mut(&program) else {
+        return;
+    };
+    let tokens = std::mem::take(&mut entry.exported);
+    let unused = std::mem::take(&mut entry.exported_unused);
+    let branch = entry.branch.clone();
+    state.exported = state.exported.saturating_sub(tokens);
+    state.cache_account(&branch).waste.abandoned += unused.0;
+}
+
 /// Whether a copy of so many tokens may be made.
 pub(crate) fn has_space(state: &State, tokens: Tokens) -> bool {
     tokens >= LEAST_IMPORT && state.exported.saturating_add(tokens) <= state.config.export_capacity
--- a/crates/courseshed-dispatch/src/tables/programs.rs
+++ b/crates/courseshed-dispatch/src/tables/programs.rs
@@ -32,6 +32,8 @@
     pub(crate) paused_since: Option<Timestamp>,
     /// Tokens of its prefix kept outside of engines.
     pub(crate) exported: Tokens,
+    /// Those of them that no call has used yet.
+    pub(crate) exported_unused: Tokens,
     /// Where its prefix is.
     pub(crate) prefix: Option<CachedPrefix>,
 }
@@ -45,6 +47,7 @@
             last_ended: None,
             paused_since: None,
             exported: Tokens::ZERO,
+            exported_unused: Tokens::ZERO,
             prefix: None,
         }
     }
--- a/crates/courseshed-dispatch/tests/pauses.rs
+++ b/crates/courseshed-dispatch/tests/pauses.rs
@@ -225,3 +225,33 @@
     driver.tick();
     assert_eq!(stats_of(&driver, "a").waste.evicted, 3_010);
 }
+
+#[test]
+fn a_copy_that_nothing_uses_is_abandoned_with_its_program() {
+    let mut driver = driver(&["e1"]);
+    teach_pauses(&mut driver, Duration::from_secs(100));
+    let before = stats_of(&driver, "a").waste.abandoned;
+    press(&mut driver);
+    run_turn(&mut driver, (1, 1, "a", 30_000));
+    driver.pass(Duration::from_secs(20));
+    assert_eq!(counters(&driver).exports, 1);
+    let program = common::program(1);
+    driver.say(DispatchRequestBody::ProgramEnded(program));
+    assert_eq!(stats_of(&driver, "a").waste.abandoned - before, 30_010);
+}
+
+#[test]
+fn a_listing_of_a_prefix_without_lease_says_nothing_of_a_lease() {
+    let mut driver = driver(&["e1"]);
+    run_turn(&mut driver, (1, 1, "a", 10_000));
+    driver.pass(Duration::from_secs(4));
+    let entry = LeaseEntry {
+        program: common::program(1),
+        tokens: Tokens(10_000),
+        leased_for: None,
+    };
+    driver
+        .dispatcher
+        .on_cache_listing(driver.now, &"e1".into(), &[entry]);
+    assert_eq!(counters(&driver).leases_lost, 1);
+}
--- a/crates/courseshed-lab/src/simulation/engine_host.rs
+++ b/crates/courseshed-lab/src/simulation/engine_host.rs
@@ -118,6 +118,25 @@
         self.model.remove_lease(model_time(now), key);
     }
 
+    /// Copies a program's cached context out; the copy is kept for good.
+    pub(super) fn export(
+        &mut self,
+        now: Timestamp,
+        program: ProgramIndex,
+    ) -> Option<Arc<[BlockHash]>> {
+        let chain = Arc::clone(self.chains.get(&program)?);
+        let cached = self.model.cached_prefix(&chain);
+        let copied: Arc<[BlockHash]> = chain[..cached].into();
+        self.model.export(model_time(now), Arc::clone(&copied));
+        Some(copied)
+    }
+
+    /// Brings a copy of a program's context in.
+    pub(super) fn import(&mut self, now: Timestamp, program: ProgramIndex, copy: Arc<[BlockHash]>) {
+        let owner = OwnerKey(program as u64);
+        self.model.import(model_time(now), copy, owner);
+    }
+
     /// The process died and another one starts empty.
     pub(super) fn restart(&mut self) {
         let config = self.model.config().clone();
--- a/crates/courseshed-lab/src/simulation/engines.rs
+++ b/crates/courseshed-lab/src/simulation/engines.rs
@@ -180,6 +180,18 @@
             EngineOrderBody::ReleaseLease { program } => {
                 host.release(now, program_index(program));
             }
+            EngineOrderBody::Export { program } => {
+                let index = program_index(program);
+                if let Some(copy) = host.export(now, index) {
+                    self.exports.insert(index, copy);
+                }
+            }
+            EngineOrderBody::Import { program } => {
+                let index = program_index(program);
+                if let Some(copy) = self.exports.get(&index) {
+                    host.import(now, index, Arc::clone(copy));
+                }
+            }
             _ => {}
         }
         self.want_move(engine);
--- a/crates/courseshed-lab/src/simulation/run.rs
+++ b/crates/courseshed-lab/src/simulation/run.rs
@@ -1,7 +1,8 @@
 //! The loop of a run.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
+use courseshed_engine_model::BlockHash;
 use courseshed_types::{ModelName, Timestamp};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -9,7 +10,7 @@
 use super::{
     clock::EventQueue,
     engine_host::EngineHost,
-    event::{Event, PoolIndex},
+    event::{Event, PoolIndex, ProgramIndex},
     measure::{Measures, RunResult},
     pools::Pool,
     program::Program,
@@ -28,6 +29,8 @@
     pub(super) next_arrival: Option<Arrival>,
     pub(super) programs: Vec<Program>,
     pub(super) engines: Vec<EngineHost>,
+    /// Contexts copied out of engines.
+    pub(super) exports: BTreeMap<ProgramIndex, Arc<[BlockHash]>>,
     pub(super) pools: Vec<Pool>,
     pub(super) pool_of_model: BTreeMap<ModelName, PoolIndex>,
     pub(super) losses: ChaCha8Rng,
@@ -67,6 +70,7 @@
             next_arrival: arrivals.next(),
             arrivals,
             programs: Vec::new(),
+            exports: BTreeMap::new(),
             engines: engines
                 .map(|spec| EngineHost::new(spec, pool_of_model[&spec.model]))
                 .collect(),
