Let the quickstart stop a node and change settings while programs run

Cause: the quickstart put neither a planned stop nor a change of settings to the test, and a refused call that had been sent too early was not looked up at the engines. Change: a drill of its own module adds both to the failing engines; probes refused as not run must not have run.

--- a/crates/courseshed-lab/src/commands/quickstart.rs
+++ b/crates/courseshed-lab/src/commands/quickstart.rs
@@ -19,7 +19,7 @@
     /// programs to run (default 60)
     #[argh(option, default = "60")]
     programs: usize,
-    /// leave out the failures: an engine that crashes, one that leaves, one that is slow
+    /// leave out what goes wrong: engines that crash, leave or are slow, and a node that stops
     #[argh(switch)]
     no_faults: bool,
     /// text (default) or json
--- a/crates/courseshed-lab/src/live/checks/outcomes.rs
+++ b/crates/courseshed-lab/src/live/checks/outcomes.rs
@@ -15,6 +15,7 @@
     for program in &evidence.programs {
         for call in 0..program.calls.len() {
             check_not_run(program, call, ran, judgement);
+            check_refused_probes(program, call, ran, judgement);
             check_at_most_once(program, call, ran, judgement);
         }
     }
@@ -36,6 +37,32 @@
     }
 }
 
+/// A call that was sent too early and refused as not run must not have run, where no other call took its place.
+fn check_refused_probes(
+    program: &ProgramRecord,
+    call: usize,
+    ran: &RanIndex,
+    judgement: &mut Judgement,
+) {
+    let Some(id) = program.id else {
+        return;
+    };
+    let is_refused = |result: &TryResult| matches!(result, TryResult::Refused(refusal) if refusal.verdict == Verdict::NotRun);
+    let probes = program.calls[call].tries.iter();
+    let probes = probes.filter(|one| one.purpose == TryPurpose::Probe && is_refused(&one.result));
+    for probe in probes {
+        let place = probe.sequence;
+        let mut calls = program.calls.iter();
+        if calls.any(|other| other.sequences().contains(&place)) {
+            continue;
+        }
+        let runs: u32 = ran.of_place(id, place).map(|run| run.runs).sum();
+        judgement.expect(Promise::NotRun, runs == 0, call_name(program, call), || {
+            format!("place {place} was refused as not run, but engines ran it {runs} times")
+        });
+    }
+}
+
 /// Whether the caller was told for certain that the call at this place did not run.
 fn is_not_run(record: &CallRecord, sequence: u64) -> bool {
     let of_place = |purpose| purpose != TryPurpose::Probe;
--- a/crates/courseshed-lab/src/live/checks/tests.rs
+++ b/crates/courseshed-lab/src/live/checks/tests.rs
@@ -348,6 +348,15 @@
     expect_only(Promise::NotRun, &evidence);
 }
 
+#[test]
+fn a_call_refused_as_too_early_that_ran_is_untrue() {
+    let mut evidence = sound();
+    let mut stray = run(1, 3, 1);
+    stray.prompt_tokens = 1;
+    ran(&mut evidence).requests.push(stray);
+    expect_only(Promise::NotRun, &evidence);
+}
+
 #[test]
 fn a_refused_copy_says_nothing_of_a_later_one_that_ran() {
     let mut evidence = sound();
--- a/crates/courseshed-lab/src/quickstart/fleet.rs
+++ b/crates/courseshed-lab/src/quickstart/fleet.rs
@@ -20,7 +20,7 @@
 use super::{EngineSnafu, FolderSnafu, NodeSnafu, QuickstartError};
 
 /// The settings tree of the quickstart.
-const TREE: &str = include_str!("tree.toml");
+pub(super) const TREE: &str = include_str!("tree.toml");
 /// The one region.
 const REGION: &str = "here";
 /// The zones, in turn.
--- a/crates/courseshed-lab/src/quickstart/mod.rs
+++ b/crates/courseshed-lab/src/quickstart/mod.rs
@@ -3,12 +3,11 @@
 //! It is the first thing a newcomer runs: nothing to install, no ports to choose, under a minute. Nodes, engines
 //! and callers are the real ones and talk over loopback; only the engines' model is emulated.
 
+mod drill;
 mod fleet;
 
 use std::time::Duration;
 
-use actix_rt::time::sleep;
-use courseshed_emulator::engine::FaultOrder;
 use snafu::Snafu;
 
 pub use self::fleet::{EmbeddedFleet, FleetOptions};
@@ -23,6 +22,8 @@
     workload::BundledWorkload,
 };
 
+/// Parts of the run after each of which something goes wrong.
+const DRILL_STEPS: u32 = 8;
 /// Programs started a second.
 const RATE: f64 = 4.0;
 /// Most calls of a program; the workloads' longest go on for many minutes.
@@ -81,7 +82,7 @@
     pub programs: usize,
     /// The fleet.
     pub fleet: FleetOptions,
-    /// Whether an engine crashes and another leaves while programs run.
+    /// Whether engines fail, settings change and a node stops while programs run.
     pub faults: bool,
 }
 
@@ -106,8 +107,12 @@
 ) -> Result<LiveReport, QuickstartError> {
     let fleet = EmbeddedFleet::start(&options.fleet).await?;
     let load = load_options(options, &fleet);
-    let faults = cause_faults(options.faults, &fleet, load.draw.duration);
-    let (evidence, ()) = futures_util::future::join(drive(&load, on_progress), faults).await;
+    let drill = async {
+        if options.faults {
+            drill::run(&fleet, load.draw.duration / DRILL_STEPS).await;
+        }
+    };
+    let (evidence, ()) = futures_util::future::join(drive(&load, on_progress), drill).await;
     Ok(LiveReport::of(options.seed, &evidence))
 }
 
@@ -141,28 +146,3 @@
         },
     }
 }
-
-/// One engine crashes in the middle of its streams, another one leaves, a third is slow for a while.
-async fn cause_faults(wanted: bool, fleet: &EmbeddedFleet, duration: Duration) {
-    let engines = fleet.engines();
-    if !wanted || engines.len() < 3 {
-        return;
-    }
-    sleep(duration / 8).await;
-    engines[0].crash(Duration::from_secs(1));
-    sleep(duration / 8).await;
-    engines[1].fault(&FaultOrder {
-        leaving: Some(true),
-        ..FaultOrder::default()
-    });
-    engines[2].fault(&FaultOrder {
-        slow_factor: Some(3.0),
-        ..FaultOrder::default()
-    });
-    sleep(duration / 8).await;
-    engines[2].fault(&FaultOrder {
-        slow_factor: Some(1.0),
-        cut_streams: true,
-        ..FaultOrder::default()
-    });
-}
--- a/crates/courseshed-lab/tests/quickstart.rs
+++ b/crates/courseshed-lab/tests/quickstart.rs
@@ -35,13 +35,17 @@
     // Lookups beside quotes are programs of their own.
     assert!(report.figures.programs.started >= 14, "{report}");
     assert_eq!(report.figures.programs.failed, 0, "{report}");
-    for promise in [
+    let tested = [
         "order",
         "history",
         "whole_answer",
         "budget",
         "engine_memory",
-    ] {
+        "at_most_once",
+        "leaving_engine",
+        "settings",
+    ];
+    for promise in tested {
         assert!(
             report.judged[promise] > 0,
             "{promise} was not judged: {report}"
