Split the search for a shard's leader, and report voters by the client of the controllers

Cause: the loop that finds a leader had grown past one screen, and reports looked for the controllers' leader on their own, which the control client does already.

--- a/crates/courseshed-node/src/shards/client.rs
+++ b/crates/courseshed-node/src/shards/client.rs
@@ -32,6 +32,8 @@
 const RETRY_BASE: Duration = Duration::from_millis(20);
 /// Longest wait before asking again.
 const RETRY_LIMIT: Duration = Duration::from_millis(400);
+/// Tries within which a hint is followed without a pause.
+const HINTS_AT_ONCE: usize = 4;
 /// What a refused caller is told to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -70,6 +72,41 @@
     Deposed(NodeId),
 }
 
+/// The search for a leader that answers, and what is known of the request.
+struct Search {
+    find_deadline: Instant,
+    deadline: Instant,
+    hint: Option<NodeId>,
+    tries: usize,
+    /// Whether a replica may have acted on the request.
+    doubt: bool,
+}
+
+impl Search {
+    fn begin(patience: ShardPatience) -> Search {
+        let now = Instant::now();
+        Search {
+            find_deadline: now + patience.find_leader,
+            deadline: now + patience.answer,
+            hint: None,
+            tries: 0,
+            doubt: false,
+        }
+    }
+
+    /// Whether a hint is followed without a pause; not for ever, since replicas may point at each other.
+    fn follows_hint(&self) -> bool {
+        self.hint.is_some() && self.tries < HINTS_AT_ONCE
+    }
+
+    /// Whether another try after `wait` is in time. One in doubt goes on to the end, to learn what became of it.
+    fn has_time_for(&self, wait: Duration) -> bool {
+        let next = Instant::now() + wait;
+        let finds_in_time = next < self.find_deadline || self.doubt;
+        finds_in_time && next < self.deadline
+    }
+}
+
 /// Asks shards' leaders.
 #[derive(Default)]
 pub struct ShardClient {
@@ -91,64 +128,67 @@
         body: ShardRequestBody,
         patience: ShardPatience,
     ) -> Result<ShardReply, CallError> {
-        let started = Instant::now();
-        let deadline = started + patience.answer;
-        let find_deadline = started + patience.find_leader;
-        let mut backoff = Backoff::new(RETRY_BASE, RETRY_LIMIT, self.next_seed(context));
-        let mut doubt = false;
-        let mut hint = None;
-        let mut tries = 0_usize;
         self.retries.earn();
+        let mut search = Search::begin(patience);
+        let mut backoff = Backoff::new(RETRY_BASE, RETRY_LIMIT, self.next_seed(context));
         loop {
-            let node = hint
-                .take()
-                .or_else(|| self.candidate(context, shard, tries));
+            let hint = search.hint.take();
+            let node = hint.or_else(|| self.candidate(context, shard, search.tries));
             let Some(node) = node else {
                 return Err(no_replica(shard));
             };
-            tries += 1;
-            match self.ask_node(context, node, shard, &body, deadline).await {
-                Asked::Reply(reply) => match *reply {
-                    ShardReply::NotLeader { leader } => {
-                        self.forget_leader(shard, node);
-                        hint = leader.filter(|leader| *leader != node);
-                    }
-                    ShardReply::Error(error) if is_passing(&error) => {
-                        doubt |= error.verdict != Verdict::NotRun;
-                    }
-                    reply => {
-                        self.leaders.write().insert(shard, node);
-                        return match reply {
-                            ShardReply::Error(error) => Err(error),
-                            reply => Ok(reply),
-                        };
-                    }
-                },
-                Asked::NotHandedOver => self.forget_leader(shard, node),
-                Asked::Lost => {
-                    doubt = true;
-                    self.forget_leader(shard, node);
-                }
-                Asked::Deposed(leader) => {
-                    doubt = true;
-                    self.forget_leader(shard, node);
-                    hint = Some(leader);
-                }
+            search.tries += 1;
+            let asked = self.ask_node(context, node, shard, &body, search.deadline);
+            if let Some(outcome) = self.judge(shard, node, asked.await, &mut search) {
+                return outcome;
             }
-            let is_redirect = hint.is_some() && tries < 4;
-            if is_redirect {
+            if search.follows_hint() {
                 continue;
             }
             let wait = backoff.next_wait();
-            let now = Instant::now();
-            let gives_up = now + wait >= find_deadline && !doubt;
-            if gives_up || now + wait >= deadline || !self.retries.spend() {
-                return Err(no_leader(shard, doubt));
+            if !search.has_time_for(wait) || !self.retries.spend() {
+                return Err(no_leader(shard, search.doubt));
             }
             sleep(wait).await;
         }
     }
 
+    /// What the request came to; none if it must be asked again.
+    fn judge(
+        &self,
+        shard: ShardId,
+        node: NodeId,
+        asked: Asked,
+        search: &mut Search,
+    ) -> Option<Result<ShardReply, CallError>> {
+        match asked {
+            Asked::Reply(reply) => match *reply {
+                ShardReply::NotLeader { leader } => {
+                    search.hint = leader.filter(|leader| *leader != node);
+                }
+                ShardReply::Error(error) if is_passing(&error) => {
+                    search.doubt |= error.verdict != Verdict::NotRun;
+                    return None;
+                }
+                reply => {
+                    self.leaders.write().insert(shard, node);
+                    return Some(match reply {
+                        ShardReply::Error(error) => Err(error),
+                        reply => Ok(reply),
+                    });
+                }
+            },
+            Asked::NotHandedOver => {}
+            Asked::Lost => search.doubt = true,
+            Asked::Deposed(leader) => {
+                search.doubt = true;
+                search.hint = Some(leader);
+            }
+        }
+        self.forget_leader(shard, node);
+        None
+    }
+
     /// The leader of a shard, as last seen.
     pub fn leader(&self, context: &NodeContext, shard: ShardId) -> Option<NodeId> {
         let cached = self.leaders.read().get(&shard).copied();
--- a/crates/courseshed-node/src/shards/reports.rs
+++ b/crates/courseshed-node/src/shards/reports.rs
@@ -8,20 +8,12 @@
     time::Duration,
 };
 
-use courseshed_types::{
-    NodeId,
-    control::{ControlReply, ControlRequest, NodeRole, ShardVoters},
-};
+use courseshed_types::control::ControlRequest;
 
-use crate::{
-    context::NodeContext,
-    protocol::{NodeReply, NodeRequest},
-};
+use crate::context::NodeContext;
 
-/// How long a controller may take to answer.
-const ANSWER_LIMIT: Duration = Duration::from_secs(2);
-/// Controllers asked before a report is left for later.
-const TRIES: usize = 4;
+/// How long the controllers may take to answer before a report is left for later.
+const PATIENCE: Duration = Duration::from_secs(4);
 
 /// Sends reports, one round at a time.
 #[derive(Default)]
@@ -40,39 +32,15 @@
         let context = context.clone();
         actix_rt::spawn(async move {
             for report in owed {
-                send(&context, report).await;
+                let shard = report.shard;
+                let request = ControlRequest::ReportVoters(report);
+                let client = &context.control_client;
+                // What is not taken is owed on, and sent with a later round.
+                if let Err(error) = client.ask(&context, request, PATIENCE).await {
+                    log::debug!(shard = shard.0; "voters not reported: {error}");
+                }
             }
             under_way.store(false, Ordering::Release);
         });
     }
 }
-
-/// Sends one report; what is not taken is owed on and sent with a later round.
-async fn send(context: &NodeContext, report: ShardVoters) {
-    let mut hint = context.view.control_leader();
-    for tried in 0..TRIES {
-        let Some(controller) = hint.take().or_else(|| controller(context, tried)) else {
-            return;
-        };
-        let request = ControlRequest::ReportVoters(report.clone());
-        let request = NodeRequest::Control(Box::new(request));
-        let asked = context
-            .transport()
-            .request(controller, request, ANSWER_LIMIT);
-        match asked.await {
-            Ok(NodeReply::Control(reply)) => match *reply {
-                ControlReply::NotLeader { leader } => hint = leader,
-                _ => return,
-            },
-            _ => continue,
-        }
-    }
-}
-
-fn controller(context: &NodeContext, tried: usize) -> Option<NodeId> {
-    let map = context.view.map();
-    let members = map.members.values();
-    let controllers = members.filter(|member| member.serves(NodeRole::Controller));
-    let controllers: Vec<NodeId> = controllers.map(|member| member.node).collect();
-    controllers.get(tried % controllers.len().max(1)).copied()
-}
