Don't count what paused programs hold as load

Cause: an engine that held leases for paused programs looked loaded, so new programs went to engines with more calls and ran slower. Short lookups showed it most.

Change: the load of an engine is the fuller of its slots and of the memory of its calls.

--- a/crates/courseshed-dispatch/src/systems/engine_choice.rs
+++ b/crates/courseshed-dispatch/src/systems/engine_choice.rs
@@ -215,15 +215,15 @@
     base + avoidance
 }
 
-/// The load of an engine: the fuller of its slots and its memory.
+/// The load of an engine: the fuller of its slots and of the memory of its calls. What paused programs hold does not
+/// slow an engine down and is given up when a call needs it.
 fn load_cost(state: &State, now: Timestamp, engine: &EngineEntry) -> u64 {
     let penalty = state.config.load_penalty;
     let limit = u64::from(engine.call_limit(&state.config, now).max(1));
     let slots = u64::from(engine.in_flight) * penalty / limit;
     let size = engine.memory_size().map_or(0, |size| size.0);
-    let used = engine.memory.saturating_add(engine.leased).0;
     match state.strategy.choice {
-        Choice::Balanced => slots.max(used * penalty / size.max(1)),
+        Choice::Balanced => slots.max(engine.memory.0 * penalty / size.max(1)),
         _ => slots,
     }
 }
--- a/crates/courseshed-dispatch/tests/affinity.rs
+++ b/crates/courseshed-dispatch/tests/affinity.rs
@@ -126,6 +126,25 @@
     assert_eq!(driver.dispatcher.stats(driver.now).waiting, 0);
 }
 
+#[test]
+fn what_paused_programs_hold_does_not_make_an_engine_look_loaded() {
+    let mut driver = Driver::with_engines(&["e1", "e2"], 8);
+    let mut first = turn(1, 1, &driver);
+    first.prompt_tokens = Tokens(40_000);
+    driver.enqueue(first.clone());
+    driver.tick();
+    driver.finished(first.call, usage(40_000, 0, 50));
+    let busy = turn(2, 1, &driver);
+    driver.started(busy, "e2");
+    driver.tick();
+    let stats = driver.dispatcher.stats(driver.now);
+    assert!(stats.engines[&"e1".into()].leased_tokens > 0);
+    let mut fresh = turn(3, 1, &driver);
+    fresh.prompt_tokens = Tokens(500);
+    driver.enqueue(fresh);
+    assert_eq!(driver.tick()[0].engine, "e1".into());
+}
+
 const ENGINES: [&str; 3] = ["e1", "e2", "e3"];
 const SLOTS: u32 = 2;
 const PROGRAMS: u64 = 24;
