Follow no order to start that has run out

Cause: an order to start an attempt says until when it may be followed, since afterwards its shard may ask the engine, hear that nothing was started there, and give the call another attempt. The gateway never looked at that time, so one that was frozen between getting the order and sending it would have sent it on waking. Ruled out as a cover for it: the engine's own table of ids, which holds a buried id only until the engine restarts. Change: the gateway reports an order that has run out as not started.

--- a/crates/courseshed-node/src/gateway/driver.rs
+++ b/crates/courseshed-node/src/gateway/driver.rs
@@ -59,6 +59,11 @@
     /// Runs an attempt that was given to this gateway alone, and reports its end.
     async fn run(&mut self, order: StartOrder) -> Result<ShardReply, CallError> {
         let request = order.call.request;
+        if !order.is_valid_at(self.context.clock.now()) {
+            let reason = "the order to start came too late".to_owned();
+            let result = AttemptResult::NotStarted(reason);
+            return self.report(request.call, request, result).await;
+        }
         self.note_attempt(request.attempt);
         self.context.gateway.streams.insert(request);
         let reader = AttemptReader {
--- a/crates/courseshed-types/src/shard.rs
+++ b/crates/courseshed-types/src/shard.rs
@@ -159,6 +159,13 @@
     pub valid_until: Timestamp,
 }
 
+impl StartOrder {
+    /// Whether the order may be followed at this time of the gateway's clock.
+    pub fn is_valid_at(&self, now: Timestamp) -> bool {
+        now < self.valid_until
+    }
+}
+
 /// The order to resume a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AttachOrder {
