Ask shards whether programs live that engine memory is held for

Cause: the word that a program ended goes to its dispatcher once. Where it was lost, the dispatcher took the program for one in a long pause and renewed the lease on its prefix, for up to the longest hold of 300 s. Ruled out: engines that break the time to live (leases ended when renewals stopped), and dispatchers that start anew (they release what they don't know, by the engines' listings). Change: with a renewal the dispatcher asks the program's shard, once a second and shard for all programs together; the shard names again those that have ended. A test each for the question and the answer.

--- a/crates/courseshed-dispatch/src/dispatcher.rs
+++ b/crates/courseshed-dispatch/src/dispatcher.rs
@@ -22,7 +22,9 @@
     learn::{FadingRate, Shapes},
     output::{DispatchOutput, DispatcherStats, PoolDemand, ShardLeader},
     state::{DemandMeter, State},
-    systems::{assignment, cache_view, engine_health, expiry, intake, queueing, shedding},
+    systems::{
+        assignment, cache_view, engine_health, expiry, intake, liveness, queueing, shedding,
+    },
     tables::{
         BranchTable, CallPhase, CallTable, EngineTable, ProgramTable, ShardTable, Timer, TimerTable,
     },
@@ -75,6 +77,7 @@
             caches: BTreeMap::new(),
             entitlements: BTreeMap::new(),
             counters: Default::default(),
+            checks: Default::default(),
             exported: Tokens::ZERO,
             grown_queues: BTreeSet::new(),
             outputs: Vec::new(),
@@ -159,6 +162,7 @@
         expiry::run(&mut self.state, now);
         assignment::run(&mut self.state, now);
         shedding::run(&mut self.state, now);
+        liveness::run(&mut self.state, now);
     }
 
     /// What is to be sent since the last call.
--- a/crates/courseshed-dispatch/src/state.rs
+++ b/crates/courseshed-dispatch/src/state.rs
@@ -19,6 +19,7 @@
     config::DispatcherConfig,
     learn::{FadingRate, Shapes},
     output::{DispatchCounters, DispatchOutput, Waste},
+    systems::liveness::LivenessChecks,
     tables::{
         BranchTable, CallTable, EngineTable, NodeIndex, ProgramTable, ShardTable, TimerTable,
     },
@@ -78,6 +79,8 @@
     /// Part of the pool each branch is entitled to by the tree of shares, whatever the policy kind does with it.
     pub(crate) entitlements: BTreeMap<BranchPath, f64>,
     pub(crate) counters: DispatchCounters,
+    /// Programs whose shards are to be asked whether they live.
+    pub(crate) checks: LivenessChecks,
     /// Tokens of prefixes kept outside of engines.
     pub(crate) exported: Tokens,
     /// Queues that calls entered since shedding last ran.
--- a/crates/courseshed-dispatch/src/systems/mod.rs
+++ b/crates/courseshed-dispatch/src/systems/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod expiry;
 pub(crate) mod fairness;
 pub(crate) mod intake;
+pub(crate) mod liveness;
 pub(crate) mod ordering;
 pub(crate) mod parking;
 pub(crate) mod pauses;
--- a/crates/courseshed-dispatch/src/systems/pauses/mod.rs
+++ b/crates/courseshed-dispatch/src/systems/pauses/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     state::State,
-    systems::{cache_view, transfers},
+    systems::{cache_view, liveness, transfers},
     tables::{EngineEntry, ProgramEntry, Timer},
 };
 
@@ -169,6 +169,7 @@
         return;
     };
     let branch = entry.branch.clone();
+    let shard = entry.shard;
     let Some(prefix) = entry.prefix.as_mut() else {
         return;
     };
@@ -181,6 +182,7 @@
     }
     state.add_leased(&branch, tokens);
     state.counters.leases_renewed += 1;
+    liveness::note(state, shard, program);
     let body = EngineOrderBody::RenewLease {
         program,
         time_to_live,
--- a/crates/courseshed-dispatch/tests/common/mod.rs
+++ b/crates/courseshed-dispatch/tests/common/mod.rs
@@ -31,6 +31,7 @@
     pub term: u64,
     pub assigned: Vec<Assigned>,
     pub shed: Vec<(CallId, courseshed_types::CallError)>,
+    pub checked: Vec<ProgramId>,
     pub announce_asked: usize,
     pub orders: Vec<EngineOrder>,
 }
@@ -137,6 +138,7 @@
             term: 1,
             assigned: Vec::new(),
             shed: Vec::new(),
+            checked: Vec::new(),
             announce_asked: 0,
             orders: Vec::new(),
         }
@@ -256,6 +258,7 @@
             }),
             DispatchEventBody::Shed { call, error } => self.shed.push((call, error)),
             DispatchEventBody::AnnounceAll => self.announce_asked += 1,
+            DispatchEventBody::CheckPrograms(programs) => self.checked.extend(programs),
         }
     }
 }
--- a/crates/courseshed-dispatch/tests/pauses.rs
+++ b/crates/courseshed-dispatch/tests/pauses.rs
@@ -268,3 +268,28 @@
     assert_eq!(stats_of(&driver, "a").leased_tokens, 0);
     assert_eq!(counters(&driver).exports, 0);
 }
+
+#[test]
+fn a_shard_is_asked_whether_programs_live_that_memory_is_held_for() {
+    let mut driver = driver(&["e1"]);
+    teach_pauses(&mut driver, Duration::from_secs(20));
+    driver.checked.clear();
+    run_turn(&mut driver, (1, 1, "a", 4_000));
+    driver.pass(Duration::from_secs(8));
+    let program = common::program(1);
+    assert!(renewals(&driver, program) > 0, "the prefix is held");
+    assert!(driver.checked.contains(&program), "{:?}", driver.checked);
+    driver.say(DispatchRequestBody::ProgramEnded(program));
+    driver.pass(Duration::from_secs(2));
+    let before = renewals(&driver, program);
+    driver.checked.clear();
+    driver.pass(Duration::from_secs(30));
+    assert_eq!(renewals(&driver, program), before);
+    assert!(!driver.checked.contains(&program));
+}
+
+fn renewals(driver: &Driver, program: ProgramId) -> usize {
+    let renews = |body: &EngineOrderBody| matches!(body, EngineOrderBody::RenewLease { program: of, .. } if *of == program);
+    let orders = driver.orders.iter().filter(|order| renews(&order.body));
+    orders.count()
+}
--- a/crates/courseshed-lab/src/simulation/shard.rs
+++ b/crates/courseshed-lab/src/simulation/shard.rs
@@ -129,6 +129,8 @@
                     self.tell_dispatcher(pool, DispatchRequestBody::AnnounceComplete);
                 }
             }
+            // The word of a program's end is never lost here.
+            DispatchEventBody::CheckPrograms(_) => {}
         }
     }
 
--- a/crates/courseshed-programs/src/leader/dispatching.rs
+++ b/crates/courseshed-programs/src/leader/dispatching.rs
@@ -4,7 +4,7 @@
 //! gateway waits is dispatched.
 
 use courseshed_types::{
-    CallId, EngineId, ModelName, RequestId, Timestamp, Verdict,
+    CallId, EngineId, ModelName, ProgramId, RequestId, Timestamp, Verdict,
     dispatch::{
         DispatchEvent, DispatchEventBody, DispatchRequest, DispatchRequestBody, PoolId, WaitingCall,
     },
@@ -50,6 +50,20 @@
                 self.refuse(now, state, call, error);
             }
             DispatchEventBody::AnnounceAll => self.announce_pool(state, event.pool.model),
+            DispatchEventBody::CheckPrograms(programs) => {
+                self.check_programs(state, &event.pool.model, programs);
+            }
+        }
+    }
+
+    /// Names those of the programs that have ended: the word of their end may have been lost.
+    fn check_programs(&mut self, state: &ShardState, model: &ModelName, programs: Vec<ProgramId>) {
+        for program in programs {
+            let record = state.program(program);
+            if record.is_none_or(|record| record.ended.is_some()) {
+                let ended = DispatchRequestBody::ProgramEnded(program);
+                self.tell_dispatcher(model.clone(), ended);
+            }
         }
     }
 
--- a/crates/courseshed-programs/tests/call_life.rs
+++ b/crates/courseshed-programs/tests/call_life.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
+use courseshed_programs::ShardOutput;
 use courseshed_types::{
     CallOutcome, ErrorCode, Verdict,
-    program::ProgramPhase,
+    dispatch::{DispatchEventBody, DispatchRequestBody},
+    program::{EndReason, ProgramPhase},
     shard::{AttemptResult, ShardReply, ShardRequestBody},
 };
 use support::*;
@@ -139,3 +141,31 @@
     let token = shard.send(ShardRequestBody::CreateProgram(other));
     assert_eq!(shard.error(token).code, ErrorCode::BodyConflict);
 }
+
+#[test]
+fn a_dispatcher_that_asks_learns_which_programs_have_ended() {
+    let mut shard = Harness::new();
+    let live = shard.create();
+    let ended = shard.create();
+    shard.answer(live, 1, "one");
+    shard.answer(ended, 1, "one");
+    shard.ask(ShardRequestBody::EndProgram {
+        program: ended,
+        reason: EndReason::Caller,
+    });
+    shard.outputs.clear();
+    shard.dispatcher(DispatchEventBody::CheckPrograms(vec![live, ended]));
+    let said: Vec<_> = shard
+        .outputs
+        .iter()
+        .filter_map(said_to_dispatcher)
+        .collect();
+    assert_eq!(said, [&DispatchRequestBody::ProgramEnded(ended)]);
+}
+
+fn said_to_dispatcher(output: &ShardOutput) -> Option<&DispatchRequestBody> {
+    match output {
+        ShardOutput::Dispatch(request) => Some(&request.body),
+        _ => None,
+    }
+}
--- a/crates/courseshed-types/src/dispatch.rs
+++ b/crates/courseshed-types/src/dispatch.rs
@@ -165,6 +165,8 @@
     },
     /// A new dispatcher asks for all waiting and running calls of the shard.
     AnnounceAll,
+    /// Engine memory is held for these paused programs: say again which of them have ended.
+    CheckPrograms(Vec<ProgramId>),
 }
 
 /// Whether an engine takes work.
