Simulate the whole path in virtual time, and run simulations with courseshed-lab check

Cause: the promises to callers were checked by models of single parts and by tests with real processes, which meet few combinations of failures.

--- a/crates/courseshed-lab/src/check/report.rs
+++ b/crates/courseshed-lab/src/check/report.rs
@@ -5,13 +5,15 @@
 use courseshed_types::model_report::ModelReport;
 use serde::Serialize;
 
-use super::models;
+use super::{models, simulations::SimulationSummary};
 
 /// The results of a check.
 #[derive(Debug, Clone, Serialize)]
 pub struct CheckReport {
     /// The models explored.
     pub models: Vec<ModelReport>,
+    /// The simulations run.
+    pub simulations: Vec<SimulationSummary>,
 }
 
 impl CheckReport {
@@ -21,20 +23,34 @@
         if let Some(part) = name_part {
             models.retain(|report| report.name.contains(part));
         }
-        CheckReport { models }
+        CheckReport {
+            models,
+            simulations: Vec::new(),
+        }
+    }
+
+    /// The results of simulations alone.
+    pub fn of_simulations(simulations: Vec<SimulationSummary>) -> CheckReport {
+        CheckReport {
+            models: Vec::new(),
+            simulations,
+        }
     }
 
     /// Whether all holds and every broken variant was caught.
     pub fn passed(&self) -> bool {
-        self.models.iter().all(ModelReport::passed)
+        let models = self.models.iter().all(ModelReport::passed);
+        let simulations = self.simulations.iter().all(SimulationSummary::passed);
+        models && simulations
     }
 
     /// Properties found broken.
     pub fn violations(&self) -> usize {
-        self.models
-            .iter()
-            .filter(|report| report.violation.is_some())
-            .count()
+        let broken = |report: &&ModelReport| report.violation.is_some();
+        let in_models = self.models.iter().filter(broken).count();
+        let seen = |summary: &SimulationSummary| summary.violations_seen.len();
+        let in_simulations: usize = self.simulations.iter().map(seen).sum();
+        in_models + in_simulations
     }
 }
 
@@ -43,6 +59,9 @@
         for report in &self.models {
             write_model(formatter, report)?;
         }
+        for summary in &self.simulations {
+            write!(formatter, "{summary}")?;
+        }
         writeln!(formatter, "violations: {}", self.violations())
     }
 }
