Check settings leases and accepted versions by model, driving the real leader and views

Cause: that no node goes back and no lease outlives a version rested on tests of single cases. Change: a specification with the real leader's logic, control state and views of nodes; messages late, lost and out of order, a leader cut off and followed by another, a restart from an old file, a relay, racing operators, and wait.

--- a/crates/courseshed-control/src/leader/mod.rs
+++ b/crates/courseshed-control/src/leader/mod.rs
@@ -125,7 +125,7 @@
 }
 
 /// The leader's soft state.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ControlLeader<C> {
     node: NodeId,
     options: LeaderOptions,
@@ -266,6 +266,22 @@
         outputs
     }
 
+    /// What decides its answers besides the replicated state, for telling states of a model apart.
+    pub(crate) fn answering_state(&self) -> impl std::fmt::Debug {
+        (
+            (self.role, self.leading_since, self.configured),
+            (&self.acceptances, &self.proposed_nodes),
+        )
+    }
+
+    /// What it has heard and concluded of nodes, for telling states of a model apart.
+    pub(crate) fn hearing_state(&self) -> impl std::fmt::Debug {
+        (
+            (&self.down_since, &self.positions),
+            (&self.detector, &self.damper),
+        )
+    }
+
     fn start_leading(&mut self, now: Timestamp, state: &ControlState) {
         self.leading_since = now;
         self.configured = false;
--- a/crates/courseshed-control/src/model/mod.rs
+++ b/crates/courseshed-control/src/model/mod.rs
@@ -10,12 +10,15 @@
 //! has its own specification): a proposal is committed in order, or lost with its leader.
 
 pub mod escrow;
+pub mod settings_lease;
 
 use courseshed_types::model_report::ModelReport;
 
 /// Checks every specification and every broken variant of it.
 pub fn check_all() -> Vec<ModelReport> {
-    escrow::check_all()
+    let mut reports = settings_lease::check_all();
+    reports.extend(escrow::check_all());
+    reports
 }
 
 #[cfg(test)]
--- a/crates/courseshed-control/src/model/tests.rs
+++ b/crates/courseshed-control/src/model/tests.rs
@@ -23,6 +23,11 @@
     }
 }
 
+#[test]
+fn settings_never_go_back_and_leases_are_kept() {
+    check(settings_lease::check_all());
+}
+
 #[test]
 fn escrow_never_exceeds_what_was_granted() {
     check(escrow::check_all());
--- a/crates/courseshed-control/src/node/mod.rs
+++ b/crates/courseshed-control/src/node/mod.rs
@@ -108,7 +108,7 @@
 }
 
 /// A node's view of control.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct NodeControlView {
     options: ViewOptions,
     member: Member,
@@ -318,6 +318,25 @@
         outputs
     }
 
+    /// All that decides what the view does next but the numbers of requests, for telling states of a model apart.
+    pub(crate) fn decisive_state(&self) -> impl std::fmt::Debug {
+        let in_flight = self.in_flight.map(|sent| (sent.kind, sent.sent_at));
+        (
+            (self.published.position(), self.lease, &self.upstream),
+            (
+                &self.relay,
+                in_flight,
+                self.next_report_at,
+                self.pull_wanted,
+            ),
+        )
+    }
+
+    /// Whether the answer to this request is waited for, for telling states of a model apart.
+    pub(crate) fn awaits(&self, number: u64) -> bool {
+        self.in_flight.is_some_and(|sent| sent.number == number)
+    }
+
     fn on_pulled(&mut self, now: Timestamp, update: &ControlUpdate) -> Vec<ViewOutput> {
         let mut outputs = self.on_update(update);
         if outputs.is_empty() {
--- a/crates/courseshed-control/src/node/upstream.rs
+++ b/crates/courseshed-control/src/node/upstream.rs
@@ -32,7 +32,7 @@
 }
 
 /// The choice of whom to ask.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Upstream {
     node: NodeId,
     seeds: Vec<ControllerSeed>,
