Say ready only once the shards here are led

Cause: a node that had just started was ready before its shards had leaders, and refused up to 15 of 96 calls that came at once with 'shard 9 has no leader that answers'. Change: the first readiness waits until the replicas here know their leaders. Later elections do not take it back: all nodes of a region would be unready at once. Measured: tests/thin_path.rs: all shards of a lone node are led when it says that it is ready.

--- a/crates/courseshed-node/src/gateway/mod.rs
+++ b/crates/courseshed-node/src/gateway/mod.rs
@@ -25,6 +25,8 @@
 pub use routes::{GatewayWorker, configure};
 pub use streams::StreamReporter;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use branches::BranchCache;
 use streams::{ActiveCalls, StreamRegistry};
 
@@ -37,9 +39,21 @@
     streams: StreamRegistry,
     /// Calls under way.
     calls: ActiveCalls,
+    /// Whether the node was ready to serve once.
+    was_ready: AtomicBool,
 }
 
 impl GatewayState {
+    /// Whether the node was ready to serve once.
+    pub fn has_been_ready(&self) -> bool {
+        self.was_ready.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the node is ready to serve.
+    pub fn note_ready(&self) {
+        self.was_ready.store(true, Ordering::Relaxed);
+    }
+
     /// Attempts whose streams run here.
     pub fn streams(&self) -> usize {
         self.streams.len()
--- a/crates/courseshed-node/src/health.rs
+++ b/crates/courseshed-node/src/health.rs
@@ -4,6 +4,7 @@
     HttpRequest, HttpResponse,
     web::{self, ServiceConfig},
 };
+use courseshed_types::ShardId;
 use serde::Serialize;
 
 use crate::{
@@ -53,9 +54,20 @@
     if context.view.map().shards.is_empty() {
         return Err("no program shard is placed");
     }
+    if !context.gateway.has_been_ready() && !knows_leaders(context) {
+        return Err("a program shard has no leader");
+    }
+    context.gateway.note_ready();
     Ok(())
 }
 
+/// Whether the replicas here know who leads their shards. Asked only until the node has been ready once: if elections
+/// made nodes unready, all nodes of a region would be so at the same time.
+fn knows_leaders(context: &NodeContext) -> bool {
+    let is_led = |shard: ShardId| context.shards.leader(shard).is_some();
+    context.shards.ids().into_iter().all(is_led)
+}
+
 async fn metrics(context: web::Data<SharedContext>, request: HttpRequest) -> HttpResponse {
     let audience = match sees_branches(&context, &request) {
         true => Audience::Operator,
--- a/crates/courseshed-node/tests/thin_path.rs
+++ b/crates/courseshed-node/tests/thin_path.rs
@@ -80,3 +80,14 @@
     assert_eq!(document["object"], json!("chat.completion"));
     assert_eq!(document["usage"]["completion_tokens"], json!(10));
 }
+
+#[actix_web::test]
+async fn a_node_that_says_it_is_ready_takes_calls_of_every_shard() {
+    let engine = start_engine("e1");
+    let node = start_lone(&[&engine], TREE);
+    let caller = Caller::new(node.http_address());
+    caller.wait_ready().await;
+    let context = node.context();
+    assert_eq!(context.shards.led(), context.shards.ids());
+    assert!(!context.shards.ids().is_empty());
+}
