Take a call's patience and default model from its own branch

Cause: each call went over the policies of all branches for the longest waiting time, a cost that grows with the number of tenants; answers to calls that named no model named none. Change: both come from the branch of the call's program, which the gateway knows already. Measured: tests/callers_interface.rs and tests/streams.rs pass; the gain in processor time was not measured.

--- a/crates/courseshed-node/src/gateway/call.rs
+++ b/crates/courseshed-node/src/gateway/call.rs
@@ -1,9 +1,11 @@
 //! Starts the task of a call and turns its events into a response.
 
+use std::time::Duration;
+
 use actix_web::{HttpResponse, http::header};
 use courseshed_engine::EngineConnector;
 use courseshed_types::{
-    Attempt, CallError, CallId, CallOutcome, ErrorCode, ProgramId,
+    Attempt, BranchPath, CallError, CallId, CallOutcome, ErrorCode, ProgramId,
     program::EndReason,
     shard::{SettledCall, ShardReply, ShardRequestBody, SubmitCall},
 };
@@ -24,6 +26,9 @@
     shards::ShardPatience,
 };
 
+/// How long a call of a branch that is gone from the settings may wait.
+const LONGEST_QUEUE_WAIT: Duration = Duration::from_secs(60);
+
 /// How the caller wants the answer.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerShape {
@@ -41,6 +46,8 @@
 pub struct CallPlan {
     /// The program.
     pub program: ProgramId,
+    /// The branch that pays.
+    pub branch: BranchPath,
     /// What to ask the shard first.
     pub first: ShardRequestBody,
     /// Whether the program ends with the call.
@@ -72,7 +79,7 @@
     let driver = CallDriver {
         context: context.clone(),
         connector: connector.clone(),
-        patience: patience(context),
+        patience: patience(context, &plan.branch),
         sink,
         resumed_attempt: shape.had.map(|had| had.attempt),
         only_follows: matches!(plan.first, ShardRequestBody::AttachCall(_)),
@@ -148,16 +155,18 @@
     }
 }
 
-fn patience(context: &SharedContext) -> ShardPatience {
+fn patience(context: &SharedContext, branch: &BranchPath) -> ShardPatience {
     let policy = context.view.policy();
-    let waits = policy.snapshot.branches.values();
-    let longest = waits.map(|branch| branch.limits.queue_wait).max();
-    ShardPatience::for_calls(longest.unwrap_or_default())
+    let limits = policy
+        .snapshot
+        .branch(branch)
+        .map(|branch| branch.limits.queue_wait);
+    ShardPatience::for_calls(limits.unwrap_or(LONGEST_QUEUE_WAIT))
 }
 
 fn too_many() -> ApiError {
     let message = "this gateway has as many calls under way as it may";
-    let wait = std::time::Duration::from_secs(1);
+    let wait = Duration::from_secs(1);
     CallError::not_run(ErrorCode::Overloaded, message)
         .retry_after(wait)
         .into()
--- a/crates/courseshed-node/src/gateway/calls.rs
+++ b/crates/courseshed-node/src/gateway/calls.rs
@@ -3,7 +3,7 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use courseshed_engine::EngineConnector;
 use courseshed_types::{
-    CallId, ProgramId,
+    BranchPath, CallId, ModelName, ProgramId,
     call::CallOutcome,
     program::CallState,
     shard::{SettledCall, ShardReply, ShardRequestBody, SubmitCall},
@@ -40,31 +40,39 @@
     let program = program_id(&path)?;
     let headers = call_headers(&request)?;
     let body: ChatRequestBody = parse_json(&read_body(context, payload).await?)?;
-    authorize(context, &caller, program).await?;
-    let plan = plan_call(context, program, headers, body, false)?;
+    let branch = authorize(context, &caller, program).await?;
+    let payer = Payer { program, branch };
+    let plan = plan_call(context, payer, headers, body, false)?;
     answer_call(context, &connector, plan).await
 }
 
+/// The program that makes a call, and its branch.
+pub struct Payer {
+    /// The program.
+    pub program: ProgramId,
+    /// Its branch.
+    pub branch: BranchPath,
+}
+
 /// Plans a call from what the caller sent.
 ///
 /// # Errors
 /// 400 for values that make no sense.
 pub fn plan_call(
     context: &SharedContext,
-    program: ProgramId,
+    payer: Payer,
     headers: CallHeaders,
     body: ChatRequestBody,
     full_history: bool,
 ) -> Result<CallPlan, ApiError> {
+    let Payer { program, branch } = payer;
+    let model = body.model.clone();
     let shape = AnswerShape {
         stream: body.stream.unwrap_or(false),
         include_usage: body
             .stream_options
             .is_some_and(|options| options.include_usage),
-        model: body
-            .model
-            .as_ref()
-            .map_or_else(String::new, |model| model.to_string()),
+        model: model_name(context, model, &branch),
         had: None,
     };
     let call = call_request(body, headers.repeatable)?;
@@ -76,6 +84,7 @@
     };
     Ok(CallPlan {
         program,
+        branch,
         first: submit(SubmitCall {
             program,
             sequence: headers.sequence,
@@ -89,6 +98,15 @@
     })
 }
 
+/// The model named in an answer: the one asked for, or the branch's own.
+fn model_name(context: &SharedContext, asked: Option<ModelName>, branch: &BranchPath) -> String {
+    let policy = context.view.policy();
+    let own = || policy.snapshot.branch(branch)?.default_model.clone();
+    asked
+        .or_else(own)
+        .map_or_else(String::new, |model| model.to_string())
+}
+
 /// `GET /v1/programs/{id}/calls/{sequence}`: the outcome as JSON, or the stream when the caller asks for
 /// `text/event-stream` or gives `Last-Event-ID`.
 pub async fn get(
@@ -101,12 +119,13 @@
     let caller = authenticate(context, &request)?;
     let program = program_id(&path.0)?;
     let sequence = sequence_number(&path.1)?;
-    authorize(context, &caller, program).await?;
+    let branch = authorize(context, &caller, program).await?;
     let call = CallId { program, sequence };
     let had = last_event_id(&request)?;
     if had.is_some() || wants_stream(&request)? {
         let plan = CallPlan {
             program,
+            branch,
             first: ShardRequestBody::AttachCall(call),
             ends_program: false,
             shape: AnswerShape {
--- a/crates/courseshed-node/src/gateway/completions.rs
+++ b/crates/courseshed-node/src/gateway/completions.rs
@@ -11,7 +11,7 @@
         auth::{Caller, authenticate},
         branches::authorize,
         call::answer_call,
-        calls::plan_call,
+        calls::{Payer, plan_call},
         documents::ChatRequestBody,
         error::ApiError,
         parse::{
@@ -37,8 +37,9 @@
     let body: ChatRequestBody = parse_json(&read_body(context, payload).await?)?;
     if let Some(program) = text_header(&request, HEADER_PROGRAM)? {
         let program = program_id(program)?;
-        authorize(context, &caller, program).await?;
-        let plan = plan_call(context, program, headers, body, true)?;
+        let branch = authorize(context, &caller, program).await?;
+        let payer = Payer { program, branch };
+        let plan = plan_call(context, payer, headers, body, true)?;
         return answer_call(context, &connector, plan).await;
     }
     let branch = branch_of(&caller, &request)?;
@@ -53,9 +54,13 @@
             idempotency_key: headers.idempotency_key.clone(),
         },
     );
-    let program = program.await?.id;
+    let program = program.await?;
     headers.sequence = Some(Sequence(1));
-    let mut plan = plan_call(context, program, headers, body, true)?;
+    let payer = Payer {
+        program: program.id,
+        branch: program.branch,
+    };
+    let mut plan = plan_call(context, payer, headers, body, true)?;
     plan.ends_program = true;
     answer_call(context, &connector, plan).await
 }
