--- a/crates/courseshed-programs/examples/program_memory.rs
+++ b/crates/courseshed-programs/examples/program_memory.rs
@@ -51,7 +51,7 @@
 
 fn main() {
     let mut samples = Vec::new();
-    println!("turns   tokens | bytes/program  text bytes  snapshot bytes");
+    println!("turns   tokens | bytes/program  text bytes  snapshot bytes  us to write");
     for per_turn in TOKENS_PER_TURN {
         for turns in TURNS {
             samples.push(measure_memory(turns, per_turn));
@@ -72,9 +72,11 @@
         (1..=turns).for_each(|sequence| bench.turn(program, sequence, per_turn));
     }
     let bytes = resident_bytes().saturating_sub(before) / programs;
-    let snapshot = bench.state.snapshot().len() as u64 / programs;
+    let started = Instant::now();
+    let snapshot = black_box(bench.state.snapshot()).len() as u64 / programs;
+    let micros = started.elapsed().as_micros() as u64 / programs;
     let tokens = turns * per_turn;
-    println!("{turns:5} {tokens:8} | {bytes:13} {text_bytes:11} {snapshot:15}");
+    println!("{turns:5} {tokens:8} | {bytes:13} {text_bytes:11} {snapshot:15} {micros:12}");
     // Kept, so that the memory of the next size is not this one's reused.
     std::mem::forget(bench);
     Sample {
