Describe control in the node, and add a deployment of three nodes in three zones

Cause: no page said how the daemon drives control, what an operator sees while a fleet starts, or how to start the smallest fleet that survives a machine; controllers sent heartbeats as often as shards though their elections wait twice as long.

Change: a design note, the pages for start and client brought up to date, deployments/zones, heartbeats of controllers at half the rate.

--- a/crates/courseshed-node/src/control/founding.rs
+++ b/crates/courseshed-node/src/control/founding.rs
@@ -23,7 +23,8 @@
 const FOUNDING_INCARNATION: u64 = 1;
 /// Folder of the log within the node's data folder.
 const LOG_FOLDER: &str = "control";
-/// Elections of controllers wait so much longer than those of shards, since controllers wait for their disks.
+/// Heartbeats and elections of controllers come so much later than those of shards, since controllers wait for their
+/// disks.
 const ELECTION_FACTOR: u32 = 2;
 
 /// What a controller says of its log.
@@ -119,12 +120,13 @@
     let address = ReplicaAddress::new(replica(settings.node_id), incarnation);
     let mut config = PeerConfig::new(CONTROL_GROUP, address, members);
     let timeouts = &settings.timeouts;
-    config.heartbeat_interval = timeouts.heartbeat;
-    config.election_timeout = if is_alone {
-        timeouts.heartbeat * ELECTION_FACTOR
+    if is_alone {
+        config.heartbeat_interval = timeouts.heartbeat;
+        config.election_timeout = timeouts.heartbeat * ELECTION_FACTOR;
     } else {
-        timeouts.election * ELECTION_FACTOR
-    };
+        config.heartbeat_interval = timeouts.heartbeat * ELECTION_FACTOR;
+        config.election_timeout = timeouts.election * ELECTION_FACTOR;
+    }
     config.seed = incarnation.wrapping_add(u64::from(settings.node_id.0));
     config
 }
--- a/crates/courseshed-settings/tests/deployments.rs
+++ b/crates/courseshed-settings/tests/deployments.rs
@@ -47,6 +47,7 @@
 
 #[parameterized(
     single = { "single", 1, 1, 2, 1 },
+    zones = { "zones", 3, 3, 4, 3 },
     guild = { "guild", 3, 3, 12, 3 },
     hokkaido = { "hokkaido", 4, 4, 14, 3 },
 )]
@@ -98,7 +99,7 @@
     }
 }
 
-#[parameterized(single = { "single" }, guild = { "guild" }, hokkaido = { "hokkaido" })]
+#[parameterized(single = { "single" }, zones = { "zones" }, guild = { "guild" }, hokkaido = { "hokkaido" })]
 fn the_tree_holds_and_its_models_are_served(name: &str) {
     let snapshot = tree(name).compile(SettingsVersion(1));
     let nodes = nodes(name);
@@ -123,7 +124,7 @@
     );
 }
 
-#[parameterized(single = { "single" }, guild = { "guild" }, hokkaido = { "hokkaido" })]
+#[parameterized(single = { "single" }, zones = { "zones" }, guild = { "guild" }, hokkaido = { "hokkaido" })]
 fn the_keys_of_the_readme_have_the_digests_of_the_settings(name: &str) {
     let readme = fs::read_to_string(folder(name).join("README.md")).expect("README");
     let rows = readme.lines().filter_map(|line| line.strip_prefix("| `"));
@@ -146,7 +147,7 @@
         .collect()
 }
 
-#[parameterized(single = { "single" }, guild = { "guild" }, hokkaido = { "hokkaido" })]
+#[parameterized(single = { "single" }, zones = { "zones" }, guild = { "guild" }, hokkaido = { "hokkaido" })]
 fn the_fleet_file_starts_what_the_nodes_name(name: &str) {
     let processes = fleet(name);
     let names: BTreeSet<_> = processes.iter().map(|(name, _)| name).collect();
