--- a/crates/courseshed-lab/src/report/figures.rs
+++ b/crates/courseshed-lab/src/report/figures.rs
@@ -95,12 +95,14 @@
 }
 
 fn waste_by_branch(groups: &[&Group<'_>], load: f64) -> Result<Figure, PlotError> {
-    let branches = branches_of(groups, |run| {
+    let all = branches_of(groups, |run| {
         run.waste.iter().map(|row| row.branch.clone()).collect()
     });
+    let tops = distinct(all.iter().map(|branch| first_segment(branch)));
+    let branches = distinct(all.iter().map(|branch| top_of(branch, &tops)));
     let bars = groups.iter().map(|group| {
         let pieces = branches.iter().enumerate().map(|(colour, branch)| {
-            let of_branch = |row: &WasteRow| match row.branch == *branch {
+            let of_branch = |row: &WasteRow| match top_of(&row.branch, &tops) == *branch {
                 true => row.total(),
                 false => 0,
             };
--- a/crates/courseshed-lab/src/report/plots.rs
+++ b/crates/courseshed-lab/src/report/plots.rs
@@ -260,6 +260,7 @@
 fn short(value: f64) -> String {
     match value {
         value if value >= 10_000.0 => format!("{:.0}k", value / 1_000.0),
+        0.0 => "0".to_string(),
         value if value >= 10.0 => format!("{value:.0}"),
         value => format!("{value:.2}"),
     }
