Render events of a stream straight into the bytes that are sent

Cause: each event was made of a string for its text, a string for the event, and a copy. Change: head, text as JSON and tail are written into one buffer of about the right size.

--- a/crates/courseshed-node/src/gateway/sse.rs
+++ b/crates/courseshed-node/src/gateway/sse.rs
@@ -4,7 +4,7 @@
 //! comes back with it gets the rest, from whichever gateway, engine or record holds it.
 
 use std::{
-    fmt::Write as _,
+    io::Write as _,
     pin::Pin,
     str::FromStr,
     task::{Context, Poll},
@@ -92,7 +92,7 @@
         self
     }
 
-    fn render_text(&mut self, out: &mut String) {
+    fn render_text(&mut self, out: &mut Vec<u8>) {
         let renderer = &mut self.renderer;
         let rendered = self
             .reader
@@ -103,7 +103,7 @@
         }
     }
 
-    fn render_end(&mut self, end: CallEnd, out: &mut String) {
+    fn render_end(&mut self, end: CallEnd, out: &mut Vec<u8>) {
         self.ended = true;
         match end {
             CallEnd::Broken(error) => render_error(error, out),
@@ -114,7 +114,7 @@
         }
     }
 
-    fn render_answer(&mut self, answer: &CallAnswer, out: &mut String) {
+    fn render_answer(&mut self, answer: &CallAnswer, out: &mut Vec<u8>) {
         let text = answer.message.content.as_str().unwrap_or_default();
         if !self.reader.agrees_with(text) {
             return render_error(diverged(), out);
@@ -131,7 +131,7 @@
         if this.ended {
             return Poll::Ready(None);
         }
-        let mut out = String::new();
+        let mut out = Vec::new();
         if let Some(end) = this.end.take() {
             this.render_end(end, &mut out);
             return Poll::Ready(Some(Ok(Bytes::from(out))));
@@ -162,7 +162,7 @@
 impl Renderer {
     fn new(shape: StreamShape, had: Option<EventId>) -> Renderer {
         let id = completion_id(shape.call);
-        let model = quoted(&shape.model);
+        let model = json(&shape.model);
         let created = shape.created;
         let head = format!(
             "data: {{\"id\":\"{id}\",\"object\":\"chat.completion.chunk\",\"created\":{created},\"model\":{model},\"choices\":["
@@ -176,24 +176,26 @@
         }
     }
 
-    fn text(&mut self, attempt: Attempt, end: u64, delta: &str, out: &mut String) {
+    fn text(&mut self, attempt: Attempt, end: u64, delta: &str, out: &mut Vec<u8>) {
         self.attempt = attempt;
         self.bytes = end;
-        let role = if std::mem::take(&mut self.is_first) {
-            "\"role\":\"assistant\","
-        } else {
-            ""
+        let role = match std::mem::take(&mut self.is_first) {
+            true => "\"role\":\"assistant\",",
+            false => "",
         };
         let head = &self.head;
         out.reserve(EVENT_BYTES + head.len() + delta.len());
-        let _ = write!(
-            out,
-            "id: {attempt}.{end}\n{head}{{\"index\":0,\"delta\":{{{role}\"content\":{}}},\"finish_reason\":null}}]}}\n\n",
-            quoted(delta)
-        );
+        let _ = writeln!(out, "id: {attempt}.{end}");
+        out.extend_from_slice(head.as_bytes());
+        out.extend_from_slice(b"{\"index\":0,\"delta\":{");
+        out.extend_from_slice(role.as_bytes());
+        out.extend_from_slice(b"\"content\":");
+        // Writing to memory can't fail.
+        let _ = serde_json::to_writer(&mut *out, delta);
+        out.extend_from_slice(b"},\"finish_reason\":null}]}\n\n");
     }
 
-    fn answered(&mut self, answer: &CallAnswer, text: &str, out: &mut String) {
+    fn answered(&mut self, answer: &CallAnswer, text: &str, out: &mut Vec<u8>) {
         let had = usize::try_from(self.bytes).unwrap_or(usize::MAX);
         match text.get(had..) {
             Some("") => {}
@@ -203,7 +205,7 @@
         self.finish(answer, out);
     }
 
-    fn finish(&self, answer: &CallAnswer, out: &mut String) {
+    fn finish(&self, answer: &CallAnswer, out: &mut Vec<u8>) {
         let head = &self.head;
         let attempt = answer.attempt;
         let bytes = self.bytes;
@@ -216,7 +218,7 @@
             let usage = json(&UsageDocument::from(answer.usage));
             let _ = write!(out, "{head}],\"usage\":{usage}}}\n\n");
         }
-        out.push_str("data: [DONE]\n\n");
+        out.extend_from_slice(b"data: [DONE]\n\n");
     }
 }
 
@@ -231,15 +233,11 @@
 }
 
 /// An error inside a stream whose status was sent before.
-fn render_error(error: CallError, out: &mut String) {
+fn render_error(error: CallError, out: &mut Vec<u8>) {
     let document = json(&ApiError::from(error).document());
     let _ = write!(out, "event: error\ndata: {document}\n\n");
 }
 
-fn quoted(text: &str) -> String {
-    json(text)
-}
-
 fn json<T: serde::Serialize + ?Sized>(value: &T) -> String {
     serde_json::to_string(value).unwrap_or_else(|_| "null".to_owned())
 }
