--- a/crates/courseshed-node/src/gateway/driver.rs
+++ b/crates/courseshed-node/src/gateway/driver.rs
@@ -145,3 +145,6 @@
         usize::try_from(self.context.settings.limits.answer_bytes).unwrap_or(usize::MAX)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/courseshed-node/tests/support/mod.rs
+++ b/crates/courseshed-node/tests/support/mod.rs
@@ -350,3 +350,24 @@
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Checks that an answer is a refusal in OpenAI's shape, with the verdict in both places.
+pub fn assert_refused(answer: &Answer, status: StatusCode, code: &str, what: &str) {
+    assert_eq!(answer.status, status, "{what}: {:?}", answer.body);
+    let document = answer.json();
+    let error = &document["error"];
+    assert_eq!(error["code"], json!(code), "{what}: {document}");
+    assert_eq!(error["verdict"], json!("not_run"), "{what}");
+    assert!(error["type"].is_string(), "{what}");
+    assert!(
+        error["message"]
+            .as_str()
+            .is_some_and(|text| !text.is_empty()),
+        "{what}"
+    );
+    assert_eq!(
+        answer.header("Courseshed-Verdict"),
+        Some("not_run"),
+        "{what}"
+    );
+}
