Ask for escrow at a pace, and keep a tenant's programs on few shards

With 1,320 shards, 550 tenants and 20,000 calls/s that is thousands of commits a second at the controllers, each copied to five followers, which takes the leader's network first. Idle escrow stays two minutes. A tenant's programs keep to 16 shards of a region, by rendezvous hashing; regions of up to 16 shards, all deployments here, work as before. Weighed: a ledger for each region, which needs grants of grants; a batch of requests in one entry, which only makes the constant smaller. Worked out from it: 550 tenants x 16 shards x 6 regions are 52,800 pairs, and at one request in five minutes at most 176 requests a second, whatever the calls. Tests of programs, membership and control pass.

--- a/crates/courseshed-control/src/hollow/grants.rs
+++ b/crates/courseshed-control/src/hollow/grants.rs
@@ -94,6 +94,7 @@
             branch,
             period: u64::try_from(period).unwrap_or(u64::MAX),
             wanted: WANTED,
+            needed: WANTED,
         })
     }
 
--- a/crates/courseshed-control/src/model/escrow/shard.rs
+++ b/crates/courseshed-control/src/model/escrow/shard.rs
@@ -67,6 +67,7 @@
             branch: budget.branch.clone(),
             period: budget.period,
             wanted: WANTED,
+            needed: WANTED,
         };
         self.asked.push(request.clone());
         Some(request)
--- a/crates/courseshed-control/src/state/ledger.rs
+++ b/crates/courseshed-control/src/state/ledger.rs
@@ -7,6 +7,9 @@
 //! A branch and each budgeted branch above it have accounts of their own, with periods of their own; a shard holds
 //! escrow of all of them before it lets an attempt start.
 //!
+//! A request gets what its call needs, and beyond that at most an eighth of what is left: a shard asks for minutes of
+//! its spending at once, which must not keep the end of a budget from the others.
+//!
 //! Requests carry numbers that grow: the last number again gets the same grant, an older one is refused, so that
 //! neither a resent request nor a late copy takes tokens twice. The numbers belong to a generation of the shard: one
 //! that was lost takes what it held with it until the period is over. Unspent escrow of a period that is over lapses.
@@ -22,6 +25,8 @@
 
 use crate::state::ApplyOutcome;
 
+/// A request gets at most this part of what is left, unless the call that waits needs more.
+const GRANT_PART: u64 = 8;
 /// How long an account is kept that was made while its branch had no budget.
 const KEPT_WITHOUT_BUDGET: Duration = Duration::from_secs(2 * 24 * 60 * 60);
 
@@ -56,7 +61,7 @@
             )));
         }
         let left = limit.saturating_sub(self.held);
-        let granted = request.wanted.min(left);
+        let granted = request.wanted.min(part_of(left, request.needed));
         escrow.last_request = request.number;
         escrow.last_granted = granted;
         escrow.held = escrow.held.saturating_add(granted);
@@ -222,6 +227,11 @@
     }
 }
 
+/// The most that one request gets, so that a shard which asks for much leaves something for the others.
+fn part_of(left: Tokens, needed: Tokens) -> Tokens {
+    Tokens(left.0 / GRANT_PART).max(needed).min(left)
+}
+
 /// Clocks differ, so the periods next to the present one are accepted too.
 fn period_is_near(at: Timestamp, period: u64, length: Duration) -> bool {
     let length = length.as_micros().max(1);
--- a/crates/courseshed-control/src/state/tests.rs
+++ b/crates/courseshed-control/src/state/tests.rs
@@ -109,6 +109,7 @@
         branch: BranchPath::root(),
         period: 0,
         wanted: Tokens(wanted),
+        needed: Tokens(wanted),
     })
 }
 
--- a/crates/courseshed-membership/src/lib.rs
+++ b/crates/courseshed-membership/src/lib.rs
@@ -9,9 +9,13 @@
 pub mod placement;
 pub mod rendezvous;
 pub mod selection;
+pub mod spread;
+#[cfg(test)]
+mod spread_tests;
 
 pub use damping::{DampingOptions, FlapDamper};
 pub use detector::{DetectorOptions, FailureDetector, Liveness};
 pub use migration::{ReplicaSet, ReplicaStep, plan_replica_changes};
 pub use placement::{PlacementOptions, place_shards};
 pub use selection::{dispatcher_for, dispatcher_for_reachable, relay_for, relays_for};
+pub use spread::{SHARDS_OF_TENANT, shards_of_tenant};
--- a/crates/courseshed-node/src/gateway/programs.rs
+++ b/crates/courseshed-node/src/gateway/programs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use courseshed_membership::shards_of_tenant;
 use courseshed_types::{
     BranchPath, CallError, ErrorCode, ProgramId, ShardId,
     program::{EndReason, NewProgram, ProgramView},
@@ -107,7 +108,7 @@
     let map = context.view.map();
     let region = &context.settings.region;
     let of_region = map.shards.values().filter(|shard| &shard.region == region);
-    let shards: Vec<ShardId> = of_region.map(|placement| placement.shard).collect();
+    let shards = shards_of_tenant(branch, of_region.map(|placement| placement.shard));
     if shards.is_empty() {
         let message = "no program shard is placed yet";
         let error = CallError::not_run(ErrorCode::Unavailable, message);
--- a/crates/courseshed-node/src/shards/follow.rs
+++ b/crates/courseshed-node/src/shards/follow.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use courseshed_membership::SHARDS_OF_TENANT;
 use courseshed_programs::LeaderConfig;
 use courseshed_types::{
     Incarnation, MapEpoch, NodeId,
@@ -71,6 +72,8 @@
     let mut leader = LeaderConfig::new(node, replica.shard, replica.region);
     leader.generation = replica.generation;
     leader.shards_in_region = u32::try_from(shards_in_region).unwrap_or(u32::MAX);
+    let shards_of_tenant = shards_in_region.min(SHARDS_OF_TENANT);
+    leader.shards_of_tenant = u32::try_from(shards_of_tenant).unwrap_or(u32::MAX);
     let timeouts = &context.settings.timeouts;
     let start = ReplicaStart {
         address: replica_address(node, context.identity.incarnation.0),
--- a/crates/courseshed-programs/src/leader/config.rs
+++ b/crates/courseshed-programs/src/leader/config.rs
@@ -4,6 +4,8 @@
 
 use courseshed_types::{NodeId, RegionName, ShardId};
 
+use super::pace::PaceLimits;
+
 /// Who the leader is, and its times and limits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LeaderConfig {
@@ -17,6 +19,8 @@
     pub region: RegionName,
     /// Shards of the region; limits of a branch "per region" are divided by it, rounded up.
     pub shards_in_region: u32,
+    /// Shards of the region over which the programs of one tenant are spread.
+    pub shards_of_tenant: u32,
     /// Proposals that may be in flight before new work is refused.
     pub max_in_flight: usize,
     /// An attempt whose gateway was not heard of for so long is looked up at its engine.
@@ -44,8 +48,8 @@
     pub grant_wait: Duration,
     /// Time between two sendings of the same request or return of escrow.
     pub grant_resend: Duration,
-    /// Escrow asked for, as a multiple of what the waiting call may cost.
-    pub grant_multiple: u64,
+    /// How much escrow is asked for at once.
+    pub grant_pace: PaceLimits,
     /// Escrow of a branch that was idle for so long is given back.
     pub escrow_idle: Duration,
     /// Time between two passes over all programs.
@@ -69,6 +73,7 @@
             generation: 1,
             region,
             shards_in_region: 1,
+            shards_of_tenant: 1,
             max_in_flight: 4_096,
             stream_silence: Duration::from_secs(10),
             start_margin: Duration::from_secs(2),
@@ -82,8 +87,8 @@
             retry_cap: Duration::from_secs(2),
             grant_wait: Duration::from_secs(5),
             grant_resend: Duration::from_secs(1),
-            grant_multiple: 4,
-            escrow_idle: Duration::from_secs(10),
+            grant_pace: PaceLimits::default(),
+            escrow_idle: Duration::from_secs(120),
             sweep_interval: Duration::from_secs(1),
             keep_ended: Duration::from_secs(10 * 60),
             max_ended: 2_000,
--- a/crates/courseshed-programs/src/leader/grants.rs
+++ b/crates/courseshed-programs/src/leader/grants.rs
@@ -7,13 +7,14 @@
 use std::collections::BTreeMap;
 
 use courseshed_types::{
-    CallError, CallId, ErrorCode, Timestamp, Tokens,
+    BranchPath, CallError, CallId, ErrorCode, Timestamp, Tokens,
     control::{Grant, GrantRequest, GrantReturn},
 };
 
 use super::{
     ShardLeader,
     output::{RequestToken, ShardOutput},
+    pace::{GrantPace, PaceLimits},
     proposals::Purpose,
     submit::ParkedSubmit,
 };
@@ -29,6 +30,7 @@
     parked: Vec<ParkedSubmit>,
     asked: BTreeMap<BudgetPeriod, AskedGrant>,
     used_at: BTreeMap<BudgetPeriod, Timestamp>,
+    paces: BTreeMap<BranchPath, GrantPace>,
     returned_at: Timestamp,
 }
 
@@ -47,6 +49,14 @@
         std::mem::take(&mut self.parked)
     }
 
+    /// How many calls' worth to ask for now.
+    fn next_multiple(&mut self, now: Timestamp, branch: &BranchPath, limits: &PaceLimits) -> u64 {
+        let last = self.paces.get(branch);
+        let pace = GrantPace::after(last, now, limits);
+        self.paces.insert(branch.clone(), pace);
+        pace.multiple()
+    }
+
     /// Takes a request out of those that wait for escrow.
     pub fn forget_waiter(&mut self, token: RequestToken) {
         self.parked.retain(|parked| parked.token != token);
@@ -99,7 +109,10 @@
             .escrow()
             .account(&budget)
             .map_or(0, |account| account.last_grant);
-        let wanted = Tokens(needed.0.saturating_mul(self.config.grant_multiple));
+        let multiple = self
+            .grants
+            .next_multiple(now, &budget.branch, &self.config.grant_pace);
+        let wanted = Tokens(needed.0.saturating_mul(multiple));
         let request = GrantRequest {
             shard: self.config.shard,
             generation: state.generation(),
@@ -107,6 +120,7 @@
             branch: budget.branch.clone(),
             period: budget.period,
             wanted: wanted.saturating_sub(state.escrow().available(&budget)),
+            needed: needed.saturating_sub(state.escrow().available(&budget)),
         };
         self.outputs
             .push(ShardOutput::RequestGrant(request.clone()));
--- a/crates/courseshed-programs/src/leader/mod.rs
+++ b/crates/courseshed-programs/src/leader/mod.rs
@@ -15,6 +15,9 @@
 mod grants;
 mod live;
 mod output;
+mod pace;
+#[cfg(test)]
+mod pace_tests;
 mod proposals;
 mod recovery;
 mod requests;
@@ -36,6 +39,7 @@
 pub use self::{
     config::LeaderConfig,
     output::{EngineQuery, ProposalLoss, RequestToken, ShardOutput, ShardRole},
+    pace::PaceLimits,
 };
 use self::{
     grants::GrantTable,
@@ -168,6 +172,7 @@
             policy,
             lease_valid_until: self.lease_valid_until,
             shards_in_region: self.config.shards_in_region,
+            shards_of_tenant: self.config.shards_of_tenant,
         })
     }
 
--- a/crates/courseshed-programs/src/leader/resolve.rs
+++ b/crates/courseshed-programs/src/leader/resolve.rs
@@ -24,6 +24,8 @@
     pub policy: &'a PolicySnapshot,
     pub lease_valid_until: Timestamp,
     pub shards_in_region: u32,
+    /// Shards over which the programs of one tenant are spread.
+    pub shards_of_tenant: u32,
 }
 
 /// What the settings make of a call.
@@ -153,11 +155,19 @@
     fn limits(&self, branch: &BranchPath, of: impl Fn(&BranchPolicy) -> u32) -> Vec<BranchLimit> {
         let limit = |branch: BranchPath| {
             let limit = of(self.policy.branch(&branch)?);
-            let limit = limit.div_ceil(self.shards_in_region.max(1));
+            let limit = limit.div_ceil(self.shards_of(&branch).max(1));
             Some(BranchLimit { branch, limit })
         };
         branch.ancestry().filter_map(limit).collect()
     }
+
+    /// Shards that the programs of a branch are spread over.
+    fn shards_of(&self, branch: &BranchPath) -> u32 {
+        match branch.is_root() {
+            true => self.shards_in_region,
+            false => self.shards_of_tenant,
+        }
+    }
 }
 
 /// The most tokens a call may generate.
--- a/crates/courseshed-types/src/control.rs
+++ b/crates/courseshed-types/src/control.rs
@@ -275,6 +275,9 @@
     pub period: u64,
     /// Tokens wanted.
     pub wanted: Tokens,
+    /// Tokens without which the call that waits can't start; beyond them a request gets only a part of what is left.
+    #[serde(default)]
+    pub needed: Tokens,
 }
 
 /// A shard leader gives unspent escrow back.
