Lock the data folder of a node, and test a budget over real nodes

Cause: two daemons on one new data folder both started and waited, since only an open control log was locked; nothing tested escrow through real controllers.

--- a/crates/courseshed-node/src/lib.rs
+++ b/crates/courseshed-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod dispatchers;
 pub mod drain;
+mod folder;
 pub mod gateway;
 mod handler;
 pub mod health;
@@ -23,4 +24,5 @@
 mod signals;
 pub mod view;
 
+pub use folder::FolderError;
 pub use node::{Node, NodeError, NodeHandle, NodeOptions, NodeSockets};
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -23,6 +23,7 @@
     control::{self, ControlThreads, ControllerError, Reachable},
     dispatchers::{DispatcherTicker, EngineWorker, engine_timeouts},
     drain,
+    folder::{FolderError, LockedFolder},
     gateway::{self, GatewayWorker, StreamReporter},
     handler::NodeHandler,
     health,
@@ -84,6 +85,12 @@
         /// Why.
         source: StartError,
     },
+    /// The data folder can't be used.
+    #[snafu(display("{source}"))]
+    Folder {
+        /// Why.
+        source: FolderError,
+    },
     /// The controller's folder can't be used.
     #[snafu(display("{source}"))]
     Controller {
@@ -107,6 +114,7 @@
     server: ServerHandle,
     /// The threads of control, which hold the lock of the data folder until they have ended.
     control: Vec<Arbiter>,
+    _folder: Option<LockedFolder>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -178,6 +186,8 @@
         // An embedder that stands in for control may stand in for folders too.
         let data_dir = options.settings.data_dir.as_deref();
         let starts = data_dir.filter(|_| !options.is_embedder_in_control);
+        let folder = starts.map(LockedFolder::open).transpose();
+        let folder = folder.context(FolderSnafu)?;
         let context = Arc::new(NodeContext::new(settings, starts));
         let (ready, started) = std::sync::mpsc::channel();
         let thread_context = context.clone();
@@ -199,6 +209,7 @@
             system,
             server,
             control,
+            _folder: folder,
             thread: Some(thread),
         })
     }
--- a/crates/courseshed-node/tests/control.rs
+++ b/crates/courseshed-node/tests/control.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use courseshed_node::{Node, NodeOptions};
 use courseshed_types::{NodeId, SettingsVersion, control::NodeState};
 use serde_json::json;
 use support::{
@@ -232,3 +233,62 @@
     let changed = apply(&caller_of(&fleet, other), 1, "second", &changed_tree(5)).await;
     assert_eq!(changed.status, 200, "{:?}", changed.body);
 }
+
+#[actix_web::test]
+async fn a_folder_in_use_is_refused_to_a_second_process() {
+    let fleet = Fleet::start(FleetPlan {
+        controllers: 1,
+        ..FleetPlan::default()
+    });
+    let mut settings = fleet.node(1).context().settings.clone();
+    settings.listen.set_port(0);
+    settings.peer_listen.set_port(0);
+    let refused = Node::start(NodeOptions::new(settings));
+    let error = refused.err().expect("refused").to_string();
+    assert!(
+        error.contains("in use by another process (data_dir)"),
+        "{error}"
+    );
+}
+
+#[actix_web::test]
+async fn a_budget_holds_over_all_shards_and_nodes() {
+    const BUDGET: u64 = 600;
+    let engine = support::start_engine("e1");
+    let limits = "limits = { output_tokens = 30 }";
+    let budget = format!("budget = {{ tokens = {BUDGET}, period = \"24h\" }}");
+    let tree = TREE
+        .replace("[root]", &format!("[root]\n{limits}"))
+        .replace("share = 2", &format!("share = 2\n{budget}"));
+    let fleet = Fleet::start(FleetPlan {
+        engines: &[&engine],
+        tree: &tree,
+        ..FleetPlan::default()
+    });
+    fleet.wait_in_force(1).await;
+    let (mut spent, mut answered, mut refused) = (0, 0, 0);
+    for turn in 0..45_u32 {
+        let caller = caller_of(&fleet, 1 + turn % 3);
+        caller.wait_ready().await;
+        let program = caller.program("guild/quotes").await;
+        let path = format!("/v1/programs/{program}/calls");
+        let answer = caller
+            .post(&path, &[], &support::call_body("a", 20, false))
+            .await;
+        if answer.status == 200 {
+            answered += 1;
+            spent += answer.json()["usage"]["total_tokens"]
+                .as_u64()
+                .expect("tokens");
+        } else {
+            assert_eq!(answer.error_code(), "budget_spent", "{:?}", answer.body);
+            assert_eq!(answer.header("Courseshed-Verdict"), Some("not_run"));
+            refused += 1;
+        }
+    }
+    assert!(spent <= BUDGET, "{spent} tokens spent of {BUDGET}");
+    assert!(
+        answered > 0 && refused > 0,
+        "{answered} answered, {refused} refused"
+    );
+}
