Answer an unchanged list of engines without a proposal, and keep fewer entries of large changes

Cause: each report of the engines, hundreds of kilobytes at 1,500, went through the controllers' log whether or not it changed anything. A region's cut that ended with the run was never healed, so no catch-up was measured. Change: the leader answers a list of engines, or a report of voters, that is in force with Done. The hollow fleet's controllers keep LOG_ENTRIES_RETAINED entries; the daemon's don't yet. A run goes on until its cut is over. Measured: the new test of the leader; 44 tests of leader, state and fleet pass. The memory after the change and a run with a healed cut were not measured.

--- a/crates/courseshed-control/src/hollow/controller.rs
+++ b/crates/courseshed-control/src/hollow/controller.rs
@@ -12,7 +12,10 @@
 };
 
 use super::{disk::MemoryDisk, machine::ControlMachine, traffic::Mechanism, wire::mechanism_of};
-use crate::{ControlLeader, ControlState, LeaderOptions, LeaderOutput, LeaderRole, RequestToken};
+use crate::{
+    ControlLeader, ControlState, LOG_ENTRIES_RETAINED, LeaderOptions, LeaderOutput, LeaderRole,
+    RequestToken,
+};
 
 /// The group of the controllers.
 const GROUP: GroupId = GroupId(0);
@@ -60,6 +63,7 @@
         let address = |id: u32| ReplicaAddress::new(ReplicaId(u64::from(id)), INCARNATION);
         let members = Configuration::of_voters((1..=controllers).map(address));
         let mut config = PeerConfig::new(GROUP, address(node.0), members);
+        config.retained_entries = LOG_ENTRIES_RETAINED;
         config.seed = u64::from(node.0) ^ now.0;
         let group = Group::new(config, disk, ControlMachine::default(), since_origin(now));
         Controller {
--- a/crates/courseshed-control/src/leader/requests.rs
+++ b/crates/courseshed-control/src/leader/requests.rs
@@ -55,6 +55,7 @@
             ControlRequest::ApplySettings(change) => {
                 vec![self.apply_settings(now, token, change, state)]
             }
+            change if changes_nothing(&change, state) => vec![reply(token, ControlReply::Done)],
             change => vec![self.propose_change(now, token, change)],
         }
     }
@@ -159,6 +160,21 @@
     }
 }
 
+/// Whether the map already says what is asked for. Nodes and the platform's list say the same again and again; a list
+/// of engines is hundreds of kilobytes, which the log need not carry each time.
+fn changes_nothing(request: &ControlRequest, state: &ControlState) -> bool {
+    match request {
+        ControlRequest::SetEngines(engines) => state.has_engines(engines),
+        ControlRequest::ReportVoters(report) => {
+            let placement = state.map().shards.get(&report.shard);
+            placement.is_some_and(|placement| {
+                placement.generation == report.generation && placement.voters == report.voters
+            })
+        }
+        _ => false,
+    }
+}
+
 fn with_reply(
     mut outputs: Vec<LeaderOutput>,
     token: RequestToken,
--- a/crates/courseshed-control/src/leader/tests.rs
+++ b/crates/courseshed-control/src/leader/tests.rs
@@ -5,6 +5,7 @@
     control::{
         ControlRequest, Member, NodeHeartbeat, NodeRole, NodeState, SettingsChange, ZoneReport,
     },
+    dispatch::{EngineMember, EngineState},
     policy::{BranchPolicy, CutOffPolicy},
 };
 
@@ -407,3 +408,30 @@
         Some(LeaderOptions::default().fleet)
     );
 }
+
+#[test]
+fn a_list_of_engines_that_is_in_force_is_not_proposed_again() {
+    let mut fleet = Fleet::new();
+    let engine = |id: &str| EngineMember {
+        engine: id.into(),
+        address: String::new(),
+        region: "south".into(),
+        zone: "south-a".into(),
+        models: Vec::new(),
+        state: EngineState::Live,
+    };
+    let list = |ids: [&str; 2]| ControlRequest::SetEngines(ids.map(engine).to_vec());
+    let drain = ControlRequest::SetEngineLeaving {
+        engine: "a".into(),
+        leaving: true,
+    };
+    for (request, proposals) in [
+        (list(["b", "a"]), 1),
+        (drain, 2),
+        (list(["a", "b"]), 2),
+        (list(["a", "c"]), 3),
+    ] {
+        assert_eq!(fleet.ask(0, request), Some(ControlReply::Done));
+        assert_eq!(fleet.index, proposals);
+    }
+}
--- a/crates/courseshed-control/src/lib.rs
+++ b/crates/courseshed-control/src/lib.rs
@@ -25,3 +25,9 @@
 pub use leader::{ControlLeader, LeaderOptions, LeaderOutput, LeaderRole, RequestToken};
 pub use node::{ControlTarget, ControllerSeed, NodeControlView, ViewOptions, ViewOutput};
 pub use state::{Applied, ApplyOutcome, ControlState, FleetOptions};
+
+/// Entries that controllers keep in memory behind a snapshot of their log, for followers that are a little late.
+///
+/// A change of settings carries the whole tree and policy, hundreds of kilobytes at the size the project is designed
+/// for, so a memory of many entries would weigh hundreds of megabytes. A follower that lacks more gets the snapshot.
+pub const LOG_ENTRIES_RETAINED: u64 = 64;
--- a/crates/courseshed-control/src/state/fleet.rs
+++ b/crates/courseshed-control/src/state/fleet.rs
@@ -158,8 +158,15 @@
     pub(super) fn set_engines(
         &mut self,
         published: &mut Published,
-        mut engines: Vec<EngineMember>,
+        engines: Vec<EngineMember>,
     ) -> Outcome {
+        let engines = self.listed(engines);
+        self.edit(published, |map| map.engines.engines = engines);
+        Ok(ApplyOutcome::Done)
+    }
+
+    /// A list of engines as the map would have it: by id, each once, drained ones leaving.
+    pub(super) fn listed(&self, mut engines: Vec<EngineMember>) -> Vec<EngineMember> {
         engines.sort_by(|left, right| left.engine.cmp(&right.engine));
         engines.dedup_by(|later, first| later.engine == first.engine);
         for member in &mut engines {
@@ -167,8 +174,7 @@
                 member.state = EngineState::Leaving;
             }
         }
-        self.edit(published, |map| map.engines.engines = engines);
-        Ok(ApplyOutcome::Done)
+        engines
     }
 
     pub(super) fn drain_engine(
--- a/crates/courseshed-control/src/state/mod.rs
+++ b/crates/courseshed-control/src/state/mod.rs
@@ -15,6 +15,7 @@
 use courseshed_types::{
     CallError, EngineId, ErrorCode, PolicySnapshot, SettingsVersion,
     control::{ControlPosition, Grant, MemberMap, SettingsRecord},
+    dispatch::EngineMember,
 };
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -143,6 +144,11 @@
         self.published.map()
     }
 
+    /// Whether the map lists just these engines, in the state they would get.
+    pub fn has_engines(&self, engines: &[EngineMember]) -> bool {
+        self.fleet.listed(engines.to_vec()) == self.map().engines.engines
+    }
+
     /// Policy and map, with what is needed to make deltas.
     pub fn published(&self) -> &Published {
         &self.published
--- a/crates/courseshed-lab/src/hollow/day.rs
+++ b/crates/courseshed-lab/src/hollow/day.rs
@@ -107,6 +107,12 @@
         self.submit_due(fleet);
     }
 
+    /// Whether a region is still to be reached again.
+    pub fn awaits_heal(&self) -> bool {
+        let mut left = self.entries[self.next..].iter();
+        left.any(|(_, happening)| matches!(happening, Happening::Heal(_)))
+    }
+
     /// Whether changes wait for their turn.
     pub fn is_busy(&self, fleet: &HollowFleet) -> bool {
         self.changes_due > 0 || fleet.is_changing()
--- a/crates/courseshed-lab/src/hollow/run.rs
+++ b/crates/courseshed-lab/src/hollow/run.rs
@@ -113,7 +113,7 @@
     let seed = plan.options.seed;
     let mut agenda = Agenda::new(&plan.day, fleet, plan.time, plan.options.tenants, seed);
     let start = fleet.now();
-    while fleet.now().since(start) < plan.time || agenda.is_busy(fleet) {
+    while fleet.now().since(start) < plan.time || agenda.is_busy(fleet) || agenda.awaits_heal() {
         agenda.run_until(fleet.now().since(start), fleet);
         let step = if agenda.is_busy(fleet) {
             BUSY_STEP
