Finish streams that callers came back to in the last moments of a planned stop

Cause: a stopping node goes on answering callers who come back to a stream, also while it waits up to 5 s for others to take its pools and replicas over; nobody waited for these streams, and they were cut off when the node ended. Change: once others have taken over, the node sends callers who come back to other nodes (503, draining) and ends only when the streams it has are read, or the limit has passed. Measured: a test causes it; the tests of draining pass (4).

--- a/crates/courseshed-node/src/drain.rs
+++ b/crates/courseshed-node/src/drain.rs
@@ -18,25 +18,32 @@
 
 /// Whether the node is stopping.
 #[derive(Debug, Default)]
-pub struct DrainState(AtomicBool);
+pub struct DrainState {
+    draining: AtomicBool,
+    closing: AtomicBool,
+}
 
 impl DrainState {
     /// Whether the node takes no new work.
     pub fn is_draining(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Whether the node answers nothing any more that may take long, not even for calls made before.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
     }
 
     /// Takes no new work from now on; false if it did not already.
     pub fn begin(&self) -> bool {
-        !self.0.swap(true, Ordering::AcqRel)
+        !self.draining.swap(true, Ordering::AcqRel)
     }
 }
 
 /// Stops a node in a planned way. Returns when nothing is under way any more and others have taken over what was
 /// decided and led here, or when the limit has passed.
-pub async fn drain(context: &SharedContext) {
+pub async fn drain(context: &SharedContext, deadline: Instant) {
     let limit = context.settings.timeouts.drain;
-    let deadline = Instant::now() + limit;
     context.drain.begin();
     let calls_end = wait_while(deadline, || has_calls(context));
     let (handed_over, ()) = join!(hand_over_all(context, limit), calls_end);
@@ -52,6 +59,12 @@
     wait_while(patience.min(deadline), || others_lag(context)).await;
 }
 
+/// Ends what callers came back to while others took over; who comes now is sent to another node.
+pub async fn close(context: &SharedContext, deadline: Instant) {
+    context.drain.closing.store(true, Ordering::Release);
+    wait_while(deadline, || has_calls(context)).await;
+}
+
 async fn wait_while(deadline: Instant, holds: impl Fn() -> bool) {
     while holds() && Instant::now() < deadline {
         sleep(LOOK_INTERVAL).await;
--- a/crates/courseshed-node/src/gateway/calls.rs
+++ b/crates/courseshed-node/src/gateway/calls.rs
@@ -21,7 +21,7 @@
             CallHeaders, call_headers, call_request, last_event_id, parse_json, program_id,
             read_body, sequence_number, text_header,
         },
-        routes::refuse_when_draining,
+        routes::{refuse_when_closing, refuse_when_draining},
     },
     shards::ShardPatience,
 };
@@ -123,6 +123,7 @@
     let call = CallId { program, sequence };
     let had = last_event_id(&request)?;
     if had.is_some() || wants_stream(&request)? {
+        refuse_when_closing(context)?;
         let plan = CallPlan {
             program,
             branch,
--- a/crates/courseshed-node/src/gateway/routes.rs
+++ b/crates/courseshed-node/src/gateway/routes.rs
@@ -80,10 +80,25 @@
 /// # Errors
 /// 503, not run, while draining.
 pub fn refuse_when_draining(context: &SharedContext) -> Result<(), ApiError> {
-    if !context.drain.is_draining() {
-        return Ok(());
+    match context.drain.is_draining() {
+        true => Err(stopping()),
+        false => Ok(()),
     }
+}
+
+/// Refuses to follow a call made before in the last moments of a node that stops.
+///
+/// # Errors
+/// 503, not run, while closing.
+pub fn refuse_when_closing(context: &SharedContext) -> Result<(), ApiError> {
+    match context.drain.is_closing() {
+        true => Err(stopping()),
+        false => Ok(()),
+    }
+}
+
+fn stopping() -> ApiError {
     let message = "this node is stopping; ask another one";
     let error = CallError::not_run(ErrorCode::Draining, message);
-    Err(error.retry_after(Duration::from_secs(1)).into())
+    error.retry_after(Duration::from_secs(1)).into()
 }
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -363,7 +363,10 @@
 
     /// Takes no new work, lets calls under way end, and returns when they did or the limit has passed.
     pub async fn drain(&self) {
-        futures_util::join!(drain::drain(&self.context), control::leave(&self.context));
+        let deadline = tokio::time::Instant::now() + self.context.settings.timeouts.drain;
+        let finish = drain::drain(&self.context, deadline);
+        futures_util::join!(finish, control::leave(&self.context));
+        drain::close(&self.context, deadline).await;
         self.server.stop(true).await;
     }
 
--- a/crates/courseshed-node/tests/draining.rs
+++ b/crates/courseshed-node/tests/draining.rs
@@ -151,3 +151,30 @@
     node.drain().await;
     assert_eq!(node.context().gateway.active_calls(), 1);
 }
+
+#[actix_web::test]
+async fn a_stream_that_a_caller_came_back_to_late_is_finished_and_no_further_one_begins() {
+    let engine = start_engine("e1");
+    let node = start_lone(&[&engine], TREE);
+    let caller = Caller::new(node.http_address());
+    caller.wait_ready().await;
+    let program = caller.program("guild/quotes").await;
+    let path = format!("/v1/programs/{program}/calls");
+    let mut stream = caller.stream(&path, &[], &call_body("a", 100, true)).await;
+    let first = stream.next().await.expect("an event");
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(20);
+    let close = courseshed_node::drain::close(node.context(), deadline);
+    let looks = async {
+        wait_until(async || node.context().drain.is_closing()).await;
+        let place = first.id.clone().expect("an id");
+        let attached = caller
+            .get(&format!("{path}/1"), &[("Last-Event-ID", &place)])
+            .await;
+        assert_eq!(attached.error_code(), "draining");
+        assert!(attached.header("Retry-After").is_some());
+        stream.rest().await
+    };
+    let (rest, ()) = futures_util::join!(looks, close);
+    assert!(is_whole(&rest), "{:?}", rest.last());
+    assert_eq!(node.context().gateway.active_calls(), 0);
+}
