Make the test of missed changes fail when kept settings are served

Cause: the node was killed before it had kept the version it had, so that it had nothing old to serve; a trial that put kept settings in force without a lease passed.

Change: the test waits until the folder holds version 1 before it kills the node.

Measured: with the lease ignored in the follower (a trial, not committed) the test fails, having seen version 1 after 500 later ones were accepted; as committed, all 10 tests of tests/control.rs pass.

--- a/crates/courseshed-node/tests/control.rs
+++ b/crates/courseshed-node/tests/control.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use courseshed_control::publish::Published;
 use courseshed_node::{Node, NodeOptions};
 use courseshed_types::{NodeId, SettingsVersion, control::NodeState};
 use serde_json::json;
@@ -28,6 +29,14 @@
     Caller::new(fleet.node(node).http_address())
 }
 
+/// The version that a node would find in its folder at its next start.
+fn kept_version(fleet: &Fleet, node: u32) -> Option<SettingsVersion> {
+    let settings = &fleet.node(node).context().settings;
+    let file = settings.data_dir.as_ref()?.join("control-view");
+    let kept: Published = rmp_serde::from_slice(&std::fs::read(file).ok()?).ok()?;
+    Some(kept.position().settings)
+}
+
 #[actix_web::test]
 async fn a_change_at_one_node_comes_into_force_at_all() {
     let fleet = Fleet::start(FleetPlan {
@@ -79,6 +88,11 @@
         ..FleetPlan::default()
     });
     fleet.wait_in_force(1).await;
+    // What it kept must be old, or there is nothing it could wrongly serve.
+    wait_until("the node has kept the version", || {
+        kept_version(&fleet, 4) == Some(SettingsVersion(1))
+    })
+    .await;
     fleet.kill(4);
     let caller = caller_of(&fleet, 1);
     for change in 1..=CHANGES {
