Take back unconfirmed assignments to engines that leave

The dispatcher had assigned the call 0.2 s before, no shard leader confirmed it, and the assignment was sent again every 2 s, although the dispatcher knew 0.3 s after that the engine was leaving. A leader that had been frozen followed the last one on waking. Ruled out: a dispatcher that hears late (it had the new list 0.3 s after), and an order followed late (it was 0.01 s old). Change: when an assignment is due to be sent again and its engine takes nothing new, the call waits anew. If the shard took the first one after all, its word of where the call runs counts, as before.

--- a/crates/courseshed-dispatch/src/systems/assignment.rs
+++ b/crates/courseshed-dispatch/src/systems/assignment.rs
@@ -12,10 +12,10 @@
     baselines::Charging,
     state::State,
     systems::{
-        engine_choice, engine_choice::Closed, fairness, parking, pauses, queueing, reclaim,
+        engine_choice, engine_choice::Closed, fairness, intake, parking, pauses, queueing, reclaim,
         transfers,
     },
-    tables::{CallPhase, NodeIndex, Placement, Rank, Timer},
+    tables::{CallPhase, EngineEntry, NodeIndex, Placement, Rank, Timer},
     units::Service,
 };
 
@@ -131,14 +131,18 @@
     state.say(shard, body);
 }
 
-/// Sends an assignment again that was not confirmed.
+/// Sends an assignment again that was not confirmed; one to an engine that has begun to leave is taken back, and
+/// its call waits anew. Should the shard have taken the first one after all, it says where the call runs.
 pub(crate) fn resend(state: &mut State, now: Timestamp, call: CallId) {
-    let is_unconfirmed = state
-        .calls
-        .get(&call)
-        .is_some_and(|entry| matches!(entry.phase, CallPhase::Assigned(_)));
-    if !is_unconfirmed {
+    let Some(entry) = state.calls.get(&call) else {
         return;
+    };
+    let CallPhase::Assigned(placement) = &entry.phase else {
+        return;
+    };
+    let engine = state.engines.get(&placement.engine);
+    if engine.is_none_or(EngineEntry::is_leaving) {
+        return intake::wait_anew(state, now, call);
     }
     state.counters.resent += 1;
     announce(state, call);
--- a/crates/courseshed-dispatch/src/systems/intake.rs
+++ b/crates/courseshed-dispatch/src/systems/intake.rs
@@ -50,6 +50,18 @@
     }
 }
 
+/// Lets a call that was given to an engine wait again, as if it had just come.
+pub(crate) fn wait_anew(state: &mut State, now: Timestamp, call: CallId) {
+    let Some(entry) = state.calls.get(&call) else {
+        return;
+    };
+    let shard = entry.shard;
+    let waiting = entry.call.clone();
+    forget_call(state, call);
+    insert(state, shard, waiting);
+    queueing::enqueue(state, now, call);
+}
+
 fn enqueue(state: &mut State, now: Timestamp, shard: ShardId, call: Box<WaitingCall>) {
     if !make_room(state, shard, &call) {
         return;
--- a/crates/courseshed-dispatch/src/tables/engines.rs
+++ b/crates/courseshed-dispatch/src/tables/engines.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Whether it finishes what it has and takes nothing new, by the list of engines or its own word.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let says_so = |report: &LoadReport| report.load.leaving;
+        self.member.state != EngineState::Live || self.report.as_ref().is_some_and(says_so)
+    }
+
     /// Whether the engine may be given new calls of the model.
     pub(crate) fn takes_work(&self, now: Timestamp, model: &ModelName) -> bool {
         let ejected = self.health.ejected_until.is_some_and(|until| now < until);
--- a/crates/courseshed-dispatch/tests/calls.rs
+++ b/crates/courseshed-dispatch/tests/calls.rs
@@ -189,6 +189,30 @@
     assert!(driver.tick().is_empty(), "the engine itself says so");
 }
 
+#[test]
+fn an_unconfirmed_assignment_to_an_engine_that_leaves_is_given_to_another() {
+    let mut driver = Driver::with_engines(&["e1", "e2"], 4);
+    let first = call(1, 1, "/", driver.now);
+    driver.enqueue(first.clone());
+    let given = driver.tick().remove(0).engine;
+    let other = if given.as_str() == "e1" { "e2" } else { "e1" };
+    let mut leaving = common::member(given.as_str());
+    leaving.state = EngineState::Leaving;
+    let members = [leaving, common::member(other)];
+    driver.dispatcher.on_engines(driver.now, &members);
+    let again = driver.pass(Duration::from_secs(9));
+    assert!(!again.is_empty(), "it is not forgotten");
+    let engines: Vec<&str> = again
+        .iter()
+        .map(|assigned| assigned.engine.as_str())
+        .collect();
+    assert!(engines.iter().all(|engine| *engine == other), "{engines:?}");
+    driver.started(first, given.as_str());
+    let stats = driver.dispatcher.stats(driver.now);
+    let in_flight = |engine: &str| stats.engines[&engine.into()].in_flight;
+    assert_eq!((in_flight(given.as_str()), in_flight(other)), (1, 0));
+}
+
 #[test]
 fn demand_is_what_calls_ask_for_a_second() {
     let mut driver = Driver::with_engines(&["e1"], 8);
--- a/crates/courseshed-lab/tests/fleet_simulation.rs
+++ b/crates/courseshed-lab/tests/fleet_simulation.rs
@@ -34,6 +34,14 @@
     assert!(answered > 20 * SEEDS, "{answered} calls answered");
 }
 
+#[parameterized(
+    unconfirmed_assignment_to_a_leaving_engine = { 1968 },
+)]
+fn seed_that_broke_a_promise_holds_it(seed: u64) {
+    let violations = run(seed).violations;
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[test]
 fn same_seed_gives_the_same_run() {
     assert_eq!(run(11), run(11));
