Let calls that come at once wait for the escrow they need

Cause: calls proposed in one go were each checked against the same free escrow. Those that came too late were rejected when applied and told that the budget was spent, though it was hardly touched; and of calls that waited together, all that the first grant did not cover were told the same. Ruled out: the ledger, which had granted all that was asked. Change: a call rejected for want of escrow is tried again and waits for more. A budget counts as spent only when a grant is below what the call that asked needs. The models of a call's life and the shard's other tests pass.

--- a/crates/courseshed-programs/src/leader/applied.rs
+++ b/crates/courseshed-programs/src/leader/applied.rs
@@ -1,7 +1,7 @@
 //! What follows when a command was applied: replies, words to dispatchers, and the next step of a call.
 
 use courseshed_types::{
-    CallError, CallId, ProgramId, RequestId, Timestamp, dispatch::DispatchRequestBody,
+    CallError, CallId, ErrorCode, ProgramId, RequestId, Timestamp, dispatch::DispatchRequestBody,
     shard::ShardReply,
 };
 
@@ -77,6 +77,9 @@
         error: &CallError,
     ) {
         match own {
+            Some(Purpose::Accept(pending)) if error.code == ErrorCode::BudgetSpent => {
+                self.submit_again(now, state, pending);
+            }
             Some(Purpose::Accept(pending)) => {
                 for waiter in pending.waiters {
                     self.reply_error(waiter.token, error.clone());
--- a/crates/courseshed-programs/src/leader/grants.rs
+++ b/crates/courseshed-programs/src/leader/grants.rs
@@ -38,6 +38,16 @@
 struct AskedGrant {
     request: GrantRequest,
     sent_at: Timestamp,
+    /// What was granted, while that is being committed.
+    granted: Option<Tokens>,
+}
+
+impl AskedGrant {
+    /// Whether the budget could not even give what the call that asked needs.
+    fn shows_budget_spent(&self) -> bool {
+        self.granted
+            .is_some_and(|granted| granted < self.request.needed)
+    }
 }
 
 impl GrantTable {
@@ -127,6 +137,7 @@
         let asked = AskedGrant {
             request,
             sent_at: now,
+            granted: None,
         };
         self.grants.asked.insert(budget, asked);
     }
@@ -151,6 +162,9 @@
         if grant.request.number != last + 1 {
             return;
         }
+        if let Some(asked) = self.grants.asked.get_mut(&budget) {
+            asked.granted = Some(grant.granted);
+        }
         let settings = self.settings().ok();
         let period_ends_at = settings.map_or(now, |settings| settings.period_end(&budget));
         let apply = ApplyGrant {
@@ -160,12 +174,16 @@
         self.propose(now, purpose, CommandBody::ApplyGrant(apply));
     }
 
-    /// Escrow arrived: the calls that waited for it try again.
+    /// Escrow arrived: the calls that waited for it try again. More may wait than it covers; those ask once more,
+    /// unless the budget is spent.
     pub(super) fn granted(&mut self, now: Timestamp, state: &ShardState, budget: &BudgetPeriod) {
-        self.grants.asked.remove(budget);
+        let asked = self.grants.asked.remove(budget);
+        let is_spent = asked.is_some_and(|asked| asked.shows_budget_spent());
         self.grants.used_at.insert(budget.clone(), now);
         for mut parked in self.grants.take_parked() {
-            parked.tried_after_grant(budget);
+            if is_spent {
+                parked.tried_after_grant(budget);
+            }
             self.try_submit(now, state, parked);
         }
     }
@@ -290,7 +308,7 @@
 }
 
 impl ParkedSubmit {
-    /// Notes that a grant for this budget came while the call waited, so that it does not wait for a second.
+    /// Notes that this budget was found spent while the call waited, so that it does not ask again.
     fn tried_after_grant(&mut self, budget: &BudgetPeriod) {
         if !self.granted.contains(budget) {
             self.granted.push(budget.clone());
--- a/crates/courseshed-programs/src/leader/proposals.rs
+++ b/crates/courseshed-programs/src/leader/proposals.rs
@@ -4,6 +4,7 @@
 
 use courseshed_types::{CallId, ProgramId, RequestId, Timestamp, shard::ShardReply};
 
+use super::submit::ParkedSubmit;
 use super::{
     ShardLeader,
     live::Waiter,
@@ -16,7 +17,7 @@
 };
 
 /// Why a command was proposed.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub(super) enum Purpose {
     Create {
         token: RequestToken,
@@ -42,12 +43,14 @@
 }
 
 /// A call being accepted, and the requests that wait for it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub(super) struct PendingAccept {
     pub call: CallId,
     pub digest: BodyDigest,
     pub idempotency_key: Option<String>,
     pub waiters: Vec<Waiter>,
+    /// The request as it came, to try it again.
+    pub parked: Box<ParkedSubmit>,
 }
 
 /// Proposals in flight, by number.
--- a/crates/courseshed-programs/src/leader/submit.rs
+++ b/crates/courseshed-programs/src/leader/submit.rs
@@ -1,5 +1,7 @@
 //! New calls: read the policy, resolve the sequence number and the history, and propose to accept.
 
+use std::hash::{Hash, Hasher};
+
 use courseshed_types::{
     CallError, CallId, ChatRole, Sequence, Timestamp, chat::ChatMessage, program::EndReason,
     shard::SubmitCall,
@@ -21,15 +23,24 @@
 };
 
 /// A call that waits for escrow before it is proposed.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub(super) struct ParkedSubmit {
     pub token: RequestToken,
     pub submit: SubmitCall,
     pub since: Timestamp,
-    /// Budgets that were granted while it waited.
+    /// Budgets that were found spent while it waited.
     pub granted: Vec<BudgetPeriod>,
 }
 
+/// The body of the call is left out: its digest stands beside it wherever this is hashed.
+impl Hash for ParkedSubmit {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.token.hash(hasher);
+        self.since.hash(hasher);
+        self.granted.hash(hasher);
+    }
+}
+
 impl ShardLeader {
     pub(super) fn submit(
         &mut self,
@@ -69,22 +80,45 @@
         }
         match checked {
             Ok(_) if self.is_overloaded() => self.reply_error(token, verdicts::overloaded()),
-            Ok(_) => self.propose_accept(now, accept, waiter),
+            Ok(_) => self.propose_accept(now, accept, waiter, parked),
             Err(error) => self.refuse_submit(now, state, parked, &accept, error),
         }
     }
 
-    fn propose_accept(&mut self, now: Timestamp, accept: AcceptCall, waiter: Waiter) {
+    fn propose_accept(
+        &mut self,
+        now: Timestamp,
+        accept: AcceptCall,
+        waiter: Waiter,
+        parked: ParkedSubmit,
+    ) {
         let pending = PendingAccept {
             call: accept.call,
             digest: accept.digest,
             idempotency_key: accept.idempotency_key.clone(),
             waiters: vec![waiter],
+            parked: Box::new(parked),
         };
         let body = CommandBody::AcceptCall(Box::new(accept));
         self.propose(now, Purpose::Accept(pending), body);
     }
 
+    /// Calls proposed before this one took the escrow that both counted on: all that wait for it try again, and
+    /// wait for more escrow if that is all they lack.
+    pub(super) fn submit_again(
+        &mut self,
+        now: Timestamp,
+        state: &ShardState,
+        pending: PendingAccept,
+    ) {
+        for waiter in pending.waiters {
+            let mut parked = (*pending.parked).clone();
+            parked.token = waiter.token;
+            parked.submit.gateway = waiter.runner.unwrap_or(parked.submit.gateway);
+            self.try_submit(now, state, parked);
+        }
+    }
+
     /// Joins the call of the program that is being accepted, or refuses; false if there is none.
     fn join_pending(&mut self, submit: &SubmitCall, accept: &AcceptCall, waiter: Waiter) -> bool {
         let Some(pending) = self.proposals.accepting(accept.call.program) else {
