--- a/crates/courseshed-consensus/src/lib.rs
+++ b/crates/courseshed-consensus/src/lib.rs
@@ -36,5 +36,5 @@
 pub use settings::{PeerConfig, SettingsError};
 pub use status::{FollowerStatus, PeerStatus};
 pub use storage::{
-    DiskFault, DiskLog, FaultSwitch, FaultyLog, LogStorage, StorageError, VolatileLog,
+    DiskFault, DiskLog, FaultSwitch, FaultyLog, LogStorage, StorageError, VolatileLog, frame,
 };
--- a/crates/courseshed-consensus/src/storage/disk/frame.rs
+++ b/crates/courseshed-consensus/src/storage/disk/frame.rs
@@ -12,7 +12,7 @@
 
 /// Why bytes at some place are no frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BadFrame {
+pub enum BadFrame {
     /// They end before the frame does.
     Short,
     /// They don't start with the magic.
@@ -32,7 +32,11 @@
 }
 
 /// Encodes a value as one frame.
-pub(super) fn encode(value: &impl Serialize) -> Vec<u8> {
+///
+/// # Panics
+/// When the value can't be encoded, or is 4 GiB or more.
+#[must_use]
+pub fn encode(value: &impl Serialize) -> Vec<u8> {
     let payload = rmp_serde::to_vec(value).expect("log records can always be encoded");
     let length = u32::try_from(payload.len()).expect("a frame is smaller than 4 GiB");
     let length = length.to_le_bytes();
@@ -45,7 +49,10 @@
 }
 
 /// The payload of the frame at the start of `bytes`, and the frame's whole size.
-pub(super) fn split(bytes: &[u8]) -> Result<(&[u8], usize), BadFrame> {
+///
+/// # Errors
+/// [`BadFrame`] when no whole frame starts there.
+pub fn split(bytes: &[u8]) -> Result<(&[u8], usize), BadFrame> {
     let (header, rest) = bytes
         .split_at_checked(HEADER_BYTES)
         .ok_or(BadFrame::Short)?;
@@ -63,7 +70,10 @@
 }
 
 /// Decodes a payload.
-pub(super) fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, String> {
+///
+/// # Errors
+/// What the decoder says of it.
+pub fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, String> {
     rmp_serde::from_slice(payload).map_err(|error| error.to_string())
 }
 
--- a/crates/courseshed-consensus/src/storage/disk/mod.rs
+++ b/crates/courseshed-consensus/src/storage/disk/mod.rs
@@ -9,7 +9,7 @@
 //! damage anywhere else is refused; after a failed write nothing is written until reopened.
 
 mod files;
-mod frame;
+pub mod frame;
 
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Seek, SeekFrom, Write};
--- a/crates/courseshed-consensus/src/storage/mod.rs
+++ b/crates/courseshed-consensus/src/storage/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::{Entry, HardState, LogIndex, Restored, Snapshot};
 
-pub use disk::DiskLog;
+pub use disk::{DiskLog, frame};
 pub use faulty::{DiskFault, FaultSwitch, FaultyLog};
 pub use volatile::VolatileLog;
 
--- /dev/null
+++ b/crates/courseshed-edge/src/controller/founding.rs
@@ -0,0 +1,106 @@
+//! Which controllers found the group, and how the others join it.
+//!
+//! At the first start of the whole fleet the seeds found it, all from the same list. Whoever comes
+//! later, or comes back with an empty disk, asks to be admitted and never votes before: only a first
+//! start may found.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_consensus::{Configuration, DiskLog, ReplicaAddress};
+use courseshed_types::NodeId;
+use tokio::time::sleep;
+
+use super::handle::Shared;
+use crate::clock::time_of_day_ms;
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest, replica_of};
+
+/// The incarnation of all disks at the first start of the fleet.
+const FIRST_INCARNATION: u64 = 1;
+const JOIN_PAUSE: Duration = Duration::from_millis(300);
+const MEMBER_CHECK_PAUSE: Duration = Duration::from_millis(1000);
+const ASK_LIMIT: Duration = Duration::from_millis(700);
+
+/// The members that a first start begins with: the seeds, if this node is one of them.
+pub(super) fn founders(is_first_start: bool, node: NodeId, seeds: &[NodeId]) -> Configuration {
+    if !is_first_start || !seeds.contains(&node) {
+        return Configuration::default();
+    }
+    let address = |seed: &NodeId| ReplicaAddress::new(replica_of(*seed), FIRST_INCARNATION);
+    Configuration::of_voters(seeds.iter().map(address))
+}
+
+/// The incarnation of an empty disk: one that no earlier disk of this node had.
+pub(super) async fn choose_incarnation(
+    shared: &Shared,
+    addresses: PeerAddresses,
+    folder: &Path,
+    is_first_start: bool,
+    seeds: &(dyn Fn() -> Vec<NodeId> + Send + Sync),
+) -> u64 {
+    if is_first_start || DiskLog::is_kept_in(folder) {
+        return FIRST_INCARNATION;
+    }
+    log::info!(event = "empty_disk"; "the disk is empty: asking which lives of it are known");
+    loop {
+        for controller in seeds() {
+            let reply = ask(shared, addresses, controller, PeerRequest::KnownIncarnation).await;
+            if let Some(PeerReply::Incarnation(known)) = reply {
+                return time_of_day_ms().max(known.unwrap_or(0) + 1);
+            }
+        }
+        sleep(JOIN_PAUSE).await;
+    }
+}
+
+/// Asks to be admitted whenever this controller is no voter of the group.
+pub(super) async fn keep_joined(
+    shared: Arc<Shared>,
+    addresses: PeerAddresses,
+    seeds: Arc<Box<dyn Fn() -> Vec<NodeId> + Send + Sync>>,
+) {
+    loop {
+        let published = shared.published();
+        if published.is_voter && published.leader.is_some() {
+            sleep(MEMBER_CHECK_PAUSE).await;
+            continue;
+        }
+        let mut controllers: Vec<NodeId> = published.controllers.keys().copied().collect();
+        controllers.extend(seeds());
+        controllers.retain(|controller| *controller != shared.node());
+        for controller in controllers {
+            let request = PeerRequest::Join {
+                incarnation: published.incarnation,
+            };
+            match ask(&shared, addresses, controller, request).await {
+                Some(PeerReply::Joining) => break,
+                Some(PeerReply::NotLeader(Some(leader))) if leader != shared.node() => {
+                    let request = PeerRequest::Join {
+                        incarnation: published.incarnation,
+                    };
+                    if let Some(PeerReply::Joining) = ask(&shared, addresses, leader, request).await
+                    {
+                        break;
+                    }
+                }
+                _ => {}
+            }
+        }
+        sleep(JOIN_PAUSE).await;
+    }
+}
+
+async fn ask(
+    shared: &Shared,
+    addresses: PeerAddresses,
+    controller: NodeId,
+    request: PeerRequest,
+) -> Option<PeerReply> {
+    if controller == shared.node() {
+        return None;
+    }
+    let peers = shared.peers()?;
+    peers.set_address(controller, addresses.of(controller, PeerPort::Controller));
+    peers.request(controller, request, ASK_LIMIT).await.ok()
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -0,0 +1,330 @@
+//! What the rest of the process may ask of its controller.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use courseshed_consensus::{Message, ReplicaAddress};
+use courseshed_registry::{
+    Command, FleetState, Outcome, Registration, Retirement, RoutingInForce, ServerState,
+};
+use courseshed_routing::VersionedTable;
+use courseshed_types::NodeId;
+use parking_lot::Mutex;
+use snafu::Snafu;
+use tokio::sync::{oneshot, watch};
+use tokio::time::{Instant, sleep};
+
+use crate::clock::Clock;
+use crate::peers::Peers;
+use crate::protocol::{PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest};
+
+/// How long a caller waits before it is told that nothing is certain. Callers try another controller
+/// after a second of silence.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(900);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// How often a controller that doesn't lead tells the leader whom it heard.
+const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+/// A controller that has not heard the leader for so long may not say that nothing is new.
+const FRESH_LIMIT: Duration = Duration::from_millis(600);
+
+/// Why a controller can't do what it was asked.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ControlError {
+    /// It may have been done, or not: ask again, here or elsewhere.
+    #[snafu(display("not certain; ask again"))]
+    Unsure,
+    /// No machine of that name is known.
+    #[snafu(display("no machine of that name is known"))]
+    UnknownMachine,
+    /// Too few machines would remain.
+    #[snafu(display("too few machines would remain"))]
+    TooFew,
+    /// There is no routing table yet.
+    #[snafu(display("no routing table was accepted yet"))]
+    NoRouting,
+}
+
+/// What the worker shows of the replica.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Published {
+    pub state: Arc<FleetState>,
+    pub incarnation: u64,
+    pub is_voter: bool,
+    pub is_leader: bool,
+    pub leader: Option<NodeId>,
+    /// The controllers, with the lives of their disks.
+    pub controllers: BTreeMap<NodeId, u64>,
+    pub leader_heard: Duration,
+}
+
+/// What the worker is told.
+pub(crate) enum Input {
+    Consensus(Message),
+    Submit {
+        command: Command,
+        reply: oneshot::Sender<PeerReply>,
+    },
+    ReadRouting {
+        reply: oneshot::Sender<PeerReply>,
+    },
+    Join {
+        address: ReplicaAddress,
+        reply: oneshot::Sender<PeerReply>,
+    },
+    CaughtUp {
+        node: NodeId,
+        incarnation: u64,
+    },
+    Heard {
+        servers: Vec<String>,
+        nodes: Vec<NodeId>,
+    },
+    HandOver,
+}
+
+/// What the threads and tasks of a controller share.
+pub(crate) struct Shared {
+    node: NodeId,
+    clock: Clock,
+    inputs: mpsc::Sender<Input>,
+    receiver: Mutex<Option<mpsc::Receiver<Input>>>,
+    peers: Mutex<Option<Arc<Peers>>>,
+    published: watch::Sender<Published>,
+    heard: Mutex<Heard>,
+}
+
+#[derive(Default)]
+struct Heard {
+    servers: BTreeSet<String>,
+    nodes: BTreeSet<NodeId>,
+}
+
+impl Shared {
+    pub(crate) fn new(node: NodeId, clock: Clock) -> Self {
+        let (inputs, receiver) = mpsc::channel();
+        Self {
+            node,
+            clock,
+            inputs,
+            receiver: Mutex::new(Some(receiver)),
+            peers: Mutex::new(None),
+            published: watch::channel(Published::default()).0,
+            heard: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn node(&self) -> NodeId {
+        self.node
+    }
+
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    pub(crate) fn peers(&self) -> Option<Arc<Peers>> {
+        self.peers.lock().clone()
+    }
+
+    pub(crate) fn set_peers(&self, peers: Arc<Peers>) {
+        *self.peers.lock() = Some(peers);
+    }
+
+    pub(crate) fn take_receiver(&self) -> Option<mpsc::Receiver<Input>> {
+        self.receiver.lock().take()
+    }
+
+    pub(crate) fn tell(&self, input: Input) {
+        let _ = self.inputs.send(input);
+    }
+
+    pub(crate) fn published(&self) -> Published {
+        self.published.borrow().clone()
+    }
+
+    pub(crate) fn watch(&self) -> watch::Receiver<Published> {
+        self.published.subscribe()
+    }
+
+    pub(crate) fn publish(&self, published: Published, is_news: bool) {
+        self.published.send_if_modified(|held| {
+            *held = published;
+            is_news
+        });
+    }
+
+    /// Whether this controller leads, or heard the leader lately.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let published = self.published.borrow();
+        published.leader.is_some()
+            && self.clock.now().saturating_sub(published.leader_heard) < FRESH_LIMIT
+    }
+
+    pub(crate) fn hear_node(&self, node: NodeId) {
+        self.heard.lock().nodes.insert(node);
+    }
+
+    pub(crate) fn hear_server(&self, id: String) {
+        self.heard.lock().servers.insert(id);
+    }
+
+    fn take_heard(&self) -> Heard {
+        std::mem::take(&mut *self.heard.lock())
+    }
+}
+
+/// Tells the leader, here or elsewhere, whom this controller heard.
+pub(super) async fn relay_heard(shared: Arc<Shared>) {
+    loop {
+        sleep(RELAY_INTERVAL).await;
+        let published = shared.published();
+        let Some(leader) = published.leader else {
+            continue;
+        };
+        let heard = shared.take_heard();
+        let servers: Vec<String> = heard.servers.into_iter().collect();
+        let nodes: Vec<NodeId> = heard.nodes.into_iter().collect();
+        if servers.is_empty() && nodes.is_empty() {
+            continue;
+        }
+        if published.is_leader {
+            shared.tell(Input::Heard { servers, nodes });
+        } else if let Some(peers) = shared.peers() {
+            let _ = peers.send(leader, PeerMessage::Heard { servers, nodes });
+        }
+    }
+}
+
+/// A controller, for servers and operators.
+#[derive(Clone)]
+pub struct ControllerHandle {
+    shared: Arc<Shared>,
+    addresses: PeerAddresses,
+}
+
+impl ControllerHandle {
+    pub(super) fn new(shared: Arc<Shared>, addresses: PeerAddresses) -> Self {
+        Self { shared, addresses }
+    }
+
+    /// Takes an announcement of a server. Only what is new is committed.
+    ///
+    /// # Errors
+    /// [`ControlError::Unsure`] when what is new could not be committed in time.
+    pub async fn announce(&self, registration: Registration) -> Result<(), ControlError> {
+        let id = registration.server.id.clone();
+        let state = self.shared.published().state;
+        if !state.is_ordinary(&registration) {
+            let is_leaving = registration.server.state == ServerState::Draining;
+            let result = self.submit(Command::Announce(registration)).await;
+            log::info!(event = "server_announced", server = id.as_str(), is_leaving, committed = result.is_ok(); "a server said something new");
+            result?;
+        }
+        self.shared.hear_server(id);
+        Ok(())
+    }
+
+    /// Takes that a server leaves.
+    ///
+    /// # Errors
+    /// [`ControlError::Unsure`] when it could not be committed in time.
+    pub async fn leave(&self, server: String) -> Result<(), ControlError> {
+        let id = server.clone();
+        let result = self.submit(Command::Leave { server }).await;
+        log::info!(event = "server_left", server = id.as_str(), committed = result.is_ok(); "a server left");
+        result.map(|_| ())
+    }
+
+    /// Puts a checked routing table in force, unless a higher version is.
+    ///
+    /// # Errors
+    /// [`ControlError::Unsure`] when it could not be committed in time.
+    pub async fn replace_routing(
+        &self,
+        table: VersionedTable,
+        document: Bytes,
+    ) -> Result<(), ControlError> {
+        let version = table.version;
+        let result = self
+            .submit(Command::ReplaceRouting { table, document })
+            .await;
+        log::info!(event = "routing_replaced", version, committed = result.is_ok(); "an operator replaced the routing table");
+        result
+    }
+
+    /// Commits a command.
+    ///
+    /// # Errors
+    /// [`ControlError`]: refused, or not certain.
+    pub async fn submit(&self, command: Command) -> Result<(), ControlError> {
+        let make = || PeerRequest::Submit(command.clone());
+        match self.ask_leader(make).await? {
+            PeerReply::Committed(Outcome::Done) => Ok(()),
+            PeerReply::Committed(Outcome::UnknownMachine) => Err(ControlError::UnknownMachine),
+            PeerReply::Committed(Outcome::TooFew) => Err(ControlError::TooFew),
+            _ => Err(ControlError::Unsure),
+        }
+    }
+
+    /// The routing table in force, confirmed by a quorum.
+    ///
+    /// # Errors
+    /// [`ControlError::Unsure`] when that can't be known, [`ControlError::NoRouting`] before the first.
+    pub async fn routing(&self) -> Result<RoutingInForce, ControlError> {
+        match self.ask_leader(|| PeerRequest::ReadRouting).await? {
+            PeerReply::Routing(routing) => routing.ok_or(ControlError::NoRouting),
+            _ => Err(ControlError::Unsure),
+        }
+    }
+
+    /// How far the emptying of a machine is, as far as this controller knows.
+    ///
+    /// # Errors
+    /// [`ControlError::UnknownMachine`] when no emptying of it was asked for.
+    pub fn retirement(&self, name: &str) -> Result<Retirement, ControlError> {
+        let state = self.shared.published().state;
+        state.retirement(name).ok_or(ControlError::UnknownMachine)
+    }
+
+    /// Hands leadership over, before a planned stop.
+    pub fn hand_over(&self) {
+        self.shared.tell(Input::HandOver);
+    }
+
+    async fn ask_leader(&self, make: impl Fn() -> PeerRequest) -> Result<PeerReply, ControlError> {
+        let deadline = Instant::now() + SUBMIT_LIMIT;
+        let mut hint = None;
+        loop {
+            let published = self.shared.published();
+            let leader = hint.take().or(published.leader);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(ControlError::Unsure);
+            }
+            let reply = match leader {
+                Some(leader) => self.ask(leader, make(), left).await,
+                None => None,
+            };
+            match reply {
+                Some(PeerReply::NotLeader(other)) => hint = other,
+                Some(PeerReply::Unsure) | None => {}
+                Some(reply) => return Ok(reply),
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn ask(
+        &self,
+        leader: NodeId,
+        request: PeerRequest,
+        limit: Duration,
+    ) -> Option<PeerReply> {
+        let peers = self.shared.peers()?;
+        let address = self.addresses.of(leader, PeerPort::Controller);
+        peers.set_address(leader, address);
+        peers.request(leader, request, limit).await.ok()
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -0,0 +1,122 @@
+//! Requests and messages of peers, handed to the replica or answered from what it shows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_consensus::ReplicaAddress;
+use courseshed_registry::Known;
+use courseshed_transport::{Handler, PeerIdentity, ReplySender};
+use courseshed_types::NodeId;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+use super::handle::{Input, Shared};
+use crate::protocol::{FleetProtocol, PeerMessage, PeerReply, PeerRequest, node_of, replica_of};
+
+/// How often a held request looks whether this controller still hears the leader.
+const FRESHNESS_CHECK: Duration = Duration::from_millis(300);
+
+pub(super) struct ControllerPeers(Arc<Shared>);
+
+impl ControllerPeers {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        Self(shared)
+    }
+
+    fn forward(
+        &self,
+        reply: ReplySender<FleetProtocol>,
+        make: impl FnOnce(oneshot::Sender<PeerReply>) -> Input,
+    ) {
+        let (sender, answered) = oneshot::channel();
+        self.0.tell(make(sender));
+        tokio::spawn(async move {
+            if let Ok(answer) = answered.await {
+                reply.send(answer);
+            }
+        });
+    }
+
+    fn known_incarnation(&self, node: NodeId) -> PeerReply {
+        if !self.0.is_fresh() {
+            return PeerReply::Unsure;
+        }
+        let published = self.0.published();
+        PeerReply::Incarnation(published.controllers.get(&node).copied())
+    }
+}
+
+impl Handler<FleetProtocol> for ControllerPeers {
+    fn on_message(&self, from: PeerIdentity, message: PeerMessage) {
+        match message {
+            PeerMessage::Consensus(message) => {
+                if node_of(message.from.replica) == from.node {
+                    self.0.tell(Input::Consensus(message));
+                }
+            }
+            PeerMessage::Heard { servers, nodes } => self.0.tell(Input::Heard { servers, nodes }),
+        }
+    }
+
+    fn on_request(
+        &self,
+        from: PeerIdentity,
+        request: PeerRequest,
+        reply: ReplySender<FleetProtocol>,
+    ) {
+        match request {
+            PeerRequest::Follow {
+                known,
+                hold_ms,
+                is_store,
+            } => {
+                if is_store {
+                    self.0.hear_node(from.node);
+                }
+                tokio::spawn(follow(self.0.clone(), known, hold_ms, reply));
+            }
+            PeerRequest::Submit(command) => {
+                self.forward(reply, |reply| Input::Submit { command, reply });
+            }
+            PeerRequest::ReadRouting => self.forward(reply, |reply| Input::ReadRouting { reply }),
+            PeerRequest::Join { incarnation } => {
+                let address = ReplicaAddress::new(replica_of(from.node), incarnation);
+                self.forward(reply, |reply| Input::Join { address, reply });
+            }
+            PeerRequest::KnownIncarnation => reply.send(self.known_incarnation(from.node)),
+            PeerRequest::CaughtUp { incarnation } => {
+                let node = from.node;
+                self.0.tell(Input::CaughtUp { node, incarnation });
+                reply.send(PeerReply::Joining);
+            }
+            PeerRequest::Records(_) => {}
+        }
+    }
+}
+
+/// Answers a follower as soon as there is news, when this controller stops hearing the leader, or
+/// when the time is over.
+async fn follow(
+    shared: Arc<Shared>,
+    known: Known,
+    hold_ms: u64,
+    reply: ReplySender<FleetProtocol>,
+) {
+    let mut watch = shared.watch();
+    let deadline = Instant::now() + Duration::from_millis(hold_ms);
+    loop {
+        let published = watch.borrow_and_update().clone();
+        let update = published.state.update_for(known);
+        let is_fresh = shared.is_fresh();
+        let left = deadline.saturating_duration_since(Instant::now());
+        if !update.is_empty() || !is_fresh || left.is_zero() {
+            reply.send(PeerReply::Update {
+                update: Box::new(update),
+                controllers: published.controllers.into_keys().collect(),
+                is_fresh,
+            });
+            return;
+        }
+        let _ = timeout(left.min(FRESHNESS_CHECK), watch.changed()).await;
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/follower.rs
@@ -0,0 +1,206 @@
+//! Following the fleet's state: a node asks one controller after another for what it lacks.
+//!
+//! Invariant: within one life of a process the routing table's version never falls, whichever
+//! controller answers.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_records::RecordView;
+use courseshed_registry::{FleetUpdate, Known, Server};
+use courseshed_routing::VersionedTable;
+use courseshed_types::NodeId;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::peers::Peers;
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
+
+/// How long a controller holds a request when there is nothing new.
+const HOLD: Duration = Duration::from_millis(600);
+/// How much longer than that an answer may take.
+const ANSWER_SLACK: Duration = Duration::from_millis(250);
+/// Pause after a controller that could not help.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// What a node knows of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// The routing table in force; none before the first.
+    pub routing: Option<Arc<VersionedTable>>,
+    /// The servers.
+    pub servers: Arc<Vec<Server>>,
+    /// Where records are kept.
+    pub records: Arc<RecordView>,
+}
+
+/// Follows the fleet's state and shows the newest that is known.
+pub struct FleetFollower {
+    peers: Arc<Peers>,
+    addresses: PeerAddresses,
+    is_store: bool,
+    seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
+    candidates: Mutex<VecDeque<NodeId>>,
+    view: watch::Sender<FleetView>,
+}
+
+impl FleetFollower {
+    /// A follower that begins with the controllers that `seeds` names, and asks it again when none
+    /// of those known answers.
+    pub fn new(
+        peers: Arc<Peers>,
+        addresses: PeerAddresses,
+        is_store: bool,
+        seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            peers,
+            addresses,
+            is_store,
+            seeds,
+            candidates: Mutex::new(VecDeque::new()),
+            view: watch::channel(FleetView::default()).0,
+        })
+    }
+
+    /// The newest that is known, and its changes.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<FleetView> {
+        self.view.subscribe()
+    }
+
+    /// The newest that is known.
+    #[must_use]
+    pub fn view(&self) -> FleetView {
+        self.view.borrow().clone()
+    }
+
+    /// The controllers that are known, the one that answered last first.
+    #[must_use]
+    pub fn controllers(&self) -> Vec<NodeId> {
+        let mut candidates = self.candidates.lock();
+        if candidates.is_empty() {
+            candidates.extend((self.seeds)());
+        }
+        for node in candidates.iter() {
+            let address = self.addresses.of(*node, PeerPort::Controller);
+            self.peers.set_address(*node, address);
+        }
+        candidates.iter().copied().collect()
+    }
+
+    /// Follows until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        let mut known = Known::default();
+        let mut failures = 0;
+        loop {
+            let controllers = self.controllers();
+            let Some(controller) = controllers.first().copied() else {
+                sleep(PAUSE).await;
+                continue;
+            };
+            if let Some(update) = self.ask(controller, known).await {
+                if failures > 0 {
+                    log::info!(event = "controller_regained", controller:% = controller, failures; "following a controller again");
+                }
+                failures = 0;
+                known = self.take_in(known, update);
+                continue;
+            }
+            failures += 1;
+            if failures == 1 {
+                log::warn!(event = "controller_lost", controller:% = controller; "a controller does not answer, or has not heard the leader");
+            }
+            self.pass_over(controller, failures);
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn ask(&self, controller: NodeId, known: Known) -> Option<FleetUpdate> {
+        let request = PeerRequest::Follow {
+            known,
+            hold_ms: HOLD.as_millis() as u64,
+            is_store: self.is_store,
+        };
+        let reply = self
+            .peers
+            .request(controller, request, HOLD + ANSWER_SLACK)
+            .await;
+        let Ok(PeerReply::Update {
+            update,
+            controllers,
+            is_fresh,
+        }) = reply
+        else {
+            return None;
+        };
+        self.learn(controller, controllers);
+        // News may be taken from anyone; it is the lack of news that only a fresh one can tell.
+        (is_fresh || !update.is_empty()).then_some(*update)
+    }
+
+    /// Remembers the controllers that one of them named, keeping that one first.
+    fn learn(&self, first: NodeId, controllers: Vec<NodeId>) {
+        let mut candidates = self.candidates.lock();
+        let mut known: VecDeque<NodeId> = candidates
+            .iter()
+            .copied()
+            .filter(|node| controllers.contains(node))
+            .collect();
+        for node in controllers {
+            if !known.contains(&node) {
+                known.push_back(node);
+            }
+        }
+        known.retain(|node| *node != first);
+        known.push_front(first);
+        *candidates = known;
+    }
+
+    /// Puts a controller last; after a whole round in vain, asks for the seeds again.
+    fn pass_over(&self, controller: NodeId, failures: usize) {
+        let mut candidates = self.candidates.lock();
+        if candidates.front() == Some(&controller) {
+            candidates.rotate_left(1);
+        }
+        if !candidates.is_empty() && failures % candidates.len() == 0 {
+            for seed in (self.seeds)() {
+                if !candidates.contains(&seed) {
+                    candidates.push_front(seed);
+                }
+            }
+        }
+    }
+
+    fn take_in(&self, known: Known, update: FleetUpdate) -> Known {
+        let mut next = update.known;
+        next.routing = next.routing.max(known.routing);
+        next.servers = next.servers.max(known.servers);
+        next.view = next.view.max(known.view);
+        if update.is_empty() {
+            return next;
+        }
+        self.view.send_modify(|view| {
+            if let Some(routing) = update.routing {
+                let held = view.routing.as_ref().map(|held| held.version);
+                if held < Some(routing.version) {
+                    log::info!(event = "routing_in_force", version = routing.version, routes = routing.table.routes.len(); "a routing table is in force here");
+                    view.routing = Some(routing);
+                }
+            }
+            if let Some(servers) = update.servers {
+                log::info!(event = "servers_changed", revision = update.known.servers, servers = servers.len(); "the list of servers changed");
+                view.servers = Arc::new(servers);
+            }
+            if let Some(records) = update.view
+                && records.epoch > view.records.epoch
+            {
+                log::info!(event = "record_view_changed", epoch = records.epoch, members = records.members.len(), active = records.active().count(); "the replicas of the records changed");
+                view.records = Arc::new(records);
+            }
+        });
+        next
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -0,0 +1,310 @@
+//! Sending one request to servers until one answers.
+//!
+//! Invariants: a request that may run once is sent again only after a server said that it did not
+//! run; a request is sent to no more servers than its route allows, where a server that refused it
+//! or has ended since doesn't count.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{ResponseHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use courseshed_routing::Route;
+use tokio::time::Instant;
+
+use super::call::{CallEnvelope, SendTerms};
+use super::core::{GatewayCore, InFlight};
+use super::refusal::Refusal;
+use super::servers::{Chosen, Report};
+use super::upstream::{Upstream, UpstreamError};
+
+/// Servers that may refuse a request, or can't be reached, before the caller is told.
+const REFUSALS_BORNE: usize = 4;
+/// How often a request is sent to the same server again.
+const REPEATS_BORNE: usize = 2;
+/// Less time than this is not worth another try.
+const LEAST_TIME: Duration = Duration::from_millis(15);
+const LEAST_URGENT: u32 = 9;
+
+/// An answer that has begun.
+pub(super) struct Opened {
+    pub head: ResponseHead,
+    pub upstream: Upstream,
+    pub server: String,
+    pub sent_at: Instant,
+    /// Counts the request at the server until it is dropped.
+    pub _in_flight: InFlight,
+}
+
+/// One request on its way.
+pub(super) struct Attempts {
+    pub core: Rc<GatewayCore>,
+    pub call: CallEnvelope,
+    pub route: Arc<Route>,
+    pub service: String,
+    pub deadline: Instant,
+    /// What the server gets as the body.
+    pub body: Bytes,
+    pub log: CallLog,
+    sent_to: Vec<String>,
+    passed_over: Vec<String>,
+    repeats: usize,
+}
+
+impl Attempts {
+    pub(super) fn new(
+        core: Rc<GatewayCore>,
+        call: CallEnvelope,
+        route: Arc<Route>,
+        service: String,
+        deadline: Instant,
+    ) -> Self {
+        let log = CallLog::new(&call, &route, &service);
+        Self {
+            body: call.body.clone(),
+            core,
+            call,
+            route,
+            service,
+            deadline,
+            log,
+            sent_to: Vec::new(),
+            passed_over: Vec::new(),
+            repeats: 0,
+        }
+    }
+
+    /// Sends the request until a server answers it.
+    pub(super) async fn open(&mut self, resume_after: Option<u64>) -> Result<Opened, Refusal> {
+        loop {
+            if self.time_left() < LEAST_TIME {
+                return Err(self.out_of_time());
+            }
+            let Some(chosen) = self.choose() else {
+                return Err(self.out_of_servers());
+            };
+            let in_flight = InFlight::begin(&self.core, &chosen.id);
+            match self.send(&chosen, resume_after).await {
+                Ok((head, upstream, sent_at)) => {
+                    if !self.is_refused(&head, &chosen) {
+                        self.log.server = chosen.id.clone();
+                        return Ok(Opened {
+                            head,
+                            upstream,
+                            server: chosen.id,
+                            sent_at,
+                            _in_flight: in_flight,
+                        });
+                    }
+                    self.pass_over(&chosen.id);
+                    upstream.finish();
+                }
+                Err(error) => self.on_error(&chosen, &error)?,
+            }
+        }
+    }
+
+    /// Whether the request may be sent again after a server had it.
+    pub(super) fn may_repeat(&self) -> bool {
+        self.route.is_idempotent() && self.time_left() >= LEAST_TIME
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn out_of_time(&self) -> Refusal {
+        if self.sent_to.is_empty() {
+            Refusal::TooLate
+        } else {
+            Refusal::TimedOut
+        }
+    }
+
+    fn out_of_servers(&self) -> Refusal {
+        if self.sent_to.is_empty() {
+            Refusal::NoServer
+        } else {
+            Refusal::Broken
+        }
+    }
+
+    fn choose(&mut self) -> Option<Chosen> {
+        if self.passed_over.len() > REFUSALS_BORNE {
+            return None;
+        }
+        let may_try_another = self.sent_to.len() < self.route.max_attempts as usize;
+        let mut excluded = self.passed_over.clone();
+        if may_try_another {
+            excluded.extend(self.sent_to.iter().cloned());
+        }
+        let table = self.core.servers.borrow();
+        let now = self.core.clock.now();
+        let key = self
+            .call
+            .affinity_key
+            .as_deref()
+            .filter(|_| self.route.affinity);
+        if may_try_another {
+            let other = table.choose(&self.service, key, &excluded, now, rand::random());
+            if other.is_some() {
+                return other;
+            }
+        }
+        // A server that had it already doesn't count again.
+        if self.repeats >= REPEATS_BORNE {
+            return None;
+        }
+        self.repeats += 1;
+        let last = self.sent_to.last()?;
+        table.listed(last)
+    }
+
+    async fn send(
+        &mut self,
+        chosen: &Chosen,
+        resume_after: Option<u64>,
+    ) -> Result<(ResponseHead, Upstream, Instant), UpstreamError> {
+        let pool = self.core.pool.clone();
+        let mut upstream = pool.connect(&chosen.id, chosen.address).await?;
+        let request = self.write_request(chosen, resume_after);
+        self.log.attempts += 1;
+        if !self.sent_to.contains(&chosen.id) {
+            self.sent_to.push(chosen.id.clone());
+        }
+        let sent_at = Instant::now();
+        let core = &self.core;
+        let request_id = &self.call.request_id;
+        let is_ours = |head: &ResponseHead| {
+            let answered = core.codec.read_answer(head).request_id;
+            answered.is_none_or(|id| id == *request_id)
+        };
+        let head = upstream.exchange(&request, self.deadline, is_ours).await?;
+        Ok((head, upstream, sent_at))
+    }
+
+    fn write_request(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
+        let terms = SendTerms {
+            time_left: Some(self.time_left()),
+            server: chosen.id.clone(),
+            resume_after,
+            urgency: self
+                .route
+                .affinity
+                .then(|| self.route.priority.min(LEAST_URGENT) as u8),
+        };
+        let mut request = BytesMut::with_capacity(1024 + self.body.len());
+        self.core
+            .codec
+            .write_head(&self.call, self.body.len(), &terms, &mut request);
+        request.extend_from_slice(&self.body);
+        request
+    }
+
+    /// Whether the server says that the request did not run, so that another may have it.
+    fn is_refused(&self, head: &ResponseHead, chosen: &Chosen) -> bool {
+        let is_not_run = self.core.codec.read_answer(head).is_not_run
+            || head.status == StatusCode::MISDIRECTED_REQUEST;
+        if !is_not_run || head.status == StatusCode::BAD_REQUEST {
+            return false;
+        }
+        let report = if head.status == StatusCode::MISDIRECTED_REQUEST {
+            Report::Failed
+        } else {
+            Report::Full
+        };
+        self.core.report(&chosen.id, report);
+        true
+    }
+
+    fn pass_over(&mut self, server: &str) {
+        self.sent_to.retain(|sent| sent != server);
+        self.passed_over.push(server.to_owned());
+        self.log.refused_by += 1;
+    }
+
+    fn on_error(&mut self, chosen: &Chosen, error: &UpstreamError) -> Result<(), Refusal> {
+        self.log.note_error(&chosen.id, error);
+        match error {
+            UpstreamError::NotSent { .. } => {
+                self.core.report(&chosen.id, Report::Failed);
+                // Whoever can't be reached has ended or was cut off, and doesn't count any more.
+                self.pass_over(&chosen.id);
+                Ok(())
+            }
+            UpstreamError::Broken { .. } => {
+                self.core.report(&chosen.id, Report::Failed);
+                if self.may_repeat() {
+                    return Ok(());
+                }
+                Err(Refusal::Broken)
+            }
+            UpstreamError::TimedOut => Err(Refusal::TimedOut),
+        }
+    }
+}
+
+/// The line that is written about a request once it is over.
+pub(super) struct CallLog {
+    pub outcome: &'static str,
+    pub server: String,
+    pub attempts: usize,
+    pub refused_by: usize,
+    pub events: u64,
+    pub resumed: usize,
+    pub status: u16,
+    last_error: String,
+    request: String,
+    program: String,
+    route: String,
+    service: String,
+    began: Instant,
+}
+
+impl CallLog {
+    fn new(call: &CallEnvelope, route: &Route, service: &str) -> Self {
+        let program = call.program.as_ref().map(|claim| claim.program.clone());
+        Self {
+            outcome: "caller_left",
+            server: String::new(),
+            attempts: 0,
+            refused_by: 0,
+            events: 0,
+            resumed: 0,
+            status: 0,
+            last_error: String::new(),
+            request: call.request_id.clone(),
+            program: program.unwrap_or_default(),
+            route: route.name.clone(),
+            service: service.to_owned(),
+            began: Instant::now(),
+        }
+    }
+
+    pub(super) fn note_error(&mut self, server: &str, error: &UpstreamError) {
+        self.last_error = format!("{server}: {error}");
+    }
+}
+
+impl Drop for CallLog {
+    fn drop(&mut self) {
+        log::info!(
+            event = "call_over",
+            request = self.request.as_str(),
+            program = self.program.as_str(),
+            route = self.route.as_str(),
+            service = self.service.as_str(),
+            outcome = self.outcome,
+            status = self.status,
+            server = self.server.as_str(),
+            attempts = self.attempts,
+            refused_by = self.refused_by,
+            events = self.events,
+            resumed = self.resumed,
+            last_error = self.last_error.as_str(),
+            took_ms = self.began.elapsed().as_millis() as u64;
+            "a call is over"
+        );
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -0,0 +1,112 @@
+//! What all requests of a gateway share. Everything runs on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use courseshed_routing::{Route, RoutingTable, SplitCounter, Target};
+
+use super::call::CallCodec;
+use super::servers::{Report, ServerTable};
+use super::upstream::UpstreamPool;
+use crate::clock::Clock;
+use crate::follower::FleetFollower;
+use crate::records::RecordClient;
+
+/// What all requests of a gateway share.
+pub(super) struct GatewayCore {
+    pub codec: Box<dyn CallCodec>,
+    pub follower: Arc<FleetFollower>,
+    pub records: RecordClient,
+    pub pool: UpstreamPool,
+    pub clock: Clock,
+    pub servers: RefCell<ServerTable>,
+    pub is_draining: Cell<bool>,
+    pub under_way: Cell<usize>,
+    splits: RefCell<HashMap<String, RouteSplit>>,
+}
+
+/// The turns of one route among its parts, as long as the parts stay the same.
+struct RouteSplit {
+    targets: Vec<Target>,
+    counter: SplitCounter,
+}
+
+impl GatewayCore {
+    pub(super) fn new(
+        codec: Box<dyn CallCodec>,
+        follower: Arc<FleetFollower>,
+        records: RecordClient,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            codec,
+            follower,
+            records,
+            pool: UpstreamPool::new(),
+            clock: Clock::start(),
+            servers: RefCell::default(),
+            is_draining: Cell::new(false),
+            under_way: Cell::new(0),
+            splits: RefCell::default(),
+        })
+    }
+
+    /// The service that the next call of a route goes to.
+    pub(super) fn split(&self, route: &Route) -> Option<String> {
+        if let [only] = route.targets.as_slice() {
+            return Some(only.service.clone());
+        }
+        let mut splits = self.splits.borrow_mut();
+        let split = splits
+            .entry(route.name.clone())
+            .or_insert_with(|| RouteSplit::new(&route.targets));
+        if split.targets != route.targets {
+            *split = RouteSplit::new(&route.targets);
+        }
+        let index = split.counter.next(&route.targets)?;
+        Some(route.targets[index].service.clone())
+    }
+
+    /// Forgets the splits of routes that are gone.
+    pub(super) fn retain_splits(&self, table: &RoutingTable) {
+        let mut splits = self.splits.borrow_mut();
+        splits.retain(|name, _| table.routes.iter().any(|route| route.name == *name));
+    }
+
+    pub(super) fn report(&self, server: &str, report: Report) {
+        let now = self.clock.now();
+        self.servers.borrow_mut().report(server, report, now);
+    }
+}
+
+impl RouteSplit {
+    fn new(targets: &[Target]) -> Self {
+        Self {
+            targets: targets.to_vec(),
+            counter: SplitCounter::with_phase(targets, rand::random()),
+        }
+    }
+}
+
+/// Counts a request at a server for as long as it lives.
+pub(super) struct InFlight {
+    core: Rc<GatewayCore>,
+    server: String,
+}
+
+impl InFlight {
+    pub(super) fn begin(core: &Rc<GatewayCore>, server: &str) -> Self {
+        core.servers.borrow_mut().begin(server);
+        Self {
+            core: core.clone(),
+            server: server.to_owned(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.core.servers.borrow_mut().end(&self.server);
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -0,0 +1,19 @@
+//! The gateway: takes callers' requests and passes them on, unchanged, to a server of their service.
+
+mod attempts;
+mod call;
+mod core;
+mod events;
+mod plain;
+mod program;
+mod refusal;
+mod server;
+mod servers;
+mod stream;
+mod upstream;
+
+pub use call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
+pub use events::{Event, EventSplitter};
+pub use refusal::Refusal;
+pub use server::{GatewayError, GatewaySettings, run};
+pub use servers::{Chosen, Report, ServerTable};
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -0,0 +1,133 @@
+//! What a turn of a program needs before it is sent: its tokens set aside, and the turns before it.
+
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use courseshed_records::{ReservationDecision, Turn};
+use courseshed_routing::Route;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::call::CallEnvelope;
+use super::core::GatewayCore;
+use super::refusal::Refusal;
+use crate::records::{ChainLookup, RecordClient, Reservation};
+
+/// How much longer than a route says its programs and turns are kept.
+const RETENTION_MARGIN_MS: u64 = 15_000;
+/// How long a program without kept turns is remembered at least.
+const LEAST_RETENTION_MS: u64 = 60_000;
+
+/// How long what belongs to a program of a route is kept, in milliseconds.
+pub(super) fn keep_ms(route: &Route) -> u64 {
+    route.retention_ms.max(LEAST_RETENTION_MS) + RETENTION_MARGIN_MS
+}
+
+/// Tokens set aside for a turn. When it is dropped, what was not given is given back.
+pub(super) struct TokenReservation {
+    records: RecordClient,
+    program: String,
+    id: u64,
+    most: u32,
+    tokens_per_event: u64,
+    events: u64,
+}
+
+impl TokenReservation {
+    /// Counts an event that the caller is given.
+    pub(super) fn count_event(&mut self) {
+        self.events += 1;
+    }
+}
+
+impl Drop for TokenReservation {
+    fn drop(&mut self) {
+        let given = u32::try_from(self.events * self.tokens_per_event).unwrap_or(u32::MAX);
+        if given < self.most {
+            let program = std::mem::take(&mut self.program);
+            self.records.settle(program, self.id, given);
+        }
+    }
+}
+
+/// Sets the tokens of a turn aside; none if its program has no budget.
+pub(super) async fn reserve(
+    core: &Rc<GatewayCore>,
+    call: &CallEnvelope,
+    route: &Route,
+    tokens_per_event: u64,
+    deadline: Instant,
+) -> Result<Option<TokenReservation>, Refusal> {
+    let Some(claim) = &call.program else {
+        return Ok(None);
+    };
+    let (Some(budget), Some(most)) = (claim.token_budget, call.most_tokens) else {
+        return Ok(None);
+    };
+    // Made before the stores are asked: whatever comes of it, it is settled in the end.
+    let held = TokenReservation {
+        records: core.records.clone(),
+        program: claim.program.clone(),
+        id: xxh3_64(call.request_id.as_bytes()),
+        most,
+        tokens_per_event,
+        events: 0,
+    };
+    let reservation = Reservation {
+        program: held.program.clone(),
+        id: held.id,
+        most,
+    };
+    let decision = core
+        .records
+        .reserve(reservation, budget, keep_ms(route), deadline)
+        .await;
+    match decision {
+        Ok(ReservationDecision::Granted) => Ok(Some(held)),
+        Ok(ReservationDecision::Spent { by_others }) => {
+            log::info!(event = "budget_spent", request = call.request_id.as_str(), program = claim.program.as_str(), budget, by_others, most; "the turn does not fit into the program's budget");
+            Err(Refusal::BudgetSpent)
+        }
+        Err(_) => Err(Refusal::NoRecords),
+    }
+}
+
+/// What the server is to get: all that the turn goes on from, and its new input.
+pub(super) async fn compose_body(
+    core: &Rc<GatewayCore>,
+    call: &CallEnvelope,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let Some(previous) = &call.previous_turn else {
+        return Ok(call.body.clone());
+    };
+    let chain = match core.records.chain(previous, deadline).await {
+        Ok(ChainLookup::Kept(chain)) => chain,
+        Ok(ChainLookup::Unknown) => {
+            log::info!(event = "unknown_turn", request = call.request_id.as_str(), previous = previous.as_str(); "the turn that it goes on from is not kept");
+            return Err(Refusal::UnknownTurn);
+        }
+        Err(_) => return Err(Refusal::NoRecords),
+    };
+    let size = chain
+        .iter()
+        .map(|turn| turn.input.len() + turn.output.len())
+        .sum::<usize>();
+    let mut body = BytesMut::with_capacity(size + call.body.len());
+    for turn in &chain {
+        body.extend_from_slice(&turn.input);
+        body.extend_from_slice(&turn.output);
+    }
+    body.extend_from_slice(&call.body);
+    Ok(body.freeze())
+}
+
+/// The record of a turn that was answered whole.
+pub(super) fn turn_of(call: &CallEnvelope, output: Bytes) -> Turn {
+    Turn {
+        id: call.request_id.clone(),
+        previous: call.previous_turn.clone(),
+        input: call.body.clone(),
+        output,
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -0,0 +1,108 @@
+//! The answers that a gateway gives of its own, each with what is known of whether the request ran.
+
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{self, HeaderValue};
+use actix_http::{Response, StatusCode};
+use courseshed_types::Verdict;
+
+/// Why a gateway answers itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request can't be read.
+    Unreadable,
+    /// The head is larger than allowed.
+    HeadTooLarge,
+    /// The body is larger than allowed.
+    BodyTooLarge,
+    /// No route fits, and the routing table in force is known.
+    NoRoute,
+    /// No routing table is known yet.
+    NotStarted,
+    /// No server takes it now.
+    NoServer,
+    /// The stores that must agree can't be reached.
+    NoRecords,
+    /// The program's tokens are spent.
+    BudgetSpent,
+    /// The turn that it goes on from was never kept, or is kept no longer.
+    UnknownTurn,
+    /// It was sent to a server, and no whole answer came.
+    Broken,
+    /// The time is over, and no server has it.
+    TooLate,
+    /// The time is over while a server has it.
+    TimedOut,
+}
+
+/// When to come back after the stores could not be reached.
+const RECORDS_RETRY: Duration = Duration::from_millis(250);
+/// When to come back after no server took the request.
+const SERVER_RETRY: Duration = Duration::from_millis(120);
+
+impl Refusal {
+    /// What is known of whether the request ran.
+    #[must_use]
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::Broken | Self::TimedOut => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+
+    /// The name used in logs and counters.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreadable => "unreadable",
+            Self::HeadTooLarge => "head_too_large",
+            Self::BodyTooLarge => "body_too_large",
+            Self::NoRoute => "no_route",
+            Self::NotStarted => "not_started",
+            Self::NoServer => "no_server",
+            Self::NoRecords => "no_records",
+            Self::BudgetSpent => "budget_spent",
+            Self::UnknownTurn => "unknown_turn",
+            Self::Broken => "broken",
+            Self::TooLate => "too_late",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Unreadable => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoRoute | Self::UnknownTurn => StatusCode::NOT_FOUND,
+            Self::NotStarted | Self::NoServer | Self::NoRecords | Self::TooLate => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NotStarted | Self::NoRecords => Some(RECORDS_RETRY),
+            Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
+            _ => None,
+        }
+    }
+
+    /// The answer to the caller.
+    #[must_use]
+    pub fn response(self) -> Response<BoxBody> {
+        let mut response = Response::new(self.status()).set_body(BoxBody::new(self.as_str()));
+        if let Some(wait) = self.retry_after() {
+            let seconds = format!("{:.3}", wait.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -0,0 +1,301 @@
+//! A gateway's listeners, its readiness, and its planned stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
+use bytes::BytesMut;
+use courseshed_routing::CallLimits;
+use courseshed_transport::{Handler, PeerIdentity, ReplySender};
+use courseshed_types::NodeId;
+use futures_util::StreamExt;
+use snafu::{ResultExt, Snafu};
+use tokio::time::{Instant, sleep};
+
+use super::attempts::Attempts;
+use super::call::{CallCodec, CallEnvelope};
+use super::core::GatewayCore;
+use super::refusal::Refusal;
+use super::stream::forward_by_kind;
+use crate::follower::FleetFollower;
+use crate::http::{HttpTiming, listen, serve};
+use crate::peers::{PeersError, start_peers};
+use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
+use crate::records::RecordClient;
+
+/// How long a gateway that stops still takes new connections: until all have seen that it isn't ready.
+const LEAVING_TIME: Duration = Duration::from_millis(3200);
+const STOP_CHECK: Duration = Duration::from_millis(50);
+/// How often kept connections are looked through.
+const POOL_CHECK: Duration = Duration::from_secs(2);
+
+/// How a gateway runs.
+pub struct GatewaySettings {
+    /// The machine.
+    pub node: NodeId,
+    /// Where it stands.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where its readiness is asked for.
+    pub readiness: SocketAddr,
+    /// Machines with controllers.
+    pub seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
+    /// Where peers listen.
+    pub addresses: PeerAddresses,
+    /// The words of callers and servers.
+    pub codec: Box<dyn CallCodec>,
+}
+
+/// A gateway doesn't start.
+#[derive(Debug, Snafu)]
+pub enum GatewayError {
+    /// It can't speak to its peers.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// Why not.
+        source: PeersError,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        source: std::io::Error,
+    },
+}
+
+struct NoRequests;
+
+impl Handler<FleetProtocol> for NoRequests {
+    fn on_message(&self, _: PeerIdentity, _: PeerMessage) {}
+    fn on_request(&self, _: PeerIdentity, _: PeerRequest, _: ReplySender<FleetProtocol>) {}
+}
+
+/// Runs a gateway until `stop` comes and what was under way is finished, within `grace`.
+///
+/// # Errors
+/// [`GatewayError`] when an address can't be listened on.
+pub async fn run(
+    settings: GatewaySettings,
+    stop: impl Future<Output = ()>,
+    grace: Duration,
+) -> Result<(), GatewayError> {
+    let started = start_peers(
+        settings.node,
+        settings.addresses,
+        PeerPort::Gateway,
+        Arc::new(NoRequests),
+    );
+    let peers = Arc::new(started.context(PeersSnafu)?);
+    let follower = FleetFollower::new(peers.clone(), settings.addresses, false, settings.seeds);
+    tokio::spawn(follower.clone().run());
+    let records = RecordClient::new(
+        peers,
+        follower.clone(),
+        settings.addresses,
+        settings.zone.clone(),
+    );
+    let core = GatewayCore::new(settings.codec, follower, records);
+    actix_rt::spawn(follow_fleet(core.clone()));
+    actix_rt::spawn(tidy_pool(core.clone()));
+    let address = settings.readiness;
+    let readiness = listen(address).context(ListenSnafu { address })?;
+    let address = settings.callers;
+    let callers = listen(address).context(ListenSnafu { address })?;
+    actix_rt::spawn(serve_readiness(core.clone(), readiness));
+    actix_rt::spawn(serve_callers(core.clone(), callers));
+    stop.await;
+    drain(&core, grace).await;
+    Ok(())
+}
+
+/// Takes changes of the fleet in as they come.
+async fn follow_fleet(core: Rc<GatewayCore>) {
+    let mut watch = core.follower.watch();
+    loop {
+        let view = watch.borrow_and_update().clone();
+        core.servers.borrow_mut().replace(&view.servers);
+        core.pool.retain(|id| core.servers.borrow().contains(id));
+        if let Some(routing) = &view.routing {
+            core.retain_splits(&routing.table);
+        }
+        if watch.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn tidy_pool(core: Rc<GatewayCore>) {
+    loop {
+        sleep(POOL_CHECK).await;
+        core.pool.retain(|id| core.servers.borrow().contains(id));
+    }
+}
+
+async fn serve_readiness(core: Rc<GatewayCore>, listener: tokio::net::TcpListener) {
+    let timing = || timing_of(&CallLimits::default());
+    serve(listener, timing, move |_| {
+        let is_ready = !core.is_draining.get() && core.follower.view().routing.is_some();
+        let status = if is_ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        std::future::ready(Response::new(status))
+    })
+    .await;
+}
+
+async fn serve_callers(core: Rc<GatewayCore>, listener: tokio::net::TcpListener) {
+    let limits = core.clone();
+    let timing = move || timing_of(&limits_in_force(&limits));
+    serve(listener, timing, move |request| {
+        answer(core.clone(), request)
+    })
+    .await;
+}
+
+fn timing_of(limits: &CallLimits) -> HttpTiming {
+    HttpTiming {
+        head: Duration::from_millis(limits.header_timeout_ms),
+        idle: Duration::from_millis(limits.idle_timeout_ms),
+    }
+}
+
+fn limits_in_force(core: &GatewayCore) -> CallLimits {
+    let routing = core.follower.view().routing;
+    routing.map_or_else(CallLimits::default, |routing| routing.table.limits)
+}
+
+async fn answer(core: Rc<GatewayCore>, request: Request) -> Response<BoxBody> {
+    core.under_way.set(core.under_way.get() + 1);
+    let counted = UnderWay(core.clone());
+    let mut response = match admit(&core, request).await {
+        Ok((attempts, tokens_per_event)) => forward_by_kind(attempts, tokens_per_event).await,
+        Err(refusal) => refusal.response(),
+    };
+    if core.is_draining.get() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response.map_body(|_, body| BoxBody::new(counted.hold(body)))
+}
+
+/// Reads a request and finds its route.
+async fn admit(
+    core: &Rc<GatewayCore>,
+    request: Request,
+) -> Result<(Attempts, Option<u64>), Refusal> {
+    let arrived = Instant::now();
+    let limits = limits_in_force(core);
+    let call = read_call(core, request, &limits).await?;
+    let routing = core.follower.view().routing.ok_or(Refusal::NotStarted)?;
+    let route = routing.table.find(&call.host, &call.path);
+    let Some(route) = route.cloned() else {
+        log::info!(event = "no_route", request = call.request_id.as_str(), host = call.host.as_str(), path = call.path.as_str(), version = routing.version; "no route fits");
+        return Err(Refusal::NoRoute);
+    };
+    let service = core.split(&route).ok_or(Refusal::NoRoute)?;
+    let engine = routing
+        .table
+        .service(&service)
+        .and_then(|service| service.engine.as_ref());
+    let tokens_per_event = engine.map(|engine| engine.tokens_per_event);
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let deadline = arrived + call.time_left.map_or(timeout, |left| left.min(timeout));
+    let attempts = Attempts::new(core.clone(), call, route, service, deadline);
+    Ok((attempts, tokens_per_event))
+}
+
+async fn read_call(
+    core: &Rc<GatewayCore>,
+    mut request: Request,
+    limits: &CallLimits,
+) -> Result<CallEnvelope, Refusal> {
+    let head_bytes: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum::<usize>()
+        + request.uri().to_string().len();
+    let read = core.codec.read_call(request.head());
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| Refusal::Unreadable)?;
+        if body.len() + chunk.len() > limits.max_body_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    if head_bytes > limits.max_header_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    let mut call = read.map_err(|error| {
+        log::info!(event = "unreadable_call"; "{error}");
+        Refusal::Unreadable
+    })?;
+    call.body = body.freeze();
+    Ok(call)
+}
+
+/// Counts a request for as long as its answer isn't finished.
+struct UnderWay(Rc<GatewayCore>);
+
+impl UnderWay {
+    fn hold(self, body: BoxBody) -> HeldBody {
+        HeldBody {
+            body,
+            _counted: self,
+        }
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get() - 1);
+    }
+}
+
+/// A body that keeps its request counted.
+struct HeldBody {
+    body: BoxBody,
+    _counted: UnderWay,
+}
+
+impl actix_http::body::MessageBody for HeldBody {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> actix_http::body::BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<bytes::Bytes, Self::Error>>> {
+        std::pin::Pin::new(&mut self.get_mut().body).poll_next(context)
+    }
+}
+
+/// Says that it isn't ready, goes on until all have seen it, and finishes what is under way.
+async fn drain(core: &Rc<GatewayCore>, grace: Duration) {
+    core.is_draining.set(true);
+    log::info!(event = "draining", under_way = core.under_way.get(); "the gateway stops taking new callers");
+    let began = Instant::now();
+    loop {
+        let passed = began.elapsed();
+        let is_done = passed >= LEAVING_TIME && core.under_way.get() == 0;
+        if is_done || passed >= grace {
+            break;
+        }
+        sleep(STOP_CHECK).await;
+    }
+    log::info!(event = "drained", under_way = core.under_way.get(); "the gateway ends");
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -0,0 +1,248 @@
+//! Calls that are answered by a series of events, passed on as they come.
+//!
+//! Invariants: only whole events are passed on, each once and in order; a stream is taken up at
+//! another server only where its route allows it, and only after the connection to the one before
+//! was closed; the end of a kept turn is not shown before the turn is kept.
+
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use snafu::Snafu;
+use tokio::time::{Instant, timeout_at};
+
+use super::attempts::{Attempts, Opened};
+use super::events::{Event, EventSplitter};
+use super::plain::{answer_head, forward, refuse};
+use super::program::{TokenReservation, compose_body, keep_ms, reserve, turn_of};
+use super::refusal::Refusal;
+use super::servers::Report;
+use super::upstream::UpstreamError;
+
+/// How long a resumable stream may be silent before it is taken up again.
+const SILENCE_BORNE: Duration = Duration::from_millis(1200);
+/// How long keeping a turn may take after its last event.
+const KEEP_LIMIT: Duration = Duration::from_millis(2500);
+
+/// A stream can't be finished; its connection is closed so that it doesn't look whole.
+#[derive(Debug, Snafu)]
+#[snafu(display("the stream was broken off"))]
+struct BrokenOff;
+
+/// Passes a streaming call on.
+pub(super) async fn forward_stream(
+    mut attempts: Attempts,
+    tokens_per_event: u64,
+) -> Response<BoxBody> {
+    let prepared = futures_util::join!(
+        reserve(
+            &attempts.core,
+            &attempts.call,
+            &attempts.route,
+            tokens_per_event,
+            attempts.deadline,
+        ),
+        compose_body(&attempts.core, &attempts.call, attempts.deadline),
+    );
+    let (reservation, body) = match prepared {
+        (Ok(reservation), Ok(body)) => (reservation, body),
+        (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
+    };
+    attempts.body = body;
+    let last_event = attempts.call.last_event;
+    let opened = match attempts.open(last_event).await {
+        Ok(opened) => opened,
+        Err(refusal) => return refuse(attempts, refusal),
+    };
+    attempts.log.status = opened.head.status.as_u16();
+    if opened.head.status != StatusCode::OK {
+        return whole(attempts, opened).await;
+    }
+    let response = answer_head(&opened.head);
+    let relay = EventRelay {
+        attempts,
+        opened: Some(opened),
+        reservation,
+        splitter: EventSplitter::default(),
+        last_event,
+        output: BytesMut::new(),
+        is_first: true,
+    };
+    let events = stream::unfold(Some(relay), |relay| async {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+            Ok(None) => None,
+            Err(broken) => Some((Err(broken), None)),
+        }
+    });
+    response.set_body(BoxBody::new(BodyStream::new(Box::pin(events))))
+}
+
+/// An answer of the server's own that is no stream: read whole and passed on as it is.
+async fn whole(attempts: Attempts, opened: Opened) -> Response<BoxBody> {
+    let mut opened = opened;
+    let mut body = BytesMut::new();
+    let deadline = attempts.deadline;
+    loop {
+        match timeout_at(deadline, opened.upstream.next_chunk()).await {
+            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Ok(None)) => break,
+            Ok(Err(_)) => return refuse(attempts, Refusal::Broken),
+            Err(_) => return refuse(attempts, Refusal::TimedOut),
+        }
+    }
+    let mut attempts = attempts;
+    attempts.log.outcome = "answered";
+    let response = answer_head(&opened.head).set_body(BoxBody::new(body.freeze()));
+    opened.upstream.finish();
+    response
+}
+
+/// A stream on its way from a server to a caller.
+struct EventRelay {
+    attempts: Attempts,
+    opened: Option<Opened>,
+    reservation: Option<TokenReservation>,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    output: BytesMut,
+    is_first: bool,
+}
+
+impl EventRelay {
+    /// The next bytes for the caller: all whole events that are there. None at the end.
+    async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        loop {
+            let ready = self.take_events();
+            if !ready.is_empty() {
+                return Ok(Some(ready));
+            }
+            match self.read().await {
+                Ok(Some(chunk)) => self.splitter.push(&chunk),
+                Ok(None) if !self.splitter.has_partial() => {
+                    self.finish().await?;
+                    return Ok(None);
+                }
+                Ok(None) => {
+                    let error = UpstreamError::Broken {
+                        reason: "the stream ends within an event".to_owned(),
+                    };
+                    self.take_up(&error).await?;
+                }
+                Err(error) => self.take_up(&error).await?,
+            }
+        }
+    }
+
+    /// Whole events that the caller lacks, with their bytes as they came.
+    fn take_events(&mut self) -> Bytes {
+        let mut ready = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            if !self.is_new(&event) {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            self.attempts.log.events += 1;
+            if let Some(reservation) = &mut self.reservation {
+                reservation.count_event();
+            }
+            if self.attempts.route.keeps_turns
+                && let Some(data) = &event.data
+            {
+                self.output.extend_from_slice(data);
+                self.output.extend_from_slice(b"\n");
+            }
+            ready.extend_from_slice(&event.bytes);
+        }
+        ready.freeze()
+    }
+
+    fn is_new(&self, event: &Event) -> bool {
+        match (event.id, self.last_event) {
+            (Some(id), Some(last)) => id > last,
+            _ => true,
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        let Some(opened) = &mut self.opened else {
+            return Err(UpstreamError::TimedOut);
+        };
+        let mut limit = self.attempts.deadline;
+        if self.attempts.route.resumable && !self.is_first {
+            limit = limit.min(Instant::now() + SILENCE_BORNE);
+        }
+        let chunk = timeout_at(limit, opened.upstream.next_chunk()).await;
+        let chunk = chunk.unwrap_or(Err(UpstreamError::TimedOut))?;
+        if std::mem::take(&mut self.is_first) {
+            let report = Report::Answered(opened.sent_at.elapsed());
+            self.attempts.core.report(&opened.server, report);
+        }
+        Ok(chunk)
+    }
+
+    /// Goes on behind the last event at a server, after the one before broke off.
+    async fn take_up(&mut self, error: &UpstreamError) -> Result<(), BrokenOff> {
+        self.splitter = EventSplitter::default();
+        if let Some(opened) = self.opened.take() {
+            self.attempts.log.note_error(&opened.server, error);
+            self.attempts.core.report(&opened.server, Report::Failed);
+        }
+        if !self.attempts.may_repeat() {
+            return self.break_off();
+        }
+        self.attempts.log.resumed += 1;
+        match self.attempts.open(self.last_event).await {
+            Ok(opened) if opened.head.status == StatusCode::OK => {
+                self.opened = Some(opened);
+                Ok(())
+            }
+            _ => self.break_off(),
+        }
+    }
+
+    fn break_off(&mut self) -> Result<(), BrokenOff> {
+        self.attempts.log.outcome = "broken_off";
+        Err(BrokenOff)
+    }
+
+    /// Keeps the turn, if its route keeps turns, and gives the connection back.
+    async fn finish(&mut self) -> Result<(), BrokenOff> {
+        if let Some(opened) = self.opened.take() {
+            opened.upstream.finish();
+        }
+        if self.attempts.route.keeps_turns {
+            let turn = turn_of(&self.attempts.call, self.output.split().freeze());
+            let keep_ms = keep_ms(&self.attempts.route);
+            let deadline = Instant::now() + KEEP_LIMIT;
+            let kept = self
+                .attempts
+                .core
+                .records
+                .keep(turn, keep_ms, deadline)
+                .await;
+            if kept.is_err() {
+                self.attempts.log.outcome = "turn_not_kept";
+                return Err(BrokenOff);
+            }
+        }
+        self.attempts.log.outcome = "answered";
+        Ok(())
+    }
+}
+
+/// Passes a call on in the way of its route's kind.
+pub(super) async fn forward_by_kind(
+    attempts: Attempts,
+    tokens_per_event: Option<u64>,
+) -> Response<BoxBody> {
+    match attempts.route.kind {
+        courseshed_routing::CallKind::Stream => {
+            forward_stream(attempts, tokens_per_event.unwrap_or(1)).await
+        }
+        _ => forward(attempts).await,
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -0,0 +1,329 @@
+//! Connections to servers: a pool of kept ones, and one request at a time on each.
+//!
+//! Invariants: a request is written to one connection once; an answer whose id is another request's
+//! is read to its end and dropped; a connection on which anything is left over is not used again.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::error::{ParseError, PayloadError};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{ResponseHead, ServiceConfig};
+use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::codec::Decoder;
+
+/// How long a connection may take to come about.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// How long sent bytes may stay unacknowledged: a machine that is cut off says nothing.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(900);
+/// How long a connection may rest if its server says nothing of it.
+const USUAL_REST: Duration = Duration::from_secs(4);
+/// How much earlier than its server a connection is given up.
+const REST_MARGIN: Duration = Duration::from_millis(800);
+/// Connections kept for one server.
+const KEPT_PER_SERVER: usize = 24;
+const READ_BYTES: usize = 16 * 1024;
+/// Largest head of an answer.
+const MAX_ANSWER_HEAD: usize = 64 * 1024;
+
+/// Why no answer came.
+#[derive(Debug, Snafu)]
+pub enum UpstreamError {
+    /// Nothing was sent.
+    #[snafu(display("can't connect: {source}"))]
+    NotSent {
+        /// Why not.
+        source: io::Error,
+    },
+    /// It was sent, at least in part, and the answer did not come whole.
+    #[snafu(display("{reason}"))]
+    Broken {
+        /// What happened.
+        reason: String,
+    },
+    /// It was sent, and the time was over.
+    #[snafu(display("the time is over"))]
+    TimedOut,
+}
+
+fn broken(reason: impl ToString) -> UpstreamError {
+    UpstreamError::Broken {
+        reason: reason.to_string(),
+    }
+}
+
+/// Kept connections to servers, by address and life of the server.
+#[derive(Clone)]
+pub struct UpstreamPool {
+    kept: Rc<RefCell<HashMap<SocketAddr, Vec<Kept>>>>,
+    config: ServiceConfig,
+}
+
+struct Kept {
+    server: String,
+    stream: TcpStream,
+    usable_until: Instant,
+}
+
+impl UpstreamPool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            kept: Rc::default(),
+            config: ServiceConfig::default(),
+        }
+    }
+
+    /// A connection to a server: a kept one that is still open, or a new one.
+    ///
+    /// # Errors
+    /// [`UpstreamError::NotSent`].
+    pub async fn connect(
+        &self,
+        server: &str,
+        address: SocketAddr,
+    ) -> Result<Upstream, UpstreamError> {
+        let kept = self.take_kept(server, address);
+        let stream = match kept {
+            Some(stream) => stream,
+            None => open(address)
+                .await
+                .map_err(|source| UpstreamError::NotSent { source })?,
+        };
+        Ok(Upstream {
+            pool: self.clone(),
+            server: server.to_owned(),
+            address,
+            stream,
+            buffer: BytesMut::new(),
+            payload: None,
+            ends_with_connection: false,
+            is_reusable: false,
+            rest: USUAL_REST,
+        })
+    }
+
+    /// Closes the connections kept to servers that are not among those given, and those rested too long.
+    pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
+        let now = Instant::now();
+        let mut kept = self.kept.borrow_mut();
+        for connections in kept.values_mut() {
+            connections.retain(|kept| kept.usable_until > now && is_listed(&kept.server));
+        }
+        kept.retain(|_, connections| !connections.is_empty());
+    }
+
+    fn take_kept(&self, server: &str, address: SocketAddr) -> Option<TcpStream> {
+        let mut kept = self.kept.borrow_mut();
+        let connections = kept.get_mut(&address)?;
+        while let Some(candidate) = connections.pop() {
+            let is_current = candidate.server == server && candidate.usable_until > Instant::now();
+            if is_current && is_quiet(&candidate.stream) {
+                return Some(candidate.stream);
+            }
+        }
+        None
+    }
+
+    fn put_back(&self, server: &str, address: SocketAddr, stream: TcpStream, rest: Duration) {
+        let mut kept = self.kept.borrow_mut();
+        let connections = kept.entry(address).or_default();
+        if connections.len() < KEPT_PER_SERVER {
+            connections.push(Kept {
+                server: server.to_owned(),
+                stream,
+                usable_until: Instant::now() + rest,
+            });
+        }
+    }
+}
+
+impl Default for UpstreamPool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Whether nothing waits to be read: no late answer, and no end.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    Ok(stream)
+}
+
+/// One connection with one request on it. Dropping it closes the connection, which cancels the request.
+pub struct Upstream {
+    pool: UpstreamPool,
+    server: String,
+    address: SocketAddr,
+    stream: TcpStream,
+    buffer: BytesMut,
+    payload: Option<ClientPayloadCodec>,
+    ends_with_connection: bool,
+    is_reusable: bool,
+    rest: Duration,
+}
+
+impl Upstream {
+    /// Sends a request and reads the head of its answer. `is_ours` tells answers of other requests.
+    ///
+    /// # Errors
+    /// [`UpstreamError`]: the request may have run.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        deadline: Instant,
+        is_ours: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<ResponseHead, UpstreamError> {
+        let exchange = async {
+            let was_sent_whole = self.send_until_answered(request).await?;
+            self.is_reusable = was_sent_whole;
+            loop {
+                let head = self.read_head().await?;
+                if head.status.is_informational() {
+                    continue;
+                }
+                if is_ours(&head) {
+                    return Ok(head);
+                }
+                log::warn!(event = "stray_answer", server = self.server.as_str(); "an answer of another request was dropped");
+                if self.ends_with_connection {
+                    return Err(broken("the connection ends with another request's answer"));
+                }
+                while self.next_chunk().await?.is_some() {}
+            }
+        };
+        timeout_at(deadline, exchange)
+            .await
+            .unwrap_or(Err(UpstreamError::TimedOut))
+    }
+
+    /// Writes the request while watching for an early answer; false if one came before all was written.
+    async fn send_until_answered(&mut self, request: &[u8]) -> Result<bool, UpstreamError> {
+        let (mut reader, mut writer) = self.stream.split();
+        let write = writer.write_all(request);
+        tokio::pin!(write);
+        let mut early = BytesMut::with_capacity(READ_BYTES);
+        tokio::select! {
+            biased;
+            written = &mut write => {
+                written.map_err(broken)?;
+                Ok(true)
+            }
+            read = reader.read_buf(&mut early) => {
+                if read.map_err(broken)? == 0 {
+                    return Err(broken("closed before the request was sent"));
+                }
+                self.buffer = early;
+                Ok(false)
+            }
+        }
+    }
+
+    async fn read_head(&mut self) -> Result<ResponseHead, UpstreamError> {
+        let mut codec = ClientCodec::new(self.pool.config.clone());
+        loop {
+            let decoded = codec.decode(&mut self.buffer);
+            if let Some(head) = decoded.map_err(|error: ParseError| broken(error))? {
+                self.note_head(&head, codec);
+                return Ok(head);
+            }
+            if self.buffer.len() > MAX_ANSWER_HEAD {
+                return Err(broken("the head of the answer is too large"));
+            }
+            if self.fill().await? == 0 {
+                return Err(broken("closed without an answer"));
+            }
+        }
+    }
+
+    fn note_head(&mut self, head: &ResponseHead, codec: ClientCodec) {
+        let closes = header_has(head.headers().get(header::CONNECTION), "close");
+        let message = codec.message_type();
+        self.ends_with_connection = message == MessageType::Stream;
+        self.is_reusable &= !closes && !self.ends_with_connection;
+        if let Some(rest) = rest_of(head) {
+            self.rest = rest;
+        }
+        self.payload = match message {
+            MessageType::None => None,
+            MessageType::Payload | MessageType::Stream => Some(codec.into_payload_codec()),
+        };
+    }
+
+    /// The next bytes of the body; none once it is whole.
+    ///
+    /// # Errors
+    /// [`UpstreamError::Broken`] when the connection ends before the body does.
+    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        loop {
+            let Some(payload) = &mut self.payload else {
+                return Ok(None);
+            };
+            let decoded = payload.decode(&mut self.buffer);
+            match decoded.map_err(|error: PayloadError| broken(error))? {
+                Some(Some(chunk)) => return Ok(Some(chunk)),
+                Some(None) => {
+                    self.payload = None;
+                    return Ok(None);
+                }
+                None => {}
+            }
+            if self.fill().await? == 0 {
+                if !self.ends_with_connection {
+                    return Err(broken("closed in the middle of the answer"));
+                }
+                self.payload = None;
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Gives the connection back, if its answer was whole and nothing is left over.
+    pub fn finish(self) {
+        if self.is_reusable && self.payload.is_none() && self.buffer.is_empty() {
+            self.pool
+                .put_back(&self.server, self.address, self.stream, self.rest);
+        }
+    }
+
+    async fn fill(&mut self) -> Result<usize, UpstreamError> {
+        self.buffer.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.buffer).await.map_err(broken)
+    }
+}
+
+/// How long the server lets a connection rest, less a margin.
+fn rest_of(head: &ResponseHead) -> Option<Duration> {
+    let value = head.headers().get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| {
+        let number = part.trim().strip_prefix("timeout=").unwrap_or(part.trim());
+        number.parse::<u64>().ok()
+    })?;
+    Some(Duration::from_secs(seconds).saturating_sub(REST_MARGIN))
+}
+
+fn header_has(value: Option<&HeaderValue>, token: &str) -> bool {
+    let text = value.and_then(|value| value.to_str().ok()).unwrap_or("");
+    text.split(',')
+        .any(|part| part.trim().eq_ignore_ascii_case(token))
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/http.rs
@@ -0,0 +1,105 @@
+//! Serving HTTP/1.1 on one thread, through the library's own service for it.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const BACKLOG: u32 = 1024;
+
+/// How long callers are waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpTiming {
+    /// How long the head of a request may take to arrive.
+    pub head: Duration,
+    /// How long a connection may rest.
+    pub idle: Duration,
+}
+
+/// Listens on an address.
+///
+/// # Errors
+/// What the system says.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections and answers their requests until the process ends. `timing` is asked for
+/// each new connection.
+pub async fn serve<Handle, Answer>(
+    listener: TcpListener,
+    timing: impl Fn() -> HttpTiming,
+    handle: Handle,
+) where
+    Handle: Fn(Request) -> Answer + Clone + 'static,
+    Answer: Future<Output = Response<BoxBody>> + 'static,
+{
+    let mut current = timing();
+    let mut service = build(current, handle.clone()).await;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let wanted = timing();
+                if wanted != current {
+                    current = wanted;
+                    service = build(current, handle.clone()).await;
+                }
+                if stream.set_nodelay(true).is_ok() {
+                    actix_rt::spawn(service.call(stream));
+                }
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed"; "cannot accept a connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The body of a request; none if it is larger than allowed or ends early.
+pub async fn read_body(request: &mut Request, limit: usize) -> Option<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.ok()?;
+        if body.len() + chunk.len() > limit {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Some(body.freeze())
+}
+
+async fn build<Handle, Answer>(
+    timing: HttpTiming,
+    handle: Handle,
+) -> impl Service<TcpStream, Future = impl Future<Output = Result<(), impl Sized + 'static>> + 'static>
+where
+    Handle: Fn(Request) -> Answer + Clone + 'static,
+    Answer: Future<Output = Response<BoxBody>> + 'static,
+{
+    let service = fn_service(move |request: Request| {
+        let answer = handle(request);
+        async move { Ok::<_, actix_http::Error>(answer.await) }
+    });
+    HttpService::build()
+        .keep_alive(KeepAlive::Timeout(timing.idle))
+        .client_request_timeout(timing.head)
+        .h1_allow_half_closed(false)
+        .h1(service)
+        .tcp()
+        .new_service(())
+        .await
+        .unwrap_or_else(|()| unreachable!("the service can always be made"))
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/peers.rs
@@ -0,0 +1,72 @@
+//! The transport of a node, with the timing of a fleet whose machines fall silent without notice.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_transport::{
+    Handler, PeerIdentity, StartError, Transport, TransportSettings, TransportTiming,
+};
+use courseshed_types::{Incarnation, NodeId};
+use snafu::{ResultExt, Snafu};
+use tokio::runtime::Handle;
+
+use crate::clock::time_of_day_ms;
+use crate::protocol::{FleetProtocol, PeerAddresses, PeerPort};
+
+/// A machine that is cut off says nothing, so every wait is short.
+const TIMING: TransportTiming = TransportTiming {
+    connect: Duration::from_millis(500),
+    write: Duration::from_millis(1500),
+    ping: Duration::from_millis(500),
+    silence: Duration::from_millis(1500),
+    unacknowledged: Some(Duration::from_millis(900)),
+};
+const QUEUE_CAPACITY: usize = 4096;
+
+/// The transport of the fleet.
+pub type Peers = Transport<FleetProtocol>;
+
+/// A node can't speak to its peers.
+#[derive(Debug, Snafu)]
+pub enum PeersError {
+    /// The port can't be listened on.
+    #[snafu(display("can't listen for peers on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The transport doesn't start.
+    #[snafu(display("{source}"))]
+    Start {
+        /// Why not.
+        source: StartError,
+    },
+}
+
+/// Starts the transport of a role on a node.
+///
+/// # Errors
+/// [`PeersError`] when the port can't be had.
+pub fn start_peers(
+    node: NodeId,
+    addresses: PeerAddresses,
+    port: PeerPort,
+    handler: Arc<dyn Handler<FleetProtocol>>,
+) -> Result<Peers, PeersError> {
+    let address = addresses.of(node, port);
+    let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+    let settings = TransportSettings {
+        identity: PeerIdentity {
+            node,
+            incarnation: Incarnation(time_of_day_ms()),
+        },
+        queue_capacity: QUEUE_CAPACITY,
+        seed: time_of_day_ms() ^ u64::from(node.0),
+        timing: TIMING,
+    };
+    Transport::start(settings, listener, handler, &Handle::current()).context(StartSnafu)
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/records/disk.rs
@@ -0,0 +1,151 @@
+//! The thread that writes a store's records to its disk.
+//!
+//! Invariant: the tables hold only what is on disk, so every answer is about what would survive.
+
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+use courseshed_records::{Journal, Record, RecordReplica};
+use courseshed_transport::ReplySender;
+use parking_lot::Mutex;
+
+use crate::clock::time_of_day_ms;
+use crate::protocol::{FleetProtocol, PeerReply, RecordOperation, RecordReply, RecordRequest};
+
+/// Requests taken in before one flush.
+const BATCH: usize = 512;
+/// Size of one piece of an export, in bytes.
+const EXPORT_PAGE_BYTES: usize = 256 * 1024;
+/// How often what need not be kept is dropped.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What the thread is asked.
+pub(super) enum DiskRequest {
+    /// A peer's request.
+    Peer(RecordRequest, ReplySender<FleetProtocol>),
+    /// Records read from another store.
+    Import(Vec<Record>, tokio::sync::oneshot::Sender<bool>),
+}
+
+/// Starts the thread.
+pub(super) fn start(
+    journal: Journal,
+    replica: Arc<Mutex<RecordReplica>>,
+) -> std::io::Result<Sender<DiskRequest>> {
+    let (sender, requests) = channel();
+    let mut writer = DiskWriter { journal, replica };
+    thread::Builder::new()
+        .name("records".to_owned())
+        .spawn(move || writer.run(&requests))?;
+    Ok(sender)
+}
+
+struct DiskWriter {
+    journal: Journal,
+    replica: Arc<Mutex<RecordReplica>>,
+}
+
+impl DiskWriter {
+    fn run(&mut self, requests: &Receiver<DiskRequest>) {
+        loop {
+            match requests.recv_timeout(EXPIRY_INTERVAL) {
+                Ok(first) => {
+                    let mut batch = vec![first];
+                    batch.extend(requests.try_iter().take(BATCH));
+                    self.serve(batch);
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.tidy();
+        }
+    }
+
+    fn serve(&mut self, batch: Vec<DiskRequest>) {
+        let now = time_of_day_ms();
+        let mut records = Vec::new();
+        let mut epoch = self.replica.lock().epoch();
+        let mut answers = Vec::new();
+        for request in batch {
+            match request {
+                DiskRequest::Peer(request, reply) => {
+                    if !self.is_for_us(&request, epoch) {
+                        reply.send(PeerReply::Records(RecordReply::OtherView));
+                        continue;
+                    }
+                    if request.epoch > epoch {
+                        epoch = request.epoch;
+                        records.push(Record::Epoch(epoch));
+                    }
+                    if let RecordOperation::Write(record) = &request.operation {
+                        records.push(record.clone());
+                    }
+                    answers.push((request, reply));
+                }
+                DiskRequest::Import(imported, done) => {
+                    let result = self.write(now, imported);
+                    let _ = done.send(result);
+                }
+            }
+        }
+        let is_written = self.write(now, records);
+        for (request, reply) in answers {
+            let answer = if is_written {
+                self.answer(now, request)
+            } else {
+                RecordReply::Unavailable
+            };
+            reply.send(PeerReply::Records(answer));
+        }
+    }
+
+    fn is_for_us(&self, request: &RecordRequest, epoch: u64) -> bool {
+        request.incarnation == self.journal.incarnation() && request.epoch >= epoch
+    }
+
+    /// Writes, then takes into the tables.
+    fn write(&mut self, now: u64, records: Vec<Record>) -> bool {
+        if records.is_empty() {
+            return true;
+        }
+        if let Err(error) = self.journal.append(now, &records) {
+            log::error!(event = "disk_failed", records = records.len(); "{error}");
+            return false;
+        }
+        let mut replica = self.replica.lock();
+        for record in records {
+            replica.apply(now, record);
+        }
+        true
+    }
+
+    fn answer(&self, now: u64, request: RecordRequest) -> RecordReply {
+        let replica = self.replica.lock();
+        match request.operation {
+            RecordOperation::Write(Record::Reserve { program, .. }) => {
+                RecordReply::Written(replica.reserved(&program))
+            }
+            RecordOperation::Write(_) => RecordReply::Written(Vec::new()),
+            RecordOperation::Chain { id } => match replica.chain(&id) {
+                Ok(chain) => RecordReply::Chain(chain),
+                Err(error) => RecordReply::NoChain(error),
+            },
+            RecordOperation::Export { cursor } => {
+                RecordReply::Page(replica.export(now, &cursor, EXPORT_PAGE_BYTES))
+            }
+        }
+    }
+
+    fn tidy(&mut self) {
+        let now = time_of_day_ms();
+        let mut replica = self.replica.lock();
+        replica.expire(now);
+        if self.journal.wants_rewrite()
+            && let Err(error) = self.journal.rewrite(now, &replica)
+        {
+            log::error!(event = "rewrite_failed"; "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -0,0 +1,9 @@
+//! Records of programs: the store that keeps them, and the client that reads and writes a quorum of stores.
+
+mod catch_up;
+mod client;
+mod disk;
+mod store;
+
+pub use client::{ChainLookup, RecordClient, RecordsUnavailable, Reservation};
+pub use store::{StoreError, StoreSettings, start};
--- /dev/null
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -0,0 +1,153 @@
+//! A store: one replica of the records, on a machine with a disk.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use courseshed_records::{Journal, JournalError, RecordReplica, StoreMachine};
+use courseshed_registry::Command;
+use courseshed_transport::{Handler, PeerIdentity, ReplySender};
+use courseshed_types::NodeId;
+use parking_lot::Mutex;
+use rand::RngExt;
+use snafu::{ResultExt, Snafu};
+use tokio::time::sleep;
+
+use super::catch_up;
+use super::disk::{self, DiskRequest};
+use crate::control_client::ControlClient;
+use crate::follower::FleetFollower;
+use crate::peers::{PeersError, start_peers};
+use crate::protocol::{
+    FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest, RecordOperation,
+};
+
+/// How often a store that isn't among the replicas says that it is there.
+const REGISTER_INTERVAL: Duration = Duration::from_secs(3);
+const REGISTER_RETRY: Duration = Duration::from_millis(200);
+
+/// How a store runs.
+pub struct StoreSettings {
+    /// The machine.
+    pub node: NodeId,
+    /// The operator's name for it.
+    pub name: String,
+    /// Where it stands.
+    pub zone: String,
+    /// Where its records are kept.
+    pub folder: PathBuf,
+    /// Machines with controllers.
+    pub seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
+    /// Where peers listen.
+    pub addresses: PeerAddresses,
+}
+
+/// A store doesn't start.
+#[derive(Debug, Snafu)]
+pub enum StoreError {
+    /// It can't speak to its peers.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// Why not.
+        source: PeersError,
+    },
+    /// Its folder can't be used.
+    #[snafu(display("{source}"))]
+    Journal {
+        /// Why not.
+        source: JournalError,
+    },
+    /// Its thread can't be started.
+    #[snafu(display("can't start the thread of the disk: {source}"))]
+    Thread {
+        /// Why not.
+        source: std::io::Error,
+    },
+}
+
+struct StorePeers {
+    disk: Sender<DiskRequest>,
+}
+
+impl Handler<FleetProtocol> for StorePeers {
+    fn on_message(&self, _: PeerIdentity, _: PeerMessage) {}
+
+    fn on_request(&self, _: PeerIdentity, request: PeerRequest, reply: ReplySender<FleetProtocol>) {
+        if let PeerRequest::Records(request) = request {
+            let _ = self.disk.send(DiskRequest::Peer(request, reply));
+        }
+    }
+}
+
+/// Starts a store; it runs until the process ends.
+///
+/// # Errors
+/// [`StoreError`] when the port or the folder can't be used.
+pub fn start(settings: StoreSettings) -> Result<(), StoreError> {
+    let incarnation_if_new = rand::rng().random_range(1..u64::MAX);
+    let opened = Journal::open(&settings.folder, incarnation_if_new);
+    let (journal, replica) = opened.context(JournalSnafu)?;
+    let incarnation = journal.incarnation();
+    log::info!(event = "store_opened", incarnation, records = replica.len(), epoch = replica.epoch(); "the store is open");
+    let replica: Arc<Mutex<RecordReplica>> = Arc::new(Mutex::new(replica));
+    let disk = disk::start(journal, replica).context(ThreadSnafu)?;
+    let handler = Arc::new(StorePeers { disk: disk.clone() });
+    let started = start_peers(settings.node, settings.addresses, PeerPort::Store, handler);
+    let peers = Arc::new(started.context(PeersSnafu)?);
+    let follower = FleetFollower::new(peers.clone(), settings.addresses, true, settings.seeds);
+    tokio::spawn(follower.clone().run());
+    let control = ControlClient::new(peers.clone(), follower.clone(), settings.addresses);
+    let store = StoreMachine {
+        name: settings.name,
+        zone: settings.zone,
+        incarnation,
+    };
+    tokio::spawn(keep_registered(
+        control.clone(),
+        follower.clone(),
+        settings.node,
+        store,
+    ));
+    tokio::spawn(catch_up::run(catch_up::CatchUp {
+        node: settings.node,
+        incarnation,
+        peers,
+        addresses: settings.addresses,
+        follower,
+        control,
+        disk,
+    }));
+    Ok(())
+}
+
+/// Says that the store is there: at its start, and while it isn't among the replicas.
+async fn keep_registered(
+    control: ControlClient,
+    follower: Arc<FleetFollower>,
+    node: NodeId,
+    store: StoreMachine,
+) {
+    loop {
+        let view = follower.view().records;
+        let is_member = view
+            .member(node)
+            .is_some_and(|member| member.incarnation == store.incarnation);
+        if is_member {
+            sleep(REGISTER_INTERVAL).await;
+            continue;
+        }
+        let store = store.clone();
+        let command = Command::RegisterStore { node, store };
+        let pause = match control.submit(command).await {
+            Ok(_) => REGISTER_INTERVAL,
+            Err(_) => REGISTER_RETRY,
+        };
+        sleep(pause).await;
+    }
+}
+
+/// What a store is asked for when another catches up.
+pub(super) fn export_of(cursor: courseshed_records::ExportCursor) -> RecordOperation {
+    RecordOperation::Export { cursor }
+}
--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -12,7 +12,7 @@
 use actix_web::{App, HttpServer, dev::ServerHandle, middleware::from_fn};
 use courseshed_engine::EngineConnector;
 use courseshed_settings::{NodeSettings, SettingsTree};
-use courseshed_transport::{StartError, Transport, TransportSettings};
+use courseshed_transport::{StartError, Transport, TransportSettings, TransportTiming};
 use snafu::{ResultExt, Snafu};
 use tokio::{runtime::Handle, sync::oneshot};
 
@@ -245,6 +245,7 @@
             identity: context.identity,
             queue_capacity: PEER_QUEUE,
             seed: context.identity.incarnation.0,
+            timing: TransportTiming::default(),
         },
         sockets.peer,
         Arc::new(NodeHandler(Arc::downgrade(&context))),
--- /dev/null
+++ b/crates/courseshed-records/src/lib.rs
@@ -0,0 +1,25 @@
+//! Durable records of programs: token reservations and kept turns, on a quorum of disks.
+//!
+//! Records are never changed in a way whose order matters: a reservation is added and later lowered
+//! to what was given, a turn is added whole. So there is no leader to wait for: a writer sends to
+//! every replica and goes on when a quorum has the record on disk. Who the replicas are is a
+//! [`RecordView`], which the controllers commit; each write names the view's epoch, and a replica
+//! that moved on refuses older ones. See `docs/design/platform.md`.
+//!
+//! Invariants:
+//! - Any two quorums of one view, or of consecutive views, share a replica that has the record, as
+//!   long as no more disks are lost than the view bears.
+//! - A replica with an empty disk counts for nothing until it has read from enough others.
+//! - The sum of what is reserved for a program and what it was given never exceeds its budget.
+
+mod journal;
+mod plan;
+mod replica;
+mod tally;
+mod view;
+
+pub use journal::{Journal, JournalError};
+pub use plan::{StoreMachine, ViewPlan, plan_view};
+pub use replica::{ChainError, ExportCursor, ExportPage, Record, RecordReplica, Reserved, Turn};
+pub use tally::{MissTally, ReservationDecision, ReservationTally, WriteTally};
+pub use view::{RecordMember, RecordView};
--- /dev/null
+++ b/crates/courseshed-records/src/view.rs
@@ -0,0 +1,76 @@
+//! Which machines hold the records, and how many make a quorum.
+
+use courseshed_types::NodeId;
+use serde::{Deserialize, Serialize};
+
+/// One replica of the records.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordMember {
+    /// The machine.
+    pub node: NodeId,
+    /// The life of its disk: an emptied disk is another member.
+    pub incarnation: u64,
+    /// Where it stands.
+    pub zone: String,
+    /// Whether it counts; one that is still reading from the others does not.
+    pub active: bool,
+}
+
+/// The replicas at one moment. Each change has a higher epoch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordView {
+    /// Grows by one with each change.
+    pub epoch: u64,
+    /// The replicas, active or joining.
+    pub members: Vec<RecordMember>,
+}
+
+impl RecordView {
+    /// Replicas that make a quorum: a majority of all members, counted among the active ones.
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// How many active replicas a joining one reads from: any quorum of an earlier view meets them.
+    #[must_use]
+    pub fn sources_needed(&self) -> usize {
+        self.members.len() - self.quorum() + 1
+    }
+
+    /// The member on a machine.
+    #[must_use]
+    pub fn member(&self, node: NodeId) -> Option<&RecordMember> {
+        self.members.iter().find(|member| member.node == node)
+    }
+
+    /// The members that count.
+    pub fn active(&self) -> impl Iterator<Item = &RecordMember> {
+        self.members.iter().filter(|member| member.active)
+    }
+
+    /// Whether this very life of a machine's disk counts.
+    #[must_use]
+    pub fn is_active(&self, node: NodeId, incarnation: u64) -> bool {
+        self.member(node)
+            .is_some_and(|member| member.active && member.incarnation == incarnation)
+    }
+
+    /// The next view, with a member that has caught up made active; none if it isn't joining.
+    #[must_use]
+    pub fn activate(&self, node: NodeId, incarnation: u64) -> Option<Self> {
+        let mut next = self.next_epoch();
+        let member = next.members.iter_mut().find(|member| member.node == node)?;
+        if member.active || member.incarnation != incarnation {
+            return None;
+        }
+        member.active = true;
+        Some(next)
+    }
+
+    pub(crate) fn next_epoch(&self) -> Self {
+        let mut next = self.clone();
+        next.epoch += 1;
+        next
+    }
+}
--- /dev/null
+++ b/crates/courseshed-registry/src/lib.rs
@@ -0,0 +1,21 @@
+//! What controllers agree on for gateways: the routing table in force, the servers that announced
+//! themselves, and which machines hold the records of programs.
+//!
+//! [`FleetState`] is a deterministic state machine in the controllers' replicated log. Ordinary
+//! heartbeats don't enter the log; a new server, a server that leaves, and a change of any fact do.
+//! [`Liveness`] is the leader's soft knowledge of who was heard lately. The crate does no I/O.
+//!
+//! Invariants:
+//! - The version of the routing table in force never falls.
+//! - A server that drains or left never becomes ready again under the same id.
+//! - An older announcement of a server never replaces a newer one.
+
+mod command;
+mod liveness;
+mod server;
+mod state;
+
+pub use command::{Command, Outcome};
+pub use liveness::{Liveness, LivenessSettings};
+pub use server::{Registration, Server, ServerState};
+pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- /dev/null
+++ b/crates/courseshed-registry/src/state.rs
@@ -0,0 +1,285 @@
+//! The replicated state and how commands change it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use courseshed_consensus::{LogIndex, RestoreError, StateMachine};
+use courseshed_records::{RecordView, StoreMachine};
+use courseshed_routing::VersionedTable;
+use courseshed_types::NodeId;
+use serde::{Deserialize, Serialize};
+
+use crate::{Command, Outcome, Registration, Server, ServerState};
+
+/// Servers that left are remembered, so that a late announcement doesn't bring them back.
+const REMEMBERED_DEPARTURES: usize = 4096;
+
+/// The routing table in force, and what the operator sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RoutingInForce {
+    /// The table.
+    pub table: Arc<VersionedTable>,
+    /// What the operator sent.
+    pub document: Bytes,
+}
+
+/// How far the emptying of a machine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Retirement {
+    /// It still counts, or another is still catching up.
+    Running,
+    /// It may be taken away.
+    Completed,
+}
+
+/// A server with the sequence of its newest announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Announced {
+    server: Server,
+    sequence: u64,
+}
+
+/// What all controllers agree on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetState {
+    /// Counts changes of the servers.
+    servers_revision: u64,
+    routing: Option<RoutingInForce>,
+    servers: BTreeMap<String, Announced>,
+    departed: VecDeque<String>,
+    stores: BTreeMap<NodeId, StoreMachine>,
+    view: RecordView,
+    retirements: BTreeMap<NodeId, Retirement>,
+}
+
+/// What a follower of the state has already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Version of the routing table; none before the first.
+    pub routing: Option<u64>,
+    /// Revision of the servers.
+    pub servers: u64,
+    /// Epoch of the record view.
+    pub view: u64,
+}
+
+/// What a follower of the state lacks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetUpdate {
+    /// What the follower has after taking the update in.
+    pub known: Known,
+    /// A newer routing table.
+    pub routing: Option<Arc<VersionedTable>>,
+    /// The servers, if they changed.
+    pub servers: Option<Vec<Server>>,
+    /// The record view, if it changed.
+    pub view: Option<RecordView>,
+}
+
+impl FleetUpdate {
+    /// Whether there is nothing new.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.routing.is_none() && self.servers.is_none() && self.view.is_none()
+    }
+}
+
+impl FleetState {
+    /// The routing table in force.
+    #[must_use]
+    pub fn routing(&self) -> Option<&RoutingInForce> {
+        self.routing.as_ref()
+    }
+
+    /// The servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().map(|announced| &announced.server)
+    }
+
+    /// The view of the records in force.
+    #[must_use]
+    pub fn view(&self) -> &RecordView {
+        &self.view
+    }
+
+    /// Machines with disks for records.
+    #[must_use]
+    pub fn stores(&self) -> &BTreeMap<NodeId, StoreMachine> {
+        &self.stores
+    }
+
+    /// Machines that are being emptied or were.
+    pub fn retirements(&self) -> impl Iterator<Item = (NodeId, Retirement)> + '_ {
+        self.retirements.iter().map(|(node, state)| (*node, *state))
+    }
+
+    /// Machines that are to be emptied or were.
+    #[must_use]
+    pub fn retiring(&self) -> BTreeSet<NodeId> {
+        self.retirements.keys().copied().collect()
+    }
+
+    /// How far the emptying of the machine of a name is.
+    #[must_use]
+    pub fn retirement(&self, name: &str) -> Option<Retirement> {
+        let node = self.store_named(name)?;
+        self.retirements.get(&node).copied()
+    }
+
+    /// Whether an announcement says nothing that is not in the state already.
+    #[must_use]
+    pub fn is_ordinary(&self, registration: &Registration) -> bool {
+        if self.departed.contains(&registration.server.id) {
+            return true;
+        }
+        let known = self.servers.get(&registration.server.id);
+        known.is_some_and(|known| {
+            registration.sequence <= known.sequence || known.server == registration.server
+        })
+    }
+
+    /// What a follower lacks.
+    #[must_use]
+    pub fn update_for(&self, known: Known) -> FleetUpdate {
+        let routing = self.routing.as_ref().map(|routing| &routing.table);
+        let newer =
+            routing.filter(|table| known.routing.is_none_or(|version| version < table.version));
+        let servers_changed = self.servers_revision > known.servers;
+        FleetUpdate {
+            known: Known {
+                routing: routing.map(|table| table.version),
+                servers: self.servers_revision,
+                view: self.view.epoch,
+            },
+            routing: newer.cloned(),
+            servers: servers_changed.then(|| self.servers().cloned().collect()),
+            view: (self.view.epoch > known.view).then(|| self.view.clone()),
+        }
+    }
+
+    fn execute(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::ReplaceRouting { table, document } => self.replace_routing(table, document),
+            Command::Announce(registration) => self.announce(registration),
+            Command::Leave { server } => self.depart(&server),
+            Command::Expire { servers } => {
+                for server in servers {
+                    self.servers.remove(&server);
+                }
+                self.servers_revision += 1;
+            }
+            Command::RegisterStore { node, store } => {
+                let known = self.stores.get(&node);
+                if known.is_none_or(|known| known.incarnation != store.incarnation) {
+                    self.retirements.remove(&node);
+                }
+                self.stores.insert(node, store);
+            }
+            Command::ChangeRecordView(view) => self.change_view(view),
+            Command::Retire { name, needed } => return self.retire(&name, needed),
+            Command::CompleteRetirement { node } => {
+                self.retirements.insert(node, Retirement::Completed);
+            }
+        }
+        Outcome::Done
+    }
+
+    fn replace_routing(&mut self, table: VersionedTable, document: Bytes) {
+        let held = self.routing.as_ref().map(|routing| routing.table.version);
+        if held.is_none_or(|held| held < table.version) {
+            self.routing = Some(RoutingInForce {
+                table: Arc::new(table),
+                document,
+            });
+        }
+    }
+
+    fn announce(&mut self, mut registration: Registration) {
+        if self.is_ordinary(&registration) {
+            return;
+        }
+        let id = registration.server.id.clone();
+        if let Some(known) = self.servers.get(&id)
+            && known.server.state == ServerState::Draining
+        {
+            registration.server.state = ServerState::Draining;
+        }
+        let announced = Announced {
+            server: registration.server,
+            sequence: registration.sequence,
+        };
+        self.servers.insert(id, announced);
+        self.servers_revision += 1;
+    }
+
+    fn depart(&mut self, server: &str) {
+        self.servers.remove(server);
+        if !self.departed.iter().any(|departed| departed == server) {
+            self.departed.push_back(server.to_owned());
+        }
+        if self.departed.len() > REMEMBERED_DEPARTURES {
+            self.departed.pop_front();
+        }
+        self.servers_revision += 1;
+    }
+
+    fn change_view(&mut self, view: RecordView) {
+        if view.epoch != self.view.epoch + 1 {
+            return;
+        }
+        let gone: Vec<NodeId> = self
+            .view
+            .members
+            .iter()
+            .map(|member| member.node)
+            .filter(|node| view.member(*node).is_none() && !self.retirements.contains_key(node))
+            .collect();
+        for node in gone {
+            self.stores.remove(&node);
+        }
+        self.view = view;
+    }
+
+    fn retire(&mut self, name: &str, needed: usize) -> Outcome {
+        let Some(node) = self.store_named(name) else {
+            return Outcome::UnknownMachine;
+        };
+        if self.retirements.contains_key(&node) {
+            return Outcome::Done;
+        }
+        let remaining = self.stores.len() - self.retirements.len();
+        if remaining <= needed {
+            return Outcome::TooFew;
+        }
+        self.retirements.insert(node, Retirement::Running);
+        Outcome::Done
+    }
+
+    fn store_named(&self, name: &str) -> Option<NodeId> {
+        let mut stores = self.stores.iter();
+        stores
+            .find(|(_, store)| store.name == name)
+            .map(|(node, _)| *node)
+    }
+}
+
+impl StateMachine for FleetState {
+    type Output = Option<Outcome>;
+
+    /// None for an entry that can't be read; it changes nothing.
+    fn apply(&mut self, _index: LogIndex, data: &[u8]) -> Self::Output {
+        let command = rmp_serde::from_slice(data).ok()?;
+        Some(self.execute(command))
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        rmp_serde::to_vec_named(self).expect("the state can always be encoded")
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        *self = rmp_serde::from_slice(snapshot)
+            .map_err(|error| RestoreError::new(error.to_string()))?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/courseshed-routing/src/lib.rs
@@ -0,0 +1,16 @@
+//! The versioned routing table: which service a call belongs to, and within which limits.
+//!
+//! Operators replace the table whole. A table is checked before it is accepted ([`RoutingTable::check`]),
+//! the highest version is the one in force, and a gateway never goes back to a lower one.
+//! The crate does no I/O.
+
+mod check;
+mod matching;
+mod split;
+mod table;
+
+pub use check::TableError;
+pub use split::SplitCounter;
+pub use table::{
+    CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
+};
--- /dev/null
+++ b/crates/courseshed-routing/tests/table.rs
@@ -0,0 +1,89 @@
+//! Which tables are accepted, which route a call finds, and how splits keep to their weights.
+
+use std::sync::Arc;
+
+use courseshed_routing::{
+    CallKind, Route, RoutingTable, Service, SplitCounter, TableError, Target,
+};
+use yare::parameterized;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: CallKind::Repeatable,
+        timeout_ms: 1000,
+        aim_ms: 100,
+        priority: 0,
+        targets: vec![target("s", 1.0)],
+        max_attempts: 1,
+        keeps_turns: false,
+        retention_ms: 0,
+        affinity: false,
+        resumable: false,
+    }
+}
+
+fn target(service: &str, weight: f64) -> Target {
+    Target {
+        service: service.to_owned(),
+        weight,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RoutingTable {
+    RoutingTable {
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: vec![Service {
+            name: "s".to_owned(),
+            connection_limit: 10,
+            engine: None,
+        }],
+        limits: Default::default(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![route("short", "/a/"), route("long", "/a/b/")]);
+    let found = |host, path| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found("a.example", "/a/b/c"), Some("long"));
+    assert_eq!(found("A.example:80", "/a/c"), Some("short"));
+    assert_eq!(found("b.example", "/a/c"), None);
+    assert_eq!(found("a.example", "/ab"), None);
+}
+
+#[parameterized(
+    unknown_service = { |route: &mut Route| route.targets = vec![target("t", 1.0)], "unknown service" },
+    no_weight = { |route: &mut Route| route.targets = vec![target("s", 0.0)], "sum to nothing" },
+    no_target = { |route: &mut Route| route.targets.clear(), "sum to nothing" },
+    negative_weight = { |route: &mut Route| route.targets = vec![target("s", 2.0), target("s", -1.0)], "sum to nothing" },
+    no_timeout = { |route: &mut Route| route.timeout_ms = 0, "is 0 ms" },
+    bad_prefix = { |route: &mut Route| route.path_prefix = "/a".to_owned(), "begin and end" },
+)]
+fn a_fault_is_named(spoil: fn(&mut Route), expected: &str) {
+    let mut spoiled = route("r", "/a/");
+    spoil(&mut spoiled);
+    let error = table(vec![spoiled]).check().expect_err("a fault");
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
+#[test]
+fn two_routes_cannot_share_a_place() {
+    let error = table(vec![route("a", "/a/"), route("b", "/a/")]).check();
+    assert!(matches!(error, Err(TableError::SamePlace { .. })));
+}
+
+#[test]
+fn each_part_gets_its_weight_within_one_call() {
+    let targets = [target("a", 90.0), target("b", 10.0)];
+    for phase in [0.0, 0.5, 0.95] {
+        let mut counter = SplitCounter::with_phase(&targets, phase);
+        let mut counts = [0u32; 2];
+        for _ in 0..200 {
+            counts[counter.next(&targets).expect("a part")] += 1;
+        }
+        assert!(counts[1].abs_diff(20) <= 1, "{counts:?}");
+    }
+}
--- a/crates/courseshed-transport/src/connection.rs
+++ b/crates/courseshed-transport/src/connection.rs
@@ -34,14 +34,6 @@
     transport::Shared,
 };
 
-/// How long a connection may take to come about.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long a write may make no progress.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// How often a connection with open requests looks for signs of life.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a peer with open requests may be silent.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Messages written before one flush.
 const BATCH_LIMIT: usize = 64;
 
@@ -125,14 +117,14 @@
             .shared
             .address(self.peer)
             .ok_or_else(|| io::Error::other("no address is known"))?;
-        timeout(CONNECT_TIMEOUT, self.open(address))
+        timeout(self.shared.timing().connect, self.open(address))
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<(Reader, Writer)> {
         let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
+        self.shared.prepare(&stream)?;
         let (read_half, write_half) = stream.into_split();
         let mut reader = FramedRead::new(read_half, codec());
         let mut writer = FramedWrite::new(write_half, codec());
@@ -204,7 +196,8 @@
     heard: &Mutex<Instant>,
 ) -> io::Result<()> {
     let mut next_id = 0;
-    let mut ping = interval_at(Instant::now() + PING_INTERVAL, PING_INTERVAL);
+    let timing = shared.timing();
+    let mut ping = interval_at(Instant::now() + timing.ping, timing.ping);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut next = Some(first);
     loop {
@@ -215,14 +208,14 @@
                 shared
                     .counters
                     .count_sent(mechanism, frame.len() + LENGTH_BYTES);
-                within(WRITE_TIMEOUT, writer.feed(frame)).await?;
+                within(timing.write, writer.feed(frame)).await?;
             }
             batch += 1;
             if batch < BATCH_LIMIT {
                 next = queue.try_recv().ok();
             }
         }
-        within(WRITE_TIMEOUT, SinkExt::<Bytes>::flush(&mut writer)).await?;
+        within(timing.write, SinkExt::<Bytes>::flush(&mut writer)).await?;
         tokio::select! {
             received = queue.recv() => match received {
                 Some(outgoing) => next = Some(outgoing),
@@ -233,18 +226,18 @@
                     // The peer owes no answer: its silence counts only from when it does.
                     *heard.lock() = Instant::now();
                 } else {
-                    check_silence(*heard.lock())?;
+                    check_silence(*heard.lock(), timing.silence)?;
                     let frame = encode(&ForwardFrame::<P>::Ping)?;
                     shared.counters.count_sent(Mechanism::KEEP_ALIVE, frame.len() + LENGTH_BYTES);
-                    within(WRITE_TIMEOUT, writer.feed(frame)).await?;
+                    within(timing.write, writer.feed(frame)).await?;
                 }
             }
         }
     }
 }
 
-fn check_silence(heard: Instant) -> io::Result<()> {
-    if heard.elapsed() > SILENCE_LIMIT {
+fn check_silence(heard: Instant, limit: Duration) -> io::Result<()> {
+    if heard.elapsed() > limit {
         return Err(io::Error::new(
             io::ErrorKind::TimedOut,
             "the peer is silent",
--- a/crates/courseshed-transport/src/lib.rs
+++ b/crates/courseshed-transport/src/lib.rs
@@ -24,4 +24,4 @@
 pub use error::{RequestError, SendError, StartError};
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION};
 pub use protocol::{Handler, Mechanism, PeerIdentity, Protocol, ReplySender, TrafficClass};
-pub use transport::{Transport, TransportSettings};
+pub use transport::{Transport, TransportSettings, TransportTiming};
--- a/crates/courseshed-transport/src/listener.rs
+++ b/crates/courseshed-transport/src/listener.rs
@@ -23,8 +23,6 @@
 
 /// How long a new connection may take to say who speaks.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a write of answers may make no progress.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Wait after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -71,7 +69,7 @@
 }
 
 async fn serve_stream<P: Protocol>(shared: &Arc<Shared<P>>, stream: TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+    shared.prepare(&stream)?;
     let (read_half, write_half) = stream.into_split();
     let mut reader = FramedRead::new(read_half, codec());
     let mut writer = FramedWrite::new(write_half, codec());
@@ -155,7 +153,7 @@
         shared
             .counters
             .count_sent(mechanism, frame.len() + LENGTH_BYTES);
-        timeout(WRITE_TIMEOUT, writer.send(frame))
+        timeout(shared.timing().write, writer.send(frame))
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     }
--- a/crates/courseshed-transport/src/transport.rs
+++ b/crates/courseshed-transport/src/transport.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    io,
     net::{SocketAddr, TcpListener as StdTcpListener},
     sync::Arc,
     time::Duration,
@@ -10,8 +11,9 @@
 use courseshed_types::NodeId;
 use parking_lot::{Mutex, RwLock};
 use snafu::ResultExt;
+use socket2::SockRef;
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     runtime::Handle,
     sync::{
         mpsc::{self, error::TrySendError},
@@ -43,6 +45,36 @@
     pub queue_capacity: usize,
     /// Seed of the jitter of reconnects.
     pub seed: u64,
+    /// How long peers are waited for.
+    pub timing: TransportTiming,
+}
+
+/// How long a transport waits for its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TransportTiming {
+    /// How long a connection may take to come about.
+    pub connect: Duration,
+    /// How long a write may make no progress.
+    pub write: Duration,
+    /// How often a connection with open requests looks for signs of life.
+    pub ping: Duration,
+    /// How long a peer with open requests may be silent.
+    pub silence: Duration,
+    /// How long written bytes may stay unacknowledged before the system gives the connection up;
+    /// none leaves it to the system.
+    pub unacknowledged: Option<Duration>,
+}
+
+impl Default for TransportTiming {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            write: Duration::from_secs(5),
+            ping: Duration::from_secs(1),
+            silence: Duration::from_secs(5),
+            unacknowledged: None,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,6 +107,19 @@
         self.handler.as_ref()
     }
 
+    pub(crate) fn timing(&self) -> TransportTiming {
+        self.settings.timing
+    }
+
+    /// Sets a fresh connection up.
+    pub(crate) fn prepare(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        if let Some(limit) = self.settings.timing.unacknowledged {
+            SockRef::from(stream).set_tcp_user_timeout(Some(limit))?;
+        }
+        Ok(())
+    }
+
     pub(crate) fn address(&self, peer: NodeId) -> Option<SocketAddr> {
         self.addresses.read().get(&peer).copied()
     }
--- a/crates/courseshed-transport/tests/exchange.rs
+++ b/crates/courseshed-transport/tests/exchange.rs
@@ -9,7 +9,7 @@
 
 use courseshed_transport::{
     Handler, PeerIdentity, Protocol, ReplySender, RequestError, TrafficClass, Transport,
-    TransportSettings,
+    TransportSettings, TransportTiming,
 };
 use courseshed_types::{Incarnation, NodeId, Verdict};
 use serde::{Deserialize, Serialize};
@@ -86,6 +86,7 @@
         identity,
         queue_capacity: 64,
         seed: u64::from(node),
+        timing: TransportTiming::default(),
     };
     let transport = Transport::start(settings, listener, Arc::new(recorder), &Handle::current())
         .expect("starts");
