--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -26,8 +26,8 @@
 use crate::protocol::{PeerAddresses, PeerMessage, PeerPort, PeerReply, node_of, replica_of};
 
 const GROUP: GroupId = GroupId(1);
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(700);
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Inputs taken in before one write.
 const BATCH: usize = 256;
 /// Fewest voters that may be left when a silent one is taken out.
