Refuse at a stopping gateway what would outlast it

The gateway took everything until its last moment.

Ruled out: the drain ending early (it ended at its limit, with calls under way).

Change: a call whose deadline lies behind the end of the process is refused at once with 'not run' and a time to come back, to another gateway. Also: the events before a break are flushed before the connection is closed (found by the new tests).

--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -7,6 +7,8 @@
 
 use courseshed_routing::{Route, RoutingTable, SplitCounter, Target};
 
+use tokio::time::Instant;
+
 use super::call::CallCodec;
 use super::servers::{Report, ServerTable};
 use super::upstream::UpstreamPool;
@@ -22,7 +24,8 @@
     pub pool: UpstreamPool,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
-    pub is_draining: Cell<bool>,
+    /// When a planned stop ends the process; none while it isn't stopping.
+    pub ends_at: Cell<Option<Instant>>,
     pub under_way: Cell<usize>,
     splits: RefCell<HashMap<String, RouteSplit>>,
 }
@@ -46,12 +49,22 @@
             pool: UpstreamPool::new(),
             clock: Clock::start(),
             servers: RefCell::default(),
-            is_draining: Cell::new(false),
+            ends_at: Cell::new(None),
             under_way: Cell::new(0),
             splits: RefCell::default(),
         })
     }
 
+    /// Whether a planned stop has begun.
+    pub(super) fn is_draining(&self) -> bool {
+        self.ends_at.get().is_some()
+    }
+
+    /// Whether the process is still there at a time.
+    pub(super) fn is_there_at(&self, time: Instant) -> bool {
+        self.ends_at.get().is_none_or(|end| time <= end)
+    }
+
     /// The service that the next call of a route goes to.
     pub(super) fn split(&self, route: &Route) -> Option<String> {
         if let [only] = route.targets.as_slice() {
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -22,6 +22,8 @@
     NotStarted,
     /// No server takes it now.
     NoServer,
+    /// A planned stop ends this gateway before the request would be over.
+    Leaving,
     /// The stores that must agree can't be reached.
     NoRecords,
     /// The program's tokens are spent.
@@ -38,6 +40,8 @@
 
 /// When to come back after the stores could not be reached.
 const RECORDS_RETRY: Duration = Duration::from_millis(250);
+/// When to come back, to another gateway.
+const OTHER_GATEWAY_RETRY: Duration = Duration::from_millis(10);
 /// When to come back after no server took the request.
 const SERVER_RETRY: Duration = Duration::from_millis(120);
 
@@ -61,6 +65,7 @@
             Self::NoRoute => "no_route",
             Self::NotStarted => "not_started",
             Self::NoServer => "no_server",
+            Self::Leaving => "leaving",
             Self::NoRecords => "no_records",
             Self::BudgetSpent => "budget_spent",
             Self::UnknownTurn => "unknown_turn",
@@ -76,7 +81,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute | Self::UnknownTurn => StatusCode::NOT_FOUND,
-            Self::NotStarted | Self::NoServer | Self::NoRecords | Self::TooLate => {
+            Self::NotStarted | Self::NoServer | Self::Leaving | Self::NoRecords | Self::TooLate => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
@@ -88,6 +93,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotStarted | Self::NoRecords => Some(RECORDS_RETRY),
+            Self::Leaving => Some(OTHER_GATEWAY_RETRY),
             Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
             _ => None,
         }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -140,7 +140,7 @@
 async fn serve_readiness(core: Rc<GatewayCore>, listener: tokio::net::TcpListener) {
     let timing = || timing_of(&CallLimits::default());
     serve(listener, timing, move |_| {
-        let is_ready = !core.is_draining.get() && core.follower.view().routing.is_some();
+        let is_ready = !core.is_draining() && core.follower.view().routing.is_some();
         let status = if is_ready {
             StatusCode::OK
         } else {
@@ -179,7 +179,7 @@
         Ok((attempts, tokens_per_event)) => forward_by_kind(attempts, tokens_per_event).await,
         Err(refusal) => refusal.response(),
     };
-    if core.is_draining.get() {
+    if core.is_draining() {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
@@ -209,6 +209,10 @@
     let tokens_per_event = engine.map(|engine| engine.tokens_per_event);
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived + call.time_left.map_or(timeout, |left| left.min(timeout));
+    if !core.is_there_at(deadline) {
+        log::info!(event = "leaving", request = call.request_id.as_str(); "the gateway ends before the call would");
+        return Err(Refusal::Leaving);
+    }
     let attempts = Attempts::new(core.clone(), call, route, service, deadline);
     Ok((attempts, tokens_per_event))
 }
@@ -286,9 +290,9 @@
 
 /// Says that it isn't ready, goes on until all have seen it, and finishes what is under way.
 async fn drain(core: &Rc<GatewayCore>, grace: Duration) {
-    core.is_draining.set(true);
-    log::info!(event = "draining", under_way = core.under_way.get(); "the gateway stops taking new callers");
     let began = Instant::now();
+    core.ends_at.set(Some(began + grace));
+    log::info!(event = "draining", under_way = core.under_way.get(); "the gateway stops taking new callers");
     loop {
         let passed = began.elapsed();
         let is_done = passed >= LEAVING_TIME && core.under_way.get() == 0;
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -75,7 +75,11 @@
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
             Ok(None) => None,
-            Err(broken) => Some((Err(broken), None)),
+            Err(broken) => {
+                // Lets the events before it reach the caller, who then need not get them again.
+                tokio::task::yield_now().await;
+                Some((Err(broken), None))
+            }
         }
     });
     response.set_body(BoxBody::new(BodyStream::new(Box::pin(events))))
--- /dev/null
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -0,0 +1,193 @@
+//! A gateway before stand-in servers: what is passed on, what is refused, and what is sent again.
+
+mod support;
+
+use std::time::Duration;
+
+use support::server::{Act, END, StandIn, answer, chunk, event, stream_head};
+use support::{Fleet, call, get, plain_route, status, stream_route};
+
+const GRACE: Duration = Duration::from_secs(20);
+
+#[actix_rt::test]
+async fn a_call_is_passed_on_as_it_is() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| Act::Write(answer(got, "hello"))).await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("one", &server).await;
+    let answer = call(fleet.callers, "c1", "", "the body").await;
+    assert_eq!(status(&answer), 200);
+    assert!(answer.ends_with("hello"), "{answer}");
+    let got = server.got();
+    assert_eq!(got.len(), 1);
+    assert!(got[0].head.starts_with("POST /a/x?y=1 HTTP/1.1"));
+    assert_eq!(got[0].header("x-server"), Some("one"));
+    assert_eq!(got[0].body, "the body");
+    let unknown = get(fleet.callers, "/b/").await;
+    assert_eq!(status(&unknown), 404);
+}
+
+#[actix_rt::test]
+async fn a_late_answer_of_another_call_is_dropped() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| {
+        let stray = answer(got, "stray").replace("x-call: c2", "x-call: c1");
+        Act::Write(format!("{stray}{}", answer(got, "ours")))
+    })
+    .await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("one", &server).await;
+    let answer = call(fleet.callers, "c2", "", "").await;
+    assert!(answer.ends_with("ours"), "{answer}");
+}
+
+#[actix_rt::test]
+async fn a_connection_with_something_left_over_is_not_used_again() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| Act::Write(format!("{}more", answer(got, "whole")))).await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("one", &server).await;
+    for id in ["c1", "c2"] {
+        let answer = call(fleet.callers, id, "", "").await;
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+    assert_eq!(server.connections(), 2);
+}
+
+#[actix_rt::test]
+async fn a_call_that_may_have_run_once_is_not_sent_again() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|_| Act::WriteAndClose(String::new())).await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("one", &server).await;
+    let answer = call(fleet.callers, "c1", "", "").await;
+    assert_eq!(status(&answer), 502);
+    assert_eq!(server.got().len(), 1);
+}
+
+#[actix_rt::test]
+async fn a_call_that_a_server_did_not_run_goes_to_another() {
+    let fleet = Fleet::start(GRACE).await;
+    let full = StandIn::start(|got| {
+        let refused = answer(got, "").replace("200 OK", "503 Full");
+        Act::Write(refused.replace("\r\n\r\n", "\r\nx-not-run: 1\r\n\r\n"))
+    })
+    .await;
+    let free = StandIn::start(|got| Act::Write(answer(got, "served"))).await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("full", &full).await;
+    fleet.announce("free", &free).await;
+    for id in ["c1", "c2", "c3", "c4"] {
+        let answer = call(fleet.callers, id, "", "").await;
+        assert!(answer.ends_with("served"), "{answer}");
+    }
+    assert_eq!(free.got().len(), 4);
+}
+
+#[actix_rt::test]
+async fn an_answer_that_is_cut_off_does_not_look_whole() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| {
+        let head = stream_head(got);
+        Act::WriteAndClose(format!("{head}{}{}", event(1), chunk("id: 2\nda")))
+    })
+    .await;
+    fleet.route(vec![stream_route()]).await;
+    fleet.announce("one", &server).await;
+    let answer = call(fleet.callers, "c1", "", "").await;
+    assert_eq!(status(&answer), 200);
+    assert!(answer.contains("data: d1"));
+    assert!(
+        !answer.contains("id: 2"),
+        "part of an event was passed on: {answer}"
+    );
+    assert!(!answer.ends_with(END), "it looks whole: {answer}");
+}
+
+#[actix_rt::test]
+async fn a_resumable_stream_goes_on_behind_the_last_event() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| match got.header("x-last") {
+        None => Act::WriteAndClose(format!("{}{}{}", stream_head(got), event(1), event(2))),
+        Some(_) => Act::Write(format!("{}{}{}{END}", stream_head(got), event(2), event(3))),
+    })
+    .await;
+    let mut route = stream_route();
+    route.resumable = true;
+    fleet.route(vec![route]).await;
+    fleet.announce("one", &server).await;
+    let answer = call(fleet.callers, "c1", "", "").await;
+    assert!(answer.ends_with(END), "{answer}");
+    for data in ["d1", "d2", "d3"] {
+        assert_eq!(answer.matches(data).count(), 1, "{data} in {answer}");
+    }
+    assert_eq!(server.got()[1].header("x-last"), Some("2"));
+}
+
+#[actix_rt::test]
+async fn a_program_is_told_when_its_tokens_are_spent() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| {
+        Act::Write(format!("{}{}{}{END}", stream_head(got), event(1), event(2)))
+    })
+    .await;
+    fleet.route(vec![stream_route()]).await;
+    fleet.announce("one", &server).await;
+    fleet.until_records().await;
+    let headers = "x-program: p\r\nx-budget: 70\r\nx-most: 30\r\n";
+    // Each call is given 20 tokens of the 30 set aside: the third fits only once those are settled.
+    for id in ["c1", "c2", "c3"] {
+        support::until(async || {
+            let answer = call(fleet.callers, id, headers, "").await;
+            if status(&answer) == 402 {
+                return false;
+            }
+            assert_eq!(status(&answer), 200, "{answer}");
+            true
+        })
+        .await;
+    }
+    let spent = call(fleet.callers, "c4", headers, "").await;
+    assert_eq!(status(&spent), 402, "{spent}");
+    assert_eq!(server.got().len(), 3);
+}
+
+#[actix_rt::test]
+async fn a_turn_brings_the_turns_before_it() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| {
+        Act::Write(format!("{}{}{}{END}", stream_head(got), event(1), event(2)))
+    })
+    .await;
+    let mut route = stream_route();
+    route.keeps_turns = true;
+    fleet.route(vec![route]).await;
+    fleet.announce("one", &server).await;
+    fleet.until_records().await;
+    let first = call(fleet.callers, "t1", "", "first").await;
+    assert_eq!(status(&first), 200, "{first}");
+    let second = call(fleet.callers, "t2", "x-previous: t1\r\n", "second").await;
+    assert_eq!(status(&second), 200, "{second}");
+    let third = call(fleet.callers, "t3", "x-previous: t2\r\n", "third").await;
+    assert_eq!(status(&third), 200);
+    assert_eq!(server.got()[2].body, "firstd1\nd2\nsecondd1\nd2\nthird");
+    let unknown = call(fleet.callers, "t4", "x-previous: never\r\n", "x").await;
+    assert_eq!(status(&unknown), 404);
+}
+
+/// Found by ezo-quote scale-1, seed 11: a call taken 7.1 s after SIGTERM was cut off by the end of
+/// the process.
+#[actix_rt::test]
+async fn a_stopping_gateway_takes_only_what_it_can_finish() {
+    let mut fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|got| Act::Write(answer(got, "served"))).await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("one", &server).await;
+    call(fleet.callers, "c1", "", "").await;
+    fleet.stop().await;
+    let long = call(fleet.callers, "c2", "", "").await;
+    assert_eq!(status(&long), 503, "{long}");
+    assert!(long.contains("retry-after"), "{long}");
+    let short = call(fleet.callers, "c3", "x-time: 2000\r\n", "").await;
+    assert_eq!(status(&short), 200, "{short}");
+}
--- /dev/null
+++ b/crates/courseshed-edge/tests/support/codec.rs
@@ -0,0 +1,74 @@
+//! Words of the wire for tests: short headers of their own.
+
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{RequestHead, ResponseHead};
+use bytes::{BufMut, BytesMut};
+use courseshed_edge::gateway::{
+    AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall,
+};
+
+pub struct TestCodec;
+
+impl CallCodec for TestCodec {
+    fn read_call(&self, head: &RequestHead) -> Result<CallEnvelope, UnreadableCall> {
+        let headers = head.headers();
+        let number = |name| text(headers, name).and_then(|text| text.parse().ok());
+        let program = text(headers, "x-program").map(|program| ProgramClaim {
+            program,
+            token_budget: number("x-budget"),
+            time_left: None,
+        });
+        Ok(CallEnvelope {
+            request_id: text(headers, "x-call").unwrap_or_default(),
+            method: head.method.as_str().to_owned(),
+            target: head.uri.path_and_query().expect("a path").to_string(),
+            path: head.uri.path().to_owned(),
+            host: text(headers, "host").unwrap_or_default(),
+            headers: HeaderMap::new(),
+            body: bytes::Bytes::new(),
+            time_left: number("x-time").map(Duration::from_millis),
+            last_event: number("x-last"),
+            program,
+            most_tokens: number("x-most").map(|most| most as u32),
+            affinity_key: text(headers, "x-key"),
+            previous_turn: text(headers, "x-previous"),
+        })
+    }
+
+    fn write_head(
+        &self,
+        call: &CallEnvelope,
+        body_bytes: usize,
+        terms: &SendTerms,
+        out: &mut BytesMut,
+    ) {
+        let CallEnvelope {
+            method,
+            target,
+            request_id,
+            ..
+        } = call;
+        let server = &terms.server;
+        let head = format!(
+            "{method} {target} HTTP/1.1\r\nx-call: {request_id}\r\nx-server: {server}\r\ncontent-length: {body_bytes}\r\n"
+        );
+        out.put_slice(head.as_bytes());
+        if let Some(event) = terms.resume_after {
+            out.put_slice(format!("x-last: {event}\r\n").as_bytes());
+        }
+        out.put_slice(b"\r\n");
+    }
+
+    fn read_answer(&self, head: &ResponseHead) -> AnswerMarks {
+        AnswerMarks {
+            request_id: text(head.headers(), "x-call"),
+            is_not_run: head.headers().contains_key("x-not-run"),
+        }
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
--- /dev/null
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -0,0 +1,240 @@
+//! A small fleet inside the test process: controller, store, gateway, and a stand-in server.
+
+#![allow(dead_code)]
+
+pub mod codec;
+pub mod server;
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
+use courseshed_edge::gateway::{self, GatewaySettings};
+use courseshed_edge::protocol::{PeerAddresses, node_at};
+use courseshed_edge::records::{self, StoreSettings};
+use courseshed_registry::{Registration, Server, ServerState};
+use courseshed_routing::{
+    CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
+};
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
+
+/// A fleet of one controller, one store and one gateway, on loopback addresses of its own.
+pub struct Fleet {
+    pub controller: ControllerHandle,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    pub async fn start(grace: Duration) -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let subnet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let process = (std::process::id() % 200) as u8 + 20;
+        let ip = move |host: u8| Ipv4Addr::new(127, process, subnet, host);
+        let addresses = PeerAddresses {
+            first_port: free_port(ip(1)),
+        };
+        let seeds = move || vec![node_at(ip(1))];
+        let controller = controller::start(ControllerSettings {
+            node: node_at(ip(1)),
+            folder: folder.path().join("controller"),
+            is_first_start: true,
+            seeds: Box::new(seeds),
+            addresses,
+            server_silence: Duration::from_secs(600),
+            disks_borne: 0,
+        })
+        .await
+        .expect("a controller");
+        records::start(StoreSettings {
+            node: node_at(ip(2)),
+            name: "store-1".to_owned(),
+            zone: "a".to_owned(),
+            folder: folder.path().join("store"),
+            seeds: Box::new(seeds),
+            addresses,
+        })
+        .expect("a store");
+        let callers = SocketAddr::from((ip(3), addresses.first_port + 8));
+        let readiness = SocketAddr::from((ip(3), addresses.first_port + 9));
+        let (stop, stopped) = oneshot::channel::<()>();
+        let settings = GatewaySettings {
+            node: node_at(ip(3)),
+            zone: "a".to_owned(),
+            callers,
+            readiness,
+            seeds: Box::new(seeds),
+            addresses,
+            codec: Box::new(codec::TestCodec),
+        };
+        actix_rt::spawn(async move {
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            gateway::run(settings, stopped, grace)
+                .await
+                .expect("a gateway");
+        });
+        Self {
+            controller,
+            callers,
+            readiness,
+            stop: Some(stop),
+            _folder: folder,
+        }
+    }
+
+    /// Puts routes in force and waits until the gateway serves.
+    pub async fn route(&self, routes: Vec<Route>) {
+        let service = Service {
+            name: "s".to_owned(),
+            connection_limit: 100,
+            engine: Some(EngineLimits {
+                slots: 4,
+                tokens_per_event: 10,
+            }),
+        };
+        let table = VersionedTable {
+            version: 1,
+            table: RoutingTable {
+                routes: routes.into_iter().map(Arc::new).collect(),
+                services: vec![service],
+                limits: CallLimits::default(),
+            },
+        };
+        until(async || {
+            let done = self.controller.replace_routing(table.clone(), Bytes::new());
+            done.await.is_ok()
+        })
+        .await;
+        until(async || status(&get(self.readiness, "/").await) == 200).await;
+    }
+
+    /// Waits until the stores of the records can be reached through a streaming route.
+    pub async fn until_records(&self) {
+        until(async || {
+            let unknown = call(self.callers, server::PROBE, "x-previous: never\r\n", "").await;
+            status(&unknown) == 404
+        })
+        .await;
+    }
+
+    /// Announces a stand-in server and waits until the gateway sends there.
+    pub async fn announce(&self, id: &str, stand_in: &server::StandIn) {
+        let server = Server {
+            id: id.to_owned(),
+            service: "s".to_owned(),
+            address: stand_in.address,
+            zone: "a".to_owned(),
+            slots: 4,
+            state: ServerState::Ready,
+        };
+        let registration = Registration {
+            server,
+            sequence: 1,
+        };
+        until(async || self.controller.announce(registration.clone()).await.is_ok()).await;
+        until(async || {
+            call(self.callers, server::PROBE, "", "").await;
+            stand_in.probes() > 0
+        })
+        .await;
+    }
+
+    /// Begins a planned stop of the gateway.
+    pub async fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        until(async || status(&get(self.readiness, "/").await) == 503).await;
+    }
+}
+
+/// A route of `/a/` to the service, without anything special.
+pub fn plain_route() -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: "/a/".to_owned(),
+        kind: CallKind::AtMostOnce,
+        timeout_ms: 60_000,
+        aim_ms: 100,
+        priority: 0,
+        targets: vec![Target {
+            service: "s".to_owned(),
+            weight: 1.0,
+        }],
+        max_attempts: 1,
+        keeps_turns: false,
+        retention_ms: 60_000,
+        affinity: false,
+        resumable: false,
+    }
+}
+
+/// A streaming route of `/a/`.
+pub fn stream_route() -> Route {
+    Route {
+        kind: CallKind::Stream,
+        affinity: true,
+        ..plain_route()
+    }
+}
+
+/// Sends one request on a new connection and reads all that comes until the gateway closes it.
+pub async fn call(address: SocketAddr, id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    let request = format!(
+        "POST /a/x?y=1 HTTP/1.1\r\nhost: a.example\r\nx-call: {id}\r\n{headers}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    );
+    exchange(address, &request).await
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> String {
+    let request =
+        format!("GET {path} HTTP/1.1\r\nhost: a.example\r\nx-call: g\r\nconnection: close\r\n\r\n");
+    exchange(address, &request).await
+}
+
+async fn exchange(address: SocketAddr, request: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return String::new();
+    };
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8(answer).expect("text")
+}
+
+pub fn status(answer: &str) -> u16 {
+    let code = answer.split(' ').nth(1);
+    code.and_then(|code| code.parse().ok()).unwrap_or(0)
+}
+
+/// Waits until something holds.
+pub async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    for _ in 0..3000 {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("it never held");
+}
+
+/// The first of a row of ports that are free on an address.
+fn free_port(ip: Ipv4Addr) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    port.min(u16::MAX - 20)
+}
