Make the test of the limit of draining independent of the machine's speed

Cause: the_limit_ends_what_would_not_end hung on whether 400 tokens outlast a drain of 200 ms, and looked at the calls under way only after the server had closed, which waits for the caller's connection.

Change: the engine hangs after its first event, so the call can't end by itself; the calls are counted at the moment the limit has passed; and the stream is checked not to be whole, which it was not before. As strict, and stricter by the last check.

Ruled out: the drain itself (its deadline held in all runs).

--- a/crates/courseshed-node/tests/draining.rs
+++ b/crates/courseshed-node/tests/draining.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
+use courseshed_emulator::engine::FaultOrder;
 use serde_json::json;
 use support::fleet::{Fleet, FleetPlan};
 use support::*;
 
+/// How long an engine hangs that is not to finish within the test, in milliseconds.
+const HANG_MS: u64 = 600_000;
+
 /// A call under way at one node.
 struct Running {
     caller: Caller,
@@ -146,10 +150,20 @@
     caller.wait_ready().await;
     let program = caller.program("guild/quotes").await;
     let path = format!("/v1/programs/{program}/calls");
-    let mut stream = caller.stream(&path, &[], &call_body("a", 400, true)).await;
+    let mut stream = caller.stream(&path, &[], &call_body("a", 4000, true)).await;
     stream.next().await.expect("an event");
-    node.drain().await;
-    assert_eq!(node.context().gateway.active_calls(), 1);
+    // However fast the machine is, the rest never comes.
+    engine.fault(&FaultOrder {
+        hang_ms: Some(HANG_MS),
+        ..FaultOrder::default()
+    });
+    let at_the_limit = async {
+        wait_until(async || node.context().drain.is_closing()).await;
+        node.context().gateway.active_calls()
+    };
+    let (active, ()) = futures_util::join!(at_the_limit, node.drain());
+    assert_eq!(active, 1);
+    assert!(!is_whole(&stream.rest().await));
 }
 
 #[actix_web::test]
