--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -56,12 +56,13 @@
 
     async fn read_from_enough(&self, view: &RecordView) -> bool {
         let mut missing = view.sources_needed();
-        for source in view.active() {
+        for source in view.sources() {
             if missing > 0 && self.read_from(view.epoch, source).await {
                 missing -= 1;
             }
         }
-        missing == 0
+        // With a newer view others may be needed: the store begins again.
+        missing == 0 && self.follower.view().records.epoch == view.epoch
     }
 
     async fn read_from(&self, epoch: u64, source: &RecordMember) -> bool {
--- a/crates/courseshed-lab/src/check/simulations.rs
+++ b/crates/courseshed-lab/src/check/simulations.rs
@@ -9,6 +9,7 @@
 };
 
 use courseshed_consensus::simulation::{self as log, SimulationOptions, Variant};
+use courseshed_records::simulation::{self as records, RecordPromise, RecordVariant};
 use serde::Serialize;
 
 use super::fleet::{self, FleetOptions, FleetPromise, FleetVariant};
@@ -24,17 +25,20 @@
     Log,
     /// The whole path from callers to engines.
     Fleet,
+    /// Records of programs on a quorum of disks.
+    Records,
 }
 
 impl Simulation {
     /// All simulations.
-    pub const ALL: [Simulation; 2] = [Simulation::Log, Simulation::Fleet];
+    pub const ALL: [Simulation; 3] = [Simulation::Log, Simulation::Fleet, Simulation::Records];
 
     /// The name on the command line.
     pub fn name(self) -> &'static str {
         match self {
             Simulation::Log => "log",
             Simulation::Fleet => "fleet",
+            Simulation::Records => "records",
         }
     }
 
@@ -49,6 +53,7 @@
         match self {
             Simulation::Log => log::Promise::ALL.map(log::Promise::name).to_vec(),
             Simulation::Fleet => FleetPromise::ALL.map(FleetPromise::name).to_vec(),
+            Simulation::Records => RecordPromise::ALL.map(RecordPromise::name).to_vec(),
         }
     }
 
@@ -56,6 +61,7 @@
         match self {
             Simulation::Log => run_log(seed),
             Simulation::Fleet => run_fleet(seed),
+            Simulation::Records => run_records(seed),
         }
     }
 
@@ -67,6 +73,10 @@
                 .into_iter()
                 .map(run_fleet_variant)
                 .collect(),
+            Simulation::Records => RecordVariant::BROKEN
+                .into_iter()
+                .map(run_records_variant)
+                .collect(),
         }
     }
 }
@@ -299,6 +309,37 @@
     }
 }
 
+fn run_records(seed: u64) -> SeedResult {
+    let report = records::run_seed(seed, RecordVariant::Sound);
+    let violation = |(promise, detail): &(RecordPromise, String)| SeedViolation {
+        promise: promise.name(),
+        detail: detail.clone(),
+        replay: replay(Simulation::Records, seed),
+    };
+    SeedResult {
+        faults: vec![
+            ("disks lost", report.disks_lost),
+            ("machines out of reach", report.cut_off),
+        ],
+        work: vec![
+            ("turns kept", report.kept),
+            ("turns found", report.found),
+            ("reservations granted", report.granted),
+            ("reservations refused", report.spent),
+            ("views", report.views),
+        ],
+        violations: report.violations.iter().map(violation).collect(),
+    }
+}
+
+fn run_records_variant(variant: RecordVariant) -> BrokenSimulation {
+    let is_caught = |seed: &u64| !records::run_seed(*seed, variant).violations.is_empty();
+    BrokenSimulation {
+        name: variant.name(),
+        caught_by_seed: (0..SEEDS_PER_VARIANT).find(is_caught),
+    }
+}
+
 fn run_log_variant(variant: Variant) -> BrokenSimulation {
     let options = SimulationOptions {
         variant,
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -15,6 +15,7 @@
 mod journal;
 mod plan;
 mod replica;
+pub mod simulation;
 mod tally;
 mod view;
 
--- a/crates/courseshed-records/src/plan.rs
+++ b/crates/courseshed-records/src/plan.rs
@@ -52,6 +52,7 @@
         let mut next = self.view.next_epoch();
         let node = next.members[position].node;
         next.members[position] = self.joining(node)?;
+        next.former.retain(|former| former.node != node);
         Some(next)
     }
 
@@ -72,7 +73,10 @@
         }
         let spare = self.spare()?;
         let mut next = self.view.next_epoch();
-        next.members[position] = self.joining(spare)?;
+        let replaced = std::mem::replace(&mut next.members[position], self.joining(spare)?);
+        if replaced.active {
+            next.former.push(replaced);
+        }
         Some(next)
     }
 
@@ -133,6 +137,7 @@
         self.stores
             .iter()
             .filter(|(node, _)| self.view.member(**node).is_none())
+            .filter(|(node, _)| !self.view.former.iter().any(|former| former.node == **node))
             .filter(|(node, _)| !self.silent.contains(node) && !self.retiring.contains(node))
             .min_by_key(|(_, store)| in_zone(&store.zone))
             .map(|(node, _)| *node)
--- a/crates/courseshed-records/src/view.rs
+++ b/crates/courseshed-records/src/view.rs
@@ -23,6 +23,10 @@
     pub epoch: u64,
     /// The replicas, active or joining.
     pub members: Vec<RecordMember>,
+    /// Replicas whose place another took that is still joining. They count for nothing, but what
+    /// they have on disk is as good a source for whoever joins as that of a member.
+    #[serde(default)]
+    pub former: Vec<RecordMember>,
 }
 
 impl RecordView {
@@ -49,6 +53,11 @@
         self.members.iter().filter(|member| member.active)
     }
 
+    /// Whom a joining replica may read from.
+    pub fn sources(&self) -> impl Iterator<Item = &RecordMember> {
+        self.active().chain(&self.former)
+    }
+
     /// Whether this very life of a machine's disk counts.
     #[must_use]
     pub fn is_active(&self, node: NodeId, incarnation: u64) -> bool {
@@ -65,6 +74,9 @@
             return None;
         }
         member.active = true;
+        if next.members.iter().all(|member| member.active) {
+            next.former.clear();
+        }
         Some(next)
     }
 
