--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -38,8 +38,9 @@
     TimedOut,
 }
 
-/// When to come back after the stores could not be reached.
-const RECORDS_RETRY: Duration = Duration::from_millis(250);
+/// When to come back after controllers or stores could not be reached: about as long as they take to
+/// agree on a leader, or to answer again, after a loss of power.
+const RECORDS_RETRY: Duration = Duration::from_millis(600);
 /// When to come back, to another gateway.
 const OTHER_GATEWAY_RETRY: Duration = Duration::from_millis(10);
 /// When to come back after no server took the request.
