--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -18,6 +18,7 @@
 use super::refusal::Refusal;
 use super::servers::{Chosen, Report};
 use super::upstream::{Upstream, UpstreamError};
+use crate::metrics::{CallLabels, Metrics};
 
 /// Servers that may refuse a request, or can't be reached, before the caller is told.
 const REFUSALS_BORNE: usize = 4;
@@ -62,7 +63,7 @@
         service: String,
         deadline: Instant,
     ) -> Self {
-        let log = CallLog::new(&call, &route, &service);
+        let log = CallLog::new(&call, &route, &service, core.metrics.clone());
         Self {
             body: call.body.clone(),
             core,
@@ -270,10 +271,11 @@
     route: String,
     service: String,
     began: Instant,
+    metrics: Arc<Metrics>,
 }
 
 impl CallLog {
-    fn new(call: &CallEnvelope, route: &Route, service: &str) -> Self {
+    fn new(call: &CallEnvelope, route: &Route, service: &str, metrics: Arc<Metrics>) -> Self {
         let program = call.program.as_ref().map(|claim| claim.program.clone());
         Self {
             outcome: "caller_left",
@@ -289,6 +291,7 @@
             route: route.name.clone(),
             service: service.to_owned(),
             began: Instant::now(),
+            metrics,
         }
     }
 
@@ -299,6 +302,16 @@
 
 impl Drop for CallLog {
     fn drop(&mut self) {
+        let labels = CallLabels {
+            service: self.service.clone(),
+            outcome: self.outcome,
+        };
+        self.metrics.calls.get_or_create(&labels).inc();
+        self.metrics
+            .call_seconds
+            .observe(self.began.elapsed().as_secs_f64());
+        self.metrics.attempts.inc_by(self.attempts as u64);
+        self.metrics.resumed.inc_by(self.resumed as u64);
         log::info!(
             event = "call_over",
             request = self.request.as_str(),
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -14,6 +14,7 @@
 use super::upstream::UpstreamPool;
 use crate::clock::Clock;
 use crate::follower::FleetFollower;
+use crate::metrics::Metrics;
 use crate::records::RecordClient;
 
 /// What all requests of a gateway share.
@@ -22,6 +23,7 @@
     pub follower: Arc<FleetFollower>,
     pub records: RecordClient,
     pub pool: UpstreamPool,
+    pub metrics: Arc<Metrics>,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
     /// When a planned stop ends the process; none while it isn't stopping.
@@ -41,12 +43,14 @@
         codec: Box<dyn CallCodec>,
         follower: Arc<FleetFollower>,
         records: RecordClient,
+        metrics: Arc<Metrics>,
     ) -> Rc<Self> {
         Rc::new(Self {
             codec,
             follower,
             records,
             pool: UpstreamPool::new(),
+            metrics,
             clock: Clock::start(),
             servers: RefCell::default(),
             ends_at: Cell::new(None),
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -22,6 +22,7 @@
 use super::stream::forward_by_kind;
 use crate::follower::FleetFollower;
 use crate::http::{HttpTiming, listen, serve};
+use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
 use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
 use crate::records::RecordClient;
@@ -46,6 +47,8 @@
     pub seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
     /// Where peers listen.
     pub addresses: PeerAddresses,
+    /// Where what happens is counted.
+    pub metrics: Arc<Metrics>,
     /// The words of callers and servers.
     pub codec: Box<dyn CallCodec>,
 }
@@ -100,7 +103,7 @@
         settings.addresses,
         settings.zone.clone(),
     );
-    let core = GatewayCore::new(settings.codec, follower, records);
+    let core = GatewayCore::new(settings.codec, follower, records, settings.metrics);
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy_pool(core.clone()));
     let address = settings.readiness;
@@ -121,7 +124,9 @@
         let view = watch.borrow_and_update().clone();
         core.servers.borrow_mut().replace(&view.servers);
         core.pool.retain(|id| core.servers.borrow().contains(id));
+        core.metrics.record_epoch.set(view.records.epoch as i64);
         if let Some(routing) = &view.routing {
+            core.metrics.routing_version.set(routing.version as i64);
             core.retain_splits(&routing.table);
         }
         if watch.changed().await.is_err() {
--- a/crates/courseshed-edge/src/lib.rs
+++ b/crates/courseshed-edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gateway;
 pub mod http;
 pub mod logging;
+pub mod metrics;
 pub mod peers;
 pub mod protocol;
 pub mod records;
--- /dev/null
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -0,0 +1,143 @@
+//! Counters and histograms of a process, as text for whoever scrapes them.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicI64, AtomicU64};
+use std::time::Duration;
+
+use actix_http::Response;
+use actix_http::body::BoxBody;
+use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::http::{HttpTiming, listen, serve};
+use crate::logging;
+
+/// Upper bounds of the buckets of times, in seconds.
+const SECONDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// What a call came to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// The service it was for.
+    pub service: String,
+    /// How it ended, as in the log.
+    pub outcome: &'static str,
+}
+
+/// The counters and histograms of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    /// Calls that are over.
+    pub calls: Family<CallLabels, Counter>,
+    /// Times from a call's arrival to its end, in seconds.
+    pub call_seconds: Histogram,
+    /// Requests sent to servers.
+    pub attempts: Counter,
+    /// Streams taken up at a server after a break.
+    pub resumed: Counter,
+    /// Version of the routing table in force here.
+    pub routing_version: Gauge<i64, AtomicI64>,
+    /// Epoch of the replicas of the records, as known here.
+    pub record_epoch: Gauge<i64, AtomicI64>,
+    log_lines_left_out: Counter<u64, AtomicU64>,
+}
+
+impl Metrics {
+    /// All at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("courseshed")),
+            calls: Family::default(),
+            call_seconds: Histogram::new(SECONDS),
+            attempts: Counter::default(),
+            resumed: Counter::default(),
+            routing_version: Gauge::default(),
+            record_epoch: Gauge::default(),
+            log_lines_left_out: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock();
+        registry.register("calls", "Calls that are over", self.calls.clone());
+        registry.register(
+            "call_seconds",
+            "Time from a call's arrival to its end",
+            self.call_seconds.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Requests sent to servers",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "resumed",
+            "Streams taken up after a break",
+            self.resumed.clone(),
+        );
+        registry.register(
+            "routing_version",
+            "Version of the routing table in force",
+            self.routing_version.clone(),
+        );
+        registry.register(
+            "record_epoch",
+            "Epoch of the replicas of the records",
+            self.record_epoch.clone(),
+        );
+        registry.register(
+            "log_lines_left_out",
+            "Log lines that were left out",
+            self.log_lines_left_out.clone(),
+        );
+    }
+
+    /// All of it, as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let told = self.log_lines_left_out.get();
+        self.log_lines_left_out
+            .inc_by(logging::left_out().saturating_sub(told));
+        let mut text = String::new();
+        let _ = encode(&mut text, &self.registry.lock());
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Serves the figures on an address until the process ends.
+pub async fn serve_metrics(metrics: std::sync::Arc<Metrics>, address: SocketAddr) {
+    let timing = || HttpTiming {
+        head: Duration::from_secs(3),
+        idle: Duration::from_secs(15),
+    };
+    match listen(address) {
+        Ok(listener) => {
+            serve(listener, timing, move |_| {
+                let text = metrics.text();
+                std::future::ready(Response::ok().set_body(BoxBody::new(text)))
+            })
+            .await;
+        }
+        Err(error) => {
+            log::warn!(event = "no_metrics", address:% = address; "metrics can't be served: {error}");
+        }
+    }
+}
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -25,6 +25,9 @@
     assert_eq!(got[0].body, "the body");
     let unknown = get(fleet.callers, "/b/").await;
     assert_eq!(status(&unknown), 404);
+    let counted = "courseshed_calls_total{service=\"s\",outcome=\"answered\"}";
+    let figures = fleet.metrics.text();
+    assert!(figures.contains(counted), "{figures}");
 }
 
 #[actix_rt::test]
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
 use courseshed_edge::gateway::{self, GatewaySettings};
+use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreSettings};
 use courseshed_registry::{Registration, Server, ServerState};
@@ -31,6 +32,7 @@
     pub controller: ControllerHandle,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub metrics: Arc<Metrics>,
     stop: Option<oneshot::Sender<()>>,
     _folder: TempDir,
 }
@@ -68,6 +70,7 @@
         let callers = SocketAddr::from((ip(3), addresses.first_port + 8));
         let readiness = SocketAddr::from((ip(3), addresses.first_port + 9));
         let (stop, stopped) = oneshot::channel::<()>();
+        let metrics = Arc::new(Metrics::new());
         let settings = GatewaySettings {
             node: node_at(ip(3)),
             zone: "a".to_owned(),
@@ -75,6 +78,7 @@
             readiness,
             seeds: Box::new(seeds),
             addresses,
+            metrics: metrics.clone(),
             codec: Box::new(codec::TestCodec),
         };
         actix_rt::spawn(async move {
@@ -89,6 +93,7 @@
             controller,
             callers,
             readiness,
+            metrics,
             stop: Some(stop),
             _folder: folder,
         }
