--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -165,7 +165,7 @@
         if candidates.front() == Some(&controller) {
             candidates.rotate_left(1);
         }
-        if !candidates.is_empty() && failures % candidates.len() == 0 {
+        if !candidates.is_empty() && failures.is_multiple_of(candidates.len()) {
             for seed in (self.seeds)() {
                 if !candidates.contains(&seed) {
                     candidates.push_front(seed);
--- /dev/null
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -0,0 +1,137 @@
+//! Which server a gateway chooses, and how streams are split into events.
+
+use std::time::Duration;
+
+use courseshed_edge::gateway::{EventSplitter, Report, ServerTable};
+use courseshed_registry::{Server, ServerState};
+use yare::parameterized;
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn server(id: &str, state: ServerState) -> Server {
+    Server {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: "a".to_owned(),
+        slots: 4,
+        state,
+    }
+}
+
+fn table(ids: &[&str]) -> ServerTable {
+    let mut table = ServerTable::default();
+    let servers: Vec<Server> = ids
+        .iter()
+        .map(|id| server(id, ServerState::Ready))
+        .collect();
+    table.replace(&servers);
+    table
+}
+
+fn choose(table: &ServerTable, key: Option<&str>, excluded: &[&str]) -> Option<String> {
+    let excluded: Vec<String> = excluded.iter().map(|id| (*id).to_owned()).collect();
+    let chosen = table.choose("s", key, &excluded, NOW, 7)?;
+    Some(chosen.id)
+}
+
+#[test]
+fn a_draining_server_gets_nothing_and_an_excluded_one_neither() {
+    let mut table = table(&["a", "b"]);
+    let servers = [
+        server("a", ServerState::Draining),
+        server("b", ServerState::Ready),
+    ];
+    table.replace(&servers);
+    assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+    assert_eq!(choose(&table, Some("k"), &[]), Some("b".to_owned()));
+    assert_eq!(choose(&table, None, &["b"]), None);
+    assert_eq!(table.listed("a"), None);
+}
+
+#[test]
+fn the_least_loaded_server_is_chosen() {
+    let mut table = table(&["a", "b", "c"]);
+    for id in ["a", "a", "b"] {
+        table.begin(id);
+    }
+    assert_eq!(choose(&table, None, &[]), Some("c".to_owned()));
+    table.end("a");
+    table.end("a");
+    table.begin("c");
+    assert_eq!(choose(&table, None, &[]), Some("a".to_owned()));
+}
+
+#[test]
+fn the_same_key_goes_to_the_same_server_until_that_is_loaded_beyond_the_bound() {
+    let mut table = table(&["a", "b", "c"]);
+    let favourite = choose(&table, Some("session"), &[]).expect("a server");
+    assert_eq!(
+        choose(&table, Some("session"), &[]),
+        Some(favourite.clone())
+    );
+    for _ in 0..3 {
+        table.begin(&favourite);
+    }
+    assert_ne!(choose(&table, Some("session"), &[]), Some(favourite));
+}
+
+#[parameterized(
+    failed = { Report::Failed },
+    full = { Report::Full },
+)]
+fn a_server_rests_after_trouble_unless_it_is_the_only_one(report: Report) {
+    let mut both = table(&["a", "b"]);
+    both.report("a", report, NOW);
+    for _ in 0..3 {
+        both.begin("b");
+    }
+    assert_eq!(choose(&both, None, &[]), Some("b".to_owned()));
+    let mut only = table(&["a"]);
+    only.report("a", report, NOW);
+    assert_eq!(choose(&only, None, &[]), Some("a".to_owned()));
+}
+
+#[test]
+fn a_slow_server_is_no_favourite() {
+    let mut table = table(&["a", "b", "c"]);
+    let favourite = choose(&table, Some("session"), &[]).expect("a server");
+    for id in ["a", "b", "c"] {
+        let took = if id == favourite { 900 } else { 100 };
+        let report = Report::Answered(Duration::from_millis(took));
+        table.report(id, report, NOW);
+    }
+    assert_ne!(choose(&table, Some("session"), &[]), Some(favourite));
+}
+
+#[test]
+fn what_was_seen_of_a_server_outlives_a_new_list() {
+    let mut table = table(&["a", "b"]);
+    table.begin("a");
+    table.replace(&[
+        server("a", ServerState::Ready),
+        server("b", ServerState::Ready),
+    ]);
+    assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+}
+
+#[test]
+fn events_come_out_whole_however_the_bytes_are_cut() {
+    let text = "id: 1\ndata: a\n\n: note\nid: 2\r\ndata: b\r\ndata: c\r\n\r\nid: 3\nda";
+    for size in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for piece in text.as_bytes().chunks(size) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event() {
+                events.push(event);
+            }
+        }
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2)]);
+        assert_eq!(events[1].data.as_deref(), Some(b"b\nc".as_slice()));
+        assert!(splitter.has_partial());
+        let bytes: usize = events.iter().map(|event| event.bytes.len()).sum();
+        assert_eq!(bytes, text.len() - "id: 3\nda".len());
+    }
+}
--- /dev/null
+++ b/crates/courseshed-records/tests/views.rs
@@ -0,0 +1,163 @@
+//! Which view comes next, and what quorums decide.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use courseshed_records::{
+    RecordMember, RecordView, ReservationDecision, ReservationTally, Reserved, StoreMachine,
+    ViewPlan, WriteTally, plan_view,
+};
+use courseshed_types::NodeId;
+use yare::parameterized;
+
+fn member(node: u32, active: bool) -> RecordMember {
+    RecordMember {
+        node: NodeId(node),
+        incarnation: u64::from(node),
+        zone: format!("z{node}"),
+        active,
+    }
+}
+
+fn view(members: Vec<RecordMember>) -> RecordView {
+    RecordView {
+        epoch: 7,
+        members,
+        former: Vec::new(),
+    }
+}
+
+fn machines(nodes: &[u32]) -> BTreeMap<NodeId, StoreMachine> {
+    let machine = |node: &u32| StoreMachine {
+        name: format!("store-{node}"),
+        zone: format!("z{node}"),
+        incarnation: u64::from(*node),
+    };
+    nodes
+        .iter()
+        .map(|node| (NodeId(*node), machine(node)))
+        .collect()
+}
+
+fn set(nodes: &[u32]) -> BTreeSet<NodeId> {
+    nodes.iter().map(|node| NodeId(*node)).collect()
+}
+
+fn next(view: &RecordView, stores: &[u32], silent: &[u32], retiring: &[u32]) -> Option<RecordView> {
+    plan_view(&ViewPlan {
+        view,
+        stores: &machines(stores),
+        silent: &set(silent),
+        retiring: &set(retiring),
+        wanted: 3,
+    })
+}
+
+fn nodes(view: &RecordView) -> Vec<u32> {
+    view.members.iter().map(|member| member.node.0).collect()
+}
+
+#[test]
+fn the_first_member_counts_at_once_and_later_ones_only_after_reading() {
+    let first = next(&RecordView::default(), &[1], &[], &[]).expect("a view");
+    assert!(first.members[0].active);
+    let second = next(&first, &[1, 2], &[], &[]).expect("a view");
+    assert_eq!(nodes(&second), [1, 2]);
+    assert!(!second.members[1].active);
+    assert_eq!(
+        next(&second, &[1, 2, 3], &[], &[]),
+        None,
+        "one joins at a time"
+    );
+    let grown = second.activate(NodeId(2), 2).expect("it joins");
+    assert_eq!(
+        second.activate(NodeId(2), 9),
+        None,
+        "another life of the disk"
+    );
+    assert_eq!(
+        nodes(&next(&grown, &[1, 2, 3], &[], &[]).expect("a view")),
+        [1, 2, 3]
+    );
+}
+
+#[test]
+fn a_silent_member_gives_its_place_to_a_spare_and_stays_a_source() {
+    let full = view(vec![member(1, true), member(2, true), member(3, true)]);
+    assert_eq!(
+        next(&full, &[1, 2, 3], &[3], &[]),
+        None,
+        "there is no spare"
+    );
+    let replaced = next(&full, &[1, 2, 3, 4], &[3], &[]).expect("a view");
+    assert_eq!(nodes(&replaced), [1, 2, 4]);
+    assert!(replaced.sources().any(|source| source.node == NodeId(3)));
+    let whole = replaced.activate(NodeId(4), 4).expect("it joins");
+    assert!(whole.former.is_empty());
+}
+
+#[test]
+fn a_member_is_not_replaced_when_too_few_others_are_heard() {
+    let full = view(vec![member(1, true), member(2, true), member(3, true)]);
+    assert_eq!(next(&full, &[1, 2, 3, 4], &[2, 3], &[]), None);
+}
+
+#[test]
+fn a_machine_is_emptied_only_after_another_has_joined() {
+    let full = view(vec![member(1, true), member(2, true), member(3, true)]);
+    assert_eq!(next(&full, &[1, 2, 3], &[], &[3]), None);
+    let grown = next(&full, &[1, 2, 3, 4], &[], &[3]).expect("a view");
+    assert_eq!(nodes(&grown), [1, 2, 3, 4]);
+    assert_eq!(
+        next(&grown, &[1, 2, 3, 4], &[], &[3]),
+        None,
+        "the new one still reads"
+    );
+    let joined = grown.activate(NodeId(4), 4).expect("it joins");
+    let left = next(&joined, &[1, 2, 3, 4], &[], &[3]).expect("a view");
+    assert_eq!(nodes(&left), [1, 2, 4]);
+}
+
+#[parameterized(
+    one = { 1, 1, 1 },
+    two = { 2, 2, 1 },
+    three = { 3, 2, 2 },
+    four = { 4, 3, 2 },
+    five = { 5, 3, 3 },
+)]
+fn quorums_and_sources_meet(members: u32, quorum: usize, sources: usize) {
+    let view = view((1..=members).map(|node| member(node, true)).collect());
+    assert_eq!(view.quorum(), quorum);
+    assert_eq!(view.sources_needed(), sources);
+    assert!(quorum + sources > members as usize);
+}
+
+#[test]
+fn a_joining_member_does_not_count_and_nobody_counts_twice() {
+    let view = view(vec![member(1, true), member(2, true), member(3, false)]);
+    let mut tally = WriteTally::new(&view);
+    assert!(!tally.on_stored(NodeId(3)));
+    assert!(!tally.on_stored(NodeId(1)));
+    assert!(!tally.on_stored(NodeId(1)));
+    assert!(tally.on_stored(NodeId(2)));
+}
+
+#[parameterized(
+    fits = { 40, ReservationDecision::Granted },
+    settled_elsewhere = { 31, ReservationDecision::Granted },
+    too_much = { 30, ReservationDecision::Spent { by_others: 11 } },
+)]
+fn a_reservation_counts_what_any_replica_knows(budget: u64, expected: ReservationDecision) {
+    let view = view(vec![member(1, true), member(2, true), member(3, true)]);
+    let mut tally = ReservationTally::new(&view, 9, 20, budget);
+    let entry = |reservation, tokens| Reserved {
+        reservation,
+        tokens,
+    };
+    // One replica has not heard yet that reservation 1 was settled at 5.
+    assert_eq!(
+        tally.on_reserved(NodeId(1), &[entry(1, 20), entry(9, 20)]),
+        None
+    );
+    let decision = tally.on_reserved(NodeId(2), &[entry(1, 5), entry(2, 6), entry(9, 20)]);
+    assert_eq!(decision, Some(expected));
+}
--- /dev/null
+++ b/crates/courseshed-registry/tests/state.rs
@@ -0,0 +1,175 @@
+//! What commands do to the fleet's state, and what followers are told.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use courseshed_consensus::{LogIndex, StateMachine};
+use courseshed_records::StoreMachine;
+use courseshed_registry::{
+    Command, FleetState, Known, Outcome, Registration, Retirement, Server, ServerState,
+};
+use courseshed_routing::{RoutingTable, VersionedTable};
+use courseshed_types::NodeId;
+
+fn apply(state: &mut FleetState, command: Command) -> Option<Outcome> {
+    let data = rmp_serde::to_vec_named(&command).expect("encoded");
+    state.apply(LogIndex(1), &data)
+}
+
+fn replace(version: u64, document: &'static str) -> Command {
+    Command::ReplaceRouting {
+        table: VersionedTable {
+            version,
+            table: RoutingTable::default(),
+        },
+        document: Bytes::from_static(document.as_bytes()),
+    }
+}
+
+fn announce(state: ServerState, sequence: u64) -> Command {
+    Command::Announce(registration(state, sequence))
+}
+
+fn registration(state: ServerState, sequence: u64) -> Registration {
+    Registration {
+        server: Server {
+            id: "one".to_owned(),
+            service: "s".to_owned(),
+            address: ([127, 0, 0, 1], 80).into(),
+            zone: "a".to_owned(),
+            slots: 4,
+            state,
+        },
+        sequence,
+    }
+}
+
+fn store(incarnation: u64) -> StoreMachine {
+    StoreMachine {
+        name: "store-1".to_owned(),
+        zone: "a".to_owned(),
+        incarnation,
+    }
+}
+
+#[test]
+fn the_highest_version_stays_in_force_with_its_own_document() {
+    let mut state = FleetState::default();
+    for (version, document) in [(5, "five"), (3, "three"), (5, "other five")] {
+        assert_eq!(
+            apply(&mut state, replace(version, document)),
+            Some(Outcome::Done)
+        );
+    }
+    let routing = state.routing().expect("a table");
+    assert_eq!(routing.table.version, 5);
+    assert_eq!(routing.document, "five");
+}
+
+#[test]
+fn a_late_announcement_neither_revives_nor_reopens_a_server() {
+    let mut state = FleetState::default();
+    apply(&mut state, announce(ServerState::Ready, 1));
+    apply(&mut state, announce(ServerState::Draining, 3));
+    apply(&mut state, announce(ServerState::Ready, 2));
+    apply(&mut state, announce(ServerState::Ready, 4));
+    let states: Vec<_> = state.servers().map(|server| server.state).collect();
+    assert_eq!(states, [ServerState::Draining]);
+    let server = "one".to_owned();
+    apply(&mut state, Command::Leave { server });
+    apply(&mut state, announce(ServerState::Ready, 5));
+    assert_eq!(state.servers().count(), 0);
+    assert!(state.is_ordinary(&registration(ServerState::Ready, 6)));
+}
+
+#[test]
+fn a_silent_server_may_come_back() {
+    let mut state = FleetState::default();
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let servers = vec!["one".to_owned()];
+    apply(&mut state, Command::Expire { servers });
+    assert_eq!(state.servers().count(), 0);
+    apply(&mut state, announce(ServerState::Ready, 2));
+    assert_eq!(state.servers().count(), 1);
+}
+
+#[test]
+fn followers_are_told_only_what_is_newer() {
+    let mut state = FleetState::default();
+    apply(&mut state, replace(5, "five"));
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let first = state.update_for(Known::default());
+    assert_eq!(first.routing.as_ref().map(|table| table.version), Some(5));
+    assert_eq!(first.servers.as_ref().map(Vec::len), Some(1));
+    assert!(state.update_for(first.known).is_empty());
+    // A controller that lags has nothing to tell to whom knows more.
+    let lagging = FleetState::default();
+    assert!(lagging.update_for(first.known).is_empty());
+}
+
+#[test]
+fn a_snapshot_makes_an_equal_state() {
+    let mut state = FleetState::default();
+    apply(&mut state, replace(5, "five"));
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let node = NodeId(1);
+    apply(
+        &mut state,
+        Command::RegisterStore {
+            node,
+            store: store(1),
+        },
+    );
+    let mut copy = FleetState::default();
+    copy.restore(&state.snapshot()).expect("restored");
+    assert_eq!(copy, state);
+    assert!(Arc::ptr_eq(
+        &state.routing().expect("a table").table,
+        &state.clone().routing().expect("a table").table
+    ));
+}
+
+#[test]
+fn emptying_a_machine_is_refused_where_too_few_would_remain() {
+    let mut state = FleetState::default();
+    let retire = |needed| Command::Retire {
+        name: "store-1".to_owned(),
+        needed,
+    };
+    assert_eq!(apply(&mut state, retire(0)), Some(Outcome::UnknownMachine));
+    let node = NodeId(1);
+    apply(
+        &mut state,
+        Command::RegisterStore {
+            node,
+            store: store(1),
+        },
+    );
+    assert_eq!(apply(&mut state, retire(1)), Some(Outcome::TooFew));
+    assert_eq!(apply(&mut state, retire(0)), Some(Outcome::Done));
+    assert_eq!(state.retirement("store-1"), Some(Retirement::Running));
+    // A restart on the same disk changes nothing; an empty disk is another machine.
+    apply(
+        &mut state,
+        Command::RegisterStore {
+            node,
+            store: store(1),
+        },
+    );
+    assert_eq!(state.retirement("store-1"), Some(Retirement::Running));
+    apply(
+        &mut state,
+        Command::RegisterStore {
+            node,
+            store: store(2),
+        },
+    );
+    assert_eq!(state.retirement("store-1"), None);
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_changes_nothing() {
+    let mut state = FleetState::default();
+    assert_eq!(state.apply(LogIndex(1), b"nonsense"), None);
+    assert_eq!(state, FleetState::default());
+}
