Open a controller's replica again after its disk was full, and say meanwhile that it is not fresh

Ruled out: the gateways (they follow whoever says that it is fresh) and the leader.

Change: a replica that failed is shown without a leader at once, so followers move on; after a failed write it is closed and opened again every 0.7 s, and never shows a state older than before. After a failed flush it stays closed, as its memory may differ from the disk.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -288,6 +288,12 @@
         state.retirement(name).ok_or(ControlError::UnknownMachine)
     }
 
+    /// Whether this controller leads, or heard the leader lately.
+    #[must_use]
+    pub fn hears_a_leader(&self) -> bool {
+        self.shared.is_fresh()
+    }
+
     /// Hands leadership over, before a planned stop.
     pub fn hand_over(&self) {
         self.shared.tell(Input::HandOver);
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use courseshed_consensus::FaultSwitch;
 use courseshed_types::NodeId;
 
 pub use handle::{ControlError, ControllerHandle};
@@ -38,6 +39,8 @@
     pub server_silence: Duration,
     /// Lost disks that must be borne at once.
     pub disks_borne: usize,
+    /// Makes writes of the log fail, for tests; does nothing by itself.
+    pub disk_faults: FaultSwitch,
 }
 
 /// A controller doesn't start.
@@ -92,6 +95,7 @@
         addresses: settings.addresses,
         server_silence: settings.server_silence,
         disks_borne: settings.disks_borne,
+        disk_faults: settings.disk_faults,
     };
     worker::start(options, shared.clone(), peers).context(ReplicaSnafu)?;
     tokio::spawn(founding::keep_joined(
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use courseshed_consensus::{
-    Configuration, DiskLog, GroupError, GroupId, GroupOutputs, LogIndex, MembershipChange, Message,
-    MessageBody, PeerConfig, ProposeError, ReadId, ReplicaAddress, ReplicatedGroup, RoleChange,
-    RoleName, StorageError, Term,
+    Configuration, DiskLog, FaultSwitch, FaultyLog, GroupError, GroupId, GroupOutputs, LogIndex,
+    MembershipChange, Message, MessageBody, PeerConfig, ProposeError, ReadId, ReplicaAddress,
+    ReplicatedGroup, RoleChange, RoleName, StorageError, Term,
 };
 use courseshed_registry::{Command, FleetState, Outcome};
 use courseshed_types::NodeId;
@@ -34,7 +34,13 @@
 const FEWEST_VOTERS: usize = 3;
 const RETAINED_ENTRIES: u64 = 256;
 
-type Group = ReplicatedGroup<DiskLog, FleetState>;
+/// Pause before a replica whose disk took no bytes is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(700);
+/// What was tried when a flush failed. What the system holds in memory then may differ from the
+/// disk, so the replica stays closed until its process starts anew.
+const FLUSH: &str = "flush";
+
+type Group = ReplicatedGroup<FaultyLog<DiskLog>, FleetState>;
 
 /// A replica can't be opened.
 #[derive(Debug, Snafu)]
@@ -67,6 +73,7 @@
     pub addresses: PeerAddresses,
     pub server_silence: Duration,
     pub disks_borne: usize,
+    pub disk_faults: FaultSwitch,
 }
 
 pub(super) fn start(
@@ -74,6 +81,23 @@
     shared: Arc<Shared>,
     peers: Arc<Peers>,
 ) -> Result<(), StartError> {
+    let group = open_group(&options, &shared)?;
+    let inputs = shared.take_receiver();
+    let last_shown = Shown::default();
+    let worker = Worker::new(group, options, shared, peers, last_shown);
+    let run = move || {
+        if let Some(inputs) = inputs {
+            run_replica(worker, &inputs);
+        }
+    };
+    thread::Builder::new()
+        .name("replica".to_owned())
+        .spawn(run)
+        .context(ThreadSnafu)?;
+    Ok(())
+}
+
+fn open_group(options: &WorkerOptions, shared: &Shared) -> Result<Group, StartError> {
     let storage = DiskLog::open(&options.folder, options.incarnation).context(StorageSnafu)?;
     let address = ReplicaAddress::new(replica_of(options.node), storage.incarnation());
     let mut config = PeerConfig::new(GROUP, address, options.initial_members.clone());
@@ -82,34 +106,93 @@
     config.retained_entries = RETAINED_ENTRIES;
     config.seed = address.replica.0 ^ address.incarnation;
     let now = shared.clock().now();
+    let storage = FaultyLog::new(storage, options.disk_faults.clone());
     let group = Group::new(config, storage, FleetState::default(), now).context(GroupSnafu)?;
     log::info!(event = "replica_opened", incarnation = address.incarnation, term = group.term().0, applied = group.status().applied_index.0; "the replica of the controllers' log is open");
-    let inputs = shared.take_receiver();
-    let mut worker = Worker {
-        group,
-        address,
-        shared,
-        peers,
-        options,
-        proposals: BTreeMap::new(),
-        reads: BTreeMap::new(),
-        housekeeper: None,
-        next_housekeeping: Duration::ZERO,
-        leader_heard: Duration::ZERO,
-        state: Arc::default(),
-        has_news: true,
-    };
-    worker.publish();
-    let run = move || {
-        if let Some(inputs) = inputs {
-            worker.run(&inputs);
+    Ok(group)
+}
+
+/// Runs a replica, and opens it again after its disk took no bytes.
+fn run_replica(mut worker: Worker, inputs: &Receiver<Input>) {
+    while let Some(failure) = worker.run(inputs) {
+        log::error!(event = "replica_failed"; "{failure}");
+        let may_reopen = !failure.is_flush();
+        let Worker {
+            group,
+            options,
+            shared,
+            peers,
+            shown,
+            ..
+        } = worker;
+        // Lets go of the folder, which is locked as long as the replica is open.
+        drop(group);
+        shared.publish(shown.without_leader(), true);
+        worker = loop {
+            discard_for(REOPEN_PAUSE, inputs);
+            if !may_reopen {
+                continue;
+            }
+            match open_group(&options, &shared) {
+                Ok(group) => break Worker::new(group, options, shared, peers, shown),
+                Err(error) => log::warn!(event = "replica_not_opened"; "{error}"),
+            }
+        };
+    }
+}
+
+/// Drops what comes for a while: whoever asked is told that no answer will come.
+fn discard_for(pause: Duration, inputs: &Receiver<Input>) {
+    let end = Instant::now() + pause;
+    while let Ok(input) = inputs.recv_timeout(end.saturating_duration_since(Instant::now())) {
+        drop(input);
+    }
+}
+
+/// Why a replica stopped.
+#[derive(Debug, Snafu)]
+#[snafu(display("the replica stopped: {reason}"))]
+struct ReplicaFailure {
+    reason: String,
+    operation: Option<&'static str>,
+}
+
+impl ReplicaFailure {
+    fn of(failure: &GroupError) -> Self {
+        let operation = match failure {
+            GroupError::Storage {
+                source: StorageError::Io { operation, .. },
+            } => Some(*operation),
+            _ => None,
+        };
+        Self {
+            reason: failure.to_string(),
+            operation,
         }
-    };
-    thread::Builder::new()
-        .name("replica".to_owned())
-        .spawn(run)
-        .context(ThreadSnafu)?;
-    Ok(())
+    }
+
+    /// Whether what is on disk is uncertain.
+    fn is_flush(&self) -> bool {
+        self.operation.is_none_or(|operation| operation == FLUSH)
+    }
+}
+
+/// What was shown last, which a replica that is opened again never falls behind.
+#[derive(Clone, Default)]
+struct Shown {
+    published: Published,
+    applied: LogIndex,
+}
+
+impl Shown {
+    /// The same state, of a controller that hears no leader.
+    fn without_leader(&self) -> Published {
+        Published {
+            is_leader: false,
+            leader: None,
+            ..self.published.clone()
+        }
+    }
 }
 
 struct Worker {
@@ -123,12 +206,39 @@
     housekeeper: Option<Housekeeper>,
     next_housekeeping: Duration,
     leader_heard: Duration,
-    state: Arc<FleetState>,
+    shown: Shown,
     has_news: bool,
 }
 
 impl Worker {
-    fn run(&mut self, inputs: &Receiver<Input>) {
+    fn new(
+        group: Group,
+        options: WorkerOptions,
+        shared: Arc<Shared>,
+        peers: Arc<Peers>,
+        shown: Shown,
+    ) -> Self {
+        let address = group.status().address;
+        let mut worker = Self {
+            group,
+            address,
+            shared,
+            peers,
+            options,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            housekeeper: None,
+            next_housekeeping: Duration::ZERO,
+            leader_heard: Duration::ZERO,
+            shown,
+            has_news: true,
+        };
+        worker.publish();
+        worker
+    }
+
+    /// Runs until the replica fails; none when the process ends.
+    fn run(&mut self, inputs: &Receiver<Input>) -> Option<ReplicaFailure> {
         loop {
             match inputs.recv_timeout(self.time_to_wait()) {
                 Ok(first) => {
@@ -138,12 +248,15 @@
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => return None,
             }
             self.group.tick(self.now());
             self.keep_house();
             let outputs = self.group.take_outputs();
             self.carry_out(outputs);
+            if let Some(failure) = self.group.failure() {
+                return Some(ReplicaFailure::of(failure));
+            }
             self.publish();
         }
     }
@@ -393,11 +506,13 @@
             self.leader_heard = self.now();
         }
         let news = std::mem::take(&mut self.has_news);
-        if news {
-            self.state = Arc::new(self.group.machine().clone());
+        let applied = self.group.status().applied_index;
+        if news && applied >= self.shown.applied {
+            self.shown.applied = applied;
+            self.shown.published.state = Arc::new(self.group.machine().clone());
         }
         let published = Published {
-            state: self.state.clone(),
+            state: self.shown.published.state.clone(),
             incarnation: self.address.incarnation,
             is_voter: configuration.is_voter(self.address),
             is_leader,
@@ -408,6 +523,7 @@
                 .collect(),
             leader_heard: self.leader_heard,
         };
+        self.shown.published = published.clone();
         self.shared.publish(published, news);
     }
 }
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use courseshed_consensus::FaultSwitch;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
 use courseshed_edge::gateway::{self, GatewaySettings};
 use courseshed_edge::metrics::Metrics;
@@ -33,6 +34,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: Arc<Metrics>,
+    pub disk_faults: FaultSwitch,
     stop: Option<oneshot::Sender<()>>,
     _folder: TempDir,
 }
@@ -47,6 +49,7 @@
             first_port: free_port(ip(1)),
         };
         let seeds = move || vec![node_at(ip(1))];
+        let disk_faults = FaultSwitch::default();
         let controller = controller::start(ControllerSettings {
             node: node_at(ip(1)),
             folder: folder.path().join("controller"),
@@ -55,6 +58,7 @@
             addresses,
             server_silence: Duration::from_secs(600),
             disks_borne: 0,
+            disk_faults: disk_faults.clone(),
         })
         .await
         .expect("a controller");
@@ -94,6 +98,7 @@
             callers,
             readiness,
             metrics,
+            disk_faults,
             stop: Some(stop),
             _folder: folder,
         }
