Count whoever has just announced itself as heard

The leader took a server it had no note of as silent since its own election, and the controller that had the announcement tells it of it only up to 0.5 s later. The server came back with its next announcement, 1.2 s later.

Change: the leader's notes begin with the first look at a server or machine. The test in crates/courseshed-registry/tests/state.rs did not pass before (no observe; a server unknown to the notes counted from the election).

--- a/crates/courseshed-edge/src/controller/housekeeping.rs
+++ b/crates/courseshed-edge/src/controller/housekeeping.rs
@@ -38,6 +38,7 @@
     /// The commands that are due.
     pub(super) fn due(&mut self, now: Duration, state: &FleetState) -> Vec<Command> {
         let mut commands = Vec::new();
+        self.liveness.observe(now, state);
         let servers = self.liveness.silent_servers(now, state);
         if !servers.is_empty() {
             log::info!(event = "servers_expired", servers:? = servers; "servers were silent for too long");
--- a/crates/courseshed-registry/src/liveness.rs
+++ b/crates/courseshed-registry/src/liveness.rs
@@ -37,6 +37,20 @@
         }
     }
 
+    /// Takes in who is there. Whoever is seen for the first time counts as heard: a server or machine
+    /// that has just announced itself may have done so to another controller.
+    pub fn observe(&mut self, now: Duration, state: &FleetState) {
+        let mut servers = BTreeMap::new();
+        for server in state.servers() {
+            let heard = self.servers.get(&server.id).copied().unwrap_or(now);
+            servers.insert(server.id.clone(), heard);
+        }
+        self.servers = servers;
+        for node in state.stores().keys() {
+            self.nodes.entry(*node).or_insert(now);
+        }
+    }
+
     /// Notes that servers were heard.
     pub fn heard_servers(&mut self, now: Duration, ids: impl IntoIterator<Item = String>) {
         for id in ids {
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -1,12 +1,14 @@
 //! What commands do to the fleet's state, and what followers are told.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use courseshed_consensus::{LogIndex, StateMachine};
 use courseshed_records::StoreMachine;
 use courseshed_registry::{
-    Command, FleetState, Known, Outcome, Registration, Retirement, Server, ServerState,
+    Command, FleetState, Known, Liveness, LivenessSettings, Outcome, Registration, Retirement,
+    Server, ServerState,
 };
 use courseshed_routing::{RoutingTable, VersionedTable};
 use courseshed_types::NodeId;
@@ -173,3 +175,33 @@
     assert_eq!(state.apply(LogIndex(1), b"nonsense"), None);
     assert_eq!(state, FleetState::default());
 }
+
+/// Found in the logs of ezo-quote hunt-c280-39: a server was dropped in the moment it announced itself.
+#[test]
+fn whoever_has_just_announced_itself_is_not_silent() {
+    let second = Duration::from_secs(1);
+    let settings = LivenessSettings {
+        server_silence: 6 * second,
+        node_silence: 3 * second,
+    };
+    let mut liveness = Liveness::new(settings, Duration::ZERO);
+    let mut state = FleetState::default();
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let node = NodeId(1);
+    apply(
+        &mut state,
+        Command::RegisterStore {
+            node,
+            store: store(1),
+        },
+    );
+    liveness.observe(100 * second, &state);
+    assert!(liveness.silent_servers(100 * second, &state).is_empty());
+    assert!(liveness.silent_stores(100 * second, &state).is_empty());
+    liveness.observe(107 * second, &state);
+    assert_eq!(liveness.silent_servers(107 * second, &state), ["one"]);
+    assert_eq!(liveness.silent_stores(107 * second, &state).len(), 1);
+    liveness.heard_servers(107 * second, ["one".to_owned()]);
+    liveness.observe(108 * second, &state);
+    assert!(liveness.silent_servers(108 * second, &state).is_empty());
+}
