--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -8,7 +8,7 @@
 own='^(courseshed-program-id|courseshed-request-id)$'
 found=0
 for name in $(printf '%s\n' "$names" | grep -vE "$own") 'configuration/replace' 'fleetbench' 'heartbeat_address'; do
-    if grep -rniF --include='*.rs' -- "$name" crates; then
+    if grep -rnF --include='*.rs' -- "$name" crates; then
         echo "crates/ names the platform's $name" >&2
         found=1
     fi
