Never say 'not run' of a request that a server had before it ended

With nobody left, the empty list was taken for 'never sent' and the caller was told 503, which promises that it did not run.

Ruled out: requests that may run once; they end with 502 at the first break.

Change: whether a request may have run is kept apart from the count of servers.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: a request that may run once is sent again only after a server said that it did not
 //! run; a request is sent to no more servers than its route allows, where a server that refused it
-//! or has ended since doesn't count.
+//! or has ended since doesn't count; once a server that had it broke off, it is never said that it
+//! did not run.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -53,6 +54,8 @@
     sent_to: Vec<String>,
     passed_over: Vec<String>,
     repeats: usize,
+    /// Whether a server that had the request broke off, whatever became of that server since.
+    may_have_run: bool,
 }
 
 impl Attempts {
@@ -75,6 +78,7 @@
             sent_to: Vec::new(),
             passed_over: Vec::new(),
             repeats: 0,
+            may_have_run: false,
         }
     }
 
@@ -118,21 +122,28 @@
     }
 
     fn out_of_time(&self) -> Refusal {
-        if self.sent_to.is_empty() {
-            Refusal::TooLate
-        } else {
+        if self.may_have_run {
             Refusal::TimedOut
+        } else {
+            Refusal::TooLate
         }
     }
 
     fn out_of_servers(&self) -> Refusal {
-        if self.sent_to.is_empty() {
-            Refusal::NoServer
-        } else {
+        if self.may_have_run {
             Refusal::Broken
+        } else {
+            Refusal::NoServer
         }
     }
 
+    /// Notes that a server which had the request broke off.
+    pub(super) fn note_broken(&mut self, server: &str, error: &UpstreamError) {
+        self.may_have_run = true;
+        self.log.note_error(server, error);
+        self.core.report(server, Report::Failed);
+    }
+
     fn choose(&mut self) -> Option<Chosen> {
         if self.passed_over.len() > REFUSALS_BORNE {
             return None;
@@ -236,22 +247,25 @@
     }
 
     fn on_error(&mut self, chosen: &Chosen, error: &UpstreamError) -> Result<(), Refusal> {
-        self.log.note_error(&chosen.id, error);
         match error {
             UpstreamError::NotSent { .. } => {
+                self.log.note_error(&chosen.id, error);
                 self.core.report(&chosen.id, Report::Failed);
                 // Whoever can't be reached has ended or was cut off, and doesn't count any more.
                 self.pass_over(&chosen.id);
                 Ok(())
             }
             UpstreamError::Broken { .. } => {
-                self.core.report(&chosen.id, Report::Failed);
+                self.note_broken(&chosen.id, error);
                 if self.may_repeat() {
                     return Ok(());
                 }
                 Err(Refusal::Broken)
             }
-            UpstreamError::TimedOut => Err(Refusal::TimedOut),
+            UpstreamError::TimedOut => {
+                self.log.note_error(&chosen.id, error);
+                Err(Refusal::TimedOut)
+            }
         }
     }
 }
@@ -295,7 +309,7 @@
         }
     }
 
-    pub(super) fn note_error(&mut self, server: &str, error: &UpstreamError) {
+    fn note_error(&mut self, server: &str, error: &UpstreamError) {
         self.last_error = format!("{server}: {error}");
     }
 }
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -37,8 +37,7 @@
             }
             Err(UpstreamError::TimedOut) => return refuse(attempts, Refusal::TimedOut),
             Err(error) => {
-                attempts.log.note_error(&opened.server, &error);
-                attempts.core.report(&opened.server, Report::Failed);
+                attempts.note_broken(&opened.server, &error);
                 if !attempts.may_repeat() {
                     return refuse(attempts, Refusal::Broken);
                 }
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -192,8 +192,7 @@
     async fn take_up(&mut self, error: &UpstreamError) -> Result<(), BrokenOff> {
         self.splitter = EventSplitter::default();
         if let Some(opened) = self.opened.take() {
-            self.attempts.log.note_error(&opened.server, error);
-            self.attempts.core.report(&opened.server, Report::Failed);
+            self.attempts.note_broken(&opened.server, error);
         }
         if !self.attempts.may_repeat() {
             return self.break_off();
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use courseshed_routing::CallKind;
 use support::server::{Act, END, StandIn, answer, chunk, event, stream_head};
 use support::{Fleet, call, get, plain_route, status, stream_route};
 
@@ -68,6 +69,21 @@
     assert_eq!(server.got().len(), 1);
 }
 
+/// Found by reading: a server that had the call, broke off and ended was no longer counted, and the
+/// caller was told that the call did not run.
+#[actix_rt::test]
+async fn a_call_whose_server_ended_is_not_said_not_to_have_run() {
+    let fleet = Fleet::start(GRACE).await;
+    let server = StandIn::start(|_| Act::End).await;
+    let mut route = plain_route();
+    route.kind = CallKind::Repeatable;
+    fleet.route(vec![route]).await;
+    fleet.announce("one", &server).await;
+    let answer = call(fleet.callers, "c1", "", "").await;
+    assert_eq!(server.got().len(), 1);
+    assert_eq!(status(&answer), 502, "{answer}");
+}
+
 #[actix_rt::test]
 async fn a_call_that_a_server_did_not_run_goes_to_another() {
     let fleet = Fleet::start(GRACE).await;
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// The id of calls that only look whether the gateway sends here; the script doesn't see them.
 pub const PROBE: &str = "probe";
@@ -33,6 +34,8 @@
     Write(String),
     /// Writes these bytes and closes the connection.
     WriteAndClose(String),
+    /// Says nothing, takes no more connections, and closes this one.
+    End,
 }
 
 type Script = Box<dyn FnMut(&Got) -> Act + Send>;
@@ -44,6 +47,8 @@
     got: Arc<Mutex<Vec<Got>>>,
     connections: Arc<Mutex<usize>>,
     probes: Arc<Mutex<usize>>,
+    ended: Arc<watch::Sender<bool>>,
+    is_closed: Arc<watch::Sender<bool>>,
 }
 
 impl StandIn {
@@ -54,14 +59,25 @@
             got: Arc::default(),
             connections: Arc::default(),
             probes: Arc::default(),
+            ended: Arc::new(watch::channel(false).0),
+            is_closed: Arc::new(watch::channel(false).0),
         };
         let script: Arc<Mutex<Script>> = Arc::new(Mutex::new(Box::new(script)));
         let serving = server.clone();
+        let mut ended = server.ended.subscribe();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                *serving.connections.lock() += 1;
-                tokio::spawn(serving.clone().serve(stream, script.clone()));
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    *serving.connections.lock() += 1;
+                    tokio::spawn(serving.clone().serve(stream, script.clone()));
+                }
+            };
+            tokio::select! {
+                () = accept => {}
+                _ = ended.wait_for(|ended| *ended) => {}
             }
+            drop(listener);
+            serving.is_closed.send_replace(true);
         });
         server
     }
@@ -96,6 +112,12 @@
                     let _ = stream.write_all(text.as_bytes()).await;
                     return;
                 }
+                Act::End => {
+                    self.ended.send_replace(true);
+                    let mut is_closed = self.is_closed.subscribe();
+                    let _ = is_closed.wait_for(|closed| *closed).await;
+                    return;
+                }
             }
         }
     }
