Serve from the state known at restart, before a leader is elected

Ruled out: the stores (open by 35.36 s), the servers (not touched by it), the callers (they come back after a second). The election itself takes 0.5 s after the third controller is up and can't be much shorter: voters protect a leader they may have promised to wait for.

Tests: what_was_known_to_be_committed_is_kept_with_the_next_write and a_replica_that_starts_alone_has_what_it_knew_to_be_committed (nothing known before).

--- a/crates/courseshed-consensus/src/entry.rs
+++ b/crates/courseshed-consensus/src/entry.rs
@@ -85,6 +85,8 @@
     pub snapshot: Option<Snapshot>,
     /// The entries after the snapshot, without gaps.
     pub entries: Vec<Entry>,
+    /// An entry up to which all are known to be committed; later ones may be, too.
+    pub committed: LogIndex,
 }
 
 impl Restored {
--- a/crates/courseshed-consensus/src/replica_log.rs
+++ b/crates/courseshed-consensus/src/replica_log.rs
@@ -54,6 +54,7 @@
             }
         }
         log.stable = log.last_index();
+        log.committed = restored.committed.clamp(log.committed, log.last_index());
         log
     }
 
--- a/crates/courseshed-consensus/src/simulation/disk.rs
+++ b/crates/courseshed-consensus/src/simulation/disk.rs
@@ -40,6 +40,8 @@
     lies: bool,
     /// Nothing outlives the process: the disk of a machine without one.
     forgets: bool,
+    /// How far the log is known to be committed, for the next write.
+    committed: LogIndex,
 }
 
 impl SimulatedDisk {
@@ -48,6 +50,7 @@
             content: Arc::default(),
             lies,
             forgets,
+            committed: LogIndex(0),
         }
     }
 
@@ -124,7 +127,13 @@
     context.into_error(std::io::ErrorKind::Other.into())
 }
 
-fn append_to(content: &mut Restored, hard_state: Option<&HardState>, entries: &[Entry]) {
+fn append_to(
+    content: &mut Restored,
+    committed: LogIndex,
+    hard_state: Option<&HardState>,
+    entries: &[Entry],
+) {
+    content.committed = committed;
     if let Some(hard_state) = hard_state {
         content.hard_state = *hard_state;
     }
@@ -139,11 +148,16 @@
         Ok(self.lock().durable.clone())
     }
 
+    fn note_committed(&mut self, index: LogIndex) {
+        self.committed = index;
+    }
+
     fn append(&mut self, hard_state: Option<&HardState>, entries: &[Entry]) -> Written {
         let half = &entries[..entries.len() / 2];
+        let committed = self.committed;
         self.write(
-            |content| append_to(content, hard_state, entries),
-            |content| append_to(content, hard_state, half),
+            |content| append_to(content, committed, hard_state, entries),
+            |content| append_to(content, committed, hard_state, half),
         )
     }
 
--- a/crates/courseshed-consensus/src/storage/disk/mod.rs
+++ b/crates/courseshed-consensus/src/storage/disk/mod.rs
@@ -31,6 +31,8 @@
 struct Record {
     hard_state: Option<HardState>,
     entries: Vec<Entry>,
+    #[serde(default)]
+    committed: LogIndex,
 }
 
 /// What the log file holds.
@@ -38,6 +40,7 @@
 struct LogContent {
     hard_state: HardState,
     entries: Vec<Entry>,
+    committed: LogIndex,
     /// Length of the readable part in bytes.
     length: u64,
 }
@@ -48,6 +51,7 @@
     folder: PathBuf,
     incarnation: u64,
     log: File,
+    committed: LogIndex,
     failed: bool,
     _lock: File,
 }
@@ -73,6 +77,7 @@
             folder,
             incarnation,
             log,
+            committed: LogIndex(0),
             failed: false,
             _lock: lock,
         })
@@ -127,14 +132,12 @@
         entries: Vec<Entry>,
     ) -> Result<(), StorageError> {
         let path = self.path(LOG_FILE);
-        let hard_state = Some(hard_state);
-        files::replace(
-            &path,
-            &frame::encode(&Record {
-                hard_state,
-                entries,
-            }),
-        )?;
+        let record = Record {
+            hard_state: Some(hard_state),
+            entries,
+            committed: self.committed,
+        };
+        files::replace(&path, &frame::encode(&record))?;
         self.log = open_log(&self.folder)?;
         Ok(())
     }
@@ -154,6 +157,7 @@
         files::at(self.log.set_len(content.length), "cut", &path)?;
         files::at(self.log.sync_all(), "flush", &path)?;
         files::at(self.log.seek(SeekFrom::End(0)), "seek in", &path)?;
+        self.committed = content.committed;
         let covered = snapshot
             .as_ref()
             .map_or(LogIndex(0), |snapshot| snapshot.metadata.index);
@@ -164,9 +168,14 @@
             hard_state: content.hard_state,
             snapshot,
             entries,
+            committed: content.committed,
         })
     }
 
+    fn note_committed(&mut self, index: LogIndex) {
+        self.committed = index;
+    }
+
     fn append(
         &mut self,
         hard_state: Option<&HardState>,
@@ -175,6 +184,7 @@
         let frame = frame::encode(&Record {
             hard_state: hard_state.copied(),
             entries: entries.to_vec(),
+            committed: self.committed,
         });
         self.guarded(|disk| {
             let path = disk.path(LOG_FILE);
@@ -296,6 +306,7 @@
     /// Takes in a record; none if its entries don't follow those before.
     fn take(&mut self, record: Record) -> Option<()> {
         self.hard_state = record.hard_state.unwrap_or(self.hard_state);
+        self.committed = self.committed.max(record.committed);
         for entry in record.entries {
             self.entries.truncate(self.position(entry.index)?);
             self.entries.push(entry);
--- a/crates/courseshed-consensus/src/storage/faulty.rs
+++ b/crates/courseshed-consensus/src/storage/faulty.rs
@@ -69,6 +69,10 @@
         self.inner.append(hard_state, entries)
     }
 
+    fn note_committed(&mut self, index: LogIndex) {
+        self.inner.note_committed(index);
+    }
+
     fn install(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
         self.check()?;
         self.inner.install(snapshot)
--- a/crates/courseshed-consensus/src/storage/mod.rs
+++ b/crates/courseshed-consensus/src/storage/mod.rs
@@ -36,6 +36,10 @@
         entries: &[Entry],
     ) -> Result<(), StorageError>;
 
+    /// Notes how far the log is known to be committed, to be kept with the next write. It need not
+    /// be durable: a replica that forgets it learns it again from the leader.
+    fn note_committed(&mut self, index: LogIndex);
+
     /// Makes a leader's snapshot durable, which replaces all entries.
     ///
     /// # Errors
--- a/crates/courseshed-consensus/src/storage/volatile.rs
+++ b/crates/courseshed-consensus/src/storage/volatile.rs
@@ -14,6 +14,8 @@
         Ok(Restored::default())
     }
 
+    fn note_committed(&mut self, _: LogIndex) {}
+
     fn append(&mut self, _: Option<&HardState>, _: &[Entry]) -> Result<(), StorageError> {
         Ok(())
     }
--- a/crates/courseshed-consensus/tests/disk.rs
+++ b/crates/courseshed-consensus/tests/disk.rs
@@ -251,3 +251,40 @@
     cluster.propose(b"new");
     assert_eq!(cluster.group(ReplicaId(1)).machine().0.len(), 41);
 }
+
+#[test]
+fn what_was_known_to_be_committed_is_kept_with_the_next_write() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path(), 3);
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.note_committed(LogIndex(3));
+    disk.append(None, &[entry(4, 1)]).unwrap();
+    disk.note_committed(LogIndex(4));
+    drop(disk);
+    assert_eq!(reload(folder.path()).unwrap().committed, LogIndex(3));
+    let mut disk = open(folder.path());
+    disk.load().unwrap();
+    disk.compact(&snapshot(2), LogIndex(3)).unwrap();
+    drop(disk);
+    assert_eq!(reload(folder.path()).unwrap().committed, LogIndex(3));
+}
+
+/// Found by days that end with a loss of all power: replicas knew nothing until one of them led.
+#[test]
+fn a_replica_that_starts_alone_has_what_it_knew_to_be_committed() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut cluster, _) = disk_cluster(folder.path());
+    for number in 0..10_u8 {
+        cluster.propose(&[number]);
+    }
+    let leader = cluster.leader().unwrap();
+    drop(cluster);
+    let disk = open(&folder.path().join(leader.0.to_string()));
+    let mut alone = Cluster::empty();
+    alone.start(config(address(leader.0), voters(3)), disk);
+    alone.settle();
+    assert_eq!(alone.leader(), None);
+    let known: Vec<Vec<u8>> = (0..9_u8).map(|number| vec![number]).collect();
+    assert_eq!(alone.group(leader).machine().0, known);
+}
--- a/crates/courseshed-control/src/hollow/disk.rs
+++ b/crates/courseshed-control/src/hollow/disk.rs
@@ -21,6 +21,10 @@
         Ok(self.kept.clone())
     }
 
+    fn note_committed(&mut self, index: LogIndex) {
+        self.kept.committed = index;
+    }
+
     fn append(
         &mut self,
         hard_state: Option<&HardState>,
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -11,9 +11,11 @@
 use courseshed_registry::{FleetUpdate, Known, Server};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::peers::Peers;
 use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
@@ -24,6 +26,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(250);
 /// Pause after a controller that could not help.
 const PAUSE: Duration = Duration::from_millis(60);
+/// How long a node that knows nothing yet asks the same controllers before it looks for others.
+const FIRST_ROUND: Duration = Duration::from_millis(1500);
 
 /// What a node knows of the fleet.
 #[derive(Clone, Debug, Default)]
@@ -93,7 +97,7 @@
 
     /// Follows until the process ends.
     pub async fn run(self: Arc<Self>) {
-        let mut known = Known::default();
+        let mut known = self.first_news().await;
         let mut failures = 0;
         loop {
             let controllers = self.controllers();
@@ -118,6 +122,32 @@
         }
     }
 
+    /// Asks all controllers at once for something to begin with: after a loss of power some may
+    /// not be there yet, and any state that was in force once serves until a leader is found.
+    async fn first_news(&self) -> Known {
+        loop {
+            let controllers = self.controllers();
+            let mut asked: FuturesUnordered<_> = controllers
+                .into_iter()
+                .map(|controller| self.ask_until_answered(controller))
+                .collect();
+            if let Ok(Some(update)) = timeout(FIRST_ROUND, asked.next()).await {
+                return self.take_in(Known::default(), update);
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn ask_until_answered(&self, controller: NodeId) -> FleetUpdate {
+        loop {
+            let answer = self.ask(controller, Known::default()).await;
+            match answer {
+                Some(update) if !update.is_empty() => return update,
+                _ => sleep(PAUSE).await,
+            }
+        }
+    }
+
     async fn ask(&self, controller: NodeId, known: Known) -> Option<FleetUpdate> {
         let request = PeerRequest::Follow {
             known,
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -8,12 +8,12 @@
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
 use bytes::BytesMut;
-use courseshed_routing::CallLimits;
+use courseshed_routing::{CallLimits, VersionedTable};
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
 use snafu::{ResultExt, Snafu};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::attempts::Attempts;
 use super::call::{CallCodec, CallEnvelope};
@@ -30,6 +30,8 @@
 /// How long a gateway that stops still takes new connections: until all have seen that it isn't ready.
 const LEAVING_TIME: Duration = Duration::from_millis(3200);
 const STOP_CHECK: Duration = Duration::from_millis(50);
+/// How long a request that comes before the first routing table waits for it at most.
+const START_WAIT: Duration = Duration::from_millis(300);
 /// How often kept connections are looked through.
 const POOL_CHECK: Duration = Duration::from_secs(2);
 
@@ -200,7 +202,12 @@
     let arrived = Instant::now();
     let limits = limits_in_force(core);
     let call = read_call(core, request, &limits).await?;
-    let routing = core.follower.view().routing.ok_or(Refusal::NotStarted)?;
+    let wait = call
+        .time_left
+        .map_or(START_WAIT, |left| START_WAIT.min(left / 4));
+    let routing = routing_in_force(core, wait)
+        .await
+        .ok_or(Refusal::NotStarted)?;
     let route = routing.table.find(&call.host, &call.path);
     let Some(route) = route.cloned() else {
         log::info!(event = "no_route", request = call.request_id.as_str(), host = call.host.as_str(), path = call.path.as_str(), version = routing.version; "no route fits");
@@ -222,6 +229,17 @@
     Ok((attempts, tokens_per_event))
 }
 
+/// The routing table in force. A gateway that has just started waits a little for its first one.
+async fn routing_in_force(core: &GatewayCore, wait: Duration) -> Option<Arc<VersionedTable>> {
+    if let Some(routing) = core.follower.view().routing {
+        return Some(routing);
+    }
+    let mut watch = core.follower.watch();
+    let first = watch.wait_for(|view| view.routing.is_some());
+    let view = timeout(wait, first).await.ok()?.ok()?;
+    view.routing.clone()
+}
+
 async fn read_call(
     core: &Rc<GatewayCore>,
     mut request: Request,
