Let gateways learn of each other's calls at servers

Change: a gateway reports its calls to the controller that it follows each 80 ms and gets the sum of all others; controllers tell each other their sums. The choice itself is unchanged but for the load it sees.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use courseshed_consensus::{Message, ReplicaAddress};
 use courseshed_registry::{
-    Command, FleetState, Outcome, Registration, Retirement, RoutingInForce, ServerState,
+    Command, FleetState, LoadBoard, LoadReport, Outcome, Registration, Retirement, RoutingInForce,
+    ServerState,
 };
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -27,6 +28,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// How often a controller that doesn't lead tells the leader whom it heard.
 const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+/// How often controllers tell each other of the calls of their gateways.
+const LOAD_INTERVAL: Duration = Duration::from_millis(80);
 /// A controller that has not heard the leader for so long may not say that nothing is new.
 const FRESH_LIMIT: Duration = Duration::from_millis(600);
 
@@ -94,6 +97,7 @@
     peers: Mutex<Option<Arc<Peers>>>,
     published: watch::Sender<Published>,
     heard: Mutex<Heard>,
+    load: Mutex<LoadBoard>,
 }
 
 #[derive(Default)]
@@ -113,6 +117,7 @@
             peers: Mutex::new(None),
             published: watch::channel(Published::default()).0,
             heard: Mutex::default(),
+            load: Mutex::default(),
         }
     }
 
@@ -170,6 +175,27 @@
         self.heard.lock().servers.insert(id);
     }
 
+    /// Takes in a gateway's calls, and returns those of all others.
+    pub(crate) fn exchange_load(&self, gateway: NodeId, report: LoadReport) -> LoadReport {
+        let now = self.clock.now();
+        let mut board = self.load.lock();
+        board.note_gateway(now, gateway, report);
+        board.all_but(now, gateway)
+    }
+
+    /// Takes in the calls of the gateways that follow another controller.
+    pub(crate) fn note_controller_load(&self, controller: NodeId, report: LoadReport) {
+        let now = self.clock.now();
+        self.load.lock().note_controller(now, controller, report);
+    }
+
+    fn load_of_own_gateways(&self) -> LoadReport {
+        let now = self.clock.now();
+        let mut board = self.load.lock();
+        board.forget_old(now);
+        board.own_gateways(now)
+    }
+
     fn take_heard(&self) -> Heard {
         std::mem::take(&mut *self.heard.lock())
     }
@@ -197,6 +223,23 @@
     }
 }
 
+/// Tells the other controllers what the gateways have that follow this one.
+pub(super) async fn relay_load(shared: Arc<Shared>) {
+    let mut last = LoadReport::default();
+    loop {
+        sleep(LOAD_INTERVAL).await;
+        let report = shared.load_of_own_gateways();
+        let is_idle = report.servers.is_empty() && last.servers.is_empty();
+        if let (false, Some(peers)) = (is_idle, shared.peers()) {
+            let others = shared.published().controllers.into_keys();
+            for controller in others.filter(|node| *node != shared.node()) {
+                let _ = peers.send(controller, PeerMessage::Load(report.clone()));
+            }
+        }
+        last = report;
+    }
+}
+
 /// A controller, for servers and operators.
 #[derive(Clone)]
 pub struct ControllerHandle {
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -103,6 +103,7 @@
         settings.addresses,
         seeds,
     ));
-    tokio::spawn(handle::relay_heard(shared));
+    tokio::spawn(handle::relay_heard(shared.clone()));
+    tokio::spawn(handle::relay_load(shared));
     Ok(handle)
 }
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -55,6 +55,7 @@
                 }
             }
             PeerMessage::Heard { servers, nodes } => self.0.tell(Input::Heard { servers, nodes }),
+            PeerMessage::Load(report) => self.0.note_controller_load(from.node, report),
         }
     }
 
@@ -89,6 +90,10 @@
                 self.0.tell(Input::CaughtUp { node, incarnation });
                 reply.send(PeerReply::Joining);
             }
+            PeerRequest::ShareLoad(report) => {
+                let others = self.0.exchange_load(from.node, report);
+                reply.send(PeerReply::OthersLoad(others));
+            }
             PeerRequest::Records(_) => {}
         }
     }
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod core;
 mod events;
+mod load;
 mod plain;
 mod program;
 mod refusal;
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -18,6 +18,7 @@
 use super::attempts::Attempts;
 use super::call::{CallCodec, CallEnvelope};
 use super::core::GatewayCore;
+use super::load::share_load;
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
 use crate::follower::FleetFollower;
@@ -100,7 +101,7 @@
     let follower = FleetFollower::new(peers.clone(), settings.addresses, false, settings.seeds);
     tokio::spawn(follower.clone().run());
     let records = RecordClient::new(
-        peers,
+        peers.clone(),
         follower.clone(),
         settings.addresses,
         settings.zone.clone(),
@@ -108,6 +109,7 @@
     let core = GatewayCore::new(settings.codec, follower, records, settings.metrics);
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy_pool(core.clone()));
+    actix_rt::spawn(share_load(core.clone(), peers));
     let address = settings.readiness;
     let readiness = listen(address).context(ListenSnafu { address })?;
     let address = settings.callers;
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -1,7 +1,7 @@
 //! Which server a request goes to, from what this gateway has seen of them. Pure: times are passed in.
 //!
-//! Many gateways choose without asking each other, so each spreads its own calls: a server gets no
-//! more of them at once than a bound above the average (consistent hashing with bounded loads,
+//! Gateways tell each other how many calls they have at each server, a moment late. A server gets no
+//! more calls at once than a bound above the average (consistent hashing with bounded loads,
 //! Mirrokni, Thorup and Zadimoghaddam, 2018), and of those below it, the one that saw the same thing
 //! lately is preferred.
 
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_registry::{Server, ServerState};
+use courseshed_registry::{LoadReport, Server, ServerKey, ServerLoad, ServerState};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How far above the average a server may be loaded by affinity.
@@ -21,6 +21,8 @@
 /// First and longest rest after a failure.
 const FIRST_REST: Duration = Duration::from_millis(400);
 const LONGEST_REST: Duration = Duration::from_secs(4);
+/// How long what other gateways said of their calls counts.
+const OTHERS_LIFE: Duration = Duration::from_secs(1);
 /// Rest after a server said that it is full.
 const FULL_REST: Duration = Duration::from_millis(40);
 
@@ -47,7 +49,10 @@
 #[derive(Clone, Debug)]
 struct Seen {
     server: Server,
+    /// Calls of this gateway.
     in_flight: u32,
+    /// Calls of the other gateways, as they said last.
+    others: u32,
     /// Average time to the first part of an answer, in milliseconds; 0 when none was seen.
     usual_ms: f64,
     failures: u32,
@@ -58,6 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     seen: BTreeMap<String, Seen>,
+    others_noted: Duration,
 }
 
 impl ServerTable {
@@ -74,6 +80,7 @@
                 None => Seen {
                     server: server.clone(),
                     in_flight: 0,
+                    others: 0,
                     usual_ms: 0.0,
                     failures: 0,
                     rests_until: Duration::ZERO,
@@ -132,6 +139,44 @@
         })
     }
 
+    /// The calls of this gateway, for the others.
+    #[must_use]
+    pub fn load_report(&self) -> LoadReport {
+        let busy = self.seen.values().filter(|seen| seen.in_flight > 0);
+        let servers = busy.map(|seen| ServerLoad {
+            server: ServerKey::of(&seen.server.id),
+            in_flight: seen.in_flight,
+        });
+        LoadReport {
+            gateways: 1,
+            servers: servers.collect(),
+        }
+    }
+
+    /// Takes in the calls of the other gateways.
+    pub fn note_others(&mut self, others: &LoadReport, now: Duration) {
+        let by_key: BTreeMap<ServerKey, u32> = others
+            .servers
+            .iter()
+            .map(|load| (load.server, load.in_flight))
+            .collect();
+        for seen in self.seen.values_mut() {
+            let key = ServerKey::of(&seen.server.id);
+            seen.others = by_key.get(&key).copied().unwrap_or(0);
+        }
+        self.others_noted = now;
+    }
+
+    /// Forgets what the other gateways said, if that is too long ago.
+    pub fn forget_old_loads(&mut self, now: Duration) {
+        if now.saturating_sub(self.others_noted) < OTHERS_LIFE {
+            return;
+        }
+        for seen in self.seen.values_mut() {
+            seen.others = 0;
+        }
+    }
+
     /// Notes that a request goes to a server.
     pub fn begin(&mut self, id: &str) {
         if let Some(seen) = self.seen.get_mut(id) {
@@ -180,8 +225,12 @@
         (self.usual_ms / usual_ms).clamp(0.5, 10.0)
     }
 
+    fn calls(&self) -> u32 {
+        self.in_flight + self.others
+    }
+
     fn load(&self) -> f64 {
-        f64::from(self.in_flight) / f64::from(self.server.slots.max(1))
+        f64::from(self.calls()) / f64::from(self.server.slots.max(1))
     }
 }
 
@@ -197,13 +246,13 @@
 
 /// The first server of the key's own order that isn't loaded beyond the bound.
 fn favourite<'a>(candidates: &[&'a Seen], key: &str, usual_ms: f64) -> Option<&'a Seen> {
-    let calls: u32 = candidates.iter().map(|seen| seen.in_flight).sum();
+    let calls: u32 = candidates.iter().map(|seen| seen.calls()).sum();
     let average = f64::from(calls + 1) / candidates.len().max(1) as f64;
     let bound = (average * LOAD_BOUND).ceil();
     candidates
         .iter()
         .copied()
-        .filter(|seen| f64::from(seen.in_flight) < bound)
+        .filter(|seen| f64::from(seen.calls()) < bound)
         .filter(|seen| seen.slowness(usual_ms) < SLOW_FACTOR)
         .max_by_key(|seen| rank(key, &seen.server.id))
 }
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -4,7 +4,7 @@
 
 use courseshed_consensus::{Message, ReplicaId};
 use courseshed_records::{ChainError, ExportCursor, ExportPage, Record, Reserved, Turn};
-use courseshed_registry::{Command, FleetUpdate, Known, Outcome, RoutingInForce};
+use courseshed_registry::{Command, FleetUpdate, Known, LoadReport, Outcome, RoutingInForce};
 use courseshed_transport::{Protocol, TrafficClass};
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
@@ -66,6 +66,8 @@
         /// Machines.
         nodes: Vec<NodeId>,
     },
+    /// The calls of the gateways that follow a controller, for the other controllers.
+    Load(LoadReport),
 }
 
 /// Asked.
@@ -98,6 +100,8 @@
     },
     /// Something for a store.
     Records(RecordRequest),
+    /// A gateway's calls at servers, and what the others have there.
+    ShareLoad(LoadReport),
 }
 
 /// A request to a store with records.
@@ -171,6 +175,8 @@
     Unsure,
     /// Of a store.
     Records(RecordReply),
+    /// The calls of all other gateways at servers.
+    OthersLoad(LoadReport),
 }
 
 /// The protocol of the fleet's transport.
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use courseshed_edge::gateway::{EventSplitter, Report, ServerTable};
-use courseshed_registry::{Server, ServerState};
+use courseshed_registry::{LoadReport, Server, ServerKey, ServerLoad, ServerState};
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -76,6 +76,25 @@
     assert_ne!(choose(&table, Some("session"), &[]), Some(favourite));
 }
 
+#[test]
+fn calls_of_other_gateways_count_until_they_are_old() {
+    let mut table = table(&["a", "b"]);
+    let others = LoadReport {
+        gateways: 1,
+        servers: vec![ServerLoad {
+            server: ServerKey::of("a"),
+            in_flight: 3,
+        }],
+    };
+    table.note_others(&others, NOW);
+    table.begin("b");
+    assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+    table.forget_old_loads(NOW + Duration::from_millis(500));
+    assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+    table.forget_old_loads(NOW + Duration::from_millis(1500));
+    assert_eq!(choose(&table, None, &[]), Some("a".to_owned()));
+}
+
 #[parameterized(
     failed = { Report::Failed },
     full = { Report::Full },
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -12,10 +12,12 @@
 
 mod command;
 mod liveness;
+mod load;
 mod server;
 mod state;
 
 pub use command::{Command, Outcome};
 pub use liveness::{Liveness, LivenessSettings};
+pub use load::{LoadBoard, LoadReport, ServerKey, ServerLoad};
 pub use server::{Registration, Server, ServerState};
 pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- /dev/null
+++ b/crates/courseshed-registry/tests/load.rs
@@ -0,0 +1,68 @@
+//! What gateways learn of each other's calls.
+
+use std::time::Duration;
+
+use courseshed_registry::{LoadBoard, LoadReport, ServerKey, ServerLoad};
+use courseshed_types::NodeId;
+
+const NOW: Duration = Duration::from_secs(5);
+
+fn report(calls: &[(&str, u32)]) -> LoadReport {
+    let servers = calls.iter().map(|(id, in_flight)| ServerLoad {
+        server: ServerKey::of(id),
+        in_flight: *in_flight,
+    });
+    LoadReport {
+        gateways: 1,
+        servers: servers.collect(),
+    }
+}
+
+fn calls_at(report: &LoadReport, id: &str) -> u32 {
+    let load = report
+        .servers
+        .iter()
+        .find(|load| load.server == ServerKey::of(id));
+    load.map_or(0, |load| load.in_flight)
+}
+
+#[test]
+fn a_gateway_is_told_of_all_the_others() {
+    let mut board = LoadBoard::default();
+    board.note_gateway(NOW, NodeId(1), report(&[("a", 3)]));
+    board.note_gateway(NOW, NodeId(2), report(&[("a", 4), ("b", 1)]));
+    let mut elsewhere = report(&[("b", 5)]);
+    elsewhere.gateways = 2;
+    board.note_controller(NOW, NodeId(9), elsewhere);
+    let others = board.all_but(NOW, NodeId(1));
+    assert_eq!(others.gateways, 3);
+    assert_eq!(calls_at(&others, "a"), 4);
+    assert_eq!(calls_at(&others, "b"), 6);
+}
+
+#[test]
+fn a_controller_tells_only_of_the_gateways_that_report_to_it() {
+    let mut board = LoadBoard::default();
+    board.note_gateway(NOW, NodeId(1), report(&[("a", 3)]));
+    board.note_controller(NOW, NodeId(9), report(&[("a", 5)]));
+    assert_eq!(calls_at(&board.own_gateways(NOW), "a"), 3);
+}
+
+#[test]
+fn a_newer_report_replaces_the_one_before() {
+    let mut board = LoadBoard::default();
+    board.note_gateway(NOW, NodeId(1), report(&[("a", 3), ("b", 2)]));
+    board.note_gateway(NOW, NodeId(1), report(&[("a", 1)]));
+    let all = board.own_gateways(NOW);
+    assert_eq!((calls_at(&all, "a"), calls_at(&all, "b")), (1, 0));
+}
+
+#[test]
+fn a_gateway_that_falls_silent_is_forgotten() {
+    let mut board = LoadBoard::default();
+    board.note_gateway(NOW, NodeId(1), report(&[("a", 3)]));
+    let later = NOW + Duration::from_millis(1100);
+    assert_eq!(board.own_gateways(later), LoadReport::default());
+    board.forget_old(later);
+    assert_eq!(board.own_gateways(NOW), LoadReport::default());
+}
