Reach peers sooner after a loss of power, and show what the disk held at once

A controller's thread waited for a first message before it applied what its disk knew to be committed.

The controller's thread applies and publishes before it waits.

--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -240,6 +240,15 @@
     /// Runs until the replica fails; none when the process ends.
     fn run(&mut self, inputs: &Receiver<Input>) -> Option<ReplicaFailure> {
         loop {
+            // First of all what the disk held, which serves before anyone is heard.
+            self.group.tick(self.now());
+            self.keep_house();
+            let outputs = self.group.take_outputs();
+            self.carry_out(outputs);
+            if let Some(failure) = self.group.failure() {
+                return Some(ReplicaFailure::of(failure));
+            }
+            self.publish();
             match inputs.recv_timeout(self.time_to_wait()) {
                 Ok(first) => {
                     self.take_in(first);
@@ -250,14 +259,6 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return None,
             }
-            self.group.tick(self.now());
-            self.keep_house();
-            let outputs = self.group.take_outputs();
-            self.carry_out(outputs);
-            if let Some(failure) = self.group.failure() {
-                return Some(ReplicaFailure::of(failure));
-            }
-            self.publish();
         }
     }
 
--- a/crates/courseshed-transport/src/transport.rs
+++ b/crates/courseshed-transport/src/transport.rs
@@ -33,8 +33,6 @@
 
 /// First wait after a failed connection.
 const RECONNECT_BASE: Duration = Duration::from_millis(20);
-/// Longest wait after failed connections.
-const RECONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// How a transport runs.
 #[derive(Debug, Clone)]
@@ -54,6 +52,11 @@
 pub struct TransportTiming {
     /// How long a connection may take to come about.
     pub connect: Duration,
+    /// How long the first try after a connection was lost may take; each further one may take twice
+    /// as long, up to `connect`. A machine without power swallows the first packet without a word.
+    pub first_connect: Duration,
+    /// Longest wait between failed tries.
+    pub reconnect: Duration,
     /// How long a write may make no progress.
     pub write: Duration,
     /// How often a connection with open requests looks for signs of life.
@@ -65,10 +68,21 @@
     pub unacknowledged: Option<Duration>,
 }
 
+impl TransportTiming {
+    /// How long a try to connect may take after some that failed.
+    #[must_use]
+    pub fn connect_limit(&self, failed_tries: u32) -> Duration {
+        let factor = 1_u32.checked_shl(failed_tries).unwrap_or(u32::MAX);
+        self.first_connect.saturating_mul(factor).min(self.connect)
+    }
+}
+
 impl Default for TransportTiming {
     fn default() -> Self {
         Self {
             connect: Duration::from_secs(1),
+            first_connect: Duration::from_secs(1),
+            reconnect: Duration::from_secs(1),
             write: Duration::from_secs(5),
             ping: Duration::from_secs(1),
             silence: Duration::from_secs(5),
@@ -285,7 +299,12 @@
             shared: self.shared.clone(),
             peer: key.peer,
             queue,
-            backoff: Backoff::new(RECONNECT_BASE, RECONNECT_LIMIT, self.next_seed()),
+            backoff: Backoff::new(
+                RECONNECT_BASE,
+                self.shared.timing().reconnect,
+                self.next_seed(),
+            ),
+            failed_tries: 0,
         };
         self.runtime
             .spawn(until_stopped(self.shared.stopped(), connection.run()));
