Choose servers by what a call is expected to cost there

Cause: a turn went to its session's favourite server as long as that was loaded less than 1.25 times the average, else to the least loaded; whether the prompt had been read there, how slow a server's tokens come and where it stands had no weight.

Change: a pure cost in milliseconds of everyone's time: waiting beyond the slots, crowding, tokens still to read (which hold up the calls that run), the pace of the server's events against the usual, and another zone. What a server has read is noted from the calls sent there for 30 s; how long calls and reads take is learned for each service. A gateway keeps to its part of a service's connection limit, which was never read before.

Ruled out before: servers of the own zone first, without loads.

Tests: cost.rs; choice.rs keeps its assertions.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -13,11 +13,13 @@
 use bytes::{Bytes, BytesMut};
 use courseshed_routing::Route;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::call::{CallEnvelope, SendTerms};
 use super::core::{GatewayCore, InFlight};
+use super::prompt_memory::PromptPart;
 use super::refusal::Refusal;
-use super::servers::{Chosen, Report};
+use super::servers::{Chosen, Demand, Report};
 use super::upstream::{Upstream, UpstreamError};
 use crate::metrics::{CallLabels, Metrics};
 
@@ -28,6 +30,8 @@
 /// Urgency of a turn whose program may still be in time, and of one that can't be: 0 is first, 9 last.
 const USUAL_URGENCY: u8 = 4;
 const LATE_URGENCY: u8 = 8;
+/// What a thing known by its key alone counts for, in tokens of a prompt.
+const TOKENS_OF_KEY: u32 = 2_000;
 /// Less time than this is not worth another try.
 const LEAST_TIME: Duration = Duration::from_millis(15);
 
@@ -37,10 +41,35 @@
     pub upstream: Upstream,
     pub server: String,
     pub sent_at: Instant,
+    /// Tokens of the prompt that the server had to read, as far as was known.
+    pub unread_tokens: u32,
     /// Counts the request at the server until it is dropped.
     pub _in_flight: InFlight,
 }
 
+/// The service that a request goes to.
+pub(super) struct ChosenService {
+    pub name: String,
+    /// Connections that each of its servers accepts from all gateways together.
+    pub connection_limit: u32,
+}
+
+/// What a server that saw the same thing lately need not read again; nothing if that's all the same.
+fn parts_of(call: &CallEnvelope, route: &Route) -> Vec<PromptPart> {
+    if !route.affinity {
+        return Vec::new();
+    }
+    if !call.prompt.is_empty() {
+        return call.prompt.clone();
+    }
+    let key = call.affinity_key.as_ref();
+    let part = key.map(|key| PromptPart {
+        id: xxh3_64(key.as_bytes()),
+        tokens: TOKENS_OF_KEY,
+    });
+    part.into_iter().collect()
+}
+
 /// One request on its way.
 pub(super) struct Attempts {
     pub core: Rc<GatewayCore>,
@@ -50,7 +79,10 @@
     pub deadline: Instant,
     /// What the server gets as the body.
     pub body: Bytes,
+    /// The prompt, if it matters what a server saw before.
+    pub parts: Vec<PromptPart>,
     pub log: CallLog,
+    connection_limit: u32,
     sent_to: Vec<String>,
     passed_over: Vec<String>,
     repeats: usize,
@@ -63,12 +95,18 @@
         core: Rc<GatewayCore>,
         call: CallEnvelope,
         route: Arc<Route>,
-        service: String,
+        service: ChosenService,
         deadline: Instant,
     ) -> Self {
+        let ChosenService {
+            name: service,
+            connection_limit,
+        } = service;
         let log = CallLog::new(&call, &route, &service, core.metrics.clone());
         Self {
             body: call.body.clone(),
+            parts: parts_of(&call, &route),
+            connection_limit,
             core,
             call,
             route,
@@ -91,6 +129,7 @@
             let Some(chosen) = self.choose() else {
                 return Err(self.out_of_servers());
             };
+            let unread_tokens = self.unread_tokens(&chosen.id);
             let in_flight = InFlight::begin(&self.core, &chosen.id);
             match self.send(&chosen, resume_after).await {
                 Ok((head, upstream, sent_at)) => {
@@ -101,6 +140,7 @@
                             upstream,
                             server: chosen.id,
                             sent_at,
+                            unread_tokens,
                             _in_flight: in_flight,
                         });
                     }
@@ -112,11 +152,34 @@
         }
     }
 
+    fn unread_tokens(&self, server: &str) -> u32 {
+        let now = self.core.clock.now();
+        let servers = self.core.servers.borrow();
+        servers.unread_tokens(server, &self.parts, now)
+    }
+
     /// Whether the request may be sent again after a server had it.
     pub(super) fn may_repeat(&self) -> bool {
         self.route.is_idempotent() && self.time_left() >= LEAST_TIME
     }
 
+    /// Notes that a server's answer is whole, with so many tokens generated.
+    pub(super) fn note_finished(&self, opened: &Opened, generated: u32) {
+        let now = self.core.clock.now();
+        let took = opened.sent_at.elapsed();
+        let mut servers = self.core.servers.borrow_mut();
+        servers.note_finished(&opened.server, &self.parts, generated, took, now);
+    }
+
+    /// Notes that the first part of a server's answer came.
+    pub(super) fn note_read(&self, opened: &Opened) {
+        let now = self.core.clock.now();
+        let took = opened.sent_at.elapsed();
+        let unread = opened.unread_tokens;
+        let mut servers = self.core.servers.borrow_mut();
+        servers.note_read(&opened.server, &self.parts, unread, took, now);
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -155,13 +218,14 @@
         }
         let table = self.core.servers.borrow();
         let now = self.core.clock.now();
-        let key = self
-            .call
-            .affinity_key
-            .as_deref()
-            .filter(|_| self.route.affinity);
         if may_try_another {
-            let other = table.choose(&self.service, key, &excluded, now, rand::random());
+            let demand = Demand {
+                service: &self.service,
+                zone: &self.core.zone,
+                parts: &self.parts,
+                most_in_flight: table.part_of(self.connection_limit),
+            };
+            let other = table.choose(&demand, &excluded, now, rand::random());
             if other.is_some() {
                 return other;
             }
--- a/crates/courseshed-edge/src/gateway/call.rs
+++ b/crates/courseshed-edge/src/gateway/call.rs
@@ -7,6 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 
+use super::prompt_memory::PromptPart;
+
 /// What a request says of the program it belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProgramClaim {
@@ -45,6 +47,8 @@
     pub most_tokens: Option<u32>,
     /// What a server that saw the same thing lately is found by.
     pub affinity_key: Option<String>,
+    /// The parts of the prompt, in order; empty if it has none.
+    pub prompt: Vec<PromptPart>,
     /// The kept turn that it goes on from.
     pub previous_turn: Option<String>,
 }
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -26,6 +26,8 @@
     pub metrics: Arc<Metrics>,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
+    /// Where this gateway stands.
+    pub zone: String,
     /// When a planned stop ends the process; none while it isn't stopping.
     pub ends_at: Cell<Option<Instant>>,
     pub under_way: Cell<usize>,
@@ -44,6 +46,7 @@
         follower: Arc<FleetFollower>,
         records: RecordClient,
         metrics: Arc<Metrics>,
+        zone: String,
     ) -> Rc<Self> {
         Rc::new(Self {
             codec,
@@ -53,6 +56,7 @@
             metrics,
             clock: Clock::start(),
             servers: RefCell::default(),
+            zone,
             ends_at: Cell::new(None),
             under_way: Cell::new(0),
             splits: RefCell::default(),
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -0,0 +1,100 @@
+//! What a call is expected to cost at a server, in milliseconds of everyone's time. Pure.
+//!
+//! A server runs calls side by side, each a little slower for the others, up to its slots; beyond
+//! them calls wait. What it has to read of a prompt holds up the call and, since servers read
+//! between the tokens of other calls, those as well.
+
+/// How much slower a call is at a server all of whose slots are taken.
+const CROWDED_SLOWDOWN: f64 = 0.1;
+/// Share of the slots from which on a call is taken to wait: what is known of other gateways lags.
+const WAITING_FROM: f64 = 0.8;
+/// Share of the time of a read by which each running call is held up.
+const READ_HOLDS_UP: f64 = 0.5;
+/// What sending a call to another zone is worth.
+const OTHER_ZONE_MS: f64 = 8.0;
+
+/// What is known of a service's calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServicePace {
+    /// How long a call is at a server.
+    pub call_ms: f64,
+    /// How long a server reads a token of a prompt.
+    pub read_ms_per_token: f64,
+}
+
+/// What is known of a server and a call that may go there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prospect {
+    /// Calls of all gateways at the server.
+    pub calls: u32,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Its times against the usual ones of its service.
+    pub slowness: f64,
+    /// Tokens of the prompt that it has still to read.
+    pub unread_tokens: u32,
+    /// Whether it stands in the gateway's own zone.
+    pub is_near: bool,
+}
+
+/// The expected cost, in milliseconds.
+#[must_use]
+pub fn expected_ms(prospect: &Prospect, pace: &ServicePace) -> f64 {
+    let slots = f64::from(prospect.slots.max(1));
+    let calls = f64::from(prospect.calls);
+    let crowd = CROWDED_SLOWDOWN * (calls / slots).min(1.0);
+    let waiting = (calls + 1.0 - WAITING_FROM * slots).max(0.0) / slots;
+    let read = f64::from(prospect.unread_tokens) * pace.read_ms_per_token;
+    let held_up = 1.0 + READ_HOLDS_UP * calls.min(slots);
+    let own = pace.call_ms * (1.0 + crowd + waiting) + read * held_up;
+    let distance = if prospect.is_near { 0.0 } else { OTHER_ZONE_MS };
+    own * prospect.slowness + distance
+}
+
+/// Learns how long the calls of a service take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceEstimate(ServicePace);
+
+/// Weight of a new time in the average of a service's times.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// Weights of a faster and of a slower read: what waited is no sign of slow reading.
+const FASTER_READ_WEIGHT: f64 = 0.3;
+const SLOWER_READ_WEIGHT: f64 = 0.02;
+/// Fewer tokens than this say little of how fast a server reads.
+const TELLING_TOKENS: u32 = 4_000;
+
+impl Default for PaceEstimate {
+    fn default() -> Self {
+        Self(ServicePace {
+            call_ms: 200.0,
+            read_ms_per_token: 0.005,
+        })
+    }
+}
+
+impl PaceEstimate {
+    /// What is expected now.
+    #[must_use]
+    pub fn pace(&self) -> ServicePace {
+        self.0
+    }
+
+    /// Takes in how long a whole call was at a server.
+    pub fn note_call(&mut self, took_ms: f64) {
+        self.0.call_ms += NEWEST_WEIGHT * (took_ms - self.0.call_ms);
+    }
+
+    /// Takes in how long the first part of an answer took, with so many tokens to read before it.
+    pub fn note_read(&mut self, unread_tokens: u32, took_ms: f64) {
+        if unread_tokens < TELLING_TOKENS {
+            return;
+        }
+        let seen = took_ms / f64::from(unread_tokens);
+        let weight = if seen < self.0.read_ms_per_token {
+            FASTER_READ_WEIGHT
+        } else {
+            SLOWER_READ_WEIGHT
+        };
+        self.0.read_ms_per_token += weight * (seen - self.0.read_ms_per_token);
+    }
+}
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -3,10 +3,12 @@
 mod attempts;
 mod call;
 mod core;
+mod cost;
 mod events;
 mod load;
 mod plain;
 mod program;
+mod prompt_memory;
 mod refusal;
 mod server;
 mod servers;
@@ -14,7 +16,9 @@
 mod upstream;
 
 pub use call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
+pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
+pub use prompt_memory::{PromptMemory, PromptPart};
 pub use refusal::Refusal;
 pub use server::{GatewayError, GatewaySettings, run};
-pub use servers::{Chosen, Report, ServerTable};
+pub use servers::{Chosen, Demand, Report, ServerTable};
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -67,7 +67,8 @@
         .await
         .unwrap_or(Err(UpstreamError::TimedOut))?;
     let took = opened.sent_at.elapsed();
-    attempts.core.report(&opened.server, Report::Answered(took));
+    attempts.core.report(&opened.server, Report::Paced(took));
+    attempts.note_finished(opened, 0);
     Ok(body)
 }
 
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -15,7 +15,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::attempts::Attempts;
+use super::attempts::{Attempts, ChosenService};
 use super::call::{CallCodec, CallEnvelope};
 use super::core::GatewayCore;
 use super::load::share_load;
@@ -33,8 +33,8 @@
 const STOP_CHECK: Duration = Duration::from_millis(50);
 /// How long a request that comes before the first routing table waits for it at most.
 const START_WAIT: Duration = Duration::from_millis(300);
-/// How often kept connections are looked through.
-const POOL_CHECK: Duration = Duration::from_secs(2);
+/// How often kept connections and what is known of servers are looked through.
+const TIDY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// How a gateway runs.
 pub struct GatewaySettings {
@@ -106,9 +106,15 @@
         settings.addresses,
         settings.zone.clone(),
     );
-    let core = GatewayCore::new(settings.codec, follower, records, settings.metrics);
+    let core = GatewayCore::new(
+        settings.codec,
+        follower,
+        records,
+        settings.metrics,
+        settings.zone,
+    );
     actix_rt::spawn(follow_fleet(core.clone()));
-    actix_rt::spawn(tidy_pool(core.clone()));
+    actix_rt::spawn(tidy(core.clone()));
     actix_rt::spawn(share_load(core.clone(), peers));
     let address = settings.readiness;
     let readiness = listen(address).context(ListenSnafu { address })?;
@@ -139,9 +145,10 @@
     }
 }
 
-async fn tidy_pool(core: Rc<GatewayCore>) {
+async fn tidy(core: Rc<GatewayCore>) {
     loop {
-        sleep(POOL_CHECK).await;
+        sleep(TIDY_INTERVAL).await;
+        core.servers.borrow_mut().tidy(core.clock.now());
         core.pool.retain(|id| core.servers.borrow().contains(id));
     }
 }
@@ -216,11 +223,14 @@
         return Err(Refusal::NoRoute);
     };
     let service = core.split(&route).ok_or(Refusal::NoRoute)?;
-    let engine = routing
-        .table
-        .service(&service)
-        .and_then(|service| service.engine.as_ref());
+    let known = routing.table.service(&service);
+    let engine = known.and_then(|service| service.engine.as_ref());
     let tokens_per_event = engine.map(|engine| engine.tokens_per_event);
+    let limit = known.map_or(0, |service| service.connection_limit);
+    let service = ChosenService {
+        name: service,
+        connection_limit: if limit == 0 { u32::MAX } else { limit },
+    };
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived + call.time_left.map_or(timeout, |left| left.min(timeout));
     if !core.is_there_at(deadline) {
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -1,23 +1,23 @@
 //! Which server a request goes to, from what this gateway has seen of them. Pure: times are passed in.
 //!
-//! Gateways tell each other how many calls they have at each server, a moment late. A server gets no
-//! more calls at once than a bound above the average (consistent hashing with bounded loads,
-//! Mirrokni, Thorup and Zadimoghaddam, 2018), and of those below it, the one that saw the same thing
-//! lately is preferred.
+//! Gateways tell each other how many calls they have at each server, a moment late. A call goes where
+//! it is expected to cost least (see [`super::cost`]); of servers that cost nearly the same, all
+//! gateways prefer the same one for the same prompt, so that it need not be read at many.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use courseshed_registry::{LoadReport, Server, ServerKey, ServerLoad, ServerState};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
+use super::prompt_memory::{PromptMemory, PromptPart};
 
-/// How far above the average a server may be loaded by affinity.
-const LOAD_BOUND: f64 = 1.25;
 /// Weight of the newest time in the average of a server's times.
 const NEWEST_WEIGHT: f64 = 0.15;
-/// A server whose times are so many times the usual ones is slow: affinity doesn't lead there.
-const SLOW_FACTOR: f64 = 2.5;
+/// How much the order that all gateways share may weigh, in milliseconds.
+const PREFERENCE_MS: f64 = 4.0;
 /// First and longest rest after a failure.
 const FIRST_REST: Duration = Duration::from_millis(400);
 const LONGEST_REST: Duration = Duration::from_secs(4);
@@ -35,11 +35,24 @@
     pub address: SocketAddr,
 }
 
+/// What a call needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The zone of the gateway.
+    pub zone: &'a str,
+    /// The prompt; empty if it doesn't matter what a server saw before.
+    pub parts: &'a [PromptPart],
+    /// Most calls that this gateway may have at one server.
+    pub most_in_flight: u32,
+}
+
 /// What became of a request at a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Report {
-    /// It answered, the first part after so long.
-    Answered(Duration),
+    /// It answered a plain call, or went on with a stream by one event, after so long.
+    Paced(Duration),
     /// It was full, or refused without running the request.
     Full,
     /// The connection failed, or no whole answer came.
@@ -49,11 +62,13 @@
 #[derive(Clone, Debug)]
 struct Seen {
     server: Server,
+    key: ServerKey,
     /// Calls of this gateway.
     in_flight: u32,
     /// Calls of the other gateways, as they said last.
     others: u32,
-    /// Average time to the first part of an answer, in milliseconds; 0 when none was seen.
+    /// Average time of a plain answer or from one event to the next, in milliseconds; 0 when none
+    /// was seen.
     usual_ms: f64,
     failures: u32,
     rests_until: Duration,
@@ -64,6 +79,9 @@
 pub struct ServerTable {
     seen: BTreeMap<String, Seen>,
     others_noted: Duration,
+    gateways: u32,
+    prompts: PromptMemory,
+    paces: BTreeMap<String, PaceEstimate>,
 }
 
 impl ServerTable {
@@ -79,6 +97,7 @@
                 }
                 None => Seen {
                     server: server.clone(),
+                    key: ServerKey::of(&server.id),
                     in_flight: 0,
                     others: 0,
                     usual_ms: 0.0,
@@ -101,18 +120,14 @@
     #[must_use]
     pub fn listed(&self, id: &str) -> Option<Chosen> {
         let seen = self.seen.get(id)?;
-        (seen.server.state == ServerState::Ready).then(|| Chosen {
-            id: id.to_owned(),
-            address: seen.server.address,
-        })
+        (seen.server.state == ServerState::Ready).then(|| seen.chosen())
     }
 
-    /// Chooses a server of a service, none of `excluded`. `tie` breaks ties.
+    /// Chooses a server for a call, none of `excluded`. `tie` breaks ties.
     #[must_use]
     pub fn choose(
         &self,
-        service: &str,
-        affinity_key: Option<&str>,
+        demand: &Demand,
         excluded: &[String],
         now: Duration,
         tie: u64,
@@ -120,9 +135,10 @@
         let open: Vec<&Seen> = self
             .seen
             .values()
-            .filter(|seen| seen.server.service == service)
+            .filter(|seen| seen.server.service == demand.service)
             .filter(|seen| seen.server.state == ServerState::Ready)
             .filter(|seen| !excluded.contains(&seen.server.id))
+            .filter(|seen| seen.in_flight < demand.most_in_flight)
             .collect();
         let awake: Vec<&Seen> = open
             .iter()
@@ -131,12 +147,80 @@
             .collect();
         let candidates = if awake.is_empty() { open } else { awake };
         let usual_ms = median_ms(&candidates);
-        let favourite = affinity_key.and_then(|key| favourite(&candidates, key, usual_ms));
-        let chosen = favourite.or_else(|| least_loaded(&candidates, usual_ms, tie))?;
-        Some(Chosen {
-            id: chosen.server.id.clone(),
-            address: chosen.server.address,
-        })
+        let pace = self.pace_of(demand.service);
+        let cost = |seen: &Seen| {
+            let prospect = self.prospect(seen, demand, usual_ms, now);
+            let salt = demand.parts.first().map_or(tie, |part| part.id);
+            expected_ms(&prospect, &pace) + PREFERENCE_MS * seen.preference(salt)
+        };
+        let costs = candidates.into_iter().map(|seen| (cost(seen), seen));
+        let (_, chosen) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(chosen.chosen())
+    }
+
+    fn prospect(&self, seen: &Seen, demand: &Demand, usual_ms: f64, now: Duration) -> Prospect {
+        Prospect {
+            calls: seen.calls(),
+            slots: seen.server.slots,
+            slowness: seen.slowness(usual_ms),
+            unread_tokens: self.prompts.unread_tokens(seen.key, demand.parts, now),
+            is_near: seen.server.zone == demand.zone,
+        }
+    }
+
+    fn pace_of(&self, service: &str) -> ServicePace {
+        let estimate = self.paces.get(service).copied().unwrap_or_default();
+        estimate.pace()
+    }
+
+    /// Tokens of a prompt that a server has still to read, as far as is known.
+    #[must_use]
+    pub fn unread_tokens(&self, id: &str, parts: &[PromptPart], now: Duration) -> u32 {
+        self.prompts.unread_tokens(ServerKey::of(id), parts, now)
+    }
+
+    /// Takes in that the first part of an answer came, with so many tokens to read before it.
+    pub fn note_read(
+        &mut self,
+        id: &str,
+        parts: &[PromptPart],
+        unread_tokens: u32,
+        took: Duration,
+        now: Duration,
+    ) {
+        self.prompts.note(ServerKey::of(id), parts, 0, now);
+        if let Some(seen) = self.seen.get(id) {
+            let estimate = self.paces.entry(seen.server.service.clone()).or_default();
+            estimate.note_read(unread_tokens, milliseconds(took));
+        }
+    }
+
+    /// Takes in that a call was over at a server, with so many tokens generated.
+    pub fn note_finished(
+        &mut self,
+        id: &str,
+        parts: &[PromptPart],
+        generated: u32,
+        took: Duration,
+        now: Duration,
+    ) {
+        self.prompts.note(ServerKey::of(id), parts, generated, now);
+        if let Some(seen) = self.seen.get(id) {
+            let estimate = self.paces.entry(seen.server.service.clone()).or_default();
+            estimate.note_call(milliseconds(took));
+        }
+    }
+
+    /// Forgets what is too old to be true.
+    pub fn tidy(&mut self, now: Duration) {
+        self.prompts.tidy(now);
+        let services: BTreeSet<&str> = self
+            .seen
+            .values()
+            .map(|seen| seen.server.service.as_str())
+            .collect();
+        self.paces
+            .retain(|service, _| services.contains(service.as_str()));
     }
 
     /// The calls of this gateway, for the others.
@@ -144,7 +228,7 @@
     pub fn load_report(&self) -> LoadReport {
         let busy = self.seen.values().filter(|seen| seen.in_flight > 0);
         let servers = busy.map(|seen| ServerLoad {
-            server: ServerKey::of(&seen.server.id),
+            server: seen.key,
             in_flight: seen.in_flight,
         });
         LoadReport {
@@ -161,10 +245,16 @@
             .map(|load| (load.server, load.in_flight))
             .collect();
         for seen in self.seen.values_mut() {
-            let key = ServerKey::of(&seen.server.id);
-            seen.others = by_key.get(&key).copied().unwrap_or(0);
+            seen.others = by_key.get(&seen.key).copied().unwrap_or(0);
         }
         self.others_noted = now;
+        self.gateways = others.gateways + 1;
+    }
+
+    /// This gateway's part of what all gateways together may have at a server.
+    #[must_use]
+    pub fn part_of(&self, limit: u32) -> u32 {
+        (limit / self.gateways.max(1)).max(1)
     }
 
     /// Forgets what the other gateways said, if that is too long ago.
@@ -197,8 +287,8 @@
             return;
         };
         match report {
-            Report::Answered(took) => {
-                let took_ms = took.as_secs_f64() * 1000.0;
+            Report::Paced(took) => {
+                let took_ms = milliseconds(took);
                 seen.usual_ms = if seen.usual_ms == 0.0 {
                     took_ms
                 } else {
@@ -229,8 +319,17 @@
         self.in_flight + self.others
     }
 
-    fn load(&self) -> f64 {
-        f64::from(self.calls()) / f64::from(self.server.slots.max(1))
+    fn chosen(&self) -> Chosen {
+        Chosen {
+            id: self.server.id.clone(),
+            address: self.server.address,
+        }
+    }
+
+    /// The server's place in an order that depends on the salt alone: from 0, first, to 1.
+    fn preference(&self, salt: u64) -> f64 {
+        let hash = xxh3_64_with_seed(&self.key.0.to_le_bytes(), salt);
+        hash as f64 / u64::MAX as f64
     }
 }
 
@@ -244,31 +343,6 @@
     times.get(times.len() / 2).copied().unwrap_or(0.0)
 }
 
-/// The first server of the key's own order that isn't loaded beyond the bound.
-fn favourite<'a>(candidates: &[&'a Seen], key: &str, usual_ms: f64) -> Option<&'a Seen> {
-    let calls: u32 = candidates.iter().map(|seen| seen.calls()).sum();
-    let average = f64::from(calls + 1) / candidates.len().max(1) as f64;
-    let bound = (average * LOAD_BOUND).ceil();
-    candidates
-        .iter()
-        .copied()
-        .filter(|seen| f64::from(seen.calls()) < bound)
-        .filter(|seen| seen.slowness(usual_ms) < SLOW_FACTOR)
-        .max_by_key(|seen| rank(key, &seen.server.id))
-}
-
-fn least_loaded<'a>(candidates: &[&'a Seen], usual_ms: f64, tie: u64) -> Option<&'a Seen> {
-    let cost = |seen: &Seen| {
-        let share = 1.0 / f64::from(seen.server.slots.max(1));
-        (seen.load() + share) * seen.slowness(usual_ms)
-    };
-    candidates.iter().copied().min_by(|left, right| {
-        let by_cost = cost(left).total_cmp(&cost(right));
-        let place = |seen: &Seen| xxh3_64(seen.server.id.as_bytes()) ^ tie;
-        by_cost.then_with(|| place(left).cmp(&place(right)))
-    })
-}
-
-fn rank(key: &str, id: &str) -> u64 {
-    xxh3_64(format!("{key}/{id}").as_bytes())
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
 }
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -69,6 +69,9 @@
         last_event,
         output: BytesMut::new(),
         is_first: true,
+        tokens_per_event,
+        last_arrival: None,
+        events_here: 0,
     };
     let events = stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
@@ -114,6 +117,10 @@
     last_event: Option<u64>,
     output: BytesMut,
     is_first: bool,
+    tokens_per_event: u64,
+    /// When the server that has the stream sent events last, and how many it has sent.
+    last_arrival: Option<Instant>,
+    events_here: u32,
 }
 
 impl EventRelay {
@@ -144,7 +151,9 @@
     /// Whole events that the caller lacks, with their bytes as they came.
     fn take_events(&mut self) -> Bytes {
         let mut ready = BytesMut::new();
+        let mut arrived = 0;
         while let Some(event) = self.splitter.next_event() {
+            arrived += 1;
             if !self.is_new(&event) {
                 continue;
             }
@@ -161,9 +170,30 @@
             }
             ready.extend_from_slice(&event.bytes);
         }
+        self.note_arrived(arrived);
         ready.freeze()
     }
 
+    /// Notes how fast the server goes on.
+    fn note_arrived(&mut self, events: u32) {
+        let Some(opened) = &self.opened else {
+            return;
+        };
+        if events == 0 {
+            return;
+        }
+        let now = Instant::now();
+        match self.last_arrival.replace(now) {
+            None => self.attempts.note_read(opened),
+            Some(before) => {
+                let each = now.duration_since(before) / events;
+                let core = &self.attempts.core;
+                core.report(&opened.server, Report::Paced(each));
+            }
+        }
+        self.events_here += events;
+    }
+
     fn is_new(&self, event: &Event) -> bool {
         match (event.id, self.last_event) {
             (Some(id), Some(last)) => id > last,
@@ -181,10 +211,7 @@
         }
         let chunk = timeout_at(limit, opened.upstream.next_chunk()).await;
         let chunk = chunk.unwrap_or(Err(UpstreamError::TimedOut))?;
-        if std::mem::take(&mut self.is_first) {
-            let report = Report::Answered(opened.sent_at.elapsed());
-            self.attempts.core.report(&opened.server, report);
-        }
+        self.is_first = false;
         Ok(chunk)
     }
 
@@ -201,6 +228,8 @@
         match self.attempts.open(self.last_event).await {
             Ok(opened) if opened.head.status == StatusCode::OK => {
                 self.opened = Some(opened);
+                self.last_arrival = None;
+                self.events_here = 0;
                 Ok(())
             }
             _ => self.break_off(),
@@ -215,6 +244,9 @@
     /// Keeps the turn, if its route keeps turns, and gives the connection back.
     async fn finish(&mut self) -> Result<(), BrokenOff> {
         if let Some(opened) = self.opened.take() {
+            let generated = u64::from(self.events_here) * self.tokens_per_event;
+            let generated = u32::try_from(generated).unwrap_or(u32::MAX);
+            self.attempts.note_finished(&opened, generated);
             opened.upstream.finish();
         }
         if self.attempts.route.keeps_turns {
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use courseshed_edge::gateway::{EventSplitter, Report, ServerTable};
+use courseshed_edge::gateway::{Demand, EventSplitter, PromptPart, Report, ServerTable};
 use courseshed_registry::{LoadReport, Server, ServerKey, ServerLoad, ServerState};
 use yare::parameterized;
 
@@ -29,9 +29,23 @@
     table
 }
 
+fn demand(parts: &[PromptPart]) -> Demand<'_> {
+    Demand {
+        service: "s",
+        zone: "a",
+        parts,
+        most_in_flight: u32::MAX,
+    }
+}
+
 fn choose(table: &ServerTable, key: Option<&str>, excluded: &[&str]) -> Option<String> {
     let excluded: Vec<String> = excluded.iter().map(|id| (*id).to_owned()).collect();
-    let chosen = table.choose("s", key, &excluded, NOW, 7)?;
+    let part = key.map(|key| PromptPart {
+        id: key.len() as u64,
+        tokens: 2_000,
+    });
+    let parts: Vec<PromptPart> = part.into_iter().collect();
+    let chosen = table.choose(&demand(&parts), &excluded, NOW, 7)?;
     Some(chosen.id)
 }
 
@@ -117,7 +131,7 @@
     let favourite = choose(&table, Some("session"), &[]).expect("a server");
     for id in ["a", "b", "c"] {
         let took = if id == favourite { 900 } else { 100 };
-        let report = Report::Answered(Duration::from_millis(took));
+        let report = Report::Paced(Duration::from_millis(took));
         table.report(id, report, NOW);
     }
     assert_ne!(choose(&table, Some("session"), &[]), Some(favourite));
--- /dev/null
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -0,0 +1,161 @@
+//! What a call is expected to cost at a server, and what servers are taken to have read.
+
+use std::time::Duration;
+
+use courseshed_edge::gateway::{
+    Demand, PaceEstimate, PromptMemory, PromptPart, Prospect, ServerTable, ServicePace, expected_ms,
+};
+use courseshed_registry::{Server, ServerKey, ServerState};
+use yare::parameterized;
+
+const NOW: Duration = Duration::from_secs(10);
+const PACE: ServicePace = ServicePace {
+    call_ms: 300.0,
+    read_ms_per_token: 0.005,
+};
+const IDLE: Prospect = Prospect {
+    calls: 0,
+    slots: 12,
+    slowness: 1.0,
+    unread_tokens: 0,
+    is_near: true,
+};
+const SHARED: PromptPart = PromptPart {
+    id: 1,
+    tokens: 12_000,
+};
+
+fn own(tokens: u32) -> PromptPart {
+    PromptPart { id: 2, tokens }
+}
+
+#[parameterized(
+    more_calls = { Prospect { calls: 6, ..IDLE } },
+    slower = { Prospect { slowness: 1.3, ..IDLE } },
+    more_to_read = { Prospect { unread_tokens: 500, ..IDLE } },
+    another_zone = { Prospect { is_near: false, ..IDLE } },
+)]
+fn whatever_is_worse_costs_more(worse: Prospect) {
+    assert!(expected_ms(&worse, &PACE) > expected_ms(&IDLE, &PACE));
+}
+
+#[test]
+fn a_long_read_costs_more_where_others_run() {
+    let cost_of_read = |calls| {
+        let cached = Prospect { calls, ..IDLE };
+        let unread = Prospect {
+            unread_tokens: 12_000,
+            ..cached
+        };
+        expected_ms(&unread, &PACE) - expected_ms(&cached, &PACE)
+    };
+    assert!(cost_of_read(8) > 2.0 * cost_of_read(0));
+}
+
+#[test]
+fn a_full_server_costs_more_than_a_free_one_in_another_zone() {
+    let full = Prospect { calls: 12, ..IDLE };
+    let far = Prospect {
+        calls: 6,
+        is_near: false,
+        ..IDLE
+    };
+    assert!(expected_ms(&full, &PACE) > expected_ms(&far, &PACE));
+}
+
+#[test]
+fn a_prompt_is_read_up_to_its_first_unknown_part() {
+    let server = ServerKey::of("a");
+    let mut memory = PromptMemory::default();
+    let prompt = [SHARED, own(1_000)];
+    assert_eq!(memory.unread_tokens(server, &prompt, NOW), 13_000);
+    memory.note(server, &[SHARED], 0, NOW);
+    assert_eq!(memory.unread_tokens(server, &prompt, NOW), 1_000);
+    let unknown = PromptPart { id: 9, tokens: 10 };
+    let behind_unknown = [unknown, SHARED];
+    assert_eq!(memory.unread_tokens(server, &behind_unknown, NOW), 12_010);
+    let elsewhere = ServerKey::of("b");
+    assert_eq!(memory.unread_tokens(elsewhere, &prompt, NOW), 13_000);
+}
+
+#[test]
+fn what_was_generated_need_not_be_read() {
+    let server = ServerKey::of("a");
+    let mut memory = PromptMemory::default();
+    memory.note(server, &[SHARED, own(1_000)], 300, NOW);
+    let next_turn = [SHARED, own(1_800)];
+    assert_eq!(memory.unread_tokens(server, &next_turn, NOW), 500);
+}
+
+#[test]
+fn notes_are_forgotten_after_a_while() {
+    let server = ServerKey::of("a");
+    let mut memory = PromptMemory::default();
+    memory.note(server, &[SHARED], 0, NOW);
+    let later = NOW + Duration::from_secs(31);
+    assert_eq!(memory.unread_tokens(server, &[SHARED], later), 12_000);
+    memory.tidy(later);
+    assert_eq!(memory.unread_tokens(server, &[SHARED], NOW), 12_000);
+}
+
+#[test]
+fn reads_that_waited_say_less_than_fast_ones() {
+    let mut estimate = PaceEstimate::default();
+    let before = estimate.pace().read_ms_per_token;
+    estimate.note_read(10_000, 10.0 * before * 10_000.0);
+    let after_waiting = estimate.pace().read_ms_per_token;
+    estimate.note_read(10_000, 0.1 * before * 10_000.0);
+    let after_fast = estimate.pace().read_ms_per_token;
+    assert!(after_waiting < 1.5 * before);
+    assert!(after_fast < 0.9 * after_waiting);
+    estimate.note_read(100, 1_000.0);
+    assert_eq!(estimate.pace().read_ms_per_token, after_fast);
+}
+
+fn server(id: &str, zone: &str) -> Server {
+    Server {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: zone.to_owned(),
+        slots: 12,
+        state: ServerState::Ready,
+    }
+}
+
+fn choose(table: &ServerTable, parts: &[PromptPart], most_in_flight: u32) -> Option<String> {
+    let demand = Demand {
+        service: "s",
+        zone: "near",
+        parts,
+        most_in_flight,
+    };
+    table.choose(&demand, &[], NOW, 7).map(|chosen| chosen.id)
+}
+
+#[test]
+fn a_turn_goes_back_to_the_server_that_has_read_its_prompt() {
+    let mut table = ServerTable::default();
+    table.replace(&[server("near", "near"), server("far", "far")]);
+    let prompt = [SHARED, own(1_000)];
+    assert_eq!(choose(&table, &prompt, 9), Some("near".to_owned()));
+    table.note_read("far", &prompt, 13_000, Duration::from_millis(60), NOW);
+    assert_eq!(choose(&table, &prompt, 9), Some("far".to_owned()));
+}
+
+#[test]
+fn a_gateway_keeps_to_its_part_of_a_limit() {
+    let mut table = ServerTable::default();
+    table.replace(&[server("near", "near")]);
+    table.begin("near");
+    assert_eq!(choose(&table, &[], 2), Some("near".to_owned()));
+    assert_eq!(choose(&table, &[], 1), None);
+    assert_eq!(table.part_of(160), 160);
+    let others = courseshed_registry::LoadReport {
+        gateways: 7,
+        servers: Vec::new(),
+    };
+    table.note_others(&others, NOW);
+    assert_eq!(table.part_of(160), 20);
+    assert_eq!(table.part_of(3), 1);
+}
--- a/crates/courseshed-edge/tests/support/codec.rs
+++ b/crates/courseshed-edge/tests/support/codec.rs
@@ -33,6 +33,7 @@
             program,
             most_tokens: number("x-most").map(|most| most as u32),
             affinity_key: text(headers, "x-key"),
+            prompt: Vec::new(),
             previous_turn: text(headers, "x-previous"),
         })
     }
