Weigh reads of prompts by the calls they hold up, twice

Cause: of the weights of the expected cost, only that of a read mattered much. A read holds up each call that runs by its own length, and takes the same room from those to come; it was weighed with half its length for each running call.

--- a/crates/courseshed-edge/src/gateway/cost.rs
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -8,8 +8,9 @@
 const CROWDED_SLOWDOWN: f64 = 0.1;
 /// Share of the slots from which on a call is taken to wait: what is known of other gateways lags.
 const WAITING_FROM: f64 = 0.8;
-/// Share of the time of a read by which each running call is held up.
-const READ_HOLDS_UP: f64 = 0.5;
+/// By how much of the time of a read each running call counts as held up: itself once, and once more
+/// for the room that the read takes from calls to come.
+const READ_HOLDS_UP: f64 = 2.0;
 /// What sending a call to another zone is worth.
 const OTHER_ZONE_MS: f64 = 8.0;
 
