Split the controller's worker, share what gateway and platform wrote twice, and log what decided a choice

Headers of one connection, the reading of a body and the usual times of HTTP stood two and three times.

The line of a finished call names what decided it: the version of the routing table, the calls known at the server, how old that knowledge is, and the tokens it had still to read.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -20,16 +20,12 @@
 
 use crate::clock::Clock;
 use crate::peers::Peers;
-use crate::protocol::{PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest};
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
 
 /// How long a caller waits before it is told that nothing is certain. Callers try another controller
 /// after a second of silence.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(900);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// How often a controller that doesn't lead tells the leader whom it heard.
-const RELAY_INTERVAL: Duration = Duration::from_millis(500);
-/// How often controllers tell each other of the calls of their gateways.
-const LOAD_INTERVAL: Duration = Duration::from_millis(80);
 /// A controller that has not heard the leader for so long may not say that nothing is new.
 const FRESH_LIMIT: Duration = Duration::from_millis(600);
 
@@ -101,9 +97,9 @@
 }
 
 #[derive(Default)]
-struct Heard {
-    servers: BTreeSet<String>,
-    nodes: BTreeSet<NodeId>,
+pub(super) struct Heard {
+    pub(super) servers: BTreeSet<String>,
+    pub(super) nodes: BTreeSet<NodeId>,
 }
 
 impl Shared {
@@ -189,57 +185,18 @@
         self.load.lock().note_controller(now, controller, report);
     }
 
-    fn load_of_own_gateways(&self) -> LoadReport {
+    pub(super) fn load_of_own_gateways(&self) -> LoadReport {
         let now = self.clock.now();
         let mut board = self.load.lock();
         board.forget_old(now);
         board.own_gateways(now)
     }
 
-    fn take_heard(&self) -> Heard {
+    pub(super) fn take_heard(&self) -> Heard {
         std::mem::take(&mut *self.heard.lock())
     }
 }
 
-/// Tells the leader, here or elsewhere, whom this controller heard.
-pub(super) async fn relay_heard(shared: Arc<Shared>) {
-    loop {
-        sleep(RELAY_INTERVAL).await;
-        let published = shared.published();
-        let Some(leader) = published.leader else {
-            continue;
-        };
-        let heard = shared.take_heard();
-        let servers: Vec<String> = heard.servers.into_iter().collect();
-        let nodes: Vec<NodeId> = heard.nodes.into_iter().collect();
-        if servers.is_empty() && nodes.is_empty() {
-            continue;
-        }
-        if published.is_leader {
-            shared.tell(Input::Heard { servers, nodes });
-        } else if let Some(peers) = shared.peers() {
-            let _ = peers.send(leader, PeerMessage::Heard { servers, nodes });
-        }
-    }
-}
-
-/// Tells the other controllers what the gateways have that follow this one.
-pub(super) async fn relay_load(shared: Arc<Shared>) {
-    let mut last = LoadReport::default();
-    loop {
-        sleep(LOAD_INTERVAL).await;
-        let report = shared.load_of_own_gateways();
-        let is_idle = report.servers.is_empty() && last.servers.is_empty();
-        if let (false, Some(peers)) = (is_idle, shared.peers()) {
-            let others = shared.published().controllers.into_keys();
-            for controller in others.filter(|node| *node != shared.node()) {
-                let _ = peers.send(controller, PeerMessage::Load(report.clone()));
-            }
-        }
-        last = report;
-    }
-}
-
 /// A controller, for servers and operators.
 #[derive(Clone)]
 pub struct ControllerHandle {
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -1,9 +1,12 @@
 //! A controller: a replica of the fleet's state, and what servers, operators and peers ask of it.
 
+mod admission;
 mod founding;
 mod handle;
 mod housekeeping;
 mod peers;
+mod relay;
+mod replica;
 mod worker;
 
 use std::path::PathBuf;
@@ -15,7 +18,7 @@
 
 pub use handle::{ControlError, ControllerHandle};
 pub use housekeeping::replicas_wanted;
-pub use worker::StartError;
+pub use replica::StartError;
 
 use crate::clock::Clock;
 use crate::peers::{PeersError, start_peers};
@@ -87,7 +90,7 @@
     )
     .await;
     let initial_members = founding::founders(settings.is_first_start, settings.node, &seeds());
-    let options = worker::WorkerOptions {
+    let options = replica::WorkerOptions {
         node: settings.node,
         folder: settings.folder,
         incarnation,
@@ -97,13 +100,13 @@
         disks_borne: settings.disks_borne,
         disk_faults: settings.disk_faults,
     };
-    worker::start(options, shared.clone(), peers).context(ReplicaSnafu)?;
+    replica::start(options, shared.clone(), peers).context(ReplicaSnafu)?;
     tokio::spawn(founding::keep_joined(
         shared.clone(),
         settings.addresses,
         seeds,
     ));
-    tokio::spawn(handle::relay_heard(shared.clone()));
-    tokio::spawn(handle::relay_load(shared));
+    tokio::spawn(relay::relay_heard(shared.clone()));
+    tokio::spawn(relay::relay_load(shared));
     Ok(handle)
 }
--- /dev/null
+++ b/crates/courseshed-edge/src/controller/relay.rs
@@ -0,0 +1,56 @@
+//! What controllers tell each other beside the replicated log: whom they heard, and the calls of the
+//! gateways that follow them. All of it is soft knowledge that is told again and again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_registry::LoadReport;
+use courseshed_types::NodeId;
+use tokio::time::sleep;
+
+use super::handle::{Input, Shared};
+use crate::protocol::PeerMessage;
+
+/// How often a controller that doesn't lead tells the leader whom it heard.
+const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+/// How often controllers tell each other of the calls of their gateways.
+const LOAD_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Tells the leader, here or elsewhere, whom this controller heard.
+pub(super) async fn relay_heard(shared: Arc<Shared>) {
+    loop {
+        sleep(RELAY_INTERVAL).await;
+        let published = shared.published();
+        let Some(leader) = published.leader else {
+            continue;
+        };
+        let heard = shared.take_heard();
+        let servers: Vec<String> = heard.servers.into_iter().collect();
+        let nodes: Vec<NodeId> = heard.nodes.into_iter().collect();
+        if servers.is_empty() && nodes.is_empty() {
+            continue;
+        }
+        if published.is_leader {
+            shared.tell(Input::Heard { servers, nodes });
+        } else if let Some(peers) = shared.peers() {
+            let _ = peers.send(leader, PeerMessage::Heard { servers, nodes });
+        }
+    }
+}
+
+/// Tells the other controllers what the gateways have that follow this one.
+pub(super) async fn relay_load(shared: Arc<Shared>) {
+    let mut last = LoadReport::default();
+    loop {
+        sleep(LOAD_INTERVAL).await;
+        let report = shared.load_of_own_gateways();
+        let is_idle = report.servers.is_empty() && last.servers.is_empty();
+        if let (false, Some(peers)) = (is_idle, shared.peers()) {
+            let others = shared.published().controllers.into_keys();
+            for controller in others.filter(|node| *node != shared.node()) {
+                let _ = peers.send(controller, PeerMessage::Load(report.clone()));
+            }
+        }
+        last = report;
+    }
+}
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -4,189 +4,37 @@
 //! committed was applied here under the term in which it was proposed.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use courseshed_consensus::{
-    Configuration, DiskLog, FaultSwitch, FaultyLog, GroupError, GroupId, GroupOutputs, LogIndex,
-    MembershipChange, Message, MessageBody, PeerConfig, ProposeError, ReadId, ReplicaAddress,
-    ReplicatedGroup, RoleChange, RoleName, StorageError, Term,
+    GroupOutputs, LogIndex, Message, MessageBody, ProposeError, ReadId, ReplicaAddress, RoleChange,
+    RoleName, Term,
 };
-use courseshed_registry::{Command, FleetState, Outcome};
+use courseshed_registry::{Command, Outcome};
 use courseshed_types::NodeId;
-use snafu::{ResultExt, Snafu};
 use tokio::sync::oneshot;
 
 use super::handle::{Input, Published, Shared};
-use super::housekeeping::{Housekeeper, INTERVAL, NODE_SILENCE, replicas_wanted};
+use super::housekeeping::{Housekeeper, INTERVAL, replicas_wanted};
+use super::replica::{Group, ReplicaFailure, WorkerOptions};
 use crate::peers::Peers;
-use crate::protocol::{PeerAddresses, PeerMessage, PeerPort, PeerReply, node_of, replica_of};
+use crate::protocol::{PeerMessage, PeerPort, PeerReply, node_of};
 
-const GROUP: GroupId = GroupId(1);
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Inputs taken in before one write.
 const BATCH: usize = 256;
-/// Fewest voters that may be left when a silent one is taken out.
-const FEWEST_VOTERS: usize = 3;
-const RETAINED_ENTRIES: u64 = 256;
-
-/// Pause before a replica whose disk took no bytes is opened again.
-const REOPEN_PAUSE: Duration = Duration::from_millis(700);
-/// What was tried when a flush failed. What the system holds in memory then may differ from the
-/// disk, so the replica stays closed until its process starts anew.
-const FLUSH: &str = "flush";
-
-type Group = ReplicatedGroup<FaultyLog<DiskLog>, FleetState>;
-
-/// A replica can't be opened.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// Its folder can't be used.
-    #[snafu(display("{source}"))]
-    Storage {
-        /// Why not.
-        source: StorageError,
-    },
-    /// What is kept there can't be used.
-    #[snafu(display("{source}"))]
-    Group {
-        /// Why not.
-        source: GroupError,
-    },
-    /// The thread can't be started.
-    #[snafu(display("can't start the thread of the replica: {source}"))]
-    Thread {
-        /// Why not.
-        source: std::io::Error,
-    },
-}
-
-pub(super) struct WorkerOptions {
-    pub node: NodeId,
-    pub folder: PathBuf,
-    pub incarnation: u64,
-    pub initial_members: Configuration,
-    pub addresses: PeerAddresses,
-    pub server_silence: Duration,
-    pub disks_borne: usize,
-    pub disk_faults: FaultSwitch,
-}
-
-pub(super) fn start(
-    options: WorkerOptions,
-    shared: Arc<Shared>,
-    peers: Arc<Peers>,
-) -> Result<(), StartError> {
-    let group = open_group(&options, &shared)?;
-    let inputs = shared.take_receiver();
-    let last_shown = Shown::default();
-    let worker = Worker::new(group, options, shared, peers, last_shown);
-    let run = move || {
-        if let Some(inputs) = inputs {
-            run_replica(worker, &inputs);
-        }
-    };
-    thread::Builder::new()
-        .name("replica".to_owned())
-        .spawn(run)
-        .context(ThreadSnafu)?;
-    Ok(())
-}
-
-fn open_group(options: &WorkerOptions, shared: &Shared) -> Result<Group, StartError> {
-    let storage = DiskLog::open(&options.folder, options.incarnation).context(StorageSnafu)?;
-    let address = ReplicaAddress::new(replica_of(options.node), storage.incarnation());
-    let mut config = PeerConfig::new(GROUP, address, options.initial_members.clone());
-    config.election_timeout = ELECTION_TIMEOUT;
-    config.heartbeat_interval = HEARTBEAT_INTERVAL;
-    config.retained_entries = RETAINED_ENTRIES;
-    config.seed = address.replica.0 ^ address.incarnation;
-    let now = shared.clock().now();
-    let storage = FaultyLog::new(storage, options.disk_faults.clone());
-    let group = Group::new(config, storage, FleetState::default(), now).context(GroupSnafu)?;
-    log::info!(event = "replica_opened", incarnation = address.incarnation, term = group.term().0, applied = group.status().applied_index.0; "the replica of the controllers' log is open");
-    Ok(group)
-}
-
-/// Runs a replica, and opens it again after its disk took no bytes.
-fn run_replica(mut worker: Worker, inputs: &Receiver<Input>) {
-    while let Some(failure) = worker.run(inputs) {
-        log::error!(event = "replica_failed"; "{failure}");
-        let may_reopen = !failure.is_flush();
-        let Worker {
-            group,
-            options,
-            shared,
-            peers,
-            shown,
-            ..
-        } = worker;
-        // Lets go of the folder, which is locked as long as the replica is open.
-        drop(group);
-        shared.publish(shown.without_leader(), true);
-        worker = loop {
-            discard_for(REOPEN_PAUSE, inputs);
-            if !may_reopen {
-                continue;
-            }
-            match open_group(&options, &shared) {
-                Ok(group) => break Worker::new(group, options, shared, peers, shown),
-                Err(error) => log::warn!(event = "replica_not_opened"; "{error}"),
-            }
-        };
-    }
-}
-
-/// Drops what comes for a while: whoever asked is told that no answer will come.
-fn discard_for(pause: Duration, inputs: &Receiver<Input>) {
-    let end = Instant::now() + pause;
-    while let Ok(input) = inputs.recv_timeout(end.saturating_duration_since(Instant::now())) {
-        drop(input);
-    }
-}
-
-/// Why a replica stopped.
-#[derive(Debug, Snafu)]
-#[snafu(display("the replica stopped: {reason}"))]
-struct ReplicaFailure {
-    reason: String,
-    operation: Option<&'static str>,
-}
-
-impl ReplicaFailure {
-    fn of(failure: &GroupError) -> Self {
-        let operation = match failure {
-            GroupError::Storage {
-                source: StorageError::Io { operation, .. },
-            } => Some(*operation),
-            _ => None,
-        };
-        Self {
-            reason: failure.to_string(),
-            operation,
-        }
-    }
-
-    /// Whether what is on disk is uncertain.
-    fn is_flush(&self) -> bool {
-        self.operation.is_none_or(|operation| operation == FLUSH)
-    }
-}
 
 /// What was shown last, which a replica that is opened again never falls behind.
 #[derive(Clone, Default)]
-struct Shown {
+pub(super) struct Shown {
     published: Published,
     applied: LogIndex,
 }
 
 impl Shown {
     /// The same state, of a controller that hears no leader.
-    fn without_leader(&self) -> Published {
+    pub(super) fn without_leader(&self) -> Published {
         Published {
             is_leader: false,
             leader: None,
@@ -195,23 +43,23 @@
     }
 }
 
-struct Worker {
-    group: Group,
-    address: ReplicaAddress,
-    shared: Arc<Shared>,
-    peers: Arc<Peers>,
-    options: WorkerOptions,
+pub(super) struct Worker {
+    pub(super) group: Group,
+    pub(super) address: ReplicaAddress,
+    pub(super) shared: Arc<Shared>,
+    pub(super) peers: Arc<Peers>,
+    pub(super) options: WorkerOptions,
     proposals: BTreeMap<LogIndex, (Term, Option<oneshot::Sender<PeerReply>>)>,
     reads: BTreeMap<ReadId, oneshot::Sender<PeerReply>>,
-    housekeeper: Option<Housekeeper>,
+    pub(super) housekeeper: Option<Housekeeper>,
     next_housekeeping: Duration,
     leader_heard: Duration,
-    shown: Shown,
+    pub(super) shown: Shown,
     has_news: bool,
 }
 
 impl Worker {
-    fn new(
+    pub(super) fn new(
         group: Group,
         options: WorkerOptions,
         shared: Arc<Shared>,
@@ -238,7 +86,7 @@
     }
 
     /// Runs until the replica fails; none when the process ends.
-    fn run(&mut self, inputs: &Receiver<Input>) -> Option<ReplicaFailure> {
+    pub(super) fn run(&mut self, inputs: &Receiver<Input>) -> Option<ReplicaFailure> {
         loop {
             // First of all what the disk held, which serves before anyone is heard.
             self.group.tick(self.now());
@@ -262,7 +110,7 @@
         }
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.shared.clock().now()
     }
 
@@ -321,7 +169,7 @@
         }
     }
 
-    fn not_leader(&self) -> PeerReply {
+    pub(super) fn not_leader(&self) -> PeerReply {
         PeerReply::NotLeader(self.group.leader().map(node_of))
     }
 
@@ -381,42 +229,6 @@
         }
     }
 
-    /// Admits a controller: a new one, one that lost its disk, or one in place of a silent one.
-    fn join(&mut self, address: ReplicaAddress) -> PeerReply {
-        if !self.group.is_leader() {
-            return self.not_leader();
-        }
-        let configuration = self.group.peer().configuration().clone();
-        let change = match configuration.member(address.replica) {
-            Some(member) if member.incarnation >= address.incarnation => None,
-            Some(_) => Some(MembershipChange::Readmit(address)),
-            None => Some(self.silent_voter(&configuration).map_or(
-                MembershipChange::AddVoter(address),
-                MembershipChange::Remove,
-            )),
-        };
-        if let Some(change) = change {
-            let result = self.group.propose_membership(self.now(), change);
-            log::info!(event = "membership_change", change:? = change, accepted = result.is_ok(); "a controller asked to take part");
-        }
-        PeerReply::Joining
-    }
-
-    fn silent_voter(
-        &self,
-        configuration: &Configuration,
-    ) -> Option<courseshed_consensus::ReplicaId> {
-        let now = self.now();
-        let housekeeper = self.housekeeper.as_ref()?;
-        if configuration.voters().count() <= FEWEST_VOTERS {
-            return None;
-        }
-        configuration
-            .voters()
-            .filter(|voter| *voter != self.address.replica)
-            .find(|voter| housekeeper.liveness.is_silent(now, node_of(*voter)))
-    }
-
     fn hand_over(&mut self) {
         let status = self.group.status();
         let best = status
@@ -528,5 +340,3 @@
         self.shared.publish(published, news);
     }
 }
-
-const _: () = assert!(NODE_SILENCE.as_millis() > ELECTION_TIMEOUT.as_millis());
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -19,7 +19,7 @@
 use super::core::{GatewayCore, InFlight};
 use super::prompt_memory::PromptPart;
 use super::refusal::Refusal;
-use super::servers::{Chosen, Demand, Report};
+use super::servers::{ChoiceInputs, Chosen, Demand, Report};
 use super::upstream::{Upstream, UpstreamError};
 use crate::metrics::{CallLabels, Metrics};
 
@@ -52,6 +52,8 @@
     pub name: String,
     /// Connections that each of its servers accepts from all gateways together.
     pub connection_limit: u32,
+    /// Version of the routing table that says so.
+    pub version: u64,
 }
 
 /// What a server that saw the same thing lately need not read again; nothing if that's all the same.
@@ -101,8 +103,9 @@
         let ChosenService {
             name: service,
             connection_limit,
+            version,
         } = service;
-        let log = CallLog::new(&call, &route, &service, core.metrics.clone());
+        let log = CallLog::new(&call, &route, &service, version, core.metrics.clone());
         Self {
             body: call.body.clone(),
             parts: parts_of(&call, &route),
@@ -129,7 +132,9 @@
             let Some(chosen) = self.choose() else {
                 return Err(self.out_of_servers());
             };
-            let unread_tokens = self.unread_tokens(&chosen.id);
+            let inputs = self.choice_inputs(&chosen.id);
+            let unread_tokens = inputs.unread_tokens;
+            self.log.choice = inputs;
             let in_flight = InFlight::begin(&self.core, &chosen.id);
             match self.send(&chosen, resume_after).await {
                 Ok((head, upstream, sent_at)) => {
@@ -152,10 +157,10 @@
         }
     }
 
-    fn unread_tokens(&self, server: &str) -> u32 {
+    fn choice_inputs(&self, server: &str) -> ChoiceInputs {
         let now = self.core.clock.now();
         let servers = self.core.servers.borrow();
-        servers.unread_tokens(server, &self.parts, now)
+        servers.choice_inputs(server, &self.parts, now)
     }
 
     /// Whether the request may be sent again after a server had it.
@@ -343,6 +348,10 @@
     pub events: u64,
     pub resumed: usize,
     pub status: u16,
+    /// What decided the choice of the last server.
+    choice: ChoiceInputs,
+    /// Version of the routing table that the request was routed by.
+    version: u64,
     last_error: String,
     request: String,
     program: String,
@@ -353,7 +362,13 @@
 }
 
 impl CallLog {
-    fn new(call: &CallEnvelope, route: &Route, service: &str, metrics: Arc<Metrics>) -> Self {
+    fn new(
+        call: &CallEnvelope,
+        route: &Route,
+        service: &str,
+        version: u64,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let program = call.program.as_ref().map(|claim| claim.program.clone());
         Self {
             outcome: "caller_left",
@@ -363,6 +378,8 @@
             events: 0,
             resumed: 0,
             status: 0,
+            choice: ChoiceInputs::default(),
+            version,
             last_error: String::new(),
             request: call.request_id.clone(),
             program: program.unwrap_or_default(),
@@ -403,6 +420,10 @@
             refused_by = self.refused_by,
             events = self.events,
             resumed = self.resumed,
+            version = self.version,
+            calls_there = self.choice.calls,
+            loads_age_ms = self.choice.loads_age.as_millis() as u64,
+            unread_tokens = self.choice.unread_tokens,
             last_error = self.last_error.as_str(),
             took_ms = self.began.elapsed().as_millis() as u64;
             "a call is over"
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -10,17 +10,7 @@
 use super::refusal::Refusal;
 use super::servers::Report;
 use super::upstream::UpstreamError;
-
-/// Headers of an answer that concern one connection only, or that the library writes itself.
-const CONNECTION_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "content-length",
-];
+use crate::http::is_of_connection;
 
 /// Passes a call on and answers it.
 pub(super) async fn forward(mut attempts: Attempts) -> Response<BoxBody> {
@@ -82,8 +72,8 @@
 pub(super) fn answer_head(head: &ResponseHead) -> Response<BoxBody> {
     let mut response = Response::new(head.status);
     for (name, value) in head.headers() {
-        let is_of_connection = CONNECTION_HEADERS.contains(&name.as_str());
-        if !is_of_connection && name != header::DATE {
+        let is_written_anew = name == header::CONTENT_LENGTH || name == header::DATE;
+        if !is_of_connection(name.as_str()) && !is_written_anew {
             response.headers_mut().append(name.clone(), value.clone());
         }
     }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -7,11 +7,9 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
-use bytes::BytesMut;
 use courseshed_routing::{CallLimits, VersionedTable};
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
-use futures_util::StreamExt;
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -22,7 +20,7 @@
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
 use crate::follower::FleetFollower;
-use crate::http::{HttpTiming, listen, serve};
+use crate::http::{BodyError, HttpTiming, listen, read_body, serve};
 use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
 use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
@@ -230,6 +228,7 @@
     let service = ChosenService {
         name: service,
         connection_limit: if limit == 0 { u32::MAX } else { limit },
+        version: routing.version,
     };
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived + call.time_left.map_or(timeout, |left| left.min(timeout));
@@ -264,15 +263,7 @@
         .sum::<usize>()
         + request.uri().to_string().len();
     let read = core.codec.read_call(request.head());
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Refusal::Unreadable)?;
-        if body.len() + chunk.len() > limits.max_body_bytes {
-            return Err(Refusal::BodyTooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
+    let body = read_body(&mut request, limits.max_body_bytes).await?;
     if head_bytes > limits.max_header_bytes {
         return Err(Refusal::HeadTooLarge);
     }
@@ -280,10 +271,19 @@
         log::info!(event = "unreadable_call"; "{error}");
         Refusal::Unreadable
     })?;
-    call.body = body.freeze();
+    call.body = body;
     Ok(call)
 }
 
+impl From<BodyError> for Refusal {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::Unreadable => Self::Unreadable,
+        }
+    }
+}
+
 /// Counts a request for as long as its answer isn't finished.
 struct UnderWay(Rc<GatewayCore>);
 
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -48,6 +48,17 @@
     pub most_in_flight: u32,
 }
 
+/// What decided the choice of a server, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ChoiceInputs {
+    /// Calls of all gateways there, as far as known.
+    pub calls: u32,
+    /// How long ago the other gateways said what they have there.
+    pub loads_age: Duration,
+    /// Tokens of the prompt that it had still to read, as far as known.
+    pub unread_tokens: u32,
+}
+
 /// What became of a request at a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Report {
@@ -173,10 +184,15 @@
         estimate.pace()
     }
 
-    /// Tokens of a prompt that a server has still to read, as far as is known.
+    /// What is known of a server that a call is about to go to.
     #[must_use]
-    pub fn unread_tokens(&self, id: &str, parts: &[PromptPart], now: Duration) -> u32 {
-        self.prompts.unread_tokens(ServerKey::of(id), parts, now)
+    pub fn choice_inputs(&self, id: &str, parts: &[PromptPart], now: Duration) -> ChoiceInputs {
+        let calls = self.seen.get(id).map_or(0, Seen::calls);
+        ChoiceInputs {
+            calls,
+            loads_age: now.saturating_sub(self.others_noted),
+            unread_tokens: self.prompts.unread_tokens(ServerKey::of(id), parts, now),
+        }
     }
 
     /// Takes in that the first part of an answer came, with so many tokens to read before it.
--- a/crates/courseshed-edge/src/http.rs
+++ b/crates/courseshed-edge/src/http.rs
@@ -9,6 +9,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -24,6 +25,43 @@
     pub idle: Duration,
 }
 
+impl Default for HttpTiming {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Headers that concern one connection only, and are not passed on.
+const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header concerns one connection only. The name is in lower case.
+#[must_use]
+pub fn is_of_connection(name: &str) -> bool {
+    CONNECTION_HEADERS.contains(&name)
+}
+
+/// Why a body can't be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum BodyError {
+    /// It is larger than allowed.
+    #[snafu(display("the body is too large"))]
+    TooLarge,
+    /// It ends early, or isn't in the protocol.
+    #[snafu(display("the body can't be read"))]
+    Unreadable,
+}
+
 /// Listens on an address.
 ///
 /// # Errors
@@ -67,18 +105,21 @@
     }
 }
 
-/// The body of a request; none if it is larger than allowed or ends early.
-pub async fn read_body(request: &mut Request, limit: usize) -> Option<Bytes> {
+/// The body of a request.
+///
+/// # Errors
+/// [`BodyError`].
+pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.ok()?;
+        let chunk = chunk.map_err(|_| BodyError::Unreadable)?;
         if body.len() + chunk.len() > limit {
-            return None;
+            return Err(BodyError::TooLarge);
         }
         body.extend_from_slice(&chunk);
     }
-    Some(body.freeze())
+    Ok(body.freeze())
 }
 
 async fn build<Handle, Answer>(
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicI64, AtomicU64};
-use std::time::Duration;
 
 use actix_http::Response;
 use actix_http::body::BoxBody;
@@ -124,13 +123,9 @@
 
 /// Serves the figures on an address until the process ends.
 pub async fn serve_metrics(metrics: std::sync::Arc<Metrics>, address: SocketAddr) {
-    let timing = || HttpTiming {
-        head: Duration::from_secs(3),
-        idle: Duration::from_secs(15),
-    };
     match listen(address) {
         Ok(listener) => {
-            serve(listener, timing, move |_| {
+            serve(listener, HttpTiming::default, move |_| {
                 let text = metrics.text();
                 std::future::ready(Response::ok().set_body(BoxBody::new(text)))
             })
