Bound what controllers tell each other of loads, and let reports of many servers count for longer

And a report counted for 1 s while at 1,500 servers the next one comes after 1.5 s, so loads would have flickered.

Change: both keep to the same bound, and a report says how long it counts: a second, or three pauses. Test reports_of_many_servers_come_less_often_and_count_for_longer.

Not measured beyond 96 own machines. At today's sizes the interval stays 80 ms.

--- a/crates/courseshed-edge/src/controller/relay.rs
+++ b/crates/courseshed-edge/src/controller/relay.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_registry::LoadReport;
+use courseshed_registry::pause_after_reports;
 use courseshed_types::NodeId;
 use tokio::time::sleep;
 
@@ -40,17 +40,24 @@
 
 /// Tells the other controllers what the gateways have that follow this one.
 pub(super) async fn relay_load(shared: Arc<Shared>) {
-    let mut last = LoadReport::default();
+    let mut was_idle = true;
     loop {
-        sleep(LOAD_INTERVAL).await;
+        let controllers = shared.published().controllers;
+        let others: Vec<NodeId> = controllers
+            .into_keys()
+            .filter(|node| *node != shared.node())
+            .collect();
         let report = shared.load_of_own_gateways();
-        let is_idle = report.servers.is_empty() && last.servers.is_empty();
-        if let (false, Some(peers)) = (is_idle, shared.peers()) {
-            let others = shared.published().controllers.into_keys();
-            for controller in others.filter(|node| *node != shared.node()) {
+        let is_idle = report.servers.is_empty();
+        let servers = report.servers.len() * others.len();
+        let pause = pause_after_reports(others.len(), servers, LOAD_INTERVAL);
+        let report = report.until_next(pause);
+        if let (false, Some(peers)) = (is_idle && was_idle, shared.peers()) {
+            for controller in others {
                 let _ = peers.send(controller, PeerMessage::Load(report.clone()));
             }
         }
-        last = report;
+        was_idle = is_idle;
+        sleep(pause).await;
     }
 }
--- a/crates/courseshed-edge/src/gateway/load.rs
+++ b/crates/courseshed-edge/src/gateway/load.rs
@@ -1,13 +1,13 @@
 //! Telling the other gateways of our calls at servers, and learning of theirs.
 //!
-//! The exchange goes through the controller that is followed, and takes no more of the link than
-//! [`BYTES_PER_SECOND`], however many servers there are.
+//! The exchange goes through the controller that is followed, and takes a bounded part of the link,
+//! however many servers there are.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_registry::LoadReport;
+use courseshed_registry::{LoadReport, pause_after_reports};
 use tokio::time::sleep;
 
 use super::core::GatewayCore;
@@ -18,17 +18,12 @@
 const INTERVAL: Duration = Duration::from_millis(80);
 /// How long a controller may take to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
-/// What the exchange may take of the link, in both directions together.
-const BYTES_PER_SECOND: f64 = 8_000.0;
-/// About what an exchange takes without, and for, each server.
-const BYTES_OF_EXCHANGE: f64 = 100.0;
-const BYTES_OF_SERVER: f64 = 8.0;
-
 /// Exchanges loads for as long as the process lives. A gateway without calls says so once.
 pub(super) async fn share_load(core: Rc<GatewayCore>, peers: Arc<Peers>) {
     let mut was_idle = true;
+    let mut pause = INTERVAL;
     loop {
-        let own = core.servers.borrow().load_report();
+        let own = core.servers.borrow().load_report().until_next(pause);
         let is_idle = own.servers.is_empty();
         let sent = own.servers.len();
         let received = if is_idle && was_idle {
@@ -37,7 +32,8 @@
             exchange(&core, &peers, own).await
         };
         was_idle = is_idle;
-        sleep(pause_after(sent + received)).await;
+        pause = pause_after_reports(2, sent + received, INTERVAL);
+        sleep(pause).await;
     }
 }
 
@@ -57,8 +53,3 @@
     servers.note_others(&others, now);
     others.servers.len()
 }
-
-fn pause_after(servers: usize) -> Duration {
-    let bytes = BYTES_OF_EXCHANGE + BYTES_OF_SERVER * servers as f64;
-    INTERVAL.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
-}
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -249,6 +249,7 @@
         });
         LoadReport {
             gateways: 1,
+            counts_for_ms: 0,
             servers: servers.collect(),
         }
     }
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -95,6 +95,7 @@
     let mut table = table(&["a", "b"]);
     let others = LoadReport {
         gateways: 1,
+        counts_for_ms: 1_000,
         servers: vec![ServerLoad {
             server: ServerKey::of("a"),
             in_flight: 3,
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -153,6 +153,7 @@
     assert_eq!(table.part_of(160), 160);
     let others = courseshed_registry::LoadReport {
         gateways: 7,
+        counts_for_ms: 1_000,
         servers: Vec::new(),
     };
     table.note_others(&others, NOW);
--- a/crates/courseshed-registry/src/load.rs
+++ b/crates/courseshed-registry/src/load.rs
@@ -2,7 +2,8 @@
 //!
 //! Each gateway reports its own calls to the controller that it follows, which sums them up and
 //! tells the other controllers. The sums are soft knowledge: they lag behind, and a gateway that
-//! falls silent is forgotten.
+//! falls silent is forgotten. With many servers reports come less often, so that they take no more
+//! of a link than [`BYTES_PER_SECOND`], and count for longer.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,8 +12,21 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long a report counts after it came.
-const REPORT_LIFE: Duration = Duration::from_secs(1);
+/// What reports may take of a node's link.
+const BYTES_PER_SECOND: f64 = 8_000.0;
+/// About what a report takes without, and for, each server.
+const BYTES_OF_REPORT: f64 = 100.0;
+const BYTES_OF_SERVER: f64 = 8.0;
+/// How long a report counts after it came: at least so long, and for so many pauses.
+const LEAST_LIFE: Duration = Duration::from_secs(1);
+const LIFE_IN_PAUSES: u32 = 3;
+
+/// The pause after reports that named so many servers in all, at least `least`.
+#[must_use]
+pub fn pause_after_reports(reports: usize, servers: usize, least: Duration) -> Duration {
+    let bytes = BYTES_OF_REPORT * reports as f64 + BYTES_OF_SERVER * servers as f64;
+    least.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
+}
 
 /// Names a server in few bytes: a hash of its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -40,10 +54,24 @@
 pub struct LoadReport {
     /// How many gateways it speaks for.
     pub gateways: u32,
+    /// How long it counts after it came, in milliseconds.
+    pub counts_for_ms: u64,
     /// Their calls.
     pub servers: Vec<ServerLoad>,
 }
 
+impl LoadReport {
+    /// The same report, to be followed by the next one after a pause.
+    #[must_use]
+    pub fn until_next(self, pause: Duration) -> Self {
+        let life = LEAST_LIFE.max(pause * LIFE_IN_PAUSES);
+        Self {
+            counts_for_ms: life.as_millis() as u64,
+            ..self
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Received {
     at: Duration,
@@ -94,7 +122,8 @@
 
 impl Received {
     fn counts_at(&self, now: Duration) -> bool {
-        now.saturating_sub(self.at) < REPORT_LIFE
+        let life = Duration::from_millis(self.report.counts_for_ms);
+        now.saturating_sub(self.at) < life
     }
 }
 
@@ -111,5 +140,9 @@
         .into_iter()
         .map(|(server, in_flight)| ServerLoad { server, in_flight })
         .collect();
-    LoadReport { gateways, servers }
+    LoadReport {
+        gateways,
+        counts_for_ms: 0,
+        servers,
+    }
 }
--- a/crates/courseshed-registry/tests/load.rs
+++ b/crates/courseshed-registry/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use courseshed_registry::{LoadBoard, LoadReport, ServerKey, ServerLoad};
+use courseshed_registry::{LoadBoard, LoadReport, ServerKey, ServerLoad, pause_after_reports};
 use courseshed_types::NodeId;
 
 const NOW: Duration = Duration::from_secs(5);
@@ -12,10 +12,12 @@
         server: ServerKey::of(id),
         in_flight: *in_flight,
     });
-    LoadReport {
+    let report = LoadReport {
         gateways: 1,
+        counts_for_ms: 0,
         servers: servers.collect(),
-    }
+    };
+    report.until_next(Duration::from_millis(80))
 }
 
 fn calls_at(report: &LoadReport, id: &str) -> u32 {
@@ -66,3 +68,17 @@
     board.forget_old(later);
     assert_eq!(board.own_gateways(NOW), LoadReport::default());
 }
+
+/// At the size to design for a report names 1,500 servers and may come only each 1.5 s.
+#[test]
+fn reports_of_many_servers_come_less_often_and_count_for_longer() {
+    let least = Duration::from_millis(80);
+    assert_eq!(pause_after_reports(2, 18, least), least);
+    let pause = pause_after_reports(2, 1_500, least);
+    let bytes = 2.0 * 100.0 + 1_500.0 * 8.0;
+    assert!(bytes / pause.as_secs_f64() <= 8_001.0);
+    let mut board = LoadBoard::default();
+    board.note_gateway(NOW, NodeId(1), report(&[("a", 3)]).until_next(pause));
+    assert_eq!(calls_at(&board.own_gateways(NOW + 2 * pause), "a"), 3);
+    assert_eq!(calls_at(&board.own_gateways(NOW + 4 * pause), "a"), 0);
+}
