Let a kept turn name the server that made it

Change: the record of a kept turn says which server made it and what that held of the prompt then; whoever fetches the chain learns it for nothing. Old records read as before. Sums of token counts no longer wrap (found by reading: a caller's parts near 2^32 wrapped the sum). Tests: another gateway sends a line of turns where its prompt was read; counts near the limit.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -12,12 +12,12 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use courseshed_routing::Route;
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::call::{CallEnvelope, SendTerms};
 use super::core::{GatewayCore, InFlight};
-use super::prompt_memory::PromptPart;
 use super::refusal::Refusal;
 use super::servers::{ChoiceInputs, Chosen, Demand, Report};
 use super::upstream::{Upstream, UpstreamError};
@@ -168,12 +168,16 @@
         self.route.is_idempotent() && self.time_left() >= LEAST_TIME
     }
 
-    /// Notes that a server's answer is whole, with so many tokens generated.
-    pub(super) fn note_finished(&self, opened: &Opened, generated: u32) {
+    /// Notes that a server's answer is whole, with so many tokens generated. Returns what the server
+    /// holds of the prompt now.
+    pub(super) fn note_finished(&self, opened: &Opened, generated: u32) -> CachedPrompt {
         let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
+        let key = ServerKey::of(&opened.server);
+        let cached = CachedPrompt::after_answer(key, &self.parts, generated);
         let mut servers = self.core.servers.borrow_mut();
-        servers.note_finished(&opened.server, &self.parts, generated, took, now);
+        servers.note_finished(&opened.server, &cached, took, now);
+        cached
     }
 
     /// Notes that the first part of a server's answer came.
--- a/crates/courseshed-edge/src/gateway/call.rs
+++ b/crates/courseshed-edge/src/gateway/call.rs
@@ -5,10 +5,9 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{Bytes, BytesMut};
+use courseshed_types::PromptPart;
 use snafu::Snafu;
 
-use super::prompt_memory::PromptPart;
-
 /// What a request says of the program it belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProgramClaim {
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 pub use call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
-pub use prompt_memory::{PromptMemory, PromptPart};
+pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
 pub use server::{GatewayError, GatewaySettings, run};
 pub use servers::{Chosen, Demand, Report, ServerTable};
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use courseshed_records::{ReservationDecision, Turn};
 use courseshed_routing::Route;
+use courseshed_types::CachedPrompt;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -92,7 +93,8 @@
     }
 }
 
-/// What the server is to get: all that the turn goes on from, and its new input.
+/// What the server is to get: all that the turn goes on from, and its new input. Learns on the way
+/// which server made the turn before.
 pub(super) async fn compose_body(
     core: &Rc<GatewayCore>,
     call: &CallEnvelope,
@@ -109,6 +111,10 @@
         }
         Err(_) => return Err(Refusal::NoRecords),
     };
+    if let Some(cached) = chain.last().and_then(|turn| turn.cached.as_ref()) {
+        let now = core.clock.now();
+        core.servers.borrow_mut().note_cached(cached, now);
+    }
     let size = chain
         .iter()
         .map(|turn| turn.input.len() + turn.output.len())
@@ -123,11 +129,12 @@
 }
 
 /// The record of a turn that was answered whole.
-pub(super) fn turn_of(call: &CallEnvelope, output: Bytes) -> Turn {
+pub(super) fn turn_of(call: &CallEnvelope, output: Bytes, cached: Option<CachedPrompt>) -> Turn {
     Turn {
         id: call.request_id.clone(),
         previous: call.previous_turn.clone(),
         input: call.body.clone(),
         output,
+        cached,
     }
 }
--- a/crates/courseshed-edge/src/gateway/prompt_memory.rs
+++ b/crates/courseshed-edge/src/gateway/prompt_memory.rs
@@ -6,22 +6,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use courseshed_registry::ServerKey;
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 
 /// How long a part is taken to stay with a server after its last use.
 const KEPT_FOR: Duration = Duration::from_secs(30);
 /// Most notes at once; the oldest give way.
 const MOST_NOTES: usize = 40_000;
 
-/// A part of a prompt, in the order in which servers read them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Names the part; the same one may begin other prompts, too.
-    pub id: u64,
-    /// How many tokens it has now.
-    pub tokens: u32,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct PartAtServer {
     part: u64,
@@ -41,36 +32,50 @@
 }
 
 impl PromptMemory {
-    /// Notes that a server has read all parts, and generated tokens behind the last one.
-    pub fn note(&mut self, server: ServerKey, parts: &[PromptPart], generated: u32, now: Duration) {
-        let last = parts.len().saturating_sub(1);
-        for (index, part) in parts.iter().enumerate() {
-            let more = if index == last { generated } else { 0 };
-            let key = PartAtServer {
-                part: part.id,
-                server,
-            };
-            let note = Note {
-                tokens: part.tokens + more,
-                used_at: now,
-            };
-            self.notes.insert(key, note);
+    /// Notes that a server has read all parts just now.
+    pub fn note(&mut self, server: ServerKey, parts: &[PromptPart], now: Duration) {
+        for part in parts {
+            self.insert(server, *part, now);
+        }
+    }
+
+    /// Takes in what a server held when it had answered, this gateway or another one. What was seen
+    /// there since then is not lowered by it.
+    pub fn note_cached(&mut self, cached: &CachedPrompt, now: Duration) {
+        let server = cached.server;
+        for part in &cached.parts {
+            let tokens = part.tokens.max(self.kept_tokens(server, part.id, now));
+            self.insert(server, PromptPart { tokens, ..*part }, now);
         }
     }
 
+    fn insert(&mut self, server: ServerKey, part: PromptPart, now: Duration) {
+        let key = PartAtServer {
+            part: part.id,
+            server,
+        };
+        let note = Note {
+            tokens: part.tokens,
+            used_at: now,
+        };
+        self.notes.insert(key, note);
+    }
+
     /// How many tokens of a prompt a server has still to read.
     #[must_use]
     pub fn unread_tokens(&self, server: ServerKey, parts: &[PromptPart], now: Duration) -> u32 {
-        let total: u32 = parts.iter().map(|part| part.tokens).sum();
-        let mut read = 0;
+        let mut unread: u32 = 0;
+        let mut is_prefix_kept = true;
         for part in parts {
-            let kept = self.kept_tokens(server, part.id, now).min(part.tokens);
-            read += kept;
-            if kept < part.tokens {
-                break;
-            }
+            let kept = if is_prefix_kept {
+                self.kept_tokens(server, part.id, now).min(part.tokens)
+            } else {
+                0
+            };
+            is_prefix_kept &= kept == part.tokens;
+            unread = unread.saturating_add(part.tokens - kept);
         }
-        total - read
+        unread
     }
 
     fn kept_tokens(&self, server: ServerKey, part: u64, now: Duration) -> u32 {
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -8,11 +8,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_registry::{LoadReport, Server, ServerKey, ServerLoad, ServerState};
+use courseshed_registry::{LoadReport, Server, ServerLoad, ServerState};
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
-use super::prompt_memory::{PromptMemory, PromptPart};
+use super::prompt_memory::PromptMemory;
 
 /// Weight of the newest time in the average of a server's times.
 const NEWEST_WEIGHT: f64 = 0.15;
@@ -204,29 +205,33 @@
         took: Duration,
         now: Duration,
     ) {
-        self.prompts.note(ServerKey::of(id), parts, 0, now);
+        self.prompts.note(ServerKey::of(id), parts, now);
         if let Some(seen) = self.seen.get(id) {
             let estimate = self.paces.entry(seen.server.service.clone()).or_default();
             estimate.note_read(unread_tokens, milliseconds(took));
         }
     }
 
-    /// Takes in that a call was over at a server, with so many tokens generated.
+    /// Takes in that a call was over at a server, and what that holds of the prompt now.
     pub fn note_finished(
         &mut self,
         id: &str,
-        parts: &[PromptPart],
-        generated: u32,
+        cached: &CachedPrompt,
         took: Duration,
         now: Duration,
     ) {
-        self.prompts.note(ServerKey::of(id), parts, generated, now);
+        self.prompts.note_cached(cached, now);
         if let Some(seen) = self.seen.get(id) {
             let estimate = self.paces.entry(seen.server.service.clone()).or_default();
             estimate.note_call(milliseconds(took));
         }
     }
 
+    /// Takes in what a server held of a prompt when it answered another gateway.
+    pub fn note_cached(&mut self, cached: &CachedPrompt, now: Duration) {
+        self.prompts.note_cached(cached, now);
+    }
+
     /// Forgets what is too old to be true.
     pub fn tidy(&mut self, now: Duration) {
         self.prompts.tidy(now);
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -243,14 +243,16 @@
 
     /// Keeps the turn, if its route keeps turns, and gives the connection back.
     async fn finish(&mut self) -> Result<(), BrokenOff> {
+        let mut cached = None;
         if let Some(opened) = self.opened.take() {
             let generated = u64::from(self.events_here) * self.tokens_per_event;
             let generated = u32::try_from(generated).unwrap_or(u32::MAX);
-            self.attempts.note_finished(&opened, generated);
+            cached = Some(self.attempts.note_finished(&opened, generated));
             opened.upstream.finish();
         }
         if self.attempts.route.keeps_turns {
-            let turn = turn_of(&self.attempts.call, self.output.split().freeze());
+            let output = self.output.split().freeze();
+            let turn = turn_of(&self.attempts.call, output, cached);
             let keep_ms = keep_ms(&self.attempts.route);
             let deadline = Instant::now() + KEEP_LIMIT;
             let kept = self
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use courseshed_edge::gateway::{Demand, EventSplitter, PromptPart, Report, ServerTable};
-use courseshed_registry::{LoadReport, Server, ServerKey, ServerLoad, ServerState};
+use courseshed_edge::gateway::{Demand, EventSplitter, Report, ServerTable};
+use courseshed_registry::{LoadReport, Server, ServerLoad, ServerState};
+use courseshed_types::{PromptPart, ServerKey};
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(10);
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -1,11 +1,12 @@
-//! What a call is expected to cost at a server, and what servers are taken to have read.
+//! What a call is expected to cost at a server, and which one is chosen for it.
 
 use std::time::Duration;
 
 use courseshed_edge::gateway::{
-    Demand, PaceEstimate, PromptMemory, PromptPart, Prospect, ServerTable, ServicePace, expected_ms,
+    Demand, PaceEstimate, Prospect, ServerTable, ServicePace, expected_ms,
 };
-use courseshed_registry::{Server, ServerKey, ServerState};
+use courseshed_registry::{Server, ServerState};
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -63,41 +64,6 @@
     assert!(expected_ms(&full, &PACE) > expected_ms(&far, &PACE));
 }
 
-#[test]
-fn a_prompt_is_read_up_to_its_first_unknown_part() {
-    let server = ServerKey::of("a");
-    let mut memory = PromptMemory::default();
-    let prompt = [SHARED, own(1_000)];
-    assert_eq!(memory.unread_tokens(server, &prompt, NOW), 13_000);
-    memory.note(server, &[SHARED], 0, NOW);
-    assert_eq!(memory.unread_tokens(server, &prompt, NOW), 1_000);
-    let unknown = PromptPart { id: 9, tokens: 10 };
-    let behind_unknown = [unknown, SHARED];
-    assert_eq!(memory.unread_tokens(server, &behind_unknown, NOW), 12_010);
-    let elsewhere = ServerKey::of("b");
-    assert_eq!(memory.unread_tokens(elsewhere, &prompt, NOW), 13_000);
-}
-
-#[test]
-fn what_was_generated_need_not_be_read() {
-    let server = ServerKey::of("a");
-    let mut memory = PromptMemory::default();
-    memory.note(server, &[SHARED, own(1_000)], 300, NOW);
-    let next_turn = [SHARED, own(1_800)];
-    assert_eq!(memory.unread_tokens(server, &next_turn, NOW), 500);
-}
-
-#[test]
-fn notes_are_forgotten_after_a_while() {
-    let server = ServerKey::of("a");
-    let mut memory = PromptMemory::default();
-    memory.note(server, &[SHARED], 0, NOW);
-    let later = NOW + Duration::from_secs(31);
-    assert_eq!(memory.unread_tokens(server, &[SHARED], later), 12_000);
-    memory.tidy(later);
-    assert_eq!(memory.unread_tokens(server, &[SHARED], NOW), 12_000);
-}
-
 #[test]
 fn reads_that_waited_say_less_than_fast_ones() {
     let mut estimate = PaceEstimate::default();
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -194,6 +194,57 @@
     assert_eq!(status(&unknown), 404);
 }
 
+#[actix_rt::test]
+async fn a_prompt_that_claims_more_tokens_than_fit_is_served() {
+    let fleet = Fleet::start(GRACE).await;
+    let server =
+        StandIn::start(|got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)))).await;
+    fleet.route(vec![stream_route()]).await;
+    fleet.announce("one", &server).await;
+    let prompt = "x-prompt: 1:4294967295,2:4294967295\r\n";
+    for id in ["c1", "c2"] {
+        let answer = call(fleet.callers, id, prompt, "").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+    }
+}
+
+/// A line of turns that comes in through another gateway goes on where its prompt was read.
+#[actix_rt::test]
+async fn another_gateway_learns_from_the_kept_turn_which_server_read_its_prompt() {
+    const LINES: u64 = 8;
+    let fleet = Fleet::start(GRACE).await;
+    let script =
+        |got: &support::server::Got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)));
+    let reader = StandIn::start(script).await;
+    let mut route = stream_route();
+    route.keeps_turns = true;
+    fleet.route(vec![route]).await;
+    fleet.announce("reader", &reader).await;
+    fleet.until_records().await;
+    for line in 0..LINES {
+        let prompt = format!("x-prompt: {line}:1000,{}:50000\r\n", LINES + line);
+        let first = call(fleet.callers, &format!("first{line}"), &prompt, "").await;
+        assert_eq!(status(&first), 200, "{first}");
+    }
+    let stranger = StandIn::start(script).await;
+    fleet.announce("stranger", &stranger).await;
+    let other = fleet.start_another_gateway().await;
+    support::until(async || {
+        call(other.callers, support::server::PROBE, "", "").await;
+        reader.probes() > 0 && stranger.probes() > 1
+    })
+    .await;
+    for line in 0..LINES {
+        let headers = format!(
+            "x-previous: first{line}\r\nx-prompt: {line}:1000,{}:50020\r\n",
+            LINES + line
+        );
+        let second = call(other.callers, &format!("second{line}"), &headers, "").await;
+        assert_eq!(status(&second), 200, "{second}");
+    }
+    assert_eq!(stranger.got().len(), 0);
+}
+
 /// Found by ezo-quote scale-1, seed 11: a call taken 7.1 s after SIGTERM was cut off by the end of
 /// the process.
 #[actix_rt::test]
--- /dev/null
+++ b/crates/courseshed-edge/tests/prompt_memory.rs
@@ -0,0 +1,76 @@
+//! What a gateway remembers of the prompts that servers have read.
+
+use std::time::Duration;
+
+use courseshed_edge::gateway::PromptMemory;
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
+
+const NOW: Duration = Duration::from_secs(10);
+const SERVER: ServerKey = ServerKey(1);
+const ELSEWHERE: ServerKey = ServerKey(2);
+const SHARED: PromptPart = PromptPart {
+    id: 1,
+    tokens: 12_000,
+};
+
+fn own(tokens: u32) -> PromptPart {
+    PromptPart { id: 2, tokens }
+}
+
+#[test]
+fn a_prompt_is_read_up_to_its_first_unknown_part() {
+    let mut memory = PromptMemory::default();
+    let prompt = [SHARED, own(1_000)];
+    assert_eq!(memory.unread_tokens(SERVER, &prompt, NOW), 13_000);
+    memory.note(SERVER, &[SHARED], NOW);
+    assert_eq!(memory.unread_tokens(SERVER, &prompt, NOW), 1_000);
+    let unknown = PromptPart { id: 9, tokens: 10 };
+    let behind_unknown = [unknown, SHARED];
+    assert_eq!(memory.unread_tokens(SERVER, &behind_unknown, NOW), 12_010);
+    assert_eq!(memory.unread_tokens(ELSEWHERE, &prompt, NOW), 13_000);
+}
+
+#[test]
+fn what_was_generated_need_not_be_read() {
+    let mut memory = PromptMemory::default();
+    let cached = CachedPrompt::after_answer(SERVER, &[SHARED, own(1_000)], 300);
+    memory.note_cached(&cached, NOW);
+    let next_turn = [SHARED, own(1_800)];
+    assert_eq!(memory.unread_tokens(SERVER, &next_turn, NOW), 500);
+}
+
+#[test]
+fn an_older_answer_does_not_lower_what_is_known() {
+    let mut memory = PromptMemory::default();
+    memory.note(SERVER, &[SHARED, own(2_000)], NOW);
+    let older = CachedPrompt::after_answer(SERVER, &[SHARED, own(1_000)], 300);
+    memory.note_cached(&older, NOW);
+    let next_turn = [SHARED, own(2_100)];
+    assert_eq!(memory.unread_tokens(SERVER, &next_turn, NOW), 100);
+}
+
+#[test]
+fn notes_are_forgotten_after_a_while() {
+    let mut memory = PromptMemory::default();
+    memory.note(SERVER, &[SHARED], NOW);
+    let later = NOW + Duration::from_secs(31);
+    assert_eq!(memory.unread_tokens(SERVER, &[SHARED], later), 12_000);
+    memory.tidy(later);
+    assert_eq!(memory.unread_tokens(SERVER, &[SHARED], NOW), 12_000);
+}
+
+#[test]
+fn token_counts_near_the_limit_do_not_wrap() {
+    let mut memory = PromptMemory::default();
+    let huge = [
+        own(u32::MAX),
+        PromptPart {
+            id: 3,
+            ..own(u32::MAX)
+        },
+    ];
+    assert_eq!(memory.unread_tokens(SERVER, &huge, NOW), u32::MAX);
+    let cached = CachedPrompt::after_answer(SERVER, &huge, u32::MAX);
+    memory.note_cached(&cached, NOW);
+    assert_eq!(memory.unread_tokens(SERVER, &huge, NOW), 0);
+}
--- a/crates/courseshed-edge/tests/support/codec.rs
+++ b/crates/courseshed-edge/tests/support/codec.rs
@@ -8,6 +8,7 @@
 use courseshed_edge::gateway::{
     AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall,
 };
+use courseshed_types::PromptPart;
 
 pub struct TestCodec;
 
@@ -33,7 +34,7 @@
             program,
             most_tokens: number("x-most").map(|most| most as u32),
             affinity_key: text(headers, "x-key"),
-            prompt: Vec::new(),
+            prompt: prompt(headers),
             previous_turn: text(headers, "x-previous"),
         })
     }
@@ -70,6 +71,19 @@
     }
 }
 
+/// Parts of the prompt as ID:TOKENS, split by commas.
+fn prompt(headers: &HeaderMap) -> Vec<PromptPart> {
+    let parts = text(headers, "x-prompt").unwrap_or_default();
+    let part = |part: &str| {
+        let (id, tokens) = part.split_once(':')?;
+        Some(PromptPart {
+            id: id.parse().ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    parts.split(',').filter_map(part).collect()
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -35,10 +35,56 @@
     pub readiness: SocketAddr,
     pub metrics: Arc<Metrics>,
     pub disk_faults: FaultSwitch,
+    addresses: PeerAddresses,
+    hosts: Ipv4Addr,
     stop: Option<oneshot::Sender<()>>,
     _folder: TempDir,
 }
 
+/// A running gateway.
+pub struct Gateway {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: Arc<Metrics>,
+    stop: oneshot::Sender<()>,
+}
+
+fn start_gateway(
+    ip: Ipv4Addr,
+    seed: Ipv4Addr,
+    addresses: PeerAddresses,
+    grace: Duration,
+) -> Gateway {
+    let callers = SocketAddr::from((ip, addresses.first_port + 8));
+    let readiness = SocketAddr::from((ip, addresses.first_port + 9));
+    let (stop, stopped) = oneshot::channel::<()>();
+    let metrics = Arc::new(Metrics::new());
+    let settings = GatewaySettings {
+        node: node_at(ip),
+        zone: "a".to_owned(),
+        callers,
+        readiness,
+        seeds: Box::new(move || vec![node_at(seed)]),
+        addresses,
+        metrics: metrics.clone(),
+        codec: Box::new(codec::TestCodec),
+    };
+    actix_rt::spawn(async move {
+        let stopped = async {
+            let _ = stopped.await;
+        };
+        gateway::run(settings, stopped, grace)
+            .await
+            .expect("a gateway");
+    });
+    Gateway {
+        callers,
+        readiness,
+        metrics,
+        stop,
+    }
+}
+
 impl Fleet {
     pub async fn start(grace: Duration) -> Self {
         let folder = TempDir::new().expect("a folder");
@@ -71,35 +117,16 @@
             addresses,
         })
         .expect("a store");
-        let callers = SocketAddr::from((ip(3), addresses.first_port + 8));
-        let readiness = SocketAddr::from((ip(3), addresses.first_port + 9));
-        let (stop, stopped) = oneshot::channel::<()>();
-        let metrics = Arc::new(Metrics::new());
-        let settings = GatewaySettings {
-            node: node_at(ip(3)),
-            zone: "a".to_owned(),
-            callers,
-            readiness,
-            seeds: Box::new(seeds),
-            addresses,
-            metrics: metrics.clone(),
-            codec: Box::new(codec::TestCodec),
-        };
-        actix_rt::spawn(async move {
-            let stopped = async {
-                let _ = stopped.await;
-            };
-            gateway::run(settings, stopped, grace)
-                .await
-                .expect("a gateway");
-        });
+        let gateway = start_gateway(ip(3), ip(1), addresses, grace);
         Self {
             controller,
-            callers,
-            readiness,
-            metrics,
+            callers: gateway.callers,
+            readiness: gateway.readiness,
+            metrics: gateway.metrics,
             disk_faults,
-            stop: Some(stop),
+            addresses,
+            hosts: ip(0),
+            stop: Some(gateway.stop),
             _folder: folder,
         }
     }
@@ -161,6 +188,15 @@
         .await;
     }
 
+    /// Starts a second gateway, and waits until it serves.
+    pub async fn start_another_gateway(&self) -> Gateway {
+        let [a, b, c, _] = self.hosts.octets();
+        let host = |host| Ipv4Addr::new(a, b, c, host);
+        let gateway = start_gateway(host(4), host(1), self.addresses, Duration::from_secs(20));
+        until(async || status(&get(gateway.readiness, "/").await) == 200).await;
+        gateway
+    }
+
     /// Begins a planned stop of the gateway.
     pub async fn stop(&mut self) {
         if let Some(stop) = self.stop.take() {
--- a/crates/courseshed-records/src/replica.rs
+++ b/crates/courseshed-records/src/replica.rs
@@ -4,6 +4,7 @@
 use std::ops::Bound;
 
 use bytes::Bytes;
+use courseshed_types::CachedPrompt;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -21,6 +22,10 @@
     pub input: Bytes,
     /// What the engine answered: the data of each event with a line feed behind.
     pub output: Bytes,
+    /// The server that made it, and what that held of the prompt then: a hint for the turns that go
+    /// on from this one. None in records written before it was noted.
+    #[serde(default)]
+    pub cached: Option<CachedPrompt>,
 }
 
 /// What a replica writes down.
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -255,6 +255,7 @@
                     previous: None,
                     input: Bytes::new(),
                     output: Bytes::new(),
+                    cached: None,
                 };
                 let record = Record::Keep {
                     turn,
--- a/crates/courseshed-records/tests/journal.rs
+++ b/crates/courseshed-records/tests/journal.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use courseshed_records::{ChainError, ExportCursor, Journal, Record, RecordReplica, Turn};
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tempfile::TempDir;
 
 const LONG_MS: u64 = 1 << 40;
@@ -16,6 +17,11 @@
             previous: previous.map(str::to_owned),
             input: Bytes::from_static(b"in"),
             output: Bytes::from_static(b"out"),
+            cached: Some(CachedPrompt::after_answer(
+                ServerKey(7),
+                &[PromptPart { id: 3, tokens: 40 }],
+                2,
+            )),
         },
         keep_ms: LONG_MS,
     }
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use command::{Command, Outcome};
 pub use liveness::{Liveness, LivenessSettings};
-pub use load::{LoadBoard, LoadReport, ServerKey, ServerLoad, pause_after_reports};
+pub use load::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
 pub use server::{Registration, Server, ServerState};
 pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- a/crates/courseshed-registry/src/load.rs
+++ b/crates/courseshed-registry/src/load.rs
@@ -8,9 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use courseshed_types::NodeId;
+use courseshed_types::{NodeId, ServerKey};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// What reports may take of a node's link.
 const BYTES_PER_SECOND: f64 = 8_000.0;
@@ -28,18 +27,6 @@
     least.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
 }
 
-/// Names a server in few bytes: a hash of its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct ServerKey(pub u32);
-
-impl ServerKey {
-    /// The key of a server's id.
-    #[must_use]
-    pub fn of(id: &str) -> Self {
-        Self(xxh3_64(id.as_bytes()) as u32)
-    }
-}
-
 /// The calls at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
--- a/crates/courseshed-registry/tests/load.rs
+++ b/crates/courseshed-registry/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use courseshed_registry::{LoadBoard, LoadReport, ServerKey, ServerLoad, pause_after_reports};
+use courseshed_registry::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
 use courseshed_types::NodeId;
 
 const NOW: Duration = Duration::from_secs(5);
--- a/crates/courseshed-types/src/lib.rs
+++ b/crates/courseshed-types/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod model_report;
 pub mod policy;
 pub mod program;
+pub mod prompt;
 pub mod shard;
 pub mod time;
 pub mod tokens;
@@ -32,6 +33,7 @@
 };
 pub use model_report::{BrokenVariant, Counterexample, ModelReport};
 pub use policy::{BranchPolicy, PolicySnapshot};
+pub use prompt::{CachedPrompt, PromptPart, ServerKey};
 pub use time::Timestamp;
 pub use tokens::Tokens;
 pub use verdict::Verdict;
