Learn read speeds at the lower quartile, and log what a program had left

Test: the estimate converges on engines of three speeds, some calls waiting, some servers holding more than was known.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -181,7 +181,8 @@
     }
 
     /// Notes that the first part of a server's answer came.
-    pub(super) fn note_read(&self, opened: &Opened) {
+    pub(super) fn note_read(&mut self, opened: &Opened) {
+        self.log.note_first_part();
         let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
         let unread = opened.unread_tokens;
@@ -352,6 +353,10 @@
     pub events: u64,
     pub resumed: usize,
     pub status: u16,
+    /// How long the first part of the answer took since the request came, if it came.
+    first_part: Option<Duration>,
+    /// What was left of the program's time when the request came.
+    program_left: Option<Duration>,
     /// What decided the choice of the last server.
     choice: ChoiceInputs,
     /// Version of the routing table that the request was routed by.
@@ -382,6 +387,8 @@
             events: 0,
             resumed: 0,
             status: 0,
+            first_part: None,
+            program_left: call.program.as_ref().and_then(|claim| claim.time_left),
             choice: ChoiceInputs::default(),
             version,
             last_error: String::new(),
@@ -394,11 +401,20 @@
         }
     }
 
+    fn note_first_part(&mut self) {
+        let now = self.began.elapsed();
+        self.first_part.get_or_insert(now);
+    }
+
     fn note_error(&mut self, server: &str, error: &UpstreamError) {
         self.last_error = format!("{server}: {error}");
     }
 }
 
+fn milliseconds(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 impl Drop for CallLog {
     fn drop(&mut self) {
         let labels = CallLabels {
@@ -426,10 +442,12 @@
             resumed = self.resumed,
             version = self.version,
             calls_there = self.choice.calls,
-            loads_age_ms = self.choice.loads_age.as_millis() as u64,
+            loads_age_ms = milliseconds(self.choice.loads_age),
             unread_tokens = self.choice.unread_tokens,
             last_error = self.last_error.as_str(),
-            took_ms = self.began.elapsed().as_millis() as u64;
+            program_left_ms = self.program_left.map(milliseconds),
+            first_part_ms = self.first_part.map(milliseconds),
+            took_ms = milliseconds(self.began.elapsed());
             "a call is over"
         );
     }
--- a/crates/courseshed-edge/src/gateway/cost.rs
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -52,24 +52,38 @@
     own * prospect.slowness + distance
 }
 
-/// Learns how long the calls of a service take.
+/// Learns how long the calls of a service take, and how fast its servers read.
+///
+/// What waited is no sign of slow reading, and a server that held more of a prompt than was known is
+/// none of fast reading. So the times of reads are followed at their lower quartile.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PaceEstimate(ServicePace);
+pub struct PaceEstimate {
+    pace: ServicePace,
+    /// Time to the first part of an answer when there is little to read, in milliseconds.
+    first_part_ms: f64,
+}
 
 /// Weight of a new time in the average of a service's times.
 const NEWEST_WEIGHT: f64 = 0.05;
-/// Weights of a faster and of a slower read: what waited is no sign of slow reading.
-const FASTER_READ_WEIGHT: f64 = 0.3;
-const SLOWER_READ_WEIGHT: f64 = 0.02;
+/// By how much a lower quartile falls with a time below it, and rises with one above it: a third.
+const QUARTILE_FALL: f64 = 0.15;
+const QUARTILE_RISE: f64 = QUARTILE_FALL / 3.0;
+/// Fewer tokens than this say how long a first part takes without reading.
+const FEW_TOKENS: u32 = 500;
 /// Fewer tokens than this say little of how fast a server reads.
-const TELLING_TOKENS: u32 = 4_000;
+const TELLING_TOKENS: u32 = 2_000;
+/// No estimate falls below this, in milliseconds, so that it can rise again.
+const LEAST_MS: f64 = 1e-5;
 
 impl Default for PaceEstimate {
     fn default() -> Self {
-        Self(ServicePace {
-            call_ms: 200.0,
-            read_ms_per_token: 0.005,
-        })
+        Self {
+            pace: ServicePace {
+                call_ms: 200.0,
+                read_ms_per_token: 0.005,
+            },
+            first_part_ms: 20.0,
+        }
     }
 }
 
@@ -77,25 +91,32 @@
     /// What is expected now.
     #[must_use]
     pub fn pace(&self) -> ServicePace {
-        self.0
+        self.pace
     }
 
     /// Takes in how long a whole call was at a server.
     pub fn note_call(&mut self, took_ms: f64) {
-        self.0.call_ms += NEWEST_WEIGHT * (took_ms - self.0.call_ms);
+        self.pace.call_ms += NEWEST_WEIGHT * (took_ms - self.pace.call_ms);
     }
 
     /// Takes in how long the first part of an answer took, with so many tokens to read before it.
     pub fn note_read(&mut self, unread_tokens: u32, took_ms: f64) {
-        if unread_tokens < TELLING_TOKENS {
-            return;
+        if unread_tokens < FEW_TOKENS {
+            follow_quartile(&mut self.first_part_ms, took_ms);
+        } else if unread_tokens >= TELLING_TOKENS {
+            let reading_ms = (took_ms - self.first_part_ms).max(0.0);
+            let each_ms = reading_ms / f64::from(unread_tokens);
+            follow_quartile(&mut self.pace.read_ms_per_token, each_ms);
         }
-        let seen = took_ms / f64::from(unread_tokens);
-        let weight = if seen < self.0.read_ms_per_token {
-            FASTER_READ_WEIGHT
-        } else {
-            SLOWER_READ_WEIGHT
-        };
-        self.0.read_ms_per_token += weight * (seen - self.0.read_ms_per_token);
     }
 }
+
+/// Moves an estimate of the lower quartile by one time seen.
+fn follow_quartile(estimate: &mut f64, seen: f64) {
+    let step = if seen < *estimate {
+        1.0 - QUARTILE_FALL
+    } else {
+        1.0 + QUARTILE_RISE
+    };
+    *estimate = (*estimate * step).max(LEAST_MS);
+}
--- a/crates/courseshed-edge/src/logging.rs
+++ b/crates/courseshed-edge/src/logging.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use log::LevelFilter;
-use log::kv::{Error, Key, Value, VisitSource};
+use log::kv::{Error, Key, Value, VisitSource, VisitValue};
 use parking_lot::Mutex;
 use serde_json::{Map, json};
 
@@ -95,12 +95,39 @@
 
 impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => json!(number),
-            (None, Some(truth)) => json!(truth),
-            (None, None) => json!(value.to_string()),
-        };
-        self.0.insert(key.as_str().to_owned(), value);
+        let mut json = ToJson(serde_json::Value::Null);
+        value.visit(&mut json)?;
+        self.0.insert(key.as_str().to_owned(), json.0);
+        Ok(())
+    }
+}
+
+/// A value as JSON: numbers and truths as such, nothing as null, all else as text.
+struct ToJson(serde_json::Value);
+
+impl VisitValue<'_> for ToJson {
+    fn visit_any(&mut self, value: Value<'_>) -> Result<(), Error> {
+        self.0 = json!(value.to_string());
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), Error> {
+        self.0 = serde_json::Value::Null;
+        Ok(())
+    }
+
+    fn visit_u64(&mut self, value: u64) -> Result<(), Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+
+    fn visit_i64(&mut self, value: i64) -> Result<(), Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+
+    fn visit_bool(&mut self, value: bool) -> Result<(), Error> {
+        self.0 = json!(value);
         Ok(())
     }
 }
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -78,6 +78,32 @@
     assert_eq!(estimate.pace().read_ms_per_token, after_fast);
 }
 
+/// What a service of model engines shows of itself, from the first call on.
+struct EngineTimes {
+    ms_per_token: f64,
+    first_part_ms: f64,
+}
+
+#[parameterized(
+    slow_reader = { EngineTimes { ms_per_token: 0.03, first_part_ms: 25.0 } },
+    fast_reader = { EngineTimes { ms_per_token: 0.003, first_part_ms: 8.0 } },
+    very_slow_reader = { EngineTimes { ms_per_token: 0.2, first_part_ms: 150.0 } },
+)]
+fn the_speed_of_reading_is_learned_although_some_calls_wait(engine: EngineTimes) {
+    let mut estimate = PaceEstimate::default();
+    for round in 0..400_u32 {
+        let waited_ms = f64::from(round % 4) * engine.first_part_ms;
+        let tokens = [100, 1_000, 2_600, 6_000, 9_000][round as usize % 5];
+        // Every tenth server held most of what was thought to be unread.
+        let read = if round % 10 == 0 { tokens / 10 } else { tokens };
+        let took_ms = engine.first_part_ms + waited_ms + engine.ms_per_token * f64::from(read);
+        estimate.note_read(tokens, took_ms);
+    }
+    let learned = estimate.pace().read_ms_per_token;
+    let ratio = learned / engine.ms_per_token;
+    assert!((0.6..1.6).contains(&ratio), "{ratio}");
+}
+
 fn server(id: &str, zone: &str) -> Server {
     Server {
         id: id.to_owned(),
--- a/crates/courseshed-registry/tests/load.rs
+++ b/crates/courseshed-registry/tests/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use courseshed_registry::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
-use courseshed_types::NodeId;
+use courseshed_types::{NodeId, ServerKey};
 
 const NOW: Duration = Duration::from_secs(5);
 
