Send repeatable calls whose answer is lost to another server

Change: the 95th percentile of the times of a route's answers is followed; a server that is silent for three times as long is given up, and another one gets the call within the route's number of servers. A wait that was given up counts as a time seen. Calls that may run once wait as before. Tests: the estimate, on quick and slow answers; a lost answer before a stand-in (failed first: the call never ended).

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -11,7 +11,7 @@
 
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use courseshed_routing::Route;
+use courseshed_routing::{CallKind, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -180,6 +180,13 @@
         cached
     }
 
+    /// Notes how long the whole answer of a plain call took.
+    pub(super) fn note_answered(&self, opened: &Opened) {
+        let took = opened.sent_at.elapsed();
+        let mut times = self.core.answer_times.borrow_mut();
+        times.note(&self.route.name, took);
+    }
+
     /// Notes that the first part of a server's answer came.
     pub(super) fn note_read(&mut self, opened: &Opened) {
         self.log.note_first_part();
@@ -268,10 +275,35 @@
             let answered = core.codec.read_answer(head).request_id;
             answered.is_none_or(|id| id == *request_id)
         };
-        let head = upstream.exchange(&request, self.deadline, is_ours).await?;
+        let silence = self.silence_borne();
+        let limit = silence.map_or(self.deadline, |silence| {
+            self.deadline.min(sent_at + silence)
+        });
+        let head = match upstream.exchange(&request, limit, is_ours).await {
+            Err(UpstreamError::TimedOut) if limit < self.deadline => {
+                self.note_silence(silence.unwrap_or_default());
+                return Err(UpstreamError::Silent);
+            }
+            answered => answered?,
+        };
         Ok((head, upstream, sent_at))
     }
 
+    /// How long the server may be silent before another one gets the request; none if none may.
+    fn silence_borne(&self) -> Option<Duration> {
+        let may_go_on = self.sent_to.len() < self.route.max_attempts as usize;
+        if self.route.kind != CallKind::Repeatable || !may_go_on {
+            return None;
+        }
+        let times = self.core.answer_times.borrow();
+        times.silence_borne(&self.route.name)
+    }
+
+    fn note_silence(&self, silence: Duration) {
+        let mut times = self.core.answer_times.borrow_mut();
+        times.note(&self.route.name, silence);
+    }
+
     fn write_request(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
         let terms = SendTerms {
             time_left: Some(self.time_left()),
@@ -329,7 +361,7 @@
                 self.pass_over(&chosen.id);
                 Ok(())
             }
-            UpstreamError::Broken { .. } => {
+            UpstreamError::Broken { .. } | UpstreamError::Silent => {
                 self.note_broken(&chosen.id, error);
                 if self.may_repeat() {
                     return Ok(());
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -9,6 +9,7 @@
 
 use tokio::time::Instant;
 
+use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
 use super::servers::{Report, ServerTable};
 use super::upstream::UpstreamPool;
@@ -26,6 +27,7 @@
     pub metrics: Arc<Metrics>,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
+    pub answer_times: RefCell<AnswerTimes>,
     /// Where this gateway stands.
     pub zone: String,
     /// When a planned stop ends the process; none while it isn't stopping.
@@ -56,6 +58,7 @@
             metrics,
             clock: Clock::start(),
             servers: RefCell::default(),
+            answer_times: RefCell::default(),
             zone,
             ends_at: Cell::new(None),
             under_way: Cell::new(0),
@@ -89,10 +92,11 @@
         Some(route.targets[index].service.clone())
     }
 
-    /// Forgets the splits of routes that are gone.
-    pub(super) fn retain_splits(&self, table: &RoutingTable) {
-        let mut splits = self.splits.borrow_mut();
-        splits.retain(|name, _| table.routes.iter().any(|route| route.name == *name));
+    /// Forgets what is known of routes that are gone.
+    pub(super) fn retain_routes(&self, table: &RoutingTable) {
+        let is_there = |name: &str| table.routes.iter().any(|route| route.name == name);
+        self.splits.borrow_mut().retain(|name, _| is_there(name));
+        self.answer_times.borrow_mut().retain(is_there);
     }
 
     pub(super) fn report(&self, server: &str, report: Report) {
--- a/crates/courseshed-edge/src/gateway/cost.rs
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -4,6 +4,8 @@
 //! them calls wait. What it has to read of a prompt holds up the call and, since servers read
 //! between the tokens of other calls, those as well.
 
+use super::quantile::Quantile;
+
 /// How much slower a call is at a server all of whose slots are taken.
 const CROWDED_SLOWDOWN: f64 = 0.1;
 /// Share of the slots from which on a call is taken to wait: what is known of other gateways lags.
@@ -58,31 +60,27 @@
 /// none of fast reading. So the times of reads are followed at their lower quartile.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PaceEstimate {
-    pace: ServicePace,
+    call_ms: f64,
+    read_ms_per_token: Quantile,
     /// Time to the first part of an answer when there is little to read, in milliseconds.
-    first_part_ms: f64,
+    first_part_ms: Quantile,
 }
 
 /// Weight of a new time in the average of a service's times.
 const NEWEST_WEIGHT: f64 = 0.05;
-/// By how much a lower quartile falls with a time below it, and rises with one above it: a third.
-const QUARTILE_FALL: f64 = 0.15;
-const QUARTILE_RISE: f64 = QUARTILE_FALL / 3.0;
+/// Where times of reads are followed.
+const LOWER_QUARTILE: f64 = 0.25;
 /// Fewer tokens than this say how long a first part takes without reading.
 const FEW_TOKENS: u32 = 500;
 /// Fewer tokens than this say little of how fast a server reads.
 const TELLING_TOKENS: u32 = 2_000;
-/// No estimate falls below this, in milliseconds, so that it can rise again.
-const LEAST_MS: f64 = 1e-5;
 
 impl Default for PaceEstimate {
     fn default() -> Self {
         Self {
-            pace: ServicePace {
-                call_ms: 200.0,
-                read_ms_per_token: 0.005,
-            },
-            first_part_ms: 20.0,
+            call_ms: 200.0,
+            read_ms_per_token: Quantile::new(LOWER_QUARTILE, 0.005),
+            first_part_ms: Quantile::new(LOWER_QUARTILE, 20.0),
         }
     }
 }
@@ -91,32 +89,25 @@
     /// What is expected now.
     #[must_use]
     pub fn pace(&self) -> ServicePace {
-        self.pace
+        ServicePace {
+            call_ms: self.call_ms,
+            read_ms_per_token: self.read_ms_per_token.value(),
+        }
     }
 
     /// Takes in how long a whole call was at a server.
     pub fn note_call(&mut self, took_ms: f64) {
-        self.pace.call_ms += NEWEST_WEIGHT * (took_ms - self.pace.call_ms);
+        self.call_ms += NEWEST_WEIGHT * (took_ms - self.call_ms);
     }
 
     /// Takes in how long the first part of an answer took, with so many tokens to read before it.
     pub fn note_read(&mut self, unread_tokens: u32, took_ms: f64) {
         if unread_tokens < FEW_TOKENS {
-            follow_quartile(&mut self.first_part_ms, took_ms);
+            self.first_part_ms.note(took_ms);
         } else if unread_tokens >= TELLING_TOKENS {
-            let reading_ms = (took_ms - self.first_part_ms).max(0.0);
-            let each_ms = reading_ms / f64::from(unread_tokens);
-            follow_quartile(&mut self.pace.read_ms_per_token, each_ms);
+            let reading_ms = (took_ms - self.first_part_ms.value()).max(0.0);
+            self.read_ms_per_token
+                .note(reading_ms / f64::from(unread_tokens));
         }
     }
 }
-
-/// Moves an estimate of the lower quartile by one time seen.
-fn follow_quartile(estimate: &mut f64, seen: f64) {
-    let step = if seen < *estimate {
-        1.0 - QUARTILE_FALL
-    } else {
-        1.0 + QUARTILE_RISE
-    };
-    *estimate = (*estimate * step).max(LEAST_MS);
-}
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway: takes callers' requests and passes them on, unchanged, to a server of their service.
 
+mod answer_times;
 mod attempts;
 mod call;
 mod core;
@@ -9,12 +10,14 @@
 mod plain;
 mod program;
 mod prompt_memory;
+mod quantile;
 mod refusal;
 mod server;
 mod servers;
 mod stream;
 mod upstream;
 
+pub use answer_times::AnswerTimes;
 pub use call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -135,7 +135,7 @@
         core.metrics.record_epoch.set(view.records.epoch as i64);
         if let Some(routing) = &view.routing {
             core.metrics.routing_version.set(routing.version as i64);
-            core.retain_splits(&routing.table);
+            core.retain_routes(&routing.table);
         }
         if watch.changed().await.is_err() {
             return;
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -51,6 +51,9 @@
         /// What happened.
         reason: String,
     },
+    /// It was sent, and the server was silent for longer than answers take.
+    #[snafu(display("silent for longer than answers take"))]
+    Silent,
     /// It was sent, and the time was over.
     #[snafu(display("the time is over"))]
     TimedOut,
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -103,6 +103,39 @@
     assert_eq!(free.got().len(), 4);
 }
 
+/// Found by slm-dispatch trouble-3: servers ran calls of tools and their answers were lost; callers
+/// waited for their deadlines.
+#[actix_rt::test]
+async fn a_repeatable_call_whose_answer_is_lost_goes_to_another_server() {
+    const ANSWERED: usize = 30;
+    let fleet = Fleet::start(GRACE).await;
+    let mut answered = 0;
+    let forgetful = StandIn::start(move |got| {
+        answered += 1;
+        if answered > ANSWERED {
+            return Act::Write(String::new());
+        }
+        Act::Write(answer(got, "served"))
+    })
+    .await;
+    let mut route = plain_route();
+    route.kind = CallKind::Repeatable;
+    route.max_attempts = 2;
+    fleet.route(vec![route]).await;
+    fleet.announce("forgetful", &forgetful).await;
+    for index in 0..ANSWERED {
+        let answer = call(fleet.callers, &format!("c{index}"), "", "").await;
+        assert!(answer.ends_with("served"), "{answer}");
+    }
+    let sound = StandIn::start(|got| Act::Write(answer(got, "served"))).await;
+    fleet.announce("sound", &sound).await;
+    for index in 0..ANSWERED {
+        let answer = call(fleet.callers, &format!("d{index}"), "", "").await;
+        assert!(answer.ends_with("served"), "{answer}");
+    }
+    assert!(forgetful.got().len() > ANSWERED);
+}
+
 #[actix_rt::test]
 async fn an_answer_that_is_cut_off_does_not_look_whole() {
     let fleet = Fleet::start(GRACE).await;
