Let crowding count by calls, and let mechanisms be switched off

Cause: crowding was weighed by the share of slots taken, at most a tenth. On engines of 64 slots twelve calls more at a server weighed 5 ms, less than another zone (8 ms) or the order that all gateways share (4 ms), so new programs gathered at few servers: 1 to 13 calls side by side. Change: each call at a server makes one more 3% slower. Tests: twelve calls outweigh another zone where slots are many (failed first); each switch takes its mechanism out of the choice, and no other name is taken.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -18,6 +18,7 @@
 
 use super::call::{CallEnvelope, SendTerms};
 use super::core::{GatewayCore, InFlight};
+use super::policy::Mechanism;
 use super::refusal::Refusal;
 use super::servers::{ChoiceInputs, Chosen, Demand, Report};
 use super::upstream::{Upstream, UpstreamError};
@@ -292,7 +293,8 @@
     /// How long the server may be silent before another one gets the request; none if none may.
     fn silence_borne(&self) -> Option<Duration> {
         let may_go_on = self.sent_to.len() < self.route.max_attempts as usize;
-        if self.route.kind != CallKind::Repeatable || !may_go_on {
+        let is_limited = self.core.policy.uses(Mechanism::SilenceLimit);
+        if self.route.kind != CallKind::Repeatable || !may_go_on || !is_limited {
             return None;
         }
         let times = self.core.answer_times.borrow();
@@ -322,11 +324,8 @@
     /// How urgent a turn is: one whose program can't be in time any more lets the others go first.
     fn urgency(&self) -> Option<u8> {
         let left = self.call.program.as_ref()?.time_left?;
-        let level = if left.is_zero() {
-            LATE_URGENCY
-        } else {
-            USUAL_URGENCY
-        };
+        let is_last = left.is_zero() && self.core.policy.uses(Mechanism::LateLast);
+        let level = if is_last { LATE_URGENCY } else { USUAL_URGENCY };
         self.route.affinity.then_some(level)
     }
 
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -11,6 +11,7 @@
 
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
+use super::policy::Policy;
 use super::servers::{Report, ServerTable};
 use super::upstream::UpstreamPool;
 use crate::clock::Clock;
@@ -25,6 +26,8 @@
     pub records: RecordClient,
     pub pool: UpstreamPool,
     pub metrics: Arc<Metrics>,
+    /// What it decides by.
+    pub policy: Policy,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
     pub answer_times: RefCell<AnswerTimes>,
@@ -49,6 +52,7 @@
         records: RecordClient,
         metrics: Arc<Metrics>,
         zone: String,
+        policy: Policy,
     ) -> Rc<Self> {
         Rc::new(Self {
             codec,
@@ -57,7 +61,8 @@
             pool: UpstreamPool::new(),
             metrics,
             clock: Clock::start(),
-            servers: RefCell::default(),
+            servers: RefCell::new(ServerTable::new(policy.clone())),
+            policy,
             answer_times: RefCell::default(),
             zone,
             ends_at: Cell::new(None),
--- a/crates/courseshed-edge/src/gateway/cost.rs
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -6,8 +6,9 @@
 
 use super::quantile::Quantile;
 
-/// How much slower a call is at a server all of whose slots are taken.
-const CROWDED_SLOWDOWN: f64 = 0.1;
+/// How much slower a call is for each other one at its server: batches take longer, and calls bring
+/// prompts that are read in between.
+const SLOWDOWN_OF_CALL: f64 = 0.03;
 /// Share of the slots from which on a call is taken to wait: what is known of other gateways lags.
 const WAITING_FROM: f64 = 0.8;
 /// By how much of the time of a read each running call counts as held up: itself once, and once more
@@ -45,7 +46,7 @@
 pub fn expected_ms(prospect: &Prospect, pace: &ServicePace) -> f64 {
     let slots = f64::from(prospect.slots.max(1));
     let calls = f64::from(prospect.calls);
-    let crowd = CROWDED_SLOWDOWN * (calls / slots).min(1.0);
+    let crowd = SLOWDOWN_OF_CALL * calls.min(slots);
     let waiting = (calls + 1.0 - WAITING_FROM * slots).max(0.0) / slots;
     let read = f64::from(prospect.unread_tokens) * pace.read_ms_per_token;
     let held_up = 1.0 + READ_HOLDS_UP * calls.min(slots);
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -11,6 +11,7 @@
 
 use super::call::CallEnvelope;
 use super::core::GatewayCore;
+use super::policy::Mechanism;
 use super::refusal::Refusal;
 use crate::records::{ChainLookup, RecordClient, Reservation};
 
@@ -111,7 +112,8 @@
         }
         Err(_) => return Err(Refusal::NoRecords),
     };
-    if let Some(cached) = chain.last().and_then(|turn| turn.cached.as_ref()) {
+    let hint = chain.last().and_then(|turn| turn.cached.as_ref());
+    if let Some(cached) = hint.filter(|_| core.policy.uses(Mechanism::KeptTurnHints)) {
         let now = core.clock.now();
         core.servers.borrow_mut().note_cached(cached, now);
     }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -17,6 +17,7 @@
 use super::call::{CallCodec, CallEnvelope};
 use super::core::GatewayCore;
 use super::load::share_load;
+use super::policy::{Mechanism, Policy};
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
 use crate::follower::FleetFollower;
@@ -52,6 +53,8 @@
     pub metrics: Arc<Metrics>,
     /// The words of callers and servers.
     pub codec: Box<dyn CallCodec>,
+    /// The mechanisms that it decides by.
+    pub policy: Policy,
 }
 
 /// A gateway doesn't start.
@@ -110,10 +113,13 @@
         records,
         settings.metrics,
         settings.zone,
+        settings.policy,
     );
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
-    actix_rt::spawn(share_load(core.clone(), peers));
+    if core.policy.uses(Mechanism::SharedLoads) {
+        actix_rt::spawn(share_load(core.clone(), peers));
+    }
     let address = settings.readiness;
     let readiness = listen(address).context(ListenSnafu { address })?;
     let address = settings.callers;
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
+use super::policy::{Mechanism, Policy};
 use super::prompt_memory::PromptMemory;
 
 /// Weight of the newest time in the average of a server's times.
@@ -89,6 +90,7 @@
 /// The servers, as this gateway sees them.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
+    policy: Policy,
     seen: BTreeMap<String, Seen>,
     others_noted: Duration,
     gateways: u32,
@@ -97,6 +99,15 @@
 }
 
 impl ServerTable {
+    /// A table without servers.
+    #[must_use]
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
     /// Takes in the list of servers. What was seen of those that stay is kept.
     pub fn replace(&mut self, servers: &[Server]) {
         let mut seen = BTreeMap::new();
@@ -160,9 +171,11 @@
         let candidates = if awake.is_empty() { open } else { awake };
         let usual_ms = median_ms(&candidates);
         let pace = self.pace_of(demand.service);
+        let is_shared = self.policy.uses(Mechanism::SharedPreference);
+        let shared_salt = demand.parts.first().filter(|_| is_shared);
+        let salt = shared_salt.map_or(tie, |part| part.id);
         let cost = |seen: &Seen| {
             let prospect = self.prospect(seen, demand, usual_ms, now);
-            let salt = demand.parts.first().map_or(tie, |part| part.id);
             expected_ms(&prospect, &pace) + PREFERENCE_MS * seen.preference(salt)
         };
         let costs = candidates.into_iter().map(|seen| (cost(seen), seen));
@@ -171,12 +184,22 @@
     }
 
     fn prospect(&self, seen: &Seen, demand: &Demand, usual_ms: f64, now: Duration) -> Prospect {
+        let unread_tokens = if self.policy.uses(Mechanism::PromptMemory) {
+            self.prompts.unread_tokens(seen.key, demand.parts, now)
+        } else {
+            0
+        };
+        let slowness = if self.policy.uses(Mechanism::ServerPace) {
+            seen.slowness(usual_ms)
+        } else {
+            1.0
+        };
         Prospect {
             calls: seen.calls(),
             slots: seen.server.slots,
-            slowness: seen.slowness(usual_ms),
-            unread_tokens: self.prompts.unread_tokens(seen.key, demand.parts, now),
-            is_near: seen.server.zone == demand.zone,
+            slowness,
+            unread_tokens,
+            is_near: seen.server.zone == demand.zone || !self.policy.uses(Mechanism::OwnZone),
         }
     }
 
@@ -208,7 +231,9 @@
         self.prompts.note(ServerKey::of(id), parts, now);
         if let Some(seen) = self.seen.get(id) {
             let estimate = self.paces.entry(seen.server.service.clone()).or_default();
-            estimate.note_read(unread_tokens, milliseconds(took));
+            if self.policy.uses(Mechanism::LearnedReading) {
+                estimate.note_read(unread_tokens, milliseconds(took));
+            }
         }
     }
 
@@ -308,6 +333,7 @@
         let Some(seen) = self.seen.get_mut(id) else {
             return;
         };
+        let rests = self.policy.uses(Mechanism::Rests);
         match report {
             Report::Paced(took) => {
                 let took_ms = milliseconds(took);
@@ -319,6 +345,7 @@
                 seen.failures = 0;
                 seen.rests_until = Duration::ZERO;
             }
+            Report::Full | Report::Failed if !rests => {}
             Report::Full => seen.rests_until = now + FULL_REST,
             Report::Failed => {
                 let rest = FIRST_REST * 2u32.saturating_pow(seen.failures.min(8));
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -6,7 +6,7 @@
     Demand, PaceEstimate, Prospect, ServerTable, ServicePace, expected_ms,
 };
 use courseshed_registry::{Server, ServerState};
-use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
+use courseshed_types::PromptPart;
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -53,6 +53,24 @@
     assert!(cost_of_read(8) > 2.0 * cost_of_read(0));
 }
 
+/// Found on engines of 64 slots: with crowding counted by the share of slots, twelve calls more weighed
+/// less than another zone.
+#[test]
+fn many_calls_outweigh_another_zone_where_slots_are_many() {
+    let crowded = Prospect {
+        calls: 12,
+        slots: 64,
+        ..IDLE
+    };
+    let far = Prospect {
+        calls: 3,
+        slots: 64,
+        is_near: false,
+        ..IDLE
+    };
+    assert!(expected_ms(&crowded, &PACE) > 1.2 * expected_ms(&far, &PACE));
+}
+
 #[test]
 fn a_full_server_costs_more_than_a_free_one_in_another_zone() {
     let full = Prospect { calls: 12, ..IDLE };
--- /dev/null
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -0,0 +1,93 @@
+//! Mechanisms that are switched off have no part in the choice of a server.
+
+use std::time::Duration;
+
+use courseshed_edge::gateway::{Demand, Mechanism, Policy, Report, ServerTable};
+use courseshed_registry::{Server, ServerState};
+use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
+use yare::parameterized;
+
+const NOW: Duration = Duration::from_secs(10);
+const PROMPT: [PromptPart; 1] = [PromptPart {
+    id: 1,
+    tokens: 50_000,
+}];
+
+fn server(id: &str, zone: &str) -> Server {
+    Server {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: zone.to_owned(),
+        slots: 4,
+        state: ServerState::Ready,
+    }
+}
+
+/// How many of many calls go to server `a`, with mechanisms switched off and after something was seen.
+fn share_of_a(without: &[Mechanism], zone_of_a: &str, see: impl Fn(&mut ServerTable)) -> usize {
+    let mut table = ServerTable::new(Policy::without(without.iter().copied()));
+    table.replace(&[server("a", zone_of_a), server("b", "near")]);
+    see(&mut table);
+    let demand = Demand {
+        service: "s",
+        zone: "near",
+        parts: &PROMPT,
+        most_in_flight: u32::MAX,
+    };
+    (0..100)
+        .filter_map(|tie| table.choose(&demand, &[], NOW, tie))
+        .filter(|chosen| chosen.id == "a")
+        .count()
+}
+
+fn has_read(table: &mut ServerTable) {
+    let cached = CachedPrompt::after_answer(ServerKey::of("b"), &PROMPT, 0);
+    table.note_cached(&cached, NOW);
+}
+
+fn is_slow(table: &mut ServerTable) {
+    for _ in 0..20 {
+        table.report("a", Report::Paced(Duration::from_millis(500)), NOW);
+        table.report("b", Report::Paced(Duration::from_millis(50)), NOW);
+    }
+}
+
+fn has_failed(table: &mut ServerTable) {
+    table.report("a", Report::Failed, NOW);
+}
+
+fn nothing(_: &mut ServerTable) {}
+
+#[parameterized(
+    prompt_memory = { Mechanism::PromptMemory, "near", has_read },
+    server_pace = { Mechanism::ServerPace, "near", is_slow },
+    rests = { Mechanism::Rests, "near", has_failed },
+    own_zone = { Mechanism::OwnZone, "far", nothing },
+)]
+fn a_mechanism_decides_only_while_it_is_used(
+    mechanism: Mechanism,
+    zone_of_a: &str,
+    see: fn(&mut ServerTable),
+) {
+    // Ties are broken for each call anew, so that nothing but the mechanism keeps calls from `a`.
+    let used = share_of_a(&[Mechanism::SharedPreference], zone_of_a, see);
+    let unused = share_of_a(&[Mechanism::SharedPreference, mechanism], zone_of_a, see);
+    assert_eq!(used, 0);
+    assert!((20..80).contains(&unused), "{unused}");
+}
+
+#[test]
+fn gateways_prefer_the_same_server_for_the_same_prompt() {
+    let shared = share_of_a(&[], "near", nothing);
+    assert!(shared == 0 || shared == 100, "{shared}");
+}
+
+#[test]
+fn mechanisms_are_known_by_their_names() {
+    for mechanism in Mechanism::ALL {
+        assert_eq!(mechanism.as_str().parse(), Ok(mechanism));
+    }
+    let unknown = "luck".parse::<Mechanism>().expect_err("unknown");
+    assert!(unknown.to_string().contains("prompt-memory"), "{unknown}");
+}
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use courseshed_consensus::FaultSwitch;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings};
+use courseshed_edge::gateway::{self, GatewaySettings, Policy};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreSettings};
@@ -68,6 +68,7 @@
         addresses,
         metrics: metrics.clone(),
         codec: Box::new(codec::TestCodec),
+        policy: Policy::default(),
     };
     actix_rt::spawn(async move {
         let stopped = async {
