Split the choice of a server from the table of servers, and the log line from the attempts

servers.rs was a table, a chooser and an estimator in one; now servers.rs is the table, choice.rs the choice, call_log.rs the line about a request. No policy changed.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -17,12 +17,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::call::{CallEnvelope, SendTerms};
+use super::call_log::CallLog;
+use super::choice::{ChoiceInputs, Chosen, Demand};
 use super::core::{GatewayCore, InFlight};
 use super::policy::Mechanism;
 use super::refusal::Refusal;
-use super::servers::{ChoiceInputs, Chosen, Demand, Report};
+use super::servers::Report;
 use super::upstream::{Upstream, UpstreamError};
-use crate::metrics::{CallLabels, Metrics};
 
 /// Servers that may refuse a request, or can't be reached, before the caller is told.
 const REFUSALS_BORNE: usize = 4;
@@ -374,112 +375,3 @@
         }
     }
 }
-
-/// The line that is written about a request once it is over.
-pub(super) struct CallLog {
-    pub outcome: &'static str,
-    pub server: String,
-    pub attempts: usize,
-    pub refused_by: usize,
-    pub events: u64,
-    pub resumed: usize,
-    pub status: u16,
-    /// How long the first part of the answer took since the request came, if it came.
-    first_part: Option<Duration>,
-    /// What was left of the program's time when the request came.
-    program_left: Option<Duration>,
-    /// What decided the choice of the last server.
-    choice: ChoiceInputs,
-    /// Version of the routing table that the request was routed by.
-    version: u64,
-    last_error: String,
-    request: String,
-    program: String,
-    route: String,
-    service: String,
-    began: Instant,
-    metrics: Arc<Metrics>,
-}
-
-impl CallLog {
-    fn new(
-        call: &CallEnvelope,
-        route: &Route,
-        service: &str,
-        version: u64,
-        metrics: Arc<Metrics>,
-    ) -> Self {
-        let program = call.program.as_ref().map(|claim| claim.program.clone());
-        Self {
-            outcome: "caller_left",
-            server: String::new(),
-            attempts: 0,
-            refused_by: 0,
-            events: 0,
-            resumed: 0,
-            status: 0,
-            first_part: None,
-            program_left: call.program.as_ref().and_then(|claim| claim.time_left),
-            choice: ChoiceInputs::default(),
-            version,
-            last_error: String::new(),
-            request: call.request_id.clone(),
-            program: program.unwrap_or_default(),
-            route: route.name.clone(),
-            service: service.to_owned(),
-            began: Instant::now(),
-            metrics,
-        }
-    }
-
-    fn note_first_part(&mut self) {
-        let now = self.began.elapsed();
-        self.first_part.get_or_insert(now);
-    }
-
-    fn note_error(&mut self, server: &str, error: &UpstreamError) {
-        self.last_error = format!("{server}: {error}");
-    }
-}
-
-fn milliseconds(time: Duration) -> u64 {
-    time.as_millis() as u64
-}
-
-impl Drop for CallLog {
-    fn drop(&mut self) {
-        let labels = CallLabels {
-            service: self.service.clone(),
-            outcome: self.outcome,
-        };
-        self.metrics.calls.get_or_create(&labels).inc();
-        self.metrics
-            .call_seconds
-            .observe(self.began.elapsed().as_secs_f64());
-        self.metrics.attempts.inc_by(self.attempts as u64);
-        self.metrics.resumed.inc_by(self.resumed as u64);
-        log::info!(
-            event = "call_over",
-            request = self.request.as_str(),
-            program = self.program.as_str(),
-            route = self.route.as_str(),
-            service = self.service.as_str(),
-            outcome = self.outcome,
-            status = self.status,
-            server = self.server.as_str(),
-            attempts = self.attempts,
-            refused_by = self.refused_by,
-            events = self.events,
-            resumed = self.resumed,
-            version = self.version,
-            calls_there = self.choice.calls,
-            loads_age_ms = milliseconds(self.choice.loads_age),
-            unread_tokens = self.choice.unread_tokens,
-            last_error = self.last_error.as_str(),
-            program_left_ms = self.program_left.map(milliseconds),
-            first_part_ms = self.first_part.map(milliseconds),
-            took_ms = milliseconds(self.began.elapsed());
-            "a call is over"
-        );
-    }
-}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -0,0 +1,153 @@
+//! Which server a call goes to. Pure: times are passed in.
+//!
+//! A call goes where it is expected to cost least (see [`super::cost`]); of servers that cost nearly
+//! the same, all gateways prefer the same one for the same prompt, so that it need not be read at
+//! many. Servers that rest are chosen only when no other is open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use courseshed_registry::ServerState;
+use courseshed_types::{PromptPart, ServerKey};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::cost::{Prospect, ServicePace, expected_ms};
+use super::policy::Mechanism;
+use super::servers::{Seen, ServerTable};
+
+/// How much the order that all gateways share may weigh, in milliseconds.
+const PREFERENCE_MS: f64 = 4.0;
+
+/// A server that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// The life of the server.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// What a call needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The zone of the gateway.
+    pub zone: &'a str,
+    /// The prompt; empty if it doesn't matter what a server saw before.
+    pub parts: &'a [PromptPart],
+    /// Most calls that this gateway may have at one server.
+    pub most_in_flight: u32,
+}
+
+/// What decided the choice of a server, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ChoiceInputs {
+    /// Calls of all gateways there, as far as known.
+    pub calls: u32,
+    /// How long ago the other gateways said what they have there.
+    pub loads_age: Duration,
+    /// Tokens of the prompt that it had still to read, as far as known.
+    pub unread_tokens: u32,
+}
+
+impl ServerTable {
+    /// Chooses a server for a call, none of `excluded`. `tie` breaks ties.
+    #[must_use]
+    pub fn choose(
+        &self,
+        demand: &Demand,
+        excluded: &[String],
+        now: Duration,
+        tie: u64,
+    ) -> Option<Chosen> {
+        let open: Vec<&Seen> = self
+            .seen
+            .values()
+            .filter(|seen| seen.server.service == demand.service)
+            .filter(|seen| seen.server.state == ServerState::Ready)
+            .filter(|seen| !excluded.contains(&seen.server.id))
+            .filter(|seen| seen.in_flight < demand.most_in_flight)
+            .collect();
+        let awake: Vec<&Seen> = open
+            .iter()
+            .copied()
+            .filter(|seen| seen.rests_until <= now)
+            .collect();
+        let candidates = if awake.is_empty() { open } else { awake };
+        let usual_ms = median_ms(&candidates);
+        let pace = self.pace_of(demand.service);
+        let is_shared = self.policy.uses(Mechanism::SharedPreference);
+        let shared_salt = demand.parts.first().filter(|_| is_shared);
+        let salt = shared_salt.map_or(tie, |part| part.id);
+        let cost = |seen: &Seen| {
+            let prospect = self.prospect(seen, demand, usual_ms, now);
+            expected_ms(&prospect, &pace) + PREFERENCE_MS * seen.preference(salt)
+        };
+        let costs = candidates.into_iter().map(|seen| (cost(seen), seen));
+        let (_, chosen) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(chosen.chosen())
+    }
+
+    fn prospect(&self, seen: &Seen, demand: &Demand, usual_ms: f64, now: Duration) -> Prospect {
+        let unread_tokens = if self.policy.uses(Mechanism::PromptMemory) {
+            self.prompts.unread_tokens(seen.key, demand.parts, now)
+        } else {
+            0
+        };
+        let slowness = if self.policy.uses(Mechanism::ServerPace) {
+            seen.slowness(usual_ms)
+        } else {
+            1.0
+        };
+        Prospect {
+            calls: seen.calls(),
+            slots: seen.server.slots,
+            slowness,
+            unread_tokens,
+            is_near: seen.server.zone == demand.zone || !self.policy.uses(Mechanism::OwnZone),
+        }
+    }
+
+    fn pace_of(&self, service: &str) -> ServicePace {
+        let estimate = self.paces.get(service).copied().unwrap_or_default();
+        estimate.pace()
+    }
+
+    /// What is known of a server that a call is about to go to.
+    #[must_use]
+    pub fn choice_inputs(&self, id: &str, parts: &[PromptPart], now: Duration) -> ChoiceInputs {
+        let calls = self.seen.get(id).map_or(0, Seen::calls);
+        ChoiceInputs {
+            calls,
+            loads_age: now.saturating_sub(self.others_noted),
+            unread_tokens: self.prompts.unread_tokens(ServerKey::of(id), parts, now),
+        }
+    }
+}
+
+impl Seen {
+    /// Its times against the usual ones of its service.
+    fn slowness(&self, usual_ms: f64) -> f64 {
+        if self.usual_ms == 0.0 || usual_ms == 0.0 {
+            return 1.0;
+        }
+        (self.usual_ms / usual_ms).clamp(0.5, 10.0)
+    }
+
+    /// The server's place in an order that depends on the salt alone: from 0, first, to 1.
+    fn preference(&self, salt: u64) -> f64 {
+        let hash = xxh3_64_with_seed(&self.key.0.to_le_bytes(), salt);
+        hash as f64 / u64::MAX as f64
+    }
+}
+
+fn median_ms(candidates: &[&Seen]) -> f64 {
+    let mut times: Vec<f64> = candidates
+        .iter()
+        .map(|seen| seen.usual_ms)
+        .filter(|time| *time > 0.0)
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() / 2).copied().unwrap_or(0.0)
+}
--- a/crates/courseshed-edge/src/gateway/load.rs
+++ b/crates/courseshed-edge/src/gateway/load.rs
@@ -18,6 +18,7 @@
 const INTERVAL: Duration = Duration::from_millis(80);
 /// How long a controller may take to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+
 /// Exchanges loads for as long as the process lives. A gateway without calls says so once.
 pub(super) async fn share_load(core: Rc<GatewayCore>, peers: Arc<Peers>) {
     let mut was_idle = true;
@@ -27,6 +28,8 @@
         let is_idle = own.servers.is_empty();
         let sent = own.servers.len();
         let received = if is_idle && was_idle {
+            let now = core.clock.now();
+            core.servers.borrow_mut().forget_old_loads(now);
             0
         } else {
             exchange(&core, &peers, own).await
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -3,6 +3,8 @@
 mod answer_times;
 mod attempts;
 mod call;
+mod call_log;
+mod choice;
 mod core;
 mod cost;
 mod events;
@@ -20,10 +22,11 @@
 
 pub use answer_times::AnswerTimes;
 pub use call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
+pub use choice::{Chosen, Demand};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
 pub use server::{GatewayError, GatewaySettings, run};
-pub use servers::{Chosen, Demand, Report, ServerTable};
+pub use servers::{Report, ServerTable};
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -1,25 +1,19 @@
-//! Which server a request goes to, from what this gateway has seen of them. Pure: times are passed in.
-//!
-//! Gateways tell each other how many calls they have at each server, a moment late. A call goes where
-//! it is expected to cost least (see [`super::cost`]); of servers that cost nearly the same, all
-//! gateways prefer the same one for the same prompt, so that it need not be read at many.
+//! The servers, with what this gateway has seen of them and what the others said. Pure: times are
+//! passed in. Which one a call goes to is chosen in [`super::choice`].
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use courseshed_registry::{LoadReport, Server, ServerLoad, ServerState};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
+use super::choice::Chosen;
+use super::cost::PaceEstimate;
 use super::policy::{Mechanism, Policy};
 use super::prompt_memory::PromptMemory;
 
 /// Weight of the newest time in the average of a server's times.
 const NEWEST_WEIGHT: f64 = 0.15;
-/// How much the order that all gateways share may weigh, in milliseconds.
-const PREFERENCE_MS: f64 = 4.0;
 /// First and longest rest after a failure.
 const FIRST_REST: Duration = Duration::from_millis(400);
 const LONGEST_REST: Duration = Duration::from_secs(4);
@@ -28,39 +22,6 @@
 /// Rest after a server said that it is full.
 const FULL_REST: Duration = Duration::from_millis(40);
 
-/// A server that was chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Chosen {
-    /// The life of the server.
-    pub id: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
-/// What a call needs of a server.
-#[derive(Clone, Copy, Debug)]
-pub struct Demand<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// The zone of the gateway.
-    pub zone: &'a str,
-    /// The prompt; empty if it doesn't matter what a server saw before.
-    pub parts: &'a [PromptPart],
-    /// Most calls that this gateway may have at one server.
-    pub most_in_flight: u32,
-}
-
-/// What decided the choice of a server, for the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ChoiceInputs {
-    /// Calls of all gateways there, as far as known.
-    pub calls: u32,
-    /// How long ago the other gateways said what they have there.
-    pub loads_age: Duration,
-    /// Tokens of the prompt that it had still to read, as far as known.
-    pub unread_tokens: u32,
-}
-
 /// What became of a request at a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Report {
@@ -72,30 +33,33 @@
     Failed,
 }
 
+/// One server and what is known of it.
 #[derive(Clone, Debug)]
-struct Seen {
-    server: Server,
-    key: ServerKey,
+pub(super) struct Seen {
+    pub server: Server,
+    pub key: ServerKey,
     /// Calls of this gateway.
-    in_flight: u32,
+    pub in_flight: u32,
     /// Calls of the other gateways, as they said last.
     others: u32,
     /// Average time of a plain answer or from one event to the next, in milliseconds; 0 when none
     /// was seen.
-    usual_ms: f64,
+    pub usual_ms: f64,
     failures: u32,
-    rests_until: Duration,
+    pub rests_until: Duration,
 }
 
 /// The servers, as this gateway sees them.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
-    policy: Policy,
-    seen: BTreeMap<String, Seen>,
-    others_noted: Duration,
+    pub(super) policy: Policy,
+    pub(super) seen: BTreeMap<String, Seen>,
+    /// When the other gateways' calls were noted last.
+    pub(super) others_noted: Duration,
     gateways: u32,
-    prompts: PromptMemory,
-    paces: BTreeMap<String, PaceEstimate>,
+    pub(super) prompts: PromptMemory,
+    /// How long calls take, by service.
+    pub(super) paces: BTreeMap<String, PaceEstimate>,
 }
 
 impl ServerTable {
@@ -146,79 +110,6 @@
         (seen.server.state == ServerState::Ready).then(|| seen.chosen())
     }
 
-    /// Chooses a server for a call, none of `excluded`. `tie` breaks ties.
-    #[must_use]
-    pub fn choose(
-        &self,
-        demand: &Demand,
-        excluded: &[String],
-        now: Duration,
-        tie: u64,
-    ) -> Option<Chosen> {
-        let open: Vec<&Seen> = self
-            .seen
-            .values()
-            .filter(|seen| seen.server.service == demand.service)
-            .filter(|seen| seen.server.state == ServerState::Ready)
-            .filter(|seen| !excluded.contains(&seen.server.id))
-            .filter(|seen| seen.in_flight < demand.most_in_flight)
-            .collect();
-        let awake: Vec<&Seen> = open
-            .iter()
-            .copied()
-            .filter(|seen| seen.rests_until <= now)
-            .collect();
-        let candidates = if awake.is_empty() { open } else { awake };
-        let usual_ms = median_ms(&candidates);
-        let pace = self.pace_of(demand.service);
-        let is_shared = self.policy.uses(Mechanism::SharedPreference);
-        let shared_salt = demand.parts.first().filter(|_| is_shared);
-        let salt = shared_salt.map_or(tie, |part| part.id);
-        let cost = |seen: &Seen| {
-            let prospect = self.prospect(seen, demand, usual_ms, now);
-            expected_ms(&prospect, &pace) + PREFERENCE_MS * seen.preference(salt)
-        };
-        let costs = candidates.into_iter().map(|seen| (cost(seen), seen));
-        let (_, chosen) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(chosen.chosen())
-    }
-
-    fn prospect(&self, seen: &Seen, demand: &Demand, usual_ms: f64, now: Duration) -> Prospect {
-        let unread_tokens = if self.policy.uses(Mechanism::PromptMemory) {
-            self.prompts.unread_tokens(seen.key, demand.parts, now)
-        } else {
-            0
-        };
-        let slowness = if self.policy.uses(Mechanism::ServerPace) {
-            seen.slowness(usual_ms)
-        } else {
-            1.0
-        };
-        Prospect {
-            calls: seen.calls(),
-            slots: seen.server.slots,
-            slowness,
-            unread_tokens,
-            is_near: seen.server.zone == demand.zone || !self.policy.uses(Mechanism::OwnZone),
-        }
-    }
-
-    fn pace_of(&self, service: &str) -> ServicePace {
-        let estimate = self.paces.get(service).copied().unwrap_or_default();
-        estimate.pace()
-    }
-
-    /// What is known of a server that a call is about to go to.
-    #[must_use]
-    pub fn choice_inputs(&self, id: &str, parts: &[PromptPart], now: Duration) -> ChoiceInputs {
-        let calls = self.seen.get(id).map_or(0, Seen::calls);
-        ChoiceInputs {
-            calls,
-            loads_age: now.saturating_sub(self.others_noted),
-            unread_tokens: self.prompts.unread_tokens(ServerKey::of(id), parts, now),
-        }
-    }
-
     /// Takes in that the first part of an answer came, with so many tokens to read before it.
     pub fn note_read(
         &mut self,
@@ -357,39 +248,17 @@
 }
 
 impl Seen {
-    fn slowness(&self, usual_ms: f64) -> f64 {
-        if self.usual_ms == 0.0 || usual_ms == 0.0 {
-            return 1.0;
-        }
-        (self.usual_ms / usual_ms).clamp(0.5, 10.0)
-    }
-
-    fn calls(&self) -> u32 {
+    /// Calls of all gateways, as far as known.
+    pub fn calls(&self) -> u32 {
         self.in_flight + self.others
     }
 
-    fn chosen(&self) -> Chosen {
+    pub fn chosen(&self) -> Chosen {
         Chosen {
             id: self.server.id.clone(),
             address: self.server.address,
         }
     }
-
-    /// The server's place in an order that depends on the salt alone: from 0, first, to 1.
-    fn preference(&self, salt: u64) -> f64 {
-        let hash = xxh3_64_with_seed(&self.key.0.to_le_bytes(), salt);
-        hash as f64 / u64::MAX as f64
-    }
-}
-
-fn median_ms(candidates: &[&Seen]) -> f64 {
-    let mut times: Vec<f64> = candidates
-        .iter()
-        .map(|seen| seen.usual_ms)
-        .filter(|time| *time > 0.0)
-        .collect();
-    times.sort_by(f64::total_cmp);
-    times.get(times.len() / 2).copied().unwrap_or(0.0)
 }
 
 fn milliseconds(time: Duration) -> f64 {
