--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -29,9 +29,6 @@
 const REFUSALS_BORNE: usize = 4;
 /// How often a request is sent to the same server again.
 const REPEATS_BORNE: usize = 2;
-/// Urgency of a turn whose program may still be in time, and of one that can't be: 0 is first, 9 last.
-const USUAL_URGENCY: u8 = 4;
-const LATE_URGENCY: u8 = 8;
 /// What a thing known by its key alone counts for, in tokens of a prompt.
 const TOKENS_OF_KEY: u32 = 2_000;
 /// Less time than this is not worth another try.
@@ -312,7 +309,6 @@
             time_left: Some(self.time_left()),
             server: chosen.id.clone(),
             resume_after,
-            urgency: self.urgency(),
         };
         let mut request = BytesMut::with_capacity(1024 + self.body.len());
         self.core
@@ -322,14 +318,6 @@
         request
     }
 
-    /// How urgent a turn is: one whose program can't be in time any more lets the others go first.
-    fn urgency(&self) -> Option<u8> {
-        let left = self.call.program.as_ref()?.time_left?;
-        let is_last = left.is_zero() && self.core.policy.uses(Mechanism::LateLast);
-        let level = if is_last { LATE_URGENCY } else { USUAL_URGENCY };
-        self.route.affinity.then_some(level)
-    }
-
     /// Whether the server says that the request did not run, so that another may have it.
     fn is_refused(&self, head: &ResponseHead, chosen: &Chosen) -> bool {
         let is_not_run = self.core.codec.read_answer(head).is_not_run
--- a/crates/courseshed-edge/src/gateway/call.rs
+++ b/crates/courseshed-edge/src/gateway/call.rs
@@ -61,8 +61,6 @@
     pub server: String,
     /// The last event that the caller has; the stream goes on behind it.
     pub resume_after: Option<u64>,
-    /// How urgent it is: 0 first, 9 last.
-    pub urgency: Option<u8>,
 }
 
 /// What a server's answer says of itself.
--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -18,8 +18,6 @@
     ServerPace,
     /// Servers that failed or were full rest.
     Rests,
-    /// Turns of programs that can't be in time any more go last.
-    LateLast,
     /// Repeatable calls whose answer is lost go to another server.
     SilenceLimit,
     /// All gateways prefer the same server for the same prompt.
@@ -32,13 +30,12 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 9] = [
         Self::PromptMemory,
         Self::KeptTurnHints,
         Self::SharedLoads,
         Self::ServerPace,
         Self::Rests,
-        Self::LateLast,
         Self::SilenceLimit,
         Self::SharedPreference,
         Self::OwnZone,
@@ -54,7 +51,6 @@
             Self::SharedLoads => "shared-loads",
             Self::ServerPace => "server-pace",
             Self::Rests => "rests",
-            Self::LateLast => "late-last",
             Self::SilenceLimit => "silence-limit",
             Self::SharedPreference => "shared-preference",
             Self::OwnZone => "own-zone",
