Observe engines until the faults of a run are over

Ruled out: a broken promise (none was), the engines, the gateways. Change: the driver observes until programs and faults are both over. Test: a run without programs still judges the engine that leaves (failed first).

--- a/crates/courseshed-lab/src/live/driver.rs
+++ b/crates/courseshed-lab/src/live/driver.rs
@@ -57,11 +57,22 @@
 
 /// Runs callers against a deployment and returns what they, the engines and the nodes showed.
 pub async fn drive(options: &LoadOptions, on_progress: impl Fn(Progress) + 'static) -> Evidence {
+    drive_under(options, on_progress, std::future::ready(())).await
+}
+
+/// The same while faults are caused. Engines and nodes are observed until both the programs and the
+/// faults are over, so that no fault goes unjudged however soon the programs end.
+pub async fn drive_under(
+    options: &LoadOptions,
+    on_progress: impl Fn(Progress) + 'static,
+    faults: impl Future<Output = ()>,
+) -> Evidence {
     let started_at = now();
     let engines = EngineObserver::start(&options.engines);
     let nodes = NodeObserver::start(&options.urls, options.operator_key.clone());
     let context = Rc::new(new_context(options));
-    let programs = run_all(options, &context, on_progress).await;
+    let programs = run_all(options, &context, on_progress);
+    let (programs, ()) = futures_util::future::join(programs, faults).await;
     engines.settle(&programs, options.limits.memory_grace).await;
     let (engines, leases) = engines.finish().await;
     Evidence {
--- a/crates/courseshed-lab/src/quickstart/mod.rs
+++ b/crates/courseshed-lab/src/quickstart/mod.rs
@@ -16,7 +16,7 @@
         LiveReport, LoadOptions,
         checks::CheckLimits,
         draw::DrawOptions,
-        driver::{Progress, drive},
+        driver::{Progress, drive_under},
         retry::Patience,
     },
     workload::BundledWorkload,
@@ -112,7 +112,7 @@
             drill::run(&fleet, load.draw.duration / DRILL_STEPS).await;
         }
     };
-    let (evidence, ()) = futures_util::future::join(drive(&load, on_progress), drill).await;
+    let evidence = drive_under(&load, on_progress, drill).await;
     Ok(LiveReport::of(options.seed, &evidence))
 }
 
--- a/crates/courseshed-lab/tests/quickstart.rs
+++ b/crates/courseshed-lab/tests/quickstart.rs
@@ -64,3 +64,19 @@
         );
     }
 }
+
+/// Found by a run of the CI script beside busy processes: all programs ended before an engine left, and
+/// nobody looked at the engines any more.
+#[test]
+fn faults_are_judged_however_soon_the_programs_end() {
+    let options = QuickstartOptions {
+        seed: 7,
+        programs: 0,
+        fleet: fast_fleet(),
+        ..QuickstartOptions::default()
+    };
+    let run = quickstart::run(&options, |_| {});
+    let report = actix_rt::System::new().block_on(run).expect("it runs");
+    assert!(report.held(), "{report}");
+    assert!(report.judged["leaving_engine"] > 0, "{report}");
+}
