--- a/crates/courseshed-edge/src/peers.rs
+++ b/crates/courseshed-edge/src/peers.rs
@@ -18,7 +18,7 @@
 /// A machine that is cut off says nothing, so every wait is short.
 const TIMING: TransportTiming = TransportTiming {
     connect: Duration::from_millis(500),
-    next_try: Duration::from_millis(60),
+    first_connect: Duration::from_millis(60),
     reconnect: Duration::from_millis(150),
     write: Duration::from_millis(1500),
     ping: Duration::from_millis(500),
--- a/crates/courseshed-transport/src/connection.rs
+++ b/crates/courseshed-transport/src/connection.rs
@@ -32,7 +32,6 @@
     },
     protocol::{Mechanism, Protocol},
     transport::Shared,
-    tries::first_to_end,
 };
 
 /// Messages written before one flush.
@@ -92,6 +91,8 @@
     pub peer: NodeId,
     pub queue: mpsc::Receiver<Outgoing<P>>,
     pub backoff: Backoff,
+    /// Tries that failed since the last connection.
+    pub failed_tries: u32,
 }
 
 impl<P: Protocol> Connection<P> {
@@ -101,10 +102,12 @@
             match self.connect().await {
                 Ok((reader, writer)) => {
                     self.backoff.reset();
+                    self.failed_tries = 0;
                     self.serve(reader, writer, first).await;
                 }
                 Err(error) => {
                     log::debug!(peer = self.peer.0; "cannot connect: {error}");
+                    self.failed_tries += 1;
                     self.refuse(first);
                     self.refuse_queued();
                     sleep(self.backoff.next_wait()).await;
@@ -118,8 +121,10 @@
             .shared
             .address(self.peer)
             .ok_or_else(|| io::Error::other("no address is known"))?;
-        let timing = self.shared.timing();
-        first_to_end(|| self.open(address), timing.next_try, timing.connect).await
+        let limit = self.shared.timing().connect_limit(self.failed_tries);
+        timeout(limit, self.open(address))
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<(Reader, Writer)> {
--- a/crates/courseshed-transport/src/lib.rs
+++ b/crates/courseshed-transport/src/lib.rs
@@ -18,7 +18,6 @@
 mod listener;
 mod protocol;
 mod transport;
-mod tries;
 
 pub use backoff::Backoff;
 pub use counters::{TrafficCounters, TrafficSnapshot};
@@ -26,4 +25,3 @@
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION};
 pub use protocol::{Handler, Mechanism, PeerIdentity, Protocol, ReplySender, TrafficClass};
 pub use transport::{Transport, TransportSettings, TransportTiming};
-pub use tries::first_to_end;
--- a/crates/courseshed-transport/src/transport.rs
+++ b/crates/courseshed-transport/src/transport.rs
@@ -52,8 +52,9 @@
 pub struct TransportTiming {
     /// How long a connection may take to come about.
     pub connect: Duration,
-    /// How long a try is waited for before another one begins beside it.
-    pub next_try: Duration,
+    /// How long the first try after a connection was lost may take; each further one may take twice
+    /// as long, up to `connect`. A machine without power swallows the first packet without a word.
+    pub first_connect: Duration,
     /// Longest wait between failed tries.
     pub reconnect: Duration,
     /// How long a write may make no progress.
@@ -67,11 +68,20 @@
     pub unacknowledged: Option<Duration>,
 }
 
+impl TransportTiming {
+    /// How long a try to connect may take after some that failed.
+    #[must_use]
+    pub fn connect_limit(&self, failed_tries: u32) -> Duration {
+        let factor = 1_u32.checked_shl(failed_tries).unwrap_or(u32::MAX);
+        self.first_connect.saturating_mul(factor).min(self.connect)
+    }
+}
+
 impl Default for TransportTiming {
     fn default() -> Self {
         Self {
             connect: Duration::from_secs(1),
-            next_try: Duration::from_secs(1),
+            first_connect: Duration::from_secs(1),
             reconnect: Duration::from_secs(1),
             write: Duration::from_secs(5),
             ping: Duration::from_secs(1),
@@ -294,6 +304,7 @@
                 self.shared.timing().reconnect,
                 self.next_seed(),
             ),
+            failed_tries: 0,
         };
         self.runtime
             .spawn(until_stopped(self.shared.stopped(), connection.run()));
