Give each fleet of the node's tests a loopback address of its own

Ruled out: the node's own listeners, which end at the stop. Change: each fleet listens on an address of its process and number, as the edge's tests do. No assertion changed. Test: a stranger takes the same port on 127.0.0.1 between stop and start (failed first with AddrInUse).

--- a/crates/courseshed-node/tests/shards_controlled.rs
+++ b/crates/courseshed-node/tests/shards_controlled.rs
@@ -118,3 +118,17 @@
     // It did run once, though nothing is known of it any more.
     assert_eq!(answer.json()["error"]["verdict"], json!("may_have_run"));
 }
+
+/// Found by a run of the CI script beside another one: a port that was given up between a stop and the
+/// start after it had become another program's, on the address that all programs share.
+#[actix_web::test]
+async fn the_port_of_a_stopped_node_stays_free_until_it_starts_again() {
+    let engine = start_engine("e1");
+    let mut fleet = start_fleet(&engine);
+    fleet.wait_in_force(1).await;
+    let port = fleet.node(1).http_address().port();
+    fleet.kill(1);
+    let _stranger = std::net::TcpListener::bind(("127.0.0.1", port)).expect("a free port");
+    fleet.restart(1);
+    fleet.wait_in_force(1).await;
+}
--- a/crates/courseshed-node/tests/support/fleet.rs
+++ b/crates/courseshed-node/tests/support/fleet.rs
@@ -1,6 +1,7 @@
 //! Several nodes in one process, each in a zone of its own, that can be stopped and started again.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use courseshed_node::{Node, NodeHandle, NodeOptions, NodeSockets};
 use courseshed_settings::{NodeSettings, Overrides, SettingsTree};
@@ -13,6 +14,8 @@
 const ONLY_CONTROLLER: &str = r#"["controller"]"#;
 const ALL_BUT_CONTROLLER: &str = r#"["gateway", "shard", "dispatcher"]"#;
 
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
+
 /// How a fleet is made up.
 pub struct FleetPlan<'a> {
     /// Nodes that are controllers; they come first.
@@ -59,6 +62,7 @@
     pub fn start(plan: FleetPlan<'_>) -> Fleet {
         let folder = tempfile::tempdir().expect("a folder");
         let count = plan.controllers + plan.others;
+        let ip = own_address();
         let mut bound: Vec<NodeSettings> = (1..=count)
             .map(|number| {
                 let roles = match (number <= plan.controllers, plan.controllers_serve) {
@@ -67,7 +71,7 @@
                     (false, _) => ALL_BUT_CONTROLLER,
                 };
                 let data_dir = folder.path().join(format!("node-{number}"));
-                parse(&node_text(number, roles, &data_dir, &plan))
+                parse(&node_text(number, ip, roles, &data_dir, &plan))
             })
             .collect();
         let sockets: Vec<NodeSockets> = bound
@@ -210,14 +214,23 @@
     NodeSettings::parse(text, "node.toml", Overrides::default()).expect("valid settings")
 }
 
+/// A loopback address that no other fleet has and no connection begins at: a port that a stopped node
+/// gave up stays free until it starts again.
+fn own_address() -> Ipv4Addr {
+    let process = (std::process::id() % 200) as u8 + 20;
+    let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, process, fleet, 1)
+}
+
 fn node_text(
     number: usize,
+    ip: Ipv4Addr,
     roles: &str,
     data_dir: &std::path::Path,
     plan: &FleetPlan<'_>,
 ) -> String {
     let mut text = format!(
-        "node_id = {number}\nregion = \"south\"\nzone = \"{}\"\nlisten = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\nroles = {roles}\ndata_dir = {data_dir:?}\n{}\n",
+        "node_id = {number}\nregion = \"south\"\nzone = \"{}\"\nlisten = \"{ip}:0\"\npeer_listen = \"{ip}:0\"\nroles = {roles}\ndata_dir = {data_dir:?}\n{}\n",
         zone(number),
         plan.more,
     );
