--- a/crates/courseshed-edge/src/gateway/answer_times.rs
+++ b/crates/courseshed-edge/src/gateway/answer_times.rs
@@ -10,6 +10,7 @@
 
 use super::quantile::Quantile;
 
+/// Share of the answers of a route that come within the time that is followed.
 const FOLLOWED: f64 = 0.95;
 /// How much longer than the 95th percentile a server may be silent.
 const PATIENCE: f64 = 3.0;
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -179,9 +179,8 @@
         cached
     }
 
-    /// Notes how long the whole answer of a plain call took.
-    pub(super) fn note_answered(&self, opened: &Opened) {
-        let took = opened.sent_at.elapsed();
+    /// Notes how long the whole answer of a plain call took, or how long it was waited for in vain.
+    pub(super) fn note_answer_time(&self, took: Duration) {
         let mut times = self.core.answer_times.borrow_mut();
         times.note(&self.route.name, took);
     }
@@ -275,16 +274,14 @@
             answered.is_none_or(|id| id == *request_id)
         };
         let silence = self.silence_borne();
-        let limit = silence.map_or(self.deadline, |silence| {
-            self.deadline.min(sent_at + silence)
-        });
-        let head = match upstream.exchange(&request, limit, is_ours).await {
-            Err(UpstreamError::TimedOut) if limit < self.deadline => {
-                self.note_silence(silence.unwrap_or_default());
-                return Err(UpstreamError::Silent);
-            }
-            answered => answered?,
-        };
+        let patience = silence.filter(|silence| sent_at + *silence < self.deadline);
+        let limit = patience.map_or(self.deadline, |patience| sent_at + patience);
+        let answered = upstream.exchange(&request, limit, is_ours).await;
+        if let (Err(UpstreamError::TimedOut), Some(patience)) = (&answered, patience) {
+            self.note_answer_time(patience);
+            return Err(UpstreamError::Silent);
+        }
+        let head = answered?;
         Ok((head, upstream, sent_at))
     }
 
@@ -299,11 +296,6 @@
         times.silence_borne(&self.route.name)
     }
 
-    fn note_silence(&self, silence: Duration) {
-        let mut times = self.core.answer_times.borrow_mut();
-        times.note(&self.route.name, silence);
-    }
-
     fn write_request(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
         let terms = SendTerms {
             time_left: Some(self.time_left()),
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -58,7 +58,7 @@
         .unwrap_or(Err(UpstreamError::TimedOut))?;
     let took = opened.sent_at.elapsed();
     attempts.core.report(&opened.server, Report::Paced(took));
-    attempts.note_answered(opened);
+    attempts.note_answer_time(took);
     attempts.note_finished(opened, 0);
     Ok(body)
 }
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -103,7 +103,7 @@
     assert_eq!(free.got().len(), 4);
 }
 
-/// Found by slm-dispatch trouble-3: servers ran calls of tools and their answers were lost; callers
+/// Found on a played day: servers ran calls of tools and their answers were lost; callers
 /// waited for their deadlines.
 #[actix_rt::test]
 async fn a_repeatable_call_whose_answer_is_lost_goes_to_another_server() {
--- a/crates/courseshed-lab/tests/quickstart.rs
+++ b/crates/courseshed-lab/tests/quickstart.rs
@@ -22,6 +22,17 @@
     }
 }
 
+fn run_programs(programs: usize) -> LiveReport {
+    let options = QuickstartOptions {
+        seed: 7,
+        programs,
+        fleet: fast_fleet(),
+        ..QuickstartOptions::default()
+    };
+    let run = quickstart::run(&options, |_| {});
+    actix_rt::System::new().block_on(run).expect("it runs")
+}
+
 /// Programs that failed for another reason than that an engine crashed under a call that must not run twice: its
 /// caller is told that it may have run, and the program can't go on. Callers make all other calls anew.
 fn unexplained_failures(report: &LiveReport) -> u64 {
@@ -35,14 +46,7 @@
 
 #[test]
 fn a_small_fleet_keeps_every_promise() {
-    let options = QuickstartOptions {
-        seed: 7,
-        programs: 14,
-        fleet: fast_fleet(),
-        ..QuickstartOptions::default()
-    };
-    let run = quickstart::run(&options, |_| {});
-    let report = actix_rt::System::new().block_on(run).expect("it runs");
+    let report = run_programs(14);
     assert!(report.held(), "{report}");
     // Lookups beside quotes are programs of their own.
     assert!(report.figures.programs.started >= 14, "{report}");
@@ -69,14 +73,7 @@
 /// nobody looked at the engines any more.
 #[test]
 fn faults_are_judged_however_soon_the_programs_end() {
-    let options = QuickstartOptions {
-        seed: 7,
-        programs: 0,
-        fleet: fast_fleet(),
-        ..QuickstartOptions::default()
-    };
-    let run = quickstart::run(&options, |_| {});
-    let report = actix_rt::System::new().block_on(run).expect("it runs");
+    let report = run_programs(0);
     assert!(report.held(), "{report}");
     assert!(report.judged["leaving_engine"] > 0, "{report}");
 }
