Hand leaderships over until a stopping node has stopped

Cause: the hand-over ended as soon as nothing was led here, once. A shard that came back afterwards (handed back by a replica that the map still prefers this one over, or after its new leader fell) was never handed over again, and the drain ended with it when its patience of 5 s for others had passed. Ruled out: a successor that is found late, since a shard's own step towards the wanted replicas hands over then.

Change: leaderships are handed over for as long as the drain is under way, and the drain waits its whole limit for them.

--- a/crates/courseshed-node/src/drain.rs
+++ b/crates/courseshed-node/src/drain.rs
@@ -6,10 +6,9 @@
 };
 
 use courseshed_types::control::NodeRole;
-use futures_util::join;
 use tokio::time::{Instant, sleep};
 
-use crate::{context::SharedContext, shards::hand_over_all};
+use crate::{context::SharedContext, shards::hand_over_while};
 
 /// Time between two looks at what is still under way.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
@@ -43,11 +42,9 @@
 /// Stops a node in a planned way. Returns when nothing is under way any more and others have taken over what was
 /// decided and led here, or when the limit has passed.
 pub async fn drain(context: &SharedContext, deadline: Instant) {
-    let limit = context.settings.timeouts.drain;
     context.drain.begin();
-    let calls_end = wait_while(deadline, || has_calls(context));
-    let (handed_over, ()) = join!(hand_over_all(context, limit), calls_end);
-    if !handed_over {
+    hand_over_while(context, wait_until_relieved(context, deadline)).await;
+    if leads_beside_others(context) {
         log::warn!("shards are still led here: no other replica took them in time");
     }
     let calls = context.gateway.active_calls();
@@ -55,8 +52,20 @@
     if calls + bodies > 0 {
         log::warn!(calls, streams = bodies; "the limit of draining cuts off what is still under way");
     }
+}
+
+/// Waits until no call is under way, and others have taken over pools, replicas and leaderships.
+async fn wait_until_relieved(context: &SharedContext, deadline: Instant) {
+    wait_while(deadline, || has_calls(context)).await;
     let patience = Instant::now() + TAKE_OVER_PATIENCE;
     wait_while(patience.min(deadline), || others_lag(context)).await;
+    // A leadership that ends with its process costs an election: worth the whole limit.
+    wait_while(deadline, || leads_beside_others(context)).await;
+}
+
+/// Whether shards are led here that another replica could lead.
+fn leads_beside_others(context: &SharedContext) -> bool {
+    !context.shards.led_with_successor().is_empty()
 }
 
 /// Ends what callers came back to while others took over; who comes now is sent to another node.
--- a/crates/courseshed-node/src/shards/mod.rs
+++ b/crates/courseshed-node/src/shards/mod.rs
@@ -26,7 +26,7 @@
 
 pub use client::{ShardClient, ShardPatience};
 pub use follow::FollowedMap;
-pub use handover::hand_over_all;
+pub use handover::hand_over_while;
 pub use input::{PendingReply, ReplicaStart, ShardAction, ShardInput, StepTime};
 pub use plan::{
     KnownReplica, NewReplica, ReplicaChange, ReplicaTarget, WantedReplica, plan_replicas,
--- a/crates/courseshed-node/tests/draining.rs
+++ b/crates/courseshed-node/tests/draining.rs
@@ -6,6 +6,7 @@
 
 use actix_web::http::StatusCode;
 use courseshed_emulator::engine::FaultOrder;
+use courseshed_node::shards::{ShardInput, hand_over_while};
 use serde_json::json;
 use support::fleet::{Fleet, FleetPlan};
 use support::*;
@@ -100,6 +101,28 @@
     assert!(ran.iter().all(|request| request.runs == 1));
 }
 
+/// The map prefers the node until the controllers have noted that it leaves, so others may hand a shard back to it.
+#[actix_web::test]
+async fn a_leadership_that_comes_back_is_handed_over_again() {
+    let fleet = Fleet::start(FleetPlan::default());
+    all_ready(&fleet).await;
+    let stopping = fleet.node(1).context();
+    let leads_none = async || stopping.shards.led().is_empty();
+    let handed_back = async {
+        wait_until(leads_none).await;
+        for other in [2, 3] {
+            let context = fleet.node(other).context();
+            for shard in context.shards.led() {
+                context.shards.step(context, shard, ShardInput::HandOver);
+            }
+        }
+        // Time for the shards to come back; how many do in it makes no difference to what must hold in the end.
+        actix_web::rt::time::sleep(Duration::from_secs(1)).await;
+        wait_until(leads_none).await;
+    };
+    hand_over_while(stopping, handed_back).await;
+}
+
 #[actix_web::test]
 async fn a_stopping_node_takes_nothing_new_but_serves_what_it_has() {
     let engine = start_engine("e1");
