--- a/crates/courseshed-edge/src/control_client.rs
+++ b/crates/courseshed-edge/src/control_client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use courseshed_records::PartitionId;
 use courseshed_registry::{Command, Outcome};
 use courseshed_types::NodeId;
 
@@ -56,9 +57,12 @@
     }
 
     /// Tells all controllers that this store has caught up; the leader acts on it.
-    pub(crate) async fn tell_caught_up(&self, incarnation: u64) {
+    pub(crate) async fn tell_caught_up(&self, incarnation: u64, partitions: &[PartitionId]) {
         for controller in self.follower.controllers() {
-            let request = PeerRequest::CaughtUp { incarnation };
+            let request = PeerRequest::CaughtUp {
+                incarnation,
+                partitions: partitions.to_vec(),
+            };
             let _ = self.ask(controller, request).await;
         }
     }
--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{Message, ReplicaAddress};
+use courseshed_records::CaughtUp;
 use courseshed_registry::{
     Command, FleetState, LoadBoard, LoadReport, Outcome, Registration, Retirement, RoutingInForce,
     ServerState,
@@ -73,10 +74,7 @@
         address: ReplicaAddress,
         reply: oneshot::Sender<PeerReply>,
     },
-    CaughtUp {
-        node: NodeId,
-        incarnation: u64,
-    },
+    CaughtUp(Vec<CaughtUp>),
     Heard {
         servers: Vec<String>,
         nodes: Vec<NodeId>,
--- a/crates/courseshed-edge/src/controller/housekeeping.rs
+++ b/crates/courseshed-edge/src/controller/housekeeping.rs
@@ -2,20 +2,25 @@
 
 use std::time::Duration;
 
-use courseshed_records::{ViewPlan, plan_view};
+use courseshed_records::{CaughtUp, MapPlan, plan_map};
 use courseshed_registry::{Command, FleetState, Liveness, LivenessSettings, Retirement};
-use courseshed_types::NodeId;
 
 /// How often the leader looks.
 pub(super) const INTERVAL: Duration = Duration::from_millis(150);
 /// Silence after which another machine may take a machine's place.
 pub(super) const NODE_SILENCE: Duration = Duration::from_secs(3);
+/// How long no further store may have announced itself before partitions get their first replicas.
+/// Stores that start together announce themselves within 0.3 s of the election, and each of them
+/// is to get its part.
+const FOUNDING_CALM: Duration = Duration::from_millis(500);
 
 /// The leader's soft state. A new leader starts with none.
 pub(super) struct Housekeeper {
     pub liveness: Liveness,
     replicas_wanted: usize,
-    caught_up: Vec<(NodeId, u64)>,
+    caught_up: Vec<CaughtUp>,
+    /// How many stores are known, and since when.
+    stores: (usize, Duration),
 }
 
 impl Housekeeper {
@@ -28,11 +33,12 @@
             liveness: Liveness::new(settings, now),
             replicas_wanted: replicas_wanted(disks_borne),
             caught_up: Vec::new(),
+            stores: (0, now),
         }
     }
 
-    pub(super) fn note_caught_up(&mut self, node: NodeId, incarnation: u64) {
-        self.caught_up.push((node, incarnation));
+    pub(super) fn note_caught_up(&mut self, caught_up: Vec<CaughtUp>) {
+        self.caught_up.extend(caught_up);
     }
 
     /// The commands that are due.
@@ -45,35 +51,44 @@
             commands.push(Command::Expire { servers });
         }
         let caught_up = std::mem::take(&mut self.caught_up);
-        let activated = caught_up
-            .iter()
-            .find_map(|(node, incarnation)| state.view().activate(*node, *incarnation));
         let silent = self.liveness.silent_stores(now, state);
         let retiring = state.retiring();
-        let plan = ViewPlan {
-            view: state.view(),
+        let plan = MapPlan {
+            map: state.records(),
             stores: state.stores(),
             silent: &silent,
             retiring: &retiring,
             wanted: self.replicas_wanted,
+            may_found: self.has_calmed(now, state.stores().len()),
         };
-        if let Some(view) = activated.or_else(|| plan_view(&plan)) {
-            log::info!(event = "record_view_planned", epoch = view.epoch, members:? = view.members; "the replicas of the records are to change");
-            commands.push(Command::ChangeRecordView(view));
+        let changes = plan_map(&plan, &caught_up);
+        if !changes.is_empty() {
+            let partitions: Vec<u8> = changes.iter().map(|change| change.partition.0).collect();
+            log::info!(event = "record_views_planned", partitions:? = partitions, stores = state.stores().len(), silent = silent.len(), caught_up = caught_up.len(); "the replicas of partitions of the records are to change");
+            commands.push(Command::ChangeRecordViews(changes));
         }
         commands.extend(self.completed(state));
         commands
     }
 
+    /// Whether no further store was heard of for a while.
+    fn has_calmed(&mut self, now: Duration, stores: usize) -> bool {
+        if self.stores.0 != stores {
+            self.stores = (stores, now);
+        }
+        now.saturating_sub(self.stores.1) >= FOUNDING_CALM
+    }
+
     /// Machines to be emptied that hold nothing that counts any more.
     fn completed(&self, state: &FleetState) -> Option<Command> {
-        let all_active = state.view().members.iter().all(|member| member.active);
+        let records = state.records();
+        let is_needed = |node| records.views().any(|(_, view)| view.needs(node));
         let done = state
             .retirements()
             .filter(|(_, retirement)| *retirement == Retirement::Running)
             .map(|(node, _)| node)
-            .find(|node| state.view().member(*node).is_none())?;
-        all_active.then_some(Command::CompleteRetirement { node: done })
+            .find(|node| !is_needed(*node))?;
+        Some(Command::CompleteRetirement { node: done })
     }
 }
 
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use courseshed_consensus::ReplicaAddress;
+use courseshed_records::CaughtUp;
 use courseshed_registry::Known;
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
@@ -85,9 +86,17 @@
                 self.forward(reply, |reply| Input::Join { address, reply });
             }
             PeerRequest::KnownIncarnation => reply.send(self.known_incarnation(from.node)),
-            PeerRequest::CaughtUp { incarnation } => {
+            PeerRequest::CaughtUp {
+                incarnation,
+                partitions,
+            } => {
                 let node = from.node;
-                self.0.tell(Input::CaughtUp { node, incarnation });
+                let caught_up = partitions.into_iter().map(|partition| CaughtUp {
+                    partition,
+                    node,
+                    incarnation,
+                });
+                self.0.tell(Input::CaughtUp(caught_up.collect()));
                 reply.send(PeerReply::Joining);
             }
             PeerRequest::ShareLoad(report) => {
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -132,9 +132,9 @@
                 let answer = self.join(address);
                 let _ = reply.send(answer);
             }
-            Input::CaughtUp { node, incarnation } => {
+            Input::CaughtUp(caught_up) => {
                 if let Some(housekeeper) = &mut self.housekeeper {
-                    housekeeper.note_caught_up(node, incarnation);
+                    housekeeper.note_caught_up(caught_up);
                     self.next_housekeeping = Duration::ZERO;
                 }
             }
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_records::RecordView;
+use courseshed_records::{PartitionMap, ViewChange};
 use courseshed_registry::{FleetUpdate, Known, Server};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -37,7 +37,7 @@
     /// The servers.
     pub servers: Arc<Vec<Server>>,
     /// Where records are kept.
-    pub records: Arc<RecordView>,
+    pub records: Arc<PartitionMap>,
 }
 
 /// Follows the fleet's state and shows the newest that is known.
@@ -208,7 +208,7 @@
         let mut next = update.known;
         next.routing = next.routing.max(known.routing);
         next.servers = next.servers.max(known.servers);
-        next.view = next.view.max(known.view);
+        next.records = next.records.max(known.records);
         if update.is_empty() {
             return next;
         }
@@ -224,13 +224,26 @@
                 log::info!(event = "servers_changed", revision = update.known.servers, servers = servers.len(); "the list of servers changed");
                 view.servers = Arc::new(servers);
             }
-            if let Some(records) = update.view
-                && records.epoch > view.records.epoch
-            {
-                log::info!(event = "record_view_changed", epoch = records.epoch, members = records.members.len(), active = records.active().count(); "the replicas of the records changed");
-                view.records = Arc::new(records);
+            if !update.record_views.is_empty() {
+                learn_views(&mut view.records, update.record_views);
             }
         });
         next
     }
 }
+
+/// Takes in views of partitions, and says which are new here.
+fn learn_views(records: &mut Arc<PartitionMap>, changes: Vec<ViewChange>) {
+    let records = Arc::make_mut(records);
+    let mut changed = Vec::new();
+    for change in changes {
+        let partition = change.partition.0;
+        let epoch = change.view.epoch;
+        if records.learn(change) {
+            changed.push((partition, epoch));
+        }
+    }
+    if !changed.is_empty() {
+        log::info!(event = "record_views_changed", partitions_and_epochs:? = changed, whole = records.is_whole(); "the replicas of partitions of the records changed");
+    }
+}
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use courseshed_records::{ReservationDecision, Turn};
+use courseshed_records::{PartitionId, ReservationDecision, Turn};
 use courseshed_routing::Route;
 use courseshed_types::CachedPrompt;
 use tokio::time::Instant;
@@ -94,17 +94,29 @@
     }
 }
 
-/// What the server is to get: all that the turn goes on from, and its new input. Learns on the way
-/// which server made the turn before.
+/// What a server is to get.
+pub(super) struct ComposedBody {
+    /// All that the turn goes on from, and its new input.
+    pub body: Bytes,
+    /// Where the turn is to be kept.
+    pub partition: PartitionId,
+}
+
+/// Reads what a turn goes on from. Learns on the way which server made the turn before.
 pub(super) async fn compose_body(
     core: &Rc<GatewayCore>,
     call: &CallEnvelope,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
+) -> Result<ComposedBody, Refusal> {
+    // A kept turn of no program is kept with those of the program without a name.
+    let program = call.program.as_ref().map_or("", |claim| &claim.program);
     let Some(previous) = &call.previous_turn else {
-        return Ok(call.body.clone());
+        return Ok(ComposedBody {
+            body: call.body.clone(),
+            partition: PartitionId::of_program(program),
+        });
     };
-    let chain = match core.records.chain(previous, deadline).await {
+    let chain = match core.records.chain(program, previous, deadline).await {
         Ok(ChainLookup::Kept(chain)) => chain,
         Ok(ChainLookup::Unknown) => {
             log::info!(event = "unknown_turn", request = call.request_id.as_str(), previous = previous.as_str(); "the turn that it goes on from is not kept");
@@ -112,6 +124,8 @@
         }
         Err(_) => return Err(Refusal::NoRecords),
     };
+    let partition = chain.partition;
+    let chain = chain.turns;
     let hint = chain.last().and_then(|turn| turn.cached.as_ref());
     if let Some(cached) = hint.filter(|_| core.policy.uses(Mechanism::KeptTurnHints)) {
         let now = core.clock.now();
@@ -127,7 +141,10 @@
         body.extend_from_slice(&turn.output);
     }
     body.extend_from_slice(&call.body);
-    Ok(body.freeze())
+    Ok(ComposedBody {
+        body: body.freeze(),
+        partition,
+    })
 }
 
 /// The record of a turn that was answered whole.
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -138,7 +138,9 @@
         let view = watch.borrow_and_update().clone();
         core.servers.borrow_mut().replace(&view.servers);
         core.pool.retain(|id| core.servers.borrow().contains(id));
-        core.metrics.record_epoch.set(view.records.epoch as i64);
+        core.metrics
+            .record_revision
+            .set(view.records.revision() as i64);
         if let Some(routing) = &view.routing {
             core.metrics.routing_version.set(routing.version as i64);
             core.retain_routes(&routing.table);
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use courseshed_records::PartitionId;
 use futures_util::stream;
 use snafu::Snafu;
 use tokio::time::{Instant, timeout_at};
@@ -46,11 +47,11 @@
         ),
         compose_body(&attempts.core, &attempts.call, attempts.deadline),
     );
-    let (reservation, body) = match prepared {
-        (Ok(reservation), Ok(body)) => (reservation, body),
+    let (reservation, composed) = match prepared {
+        (Ok(reservation), Ok(composed)) => (reservation, composed),
         (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
     };
-    attempts.body = body;
+    attempts.body = composed.body;
     let last_event = attempts.call.last_event;
     let opened = match attempts.open(last_event).await {
         Ok(opened) => opened,
@@ -65,6 +66,7 @@
         attempts,
         opened: Some(opened),
         reservation,
+        partition: composed.partition,
         splitter: EventSplitter::default(),
         last_event,
         output: BytesMut::new(),
@@ -113,6 +115,8 @@
     attempts: Attempts,
     opened: Option<Opened>,
     reservation: Option<TokenReservation>,
+    /// Where the turn is kept, if it is.
+    partition: PartitionId,
     splitter: EventSplitter,
     last_event: Option<u64>,
     output: BytesMut,
@@ -259,7 +263,7 @@
                 .attempts
                 .core
                 .records
-                .keep(turn, keep_ms, deadline)
+                .keep(self.partition, turn, keep_ms, deadline)
                 .await;
             if kept.is_err() {
                 self.attempts.log.outcome = "turn_not_kept";
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -46,7 +46,7 @@
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Epoch of the replicas of the records, as known here.
-    pub record_epoch: Gauge<i64, AtomicI64>,
+    pub record_revision: Gauge<i64, AtomicI64>,
     log_lines_left_out: Counter<u64, AtomicU64>,
 }
 
@@ -61,7 +61,7 @@
             attempts: Counter::default(),
             resumed: Counter::default(),
             routing_version: Gauge::default(),
-            record_epoch: Gauge::default(),
+            record_revision: Gauge::default(),
             log_lines_left_out: Counter::default(),
         };
         metrics.register();
@@ -92,9 +92,9 @@
             self.routing_version.clone(),
         );
         registry.register(
-            "record_epoch",
-            "Epoch of the replicas of the records",
-            self.record_epoch.clone(),
+            "record_revision",
+            "Revision of the partitions of the records",
+            self.record_revision.clone(),
         );
         registry.register(
             "log_lines_left_out",
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use courseshed_consensus::{Message, ReplicaId};
-use courseshed_records::{ChainError, ExportCursor, ExportPage, Record, Reserved, Turn};
+use courseshed_records::{
+    ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
+};
 use courseshed_registry::{Command, FleetUpdate, Known, LoadReport, Outcome, RoutingInForce};
 use courseshed_transport::{Protocol, TrafficClass};
 use courseshed_types::NodeId;
@@ -106,10 +108,14 @@
 
 /// A request to a store with records.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+        /// What it has read enough of.
+        partitions: Vec<PartitionId>,
 pub struct RecordRequest {
     /// The life of the disk that the asker means.
     pub incarnation: u64,
-    /// The epoch of the asker's view.
+    /// The partition that it is about.
+    pub partition: PartitionId,
+    /// The epoch of the asker's view of that partition.
     pub epoch: u64,
     /// What is asked.
     pub operation: RecordOperation,
--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -4,18 +4,17 @@
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
-use courseshed_records::{ExportCursor, RecordMember, RecordView};
+use courseshed_records::{ExportCursor, PartitionId, PartitionMap, RecordMember, RecordView};
 use courseshed_types::NodeId;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 use super::disk::DiskRequest;
-use super::store::export_of;
 use crate::control_client::ControlClient;
 use crate::follower::FleetFollower;
 use crate::peers::Peers;
 use crate::protocol::{
-    PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordReply, RecordRequest,
+    PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply, RecordRequest,
 };
 
 const PAUSE: Duration = Duration::from_millis(200);
@@ -31,49 +30,69 @@
     pub disk: Sender<DiskRequest>,
 }
 
-/// Catches up whenever the view says that this store is joining.
+/// Catches up whenever a view says that this store is joining a partition.
 pub(super) async fn run(catch_up: CatchUp) {
     let mut watch = catch_up.follower.watch();
     loop {
-        let view = watch.borrow_and_update().records.clone();
-        if catch_up.is_joining(&view) {
-            if catch_up.read_from_enough(&view).await {
-                log::info!(event = "caught_up", epoch = view.epoch; "the store has read from enough others");
-                catch_up.control.tell_caught_up(catch_up.incarnation).await;
+        let records = watch.borrow_and_update().records.clone();
+        let joining = catch_up.joining(&records);
+        if joining.is_empty() {
+            if watch.changed().await.is_err() {
+                sleep(PAUSE).await;
             }
-            let _ = timeout(PAUSE, watch.changed()).await;
-        } else if watch.changed().await.is_err() {
-            sleep(PAUSE).await;
+            continue;
         }
+        let mut caught_up = Vec::new();
+        for partition in joining {
+            if catch_up.read_from_enough(partition, &records).await {
+                caught_up.push(partition);
+            }
+        }
+        if !caught_up.is_empty() {
+            log::info!(event = "caught_up", partitions:? = caught_up, revision = records.revision(); "the store has read enough of partitions that it joins");
+            let control = &catch_up.control;
+            control
+                .tell_caught_up(catch_up.incarnation, &caught_up)
+                .await;
+        }
+        let _ = timeout(PAUSE, watch.changed()).await;
     }
 }
 
 impl CatchUp {
-    fn is_joining(&self, view: &RecordView) -> bool {
-        view.member(self.node)
-            .is_some_and(|member| !member.active && member.incarnation == self.incarnation)
+    /// The partitions that this store joins and does not count for yet.
+    fn joining(&self, records: &PartitionMap) -> Vec<PartitionId> {
+        let is_joining = |view: &RecordView| {
+            view.member(self.node)
+                .is_some_and(|member| !member.active && member.incarnation == self.incarnation)
+        };
+        let joining = records.views().filter(|(_, view)| is_joining(view));
+        joining.map(|(partition, _)| partition).collect()
     }
 
-    async fn read_from_enough(&self, view: &RecordView) -> bool {
+    async fn read_from_enough(&self, partition: PartitionId, records: &PartitionMap) -> bool {
+        let view = records.view(partition);
         let mut missing = view.sources_needed();
         for source in view.sources() {
-            if missing > 0 && self.read_from(view.epoch, source).await {
+            if missing > 0 && self.read_from(partition, view.epoch, source).await {
                 missing -= 1;
             }
         }
         // With a newer view others may be needed: the store begins again.
-        missing == 0 && self.follower.view().records.epoch == view.epoch
+        let newest = self.follower.view().records;
+        missing == 0 && newest.view(partition).epoch == view.epoch
     }
 
-    async fn read_from(&self, epoch: u64, source: &RecordMember) -> bool {
+    async fn read_from(&self, partition: PartitionId, epoch: u64, source: &RecordMember) -> bool {
         let address = self.addresses.of(source.node, PeerPort::Store);
         self.peers.set_address(source.node, address);
         let mut cursor = ExportCursor::default();
         loop {
             let request = RecordRequest {
                 incarnation: source.incarnation,
+                partition,
                 epoch,
-                operation: export_of(cursor),
+                operation: RecordOperation::Export { cursor },
             };
             let request = PeerRequest::Records(request);
             let reply = self.peers.request(source.node, request, PAGE_LIMIT).await;
@@ -81,7 +100,8 @@
                 return false;
             };
             let (done, written) = oneshot::channel();
-            let _ = self.disk.send(DiskRequest::Import(page.records, done));
+            let import = DiskRequest::Import(partition, page.records, done);
+            let _ = self.disk.send(import);
             if !written.await.unwrap_or(false) {
                 return false;
             }
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -1,17 +1,21 @@
 //! Reading and writing records on a quorum of stores.
+//!
+//! What belongs to a program is in the program's partition. A turn may go on from one of another
+//! program: it is then kept where that one is, so that a chain is always whole in one partition.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use courseshed_records::{
-    ChainError, MissTally, Record, RecordMember, RecordView, ReservationDecision, ReservationTally,
-    Turn, WriteTally,
+    ChainError, MissTally, PartitionId, PartitionMap, Record, RecordMember, RecordView,
+    ReservationDecision, ReservationTally, Turn, WriteTally,
 };
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use snafu::Snafu;
 use tokio::time::{Instant, sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::follower::FleetFollower;
 use crate::peers::Peers;
@@ -23,6 +27,9 @@
 const ROUND_LIMIT: Duration = Duration::from_millis(700);
 /// Pause before another round, in which a newer view may arrive.
 const ROUND_PAUSE: Duration = Duration::from_millis(40);
+/// How long one store is waited for before all are asked for a chain: many times what an answer
+/// takes (1 to 5 ms between zones), and little of the time that a turn has.
+const NEAREST_LIMIT: Duration = Duration::from_millis(60);
 
 /// No quorum of stores answered in time. What was written may stand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -32,13 +39,22 @@
 /// What is known of a turn.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChainLookup {
-    /// It and all that it goes on from, oldest first.
-    Kept(Vec<Turn>),
+    /// It and all that it goes on from.
+    Kept(KeptChain),
     /// It was never kept, or is kept no longer.
     Unknown,
 }
 
-/// A client of the stores in the view in force.
+/// A turn with all that it goes on from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptChain {
+    /// Where it is kept, and what goes on from it is to be kept.
+    pub partition: PartitionId,
+    /// The turns, oldest first.
+    pub turns: Vec<Turn>,
+}
+
+/// A client of the stores in the views in force.
 #[derive(Clone)]
 pub struct RecordClient {
     peers: Arc<Peers>,
@@ -75,6 +91,7 @@
         keep_ms: u64,
         deadline: Instant,
     ) -> Result<ReservationDecision, RecordsUnavailable> {
+        let partition = PartitionId::of_program(&reservation.program);
         let record = Record::Reserve {
             program: reservation.program,
             reservation: reservation.id,
@@ -83,7 +100,7 @@
         };
         let operation = RecordOperation::Write(record);
         let own = (reservation.id, reservation.most);
-        self.in_rounds(&operation, deadline, |view| {
+        self.in_rounds(partition, &operation, deadline, |view| {
             let mut tally = ReservationTally::new(view, own.0, own.1, budget);
             move |node, reply| match reply {
                 RecordReply::Written(reserved) => tally.on_reserved(node, &reserved),
@@ -95,6 +112,7 @@
 
     /// Notes what a call was given. Nobody waits for it: a lost note leaves the call counted at its most.
     pub fn settle(&self, program: String, reservation: u64, given: u32) {
+        let partition = PartitionId::of_program(&program);
         let record = Record::Settle {
             program,
             reservation,
@@ -102,44 +120,76 @@
         };
         let client = self.clone();
         let deadline = Instant::now() + ROUND_LIMIT;
-        tokio::spawn(async move { client.write(record, deadline).await });
+        tokio::spawn(async move { client.write(partition, record, deadline).await });
     }
 
-    /// Keeps a turn on a quorum of disks.
+    /// Keeps a turn on a quorum of disks of a partition.
     ///
     /// # Errors
     /// [`RecordsUnavailable`]: it may be kept or not.
     pub async fn keep(
         &self,
+        partition: PartitionId,
         turn: Turn,
         keep_ms: u64,
         deadline: Instant,
     ) -> Result<(), RecordsUnavailable> {
-        self.write(Record::Keep { turn, keep_ms }, deadline).await
+        let record = Record::Keep { turn, keep_ms };
+        self.write(partition, record, deadline).await
     }
 
-    /// Reads a turn with its chain: from the nearest store, and from all if it isn't whole there.
+    /// Reads a turn with its chain for a program. It is in the program's partition, unless it is a
+    /// turn of another program: if it isn't there, all partitions are asked.
     ///
     /// # Errors
     /// [`RecordsUnavailable`] when it was found nowhere, and too few stores say that they lack it.
     pub async fn chain(
         &self,
+        program: &str,
+        id: &str,
+        deadline: Instant,
+    ) -> Result<ChainLookup, RecordsUnavailable> {
+        let home = PartitionId::of_program(program);
+        let at_home = self.chain_in(home, id, deadline).await?;
+        if matches!(at_home, ChainLookup::Kept(_)) {
+            return Ok(at_home);
+        }
+        let others = PartitionId::all().filter(|partition| *partition != home);
+        let mut lookups: FuturesUnordered<_> = others
+            .map(|partition| self.chain_in(partition, id, deadline))
+            .collect();
+        let mut result = Ok(ChainLookup::Unknown);
+        while let Some(lookup) = lookups.next().await {
+            match lookup {
+                Ok(ChainLookup::Kept(chain)) => return Ok(ChainLookup::Kept(chain)),
+                Ok(ChainLookup::Unknown) => {}
+                Err(unavailable) => result = Err(unavailable),
+            }
+        }
+        result
+    }
+
+    /// Reads a chain of a partition: from one near store, and from all if it isn't whole there.
+    async fn chain_in(
+        &self,
+        partition: PartitionId,
         id: &str,
         deadline: Instant,
     ) -> Result<ChainLookup, RecordsUnavailable> {
         let operation = RecordOperation::Chain { id: id.to_owned() };
-        let view = self.follower.view().records;
-        let nearest = view.active().find(|member| member.zone == self.zone);
-        if let Some(nearest) = nearest {
-            let (_, reply) = self.ask(&view, nearest, operation.clone()).await;
-            if let Some(RecordReply::Chain(chain)) = reply {
-                return Ok(ChainLookup::Kept(chain));
+        let kept = |turns| ChainLookup::Kept(KeptChain { partition, turns });
+        let records = self.follower.view().records;
+        let view = records.view(partition);
+        if let Some(nearest) = self.nearest(view, id) {
+            let asked = self.ask(partition, view, nearest, operation.clone());
+            if let Ok((_, Some(RecordReply::Chain(turns)))) = timeout(NEAREST_LIMIT, asked).await {
+                return Ok(kept(turns));
             }
         }
-        self.in_rounds(&operation, deadline, |view| {
+        self.in_rounds(partition, &operation, deadline, |view| {
             let mut misses = MissTally::new(view);
             move |node, reply| match reply {
-                RecordReply::Chain(chain) => Some(ChainLookup::Kept(chain)),
+                RecordReply::Chain(turns) => Some(kept(turns)),
                 RecordReply::NoChain(ChainError::Missing { .. }) => {
                     misses.on_missing(node).then_some(ChainLookup::Unknown)
                 }
@@ -149,9 +199,26 @@
         .await
     }
 
-    async fn write(&self, record: Record, deadline: Instant) -> Result<(), RecordsUnavailable> {
+    /// A replica of the own zone, or any that counts: which one depends on the turn alone, so that
+    /// reads are spread.
+    fn nearest<'a>(&self, view: &'a RecordView, id: &str) -> Option<&'a RecordMember> {
+        let mut active = view.active();
+        let near = active.find(|member| member.zone == self.zone);
+        near.or_else(|| {
+            let count = view.active().count();
+            let index = xxh3_64(id.as_bytes()) as usize % count.max(1);
+            view.active().nth(index)
+        })
+    }
+
+    async fn write(
+        &self,
+        partition: PartitionId,
+        record: Record,
+        deadline: Instant,
+    ) -> Result<(), RecordsUnavailable> {
         let operation = RecordOperation::Write(record);
-        self.in_rounds(&operation, deadline, |view| {
+        self.in_rounds(partition, &operation, deadline, |view| {
             let mut tally = WriteTally::new(view);
             move |node, reply| match reply {
                 RecordReply::Written(_) => tally.on_stored(node).then_some(()),
@@ -161,9 +228,11 @@
         .await
     }
 
-    /// Asks all stores of the view, again and again with the newest view, until their answers decide.
+    /// Asks all stores of a partition, again and again with its newest view, until their answers
+    /// decide.
     async fn in_rounds<T, D>(
         &self,
+        partition: PartitionId,
         operation: &RecordOperation,
         deadline: Instant,
         decide_for: impl Fn(&RecordView) -> D,
@@ -172,10 +241,10 @@
         D: FnMut(NodeId, RecordReply) -> Option<T>,
     {
         loop {
-            let view = self.follower.view().records;
+            let records = self.follower.view().records;
             let limit = ROUND_LIMIT.min(deadline.saturating_duration_since(Instant::now()));
-            let decide = decide_for(&view);
-            let round = self.round(&view, operation, decide);
+            let decide = decide_for(records.view(partition));
+            let round = self.round(&records, partition, operation, decide);
             if let Ok(Some(decided)) = timeout(limit, round).await {
                 return Ok(decided);
             }
@@ -188,14 +257,16 @@
 
     async fn round<T>(
         &self,
-        view: &RecordView,
+        records: &PartitionMap,
+        partition: PartitionId,
         operation: &RecordOperation,
         mut decide: impl FnMut(NodeId, RecordReply) -> Option<T>,
     ) -> Option<T> {
+        let view = records.view(partition);
         let mut answers: FuturesUnordered<_> = view
             .members
             .iter()
-            .map(|member| self.ask(view, member, operation.clone()))
+            .map(|member| self.ask(partition, view, member, operation.clone()))
             .collect();
         while let Some((node, reply)) = answers.next().await {
             if let Some(decided) = reply.and_then(|reply| decide(node, reply)) {
@@ -207,6 +278,7 @@
 
     async fn ask(
         &self,
+        partition: PartitionId,
         view: &RecordView,
         member: &RecordMember,
         operation: RecordOperation,
@@ -215,6 +287,7 @@
         self.peers.set_address(member.node, address);
         let request = RecordRequest {
             incarnation: member.incarnation,
+            partition,
             epoch: view.epoch,
             operation,
         };
--- a/crates/courseshed-edge/src/records/disk.rs
+++ b/crates/courseshed-edge/src/records/disk.rs
@@ -2,14 +2,16 @@
 //!
 //! Invariant: the tables hold only what is on disk, so every answer is about what would survive.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::Duration;
 
-use courseshed_records::{Journal, Record, RecordReplica};
+use courseshed_records::{
+    ChainError, ExportPage, Journal, PartitionId, PartitionRecord, PartitionTables, Record,
+    RecordReplica, Turn,
+};
 use courseshed_transport::ReplySender;
-use parking_lot::Mutex;
 
 use crate::clock::time_of_day_ms;
 use crate::protocol::{FleetProtocol, PeerReply, RecordOperation, RecordReply, RecordRequest};
@@ -25,17 +27,17 @@
 pub(super) enum DiskRequest {
     /// A peer's request.
     Peer(RecordRequest, ReplySender<FleetProtocol>),
-    /// Records read from another store.
-    Import(Vec<Record>, tokio::sync::oneshot::Sender<bool>),
+    /// Records of a partition read from another store.
+    Import(PartitionId, Vec<Record>, tokio::sync::oneshot::Sender<bool>),
 }
 
 /// Starts the thread.
 pub(super) fn start(
     journal: Journal,
-    replica: Arc<Mutex<RecordReplica>>,
+    tables: PartitionTables,
 ) -> std::io::Result<Sender<DiskRequest>> {
     let (sender, requests) = channel();
-    let mut writer = DiskWriter { journal, replica };
+    let mut writer = DiskWriter { journal, tables };
     thread::Builder::new()
         .name("records".to_owned())
         .spawn(move || writer.run(&requests))?;
@@ -44,7 +46,7 @@
 
 struct DiskWriter {
     journal: Journal,
-    replica: Arc<Mutex<RecordReplica>>,
+    tables: PartitionTables,
 }
 
 impl DiskWriter {
@@ -66,26 +68,34 @@
     fn serve(&mut self, batch: Vec<DiskRequest>) {
         let now = time_of_day_ms();
         let mut records = Vec::new();
-        let mut epoch = self.replica.lock().epoch();
+        let mut epochs = BTreeMap::new();
         let mut answers = Vec::new();
         for request in batch {
             match request {
                 DiskRequest::Peer(request, reply) => {
-                    if !self.is_for_us(&request, epoch) {
+                    let partition = request.partition;
+                    let epoch = epochs
+                        .entry(partition)
+                        .or_insert_with(|| self.tables.epoch(partition));
+                    if !self.is_for_us(&request, *epoch) {
                         reply.send(PeerReply::Records(RecordReply::OtherView));
                         continue;
                     }
-                    if request.epoch > epoch {
-                        epoch = request.epoch;
-                        records.push(Record::Epoch(epoch));
+                    if request.epoch > *epoch {
+                        *epoch = request.epoch;
+                        let record = Record::Epoch(request.epoch);
+                        records.push(PartitionRecord { partition, record });
                     }
                     if let RecordOperation::Write(record) = &request.operation {
-                        records.push(record.clone());
+                        let record = record.clone();
+                        records.push(PartitionRecord { partition, record });
                     }
                     answers.push((request, reply));
                 }
-                DiskRequest::Import(imported, done) => {
-                    let result = self.write(now, imported);
+                DiskRequest::Import(partition, imported, done) => {
+                    let imported = imported.into_iter();
+                    let entries = imported.map(|record| PartitionRecord { partition, record });
+                    let result = self.write(now, entries.collect());
                     let _ = done.send(result);
                 }
             }
@@ -106,7 +116,7 @@
     }
 
     /// Writes, then takes into the tables.
-    fn write(&mut self, now: u64, records: Vec<Record>) -> bool {
+    fn write(&mut self, now: u64, records: Vec<PartitionRecord>) -> bool {
         if records.is_empty() {
             return true;
         }
@@ -114,38 +124,47 @@
             log::error!(event = "disk_failed", records = records.len(); "{error}");
             return false;
         }
-        let mut replica = self.replica.lock();
-        for record in records {
-            replica.apply(now, record);
+        for entry in records {
+            self.tables.apply(now, entry);
         }
         true
     }
 
     fn answer(&self, now: u64, request: RecordRequest) -> RecordReply {
-        let replica = self.replica.lock();
+        let replica = self.tables.replica(request.partition);
         match request.operation {
             RecordOperation::Write(Record::Reserve { program, .. }) => {
-                RecordReply::Written(replica.reserved(&program))
+                RecordReply::Written(replica.map_or_else(Vec::new, |it| it.reserved(&program)))
             }
             RecordOperation::Write(_) => RecordReply::Written(Vec::new()),
-            RecordOperation::Chain { id } => match replica.chain(&id) {
+            RecordOperation::Chain { id } => match chain_of(replica, id) {
                 Ok(chain) => RecordReply::Chain(chain),
                 Err(error) => RecordReply::NoChain(error),
             },
             RecordOperation::Export { cursor } => {
-                RecordReply::Page(replica.export(now, &cursor, EXPORT_PAGE_BYTES))
+                let page = replica.map(|it| it.export(now, &cursor, EXPORT_PAGE_BYTES));
+                RecordReply::Page(page.unwrap_or(ExportPage {
+                    records: Vec::new(),
+                    next: None,
+                }))
             }
         }
     }
 
     fn tidy(&mut self) {
         let now = time_of_day_ms();
-        let mut replica = self.replica.lock();
-        replica.expire(now);
+        self.tables.expire(now);
         if self.journal.wants_rewrite()
-            && let Err(error) = self.journal.rewrite(now, &replica)
+            && let Err(error) = self.journal.rewrite(now, &self.tables)
         {
             log::error!(event = "rewrite_failed"; "{error}");
         }
     }
 }
+
+fn chain_of(replica: Option<&RecordReplica>, id: String) -> Result<Vec<Turn>, ChainError> {
+    match replica {
+        Some(replica) => replica.chain(&id),
+        None => Err(ChainError::Missing { id }),
+    }
+}
--- a/crates/courseshed-edge/src/records/store.rs
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -5,11 +5,10 @@
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
-use courseshed_records::{Journal, JournalError, RecordReplica, StoreMachine};
+use courseshed_records::{Journal, JournalError, StoreMachine};
 use courseshed_registry::Command;
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
-use parking_lot::Mutex;
 use rand::RngExt;
 use snafu::{ResultExt, Snafu};
 use tokio::time::sleep;
@@ -19,9 +18,7 @@
 use crate::control_client::ControlClient;
 use crate::follower::FleetFollower;
 use crate::peers::{PeersError, start_peers};
-use crate::protocol::{
-    FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest, RecordOperation,
-};
+use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
 
 /// How often a store that isn't among the replicas says that it is there.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(3);
@@ -87,11 +84,11 @@
 pub fn start(settings: StoreSettings) -> Result<(), StoreError> {
     let incarnation_if_new = rand::rng().random_range(1..u64::MAX);
     let opened = Journal::open(&settings.folder, incarnation_if_new);
-    let (journal, replica) = opened.context(JournalSnafu)?;
+    let (journal, tables) = opened.context(JournalSnafu)?;
     let incarnation = journal.incarnation();
-    log::info!(event = "store_opened", incarnation, records = replica.len(), epoch = replica.epoch(); "the store is open");
-    let replica: Arc<Mutex<RecordReplica>> = Arc::new(Mutex::new(replica));
-    let disk = disk::start(journal, replica).context(ThreadSnafu)?;
+    let partitions = tables.replicas().count();
+    log::info!(event = "store_opened", incarnation, records = tables.len(), partitions; "the store is open");
+    let disk = disk::start(journal, tables).context(ThreadSnafu)?;
     let handler = Arc::new(StorePeers { disk: disk.clone() });
     let started = start_peers(settings.node, settings.addresses, PeerPort::Store, handler);
     let peers = Arc::new(started.context(PeersSnafu)?);
@@ -129,11 +126,8 @@
     store: StoreMachine,
 ) {
     loop {
-        let view = follower.view().records;
-        let is_member = view
-            .member(node)
-            .is_some_and(|member| member.incarnation == store.incarnation);
-        if is_member {
+        let records = follower.view().records;
+        if records.has_disk(node, store.incarnation) {
             sleep(REGISTER_INTERVAL).await;
             continue;
         }
@@ -146,8 +140,3 @@
         sleep(pause).await;
     }
 }
-
-/// What a store is asked for when another catches up.
-pub(super) fn export_of(cursor: courseshed_records::ExportCursor) -> RecordOperation {
-    RecordOperation::Export { cursor }
-}
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use courseshed_edge::gateway::{Mechanism, Policy};
 use courseshed_routing::CallKind;
 use support::server::{Act, END, StandIn, answer, chunk, event, stream_head};
 use support::{Fleet, call, get, plain_route, status, stream_route};
@@ -104,11 +105,13 @@
 }
 
 /// Found on a played day: servers ran calls of tools and their answers were lost; callers
-/// waited for their deadlines.
+/// waited for their deadlines. The servers' pace doesn't count here: on a busy machine one of them
+/// looked slower than the other and got nothing more.
 #[actix_rt::test]
 async fn a_repeatable_call_whose_answer_is_lost_goes_to_another_server() {
     const ANSWERED: usize = 30;
-    let fleet = Fleet::start(GRACE).await;
+    let policy = Policy::without([Mechanism::ServerPace]);
+    let fleet = Fleet::start_with(GRACE, policy).await;
     let mut answered = 0;
     let forgetful = StandIn::start(move |got| {
         answered += 1;
@@ -227,6 +230,39 @@
     assert_eq!(status(&unknown), 404);
 }
 
+/// Programs are kept in partitions of their own, and a turn may go on from one of another program.
+#[actix_rt::test]
+async fn a_turn_goes_on_from_that_of_another_program() {
+    const PROGRAMS: u32 = 8;
+    let fleet = Fleet::start(GRACE).await;
+    let script =
+        |got: &support::server::Got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)));
+    let server = StandIn::start(script).await;
+    let mut route = stream_route();
+    route.keeps_turns = true;
+    fleet.route(vec![route]).await;
+    fleet.announce("one", &server).await;
+    fleet.until_records().await;
+    let first = call(fleet.callers, "t0", "x-program: p0\r\n", "0").await;
+    assert_eq!(status(&first), 200, "{first}");
+    for program in 1..=PROGRAMS {
+        let headers = format!("x-program: p{program}\r\nx-previous: t{}\r\n", program - 1);
+        let next = call(fleet.callers, &format!("t{program}"), &headers, "x").await;
+        assert_eq!(status(&next), 200, "{next}");
+    }
+    let got = server.got();
+    let whole = format!("0d1\n{}x", "xd1\n".repeat(PROGRAMS as usize - 1));
+    assert_eq!(got[PROGRAMS as usize].body, whole);
+    let unknown = call(
+        fleet.callers,
+        "t9",
+        "x-program: p1\r\nx-previous: never\r\n",
+        "x",
+    )
+    .await;
+    assert_eq!(status(&unknown), 404);
+}
+
 #[actix_rt::test]
 async fn a_prompt_that_claims_more_tokens_than_fit_is_served() {
     let fleet = Fleet::start(GRACE).await;
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -54,6 +54,7 @@
     seed: Ipv4Addr,
     addresses: PeerAddresses,
     grace: Duration,
+    policy: Policy,
 ) -> Gateway {
     let callers = SocketAddr::from((ip, addresses.first_port + 8));
     let readiness = SocketAddr::from((ip, addresses.first_port + 9));
@@ -68,7 +69,7 @@
         addresses,
         metrics: metrics.clone(),
         codec: Box::new(codec::TestCodec),
-        policy: Policy::default(),
+        policy,
     };
     actix_rt::spawn(async move {
         let stopped = async {
@@ -88,6 +89,11 @@
 
 impl Fleet {
     pub async fn start(grace: Duration) -> Self {
+        Self::start_with(grace, Policy::default()).await
+    }
+
+    /// Starts a fleet whose gateway decides by a policy.
+    pub async fn start_with(grace: Duration, policy: Policy) -> Self {
         let folder = TempDir::new().expect("a folder");
         let subnet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let process = (std::process::id() % 200) as u8 + 20;
@@ -118,7 +124,7 @@
             addresses,
         })
         .expect("a store");
-        let gateway = start_gateway(ip(3), ip(1), addresses, grace);
+        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy);
         Self {
             controller,
             callers: gateway.callers,
@@ -193,7 +199,9 @@
     pub async fn start_another_gateway(&self) -> Gateway {
         let [a, b, c, _] = self.hosts.octets();
         let host = |host| Ipv4Addr::new(a, b, c, host);
-        let gateway = start_gateway(host(4), host(1), self.addresses, Duration::from_secs(20));
+        let grace = Duration::from_secs(20);
+        let policy = Policy::default();
+        let gateway = start_gateway(host(4), host(1), self.addresses, grace, policy);
         until(async || status(&get(gateway.readiness, "/").await) == 200).await;
         gateway
     }
--- a/crates/courseshed-records/src/journal.rs
+++ b/crates/courseshed-records/src/journal.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::{ExportCursor, Record, RecordReplica};
+use crate::{ExportCursor, PartitionRecord, PartitionTables, Record};
 
 const IDENTITY_FILE: &str = "identity";
 const SEGMENT_PREFIX: &str = "records-";
@@ -31,10 +31,17 @@
     source: io::Error,
 }
 
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 struct Stamped {
     at_ms: u64,
-    record: Record,
+    entry: PartitionRecord,
+}
+
+/// A [`Stamped`] to be written.
+#[derive(Serialize)]
+struct StampedRef<'a> {
+    at_ms: u64,
+    entry: &'a PartitionRecord,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -62,15 +69,15 @@
     pub fn open(
         folder: impl Into<PathBuf>,
         incarnation_if_new: u64,
-    ) -> Result<(Self, RecordReplica), JournalError> {
+    ) -> Result<(Self, PartitionTables), JournalError> {
         let folder = folder.into();
         at(fs::create_dir_all(&folder), "create", &folder)?;
         let incarnation = read_identity(&folder, incarnation_if_new)?;
-        let mut replica = RecordReplica::default();
+        let mut tables = PartitionTables::default();
         let mut bytes = 0;
         let numbers = segment_numbers(&folder)?;
         for number in &numbers {
-            bytes += read_segment(&segment_path(&folder, *number), &mut replica)?;
+            bytes += read_segment(&segment_path(&folder, *number), &mut tables)?;
         }
         let journal = Self {
             folder,
@@ -80,7 +87,7 @@
             bytes,
             written_since_rewrite: 0,
         };
-        Ok((journal, replica))
+        Ok((journal, tables))
     }
 
     /// The life of this disk.
@@ -93,13 +100,10 @@
     ///
     /// # Errors
     /// [`JournalError`]: some of the records may be on disk, none may be acknowledged.
-    pub fn append(&mut self, at_ms: u64, records: &[Record]) -> Result<(), JournalError> {
+    pub fn append(&mut self, at_ms: u64, records: &[PartitionRecord]) -> Result<(), JournalError> {
         let mut content = Vec::new();
-        for record in records {
-            let stamped = Stamped {
-                at_ms,
-                record: record.clone(),
-            };
+        for entry in records {
+            let stamped = StampedRef { at_ms, entry };
             content.extend_from_slice(&frame::encode(&stamped));
         }
         let written = self.write(&content);
@@ -120,15 +124,19 @@
     ///
     /// # Errors
     /// [`JournalError`]: the old files stand.
-    pub fn rewrite(&mut self, at_ms: u64, replica: &RecordReplica) -> Result<(), JournalError> {
+    pub fn rewrite(&mut self, at_ms: u64, tables: &PartitionTables) -> Result<(), JournalError> {
         let old = segment_numbers(&self.folder)?;
         self.segment = None;
-        let mut records = replica
-            .export(at_ms, &ExportCursor::default(), usize::MAX)
-            .records;
-        records.push(Record::Epoch(replica.epoch()));
         self.bytes = 0;
-        self.append(at_ms, &records)?;
+        for (partition, replica) in tables.replicas() {
+            let whole = replica.export(at_ms, &ExportCursor::default(), usize::MAX);
+            let epoch = Record::Epoch(replica.epoch());
+            let records = whole.records.into_iter().chain([epoch]);
+            let entries: Vec<PartitionRecord> = records
+                .map(|record| PartitionRecord { partition, record })
+                .collect();
+            self.append(at_ms, &entries)?;
+        }
         for number in old {
             let path = segment_path(&self.folder, number);
             at(fs::remove_file(&path), "remove", &path)?;
@@ -192,14 +200,14 @@
     Ok(incarnation_if_new)
 }
 
-fn read_segment(path: &Path, replica: &mut RecordReplica) -> Result<u64, JournalError> {
+fn read_segment(path: &Path, tables: &mut PartitionTables) -> Result<u64, JournalError> {
     let content = at(fs::read(path), "read", path)?;
     let mut rest = content.as_slice();
     while let Ok((payload, size)) = frame::split(rest) {
         let Ok(stamped) = frame::decode::<Stamped>(payload) else {
             break;
         };
-        replica.apply(stamped.at_ms, stamped.record);
+        tables.apply(stamped.at_ms, stamped.entry);
         rest = &rest[size..];
     }
     if !rest.is_empty() {
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -4,7 +4,8 @@
 //! to what was given, a turn is added whole. So there is no leader to wait for: a writer sends to
 //! every replica and goes on when a quorum has the record on disk. Who the replicas are is a
 //! [`RecordView`], which the controllers commit; each write names the view's epoch, and a replica
-//! that moved on refuses older ones. See `docs/design/platform.md`.
+//! that moved on refuses older ones. Programs are spread over partitions ([`PartitionMap`]), each of
+//! which has a view of its own. See `docs/design/records.md`.
 //!
 //! Invariants:
 //! - Any two quorums of one view, or of consecutive views, share a replica that has the record, as
@@ -13,6 +14,7 @@
 //! - The sum of what is reserved for a program and what it was given never exceeds its budget.
 
 mod journal;
+mod partition;
 mod plan;
 mod replica;
 pub mod simulation;
@@ -20,7 +22,10 @@
 mod view;
 
 pub use journal::{Journal, JournalError};
-pub use plan::{StoreMachine, ViewPlan, plan_view};
+pub use partition::{
+    PARTITION_COUNT, PartitionId, PartitionMap, PartitionRecord, PartitionTables, ViewChange,
+};
+pub use plan::{CaughtUp, MapPlan, StoreMachine, ViewPlan, plan_map, plan_view};
 pub use replica::{ChainError, ExportCursor, ExportPage, Record, RecordReplica, Reserved, Turn};
 pub use tally::{MissTally, ReservationDecision, ReservationTally, WriteTally};
 pub use view::{RecordMember, RecordView};
--- a/crates/courseshed-records/src/plan.rs
+++ b/crates/courseshed-records/src/plan.rs
@@ -1,11 +1,11 @@
-//! The next view, decided from what the leader of the controllers knows. Pure.
+//! The next views, decided from what the leader of the controllers knows. Pure.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
 
-use crate::{RecordMember, RecordView};
+use crate::{PartitionId, PartitionMap, RecordMember, RecordView, ViewChange};
 
 /// A machine with a disk for records, as it announced itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,18 +31,104 @@
     pub retiring: &'a BTreeSet<NodeId>,
     /// Replicas wanted: twice the lost disks to be borne, and one.
     pub wanted: usize,
+    /// How many partitions each machine is a replica of, so that the least used one is taken.
+    pub replicas: &'a BTreeMap<NodeId, usize>,
+}
+
+/// What the plan for all partitions is made from. The fields are those of [`ViewPlan`].
+#[derive(Clone, Copy, Debug)]
+pub struct MapPlan<'a> {
+    /// The views in force.
+    pub map: &'a PartitionMap,
+    /// All machines that announced themselves.
+    pub stores: &'a BTreeMap<NodeId, StoreMachine>,
+    /// Machines not heard for so long that another may take their place.
+    pub silent: &'a BTreeSet<NodeId>,
+    /// Machines that are to be emptied.
+    pub retiring: &'a BTreeSet<NodeId>,
+    /// Replicas wanted of each partition.
+    pub wanted: usize,
+    /// Whether partitions without replicas may get their first ones: once the stores that start
+    /// together have announced themselves, so that all of them get their part.
+    pub may_found: bool,
+}
+
+/// The changes that are due: at most one for a partition. `caught_up` names the lives of disks that
+/// have read enough of a partition to count.
+#[must_use]
+pub fn plan_map(plan: &MapPlan<'_>, caught_up: &[CaughtUp]) -> Vec<ViewChange> {
+    let mut replicas = plan.map.replicas_by_node();
+    let mut changes = Vec::new();
+    for (partition, view) in plan.map.views() {
+        if view.members.is_empty() && !plan.may_found {
+            continue;
+        }
+        let joined = caught_up
+            .iter()
+            .filter(|joined| joined.partition == partition)
+            .find_map(|joined| view.activate(joined.node, joined.incarnation));
+        let planned = joined.or_else(|| {
+            plan_view(&ViewPlan {
+                view,
+                stores: plan.stores,
+                silent: plan.silent,
+                retiring: plan.retiring,
+                wanted: plan.wanted,
+                replicas: &replicas,
+            })
+        });
+        if let Some(next) = planned {
+            let added = next.members.iter().map(|member| member.node);
+            for node in added.filter(|node| view.member(*node).is_none()) {
+                *replicas.entry(node).or_default() += 1;
+            }
+            changes.push(ViewChange {
+                partition,
+                view: next,
+            });
+        }
+    }
+    changes
+}
+
+/// A store has read enough of a partition to count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CaughtUp {
+    /// The partition.
+    pub partition: PartitionId,
+    /// The machine.
+    pub node: NodeId,
+    /// The life of its disk.
+    pub incarnation: u64,
 }
 
 /// The next view, if a change is due. One change at a time, so that quorums of consecutive views meet.
 #[must_use]
 pub fn plan_view(plan: &ViewPlan<'_>) -> Option<RecordView> {
-    plan.emptied_disk()
+    plan.found()
+        .or_else(|| plan.emptied_disk())
         .or_else(|| plan.substitute())
         .or_else(|| plan.retire())
         .or_else(|| plan.grow())
 }
 
 impl ViewPlan<'_> {
+    /// The first view: all that are wanted count at once, since nothing was ever recorded before.
+    fn found(&self) -> Option<RecordView> {
+        if !self.view.members.is_empty() {
+            return None;
+        }
+        let mut next = self.view.next_epoch();
+        while next.members.len() < self.wanted
+            && let Some(node) = self.spare(&next)
+        {
+            let mut member = self.joining(node)?;
+            member.active = true;
+            next.members.push(member);
+        }
+        (!next.members.is_empty()).then_some(next)
+    }
+
     /// A member came back with an empty disk: its new life joins in place of the old one.
     fn emptied_disk(&self) -> Option<RecordView> {
         let position = self.view.members.iter().position(|member| {
@@ -71,7 +157,7 @@
         if heard_active < self.view.sources_needed() {
             return None;
         }
-        let spare = self.spare()?;
+        let spare = self.spare(self.view)?;
         let mut next = self.view.next_epoch();
         let replaced = std::mem::replace(&mut next.members[position], self.joining(spare)?);
         if replaced.active {
@@ -94,7 +180,7 @@
         if self.view.members.len() > self.wanted {
             next.members.remove(position);
         } else {
-            next.members.push(self.joining(self.spare()?)?);
+            next.members.push(self.joining(self.spare(self.view)?)?);
         }
         Some(next)
     }
@@ -105,10 +191,7 @@
             return None;
         }
         let mut next = self.view.next_epoch();
-        let mut member = self.joining(self.spare()?)?;
-        // Nothing was ever recorded in a view without members.
-        member.active = self.view.members.is_empty();
-        next.members.push(member);
+        next.members.push(self.joining(self.spare(self.view)?)?);
         Some(next)
     }
 
@@ -126,20 +209,21 @@
         })
     }
 
-    /// A machine that may join, best of the zone with the fewest members.
-    fn spare(&self) -> Option<NodeId> {
+    /// A machine that may join a view: of the zone with the fewest members, the one with the fewest
+    /// replicas.
+    fn spare(&self, view: &RecordView) -> Option<NodeId> {
         let in_zone = |zone: &str| {
-            let members = self.view.members.iter();
+            let members = view.members.iter();
             members
                 .filter(|member| member.zone == zone && !self.silent.contains(&member.node))
                 .count()
         };
+        let replicas = |node: &NodeId| self.replicas.get(node).copied().unwrap_or(0);
         self.stores
             .iter()
-            .filter(|(node, _)| self.view.member(**node).is_none())
-            .filter(|(node, _)| !self.view.former.iter().any(|former| former.node == **node))
+            .filter(|(node, _)| !view.needs(**node))
             .filter(|(node, _)| !self.silent.contains(node) && !self.retiring.contains(node))
-            .min_by_key(|(_, store)| in_zone(&store.zone))
+            .min_by_key(|(node, store)| (in_zone(&store.zone), replicas(node)))
             .map(|(node, _)| *node)
     }
 }
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -410,6 +410,7 @@
             silent: &silent,
             retiring: &BTreeSet::new(),
             wanted: 2 * self.borne + 1,
+            replicas: &BTreeMap::new(),
         };
         if let Some(next) = plan_view(&plan) {
             self.adopt(next);
--- a/crates/courseshed-records/src/view.rs
+++ b/crates/courseshed-records/src/view.rs
@@ -58,6 +58,18 @@
         self.active().chain(&self.former)
     }
 
+    /// Whether there are members and all of them count.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        !self.members.is_empty() && self.members.iter().all(|member| member.active)
+    }
+
+    /// Whether a machine is a member, or was one whose records a joining member may still need.
+    #[must_use]
+    pub fn needs(&self, node: NodeId) -> bool {
+        self.member(node).is_some() || self.former.iter().any(|former| former.node == node)
+    }
+
     /// Whether this very life of a machine's disk counts.
     #[must_use]
     pub fn is_active(&self, node: NodeId, incarnation: u64) -> bool {
--- a/crates/courseshed-records/tests/journal.rs
+++ b/crates/courseshed-records/tests/journal.rs
@@ -4,11 +4,28 @@
 use std::io::Write;
 
 use bytes::Bytes;
-use courseshed_records::{ChainError, ExportCursor, Journal, Record, RecordReplica, Turn};
+use courseshed_records::{
+    ChainError, ExportCursor, Journal, PartitionId, PartitionRecord, PartitionTables, Record,
+    RecordReplica, Turn,
+};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tempfile::TempDir;
 
 const LONG_MS: u64 = 1 << 40;
+const PARTITION: PartitionId = PartitionId(3);
+
+/// Records of one partition.
+fn here(records: impl IntoIterator<Item = Record>) -> Vec<PartitionRecord> {
+    let partition = PARTITION;
+    let entries = records.into_iter();
+    entries
+        .map(|record| PartitionRecord { partition, record })
+        .collect()
+}
+
+fn replica_of(tables: &PartitionTables) -> &RecordReplica {
+    tables.replica(PARTITION).expect("the partition is known")
+}
 
 fn turn(id: &str, previous: Option<&str>) -> Record {
     Record::Keep {
@@ -46,20 +63,22 @@
         turn("b", Some("a")),
         Record::Epoch(3),
     ];
-    journal.append(0, &records).expect("written");
+    journal.append(0, &here(records.clone())).expect("written");
     drop(journal);
-    let (journal, replica) = Journal::open(folder.path(), 6).expect("opens");
+    let (journal, tables) = Journal::open(folder.path(), 6).expect("opens");
     assert_eq!(journal.incarnation(), 5);
-    assert_eq!(replica.epoch(), 3);
-    assert_eq!(replica.reserved("p")[0].tokens, 30);
-    assert_eq!(replica.chain("b").expect("a chain").len(), 2);
+    assert_eq!(replica_of(&tables).epoch(), 3);
+    assert_eq!(replica_of(&tables).reserved("p")[0].tokens, 30);
+    assert_eq!(replica_of(&tables).chain("b").expect("a chain").len(), 2);
 }
 
 #[test]
 fn a_torn_end_loses_nothing_before_it_and_nothing_after_a_restart() {
     let folder = TempDir::new().expect("a folder");
     let (mut journal, _) = Journal::open(folder.path(), 5).expect("opens");
-    journal.append(0, &[turn("a", None)]).expect("written");
+    journal
+        .append(0, &here([turn("a", None)]))
+        .expect("written");
     drop(journal);
     let segment = fs::read_dir(folder.path())
         .expect("listed")
@@ -71,30 +90,32 @@
         .open(segment)
         .expect("opens");
     file.write_all(b"CsFr\x10\0\0\0torn").expect("written");
-    let (mut journal, replica) = Journal::open(folder.path(), 6).expect("opens");
-    assert!(replica.chain("a").is_ok());
-    journal.append(0, &[turn("b", Some("a"))]).expect("written");
+    let (mut journal, tables) = Journal::open(folder.path(), 6).expect("opens");
+    assert!(replica_of(&tables).chain("a").is_ok());
+    journal
+        .append(0, &here([turn("b", Some("a"))]))
+        .expect("written");
     drop(journal);
-    let (_, replica) = Journal::open(folder.path(), 6).expect("opens");
-    assert_eq!(replica.chain("b").expect("a chain").len(), 2);
+    let (_, tables) = Journal::open(folder.path(), 6).expect("opens");
+    assert_eq!(replica_of(&tables).chain("b").expect("a chain").len(), 2);
 }
 
 #[test]
 fn a_rewrite_keeps_all_that_is_kept() {
     let folder = TempDir::new().expect("a folder");
-    let (mut journal, mut replica) = Journal::open(folder.path(), 5).expect("opens");
+    let (mut journal, mut tables) = Journal::open(folder.path(), 5).expect("opens");
     let records = [reserve(1, 30), turn("a", None), Record::Epoch(4)];
-    journal.append(0, &records).expect("written");
-    for record in records {
-        replica.apply(0, record);
+    journal.append(0, &here(records.clone())).expect("written");
+    for entry in here(records) {
+        tables.apply(0, entry);
     }
-    journal.rewrite(0, &replica).expect("rewritten");
-    journal.append(0, &[reserve(2, 7)]).expect("written");
+    journal.rewrite(0, &tables).expect("rewritten");
+    journal.append(0, &here([reserve(2, 7)])).expect("written");
     drop(journal);
     let (_, restored) = Journal::open(folder.path(), 6).expect("opens");
-    assert_eq!(restored.epoch(), 4);
-    assert_eq!(restored.reserved("p").len(), 2);
-    assert!(restored.chain("a").is_ok());
+    assert_eq!(replica_of(&restored).epoch(), 4);
+    assert_eq!(replica_of(&restored).reserved("p").len(), 2);
+    assert!(replica_of(&restored).chain("a").is_ok());
 }
 
 #[test]
--- a/crates/courseshed-records/tests/views.rs
+++ b/crates/courseshed-records/tests/views.rs
@@ -49,6 +49,7 @@
         silent: &set(silent),
         retiring: &set(retiring),
         wanted: 3,
+        replicas: &BTreeMap::new(),
     })
 }
 
--- a/crates/courseshed-registry/src/command.rs
+++ b/crates/courseshed-registry/src/command.rs
@@ -1,7 +1,7 @@
 //! What enters the controllers' log, and what comes of it.
 
 use bytes::Bytes;
-use courseshed_records::{RecordView, StoreMachine};
+use courseshed_records::{StoreMachine, ViewChange};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
@@ -37,8 +37,9 @@
         /// What it says of itself.
         store: StoreMachine,
     },
-    /// The replicas of the records change. Nothing happens unless the epoch is the next one.
-    ChangeRecordView(RecordView),
+    /// The replicas of some partitions of the records change. A change whose epoch isn't the next
+    /// one of its partition is passed over.
+    ChangeRecordViews(Vec<ViewChange>),
     /// A machine with records is to be emptied.
     Retire {
         /// Its name.
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{LogIndex, RestoreError, StateMachine};
-use courseshed_records::{RecordView, StoreMachine};
+use courseshed_records::{PartitionMap, StoreMachine, ViewChange};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
@@ -49,7 +49,7 @@
     servers: BTreeMap<String, Announced>,
     departed: VecDeque<String>,
     stores: BTreeMap<NodeId, StoreMachine>,
-    view: RecordView,
+    records: PartitionMap,
     retirements: BTreeMap<NodeId, Retirement>,
 }
 
@@ -60,8 +60,8 @@
     pub routing: Option<u64>,
     /// Revision of the servers.
     pub servers: u64,
-    /// Epoch of the record view.
-    pub view: u64,
+    /// Revision of the partitions of the records.
+    pub records: u64,
 }
 
 /// What a follower of the state lacks.
@@ -73,15 +73,15 @@
     pub routing: Option<Arc<VersionedTable>>,
     /// The servers, if they changed.
     pub servers: Option<Vec<Server>>,
-    /// The record view, if it changed.
-    pub view: Option<RecordView>,
+    /// The views of partitions of the records that changed.
+    pub record_views: Vec<ViewChange>,
 }
 
 impl FleetUpdate {
     /// Whether there is nothing new.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.routing.is_none() && self.servers.is_none() && self.view.is_none()
+        self.routing.is_none() && self.servers.is_none() && self.record_views.is_empty()
     }
 }
 
@@ -97,10 +97,10 @@
         self.servers.values().map(|announced| &announced.server)
     }
 
-    /// The view of the records in force.
+    /// The views of the records in force.
     #[must_use]
-    pub fn view(&self) -> &RecordView {
-        &self.view
+    pub fn records(&self) -> &PartitionMap {
+        &self.records
     }
 
     /// Machines with disks for records.
@@ -150,11 +150,11 @@
             known: Known {
                 routing: routing.map(|table| table.version),
                 servers: self.servers_revision,
-                view: self.view.epoch,
+                records: self.records.revision(),
             },
             routing: newer.cloned(),
             servers: servers_changed.then(|| self.servers().cloned().collect()),
-            view: (self.view.epoch > known.view).then(|| self.view.clone()),
+            record_views: self.records.changes_since(known.records),
         }
     }
 
@@ -176,7 +176,7 @@
                 }
                 self.stores.insert(node, store);
             }
-            Command::ChangeRecordView(view) => self.change_view(view),
+            Command::ChangeRecordViews(changes) => self.change_views(changes),
             Command::Retire { name, needed } => return self.retire(&name, needed),
             Command::CompleteRetirement { node } => {
                 self.retirements.insert(node, Retirement::Completed);
@@ -224,21 +224,17 @@
         self.servers_revision += 1;
     }
 
-    fn change_view(&mut self, view: RecordView) {
-        if view.epoch != self.view.epoch + 1 {
-            return;
+    /// A machine whose last place another took is forgotten until it announces itself again.
+    fn change_views(&mut self, changes: Vec<ViewChange>) {
+        let before = self.records.replicas_by_node();
+        for change in changes {
+            self.records.advance(change);
         }
-        let gone: Vec<NodeId> = self
-            .view
-            .members
-            .iter()
-            .map(|member| member.node)
-            .filter(|node| view.member(*node).is_none() && !self.retirements.contains_key(node))
-            .collect();
-        for node in gone {
-            self.stores.remove(&node);
+        for node in before.into_keys() {
+            if !self.records.has_member(node) && !self.retirements.contains_key(&node) {
+                self.stores.remove(&node);
+            }
         }
-        self.view = view;
     }
 
     fn retire(&mut self, name: &str, needed: usize) -> Outcome {
