Tell all gateways which shared parts of prompts servers have read

Change: a part that prompts of several programs begin with is told to the controller with the gateway's loads when a server has read it, at most each 10 s, and all gateways are told of it with the others' loads, within the same 8 KB/s.

--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -56,7 +56,10 @@
                 }
             }
             PeerMessage::Heard { servers, nodes } => self.0.tell(Input::Heard { servers, nodes }),
-            PeerMessage::Load(report) => self.0.note_controller_load(from.node, report),
+            PeerMessage::Load { load, reads } => {
+                self.0.note_controller_load(from.node, load);
+                self.0.note_controller_reads(reads);
+            }
         }
     }
 
@@ -99,9 +102,10 @@
                 self.0.tell(Input::CaughtUp(caught_up.collect()));
                 reply.send(PeerReply::Joining);
             }
-            PeerRequest::ShareLoad(report) => {
-                let others = self.0.exchange_load(from.node, report);
-                reply.send(PeerReply::OthersLoad(others));
+            PeerRequest::ShareLoad { load, reads, told } => {
+                let load = self.0.exchange_load(from.node, load);
+                let news = self.0.exchange_reads(reads, told);
+                reply.send(PeerReply::OthersLoad { load, news });
             }
             PeerRequest::Records(_) => {}
         }
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -6,7 +6,9 @@
 use courseshed_records::{
     ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
 };
-use courseshed_registry::{Command, FleetUpdate, Known, LoadReport, Outcome, RoutingInForce};
+use courseshed_registry::{
+    Command, FleetUpdate, Known, LoadReport, Outcome, PartRead, ReadNews, RoutingInForce,
+};
 use courseshed_transport::{Protocol, TrafficClass};
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
@@ -68,8 +70,13 @@
         /// Machines.
         nodes: Vec<NodeId>,
     },
-    /// The calls of the gateways that follow a controller, for the other controllers.
-    Load(LoadReport),
+    /// What the gateways that follow a controller do and saw, for the other controllers.
+    Load {
+        /// Their calls at servers.
+        load: LoadReport,
+        /// Shared parts of prompts that they saw servers read since the last message.
+        reads: Vec<PartRead>,
+    },
 }
 
 /// Asked.
@@ -99,17 +106,24 @@
     CaughtUp {
         /// The life of its disk.
         incarnation: u64,
+        /// What it has read enough of.
+        partitions: Vec<PartitionId>,
     },
     /// Something for a store.
     Records(RecordRequest),
-    /// A gateway's calls at servers, and what the others have there.
-    ShareLoad(LoadReport),
+    /// What a gateway does and saw, in exchange for the same of all others.
+    ShareLoad {
+        /// Its calls at servers.
+        load: LoadReport,
+        /// Shared parts of prompts that it saw servers read.
+        reads: Vec<PartRead>,
+        /// How far this controller has told it of the others' reads.
+        told: u64,
+    },
 }
 
 /// A request to a store with records.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-        /// What it has read enough of.
-        partitions: Vec<PartitionId>,
 pub struct RecordRequest {
     /// The life of the disk that the asker means.
     pub incarnation: u64,
@@ -181,8 +195,13 @@
     Unsure,
     /// Of a store.
     Records(RecordReply),
-    /// The calls of all other gateways at servers.
-    OthersLoad(LoadReport),
+    /// What all other gateways do and saw.
+    OthersLoad {
+        /// Their calls at servers.
+        load: LoadReport,
+        /// Shared parts of prompts that they saw servers read.
+        news: ReadNews,
+    },
 }
 
 /// The protocol of the fleet's transport.
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -13,11 +13,13 @@
 mod command;
 mod liveness;
 mod load;
+mod reads;
 mod server;
 mod state;
 
 pub use command::{Command, Outcome};
 pub use liveness::{Liveness, LivenessSettings};
-pub use load::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
+pub use load::{LoadBoard, LoadReport, ReportSize, ServerLoad, pause_after_reports};
+pub use reads::{MOST_READS_A_MESSAGE, PartRead, ReadBoard, ReadNews, TOLD_AGAIN_AFTER};
 pub use server::{Registration, Server, ServerState};
 pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
