Tell followers what changed of the servers, not the whole list

Change: the list has a revision for each server and remembers the last 4,096 removals; followers are told what changed since theirs, the whole only when they are new or lack forgotten removals. Servers are shared between copies of the state.

--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use courseshed_records::{PartitionMap, ViewChange};
-use courseshed_registry::{FleetUpdate, Known, Server};
+use courseshed_registry::{FleetUpdate, Known, ServerList};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
@@ -35,7 +35,7 @@
     /// The routing table in force; none before the first.
     pub routing: Option<Arc<VersionedTable>>,
     /// The servers.
-    pub servers: Arc<Vec<Server>>,
+    pub servers: Arc<ServerList>,
     /// Where records are kept.
     pub records: Arc<PartitionMap>,
 }
@@ -220,9 +220,13 @@
                     view.routing = Some(routing);
                 }
             }
-            if let Some(servers) = update.servers {
-                log::info!(event = "servers_changed", revision = update.known.servers, servers = servers.len(); "the list of servers changed");
-                view.servers = Arc::new(servers);
+            if let Some(changes) = update.servers {
+                let changed = changes.changed.len();
+                let removed = changes.removed.len();
+                let is_whole = changes.is_whole;
+                let servers = Arc::make_mut(&mut view.servers);
+                servers.apply(changes);
+                log::info!(event = "servers_changed", revision = update.known.servers, changed, removed, is_whole, servers = servers.len(); "the servers changed");
             }
             if !update.record_views.is_empty() {
                 learn_views(&mut view.records, update.record_views);
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -2,9 +2,10 @@
 //! passed in. Which one a call goes to is chosen in [`super::choice`].
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_registry::{LoadReport, PartRead, Server, ServerLoad, ServerState};
+use courseshed_registry::{LoadReport, PartRead, Server, ServerList, ServerLoad, ServerState};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 
 use super::choice::Chosen;
@@ -33,7 +34,6 @@
     Failed,
 }
 
-/// One server and what is known of it.
 /// The first part of a server's answer came.
 #[derive(Clone, Copy, Debug)]
 pub struct FirstPart<'a> {
@@ -49,9 +49,10 @@
     pub took: Duration,
 }
 
+/// One server and what is known of it.
 #[derive(Clone, Debug)]
 pub(super) struct Seen {
-    pub server: Server,
+    pub server: Arc<Server>,
     pub key: ServerKey,
     /// Calls of this gateway.
     pub in_flight: u32,
@@ -88,9 +89,9 @@
     }
 
     /// Takes in the list of servers. What was seen of those that stay is kept.
-    pub fn replace(&mut self, servers: &[Server]) {
+    pub fn replace(&mut self, servers: &ServerList) {
         let mut seen = BTreeMap::new();
-        for server in servers {
+        for server in servers.iter() {
             let known = self.seen.remove(&server.id);
             let entry = match known {
                 Some(mut entry) => {
@@ -170,7 +171,6 @@
         self.prompts.note_cached(cached, now);
     }
 
-    /// Forgets what is too old to be true.
     /// Reads of shared parts that the other gateways are to be told of.
     pub fn take_reads(&mut self, most: usize) -> Vec<PartRead> {
         self.prompts.take_reads(most)
@@ -183,6 +183,7 @@
         }
     }
 
+    /// Forgets what is too old to be true.
     pub fn tidy(&mut self, now: Duration) {
         self.prompts.tidy(now);
         let services: BTreeSet<&str> = self
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -15,6 +15,7 @@
 mod load;
 mod reads;
 mod server;
+mod server_list;
 mod state;
 
 pub use command::{Command, Outcome};
@@ -22,4 +23,5 @@
 pub use load::{LoadBoard, LoadReport, ReportSize, ServerLoad, pause_after_reports};
 pub use reads::{MOST_READS_A_MESSAGE, PartRead, ReadBoard, ReadNews, TOLD_AGAIN_AFTER};
 pub use server::{Registration, Server, ServerState};
+pub use server_list::{ServerChanges, ServerList};
 pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- /dev/null
+++ b/crates/courseshed-registry/src/server_list.rs
@@ -0,0 +1,164 @@
+//! The servers that announced themselves, and what of them changed since a follower was told.
+//!
+//! Invariant: a follower that takes in the changes since its revision has the same servers as the
+//! list that gave them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Registration, Server};
+
+/// Removals that are remembered for followers. Who lacks more than these is told the whole list:
+/// 4,096 are more than an hour of a fleet whose 3,000 servers are all replaced once.
+const REMEMBERED_REMOVALS: usize = 4096;
+
+/// A server with its newest announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Announced {
+    pub server: Arc<Server>,
+    /// Sequence of the announcement.
+    pub sequence: u64,
+    /// Revision of the list at which the server changed last.
+    revision: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Removal {
+    revision: u64,
+    server: String,
+}
+
+/// The servers, as the controllers agree on them. Each change makes a higher revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AnnouncedServers {
+    revision: u64,
+    by_id: BTreeMap<String, Announced>,
+    removals: VecDeque<Removal>,
+    /// Removals up to this revision may have been forgotten.
+    forgotten: u64,
+}
+
+impl AnnouncedServers {
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(crate) fn get(&self, id: &str) -> Option<&Announced> {
+        self.by_id.get(id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.by_id.values().map(|announced| &*announced.server)
+    }
+
+    pub(crate) fn insert(&mut self, registration: Registration) {
+        self.revision += 1;
+        let id = registration.server.id.clone();
+        let announced = Announced {
+            server: Arc::new(registration.server),
+            sequence: registration.sequence,
+            revision: self.revision,
+        };
+        self.by_id.insert(id, announced);
+    }
+
+    pub(crate) fn remove(&mut self, id: &str) {
+        if self.by_id.remove(id).is_none() {
+            return;
+        }
+        self.revision += 1;
+        self.removals.push_back(Removal {
+            revision: self.revision,
+            server: id.to_owned(),
+        });
+        if self.removals.len() > REMEMBERED_REMOVALS
+            && let Some(oldest) = self.removals.pop_front()
+        {
+            self.forgotten = oldest.revision;
+        }
+    }
+
+    /// What changed after a revision; none if nothing did.
+    pub(crate) fn changes_since(&self, revision: u64) -> Option<ServerChanges> {
+        if self.revision <= revision {
+            return None;
+        }
+        let is_whole = revision == 0 || revision < self.forgotten;
+        let changed = self
+            .by_id
+            .values()
+            .filter(|announced| is_whole || announced.revision > revision);
+        let removed = self
+            .removals
+            .iter()
+            .rev()
+            .take_while(|removal| !is_whole && removal.revision > revision);
+        Some(ServerChanges {
+            is_whole,
+            changed: changed.map(|announced| announced.server.clone()).collect(),
+            removed: removed.map(|removal| removal.server.clone()).collect(),
+        })
+    }
+}
+
+/// What changed of the servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerChanges {
+    /// Whether a server that isn't named is gone.
+    pub is_whole: bool,
+    /// Servers that are new or changed.
+    pub changed: Vec<Arc<Server>>,
+    /// Ids of servers that are gone; one that came back since is among the changed, too.
+    pub removed: Vec<String>,
+}
+
+/// The servers, as a follower knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServerList {
+    by_id: BTreeMap<String, Arc<Server>>,
+}
+
+impl ServerList {
+    /// Takes changes in.
+    pub fn apply(&mut self, changes: ServerChanges) {
+        if changes.is_whole {
+            self.by_id.clear();
+        }
+        for id in &changes.removed {
+            self.by_id.remove(id);
+        }
+        for server in changes.changed {
+            self.by_id.insert(server.id.clone(), server);
+        }
+    }
+
+    /// The servers by id.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.by_id.values()
+    }
+
+    /// How many there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
+
+impl FromIterator<Server> for ServerList {
+    fn from_iter<I: IntoIterator<Item = Server>>(servers: I) -> Self {
+        let servers = servers.into_iter();
+        Self {
+            by_id: servers
+                .map(|server| (server.id.clone(), Arc::new(server)))
+                .collect(),
+        }
+    }
+}
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -10,7 +10,8 @@
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Command, Outcome, Registration, Server, ServerState};
+use crate::server_list::AnnouncedServers;
+use crate::{Command, Outcome, Registration, Server, ServerChanges, ServerState};
 
 /// Servers that left are remembered, so that a late announcement doesn't bring them back.
 const REMEMBERED_DEPARTURES: usize = 4096;
@@ -33,20 +34,11 @@
     Completed,
 }
 
-/// A server with the sequence of its newest announcement.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Announced {
-    server: Server,
-    sequence: u64,
-}
-
 /// What all controllers agree on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetState {
-    /// Counts changes of the servers.
-    servers_revision: u64,
     routing: Option<RoutingInForce>,
-    servers: BTreeMap<String, Announced>,
+    servers: AnnouncedServers,
     departed: VecDeque<String>,
     stores: BTreeMap<NodeId, StoreMachine>,
     records: PartitionMap,
@@ -71,8 +63,8 @@
     pub known: Known,
     /// A newer routing table.
     pub routing: Option<Arc<VersionedTable>>,
-    /// The servers, if they changed.
-    pub servers: Option<Vec<Server>>,
+    /// What changed of the servers, if anything did.
+    pub servers: Option<ServerChanges>,
     /// The views of partitions of the records that changed.
     pub record_views: Vec<ViewChange>,
 }
@@ -94,7 +86,7 @@
 
     /// The servers.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().map(|announced| &announced.server)
+        self.servers.iter()
     }
 
     /// The views of the records in force.
@@ -135,7 +127,7 @@
         }
         let known = self.servers.get(&registration.server.id);
         known.is_some_and(|known| {
-            registration.sequence <= known.sequence || known.server == registration.server
+            registration.sequence <= known.sequence || *known.server == registration.server
         })
     }
 
@@ -145,15 +137,14 @@
         let routing = self.routing.as_ref().map(|routing| &routing.table);
         let newer =
             routing.filter(|table| known.routing.is_none_or(|version| version < table.version));
-        let servers_changed = self.servers_revision > known.servers;
         FleetUpdate {
             known: Known {
                 routing: routing.map(|table| table.version),
-                servers: self.servers_revision,
+                servers: self.servers.revision(),
                 records: self.records.revision(),
             },
             routing: newer.cloned(),
-            servers: servers_changed.then(|| self.servers().cloned().collect()),
+            servers: self.servers.changes_since(known.servers),
             record_views: self.records.changes_since(known.records),
         }
     }
@@ -167,7 +158,6 @@
                 for server in servers {
                     self.servers.remove(&server);
                 }
-                self.servers_revision += 1;
             }
             Command::RegisterStore { node, store } => {
                 let known = self.stores.get(&node);
@@ -199,18 +189,12 @@
         if self.is_ordinary(&registration) {
             return;
         }
-        let id = registration.server.id.clone();
-        if let Some(known) = self.servers.get(&id)
+        if let Some(known) = self.servers.get(&registration.server.id)
             && known.server.state == ServerState::Draining
         {
             registration.server.state = ServerState::Draining;
         }
-        let announced = Announced {
-            server: registration.server,
-            sequence: registration.sequence,
-        };
-        self.servers.insert(id, announced);
-        self.servers_revision += 1;
+        self.servers.insert(registration);
     }
 
     fn depart(&mut self, server: &str) {
@@ -221,7 +205,6 @@
         if self.departed.len() > REMEMBERED_DEPARTURES {
             self.departed.pop_front();
         }
-        self.servers_revision += 1;
     }
 
     /// A machine whose last place another took is forgotten until it announces itself again.
