--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -28,11 +28,15 @@
     LearnedReading,
     /// Gateways tell each other which shared parts of prompts servers have read.
     SharedReads,
+    /// The order that all gateways share weighs as much as reading the prompt would take.
+    ReadPreference,
+    /// A prompt counts as read from when a call is sent on.
+    ReadWhenSent,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::PromptMemory,
         Self::KeptTurnHints,
         Self::SharedLoads,
@@ -43,6 +47,8 @@
         Self::OwnZone,
         Self::LearnedReading,
         Self::SharedReads,
+        Self::ReadPreference,
+        Self::ReadWhenSent,
     ];
 
     /// Its name in settings.
@@ -59,6 +65,8 @@
             Self::OwnZone => "own-zone",
             Self::LearnedReading => "learned-reading",
             Self::SharedReads => "shared-reads",
+            Self::ReadPreference => "read-preference",
+            Self::ReadWhenSent => "read-when-sent",
         }
     }
 }
