--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -190,9 +190,10 @@
         self.log.note_first_part();
         let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
+        let program = self.call.program.as_ref();
         let first = FirstPart {
             server: &opened.server,
-            program: self.program_hash(),
+            program: program.map(|claim| xxh3_64(claim.program.as_bytes())),
             parts: &self.parts,
             unread_tokens: opened.unread_tokens,
             took,
@@ -200,11 +201,6 @@
         self.core.servers.borrow_mut().note_read(&first, now);
     }
 
-    fn program_hash(&self) -> Option<u64> {
-        let program = self.call.program.as_ref();
-        program.map(|claim| xxh3_64(claim.program.as_bytes()))
-    }
-
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -277,11 +273,6 @@
             self.sent_to.push(chosen.id.clone());
         }
         let sent_at = Instant::now();
-        let now = self.core.clock.now();
-        let program = self.program_hash();
-        let mut servers = self.core.servers.borrow_mut();
-        servers.note_sent(&chosen.id, program, &self.parts, now);
-        drop(servers);
         let core = &self.core;
         let request_id = &self.call.request_id;
         let is_ours = |head: &ResponseHead| {
@@ -342,9 +333,6 @@
     }
 
     fn pass_over(&mut self, server: &str) {
-        let mut servers = self.core.servers.borrow_mut();
-        servers.note_not_read(server, &self.parts);
-        drop(servers);
         self.sent_to.retain(|sent| sent != server);
         self.passed_over.push(server.to_owned());
         self.log.refused_by += 1;
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -15,13 +15,8 @@
 use super::policy::Mechanism;
 use super::servers::{Seen, ServerTable};
 
-/// How much the order that all gateways share may weigh, in milliseconds: half of what another zone
-/// costs, so that it decides within a zone.
+/// How much the order that all gateways share may weigh, in milliseconds.
 const PREFERENCE_MS: f64 = 4.0;
-/// How much more it weighs where a prompt has to be read, as a share of the time that takes. Where
-/// nobody is known to have read it, gateways that don't know of each other yet choose the same few
-/// servers. Played with 0 and 1 (`docs/design/deciding.md`).
-const PREFERENCE_OF_READ: f64 = 1.0;
 
 /// A server that was chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,17 +80,9 @@
         let is_shared = self.policy.uses(Mechanism::SharedPreference);
         let shared_salt = demand.parts.first().filter(|_| is_shared);
         let salt = shared_salt.map_or(tie, |part| part.id);
-        let weighs_reads = shared_salt.is_some() && self.policy.uses(Mechanism::ReadPreference);
-        let read_weight = if weighs_reads {
-            PREFERENCE_OF_READ
-        } else {
-            0.0
-        };
         let cost = |seen: &Seen| {
             let prospect = self.prospect(seen, demand, usual_ms, now);
-            let read_ms = f64::from(prospect.unread_tokens) * pace.read_ms_per_token;
-            let order_ms = PREFERENCE_MS + read_weight * read_ms;
-            expected_ms(&prospect, &pace) + order_ms * seen.preference(salt)
+            expected_ms(&prospect, &pace) + PREFERENCE_MS * seen.preference(salt)
         };
         let costs = candidates.into_iter().map(|seen| (cost(seen), seen));
         let (_, chosen) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -28,15 +28,11 @@
     LearnedReading,
     /// Gateways tell each other which shared parts of prompts servers have read.
     SharedReads,
-    /// The order that all gateways share weighs as much as reading the prompt would take.
-    ReadPreference,
-    /// A prompt counts as read from when a call is sent on.
-    ReadWhenSent,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 10] = [
         Self::PromptMemory,
         Self::KeptTurnHints,
         Self::SharedLoads,
@@ -47,8 +43,6 @@
         Self::OwnZone,
         Self::LearnedReading,
         Self::SharedReads,
-        Self::ReadPreference,
-        Self::ReadWhenSent,
     ];
 
     /// Its name in settings.
@@ -65,8 +59,6 @@
             Self::OwnZone => "own-zone",
             Self::LearnedReading => "learned-reading",
             Self::SharedReads => "shared-reads",
-            Self::ReadPreference => "read-preference",
-            Self::ReadWhenSent => "read-when-sent",
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/prompt_memory.rs
+++ b/crates/courseshed-edge/src/gateway/prompt_memory.rs
@@ -108,22 +108,6 @@
         self.to_tell.drain(..count).collect()
     }
 
-    /// Takes in that a server did not take a call: what others were to be told that it read with it,
-    /// it has not read.
-    pub fn forget_untold(&mut self, server: ServerKey, parts: &[PromptPart]) {
-        let notes = &mut self.notes;
-        self.to_tell.retain(|read| {
-            let is_of_call = read.server == server && parts.iter().any(|part| part.id == read.part);
-            if is_of_call {
-                notes.remove(&PartAtServer {
-                    part: read.part,
-                    server,
-                });
-            }
-            !is_of_call
-        });
-    }
-
     /// Takes in what other gateways saw.
     pub fn note_told(&mut self, reads: &[PartRead], now: Duration) {
         for read in reads {
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -128,12 +128,25 @@
 
     /// Takes in that the first part of an answer came.
     pub fn note_read(&mut self, first: &FirstPart, now: Duration) {
-        let key = ServerKey::of(first.server);
-        self.note_prompt(key, first.program, first.parts, now);
-        if let Some(seen) = self.seen.get(first.server) {
+        let FirstPart {
+            server: id,
+            parts,
+            unread_tokens,
+            took,
+            ..
+        } = *first;
+        let key = ServerKey::of(id);
+        self.prompts.note(key, parts, now);
+        if let Some(program) = first.program
+            && self.policy.uses(Mechanism::SharedReads)
+        {
+            self.prompts.note_program(program, parts, now);
+            self.prompts.tell_shared(key, parts, now);
+        }
+        if let Some(seen) = self.seen.get(id) {
             let estimate = self.paces.entry(seen.server.service.clone()).or_default();
             if self.policy.uses(Mechanism::LearnedReading) {
-                estimate.note_read(first.unread_tokens, milliseconds(first.took));
+                estimate.note_read(unread_tokens, milliseconds(took));
             }
         }
     }
@@ -158,43 +171,6 @@
         self.prompts.note_cached(cached, now);
     }
 
-    /// Takes in that a call with a prompt is sent to a server, which begins to read it. Others that
-    /// choose meanwhile are to go where the prompt is being read.
-    pub fn note_sent(
-        &mut self,
-        id: &str,
-        program: Option<u64>,
-        parts: &[PromptPart],
-        now: Duration,
-    ) {
-        if self.policy.uses(Mechanism::ReadWhenSent) {
-            self.note_prompt(ServerKey::of(id), program, parts, now);
-        }
-    }
-
-    /// Takes in that a server did not take a call: what it was to read, it has not.
-    pub fn note_not_read(&mut self, id: &str, parts: &[PromptPart]) {
-        if self.policy.uses(Mechanism::ReadWhenSent) {
-            self.prompts.forget_untold(ServerKey::of(id), parts);
-        }
-    }
-
-    fn note_prompt(
-        &mut self,
-        server: ServerKey,
-        program: Option<u64>,
-        parts: &[PromptPart],
-        now: Duration,
-    ) {
-        self.prompts.note(server, parts, now);
-        if let Some(program) = program
-            && self.policy.uses(Mechanism::SharedReads)
-        {
-            self.prompts.note_program(program, parts, now);
-            self.prompts.tell_shared(server, parts, now);
-        }
-    }
-
     /// Reads of shared parts that the other gateways are to be told of.
     pub fn take_reads(&mut self, most: usize) -> Vec<PartRead> {
         self.prompts.take_reads(most)
--- a/crates/courseshed-edge/tests/policy.rs
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -86,53 +86,6 @@
     assert!(shared == 0 || shared == 100, "{shared}");
 }
 
-/// How many of many prompts that nobody has read go to a server that is a little slower.
-fn prompts_at_the_slower(without: &[Mechanism]) -> usize {
-    let mut table = ServerTable::new(Policy::without(without.iter().copied()));
-    let servers = ["a", "b"].map(|id| server(id, "near"));
-    table.replace(&servers.into_iter().collect());
-    for _ in 0..20 {
-        table.report("a", Report::Paced(Duration::from_millis(52)), NOW);
-        table.report("b", Report::Paced(Duration::from_millis(50)), NOW);
-    }
-    let goes_to_a = |id: &u64| {
-        let parts = [PromptPart {
-            id: *id,
-            tokens: 50_000,
-        }];
-        let demand = Demand {
-            service: "s",
-            zone: "near",
-            parts: &parts,
-            most_in_flight: u32::MAX,
-        };
-        let chosen = table.choose(&demand, &[], NOW, 1);
-        chosen.is_some_and(|chosen| chosen.id == "a")
-    };
-    (0..100).filter(goes_to_a).count()
-}
-
-/// A small difference, which each gateway sees in another way, doesn't lead a prompt to another server.
-#[test]
-fn unread_prompts_keep_to_the_shared_order() {
-    let used = prompts_at_the_slower(&[]);
-    assert!((30..60).contains(&used), "{used}");
-    assert_eq!(prompts_at_the_slower(&[Mechanism::ReadPreference]), 0);
-}
-
-#[parameterized(
-    used = { &[], 1 },
-    unused = { &[Mechanism::ReadWhenSent], 0 },
-)]
-fn reads_are_told_when_calls_are_sent(without: &[Mechanism], told: usize) {
-    let mut table = ServerTable::new(Policy::without(without.iter().copied()));
-    table.replace(&ServerList::from_iter([server("a", "near")]));
-    let prompt = [PROMPT[0], PromptPart { id: 2, tokens: 10 }];
-    table.note_sent("a", Some(7), &prompt, NOW);
-    table.note_sent("a", Some(8), &prompt, NOW);
-    assert_eq!(table.take_reads(10).len(), told);
-}
-
 #[test]
 fn mechanisms_are_known_by_their_names() {
     for mechanism in Mechanism::ALL {
--- a/crates/courseshed-edge/tests/prompt_memory.rs
+++ b/crates/courseshed-edge/tests/prompt_memory.rs
@@ -121,22 +121,3 @@
     memory.tell_shared(ELSEWHERE, &prompt, NOW);
     assert_eq!(memory.take_reads(10).len(), 1);
 }
-
-#[test]
-fn what_a_refused_call_was_to_read_is_neither_known_nor_told() {
-    let mut memory = PromptMemory::default();
-    let prompt = [SHARED, own(1_000)];
-    memory.note_program(7, &prompt, NOW);
-    memory.note_program(8, &prompt, NOW);
-    memory.note(SERVER, &prompt, NOW);
-    memory.tell_shared(SERVER, &prompt, NOW);
-    memory.forget_untold(SERVER, &prompt);
-    assert_eq!(memory.take_reads(10), []);
-    assert_eq!(memory.unread_tokens(SERVER, &[SHARED], NOW), 12_000);
-    // What all have been told before is true whatever became of this call.
-    memory.note(ELSEWHERE, &prompt, NOW);
-    memory.tell_shared(ELSEWHERE, &prompt, NOW);
-    assert_eq!(memory.take_reads(10).len(), 1);
-    memory.forget_untold(ELSEWHERE, &prompt);
-    assert_eq!(memory.unread_tokens(ELSEWHERE, &[SHARED], NOW), 0);
-}
