Revert the reads of shared parts told among gateways, and what was built on it

Hypothesis: gateways that know which servers have read a shared part read less again, and programs are in time more often. Kept from it: nothing.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -9,8 +9,8 @@
 use courseshed_consensus::{Message, ReplicaAddress};
 use courseshed_records::CaughtUp;
 use courseshed_registry::{
-    Command, FleetState, LoadBoard, LoadReport, Outcome, PartRead, ReadBoard, ReadNews,
-    Registration, Retirement, RoutingInForce, ServerState,
+    Command, FleetState, LoadBoard, LoadReport, Outcome, Registration, Retirement, RoutingInForce,
+    ServerState,
 };
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -92,7 +92,6 @@
     published: watch::Sender<Published>,
     heard: Mutex<Heard>,
     load: Mutex<LoadBoard>,
-    reads: Mutex<ReadBoard>,
 }
 
 #[derive(Default)]
@@ -113,7 +112,6 @@
             published: watch::channel(Published::default()).0,
             heard: Mutex::default(),
             load: Mutex::default(),
-            reads: Mutex::default(),
         }
     }
 
@@ -185,28 +183,6 @@
         self.load.lock().note_controller(now, controller, report);
     }
 
-    /// Takes in what a gateway saw servers read, and returns what it has not been told.
-    pub(crate) fn exchange_reads(&self, reads: Vec<PartRead>, told: u64) -> ReadNews {
-        let now = self.clock.now();
-        let mut board = self.reads.lock();
-        board.note_gateway(now, reads);
-        board.news_since(told)
-    }
-
-    /// Takes in what the gateways that follow another controller saw.
-    pub(crate) fn note_controller_reads(&self, reads: Vec<PartRead>) {
-        let now = self.clock.now();
-        self.reads.lock().note_controller(now, reads);
-    }
-
-    /// What the other controllers have not been told of.
-    pub(super) fn reads_for_controllers(&self) -> Vec<PartRead> {
-        let now = self.clock.now();
-        let mut board = self.reads.lock();
-        board.forget_old(now);
-        board.take_for_controllers()
-    }
-
     pub(super) fn load_of_own_gateways(&self) -> LoadReport {
         let now = self.clock.now();
         let mut board = self.load.lock();
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -56,10 +56,7 @@
                 }
             }
             PeerMessage::Heard { servers, nodes } => self.0.tell(Input::Heard { servers, nodes }),
-            PeerMessage::Load { load, reads } => {
-                self.0.note_controller_load(from.node, load);
-                self.0.note_controller_reads(reads);
-            }
+            PeerMessage::Load(report) => self.0.note_controller_load(from.node, report),
         }
     }
 
@@ -102,10 +99,9 @@
                 self.0.tell(Input::CaughtUp(caught_up.collect()));
                 reply.send(PeerReply::Joining);
             }
-            PeerRequest::ShareLoad { load, reads, told } => {
-                let load = self.0.exchange_load(from.node, load);
-                let news = self.0.exchange_reads(reads, told);
-                reply.send(PeerReply::OthersLoad { load, news });
+            PeerRequest::ShareLoad(report) => {
+                let others = self.0.exchange_load(from.node, report);
+                reply.send(PeerReply::OthersLoad(others));
             }
             PeerRequest::Records(_) => {}
         }
--- a/crates/courseshed-edge/src/controller/relay.rs
+++ b/crates/courseshed-edge/src/controller/relay.rs
@@ -1,10 +1,10 @@
 //! What controllers tell each other beside the replicated log: whom they heard, and the calls of the
-//! gateways that follow them, with what those saw servers read. All of it is soft knowledge that is told again and again.
+//! gateways that follow them. All of it is soft knowledge that is told again and again.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_registry::{ReportSize, pause_after_reports};
+use courseshed_registry::pause_after_reports;
 use courseshed_types::NodeId;
 use tokio::time::sleep;
 
@@ -48,23 +48,13 @@
             .filter(|node| *node != shared.node())
             .collect();
         let report = shared.load_of_own_gateways();
-        let reads = shared.reads_for_controllers();
-        let is_idle = report.servers.is_empty() && reads.is_empty();
-        let size = ReportSize {
-            reports: others.len(),
-            servers: report.servers.len() * others.len(),
-            reads: reads.len() * others.len(),
-        };
-        let pause = pause_after_reports(size, LOAD_INTERVAL);
-        let load = report.until_next(pause);
+        let is_idle = report.servers.is_empty();
+        let servers = report.servers.len() * others.len();
+        let pause = pause_after_reports(others.len(), servers, LOAD_INTERVAL);
+        let report = report.until_next(pause);
         if let (false, Some(peers)) = (is_idle && was_idle, shared.peers()) {
             for controller in others {
-                let message = PeerMessage::Load {
-                    load: load.clone(),
-                    reads: reads.clone(),
-                };
-                // Soft knowledge: what is lost is told again.
-                let _ = peers.send(controller, message);
+                let _ = peers.send(controller, PeerMessage::Load(report.clone()));
             }
         }
         was_idle = is_idle;
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -22,7 +22,7 @@
 use super::core::{GatewayCore, InFlight};
 use super::policy::Mechanism;
 use super::refusal::Refusal;
-use super::servers::{FirstPart, Report};
+use super::servers::Report;
 use super::upstream::{Upstream, UpstreamError};
 
 /// Servers that may refuse a request, or can't be reached, before the caller is told.
@@ -190,15 +190,9 @@
         self.log.note_first_part();
         let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
-        let program = self.call.program.as_ref();
-        let first = FirstPart {
-            server: &opened.server,
-            program: program.map(|claim| xxh3_64(claim.program.as_bytes())),
-            parts: &self.parts,
-            unread_tokens: opened.unread_tokens,
-            took,
-        };
-        self.core.servers.borrow_mut().note_read(&first, now);
+        let unread = opened.unread_tokens;
+        let mut servers = self.core.servers.borrow_mut();
+        servers.note_read(&opened.server, &self.parts, unread, took, now);
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -29,4 +29,4 @@
 pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
 pub use server::{GatewayError, GatewaySettings, run};
-pub use servers::{FirstPart, Report, ServerTable};
+pub use servers::{Report, ServerTable};
--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -26,13 +26,11 @@
     OwnZone,
     /// How fast servers read is learned.
     LearnedReading,
-    /// Gateways tell each other which shared parts of prompts servers have read.
-    SharedReads,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 9] = [
         Self::PromptMemory,
         Self::KeptTurnHints,
         Self::SharedLoads,
@@ -42,7 +40,6 @@
         Self::SharedPreference,
         Self::OwnZone,
         Self::LearnedReading,
-        Self::SharedReads,
     ];
 
     /// Its name in settings.
@@ -58,7 +55,6 @@
             Self::SharedPreference => "shared-preference",
             Self::OwnZone => "own-zone",
             Self::LearnedReading => "learned-reading",
-            Self::SharedReads => "shared-reads",
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_registry::{LoadReport, PartRead, Server, ServerList, ServerLoad, ServerState};
+use courseshed_registry::{LoadReport, Server, ServerList, ServerLoad, ServerState};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 
 use super::choice::Chosen;
@@ -34,21 +34,6 @@
     Failed,
 }
 
-/// The first part of a server's answer came.
-#[derive(Clone, Copy, Debug)]
-pub struct FirstPart<'a> {
-    /// The server.
-    pub server: &'a str,
-    /// The program that the call belongs to, by a hash of its id.
-    pub program: Option<u64>,
-    /// The prompt, which the server has read now.
-    pub parts: &'a [PromptPart],
-    /// Tokens of it that the server had to read, as far as was known.
-    pub unread_tokens: u32,
-    /// How long after the request was sent.
-    pub took: Duration,
-}
-
 /// One server and what is known of it.
 #[derive(Clone, Debug)]
 pub(super) struct Seen {
@@ -126,23 +111,16 @@
         (seen.server.state == ServerState::Ready).then(|| seen.chosen())
     }
 
-    /// Takes in that the first part of an answer came.
-    pub fn note_read(&mut self, first: &FirstPart, now: Duration) {
-        let FirstPart {
-            server: id,
-            parts,
-            unread_tokens,
-            took,
-            ..
-        } = *first;
-        let key = ServerKey::of(id);
-        self.prompts.note(key, parts, now);
-        if let Some(program) = first.program
-            && self.policy.uses(Mechanism::SharedReads)
-        {
-            self.prompts.note_program(program, parts, now);
-            self.prompts.tell_shared(key, parts, now);
-        }
+    /// Takes in that the first part of an answer came, with so many tokens to read before it.
+    pub fn note_read(
+        &mut self,
+        id: &str,
+        parts: &[PromptPart],
+        unread_tokens: u32,
+        took: Duration,
+        now: Duration,
+    ) {
+        self.prompts.note(ServerKey::of(id), parts, now);
         if let Some(seen) = self.seen.get(id) {
             let estimate = self.paces.entry(seen.server.service.clone()).or_default();
             if self.policy.uses(Mechanism::LearnedReading) {
@@ -171,18 +149,6 @@
         self.prompts.note_cached(cached, now);
     }
 
-    /// Reads of shared parts that the other gateways are to be told of.
-    pub fn take_reads(&mut self, most: usize) -> Vec<PartRead> {
-        self.prompts.take_reads(most)
-    }
-
-    /// Takes in reads of shared parts that other gateways saw.
-    pub fn note_reads(&mut self, reads: &[PartRead], now: Duration) {
-        if self.policy.uses(Mechanism::SharedReads) {
-            self.prompts.note_told(reads, now);
-        }
-    }
-
     /// Forgets what is too old to be true.
     pub fn tidy(&mut self, now: Duration) {
         self.prompts.tidy(now);
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -6,9 +6,7 @@
 use courseshed_records::{
     ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
 };
-use courseshed_registry::{
-    Command, FleetUpdate, Known, LoadReport, Outcome, PartRead, ReadNews, RoutingInForce,
-};
+use courseshed_registry::{Command, FleetUpdate, Known, LoadReport, Outcome, RoutingInForce};
 use courseshed_transport::{Protocol, TrafficClass};
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
@@ -70,13 +68,8 @@
         /// Machines.
         nodes: Vec<NodeId>,
     },
-    /// What the gateways that follow a controller do and saw, for the other controllers.
-    Load {
-        /// Their calls at servers.
-        load: LoadReport,
-        /// Shared parts of prompts that they saw servers read since the last message.
-        reads: Vec<PartRead>,
-    },
+    /// The calls of the gateways that follow a controller, for the other controllers.
+    Load(LoadReport),
 }
 
 /// Asked.
@@ -111,15 +104,8 @@
     },
     /// Something for a store.
     Records(RecordRequest),
-    /// What a gateway does and saw, in exchange for the same of all others.
-    ShareLoad {
-        /// Its calls at servers.
-        load: LoadReport,
-        /// Shared parts of prompts that it saw servers read.
-        reads: Vec<PartRead>,
-        /// How far this controller has told it of the others' reads.
-        told: u64,
-    },
+    /// A gateway's calls at servers, and what the others have there.
+    ShareLoad(LoadReport),
 }
 
 /// A request to a store with records.
@@ -195,13 +181,8 @@
     Unsure,
     /// Of a store.
     Records(RecordReply),
-    /// What all other gateways do and saw.
-    OthersLoad {
-        /// Their calls at servers.
-        load: LoadReport,
-        /// Shared parts of prompts that they saw servers read.
-        news: ReadNews,
-    },
+    /// The calls of all other gateways at servers.
+    OthersLoad(LoadReport),
 }
 
 /// The protocol of the fleet's transport.
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use courseshed_edge::gateway::{
-    Demand, FirstPart, PaceEstimate, Prospect, ServerTable, ServicePace, expected_ms,
+    Demand, PaceEstimate, Prospect, ServerTable, ServicePace, expected_ms,
 };
 use courseshed_registry::{Server, ServerList, ServerState};
 use courseshed_types::PromptPart;
@@ -152,14 +152,7 @@
     ]));
     let prompt = [SHARED, own(1_000)];
     assert_eq!(choose(&table, &prompt, 9), Some("near".to_owned()));
-    let first = FirstPart {
-        server: "far",
-        program: None,
-        parts: &prompt,
-        unread_tokens: 13_000,
-        took: Duration::from_millis(60),
-    };
-    table.note_read(&first, NOW);
+    table.note_read("far", &prompt, 13_000, Duration::from_millis(60), NOW);
     assert_eq!(choose(&table, &prompt, 9), Some("far".to_owned()));
 }
 
--- a/crates/courseshed-edge/tests/prompt_memory.rs
+++ b/crates/courseshed-edge/tests/prompt_memory.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use courseshed_edge::gateway::PromptMemory;
-use courseshed_registry::{PartRead, TOLD_AGAIN_AFTER};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 
 const NOW: Duration = Duration::from_secs(10);
@@ -75,49 +74,3 @@
     memory.note_cached(&cached, NOW);
     assert_eq!(memory.unread_tokens(SERVER, &huge, NOW), 0);
 }
-
-#[test]
-fn others_are_told_of_parts_that_several_programs_begin_with() {
-    let mut memory = PromptMemory::default();
-    let prompt = [SHARED, own(1_000)];
-    memory.note(SERVER, &prompt, NOW);
-    memory.note_program(7, &prompt, NOW);
-    memory.tell_shared(SERVER, &prompt, NOW);
-    assert_eq!(
-        memory.take_reads(10),
-        [],
-        "one program alone shares nothing"
-    );
-    memory.note_program(8, &[SHARED, PromptPart { id: 3, tokens: 5 }], NOW);
-    memory.tell_shared(SERVER, &prompt, NOW);
-    let read = PartRead {
-        part: SHARED.id,
-        tokens: SHARED.tokens,
-        server: SERVER,
-    };
-    assert_eq!(memory.take_reads(10), [read]);
-    memory.tell_shared(SERVER, &prompt, NOW);
-    assert_eq!(memory.take_reads(10), [], "told already");
-    memory.tell_shared(SERVER, &prompt, NOW + TOLD_AGAIN_AFTER);
-    assert_eq!(memory.take_reads(10), [read]);
-}
-
-#[test]
-fn what_others_saw_counts_and_is_not_told_again() {
-    let mut memory = PromptMemory::default();
-    let read = PartRead {
-        part: SHARED.id,
-        tokens: SHARED.tokens,
-        server: SERVER,
-    };
-    memory.note_told(&[read], NOW);
-    let prompt = [SHARED, own(1_000)];
-    assert_eq!(memory.unread_tokens(SERVER, &prompt, NOW), 1_000);
-    memory.note(SERVER, &prompt, NOW);
-    memory.tell_shared(SERVER, &prompt, NOW);
-    assert_eq!(memory.take_reads(10), []);
-    // That it is shared is known now: the first read at another server is news to all.
-    memory.note(ELSEWHERE, &prompt, NOW);
-    memory.tell_shared(ELSEWHERE, &prompt, NOW);
-    assert_eq!(memory.take_reads(10).len(), 1);
-}
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -13,15 +13,13 @@
 mod command;
 mod liveness;
 mod load;
-mod reads;
 mod server;
 mod server_list;
 mod state;
 
 pub use command::{Command, Outcome};
 pub use liveness::{Liveness, LivenessSettings};
-pub use load::{LoadBoard, LoadReport, ReportSize, ServerLoad, pause_after_reports};
-pub use reads::{MOST_READS_A_MESSAGE, PartRead, ReadBoard, ReadNews, TOLD_AGAIN_AFTER};
+pub use load::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
 pub use server::{Registration, Server, ServerState};
 pub use server_list::{ServerChanges, ServerList};
 pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- a/crates/courseshed-registry/src/load.rs
+++ b/crates/courseshed-registry/src/load.rs
@@ -16,28 +16,14 @@
 /// About what a report takes without, and for, each server.
 const BYTES_OF_REPORT: f64 = 100.0;
 const BYTES_OF_SERVER: f64 = 8.0;
-const BYTES_OF_READ: f64 = 20.0;
 /// How long a report counts after it came: at least so long, and for so many pauses.
 const LEAST_LIFE: Duration = Duration::from_secs(1);
 const LIFE_IN_PAUSES: u32 = 3;
 
-/// What reports sent and received at one time hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ReportSize {
-    /// Reports.
-    pub reports: usize,
-    /// Loads of servers in all of them.
-    pub servers: usize,
-    /// Reads of shared parts in all of them.
-    pub reads: usize,
-}
-
-/// The pause after reports of a size, at least `least`.
+/// The pause after reports that named so many servers in all, at least `least`.
 #[must_use]
-pub fn pause_after_reports(size: ReportSize, least: Duration) -> Duration {
-    let bytes = BYTES_OF_REPORT * size.reports as f64
-        + BYTES_OF_SERVER * size.servers as f64
-        + BYTES_OF_READ * size.reads as f64;
+pub fn pause_after_reports(reports: usize, servers: usize, least: Duration) -> Duration {
+    let bytes = BYTES_OF_REPORT * reports as f64 + BYTES_OF_SERVER * servers as f64;
     least.max(Duration::from_secs_f64(bytes / BYTES_PER_SECOND))
 }
 
--- a/crates/courseshed-registry/tests/load.rs
+++ b/crates/courseshed-registry/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use courseshed_registry::{LoadBoard, LoadReport, ReportSize, ServerLoad, pause_after_reports};
+use courseshed_registry::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
 use courseshed_types::{NodeId, ServerKey};
 
 const NOW: Duration = Duration::from_secs(5);
@@ -70,20 +70,12 @@
 }
 
 /// At the size to design for a report names 1,500 servers and may come only each 1.5 s.
-fn size(servers: usize, reads: usize) -> ReportSize {
-    ReportSize {
-        reports: 2,
-        servers,
-        reads,
-    }
-}
-
 #[test]
 fn reports_of_many_servers_come_less_often_and_count_for_longer() {
     let least = Duration::from_millis(80);
-    assert_eq!(pause_after_reports(size(18, 0), least), least);
-    let pause = pause_after_reports(size(1_500, 50), least);
-    let bytes = 2.0 * 100.0 + 1_500.0 * 8.0 + 50.0 * 20.0;
+    assert_eq!(pause_after_reports(2, 18, least), least);
+    let pause = pause_after_reports(2, 1_500, least);
+    let bytes = 2.0 * 100.0 + 1_500.0 * 8.0;
     assert!(bytes / pause.as_secs_f64() <= 8_001.0);
     let mut board = LoadBoard::default();
     board.note_gateway(NOW, NodeId(1), report(&[("a", 3)]).until_next(pause));
