--- a/crates/courseshed-node/tests/failover.rs
+++ b/crates/courseshed-node/tests/failover.rs
@@ -253,7 +253,8 @@
         .stream_call(&program, 1, &call_body("quote", 100, true))
         .await;
     let context = fleet.node(node).context().clone();
-    assert!(courseshed_node::shards::hand_over_all(&context, PATIENCE).await);
+    let leads_none = support::wait_until(async || context.shards.led().is_empty());
+    courseshed_node::shards::hand_over_while(&context, leads_none).await;
     assert_eq!(context.shards.led(), []);
     let events = stream.rest().await;
     assert!(is_whole(&events), "{:?}", events.last());
