--- a/crates/courseshed-edge/src/controller/housekeeping.rs
+++ b/crates/courseshed-edge/src/controller/housekeeping.rs
@@ -14,13 +14,19 @@
 /// is to get its part.
 const FOUNDING_CALM: Duration = Duration::from_millis(500);
 
+/// How many stores have announced themselves, and since when it is so many.
+#[derive(Clone, Copy, Debug)]
+struct KnownStores {
+    count: usize,
+    since: Duration,
+}
+
 /// The leader's soft state. A new leader starts with none.
 pub(super) struct Housekeeper {
     pub liveness: Liveness,
     replicas_wanted: usize,
     caught_up: Vec<CaughtUp>,
-    /// How many stores are known, and since when.
-    stores: (usize, Duration),
+    stores: KnownStores,
 }
 
 impl Housekeeper {
@@ -33,7 +39,10 @@
             liveness: Liveness::new(settings, now),
             replicas_wanted: replicas_wanted(disks_borne),
             caught_up: Vec::new(),
-            stores: (0, now),
+            stores: KnownStores {
+                count: 0,
+                since: now,
+            },
         }
     }
 
@@ -73,10 +82,13 @@
 
     /// Whether no further store was heard of for a while.
     fn has_calmed(&mut self, now: Duration, stores: usize) -> bool {
-        if self.stores.0 != stores {
-            self.stores = (stores, now);
+        if self.stores.count != stores {
+            self.stores = KnownStores {
+                count: stores,
+                since: now,
+            };
         }
-        now.saturating_sub(self.stores.1) >= FOUNDING_CALM
+        now.saturating_sub(self.stores.since) >= FOUNDING_CALM
     }
 
     /// Machines to be emptied that hold nothing that counts any more.
--- a/crates/courseshed-records/src/partition.rs
+++ b/crates/courseshed-records/src/partition.rs
@@ -40,7 +40,7 @@
     #[must_use]
     pub fn of_program(program: &str) -> Self {
         let partition = xxh3_64(program.as_bytes()) % u64::from(PARTITION_COUNT);
-        Self(u8::try_from(partition).unwrap_or_default())
+        Self(u8::try_from(partition).expect("less than the count, which is a u8"))
     }
 }
 
