--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -45,7 +45,7 @@
     pub resumed: Counter,
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
-    /// Epoch of the replicas of the records, as known here.
+    /// Revision of the partitions of the records, as known here.
     pub record_revision: Gauge<i64, AtomicI64>,
     log_lines_left_out: Counter<u64, AtomicU64>,
 }
