Retire no machine that a partition needs, and give a retired one no place

Change: the state machine passes over a completion of a store that a view needs, and over a view with a store that was retired. Measured: two tests, one for each order, failed first and pass.

--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -168,9 +168,7 @@
             }
             Command::ChangeRecordViews(changes) => self.change_views(changes),
             Command::Retire { name, needed } => return self.retire(&name, needed),
-            Command::CompleteRetirement { node } => {
-                self.retirements.insert(node, Retirement::Completed);
-            }
+            Command::CompleteRetirement { node } => self.complete_retirement(node),
         }
         Outcome::Done
     }
@@ -207,11 +205,16 @@
         }
     }
 
-    /// A machine whose last place another took is forgotten until it announces itself again.
+    /// A machine whose last place another took is forgotten until it announces itself again. A change
+    /// that was planned before one of its machines was retired is passed over, and planned anew.
     fn change_views(&mut self, changes: Vec<ViewChange>) {
         let before = self.records.replicas_by_node();
         for change in changes {
-            self.records.advance(change);
+            let mut nodes = change.view.members.iter().map(|member| member.node);
+            let is_retired = |node| self.retirements.get(&node) == Some(&Retirement::Completed);
+            if !nodes.any(is_retired) {
+                self.records.advance(change);
+            }
         }
         for node in before.into_keys() {
             if !self.records.has_member(node) && !self.retirements.contains_key(&node) {
@@ -235,6 +238,14 @@
         Outcome::Done
     }
 
+    /// A machine that a change took in after the leader had looked is still needed.
+    fn complete_retirement(&mut self, node: NodeId) {
+        let is_needed = self.records.views().any(|(_, view)| view.needs(node));
+        if !is_needed {
+            self.retirements.insert(node, Retirement::Completed);
+        }
+    }
+
     fn store_named(&self, name: &str) -> Option<NodeId> {
         let mut stores = self.stores.iter();
         stores
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{LogIndex, StateMachine};
-use courseshed_records::StoreMachine;
+use courseshed_records::{PartitionId, RecordMember, RecordView, StoreMachine, ViewChange};
 use courseshed_registry::{
     Command, FleetState, Known, Liveness, LivenessSettings, Outcome, Registration, Retirement,
     Server, ServerList, ServerState,
@@ -273,3 +273,61 @@
     liveness.observe(108 * second, &state);
     assert!(liveness.silent_servers(108 * second, &state).is_empty());
 }
+
+fn view_with(epoch: u64, nodes: &[u32]) -> Command {
+    let member = |node: &u32| RecordMember {
+        node: NodeId(*node),
+        incarnation: u64::from(*node),
+        zone: "a".to_owned(),
+        active: true,
+    };
+    Command::ChangeRecordViews(vec![ViewChange {
+        partition: PartitionId(0),
+        view: RecordView {
+            epoch,
+            members: nodes.iter().map(member).collect(),
+            former: Vec::new(),
+        },
+    }])
+}
+
+/// Stores 1 to 3, of which store 1 is to be emptied.
+fn state_with_retirement() -> FleetState {
+    let mut state = FleetState::default();
+    for node in 1..=3 {
+        let store = StoreMachine {
+            name: format!("store-{node}"),
+            zone: "a".to_owned(),
+            incarnation: u64::from(node),
+        };
+        let node = NodeId(node);
+        apply(&mut state, Command::RegisterStore { node, store });
+    }
+    let name = "store-1".to_owned();
+    apply(&mut state, Command::Retire { name, needed: 2 });
+    state
+}
+
+/// Found by reading: the plan that takes the store was under way when the retirement was completed.
+#[test]
+fn a_machine_that_a_partition_needs_is_not_retired() {
+    let mut state = state_with_retirement();
+    apply(&mut state, view_with(1, &[1, 2, 3]));
+    let complete = || Command::CompleteRetirement { node: NodeId(1) };
+    apply(&mut state, complete());
+    assert_eq!(state.retirement("store-1"), Some(Retirement::Running));
+    apply(&mut state, view_with(2, &[2, 3]));
+    apply(&mut state, complete());
+    assert_eq!(state.retirement("store-1"), Some(Retirement::Completed));
+}
+
+/// The other order of the same two commands.
+#[test]
+fn a_machine_that_was_retired_gets_no_place_in_a_partition() {
+    let mut state = state_with_retirement();
+    apply(&mut state, Command::CompleteRetirement { node: NodeId(1) });
+    apply(&mut state, view_with(1, &[1, 2, 3]));
+    assert!(!state.records().has_member(NodeId(1)));
+    apply(&mut state, view_with(1, &[2, 3]));
+    assert!(state.records().has_member(NodeId(2)));
+}
