Bound what controllers retain of the log in bytes, not in entries alone

Change: retained_bytes (4 MiB) beside retained_entries. Measured: 300 entries of 100 KiB held 30,727,224 bytes where 12,787,712 are allowed; the test failed first and passes, as do the crate's tests, models and simulations.

--- a/crates/courseshed-consensus/src/peer/output.rs
+++ b/crates/courseshed-consensus/src/peer/output.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use crate::replica_log::Retained;
 use crate::{LogIndex, Message, MessageBody, Persisted, Ready, Snapshot};
 
 use super::Peer;
@@ -68,10 +69,19 @@
     /// Returns the snapshot to make durable; none if there is no need for it.
     #[must_use]
     pub fn compact(&mut self, through: LogIndex, data: impl Into<Bytes>) -> Option<Snapshot> {
-        let retained = self.config.retained_entries;
+        let retained = Retained {
+            entries: self.config.retained_entries,
+            bytes: self.config.retained_bytes,
+        };
         self.log.compact(through, data.into(), retained)
     }
 
+    /// What the entries held in memory count for, in bytes.
+    #[must_use]
+    pub fn log_bytes(&self) -> usize {
+        self.log.held_bytes()
+    }
+
     pub(crate) fn snapshot(&self) -> &Snapshot {
         self.log.snapshot()
     }
--- a/crates/courseshed-consensus/src/replica_log.rs
+++ b/crates/courseshed-consensus/src/replica_log.rs
@@ -283,13 +283,13 @@
         *self = Self::from_snapshot(snapshot);
     }
 
-    /// Makes a snapshot of the applied state, and drops entries that lie further back than
-    /// `retained`. None if the index isn't applied, or a snapshot reaches as far already.
+    /// Makes a snapshot of the applied state, and drops entries that lie further back than is
+    /// retained. None if the index isn't applied, or a snapshot reaches as far already.
     pub(crate) fn compact(
         &mut self,
         through: LogIndex,
         data: bytes::Bytes,
-        retained: u64,
+        retained: Retained,
     ) -> Option<Snapshot> {
         if through > self.applied || through <= self.snapshot.metadata.index {
             return None;
@@ -300,10 +300,29 @@
             configuration: self.configuration_at(through).clone(),
         };
         self.snapshot = Snapshot { metadata, data };
-        self.drop_through(LogIndex(through.0.saturating_sub(retained)));
+        self.drop_through(self.last_not_retained(through, retained));
         Some(self.snapshot.clone())
     }
 
+    /// The last entry before those that may be retained up to `through`.
+    fn last_not_retained(&self, through: LogIndex, retained: Retained) -> LogIndex {
+        let mut left = retained.bytes;
+        let mut index = through;
+        while through.0 - index.0 < retained.entries
+            && let Some(entry) = self.entry(index)
+            && entry.size_bytes() <= left
+        {
+            left -= entry.size_bytes();
+            index = index.previous();
+        }
+        index
+    }
+
+    /// What the entries held in memory count for, in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.entries.iter().map(Entry::size_bytes).sum()
+    }
+
     fn drop_through(&mut self, through: LogIndex) {
         let Some(term) = self.term_at(through) else {
             return;
@@ -322,6 +341,14 @@
     }
 }
 
+/// What is kept of the log behind a snapshot, for followers that are a little late: no more entries,
+/// and no more bytes of them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Retained {
+    pub entries: u64,
+    pub bytes: usize,
+}
+
 fn bootstrap_snapshot(initial_members: &Configuration) -> Snapshot {
     let metadata = SnapshotMetadata {
         configuration: initial_members.clone(),
--- a/crates/courseshed-consensus/src/settings.rs
+++ b/crates/courseshed-consensus/src/settings.rs
@@ -16,6 +16,9 @@
 const DEFAULT_CLOCK_DRIFT_PERMILLE: u32 = 50;
 const DEFAULT_PROMOTION_LAG: u64 = 64;
 const DEFAULT_RETAINED_ENTRIES: u64 = 1024;
+/// Half of what is written between two snapshots: a follower that lacks more is better served by the
+/// snapshot, which is seldom larger.
+const DEFAULT_RETAINED_BYTES: usize = 4 * 1024 * 1024;
 const DEFAULT_SNAPSHOT_AFTER_ENTRIES: u64 = 8 * 1024;
 const DEFAULT_SNAPSHOT_AFTER_BYTES: usize = 8 * 1024 * 1024;
 /// Heartbeats that must fit into an election timeout, so that one lost message changes nothing.
@@ -64,6 +67,8 @@
     pub snapshot_chunk_bytes: usize,
     /// Entries kept behind a snapshot for followers that are a little late.
     pub retained_entries: u64,
+    /// Bytes of entries kept behind a snapshot at the most: entries may be large.
+    pub retained_bytes: usize,
     /// Entries applied since the last snapshot after which a new one is taken.
     pub snapshot_after_entries: u64,
     /// Bytes of entries applied since the last snapshot after which a new one is taken.
@@ -120,6 +125,7 @@
             eager_commit: true,
             snapshot_chunk_bytes: DEFAULT_SNAPSHOT_CHUNK_BYTES,
             retained_entries: DEFAULT_RETAINED_ENTRIES,
+            retained_bytes: DEFAULT_RETAINED_BYTES,
             snapshot_after_entries: DEFAULT_SNAPSHOT_AFTER_ENTRIES,
             snapshot_after_bytes: DEFAULT_SNAPSHOT_AFTER_BYTES,
             seed: address.incarnation,
--- a/crates/courseshed-consensus/tests/cluster.rs
+++ b/crates/courseshed-consensus/tests/cluster.rs
@@ -202,6 +202,24 @@
     assert!(status.snapshot_index > LogIndex(0));
 }
 
+/// A settings document may be megabytes: a number of entries alone is no bound of memory.
+#[test]
+fn large_entries_are_not_retained_behind_a_snapshot_by_number_alone() {
+    const ENTRY_BYTES: usize = 100 * 1024;
+    let mut cluster = Cluster::empty();
+    let mut config = config(address(1), voters(1));
+    config.retained_entries = 1024;
+    let most = config.snapshot_after_bytes + 4 * 1024 * 1024 + 2 * ENTRY_BYTES;
+    cluster.start(config, VolatileLog);
+    cluster.run(ELECTION);
+    for _ in 0..300 {
+        cluster.propose(&[7; ENTRY_BYTES]);
+        cluster.settle();
+    }
+    let held = cluster.group(ReplicaId(1)).peer().log_bytes();
+    assert!(held <= most, "{held} bytes are held, {most} are allowed");
+}
+
 #[test]
 fn group_grows_and_shrinks_by_one_member_at_a_time() {
     let mut cluster = Cluster::empty();
