Let a server's next life take the place of the one before at its address

Cause: an announcement that was held up by a cut may arrive after its sender has crashed and its next life has announced itself (NEWS-27). Both were listed, so calls went to a server that is gone, at an address that refuses them. Change: a new id at a listed address takes that place; the id before, or one that expired earlier, is passed over while the address is taken, and may come back once it is free. Measured: both orders failed first and pass; the tests of the registry and of the edge pass.

--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state and how commands change it.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -40,6 +41,9 @@
     routing: Option<RoutingInForce>,
     servers: AnnouncedServers,
     departed: VecDeque<String>,
+    /// Servers that fell silent: they may come back, unless another took their address meanwhile.
+    #[serde(default)]
+    expired: VecDeque<String>,
     stores: BTreeMap<NodeId, StoreMachine>,
     records: PartitionMap,
     retirements: BTreeMap<NodeId, Retirement>,
@@ -122,13 +126,23 @@
     /// Whether an announcement says nothing that is not in the state already.
     #[must_use]
     pub fn is_ordinary(&self, registration: &Registration) -> bool {
-        if self.departed.contains(&registration.server.id) {
-            return true;
+        let id = &registration.server.id;
+        match self.servers.get(id) {
+            Some(known) => {
+                registration.sequence <= known.sequence || *known.server == registration.server
+            }
+            None => self.departed.contains(id) || self.was_followed(&registration.server),
         }
-        let known = self.servers.get(&registration.server.id);
-        known.is_some_and(|known| {
-            registration.sequence <= known.sequence || *known.server == registration.server
-        })
+    }
+
+    /// Whether a server that fell silent has lost its address to another one since: its next life.
+    fn was_followed(&self, server: &Server) -> bool {
+        self.expired.contains(&server.id) && self.holder_of(server.address).is_some()
+    }
+
+    fn holder_of(&self, address: SocketAddr) -> Option<&Server> {
+        let mut servers = self.servers.iter();
+        servers.find(|server| server.address == address)
     }
 
     /// What a follower lacks.
@@ -156,7 +170,7 @@
             Command::Leave { server } => self.depart(&server),
             Command::Expire { servers } => {
                 for server in servers {
-                    self.servers.remove(&server);
+                    self.expire(server);
                 }
             }
             Command::RegisterStore { node, store } => {
@@ -192,16 +206,28 @@
         {
             registration.server.state = ServerState::Draining;
         }
+        let id = &registration.server.id;
+        if self.servers.get(id).is_none() {
+            self.expired.retain(|expired| expired != id);
+            // Whoever is listed at the address is an earlier life of the server, which has ended. Should
+            // it be the later one, it comes back once this one has expired.
+            let earlier = self.holder_of(registration.server.address);
+            if let Some(earlier) = earlier.map(|earlier| earlier.id.clone()) {
+                self.expire(earlier);
+            }
+        }
         self.servers.insert(registration);
     }
 
     fn depart(&mut self, server: &str) {
         self.servers.remove(server);
-        if !self.departed.iter().any(|departed| departed == server) {
-            self.departed.push_back(server.to_owned());
-        }
-        if self.departed.len() > REMEMBERED_DEPARTURES {
-            self.departed.pop_front();
+        remember(&mut self.departed, server);
+    }
+
+    fn expire(&mut self, server: String) {
+        if self.servers.get(&server).is_some() {
+            self.servers.remove(&server);
+            remember(&mut self.expired, &server);
         }
     }
 
@@ -254,6 +280,16 @@
     }
 }
 
+/// Adds an id to those remembered, and forgets the oldest when there are too many.
+fn remember(ids: &mut VecDeque<String>, id: &str) {
+    if !ids.iter().any(|known| known == id) {
+        ids.push_back(id.to_owned());
+    }
+    if ids.len() > REMEMBERED_DEPARTURES {
+        ids.pop_front();
+    }
+}
+
 impl StateMachine for FleetState {
     type Output = Option<Outcome>;
 
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -12,6 +12,7 @@
 };
 use courseshed_routing::{RoutingTable, VersionedTable};
 use courseshed_types::NodeId;
+use yare::parameterized;
 
 fn apply(state: &mut FleetState, command: Command) -> Option<Outcome> {
     let data = rmp_serde::to_vec_named(&command).expect("encoded");
@@ -95,6 +96,66 @@
     assert_eq!(state.servers().count(), 1);
 }
 
+fn announce_life(id: &str, sequence: u64) -> Command {
+    let mut registration = registration(ServerState::Ready, sequence);
+    registration.server.id = id.to_owned();
+    Command::Announce(registration)
+}
+
+fn listed(state: &FleetState) -> Vec<&str> {
+    state.servers().map(|server| server.id.as_str()).collect()
+}
+
+/// The announcement of an earlier life of a server may be held up until the next life has announced
+/// itself at the same address.
+#[parameterized(
+    still_listed = { false },
+    expired_before = { true },
+)]
+fn a_late_announcement_of_an_earlier_life_does_not_come_back(expires: bool) {
+    let mut state = FleetState::default();
+    apply(&mut state, announce_life("first", 4));
+    if expires {
+        let servers = vec!["first".to_owned()];
+        apply(&mut state, Command::Expire { servers });
+    }
+    apply(&mut state, announce_life("second", 1));
+    assert_eq!(listed(&state), ["second"]);
+    apply(&mut state, announce_life("first", 5));
+    assert_eq!(listed(&state), ["second"]);
+    let late = registration(ServerState::Ready, 6);
+    let late = Registration {
+        server: Server {
+            id: "first".to_owned(),
+            ..late.server
+        },
+        ..late
+    };
+    assert!(state.is_ordinary(&late), "it needs no commit");
+}
+
+/// The first announcement of a life that has ended may be the one that is held up.
+#[test]
+fn a_server_whose_address_an_ended_life_took_comes_back() {
+    let mut state = FleetState::default();
+    apply(&mut state, announce_life("second", 1));
+    apply(&mut state, announce_life("first", 1));
+    let servers = vec!["first".to_owned()];
+    apply(&mut state, Command::Expire { servers });
+    apply(&mut state, announce_life("second", 2));
+    assert_eq!(listed(&state), ["second"]);
+}
+
+#[test]
+fn an_expired_server_comes_back_where_no_other_took_its_address() {
+    let mut state = FleetState::default();
+    apply(&mut state, announce_life("first", 4));
+    let servers = vec!["first".to_owned()];
+    apply(&mut state, Command::Expire { servers });
+    apply(&mut state, announce_life("first", 5));
+    assert_eq!(listed(&state), ["first"]);
+}
+
 #[test]
 fn followers_are_told_only_what_is_newer() {
     let mut state = FleetState::default();
@@ -111,9 +172,14 @@
     assert!(lagging.update_for(first.known).is_empty());
 }
 
+/// A server of its own, at an address of its own.
 fn other(id: &str, sequence: u64) -> Command {
     let mut registration = registration(ServerState::Ready, sequence);
     registration.server.id = id.to_owned();
+    let port = id.bytes().fold(0_u16, |port, byte| {
+        port.wrapping_mul(31).wrapping_add(u16::from(byte))
+    });
+    registration.server.address.set_port(port);
     Command::Announce(registration)
 }
 
