Probe connections to servers that rest, so that silent ones are found out

Unacknowledged bytes had a limit of 0.9 s; a connection at rest had none, so each kept one that had gone silent cost a request.

--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -16,16 +16,15 @@
 use actix_http::{ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
-use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
+use crate::sockets;
+
 /// How long a connection may take to come about.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
-/// How long sent bytes may stay unacknowledged: a machine that is cut off says nothing.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(900);
 /// How long a connection may rest if its server says nothing of it.
 const USUAL_REST: Duration = Duration::from_secs(4);
 /// How much earlier than its server a connection is given up.
@@ -168,8 +167,7 @@
     let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
-    stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    sockets::prepare(&stream)?;
     Ok(stream)
 }
 
--- a/crates/courseshed-edge/src/lib.rs
+++ b/crates/courseshed-edge/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod protocol;
 pub mod records;
 pub mod signals;
+pub mod sockets;
