Refuse calls at once that an outage of the stores is likely to outlast

Waiting is right where the stores are back soon, and nobody knows when. What is written after an answer is tried to the deadline as before. The log line no_quorum tells when an outage begins.

--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -13,10 +13,12 @@
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use parking_lot::Mutex;
 use snafu::Snafu;
 use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::outages::{Outages, Outlook};
 use crate::follower::FleetFollower;
 use crate::peers::Peers;
 use crate::protocol::{
@@ -67,6 +69,25 @@
     follower: Arc<FleetFollower>,
     addresses: PeerAddresses,
     zone: String,
+    outages: Arc<Mutex<Outages>>,
+}
+
+/// How long stores without a quorum are waited for.
+#[derive(Clone, Copy, Debug)]
+enum Patience {
+    /// To the end: what is written down is of work that was done.
+    UntilDeadline(Instant),
+    /// As long as the outage is likely to be over in time: nothing was done yet, and a caller who
+    /// knows early may come back.
+    WhileLikely(Instant),
+}
+
+impl Patience {
+    fn deadline(self) -> Instant {
+        match self {
+            Self::UntilDeadline(deadline) | Self::WhileLikely(deadline) => deadline,
+        }
+    }
 }
 
 impl RecordClient {
@@ -83,6 +104,7 @@
             follower,
             addresses,
             zone,
+            outages: Arc::default(),
         }
     }
 
@@ -106,7 +128,8 @@
         };
         let operation = RecordOperation::Write(record);
         let own = (reservation.id, reservation.most);
-        self.in_rounds(partition, &operation, deadline, |view| {
+        let patience = Patience::WhileLikely(deadline);
+        self.in_rounds(partition, &operation, patience, |view| {
             let mut tally = ReservationTally::new(view, own.0, own.1, budget);
             let mut replicas_to_spare = view.members.len() - view.quorum();
             move |node, reply| match reply {
@@ -201,7 +224,8 @@
                 return Ok(kept(turns));
             }
         }
-        self.in_rounds(partition, &operation, deadline, |view| {
+        let patience = Patience::WhileLikely(deadline);
+        self.in_rounds(partition, &operation, patience, |view| {
             let mut misses = MissTally::new(view);
             move |node, reply| match reply {
                 RecordReply::Chain(turns) => Some(kept(turns)),
@@ -233,7 +257,8 @@
         deadline: Instant,
     ) -> Result<(), RecordsUnavailable> {
         let operation = RecordOperation::Write(record);
-        self.in_rounds(partition, &operation, deadline, |view| {
+        let patience = Patience::UntilDeadline(deadline);
+        self.in_rounds(partition, &operation, patience, |view| {
             let mut tally = WriteTally::new(view);
             move |node, reply| match reply {
                 RecordReply::Written(_) => tally.on_stored(node).then_some(()),
@@ -249,27 +274,53 @@
         &self,
         partition: PartitionId,
         operation: &RecordOperation,
-        deadline: Instant,
+        patience: Patience,
         decide_for: impl Fn(&RecordView) -> D,
     ) -> Result<T, RecordsUnavailable>
     where
         D: FnMut(NodeId, RecordReply) -> Option<T>,
     {
+        let deadline = patience.deadline();
         loop {
+            let began = Instant::now();
+            let outlook = match patience {
+                Patience::UntilDeadline(_) => Outlook::Wait,
+                Patience::WhileLikely(_) => {
+                    let mut outages = self.outages.lock();
+                    outages.outlook(partition, began, deadline)
+                }
+            };
+            if outlook == Outlook::Refuse {
+                return Err(RecordsUnavailable::NoQuorum);
+            }
             let records = self.follower.view().records;
-            let limit = ROUND_LIMIT.min(deadline.saturating_duration_since(Instant::now()));
+            let limit = ROUND_LIMIT.min(deadline.saturating_duration_since(began));
             let decide = decide_for(records.view(partition));
             let round = self.round(&records, partition, operation, decide);
-            if let Ok(Some(decided)) = timeout(limit, round).await {
-                return Ok(decided);
+            match timeout(limit, round).await {
+                Ok(Some(decided)) => {
+                    self.outages.lock().note_answered(partition);
+                    return Ok(decided);
+                }
+                // A round that was cut short by the call's own time says nothing of the stores.
+                Err(_) if limit < ROUND_LIMIT => {}
+                Ok(None) | Err(_) => self.note_failed(partition, began),
             }
-            if Instant::now() + ROUND_PAUSE >= deadline {
+            if outlook == Outlook::AskOnce || Instant::now() + ROUND_PAUSE >= deadline {
                 return Err(RecordsUnavailable::NoQuorum);
             }
             sleep(ROUND_PAUSE).await;
         }
     }
 
+    fn note_failed(&self, partition: PartitionId, began: Instant) {
+        if self.outages.lock().note_failed(partition, began) {
+            let records = self.follower.view().records;
+            let view = records.view(partition);
+            log::warn!(event = "no_quorum", partition = partition.0, epoch = view.epoch, members = view.members.len(), active = view.active().count(); "no quorum of a partition's stores answered");
+        }
+    }
+
     async fn round<T>(
         &self,
         records: &PartitionMap,
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -3,8 +3,10 @@
 mod catch_up;
 mod client;
 mod disk;
+mod outages;
 mod store;
 
 pub use client::{ChainLookup, RecordClient, RecordsUnavailable, Reservation};
 pub use courseshed_records::StoreLimits;
+pub use outages::{Outages, Outlook};
 pub use store::{StoreError, StoreSettings, start};
