--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod server;
 mod servers;
+mod short_codec;
 mod stream;
 mod upstream;
 
@@ -30,3 +31,4 @@
 pub use refusal::Refusal;
 pub use server::{GatewayError, GatewaySettings, run};
 pub use servers::{Report, ServerTable};
+pub use short_codec::ShortCodec;
--- a/crates/courseshed-edge/src/gateway/short_codec.rs
+++ b/crates/courseshed-edge/src/gateway/short_codec.rs
@@ -1,21 +1,24 @@
-//! Words of the wire for tests: short headers of their own.
+//! A codec with short headers of its own, for fleets without a platform: tests and the fault soak.
 
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{BufMut, BytesMut};
-use courseshed_edge::gateway::{
-    AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall,
-};
 use courseshed_types::PromptPart;
 
-pub struct TestCodec;
+use super::call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
 
-impl CallCodec for TestCodec {
+/// The codec. Headers: `x-call` names a request, `x-program`, `x-budget` and `x-most` its program and
+/// tokens, `x-time` the milliseconds that the caller waits, `x-last` an event, `x-key` an affinity key,
+/// `x-prompt` parts of the prompt, `x-previous` the turn before; servers answer `x-not-run`.
+#[derive(Clone, Copy, Debug)]
+pub struct ShortCodec;
+
+impl CallCodec for ShortCodec {
     fn read_call(&self, head: &RequestHead) -> Result<CallEnvelope, UnreadableCall> {
         let headers = head.headers();
-        let number = |name| text(headers, name).and_then(|text| text.parse().ok());
+        let number = |name| text(headers, name).and_then(|text| text.parse::<u64>().ok());
         let program = text(headers, "x-program").map(|program| ProgramClaim {
             program,
             token_budget: number("x-budget"),
@@ -24,7 +27,10 @@
         Ok(CallEnvelope {
             request_id: text(headers, "x-call").unwrap_or_default(),
             method: head.method.as_str().to_owned(),
-            target: head.uri.path_and_query().expect("a path").to_string(),
+            target: head
+                .uri
+                .path_and_query()
+                .map_or_else(|| "/".to_owned(), ToString::to_string),
             path: head.uri.path().to_owned(),
             host: text(headers, "host").unwrap_or_default(),
             headers: HeaderMap::new(),
@@ -32,7 +38,7 @@
             time_left: number("x-time").map(Duration::from_millis),
             last_event: number("x-last"),
             program,
-            most_tokens: number("x-most").map(|most| most as u32),
+            most_tokens: number("x-most").and_then(|most| u32::try_from(most).ok()),
             affinity_key: text(headers, "x-key"),
             prompt: prompt(headers),
             previous_turn: text(headers, "x-previous"),
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-pub mod codec;
 pub mod server;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -13,7 +12,7 @@
 use bytes::Bytes;
 use courseshed_consensus::FaultSwitch;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings, Policy};
+use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
@@ -75,7 +74,7 @@
         seeds: Box::new(move || vec![node_at(seed)]),
         addresses,
         metrics: metrics.clone(),
-        codec: Box::new(codec::TestCodec),
+        codec: Box::new(ShortCodec),
         policy,
     };
     actix_rt::spawn(async move {
--- /dev/null
+++ b/crates/courseshed-soak/src/caller.rs
@@ -0,0 +1,315 @@
+//! Callers: plain calls and programs of turns, on connections that are used as long as they are open.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::http_text::{Message, TextConnection, event_data};
+use crate::ledger::{CallKind, CallSeen, Outcome, ProgramBudget, Promise, TurnSeen};
+use crate::run::World;
+use crate::server::{events_of, plain_answer};
+
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// What it tells the gateway of that, in milliseconds.
+const TIME_TOLD_MS: u64 = 5_000;
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+/// The most that a turn may generate, in tokens: five events and one more.
+const MOST_OF_TURN: u64 = 60;
+/// What most programs may spend, in tokens, and the few that go on until it is spent.
+const AMPLE_BUDGET: u64 = 10_000;
+const SMALL_BUDGET: u64 = 150;
+/// Turns of a program at the most; one with a small budget asks for more than it has.
+const MOST_TURNS: u32 = 5;
+const TURNS_OF_SPENDER: u32 = 12;
+/// Tries of a turn, each with an id of its own.
+const TRIES_OF_TURN: u32 = 3;
+/// Longest pause between two calls, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 120;
+
+/// One caller. It uses one connection to each gateway for as long as that is open.
+pub struct Caller {
+    world: Rc<World>,
+    name: String,
+    random: ChaCha8Rng,
+    calls: u64,
+    connections: BTreeMap<usize, TextConnection>,
+}
+
+/// What a call needs.
+struct Call<'a> {
+    id: &'a str,
+    kind: CallKind,
+    headers: String,
+    body: &'a str,
+}
+
+/// How a call ended, with its answer if there was one.
+struct Ended {
+    outcome: Outcome,
+    answer: Option<Message>,
+}
+
+/// A line of turns, as its caller knows it.
+struct Conversation {
+    program: String,
+    budget: u64,
+    previous: Option<String>,
+    history: String,
+}
+
+impl Caller {
+    /// A caller of a run.
+    #[must_use]
+    pub fn new(world: Rc<World>, number: usize, seed: u64) -> Self {
+        Self {
+            world,
+            name: format!("s{seed}-{number}"),
+            random: ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1009).wrapping_add(number as u64)),
+            calls: 0,
+            connections: BTreeMap::new(),
+        }
+    }
+
+    /// Calls until the run is over.
+    pub async fn run(mut self) {
+        while !self.world.is_over() {
+            let pause = self.random.random_range(0..LONGEST_PAUSE_MS);
+            sleep(Duration::from_millis(pause)).await;
+            match self.random.random_range(0..10) {
+                0..3 => self.plain(CallKind::Once).await,
+                3..6 => self.plain(CallKind::Repeatable).await,
+                _ => self.program().await,
+            }
+        }
+    }
+
+    /// Whether a gateway answers a plain call and a turn, for the end of a run.
+    pub async fn is_served_by(&mut self, gateway: usize) -> bool {
+        let id = self.next_id();
+        let call = Call {
+            id: &id,
+            kind: CallKind::Repeatable,
+            headers: String::new(),
+            body: "",
+        };
+        let plain = self.call_at(gateway, &call).await;
+        let mut conversation = self.conversation(AMPLE_BUDGET);
+        let plain_served = plain.outcome == Outcome::Answered { status: 200 };
+        plain_served && self.turn(&mut conversation, Some(gateway)).await == Some(200)
+    }
+
+    async fn plain(&mut self, kind: CallKind) {
+        let id = self.next_id();
+        let call = Call {
+            id: &id,
+            kind,
+            headers: String::new(),
+            body: "a question",
+        };
+        let gateway = self.choose_gateway();
+        let ended = self.call_at(gateway, &call).await;
+        let is_answered = ended.outcome == Outcome::Answered { status: 200 };
+        let body = ended.answer.map(|answer| answer.body);
+        if is_answered && body.as_deref() != Some(plain_answer(&id).as_str()) {
+            self.violation(Promise::WholeAnswer, format!("{id} was answered {body:?}"));
+        }
+    }
+
+    async fn program(&mut self) {
+        let is_spender = self.random.random_range(0..10) == 0;
+        let (budget, turns) = if is_spender {
+            (SMALL_BUDGET, TURNS_OF_SPENDER)
+        } else {
+            (AMPLE_BUDGET, self.random.random_range(1..=MOST_TURNS))
+        };
+        let mut conversation = self.conversation(budget);
+        for _ in 0..turns {
+            let mut served = false;
+            for _ in 0..TRIES_OF_TURN {
+                let status = self.turn(&mut conversation, None).await;
+                if status == Some(402) || self.world.is_over() {
+                    return;
+                }
+                served = status == Some(200);
+                if served {
+                    break;
+                }
+            }
+            if !served {
+                return;
+            }
+        }
+    }
+
+    fn conversation(&mut self, budget: u64) -> Conversation {
+        let program = format!("p-{}", self.next_id());
+        let allowed = ProgramBudget {
+            tokens: budget,
+            most_of_turn: MOST_OF_TURN,
+        };
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.note_budget(&program, allowed);
+        Conversation {
+            program,
+            budget,
+            previous: None,
+            history: String::new(),
+        }
+    }
+
+    /// One turn of a conversation, which goes on from it if it was answered whole. Its status, if any.
+    async fn turn(
+        &mut self,
+        conversation: &mut Conversation,
+        gateway: Option<usize>,
+    ) -> Option<u16> {
+        let id = self.next_id();
+        let input = format!("input of {id}\n");
+        let whole = format!("{}{input}", conversation.history);
+        self.world.expect_history(&id, &whole);
+        let Conversation {
+            program, budget, ..
+        } = conversation;
+        let mut headers =
+            format!("x-program: {program}\r\nx-budget: {budget}\r\nx-most: {MOST_OF_TURN}\r\n");
+        if let Some(previous) = &conversation.previous {
+            headers.push_str(&format!("x-previous: {previous}\r\n"));
+        }
+        let call = Call {
+            id: &id,
+            kind: CallKind::Turn,
+            headers,
+            body: &input,
+        };
+        let gateway = gateway.unwrap_or_else(|| self.choose_gateway());
+        let ended = self.call_at(gateway, &call).await;
+        let Outcome::Answered { status } = ended.outcome else {
+            return None;
+        };
+        if status == 404 && conversation.previous.is_some() {
+            let previous = &conversation.previous;
+            self.violation(
+                Promise::KeptTurn,
+                format!("{id}: {previous:?} is not known at gateway {gateway}"),
+            );
+        }
+        if status == 200 {
+            let data = event_data(&ended.answer.map(|answer| answer.body).unwrap_or_default());
+            if data != events_of(&id) {
+                self.violation(Promise::WholeAnswer, format!("{id} was given {data:?}"));
+            }
+            conversation.history = whole;
+            for event in data {
+                conversation.history.push_str(&event);
+                conversation.history.push('\n');
+            }
+            conversation.previous = Some(id);
+        }
+        Some(status)
+    }
+
+    /// Makes a call at a gateway, on the open connection if there is one, and notes how it ended.
+    async fn call_at(&mut self, gateway: usize, call: &Call<'_>) -> Ended {
+        let sent = Instant::now();
+        let ended = self.exchange(gateway, call).await;
+        let over = Instant::now();
+        let turn = call.headers.lines().find_map(|line| {
+            let program = line.strip_prefix("x-program: ")?;
+            let body = ended.answer.as_ref().map(|answer| answer.body.as_str());
+            Some(TurnSeen {
+                program: program.to_owned(),
+                events: event_data(body.unwrap_or("")).len() as u64,
+            })
+        });
+        let seen = CallSeen {
+            kind: call.kind,
+            gateway,
+            sent,
+            over,
+            outcome: ended.outcome.clone(),
+            turn,
+        };
+        let id = call.id.to_owned();
+        self.world.ledger.borrow_mut().note_call(id, seen);
+        ended
+    }
+
+    async fn exchange(&mut self, gateway: usize, call: &Call<'_>) -> Ended {
+        let nothing = |outcome| Ended {
+            outcome,
+            answer: None,
+        };
+        let mut connection = match self.connections.remove(&gateway) {
+            Some(connection) => connection,
+            None => match self.connect(gateway).await {
+                Some(connection) => connection,
+                None => return nothing(Outcome::NotConnected),
+            },
+        };
+        let path = match call.kind {
+            CallKind::Once => "/once/x",
+            CallKind::Repeatable => "/safe/x",
+            CallKind::Turn => "/turn/x",
+        };
+        let Call {
+            id, headers, body, ..
+        } = call;
+        let length = body.len();
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: soak.example\r\nx-call: {id}\r\nx-time: {TIME_TOLD_MS}\r\n{headers}content-length: {length}\r\n\r\n{body}"
+        );
+        let answered = async {
+            connection.write(&request).await.ok()?;
+            connection.read().await
+        };
+        let Ok(answer) = timeout(PATIENCE, answered).await else {
+            return nothing(Outcome::GaveUp);
+        };
+        let Some(answer) = answer else {
+            return nothing(Outcome::NoAnswer);
+        };
+        if !answer.is_whole {
+            return Ended {
+                outcome: Outcome::BrokenOff,
+                answer: Some(answer),
+            };
+        }
+        // A connection is used again whatever the gateway says of it, until it is gone.
+        self.connections.insert(gateway, connection);
+        let status = answer.head.status().unwrap_or(0);
+        Ended {
+            outcome: Outcome::Answered { status },
+            answer: Some(answer),
+        }
+    }
+
+    async fn connect(&self, gateway: usize) -> Option<TextConnection> {
+        let address = self.world.callers_address(gateway);
+        let connected = timeout(CONNECT_PATIENCE, TcpStream::connect(address)).await;
+        let stream = connected.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(TextConnection::new(stream))
+    }
+
+    fn choose_gateway(&mut self) -> usize {
+        let gateways = self.world.gateways();
+        gateways.choose(&mut self.random).copied().unwrap_or(0)
+    }
+
+    fn next_id(&mut self) -> String {
+        self.calls += 1;
+        format!("{}-{}", self.name, self.calls)
+    }
+
+    fn violation(&self, promise: Promise, detail: String) {
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.note_violation(promise, detail);
+    }
+}
--- /dev/null
+++ b/crates/courseshed-soak/src/faults.rs
@@ -0,0 +1,139 @@
+//! Which faults come when: decided by the seed alone. They come in series and overlap.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::node::Role;
+
+/// Quiet time at the beginning, in milliseconds.
+const FIRST_MS: u64 = 1_000;
+/// Time from one fault to the next, in milliseconds: shorter than most of them last.
+const GAP_MS: std::ops::Range<u64> = 150..1_300;
+/// How long a process is gone, or paused, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 50..1_500;
+const PAUSE_MS: std::ops::Range<u64> = 100..2_500;
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// A process is asked to stop, and started again.
+    Stop {
+        /// Which, by its place in the fleet.
+        member: usize,
+        /// How long it is away.
+        away: Duration,
+    },
+    /// All processes of a role are asked to stop, one after the other.
+    StopInTurn {
+        /// Which.
+        role: Role,
+        /// Time from one to the next.
+        gap: Duration,
+    },
+    /// A process is killed, and started again.
+    Kill {
+        /// Which.
+        member: usize,
+        /// How long it is away.
+        away: Duration,
+    },
+    /// All processes of a role are killed at once.
+    KillAll {
+        /// Which.
+        role: Role,
+        /// How long they are away.
+        away: Duration,
+    },
+    /// A process stands still.
+    Pause {
+        /// Which.
+        member: usize,
+        /// How long.
+        how_long: Duration,
+    },
+    /// A process is told that its settings may have changed.
+    Reload {
+        /// Which.
+        member: usize,
+    },
+    /// A store loses its disk.
+    Wipe {
+        /// Which.
+        member: usize,
+    },
+    /// A new version of the routing table.
+    ChangeRouting,
+    /// A server is replaced by a new one.
+    ReplaceServer,
+}
+
+/// A fault at its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Counted from the start of traffic.
+    pub at: Duration,
+    /// What happens.
+    pub kind: FaultKind,
+}
+
+/// The roles of the fleet's members, by their places.
+pub type Roles = [Role];
+
+/// The faults of a run, in the order of their times.
+#[must_use]
+pub fn plan(seed: u64, how_long: Duration, roles: &Roles) -> Vec<Fault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(FIRST_MS);
+    // One lost disk is borne at a time; when the next one may be lost, no caller can know.
+    let mut may_wipe = true;
+    while at < how_long {
+        let kind = draw(&mut random, roles, may_wipe);
+        may_wipe &= !matches!(kind, FaultKind::Wipe { .. });
+        faults.push(Fault { at, kind });
+        at += milliseconds(&mut random, GAP_MS);
+    }
+    faults
+}
+
+fn draw(random: &mut ChaCha8Rng, roles: &Roles, may_wipe: bool) -> FaultKind {
+    let member = random.random_range(0..roles.len().max(1));
+    let away = milliseconds(random, AWAY_MS);
+    let role = roles[member];
+    match random.random_range(0..100) {
+        0..28 => FaultKind::Stop { member, away },
+        28..36 => FaultKind::StopInTurn {
+            role,
+            gap: milliseconds(random, AWAY_MS),
+        },
+        36..54 => FaultKind::Kill { member, away },
+        54..59 => FaultKind::KillAll { role, away },
+        59..72 => FaultKind::Pause {
+            member,
+            how_long: milliseconds(random, PAUSE_MS),
+        },
+        72..78 => FaultKind::Reload { member },
+        78..83 if may_wipe => wipe(random, roles),
+        83..92 => FaultKind::ReplaceServer,
+        _ => FaultKind::ChangeRouting,
+    }
+}
+
+fn wipe(random: &mut ChaCha8Rng, roles: &Roles) -> FaultKind {
+    let places = roles.iter().enumerate();
+    let stores: Vec<usize> = places
+        .filter(|(_, role)| **role == Role::Store)
+        .map(|(place, _)| place)
+        .collect();
+    match stores.choose(random) {
+        Some(member) => FaultKind::Wipe { member: *member },
+        None => FaultKind::ChangeRouting,
+    }
+}
+
+fn milliseconds(random: &mut impl Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(range))
+}
--- /dev/null
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -0,0 +1,352 @@
+//! The processes of the fleet: started, signalled by id, and started again.
+
+use std::fs::File;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use snafu::{ResultExt, Snafu};
+use tokio::time::Instant;
+
+use crate::node::{CALLERS_PORT, OPERATOR_PORT, Role};
+
+/// How long a process that was asked to stop may take before it is killed: its grace and a little.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Ports of a machine that the fleet uses.
+const PORTS: u16 = 16;
+
+/// How many processes there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Gateways.
+    pub gateways: usize,
+    /// Stores.
+    pub stores: usize,
+    /// Controllers.
+    pub controllers: usize,
+}
+
+/// A process can't be started.
+#[derive(Debug, Snafu)]
+#[snafu(display("can't {operation}: {source}"))]
+pub struct FleetError {
+    operation: &'static str,
+    source: io::Error,
+}
+
+/// Whether a process was asked to end, and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    Planned { since: Instant },
+    Killed,
+}
+
+struct Member {
+    role: Role,
+    ip: Ipv4Addr,
+    zone: &'static str,
+    folder: PathBuf,
+    child: Option<Child>,
+    lives: u64,
+    ending: Option<Ending>,
+    is_paused: bool,
+    restart_at: Option<Instant>,
+    restart_gap: Duration,
+}
+
+/// A process that ended by itself.
+#[derive(Debug)]
+pub struct EndedByItself {
+    /// Which one.
+    pub name: String,
+    /// How.
+    pub status: ExitStatus,
+}
+
+/// The processes of one run. Dropping it kills those that still run.
+pub struct Fleet {
+    program: PathBuf,
+    first_port: u16,
+    members: Vec<Member>,
+}
+
+impl Fleet {
+    /// Starts a fleet of a program's processes, with their files in a folder.
+    ///
+    /// # Errors
+    /// [`FleetError`] when a process can't be started.
+    pub fn start(program: PathBuf, folder: &Path, size: FleetSize) -> Result<Self, FleetError> {
+        let [subnet_high, subnet_low] = subnet();
+        let mut members = Vec::new();
+        let roles = [
+            (Role::Controller, size.controllers),
+            (Role::Store, size.stores),
+            (Role::Gateway, size.gateways),
+        ];
+        for (role, count) in roles {
+            for place in 0..count {
+                let host = u8::try_from(members.len() + 1).unwrap_or(u8::MAX);
+                let ip = Ipv4Addr::new(127, subnet_high, subnet_low, host);
+                members.push(Member {
+                    role,
+                    ip,
+                    zone: ZONES[place % ZONES.len()],
+                    folder: folder.join(format!("{}-{place}", role.as_str())),
+                    child: None,
+                    lives: 0,
+                    ending: None,
+                    is_paused: false,
+                    restart_at: None,
+                    restart_gap: Duration::ZERO,
+                });
+            }
+        }
+        let mut fleet = Self {
+            program,
+            first_port: free_ports(&members).context(FleetSnafu {
+                operation: "find free ports",
+            })?,
+            members,
+        };
+        for index in 0..fleet.members.len() {
+            fleet.spawn(index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// The members of a role, by their places in the fleet.
+    #[must_use]
+    pub fn members(&self, role: Role) -> Vec<usize> {
+        let members = self.members.iter().enumerate();
+        members
+            .filter(|(_, member)| member.role == role)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// What a member does.
+    #[must_use]
+    pub fn role(&self, index: usize) -> Role {
+        self.members[index].role
+    }
+
+    /// Where callers connect to a gateway.
+    #[must_use]
+    pub fn callers_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::from((self.members[index].ip, self.first_port + CALLERS_PORT))
+    }
+
+    /// Where operators connect to the controllers.
+    #[must_use]
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let controllers = self.members(Role::Controller).into_iter();
+        controllers
+            .map(|index| {
+                SocketAddr::from((self.members[index].ip, self.first_port + OPERATOR_PORT))
+            })
+            .collect()
+    }
+
+    /// Asks a member to stop; it is started again after a gap.
+    pub fn stop(&mut self, index: usize, gap: Duration) {
+        let since = Instant::now();
+        let member = &mut self.members[index];
+        if member.ending.is_none() && member.signal(Signal::TERM) {
+            member.ending = Some(Ending::Planned { since });
+            member.restart_gap = gap;
+        }
+    }
+
+    /// Kills a member; it is started again after a gap. False if it didn't run.
+    pub fn kill(&mut self, index: usize, gap: Duration) -> bool {
+        let member = &mut self.members[index];
+        let was_running = member.signal(Signal::KILL);
+        if was_running {
+            member.ending = Some(Ending::Killed);
+            member.is_paused = false;
+            member.restart_gap = gap;
+        }
+        was_running
+    }
+
+    /// Pauses a member. False if it didn't run.
+    pub fn pause(&mut self, index: usize) -> bool {
+        let member = &mut self.members[index];
+        let is_paused = !member.is_paused && member.signal(Signal::STOP);
+        member.is_paused |= is_paused;
+        is_paused
+    }
+
+    /// Lets a paused member go on.
+    pub fn resume(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        if member.is_paused {
+            member.signal(Signal::CONT);
+            member.is_paused = false;
+        }
+    }
+
+    /// Tells a member that its settings may have changed.
+    pub fn reload(&mut self, index: usize) {
+        self.members[index].signal(Signal::HUP);
+    }
+
+    /// Kills a store and empties its disk.
+    pub fn wipe(&mut self, index: usize, gap: Duration) -> bool {
+        let was_running = self.kill(index, gap);
+        let member = &mut self.members[index];
+        if let Some(child) = &mut member.child {
+            // Its files must not be written any more.
+            let _ended = child.wait();
+        }
+        let folder = &self.members[index].folder;
+        was_running && std::fs::remove_dir_all(folder).is_ok()
+    }
+
+    /// Notes processes that ended, and starts those again whose gap is over. Returns those that ended by
+    /// themselves.
+    ///
+    /// # Errors
+    /// [`FleetError`] when a process can't be started.
+    pub fn tend(&mut self) -> Result<Vec<EndedByItself>, FleetError> {
+        let now = Instant::now();
+        let mut ended = Vec::new();
+        for index in 0..self.members.len() {
+            let member = &mut self.members[index];
+            member.kill_if_overdue(now);
+            let exited = member
+                .child
+                .as_mut()
+                .and_then(|child| child.try_wait().ok());
+            if let Some(Some(status)) = exited {
+                if member.ending.is_none() {
+                    let name = member.name();
+                    ended.push(EndedByItself { name, status });
+                }
+                member.child = None;
+                member.ending = None;
+                member.is_paused = false;
+                member.restart_at = Some(now + member.restart_gap);
+            }
+            if member.restart_at.is_some_and(|at| at <= now) {
+                self.spawn(index)?;
+            }
+        }
+        Ok(ended)
+    }
+
+    /// Whether every process runs and none is about to end.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        let mut members = self.members.iter();
+        members.all(|member| member.child.is_some() && member.ending.is_none() && !member.is_paused)
+    }
+
+    fn spawn(&mut self, index: usize) -> Result<(), FleetError> {
+        let seeds: Vec<String> = self
+            .members
+            .iter()
+            .filter(|member| member.role == Role::Controller)
+            .map(|member| member.ip.to_string())
+            .collect();
+        let member = &mut self.members[index];
+        let is_first = member.lives == 0;
+        let log = member
+            .folder
+            .with_extension(format!("{}.log", member.lives));
+        let log = File::create(log).context(FleetSnafu {
+            operation: "create a log",
+        })?;
+        let errors = log.try_clone().context(FleetSnafu {
+            operation: "share a log",
+        })?;
+        let mut command = Command::new(&self.program);
+        command
+            .arg("node")
+            .args(["--role", member.role.as_str()])
+            .args(["--ip", &member.ip.to_string()])
+            .args(["--zone", member.zone])
+            .args(["--seeds", &seeds.join(",")])
+            .args(["--first-port", &self.first_port.to_string()])
+            .arg("--folder")
+            .arg(&member.folder)
+            .stdout(log)
+            .stderr(errors);
+        if is_first {
+            command.arg("--first-start");
+        }
+        let child = command.spawn().context(FleetSnafu {
+            operation: "start a process",
+        })?;
+        member.child = Some(child);
+        member.lives += 1;
+        member.restart_at = None;
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for member in &mut self.members {
+            if let Some(child) = &mut member.child {
+                let _killed = child.kill();
+                let _ended = child.wait();
+            }
+        }
+    }
+}
+
+impl Member {
+    fn name(&self) -> String {
+        format!("{} {}", self.role.as_str(), self.ip)
+    }
+
+    /// Sends a signal; false if the process doesn't run.
+    fn signal(&mut self, signal: Signal) -> bool {
+        let Some(child) = &self.child else {
+            return false;
+        };
+        let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        id.is_some_and(|id| kill_process(id, signal).is_ok())
+    }
+
+    fn kill_if_overdue(&mut self, now: Instant) {
+        if let Some(Ending::Planned { since }) = self.ending
+            && now.saturating_duration_since(since) > STOP_LIMIT
+        {
+            self.signal(Signal::KILL);
+        }
+    }
+}
+
+/// Fleets that this process started.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// A part of the loopback range for one fleet of this process, so that runs beside each other don't meet.
+fn subnet() -> [u8; 2] {
+    let id = std::process::id();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, _, high] = (id % 200 + 30).to_be_bytes();
+    let [_, _, _, low] = ((id / 200).wrapping_add(fleet) % 250).to_be_bytes();
+    [high, low]
+}
+
+/// The first of a row of ports that are free on all machines.
+fn free_ports(members: &[Member]) -> io::Result<u16> {
+    const FIRST: u16 = 12_000;
+    const LAST: u16 = 30_000;
+    let is_free = |first: u16| {
+        members.iter().all(|member| {
+            let mut ports = first..first + PORTS;
+            ports.all(|port| TcpListener::bind((member.ip, port)).is_ok())
+        })
+    };
+    let mut candidates = (FIRST..LAST).step_by(usize::from(PORTS));
+    let found = candidates.find(|first| is_free(*first));
+    found.ok_or_else(|| io::ErrorKind::AddrInUse.into())
+}
--- /dev/null
+++ b/crates/courseshed-soak/src/run.rs
@@ -0,0 +1,456 @@
+//! One run: the fleet, its servers and callers, the faults, and what it comes to.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_routing::{
+    CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
+};
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::caller::Caller;
+use crate::faults::{Fault, FaultKind, plan};
+use crate::fleet::{Fleet, FleetError, FleetSize};
+use crate::http_text::TextConnection;
+use crate::ledger::{Disturbed, Ledger, Promise, TOKENS_PER_EVENT, Tally};
+use crate::node::Role;
+use crate::server::{SERVICE, SoakServer};
+
+/// How often processes are looked at.
+const TEND_INTERVAL: Duration = Duration::from_millis(20);
+/// How long an operator's call may take, and the pause before it is tried again.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(3);
+const OPERATOR_RETRY: Duration = Duration::from_millis(100);
+/// How long everything may take to serve, at the start and after the faults: many times what it takes,
+/// since the machine may be busy.
+const SERVING_PATIENCE: Duration = Duration::from_secs(90);
+const SERVING_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a fault may still be the cause of what is cut off: a killed store's places are taken by
+/// others, and a gateway that stood still works off what came meanwhile.
+const AFTERMATH: Duration = Duration::from_secs(6);
+
+/// What is to be run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Decides faults, calls and what servers do.
+    pub seed: u64,
+    /// How long faults come.
+    pub how_long: Duration,
+    /// Processes.
+    pub size: FleetSize,
+    /// Servers.
+    pub servers: usize,
+    /// Callers.
+    pub callers: usize,
+    /// The program that the processes run: this one's.
+    pub program: PathBuf,
+    /// Where files and logs go.
+    pub folder: PathBuf,
+}
+
+/// A run can't be made.
+#[derive(Debug, Snafu)]
+pub enum SoakError {
+    /// A process can't be started.
+    #[snafu(display("{source}"))]
+    Process {
+        /// Why not.
+        source: FleetError,
+    },
+    /// A server can't be started.
+    #[snafu(display("can't start a server: {source}"))]
+    Server {
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// The fleet never served.
+    #[snafu(display("the fleet did not serve within {SERVING_PATIENCE:?} of its start"))]
+    NeverServed,
+}
+
+/// What the tasks of a run share.
+pub struct World {
+    /// What was seen.
+    pub ledger: RefCell<Ledger>,
+    /// What servers are to get for each turn.
+    pub histories: RefCell<BTreeMap<String, String>>,
+    gateways: Vec<usize>,
+    addresses: BTreeMap<usize, SocketAddr>,
+    operators: Vec<SocketAddr>,
+    next_operator: Cell<usize>,
+    is_over: Cell<bool>,
+}
+
+impl World {
+    /// The places of the gateways in the fleet.
+    #[must_use]
+    pub fn gateways(&self) -> &[usize] {
+        &self.gateways
+    }
+
+    /// Where callers connect to a gateway.
+    #[must_use]
+    pub fn callers_address(&self, gateway: usize) -> SocketAddr {
+        self.addresses[&gateway]
+    }
+
+    /// Whether callers and servers are to end.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.is_over.get()
+    }
+
+    /// Notes what a server is to get for a turn.
+    pub fn expect_history(&self, turn: &str, body: &str) {
+        let mut histories = self.histories.borrow_mut();
+        histories.insert(turn.to_owned(), body.to_owned());
+    }
+
+    /// Makes an operator's call at the next controller; whether it was carried out.
+    pub async fn operate(&self, path: &str, body: &str) -> bool {
+        let turn = self.next_operator.get();
+        self.next_operator.set(turn + 1);
+        let address = self.operators[turn % self.operators.len()];
+        let length = body.len();
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: soak.example\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        );
+        let call = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            let mut connection = TextConnection::new(stream);
+            connection.write(&request).await.ok()?;
+            connection.read().await?.head.status()
+        };
+        timeout(OPERATOR_PATIENCE, call).await.ok().flatten() == Some(200)
+    }
+
+    async fn put_routing_in_force(&self, version: u64) {
+        let table = serde_json::to_string(&routing(version)).unwrap_or_default();
+        while !self.operate("/routing", &table).await && !self.is_over() {
+            sleep(OPERATOR_RETRY).await;
+        }
+    }
+}
+
+/// Runs a soak.
+///
+/// # Errors
+/// [`SoakError`] when it can't be made; broken promises are in the tally.
+pub async fn run(options: SoakOptions) -> Result<Tally, SoakError> {
+    let fleet = Fleet::start(options.program.clone(), &options.folder, options.size);
+    let fleet = fleet.context(ProcessSnafu)?;
+    let world = Rc::new(world_of(&fleet));
+    let fleet = Rc::new(RefCell::new(fleet));
+    let tending = actix_rt::spawn(tend(world.clone(), fleet.clone()));
+    let mut run = Run {
+        servers: Vec::new(),
+        servers_started: 0,
+        routing_version: 1,
+        world: world.clone(),
+        fleet,
+        options,
+    };
+    run.prepare().await?;
+    let callers = run.start_callers();
+    run.bring_faults_about().await?;
+    run.wait_until_whole().await;
+    run.check_that_all_serve().await;
+    world.is_over.set(true);
+    for caller in callers {
+        if caller.await.is_err() {
+            log::error!("a caller ended early");
+        }
+    }
+    tending.abort();
+    let tally = world.ledger.borrow().judge();
+    Ok(tally)
+}
+
+fn world_of(fleet: &Fleet) -> World {
+    let gateways = fleet.members(Role::Gateway);
+    let addresses = gateways.iter();
+    World {
+        ledger: RefCell::default(),
+        histories: RefCell::default(),
+        addresses: addresses
+            .map(|gateway| (*gateway, fleet.callers_address(*gateway)))
+            .collect(),
+        gateways,
+        operators: fleet.operator_addresses(),
+        next_operator: Cell::new(0),
+        is_over: Cell::new(false),
+    }
+}
+
+/// Starts processes again that ended, and notes those that did so by themselves.
+async fn tend(world: Rc<World>, fleet: Rc<RefCell<Fleet>>) {
+    loop {
+        sleep(TEND_INTERVAL).await;
+        let tended = fleet.borrow_mut().tend();
+        let mut ledger = world.ledger.borrow_mut();
+        match tended {
+            Ok(ended) => {
+                for ended in ended {
+                    let detail = format!("{} ended with {}", ended.name, ended.status);
+                    ledger.note_violation(Promise::StaysUp, detail);
+                }
+            }
+            Err(error) => ledger.note_violation(Promise::StaysUp, error.to_string()),
+        }
+    }
+}
+
+struct Run {
+    options: SoakOptions,
+    world: Rc<World>,
+    fleet: Rc<RefCell<Fleet>>,
+    servers: Vec<Rc<SoakServer>>,
+    servers_started: u64,
+    routing_version: u64,
+}
+
+impl Run {
+    async fn prepare(&mut self) -> Result<(), SoakError> {
+        self.world.put_routing_in_force(self.routing_version).await;
+        for _ in 0..self.options.servers {
+            self.start_server().await?;
+        }
+        let seed = self.options.seed;
+        let mut probe = Caller::new(self.world.clone(), usize::MAX, seed);
+        let began = Instant::now();
+        for gateway in self.world.gateways() {
+            while !probe.is_served_by(*gateway).await {
+                if began.elapsed() > SERVING_PATIENCE {
+                    return NeverServedSnafu.fail();
+                }
+                sleep(SERVING_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_server(&mut self) -> Result<(), SoakError> {
+        self.servers_started += 1;
+        let id = format!("server-{}", self.servers_started);
+        let seed = self.options.seed.wrapping_add(self.servers_started);
+        let server = SoakServer::start(self.world.clone(), id, seed).await;
+        self.servers.push(server.context(ServerSnafu)?);
+        Ok(())
+    }
+
+    fn start_callers(&self) -> Vec<actix_rt::task::JoinHandle<()>> {
+        let callers = 0..self.options.callers;
+        callers
+            .map(|number| {
+                let caller = Caller::new(self.world.clone(), number, self.options.seed);
+                actix_rt::spawn(caller.run())
+            })
+            .collect()
+    }
+
+    async fn bring_faults_about(&mut self) -> Result<(), SoakError> {
+        let roles: Vec<Role> = {
+            let fleet = self.fleet.borrow();
+            let size = self.options.size;
+            let members = 0..size.controllers + size.stores + size.gateways;
+            members.map(|member| fleet.role(member)).collect()
+        };
+        let began = Instant::now();
+        for Fault { at, kind } in plan(self.options.seed, self.options.how_long, &roles) {
+            tokio::time::sleep_until(began + at).await;
+            log::info!("{at:?}: {kind:?}");
+            self.bring_about(kind).await?;
+        }
+        Ok(())
+    }
+
+    async fn bring_about(&mut self, kind: FaultKind) -> Result<(), SoakError> {
+        match kind {
+            FaultKind::Stop { member, away } => self.stop(member, away),
+            FaultKind::StopInTurn { role, gap } => {
+                let members = self.fleet.borrow().members(role);
+                let fleet = self.fleet.clone();
+                let world = self.world.clone();
+                actix_rt::spawn(async move {
+                    for member in members {
+                        stop(&world, &fleet, member, Duration::ZERO);
+                        sleep(gap).await;
+                    }
+                });
+            }
+            FaultKind::Kill { member, away } => self.kill(member, away),
+            FaultKind::KillAll { role, away } => {
+                let members = self.fleet.borrow().members(role);
+                for member in members {
+                    self.kill(member, away);
+                }
+            }
+            FaultKind::Pause { member, how_long } => self.pause(member, how_long),
+            FaultKind::Reload { member } => self.fleet.borrow_mut().reload(member),
+            FaultKind::Wipe { member } => {
+                self.disturb(member, AFTERMATH);
+                self.fleet.borrow_mut().wipe(member, Duration::ZERO);
+            }
+            FaultKind::ChangeRouting => {
+                self.routing_version += 1;
+                let version = self.routing_version;
+                let world = self.world.clone();
+                actix_rt::spawn(async move { world.put_routing_in_force(version).await });
+            }
+            FaultKind::ReplaceServer => {
+                self.start_server().await?;
+                let oldest = self.servers.remove(0);
+                actix_rt::spawn(oldest.leave());
+            }
+        }
+        Ok(())
+    }
+
+    fn stop(&self, member: usize, away: Duration) {
+        stop(&self.world, &self.fleet, member, away);
+    }
+
+    fn kill(&self, member: usize, away: Duration) {
+        if self.fleet.borrow_mut().kill(member, away) {
+            self.disturb(member, away + AFTERMATH);
+        }
+    }
+
+    fn pause(&self, member: usize, how_long: Duration) {
+        if !self.fleet.borrow_mut().pause(member) {
+            return;
+        }
+        self.disturb(member, how_long + AFTERMATH);
+        let fleet = self.fleet.clone();
+        actix_rt::spawn(async move {
+            sleep(how_long).await;
+            fleet.borrow_mut().resume(member);
+        });
+    }
+
+    fn disturb(&self, member: usize, how_long: Duration) {
+        disturb(&self.world, &self.fleet, member, how_long);
+    }
+
+    async fn wait_until_whole(&self) {
+        let began = Instant::now();
+        while !self.fleet.borrow().is_whole() {
+            if began.elapsed() > SERVING_PATIENCE {
+                let detail = "not every process runs after the faults".to_owned();
+                self.violation(Promise::ComesBack, detail);
+                return;
+            }
+            sleep(SERVING_INTERVAL).await;
+        }
+    }
+
+    async fn check_that_all_serve(&self) {
+        let mut probe = Caller::new(self.world.clone(), usize::MAX - 1, self.options.seed);
+        let began = Instant::now();
+        for gateway in self.world.gateways() {
+            while !probe.is_served_by(*gateway).await {
+                if began.elapsed() > SERVING_PATIENCE {
+                    let detail = format!("gateway {gateway} does not serve after the faults");
+                    self.violation(Promise::ComesBack, detail);
+                    return;
+                }
+                sleep(SERVING_INTERVAL).await;
+            }
+        }
+    }
+
+    fn violation(&self, promise: Promise, detail: String) {
+        self.world
+            .ledger
+            .borrow_mut()
+            .note_violation(promise, detail);
+    }
+}
+
+/// Asks a member to stop. A store that stops is a disturbance for turns; a gateway must not be one.
+fn stop(world: &World, fleet: &RefCell<Fleet>, member: usize, away: Duration) {
+    if fleet.borrow().role(member) == Role::Store {
+        disturb(world, fleet, member, away + AFTERMATH);
+    }
+    fleet.borrow_mut().stop(member, away);
+}
+
+/// Notes what a fault may be the cause of from now on.
+fn disturb(world: &World, fleet: &RefCell<Fleet>, member: usize, how_long: Duration) {
+    let what = match fleet.borrow().role(member) {
+        Role::Gateway => Disturbed::Gateway(member),
+        // Without controllers no other store takes the place of one that fell.
+        Role::Store | Role::Controller => Disturbed::Stores,
+    };
+    let now = Instant::now();
+    let mut ledger = world.ledger.borrow_mut();
+    ledger.note_disturbed(what, now, now + how_long);
+}
+
+/// The routing table of the soak: a route for each kind of call.
+fn routing(version: u64) -> VersionedTable {
+    let route = |name: &str, kind, max_attempts, keeps_turns| Route {
+        name: name.to_owned(),
+        host: "soak.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 5_000,
+        aim_ms: 200,
+        priority: 0,
+        targets: vec![Target {
+            service: SERVICE.to_owned(),
+            weight: 1.0,
+        }],
+        max_attempts,
+        keeps_turns,
+        retention_ms: 60_000,
+        affinity: keeps_turns,
+        resumable: false,
+    };
+    let routes = [
+        route("once", CallKind::AtMostOnce, 2, false),
+        route("safe", CallKind::Repeatable, 3, false),
+        route("turn", CallKind::Stream, 2, true),
+    ];
+    VersionedTable {
+        version,
+        table: RoutingTable {
+            routes: routes.into_iter().map(Arc::new).collect(),
+            services: vec![Service {
+                name: SERVICE.to_owned(),
+                connection_limit: 0,
+                engine: Some(EngineLimits {
+                    slots: 16,
+                    tokens_per_event: TOKENS_PER_EVENT,
+                }),
+            }],
+            limits: CallLimits::default(),
+        },
+    }
+}
+
+/// The logs of a run's processes that say something worse than usual, for a report.
+///
+/// # Errors
+/// What the system says when the folder can't be read.
+pub fn warnings(folder: &Path) -> std::io::Result<Vec<String>> {
+    let mut lines = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|extension| extension == "log") {
+            let text = std::fs::read_to_string(&path)?;
+            let errors = text
+                .lines()
+                .filter(|line| line.contains("\"level\":\"ERROR\"") || line.contains("panicked"));
+            lines.extend(errors.map(str::to_owned));
+        }
+    }
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/courseshed-soak/src/server.rs
@@ -0,0 +1,181 @@
+//! The servers of the soak: they note what they run, and misbehave now and then.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use courseshed_registry::{Registration, Server, ServerState};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::http_text::{Message, TextConnection, event_chunk};
+use crate::ledger::Promise;
+use crate::run::World;
+
+/// The one service of the soak.
+pub const SERVICE: &str = "service";
+/// Requests that a server runs at once.
+const SLOTS: u32 = 16;
+/// Time between two announcements.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(1000);
+const ANNOUNCEMENT_RETRY: Duration = Duration::from_millis(100);
+/// How long a server that drains goes on serving.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Of a hundred requests, those that the server refuses as not run.
+const REFUSED_OF_100: u32 = 2;
+/// Of a hundred requests, those whose connection it closes after it ran them.
+const DROPPED_OF_100: u32 = 1;
+
+/// Events of the stream that answers a turn: 2 to 5, from its id alone, so that its caller knows too.
+#[must_use]
+pub fn events_of(id: &str) -> Vec<String> {
+    let sum: u64 = id.bytes().map(u64::from).sum();
+    (1..=2 + sum % 4)
+        .map(|number| format!("{id}-{number}"))
+        .collect()
+}
+
+/// The body that answers a plain call.
+#[must_use]
+pub fn plain_answer(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+/// A running server.
+pub struct SoakServer {
+    id: String,
+    address: SocketAddr,
+    state: Cell<ServerState>,
+    has_left: Cell<bool>,
+    random: RefCell<ChaCha8Rng>,
+    world: Rc<World>,
+}
+
+impl SoakServer {
+    /// Starts a server, which announces itself until it leaves.
+    ///
+    /// # Errors
+    /// What the system says when it can't listen.
+    pub async fn start(world: Rc<World>, id: String, seed: u64) -> std::io::Result<Rc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Rc::new(Self {
+            id,
+            address: listener.local_addr()?,
+            state: Cell::new(ServerState::Ready),
+            has_left: Cell::new(false),
+            random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            world,
+        });
+        actix_rt::spawn(server.clone().accept(listener));
+        actix_rt::spawn(server.clone().keep_announced());
+        Ok(server)
+    }
+
+    /// Drains and leaves, as a planned end.
+    pub async fn leave(self: Rc<Self>) {
+        self.state.set(ServerState::Draining);
+        sleep(DRAIN_TIME).await;
+        let id = serde_json::Value::String(self.id.clone()).to_string();
+        while !self.world.operate("/leave", &id).await && !self.world.is_over() {
+            sleep(ANNOUNCEMENT_RETRY).await;
+        }
+        self.has_left.set(true);
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        while !self.has_left.get() {
+            if let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(self.clone().serve(stream));
+            }
+        }
+    }
+
+    async fn keep_announced(self: Rc<Self>) {
+        let mut sequence = 0;
+        while !self.has_left.get() && !self.world.is_over() {
+            sequence += 1;
+            let registration = Registration {
+                server: Server {
+                    id: self.id.clone(),
+                    service: SERVICE.to_owned(),
+                    address: self.address,
+                    zone: "a".to_owned(),
+                    slots: SLOTS,
+                    state: self.state.get(),
+                },
+                sequence,
+            };
+            let body = serde_json::to_string(&registration).unwrap_or_default();
+            let is_heard = self.world.operate("/announce", &body).await;
+            sleep(if is_heard {
+                ANNOUNCEMENT_INTERVAL
+            } else {
+                ANNOUNCEMENT_RETRY
+            })
+            .await;
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let mut connection = TextConnection::new(stream);
+        while let Some(message) = connection.read().await {
+            if !message.is_whole || !self.answer(&mut connection, &message).await {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; false when the connection is to be closed.
+    async fn answer(&self, connection: &mut TextConnection, message: &Message) -> bool {
+        let id = message.head.header("x-call").unwrap_or("").to_owned();
+        let is_meant = message.head.header("x-server") == Some(self.id.as_str());
+        let draw = self.random.borrow_mut().random_range(0..100);
+        if !is_meant || draw < REFUSED_OF_100 {
+            let refusal = format!(
+                "HTTP/1.1 503 Full\r\nx-call: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            );
+            return connection.write(&refusal).await.is_ok();
+        }
+        self.world.ledger.borrow_mut().note_run(&id);
+        let work = self.random.borrow_mut().random_range(2..40);
+        sleep(Duration::from_millis(work)).await;
+        if draw < REFUSED_OF_100 + DROPPED_OF_100 {
+            self.world.ledger.borrow_mut().note_dropped(&id);
+            return false;
+        }
+        if message.head.path().starts_with("/turn/") {
+            self.check_history(&id, &message.body);
+            return self.stream(connection, &id).await.is_ok();
+        }
+        let body = plain_answer(&id);
+        let length = body.len();
+        let answer =
+            format!("HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-length: {length}\r\n\r\n{body}");
+        connection.write(&answer).await.is_ok()
+    }
+
+    fn check_history(&self, id: &str, body: &str) {
+        let histories = self.world.histories.borrow();
+        if histories.get(id).is_some_and(|expected| expected != body) {
+            let detail = format!("{id} came with {} bytes that are not its turns", body.len());
+            let mut ledger = self.world.ledger.borrow_mut();
+            ledger.note_violation(Promise::History, detail);
+        }
+    }
+
+    async fn stream(&self, connection: &mut TextConnection, id: &str) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        connection.write(&head).await?;
+        for (number, data) in (1..).zip(events_of(id)) {
+            connection.write(&event_chunk(number, &data)).await?;
+            let pause = self.random.borrow_mut().random_range(1..25);
+            sleep(Duration::from_millis(pause)).await;
+        }
+        connection.write("0\r\n\r\n").await
+    }
+}
--- /dev/null
+++ b/crates/courseshed-soak/tests/ledger.rs
@@ -0,0 +1,127 @@
+//! Each promise is judged: what breaks it is told, and what doesn't is not.
+
+use std::time::Duration;
+
+use courseshed_soak::ledger::{
+    CallKind, CallSeen, Disturbed, Ledger, Outcome, ProgramBudget, Promise, TurnSeen,
+};
+use tokio::time::Instant;
+use yare::parameterized;
+
+const GATEWAY: usize = 7;
+
+fn call(kind: CallKind, outcome: Outcome) -> CallSeen {
+    let sent = Instant::now();
+    CallSeen {
+        kind,
+        gateway: GATEWAY,
+        sent,
+        over: sent + Duration::from_millis(100),
+        outcome,
+        turn: None,
+    }
+}
+
+fn promises(ledger: &Ledger) -> Vec<Promise> {
+    let violations = ledger.judge().violations.into_iter();
+    violations.map(|violation| violation.promise).collect()
+}
+
+#[parameterized(
+    once = { CallKind::Once, 1, Outcome::Answered { status: 200 }, None },
+    twice = { CallKind::Once, 2, Outcome::Answered { status: 502 }, Some(Promise::AtMostOnce) },
+    again = { CallKind::Repeatable, 2, Outcome::Answered { status: 200 }, None },
+    refused = { CallKind::Once, 0, Outcome::Answered { status: 503 }, None },
+    refused_and_ran = { CallKind::Repeatable, 1, Outcome::Answered { status: 503 }, Some(Promise::NotRun) },
+    spent_and_ran = { CallKind::Turn, 1, Outcome::Answered { status: 402 }, Some(Promise::NotRun) },
+    may_have_run = { CallKind::Once, 1, Outcome::Answered { status: 502 }, None },
+    never_passed_on = { CallKind::Once, 0, Outcome::NoAnswer, None },
+    cut_off = { CallKind::Once, 1, Outcome::NoAnswer, Some(Promise::NotCutOff) },
+    cut_off_midway = { CallKind::Turn, 1, Outcome::BrokenOff, Some(Promise::NotCutOff) },
+    given_up = { CallKind::Once, 1, Outcome::GaveUp, None },
+)]
+fn a_call_is_judged_by_its_end_and_its_runs(
+    kind: CallKind,
+    runs: u64,
+    outcome: Outcome,
+    broken: Option<Promise>,
+) {
+    let mut ledger = Ledger::default();
+    for _ in 0..runs {
+        ledger.note_run("c");
+    }
+    ledger.note_call("c".to_owned(), call(kind, outcome));
+    assert_eq!(promises(&ledger), Vec::from_iter(broken));
+}
+
+#[parameterized(
+    its_gateway = { CallKind::Once, Disturbed::Gateway(GATEWAY), 0, true },
+    another_gateway = { CallKind::Once, Disturbed::Gateway(3), 0, false },
+    afterwards = { CallKind::Once, Disturbed::Gateway(GATEWAY), 200, false },
+    stores_and_a_turn = { CallKind::Turn, Disturbed::Stores, 0, true },
+    stores_and_no_turn = { CallKind::Once, Disturbed::Stores, 0, false },
+)]
+fn a_cut_is_excused_by_its_cause_alone(
+    kind: CallKind,
+    what: Disturbed,
+    from_ms: u64,
+    is_excused: bool,
+) {
+    let mut ledger = Ledger::default();
+    let call = call(kind, Outcome::NoAnswer);
+    let from = call.sent + Duration::from_millis(from_ms);
+    ledger.note_disturbed(what, from, from + Duration::from_secs(1));
+    ledger.note_run("c");
+    ledger.note_call("c".to_owned(), call);
+    assert_eq!(promises(&ledger).is_empty(), is_excused);
+}
+
+#[test]
+fn what_a_server_broke_off_is_no_cut() {
+    let mut ledger = Ledger::default();
+    ledger.note_run("c");
+    ledger.note_dropped("c");
+    ledger.note_call("c".to_owned(), call(CallKind::Turn, Outcome::BrokenOff));
+    assert_eq!(promises(&ledger), []);
+}
+
+#[parameterized(
+    within = { 8, None },
+    beyond_by_one_turn = { 15, None },
+    beyond = { 16, Some(Promise::Budget) },
+)]
+fn a_program_is_given_its_budget_and_one_turn(events: u64, broken: Option<Promise>) {
+    let mut ledger = Ledger::default();
+    let budget = ProgramBudget {
+        tokens: 100,
+        most_of_turn: 50,
+    };
+    ledger.note_budget("p", budget);
+    let parts = [events / 2, events - events / 2];
+    for (number, events) in parts.into_iter().enumerate() {
+        let mut seen = call(CallKind::Turn, Outcome::Answered { status: 200 });
+        seen.turn = Some(TurnSeen {
+            program: "p".to_owned(),
+            events,
+        });
+        ledger.note_call(format!("c{number}"), seen);
+    }
+    assert_eq!(promises(&ledger), Vec::from_iter(broken));
+}
+
+#[test]
+fn ends_are_counted() {
+    let mut ledger = Ledger::default();
+    let outcomes = [
+        Outcome::Answered { status: 200 },
+        Outcome::Answered { status: 503 },
+        Outcome::Answered { status: 502 },
+        Outcome::NotConnected,
+    ];
+    for (number, outcome) in outcomes.into_iter().enumerate() {
+        ledger.note_call(format!("c{number}"), call(CallKind::Once, outcome));
+    }
+    let tally = ledger.judge();
+    let counted = (tally.calls, tally.answered, tally.refused, tally.failed);
+    assert_eq!(counted, (4, 1, 1, 2));
+}
