--- a/crates/courseshed-records/src/store.rs
+++ b/crates/courseshed-records/src/store.rs
@@ -40,8 +40,8 @@
 const INDEX_BYTES_OF_TURN: u64 = 320;
 /// What the index takes of memory for a reservation with its part of the program, in bytes.
 const INDEX_BYTES_OF_RESERVATION: u64 = 160;
-/// The part of the machine's memory that the cache takes: one in this many. On a day of 92 s of
-/// slm-dispatch-grown a cache of twice the size missed 1 turn of 38,000 (machines of 130 MB).
+/// The part of the machine's memory that the cache takes: one in this many. On a day of 92 s with machines
+/// of 130 MB a cache of twice the size missed 1 turn of 38,000.
 const CACHE_OF_MEMORY: u64 = 16;
 /// The part of the machine's memory that the index may take: one in this many.
 const INDEX_OF_MEMORY: u64 = 3;
