Let tenants in by their keys, as long as the routing table is proven to be in force

Cause: the gateways knew no tenants.

A call's tenant is found once, by the version of the table that its route is of, and checked again before each send, resumed streams and repeats included. Where revocation is strict, a gateway uses a key only while a controller has proven to it, less than the allowed time less 400 ms ago, that the table is the newest; the age counts from when the gateway sent its question, and the controller's own proof is a leader's lease or a read confirmed by a quorum. Without proof: 503, and the gateway says that it isn't ready. Headers that are the system's to set aren't taken from callers.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -21,7 +21,7 @@
 
 use crate::clock::Clock;
 use crate::peers::Peers;
-use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest, RoutingProof};
 
 /// How long a caller waits before it is told that nothing is certain. Callers try another controller
 /// after a second of silence.
@@ -60,6 +60,22 @@
     pub leader_heard: Duration,
 }
 
+/// What is read of the state once a quorum has confirmed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reading {
+    /// The routing table.
+    Routing,
+    /// Its version alone.
+    RoutingVersion,
+}
+
+/// A moment of this controller's clock at which a version of the routing table was the newest.
+#[derive(Clone, Copy, Debug)]
+struct ConfirmedVersion {
+    at: Duration,
+    version: Option<u64>,
+}
+
 /// What the worker is told.
 pub(crate) enum Input {
     Consensus(Message),
@@ -67,7 +83,8 @@
         command: Command,
         reply: oneshot::Sender<PeerReply>,
     },
-    ReadRouting {
+    Read {
+        wanted: Reading,
         reply: oneshot::Sender<PeerReply>,
     },
     Join {
@@ -92,6 +109,7 @@
     published: watch::Sender<Published>,
     heard: Mutex<Heard>,
     load: Mutex<LoadBoard>,
+    confirmed: Mutex<Option<ConfirmedVersion>>,
 }
 
 #[derive(Default)]
@@ -112,9 +130,29 @@
             published: watch::channel(Published::default()).0,
             heard: Mutex::default(),
             load: Mutex::default(),
+            confirmed: Mutex::new(None),
         }
     }
 
+    /// Notes that a version of the routing table was the newest at a time or later.
+    pub(crate) fn note_confirmed(&self, at: Duration, version: Option<u64>) {
+        let mut confirmed = self.confirmed.lock();
+        if confirmed.is_none_or(|confirmed| confirmed.at < at) {
+            *confirmed = Some(ConfirmedVersion { at, version });
+        }
+    }
+
+    /// What is certain of a state's routing table, for a question that arrived at a time.
+    pub(crate) fn proof_of(&self, state: &FleetState, arrived: Duration) -> Option<RoutingProof> {
+        let confirmed = (*self.confirmed.lock())?;
+        let held = state.routing().map(|routing| routing.table.version);
+        let before_question = arrived.saturating_sub(confirmed.at);
+        (held >= confirmed.version).then(|| RoutingProof {
+            version: held,
+            before_question_ms: before_question.as_micros().div_ceil(1000) as u64,
+        })
+    }
+
     pub(crate) fn node(&self) -> NodeId {
         self.node
     }
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -107,6 +107,7 @@
         seeds,
     ));
     tokio::spawn(relay::relay_heard(shared.clone()));
+    tokio::spawn(relay::confirm_routing(shared.clone(), settings.addresses));
     tokio::spawn(relay::relay_load(shared));
     Ok(handle)
 }
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-use super::handle::{Input, Shared};
+use super::handle::{Input, Reading, Shared};
 use crate::protocol::{FleetProtocol, PeerMessage, PeerReply, PeerRequest, node_of, replica_of};
 
 /// How often a held request looks whether this controller still hears the leader.
@@ -38,6 +38,10 @@
         });
     }
 
+    fn read(&self, reply: ReplySender<FleetProtocol>, wanted: Reading) {
+        self.forward(reply, |reply| Input::Read { wanted, reply });
+    }
+
     fn known_incarnation(&self, node: NodeId) -> PeerReply {
         if !self.0.is_fresh() {
             return PeerReply::Unsure;
@@ -75,12 +79,14 @@
                 if is_store {
                     self.0.hear_node(from.node);
                 }
-                tokio::spawn(follow(self.0.clone(), known, hold_ms, reply));
+                let arrived = self.0.clock().now();
+                tokio::spawn(follow(self.0.clone(), known, hold_ms, arrived, reply));
             }
             PeerRequest::Submit(command) => {
                 self.forward(reply, |reply| Input::Submit { command, reply });
             }
-            PeerRequest::ReadRouting => self.forward(reply, |reply| Input::ReadRouting { reply }),
+            PeerRequest::ReadRouting => self.read(reply, Reading::Routing),
+            PeerRequest::ReadRoutingVersion => self.read(reply, Reading::RoutingVersion),
             PeerRequest::Join { incarnation } => {
                 let address = ReplicaAddress::new(replica_of(from.node), incarnation);
                 self.forward(reply, |reply| Input::Join { address, reply });
@@ -114,6 +120,7 @@
     shared: Arc<Shared>,
     known: Known,
     hold_ms: u64,
+    arrived: Duration,
     reply: ReplySender<FleetProtocol>,
 ) {
     let mut watch = shared.watch();
@@ -124,7 +131,9 @@
         let is_fresh = shared.is_fresh();
         let left = deadline.saturating_duration_since(Instant::now());
         if !update.is_empty() || !is_fresh || left.is_zero() {
+            let proof = shared.proof_of(&published.state, arrived);
             reply.send(PeerReply::Update {
+                proof,
                 update: Box::new(update),
                 controllers: published.controllers.into_keys().collect(),
                 is_fresh,
--- a/crates/courseshed-edge/src/controller/relay.rs
+++ b/crates/courseshed-edge/src/controller/relay.rs
@@ -9,10 +9,15 @@
 use tokio::time::sleep;
 
 use super::handle::{Input, Shared};
-use crate::protocol::PeerMessage;
+use crate::protocol::{PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest};
 
 /// How often a controller that doesn't lead tells the leader whom it heard.
 const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a controller that doesn't lead has the leader confirm the routing table: a part of the
+/// 1.6 s that a proof may be old at a gateway in touch.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the leader may take: a round between zones takes 3 to 10 ms.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 /// How often controllers tell each other of the calls of their gateways.
 const LOAD_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -38,6 +43,25 @@
     }
 }
 
+/// Asks the leader again and again which version of the routing table is in force, so that this
+/// controller can prove to its followers that it has the newest.
+pub(super) async fn confirm_routing(shared: Arc<Shared>, addresses: PeerAddresses) {
+    loop {
+        let published = shared.published();
+        let other = published.leader.filter(|_| !published.is_leader);
+        if let (Some(leader), Some(peers)) = (other, shared.peers()) {
+            peers.set_address(leader, addresses.of(leader, PeerPort::Controller));
+            let asked_at = shared.clock().now();
+            let question = PeerRequest::ReadRoutingVersion;
+            let answer = peers.request(leader, question, CONFIRM_LIMIT).await;
+            if let Ok(PeerReply::RoutingVersion(version)) = answer {
+                shared.note_confirmed(asked_at, version);
+            }
+        }
+        sleep(CONFIRM_INTERVAL).await;
+    }
+}
+
 /// Tells the other controllers what the gateways have that follow this one.
 pub(super) async fn relay_load(shared: Arc<Shared>) {
     let mut was_idle = true;
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -16,7 +16,7 @@
 use courseshed_types::NodeId;
 use tokio::sync::oneshot;
 
-use super::handle::{Input, Published, Shared};
+use super::handle::{Input, Published, Reading, Shared};
 use super::housekeeping::{Housekeeper, INTERVAL, replicas_wanted};
 use super::replica::{Group, ReplicaFailure, WorkerOptions};
 use crate::peers::Peers;
@@ -50,7 +50,7 @@
     pub(super) peers: Arc<Peers>,
     pub(super) options: WorkerOptions,
     proposals: BTreeMap<LogIndex, (Term, Option<oneshot::Sender<PeerReply>>)>,
-    reads: BTreeMap<ReadId, oneshot::Sender<PeerReply>>,
+    reads: BTreeMap<ReadId, (Reading, oneshot::Sender<PeerReply>)>,
     pub(super) housekeeper: Option<Housekeeper>,
     next_housekeeping: Duration,
     leader_heard: Duration,
@@ -127,7 +127,7 @@
         match input {
             Input::Consensus(message) => self.on_consensus(message),
             Input::Submit { command, reply } => self.submit(command, Some(reply)),
-            Input::ReadRouting { reply } => self.read(reply),
+            Input::Read { wanted, reply } => self.read(wanted, reply),
             Input::Join { address, reply } => {
                 let answer = self.join(address);
                 let _ = reply.send(answer);
@@ -218,10 +218,10 @@
         too_few.then_some(PeerReply::Committed(Outcome::TooFew))
     }
 
-    fn read(&mut self, reply: oneshot::Sender<PeerReply>) {
+    fn read(&mut self, wanted: Reading, reply: oneshot::Sender<PeerReply>) {
         match self.group.read_barrier(self.now()) {
             Ok(id) => {
-                self.reads.insert(id, reply);
+                self.reads.insert(id, (wanted, reply));
             }
             Err(_) => {
                 let _ = reply.send(self.not_leader());
@@ -282,9 +282,14 @@
             self.has_news = true;
         }
         for read in outputs.reads {
-            if let Some(reply) = self.reads.remove(&read.id) {
-                let routing = self.group.machine().routing().cloned();
-                let _ = reply.send(PeerReply::Routing(routing));
+            if let Some((wanted, reply)) = self.reads.remove(&read.id) {
+                let routing = self.group.machine().routing();
+                let _ = reply.send(match wanted {
+                    Reading::Routing => PeerReply::Routing(routing.cloned()),
+                    Reading::RoutingVersion => {
+                        PeerReply::RoutingVersion(routing.map(|routing| routing.table.version))
+                    }
+                });
             }
         }
         for change in outputs.role_changes {
@@ -300,7 +305,7 @@
                 let _ = reply.send(PeerReply::Unsure);
             }
         }
-        for (_, reply) in std::mem::take(&mut self.reads) {
+        for (_, (_, reply)) in std::mem::take(&mut self.reads) {
             let _ = reply.send(PeerReply::Unsure);
         }
         self.housekeeper = (change.role == RoleName::Leader).then(|| {
@@ -315,8 +320,10 @@
     fn publish(&mut self) {
         let is_leader = self.group.is_leader();
         let configuration = self.group.peer().configuration();
-        if is_leader && self.group.lease_valid(self.now()) {
-            self.leader_heard = self.now();
+        let now = self.now();
+        let has_lease = is_leader && self.group.lease_valid(now);
+        if has_lease {
+            self.leader_heard = now;
         }
         let news = std::mem::take(&mut self.has_news);
         let applied = self.group.status().applied_index;
@@ -337,6 +344,12 @@
             leader_heard: self.leader_heard,
         };
         self.shown.published = published.clone();
+        if has_lease {
+            // All that this leader said was committed has been applied, and is shown.
+            let routing = published.state.routing();
+            let version = routing.map(|routing| routing.table.version);
+            self.shared.note_confirmed(now, version);
+        }
         self.shared.publish(published, news);
     }
 }
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -15,13 +15,15 @@
 use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::peers::Peers;
-use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest, RoutingProof};
 
 /// How long a controller holds a request when there is nothing new.
 const HOLD: Duration = Duration::from_millis(600);
+/// Requests that must fit into the time within which a key must be out of use.
+const HOLDS_A_REVOCATION: u32 = 6;
 /// How much longer than that an answer may take.
 const ANSWER_SLACK: Duration = Duration::from_millis(250);
 /// Pause after a controller that could not help.
@@ -40,14 +42,56 @@
     pub records: Arc<PartitionMap>,
 }
 
+/// What a follower is, and so what it must know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FollowerKind {
+    /// A store with records, which controllers must hear.
+    Store,
+    /// A gateway.
+    Gateway {
+        /// How soon a key must be out of use everywhere; none if that isn't asked for.
+        revocation: Option<Duration>,
+    },
+}
+
+impl FollowerKind {
+    fn is_strict(self) -> bool {
+        matches!(
+            self,
+            Self::Gateway {
+                revocation: Some(_)
+            }
+        )
+    }
+
+    /// How long a controller holds a request: so long that several fit into the time within which
+    /// a proof must be renewed.
+    fn hold(self) -> Duration {
+        match self {
+            Self::Gateway {
+                revocation: Some(revocation),
+            } => HOLD.min(revocation / HOLDS_A_REVOCATION),
+            _ => HOLD,
+        }
+    }
+}
+
+/// A moment at which a version of the routing table was the newest that anyone was told of.
+#[derive(Clone, Copy, Debug)]
+struct Proven {
+    version: Option<u64>,
+    at: Instant,
+}
+
 /// Follows the fleet's state and shows the newest that is known.
 pub struct FleetFollower {
     peers: Arc<Peers>,
     addresses: PeerAddresses,
-    is_store: bool,
+    kind: FollowerKind,
     seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
     candidates: Mutex<VecDeque<NodeId>>,
     view: watch::Sender<FleetView>,
+    proven: Mutex<Option<Proven>>,
 }
 
 impl FleetFollower {
@@ -56,19 +100,28 @@
     pub fn new(
         peers: Arc<Peers>,
         addresses: PeerAddresses,
-        is_store: bool,
+        kind: FollowerKind,
         seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
     ) -> Arc<Self> {
         Arc::new(Self {
             peers,
             addresses,
-            is_store,
+            kind,
             seeds,
             candidates: Mutex::new(VecDeque::new()),
             view: watch::channel(FleetView::default()).0,
+            proven: Mutex::new(None),
         })
     }
 
+    /// How long ago the routing table shown was proven to be in force; none if it never was.
+    #[must_use]
+    pub fn proof_age(&self) -> Option<Duration> {
+        let proven = (*self.proven.lock())?;
+        let held = self.view.borrow().routing.as_ref().map(|held| held.version);
+        (held >= proven.version).then(|| proven.at.elapsed())
+    }
+
     /// The newest that is known, and its changes.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<FleetView> {
@@ -149,26 +202,58 @@
     }
 
     async fn ask(&self, controller: NodeId, known: Known) -> Option<FleetUpdate> {
+        let hold = self.hold();
         let request = PeerRequest::Follow {
             known,
-            hold_ms: HOLD.as_millis() as u64,
-            is_store: self.is_store,
+            hold_ms: hold.as_millis() as u64,
+            is_store: self.kind == FollowerKind::Store,
         };
+        let asked_at = Instant::now();
         let reply = self
             .peers
-            .request(controller, request, HOLD + ANSWER_SLACK)
+            .request(controller, request, hold + ANSWER_SLACK)
             .await;
         let Ok(PeerReply::Update {
             update,
             controllers,
             is_fresh,
+            proof,
         }) = reply
         else {
             return None;
         };
         self.learn(controller, controllers);
+        if let Some(proof) = &proof {
+            self.note_proof(proof, asked_at);
+        }
         // News may be taken from anyone; it is the lack of news that only a fresh one can tell.
-        (is_fresh || !update.is_empty()).then_some(*update)
+        let is_sure = is_fresh && (proof.is_some() || !self.kind.is_strict());
+        (is_sure || !update.is_empty()).then_some(*update)
+    }
+
+    /// How long the next request is held; not at all while the proof is old.
+    fn hold(&self) -> Duration {
+        let hold = self.kind.hold();
+        let is_proven = self.proof_age().is_some_and(|age| age < hold * 3);
+        if self.kind.is_strict() && !is_proven {
+            return Duration::ZERO;
+        }
+        hold
+    }
+
+    /// Notes a proof that came with the answer to a question asked at a time.
+    fn note_proof(&self, proof: &RoutingProof, asked_at: Instant) {
+        let before_question = Duration::from_millis(proof.before_question_ms);
+        let Some(at) = asked_at.checked_sub(before_question) else {
+            return;
+        };
+        let mut proven = self.proven.lock();
+        if proven.is_none_or(|proven| proven.at < at) {
+            *proven = Some(Proven {
+                version: proof.version,
+                at,
+            });
+        }
     }
 
     /// Remembers the controllers that one of them named, keeping that one first.
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::access::Caller;
 use super::call::{CallEnvelope, SendTerms};
 use super::call_log::CallLog;
 use super::choice::{ChoiceInputs, Chosen, Demand};
@@ -53,6 +54,8 @@
     pub connection_limit: u32,
     /// Version of the routing table that says so.
     pub version: u64,
+    /// Who the request is made for, by the same table.
+    pub caller: Caller,
 }
 
 /// What a server that saw the same thing lately need not read again; nothing if that's all the same.
@@ -83,6 +86,9 @@
     /// The prompt, if it matters what a server saw before.
     pub parts: Vec<PromptPart>,
     pub log: CallLog,
+    /// Who the request is made for.
+    pub caller: Caller,
+    version: u64,
     connection_limit: u32,
     sent_to: Vec<String>,
     passed_over: Vec<String>,
@@ -103,11 +109,15 @@
             name: service,
             connection_limit,
             version,
+            caller,
         } = service;
-        let log = CallLog::new(&call, &route, &service, version, core.metrics.clone());
+        let mut log = CallLog::new(&call, &route, &service, version, core.metrics.clone());
+        log.tenant = caller.tenant_name().unwrap_or_default().to_owned();
         Self {
             body: call.body.clone(),
             parts: parts_of(&call, &route),
+            caller,
+            version,
             connection_limit,
             core,
             call,
@@ -135,7 +145,19 @@
             let unread_tokens = inputs.unread_tokens;
             self.log.choice = inputs;
             let in_flight = InFlight::begin(&self.core, &chosen.id);
-            match self.send(&chosen, resume_after).await {
+            let upstream = match self.connect(&chosen).await {
+                Ok(upstream) => upstream,
+                Err(error) => {
+                    self.on_error(&chosen, &error)?;
+                    continue;
+                }
+            };
+            // Nothing is awaited between this check and the send.
+            if let Err(refusal) = self.check_access() {
+                upstream.finish();
+                return Err(self.not_sent_again(refusal));
+            }
+            match self.send(upstream, &chosen, resume_after).await {
                 Ok((head, upstream, sent_at)) => {
                     if !self.is_refused(&head, &chosen) {
                         self.log.server = chosen.id.clone();
@@ -254,13 +276,39 @@
         table.listed(last)
     }
 
+    async fn connect(&self, chosen: &Chosen) -> Result<Upstream, UpstreamError> {
+        let pool = self.core.pool.clone();
+        pool.connect(&chosen.id, chosen.address).await
+    }
+
+    /// Whether the caller may still be served.
+    fn check_access(&self) -> Result<(), Refusal> {
+        let view = self.core.follower.view();
+        let routing = view.routing.as_ref().ok_or(Refusal::NotStarted)?;
+        let proof_age = self.core.follower.proof_age();
+        if self.caller.identity.is_some() {
+            self.core.metrics.note_proof_age(proof_age);
+        }
+        self.core
+            .access
+            .check_again(&self.caller, self.version, routing, proof_age)
+    }
+
+    /// What the caller is told if the request may not be sent any more.
+    fn not_sent_again(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            Refusal::Broken
+        } else {
+            refusal
+        }
+    }
+
     async fn send(
         &mut self,
+        mut upstream: Upstream,
         chosen: &Chosen,
         resume_after: Option<u64>,
     ) -> Result<(ResponseHead, Upstream, Instant), UpstreamError> {
-        let pool = self.core.pool.clone();
-        let mut upstream = pool.connect(&chosen.id, chosen.address).await?;
         let request = self.write_request(chosen, resume_after);
         self.log.attempts += 1;
         if !self.sent_to.contains(&chosen.id) {
@@ -301,6 +349,8 @@
             time_left: Some(self.time_left()),
             server: chosen.id.clone(),
             resume_after,
+            tenant: self.caller.tenant_name().map(str::to_owned),
+            hides_key: self.caller.hides_key,
         };
         let mut request = BytesMut::with_capacity(1024 + self.body.len());
         self.core
--- a/crates/courseshed-edge/src/gateway/call.rs
+++ b/crates/courseshed-edge/src/gateway/call.rs
@@ -5,6 +5,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{Bytes, BytesMut};
+use courseshed_routing::KeyDigest;
 use courseshed_types::PromptPart;
 use snafu::Snafu;
 
@@ -19,6 +20,17 @@
     pub time_left: Option<Duration>,
 }
 
+/// What a caller shows to be let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential {
+    /// Nothing.
+    Missing,
+    /// Something that is no key, or more than one.
+    Unusable,
+    /// A key.
+    Key(KeyDigest),
+}
+
 /// A caller's request, read.
 #[derive(Clone, Debug)]
 pub struct CallEnvelope {
@@ -34,6 +46,8 @@
     pub host: String,
     /// Headers that concern more than one connection, as sent.
     pub headers: HeaderMap,
+    /// The key that the caller shows.
+    pub credential: Credential,
     /// The body.
     pub body: Bytes,
     /// How long the caller will wait.
@@ -61,6 +75,10 @@
     pub server: String,
     /// The last event that the caller has; the stream goes on behind it.
     pub resume_after: Option<u64>,
+    /// The tenant whose key the caller showed; none where calls need no key.
+    pub tenant: Option<String>,
+    /// Whether the caller's key is kept from the server.
+    pub hides_key: bool,
 }
 
 /// What a server's answer says of itself.
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -29,6 +29,8 @@
     /// Version of the routing table that the request was routed by.
     version: u64,
     last_error: String,
+    /// The tenant that it is made for; empty where calls need no key.
+    pub tenant: String,
     request: String,
     program: String,
     route: String,
@@ -59,6 +61,7 @@
             choice: ChoiceInputs::default(),
             version,
             last_error: String::new(),
+            tenant: String::new(),
             request: call.request_id.clone(),
             program: program.unwrap_or_default(),
             route: route.name.clone(),
@@ -100,6 +103,7 @@
             event = "call_over",
             request = self.request.as_str(),
             program = self.program.as_str(),
+            tenant = self.tenant.as_str(),
             route = self.route.as_str(),
             service = self.service.as_str(),
             outcome = self.outcome,
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -9,6 +9,7 @@
 
 use tokio::time::Instant;
 
+use super::access::AccessTerms;
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
 use super::policy::Policy;
@@ -28,6 +29,8 @@
     pub metrics: Arc<Metrics>,
     /// What it decides by.
     pub policy: Policy,
+    /// How long keys may be used without hearing that they still are.
+    pub access: AccessTerms,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
     pub answer_times: RefCell<AnswerTimes>,
@@ -53,6 +56,7 @@
         metrics: Arc<Metrics>,
         zone: String,
         policy: Policy,
+        access: AccessTerms,
     ) -> Rc<Self> {
         Rc::new(Self {
             codec,
@@ -63,6 +67,7 @@
             clock: Clock::start(),
             servers: RefCell::new(ServerTable::new(policy.clone())),
             policy,
+            access,
             answer_times: RefCell::default(),
             zone,
             ends_at: Cell::new(None),
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway: takes callers' requests and passes them on, unchanged, to a server of their service.
 
+mod access;
 mod answer_times;
 mod attempts;
 mod call;
@@ -21,8 +22,11 @@
 mod stream;
 mod upstream;
 
+pub use access::{AccessTerms, Caller, Identity};
 pub use answer_times::AnswerTimes;
-pub use call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
+pub use call::{
+    AnswerMarks, CallCodec, CallEnvelope, Credential, ProgramClaim, SendTerms, UnreadableCall,
+};
 pub use choice::{Chosen, Demand};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -18,6 +18,10 @@
     BodyTooLarge,
     /// No route fits, and the routing table in force is known.
     NoRoute,
+    /// No tenant holds the key that the caller shows, or it shows none.
+    UnknownKey,
+    /// Whether the caller's key may still be used isn't known for sure here.
+    NoProof,
     /// No routing table is known yet.
     NotStarted,
     /// No server takes it now.
@@ -68,6 +72,8 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::NoProof => "no_proof",
             Self::NotStarted => "not_started",
             Self::NoServer => "no_server",
             Self::Leaving => "leaving",
@@ -87,7 +93,9 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute | Self::UnknownTurn => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NotStarted
+            | Self::NoProof
             | Self::NoServer
             | Self::Leaving
             | Self::NoRecords
@@ -103,7 +111,7 @@
         match self {
             Self::NotStarted | Self::NoRecords => Some(RECORDS_RETRY),
             Self::NoRoom => Some(ROOM_RETRY),
-            Self::Leaving => Some(OTHER_GATEWAY_RETRY),
+            Self::Leaving | Self::NoProof => Some(OTHER_GATEWAY_RETRY),
             Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
             _ => None,
         }
@@ -119,6 +127,12 @@
                 response.headers_mut().insert(header::RETRY_AFTER, value);
             }
         }
+        if self == Self::UnknownKey {
+            let scheme = HeaderValue::from_static("Bearer");
+            response
+                .headers_mut()
+                .insert(header::WWW_AUTHENTICATE, scheme);
+        }
         response
     }
 }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -7,20 +7,21 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
-use courseshed_routing::{CallLimits, VersionedTable};
+use courseshed_routing::{CallLimits, Route, VersionedTable};
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::access::{AccessTerms, Caller};
 use super::attempts::{Attempts, ChosenService};
-use super::call::{CallCodec, CallEnvelope};
+use super::call::{CallCodec, CallEnvelope, Credential};
 use super::core::GatewayCore;
 use super::load::share_load;
 use super::policy::{Mechanism, Policy};
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
-use crate::follower::FleetFollower;
+use crate::follower::{FleetFollower, FollowerKind};
 use crate::http::{BodyError, HttpTiming, listen, read_body, serve};
 use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
@@ -55,6 +56,9 @@
     pub codec: Box<dyn CallCodec>,
     /// The mechanisms that it decides by.
     pub policy: Policy,
+    /// How soon a key must be out of use everywhere once it was taken away; none if a gateway that
+    /// hears nothing may go on with what it knows.
+    pub revocation: Option<Duration>,
 }
 
 /// A gateway doesn't start.
@@ -99,7 +103,14 @@
         Arc::new(NoRequests),
     );
     let peers = Arc::new(started.context(PeersSnafu)?);
-    let follower = FleetFollower::new(peers.clone(), settings.addresses, false, settings.seeds);
+    let follower = FleetFollower::new(
+        peers.clone(),
+        settings.addresses,
+        FollowerKind::Gateway {
+            revocation: settings.revocation,
+        },
+        settings.seeds,
+    );
     tokio::spawn(follower.clone().run());
     let records = RecordClient::new(
         peers.clone(),
@@ -114,6 +125,9 @@
         settings.metrics,
         settings.zone,
         settings.policy,
+        settings
+            .revocation
+            .map_or_else(AccessTerms::default, AccessTerms::strict),
     );
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
@@ -162,8 +176,7 @@
 async fn serve_readiness(core: Rc<GatewayCore>, listener: tokio::net::TcpListener) {
     let timing = || timing_of(&CallLimits::default());
     serve(listener, timing, move |_| {
-        let is_ready = !core.is_draining() && core.follower.view().routing.is_some();
-        let status = if is_ready {
+        let status = if is_ready(&core) {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -173,6 +186,17 @@
     .await;
 }
 
+/// Whether new callers are served well here: not while it stops, and not while it can't prove that
+/// the keys that it knows may still be used.
+fn is_ready(core: &GatewayCore) -> bool {
+    let Some(routing) = core.follower.view().routing else {
+        return false;
+    };
+    let needs_proof = routing.table.tenants.is_some();
+    let is_proven = core.access.is_proven(core.follower.proof_age());
+    !core.is_draining() && (is_proven || !needs_proof)
+}
+
 async fn serve_callers(core: Rc<GatewayCore>, listener: tokio::net::TcpListener) {
     let limits = core.clone();
     let timing = move || timing_of(&limits_in_force(&limits));
@@ -228,6 +252,7 @@
         log::info!(event = "no_route", request = call.request_id.as_str(), host = call.host.as_str(), path = call.path.as_str(), version = routing.version; "no route fits");
         return Err(Refusal::NoRoute);
     };
+    let caller = identify(core, &call, &route, &routing)?;
     let service = core.split(&route).ok_or(Refusal::NoRoute)?;
     let known = routing.table.service(&service);
     let engine = known.and_then(|service| service.engine.as_ref());
@@ -237,6 +262,7 @@
         name: service,
         connection_limit: if limit == 0 { u32::MAX } else { limit },
         version: routing.version,
+        caller,
     };
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived + call.time_left.map_or(timeout, |left| left.min(timeout));
@@ -248,6 +274,23 @@
     Ok((attempts, tokens_per_event))
 }
 
+/// Who a call is made for, by the table that its route is of.
+fn identify(
+    core: &GatewayCore,
+    call: &CallEnvelope,
+    route: &Route,
+    routing: &VersionedTable,
+) -> Result<Caller, Refusal> {
+    let proof_age = core.follower.proof_age();
+    let identified = core
+        .access
+        .identify(call.credential, route, &routing.table, proof_age);
+    identified.inspect_err(|refusal| {
+        let shows_key = matches!(call.credential, Credential::Key(_));
+        log::info!(event = "not_let_in", request = call.request_id.as_str(), route = route.name.as_str(), outcome = refusal.as_str(), shows_key, version = routing.version, proof_age_ms = proof_age.map(|age| age.as_millis() as u64); "the caller's key doesn't let it in");
+    })
+}
+
 /// The routing table in force. A gateway that has just started waits a little for its first one.
 async fn routing_in_force(core: &GatewayCore, wait: Duration) -> Option<Arc<VersionedTable>> {
     if let Some(routing) = core.follower.view().routing {
--- a/crates/courseshed-edge/src/gateway/short_codec.rs
+++ b/crates/courseshed-edge/src/gateway/short_codec.rs
@@ -5,13 +5,17 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{BufMut, BytesMut};
+use courseshed_routing::KeyDigest;
 use courseshed_types::PromptPart;
 
-use super::call::{AnswerMarks, CallCodec, CallEnvelope, ProgramClaim, SendTerms, UnreadableCall};
+use super::call::{
+    AnswerMarks, CallCodec, CallEnvelope, Credential, ProgramClaim, SendTerms, UnreadableCall,
+};
 
 /// The codec. Headers: `x-call` names a request, `x-program`, `x-budget` and `x-most` its program and
 /// tokens, `x-time` the milliseconds that the caller waits, `x-last` an event, `x-key` an affinity key,
-/// `x-prompt` parts of the prompt, `x-previous` the turn before; servers answer `x-not-run`.
+/// `x-prompt` parts of the prompt, `x-previous` the turn before, `x-auth` the caller's key; servers are
+/// told `x-tenant`, and answer `x-not-run`.
 #[derive(Clone, Copy, Debug)]
 pub struct ShortCodec;
 
@@ -34,6 +38,9 @@
             path: head.uri.path().to_owned(),
             host: text(headers, "host").unwrap_or_default(),
             headers: HeaderMap::new(),
+            credential: text(headers, "x-auth").map_or(Credential::Missing, |key| {
+                Credential::Key(KeyDigest::of(key.as_bytes()))
+            }),
             body: bytes::Bytes::new(),
             time_left: number("x-time").map(Duration::from_millis),
             last_event: number("x-last"),
@@ -66,6 +73,9 @@
         if let Some(event) = terms.resume_after {
             out.put_slice(format!("x-last: {event}\r\n").as_bytes());
         }
+        if let Some(tenant) = &terms.tenant {
+            out.put_slice(format!("x-tenant: {tenant}\r\n").as_bytes());
+        }
         out.put_slice(b"\r\n");
     }
 
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicI64, AtomicU64};
+use std::time::Duration;
 
 use actix_http::Response;
 use actix_http::body::BoxBody;
@@ -44,6 +45,8 @@
     pub attempts: Counter,
     /// Streams taken up at a server after a break.
     pub resumed: Counter,
+    /// How old the proof of the routing table was when a call with a key was sent, in seconds.
+    pub proof_age: Histogram,
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the partitions of the records, as known here.
@@ -119,6 +122,7 @@
             call_seconds: Histogram::new(SECONDS),
             attempts: Counter::default(),
             resumed: Counter::default(),
+            proof_age: Histogram::new(SECONDS),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
             records: RECORD_FIGURES
@@ -148,6 +152,11 @@
             "Streams taken up after a break",
             self.resumed.clone(),
         );
+        registry.register(
+            "proof_age_seconds",
+            "Age of the proof that keys may be used, when a call was sent",
+            self.proof_age.clone(),
+        );
         registry.register(
             "routing_version",
             "Version of the routing table in force",
@@ -168,6 +177,12 @@
         );
     }
 
+    /// Notes how old the proof of the routing table was when a call with a key was to be sent.
+    pub fn note_proof_age(&self, age: Option<Duration>) {
+        let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.proof_age.observe(age);
+    }
+
     /// Notes what a store holds and uses.
     pub fn set_records(&self, figures: &StoreFigures) {
         for (figure, gauge) in &self.records {
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -88,6 +88,8 @@
     Submit(Command),
     /// The routing table in force, confirmed by a quorum.
     ReadRouting,
+    /// The version of the routing table in force, confirmed by a quorum.
+    ReadRoutingVersion,
     /// A controller wants to take part.
     Join {
         /// Its incarnation.
@@ -157,6 +159,16 @@
     Full,
 }
 
+/// Until when it is certain that a version of the routing table was the newest one of which anyone
+/// was told that it is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingProof {
+    /// The version; none before the first.
+    pub version: Option<u64>,
+    /// How long before the question arrived, in milliseconds, rounded up.
+    pub before_question_ms: u64,
+}
+
 /// Answered.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum PeerReply {
@@ -168,11 +180,15 @@
         controllers: Vec<NodeId>,
         /// Whether this controller heard the leader lately.
         is_fresh: bool,
+        /// When the routing table was surely the newest; none if that isn't known.
+        proof: Option<RoutingProof>,
     },
     /// The command is committed.
     Committed(Outcome),
     /// The routing table in force; none before the first.
     Routing(Option<RoutingInForce>),
+    /// The version of the routing table in force; none before the first.
+    RoutingVersion(Option<u64>),
     /// The controller takes part, or will.
     Joining,
     /// The known incarnation; none if the asker is unknown.
--- a/crates/courseshed-edge/src/records/store.rs
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -16,7 +16,7 @@
 use super::disk::Disk;
 use crate::clock::time_of_day_ms;
 use crate::control_client::ControlClient;
-use crate::follower::FleetFollower;
+use crate::follower::{FleetFollower, FollowerKind};
 use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
 use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
@@ -99,7 +99,12 @@
     let handler = Arc::new(StorePeers { disk: disk.clone() });
     let started = start_peers(settings.node, settings.addresses, PeerPort::Store, handler);
     let peers = Arc::new(started.context(PeersSnafu)?);
-    let follower = FleetFollower::new(peers.clone(), settings.addresses, true, settings.seeds);
+    let follower = FleetFollower::new(
+        peers.clone(),
+        settings.addresses,
+        FollowerKind::Store,
+        settings.seeds,
+    );
     tokio::spawn(follower.clone().run());
     let control = ControlClient::new(peers.clone(), follower.clone(), settings.addresses);
     let store = StoreMachine {
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -76,6 +76,7 @@
         metrics: metrics.clone(),
         codec: Box::new(ShortCodec),
         policy,
+        revocation: None,
     };
     actix_rt::spawn(async move {
         let stopped = async {
@@ -171,6 +172,7 @@
                 routes: routes.into_iter().map(Arc::new).collect(),
                 services: vec![service],
                 limits: CallLimits::default(),
+                tenants: None,
             },
         };
         until(async || {
@@ -251,6 +253,7 @@
         retention_ms: 60_000,
         affinity: false,
         resumable: false,
+        is_public: false,
     }
 }
 
--- a/crates/courseshed-routing/src/check.rs
+++ b/crates/courseshed-routing/src/check.rs
@@ -1,10 +1,10 @@
 //! What makes a table one that can't be accepted.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use snafu::{Snafu, ensure};
 
-use crate::{Route, RoutingTable};
+use crate::{KeyDigest, Route, RoutingTable, Tenant};
 
 /// The first fault found in a table.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -45,6 +45,41 @@
         /// Its prefix.
         path_prefix: String,
     },
+    /// A tenant has no name.
+    #[snafu(display("a tenant has an empty name"))]
+    NamelessTenant,
+    /// Two tenants have the same name.
+    #[snafu(display("two tenants are named {tenant:?}"))]
+    SameTenant {
+        /// The name of both.
+        tenant: String,
+    },
+    /// A tenant's name can't be told to servers.
+    #[snafu(display("the name of tenant {tenant:?} may hold visible ASCII characters only"))]
+    BadTenantName {
+        /// The tenant.
+        tenant: String,
+    },
+    /// A tenant has an empty key.
+    #[snafu(display("tenant {tenant:?} has an empty key"))]
+    EmptyKey {
+        /// The tenant.
+        tenant: String,
+    },
+    /// A key is held twice. The key is not told.
+    #[snafu(display("tenant {tenant:?} has a key that tenant {other:?} has, too"))]
+    SharedKey {
+        /// The tenant.
+        tenant: String,
+        /// The tenant that was listed with it before; it may be the same one.
+        other: String,
+    },
+    /// A tenant's quota is no number of requests.
+    #[snafu(display("the rate and the burst of tenant {tenant:?} must be 0 or more"))]
+    BadQuota {
+        /// The tenant.
+        tenant: String,
+    },
 }
 
 impl RoutingTable {
@@ -65,6 +100,27 @@
                 }
             );
         }
+        self.check_tenants()
+    }
+
+    fn check_tenants(&self) -> Result<(), TableError> {
+        let mut names = BTreeSet::new();
+        let mut holders: BTreeMap<KeyDigest, &str> = BTreeMap::new();
+        for tenant in self.tenants.iter().flatten() {
+            check_tenant(tenant)?;
+            let name = tenant.name.as_str();
+            ensure!(names.insert(name), SameTenantSnafu { tenant: name });
+            for key in &tenant.keys {
+                let other = holders.insert(*key, name);
+                ensure!(
+                    other.is_none(),
+                    SharedKeySnafu {
+                        tenant: name,
+                        other: other.unwrap_or_default(),
+                    }
+                );
+            }
+        }
         Ok(())
     }
 
@@ -95,3 +151,21 @@
         Ok(())
     }
 }
+
+fn check_tenant(tenant: &Tenant) -> Result<(), TableError> {
+    let name = &tenant.name;
+    ensure!(!name.is_empty(), NamelessTenantSnafu);
+    let is_tellable = name.bytes().all(|byte| byte.is_ascii_graphic());
+    ensure!(is_tellable, BadTenantNameSnafu { tenant: name });
+    let empty = KeyDigest::of(b"");
+    ensure!(
+        !tenant.keys.contains(&empty),
+        EmptyKeySnafu { tenant: name }
+    );
+    let is_count = |number: f64| number.is_finite() && number >= 0.0;
+    let is_quota = tenant
+        .quota
+        .is_none_or(|quota| is_count(quota.rate_per_s) && is_count(quota.burst));
+    ensure!(is_quota, BadQuotaSnafu { tenant: name });
+    Ok(())
+}
--- a/crates/courseshed-routing/src/lib.rs
+++ b/crates/courseshed-routing/src/lib.rs
@@ -8,9 +8,11 @@
 mod matching;
 mod split;
 mod table;
+mod tenant;
 
 pub use check::TableError;
 pub use split::SplitCounter;
 pub use table::{
     CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
 };
+pub use tenant::{KeyDigest, RequestQuota, Tenant};
--- a/crates/courseshed-routing/src/table.rs
+++ b/crates/courseshed-routing/src/table.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Tenant;
+
 /// What may be repeated of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallKind {
@@ -53,6 +55,9 @@
     pub affinity: bool,
     /// Whether a broken stream may be taken up at another server.
     pub resumable: bool,
+    /// Whether it is served without a key where tenants are listed.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 impl Route {
@@ -120,6 +125,9 @@
     pub services: Vec<Service>,
     /// Bounds on what callers may send.
     pub limits: CallLimits,
+    /// Who may call, by keys; none where calls need no key.
+    #[serde(default)]
+    pub tenants: Option<Vec<Arc<Tenant>>>,
 }
 
 impl RoutingTable {
--- a/crates/courseshed-routing/tests/table.rs
+++ b/crates/courseshed-routing/tests/table.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use courseshed_routing::{
-    CallKind, Route, RoutingTable, Service, SplitCounter, TableError, Target,
+    CallKind, KeyDigest, RequestQuota, Route, RoutingTable, Service, SplitCounter, TableError,
+    Target, Tenant,
 };
 use yare::parameterized;
 
@@ -22,6 +23,7 @@
         retention_ms: 0,
         affinity: false,
         resumable: false,
+        is_public: false,
     }
 }
 
@@ -41,6 +43,7 @@
             engine: None,
         }],
         limits: Default::default(),
+        tenants: None,
     }
 }
 
@@ -87,3 +90,61 @@
         assert!(counts[1].abs_diff(20) <= 1, "{counts:?}");
     }
 }
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+        priority: None,
+        quota: None,
+    }
+}
+
+fn with_tenants(tenants: Vec<Tenant>) -> RoutingTable {
+    RoutingTable {
+        tenants: Some(tenants.into_iter().map(Arc::new).collect()),
+        ..table(Vec::new())
+    }
+}
+
+fn with_rate(rate_per_s: f64, burst: f64) -> Tenant {
+    Tenant {
+        quota: Some(RequestQuota { rate_per_s, burst }),
+        ..tenant("a", &["k"])
+    }
+}
+
+#[parameterized(
+    usual = { vec![tenant("a", &["k1", "k2"]), tenant("b", &["k3"])], None },
+    no_keys = { vec![tenant("a", &[])], None },
+    limited = { vec![with_rate(5.0, 0.0)], None },
+    shared = { vec![tenant("a", &["k1"]), tenant("b", &["k2", "k1"])], Some("tenant \"b\" has a key that tenant \"a\" has, too") },
+    twice = { vec![tenant("a", &["k1", "k1"])], Some("tenant \"a\" has a key that tenant \"a\" has, too") },
+    empty_key = { vec![tenant("a", &[""])], Some("tenant \"a\" has an empty key") },
+    same_name = { vec![tenant("a", &["k1"]), tenant("a", &["k2"])], Some("two tenants are named \"a\"") },
+    no_name = { vec![tenant("", &["k1"])], Some("a tenant has an empty name") },
+    odd_name = { vec![tenant("a\r\nx: y", &["k1"])], Some("the name of tenant \"a\\r\\nx: y\" may hold visible ASCII characters only") },
+    negative = { vec![with_rate(-1.0, 0.0)], Some("the rate and the burst of tenant \"a\" must be 0 or more") },
+    no_number = { vec![with_rate(1.0, f64::NAN)], Some("the rate and the burst of tenant \"a\" must be 0 or more") },
+)]
+fn tenants_are_checked(tenants: Vec<Tenant>, expected: Option<&str>) {
+    let fault = with_tenants(tenants).check().err();
+    let text = fault.as_ref().map(ToString::to_string);
+    assert_eq!(text.as_deref(), expected);
+}
+
+#[test]
+fn a_key_finds_its_tenant_alone() {
+    let table = with_tenants(vec![tenant("a", &["k1", "k2"]), tenant("b", &["k3"])]);
+    let holder = |key: &str| {
+        let tenant = table.tenant_of(&KeyDigest::of(key.as_bytes()));
+        tenant.map(|tenant| tenant.name.as_str())
+    };
+    assert_eq!(holder("k2"), Some("a"));
+    assert_eq!(holder("k3"), Some("b"));
+    assert_eq!(holder("k"), None);
+    assert_eq!(holder(""), None);
+}
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -164,6 +164,7 @@
         metrics: Arc::new(Metrics::new()),
         codec: Box::new(ShortCodec),
         policy: Policy::default(),
+        revocation: None,
     };
     let run = gateway::run(settings, signals::stop_asked(), GRACE);
     run.await.map_err(|error| error.to_string())
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -413,6 +413,7 @@
         retention_ms: 60_000,
         affinity: keeps_turns,
         resumable: false,
+        is_public: false,
     };
     let routes = [
         route("once", CallKind::AtMostOnce, 2, false),
@@ -432,6 +433,7 @@
                 }),
             }],
             limits: CallLimits::default(),
+            tenants: None,
         },
     }
 }
