Keep tenants to their quotas over all gateways with leased permits

A tenant has as many permits as requests may fall into one window; each send occupies one for a window and a half second, then it is free at the same gateway. A new leader knows nothing of earlier grants; ceilings that the controllers agreed on bound what those may come to until their leases have lapsed. Turns that begin a program get none of the last 15 in 100 permits, which are left to programs under way; whether one begins a program the stores tell, so it doesn't matter through which gateway its turns come. Beyond the limit: 429 at once with a time to come back; with no owner to ask: 503.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{Message, ReplicaAddress};
+use courseshed_quota::QuotaReport;
 use courseshed_records::CaughtUp;
 use courseshed_registry::{
     Command, FleetState, LoadBoard, LoadReport, Outcome, Registration, Retirement, RoutingInForce,
@@ -96,6 +97,12 @@
         servers: Vec<String>,
         nodes: Vec<NodeId>,
     },
+    /// A gateway's use of tenants' permits.
+    Quota {
+        gateway: NodeId,
+        report: QuotaReport,
+        reply: oneshot::Sender<PeerReply>,
+    },
     HandOver,
 }
 
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod handle;
 mod housekeeping;
 mod peers;
+mod quotas;
 mod relay;
 mod replica;
 mod worker;
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use courseshed_consensus::FaultSwitch;
+use courseshed_quota::QuotaTerms;
 use courseshed_types::NodeId;
 
 pub use handle::{ControlError, ControllerHandle};
@@ -42,6 +44,8 @@
     pub server_silence: Duration,
     /// Lost disks that must be borne at once.
     pub disks_borne: usize,
+    /// How tenants' requests are counted.
+    pub quota: QuotaTerms,
     /// Makes writes of the log fail, for tests; does nothing by itself.
     pub disk_faults: FaultSwitch,
 }
@@ -98,6 +102,7 @@
         addresses: settings.addresses,
         server_silence: settings.server_silence,
         disks_borne: settings.disks_borne,
+        quota: settings.quota,
         disk_faults: settings.disk_faults,
     };
     replica::start(options, shared.clone(), peers).context(ReplicaSnafu)?;
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -109,6 +109,11 @@
                 let others = self.0.exchange_load(from.node, report);
                 reply.send(PeerReply::OthersLoad(others));
             }
+            PeerRequest::Quota(report) => self.forward(reply, |reply| Input::Quota {
+                gateway: from.node,
+                report,
+                reply,
+            }),
             PeerRequest::Records(_) => {}
         }
     }
--- a/crates/courseshed-edge/src/controller/replica.rs
+++ b/crates/courseshed-edge/src/controller/replica.rs
@@ -10,6 +10,7 @@
     Configuration, DiskLog, FaultSwitch, FaultyLog, GroupError, GroupId, PeerConfig,
     ReplicaAddress, ReplicatedGroup, StorageError,
 };
+use courseshed_quota::QuotaTerms;
 use courseshed_registry::FleetState;
 use courseshed_types::NodeId;
 use snafu::{ResultExt, Snafu};
@@ -63,6 +64,7 @@
     pub addresses: PeerAddresses,
     pub server_silence: Duration,
     pub disks_borne: usize,
+    pub quota: QuotaTerms,
     pub disk_faults: FaultSwitch,
 }
 
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -18,6 +18,7 @@
 
 use super::handle::{Input, Published, Reading, Shared};
 use super::housekeeping::{Housekeeper, INTERVAL, replicas_wanted};
+use super::quotas::OwnedQuotas;
 use super::replica::{Group, ReplicaFailure, WorkerOptions};
 use crate::peers::Peers;
 use crate::protocol::{PeerMessage, PeerPort, PeerReply, node_of};
@@ -52,6 +53,8 @@
     proposals: BTreeMap<LogIndex, (Term, Option<oneshot::Sender<PeerReply>>)>,
     reads: BTreeMap<ReadId, (Reading, oneshot::Sender<PeerReply>)>,
     pub(super) housekeeper: Option<Housekeeper>,
+    /// The owner of tenants' permits, while this controller leads.
+    pub(super) quota: Option<OwnedQuotas>,
     next_housekeeping: Duration,
     leader_heard: Duration,
     pub(super) shown: Shown,
@@ -76,6 +79,7 @@
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             housekeeper: None,
+            quota: None,
             next_housekeeping: Duration::ZERO,
             leader_heard: Duration::ZERO,
             shown,
@@ -139,6 +143,11 @@
                 }
             }
             Input::Heard { servers, nodes } => self.on_heard(servers, nodes),
+            Input::Quota {
+                gateway,
+                report,
+                reply,
+            } => self.on_quota(gateway, report, reply),
             Input::HandOver => self.hand_over(),
         }
     }
@@ -173,7 +182,7 @@
         PeerReply::NotLeader(self.group.leader().map(node_of))
     }
 
-    fn submit(&mut self, command: Command, reply: Option<oneshot::Sender<PeerReply>>) {
+    pub(super) fn submit(&mut self, command: Command, reply: Option<oneshot::Sender<PeerReply>>) {
         if let Some(refusal) = self.refusal(&command) {
             if let Some(reply) = reply {
                 let _ = reply.send(refusal);
@@ -257,6 +266,7 @@
         for command in housekeeper.due(now, self.group.machine()) {
             self.submit(command, None);
         }
+        self.keep_quotas();
     }
 
     fn carry_out(&mut self, outputs: GroupOutputs<Option<Outcome>>) {
@@ -268,6 +278,7 @@
         }
         for applied in outputs.applied {
             self.has_news = true;
+            self.note_ceilings(applied.output.as_ref());
             if let Some((term, reply)) = self.proposals.remove(&applied.index) {
                 let committed = (term == applied.term)
                     .then_some(applied.output)
@@ -308,6 +319,7 @@
         for (_, (_, reply)) in std::mem::take(&mut self.reads) {
             let _ = reply.send(PeerReply::Unsure);
         }
+        self.quota = None;
         self.housekeeper = (change.role == RoleName::Leader).then(|| {
             Housekeeper::new(
                 self.options.server_silence,
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -11,6 +11,7 @@
 
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use courseshed_quota::Standing;
 use courseshed_routing::{CallKind, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tokio::time::Instant;
@@ -22,6 +23,7 @@
 use super::choice::{ChoiceInputs, Chosen, Demand};
 use super::core::{GatewayCore, InFlight};
 use super::policy::Mechanism;
+use super::quota::{Permit, Quotas};
 use super::refusal::Refusal;
 use super::servers::Report;
 use super::upstream::{Upstream, UpstreamError};
@@ -88,6 +90,9 @@
     pub log: CallLog,
     /// Who the request is made for.
     pub caller: Caller,
+    /// Whether the request begins a program.
+    pub standing: Standing,
+    permit: Option<Permit>,
     version: u64,
     connection_limit: u32,
     sent_to: Vec<String>,
@@ -117,6 +122,8 @@
             body: call.body.clone(),
             parts: parts_of(&call, &route),
             caller,
+            standing: Standing::UnderWay,
+            permit: None,
             version,
             connection_limit,
             core,
@@ -138,6 +145,9 @@
             if self.time_left() < LEAST_TIME {
                 return Err(self.out_of_time());
             }
+            if let Err(refusal) = self.take_permit().await {
+                return Err(self.not_sent_again(refusal));
+            }
             let Some(chosen) = self.choose() else {
                 return Err(self.out_of_servers());
             };
@@ -157,9 +167,15 @@
                 upstream.finish();
                 return Err(self.not_sent_again(refusal));
             }
+            if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
+                upstream.finish();
+                self.permit = None;
+                continue;
+            }
             match self.send(upstream, &chosen, resume_after).await {
                 Ok((head, upstream, sent_at)) => {
                     if !self.is_refused(&head, &chosen) {
+                        self.permit = None;
                         self.log.server = chosen.id.clone();
                         return Ok(Opened {
                             head,
@@ -172,8 +188,15 @@
                     }
                     self.pass_over(&chosen.id);
                     upstream.finish();
+                    if let Some(permit) = self.permit.take() {
+                        permit.not_run();
+                    }
+                }
+                Err(error) => {
+                    // It may have run: the permit stays occupied, and another send needs another.
+                    self.permit = None;
+                    self.on_error(&chosen, &error)?;
                 }
-                Err(error) => self.on_error(&chosen, &error)?,
             }
         }
     }
@@ -276,6 +299,19 @@
         table.listed(last)
     }
 
+    /// Takes a permit for the next send, if the tenant's requests are limited.
+    async fn take_permit(&mut self) -> Result<(), Refusal> {
+        let Some(tenant) = self.caller.tenant() else {
+            return Ok(());
+        };
+        if self.permit.is_some() || tenant.quota.is_none() {
+            return Ok(());
+        }
+        let permit = Quotas::acquire(&self.core, &tenant.name, self.standing, self.deadline);
+        self.permit = Some(permit.await?);
+        Ok(())
+    }
+
     async fn connect(&self, chosen: &Chosen) -> Result<Upstream, UpstreamError> {
         let pool = self.core.pool.clone();
         pool.connect(&chosen.id, chosen.address).await
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -13,6 +13,7 @@
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
 use super::policy::Policy;
+use super::quota::Quotas;
 use super::servers::{Report, ServerTable};
 use super::upstream::UpstreamPool;
 use crate::clock::Clock;
@@ -31,6 +32,8 @@
     pub policy: Policy,
     /// How long keys may be used without hearing that they still are.
     pub access: AccessTerms,
+    /// Permits of tenants whose requests are limited.
+    pub quotas: Quotas,
     pub clock: Clock,
     pub servers: RefCell<ServerTable>,
     pub answer_times: RefCell<AnswerTimes>,
@@ -57,6 +60,7 @@
         zone: String,
         policy: Policy,
         access: AccessTerms,
+        quotas: Quotas,
     ) -> Rc<Self> {
         Rc::new(Self {
             codec,
@@ -68,6 +72,7 @@
             servers: RefCell::new(ServerTable::new(policy.clone())),
             policy,
             access,
+            quotas,
             answer_times: RefCell::default(),
             zone,
             ends_at: Cell::new(None),
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod program;
 mod prompt_memory;
 mod quantile;
+mod quota;
 mod refusal;
 mod server;
 mod servers;
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -34,9 +34,16 @@
     keep_ms: u64,
     tokens_per_event: u64,
     events: u64,
+    /// Whether the program was given no tokens before.
+    is_first: bool,
 }
 
 impl TokenReservation {
+    /// Whether the turn begins its program, as far as its tokens tell.
+    pub(super) fn is_first(&self) -> bool {
+        self.is_first
+    }
+
     /// Counts an event that the caller is given.
     pub(super) fn count_event(&mut self) {
         self.events += 1;
@@ -68,7 +75,7 @@
         return Ok(None);
     };
     // Made before the stores are asked: whatever comes of it, it is settled in the end.
-    let held = TokenReservation {
+    let mut held = TokenReservation {
         records: core.records.clone(),
         program: claim.program.clone(),
         id: xxh3_64(call.request_id.as_bytes()),
@@ -76,6 +83,7 @@
         keep_ms: keep_ms(route),
         tokens_per_event,
         events: 0,
+        is_first: false,
     };
     let reservation = Reservation {
         program: held.program.clone(),
@@ -87,7 +95,10 @@
         .reserve(reservation, budget, held.keep_ms, deadline)
         .await;
     match decision {
-        Ok(ReservationDecision::Granted) => Ok(Some(held)),
+        Ok(ReservationDecision::Granted { is_first }) => {
+            held.is_first = is_first;
+            Ok(Some(held))
+        }
         Ok(ReservationDecision::Spent { by_others }) => {
             log::info!(event = "budget_spent", request = call.request_id.as_str(), program = claim.program.as_str(), budget, by_others, most; "the turn does not fit into the program's budget");
             Err(Refusal::BudgetSpent)
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -22,6 +22,13 @@
     UnknownKey,
     /// Whether the caller's key may still be used isn't known for sure here.
     NoProof,
+    /// The tenant has made as many requests as it may.
+    OverQuota {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Whether the tenant may make more requests can't be found out here.
+    NoQuota,
     /// No routing table is known yet.
     NotStarted,
     /// No server takes it now.
@@ -51,6 +58,9 @@
 const ROOM_RETRY: Duration = Duration::from_secs(2);
 /// When to come back, to another gateway.
 const OTHER_GATEWAY_RETRY: Duration = Duration::from_millis(10);
+/// When to come back after the owner of the permits could not be asked: in about the time that the
+/// controllers take to agree on another.
+const QUOTA_RETRY: Duration = Duration::from_millis(400);
 /// When to come back after no server took the request.
 const SERVER_RETRY: Duration = Duration::from_millis(120);
 
@@ -74,6 +84,8 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoProof => "no_proof",
+            Self::OverQuota { .. } => "over_quota",
+            Self::NoQuota => "no_quota",
             Self::NotStarted => "not_started",
             Self::NoServer => "no_server",
             Self::Leaving => "leaving",
@@ -94,8 +106,10 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute | Self::UnknownTurn => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotStarted
             | Self::NoProof
+            | Self::NoQuota
             | Self::NoServer
             | Self::Leaving
             | Self::NoRecords
@@ -113,6 +127,8 @@
             Self::NoRoom => Some(ROOM_RETRY),
             Self::Leaving | Self::NoProof => Some(OTHER_GATEWAY_RETRY),
             Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
+            Self::OverQuota { retry_after } => Some(retry_after),
+            Self::NoQuota => Some(QUOTA_RETRY),
             _ => None,
         }
     }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -7,6 +7,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
+use courseshed_quota::QuotaTerms;
 use courseshed_routing::{CallLimits, Route, VersionedTable};
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
@@ -19,6 +20,7 @@
 use super::core::GatewayCore;
 use super::load::share_load;
 use super::policy::{Mechanism, Policy};
+use super::quota::{Quotas, exchange_permits};
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
 use crate::follower::{FleetFollower, FollowerKind};
@@ -59,6 +61,8 @@
     /// How soon a key must be out of use everywhere once it was taken away; none if a gateway that
     /// hears nothing may go on with what it knows.
     pub revocation: Option<Duration>,
+    /// How tenants' requests are counted.
+    pub quota: QuotaTerms,
 }
 
 /// A gateway doesn't start.
@@ -128,9 +132,15 @@
         settings
             .revocation
             .map_or_else(AccessTerms::default, AccessTerms::strict),
+        Quotas::new(settings.quota),
     );
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
+    actix_rt::spawn(exchange_permits(
+        core.clone(),
+        peers.clone(),
+        settings.addresses,
+    ));
     if core.policy.uses(Mechanism::SharedLoads) {
         actix_rt::spawn(share_load(core.clone(), peers));
     }
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use courseshed_quota::Standing;
 use courseshed_records::PartitionId;
 use futures_util::stream;
 use snafu::Snafu;
@@ -52,6 +53,9 @@
         (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
     };
     attempts.body = composed.body;
+    if reservation.as_ref().is_some_and(TokenReservation::is_first) {
+        attempts.standing = Standing::New;
+    }
     let last_event = attempts.call.last_event;
     let opened = match attempts.open(last_event).await {
         Ok(opened) => opened,
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use courseshed_consensus::{Message, ReplicaId};
+use courseshed_quota::{QuotaAnswer, QuotaReport};
 use courseshed_records::{
     ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
 };
@@ -108,6 +109,8 @@
     Records(RecordRequest),
     /// A gateway's calls at servers, and what the others have there.
     ShareLoad(LoadReport),
+    /// A gateway's use of tenants' permits, for the leader.
+    Quota(QuotaReport),
 }
 
 /// A request to a store with records.
@@ -201,6 +204,8 @@
     Records(RecordReply),
     /// The calls of all other gateways at servers.
     OthersLoad(LoadReport),
+    /// What a gateway may use of tenants' permits.
+    Quota(QuotaAnswer),
 }
 
 /// The protocol of the fleet's transport.
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -16,9 +16,11 @@
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
+use courseshed_quota::QuotaTerms;
 use courseshed_registry::{Registration, Server, ServerState};
 use courseshed_routing::{
-    CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
+    CallKind, CallLimits, EngineLimits, KeyDigest, RequestQuota, Route, RoutingTable, Service,
+    Target, Tenant, VersionedTable,
 };
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -27,6 +29,13 @@
 
 static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
 
+/// How tenants' requests are counted in tests.
+pub const QUOTA: QuotaTerms = QuotaTerms {
+    window: Duration::from_secs(5),
+    overshoot: 0.1,
+    slack: 0.0,
+};
+
 /// More than the store of a test needs.
 pub const AMPLE_STORE: StoreLimits = StoreLimits {
     memory_bytes: 128 * 1024 * 1024,
@@ -61,6 +70,7 @@
     addresses: PeerAddresses,
     grace: Duration,
     policy: Policy,
+    revocation: Option<Duration>,
 ) -> Gateway {
     let callers = SocketAddr::from((ip, addresses.first_port + 8));
     let readiness = SocketAddr::from((ip, addresses.first_port + 9));
@@ -76,7 +86,8 @@
         metrics: metrics.clone(),
         codec: Box::new(ShortCodec),
         policy,
-        revocation: None,
+        revocation,
+        quota: QUOTA,
     };
     actix_rt::spawn(async move {
         let stopped = async {
@@ -104,11 +115,25 @@
         Self::start_with_store(grace, policy, AMPLE_STORE).await
     }
 
+    /// Starts a fleet in which a key is out of use everywhere that long after it was taken away.
+    pub async fn start_strict(grace: Duration, revocation: Duration) -> Self {
+        Self::start_as(grace, Policy::default(), AMPLE_STORE, Some(revocation)).await
+    }
+
     /// Starts a fleet whose store may use little of its machine.
     pub async fn start_with_store(
         grace: Duration,
         policy: Policy,
         store_limits: StoreLimits,
+    ) -> Self {
+        Self::start_as(grace, policy, store_limits, None).await
+    }
+
+    async fn start_as(
+        grace: Duration,
+        policy: Policy,
+        store_limits: StoreLimits,
+        revocation: Option<Duration>,
     ) -> Self {
         let folder = TempDir::new().expect("a folder");
         let subnet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
@@ -127,6 +152,7 @@
             addresses,
             server_silence: Duration::from_secs(600),
             disks_borne: 0,
+            quota: QUOTA,
             disk_faults: disk_faults.clone(),
         })
         .await
@@ -142,7 +168,7 @@
             metrics: Arc::new(Metrics::new()),
         })
         .expect("a store");
-        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy);
+        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy, revocation);
         Self {
             controller,
             callers: gateway.callers,
@@ -158,6 +184,12 @@
 
     /// Puts routes in force and waits until the gateway serves.
     pub async fn route(&self, routes: Vec<Route>) {
+        self.put(1, routes, None).await;
+        until(async || status(&get(self.readiness, "/").await) == 200).await;
+    }
+
+    /// Puts a version of the routing table in force.
+    pub async fn put(&self, version: u64, routes: Vec<Route>, tenants: Option<Vec<Tenant>>) {
         let service = Service {
             name: "s".to_owned(),
             connection_limit: 100,
@@ -167,12 +199,12 @@
             }),
         };
         let table = VersionedTable {
-            version: 1,
+            version,
             table: RoutingTable {
                 routes: routes.into_iter().map(Arc::new).collect(),
                 services: vec![service],
                 limits: CallLimits::default(),
-                tenants: None,
+                tenants: tenants.map(|tenants| tenants.into_iter().map(Arc::new).collect()),
             },
         };
         until(async || {
@@ -180,7 +212,6 @@
             done.await.is_ok()
         })
         .await;
-        until(async || status(&get(self.readiness, "/").await) == 200).await;
     }
 
     /// Waits until the stores of the records can be reached through a streaming route.
@@ -220,7 +251,7 @@
         let host = |host| Ipv4Addr::new(a, b, c, host);
         let grace = Duration::from_secs(20);
         let policy = Policy::default();
-        let gateway = start_gateway(host(4), host(1), self.addresses, grace, policy);
+        let gateway = start_gateway(host(4), host(1), self.addresses, grace, policy, None);
         until(async || status(&get(gateway.readiness, "/").await) == 200).await;
         gateway
     }
@@ -313,3 +344,16 @@
     let port = listener.local_addr().expect("an address").port();
     port.min(u16::MAX - 20)
 }
+
+/// A tenant with one key, and so many requests a second if they are limited.
+pub fn tenant(name: &str, key: &str, rate_per_s: Option<f64>) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: vec![KeyDigest::of(key.as_bytes())],
+        priority: None,
+        quota: rate_per_s.map(|rate_per_s| RequestQuota {
+            rate_per_s,
+            burst: 0.0,
+        }),
+    }
+}
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -364,7 +364,7 @@
             Purpose::Reserve { id, tally } => {
                 let reserved = store.replica.reserved(PROGRAM);
                 match tally.on_reserved(node, &reserved) {
-                    Some(ReservationDecision::Granted) => {
+                    Some(ReservationDecision::Granted { .. }) => {
                         let id = *id;
                         self.grant(id);
                         true
--- a/crates/courseshed-records/src/tally.rs
+++ b/crates/courseshed-records/src/tally.rs
@@ -44,7 +44,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReservationDecision {
     /// The tokens are reserved on a quorum of disks.
-    Granted,
+    Granted {
+        /// Whether the program was never given any before, and none are set aside for it elsewhere.
+        is_first: bool,
+    },
     /// They don't fit into the budget. The reservation must be taken back.
     Spent {
         /// What others hold or were given.
@@ -98,7 +101,9 @@
         let others = self.counted.iter().filter(|(id, _)| **id != self.own);
         let by_others: u64 = others.map(|(_, tokens)| u64::from(*tokens)).sum();
         if by_others + self.most <= self.budget {
-            return ReservationDecision::Granted;
+            return ReservationDecision::Granted {
+                is_first: by_others == 0,
+            };
         }
         ReservationDecision::Spent { by_others }
     }
--- a/crates/courseshed-records/tests/views.rs
+++ b/crates/courseshed-records/tests/views.rs
@@ -143,8 +143,8 @@
 }
 
 #[parameterized(
-    fits = { 40, ReservationDecision::Granted },
-    settled_elsewhere = { 31, ReservationDecision::Granted },
+    fits = { 40, ReservationDecision::Granted { is_first: false } },
+    settled_elsewhere = { 31, ReservationDecision::Granted { is_first: false } },
     too_much = { 30, ReservationDecision::Spent { by_others: 11 } },
 )]
 fn a_reservation_counts_what_any_replica_knows(budget: u64, expected: ReservationDecision) {
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{LogIndex, RestoreError, StateMachine};
+use courseshed_quota::Ceiling;
 use courseshed_records::{PartitionMap, StoreMachine, ViewChange};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -17,6 +18,10 @@
 /// Servers that left are remembered, so that a late announcement doesn't bring them back.
 const REMEMBERED_DEPARTURES: usize = 4096;
 
+/// Ceilings beyond which those of tenants that are gone are forgotten: several times the tenants that
+/// one fleet is meant for.
+const REMEMBERED_CEILINGS: usize = 4096;
+
 /// The routing table in force, and what the operator sent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RoutingInForce {
@@ -47,6 +52,9 @@
     stores: BTreeMap<NodeId, StoreMachine>,
     records: PartitionMap,
     retirements: BTreeMap<NodeId, Retirement>,
+    /// The most permits of each tenant that may be out.
+    #[serde(default)]
+    quota_ceilings: BTreeMap<String, u32>,
 }
 
 /// What a follower of the state has already.
@@ -99,6 +107,15 @@
         &self.records
     }
 
+    /// The most permits of each tenant that may be out.
+    pub fn quota_ceilings(&self) -> impl Iterator<Item = Ceiling> + '_ {
+        let ceilings = self.quota_ceilings.iter();
+        ceilings.map(|(tenant, permits)| Ceiling {
+            tenant: tenant.clone(),
+            permits: *permits,
+        })
+    }
+
     /// Machines with disks for records.
     #[must_use]
     pub fn stores(&self) -> &BTreeMap<NodeId, StoreMachine> {
@@ -183,6 +200,10 @@
             Command::ChangeRecordViews(changes) => self.change_views(changes),
             Command::Retire { name, needed } => return self.retire(&name, needed),
             Command::CompleteRetirement { node } => self.complete_retirement(node),
+            Command::SetQuotaCeilings(ceilings) => {
+                self.set_quota_ceilings(&ceilings);
+                return Outcome::CeilingsSet(ceilings);
+            }
         }
         Outcome::Done
     }
@@ -197,6 +218,22 @@
         }
     }
 
+    /// Ceilings of tenants that are gone are kept for a while: their permits may still be out.
+    fn set_quota_ceilings(&mut self, ceilings: &[Ceiling]) {
+        for ceiling in ceilings {
+            self.quota_ceilings
+                .insert(ceiling.tenant.clone(), ceiling.permits);
+        }
+        if self.quota_ceilings.len() > REMEMBERED_CEILINGS {
+            let table = self.routing.as_ref().map(|routing| routing.table.clone());
+            let is_known = |name: &str| {
+                let table = table.as_ref();
+                table.is_some_and(|table| table.table.tenant(name).is_some())
+            };
+            self.quota_ceilings.retain(|name, _| is_known(name));
+        }
+    }
+
     fn announce(&mut self, mut registration: Registration) {
         if self.is_ordinary(&registration) {
             return;
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -18,6 +18,7 @@
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
 use courseshed_edge::{logging, signals};
+use courseshed_quota::QuotaTerms;
 
 /// Lost disks that the fleet bears at once.
 const DISKS_BORNE: usize = 1;
@@ -165,6 +166,7 @@
         codec: Box::new(ShortCodec),
         policy: Policy::default(),
         revocation: None,
+        quota: QuotaTerms::default(),
     };
     let run = gateway::run(settings, signals::stop_asked(), GRACE);
     run.await.map_err(|error| error.to_string())
@@ -200,6 +202,7 @@
         addresses: arguments.addresses(),
         server_silence: SERVER_SILENCE,
         disks_borne: DISKS_BORNE,
+        quota: QuotaTerms::default(),
         disk_faults: Default::default(),
     })
     .await
