--- a/crates/courseshed-edge/src/gateway/access.rs
+++ b/crates/courseshed-edge/src/gateway/access.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use courseshed_quota::QuotaTerms;
 use courseshed_routing::{KeyDigest, Route, RoutingTable, Tenant, VersionedTable};
 
 use super::call::Credential;
@@ -24,6 +25,16 @@
 /// 1.6 s old: one question held for 0.6 s, the next one under way, and the controller's own 0.4 s.
 const UNKNOWN_KEY_PROOF: Duration = Duration::from_millis(2500);
 
+/// What is asked of a gateway whose callers are tenants.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TenantTerms {
+    /// How soon a key must be out of use everywhere once it was taken away; none if a gateway that
+    /// hears nothing may go on with what it knows.
+    pub revocation: Option<Duration>,
+    /// How tenants' requests are counted.
+    pub quota: QuotaTerms,
+}
+
 /// How long a key may be used without hearing that it still is one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AccessTerms {
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -9,7 +9,7 @@
 
 use tokio::time::Instant;
 
-use super::access::AccessTerms;
+use super::access::{AccessTerms, TenantTerms};
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
 use super::policy::Policy;
@@ -59,9 +59,9 @@
         metrics: Arc<Metrics>,
         zone: String,
         policy: Policy,
-        access: AccessTerms,
-        quotas: Quotas,
+        tenants: TenantTerms,
     ) -> Rc<Self> {
+        let access = tenants.revocation.map(AccessTerms::strict);
         Rc::new(Self {
             codec,
             follower,
@@ -71,8 +71,8 @@
             clock: Clock::start(),
             servers: RefCell::new(ServerTable::new(policy.clone())),
             policy,
-            access,
-            quotas,
+            access: access.unwrap_or_default(),
+            quotas: Quotas::new(tenants.quota),
             answer_times: RefCell::default(),
             zone,
             ends_at: Cell::new(None),
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 mod stream;
 mod upstream;
 
-pub use access::{AccessTerms, Caller, Identity};
+pub use access::{AccessTerms, Caller, Identity, TenantTerms};
 pub use answer_times::AnswerTimes;
 pub use call::{
     AnswerMarks, CallCodec, CallEnvelope, Credential, ProgramClaim, SendTerms, UnreadableCall,
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -7,20 +7,19 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
-use courseshed_quota::QuotaTerms;
 use courseshed_routing::{CallLimits, Route, VersionedTable};
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::access::{AccessTerms, Caller};
+use super::access::{Caller, TenantTerms};
 use super::attempts::{Attempts, ChosenService};
 use super::call::{CallCodec, CallEnvelope, Credential};
 use super::core::GatewayCore;
 use super::load::share_load;
 use super::policy::{Mechanism, Policy};
-use super::quota::{Quotas, exchange_permits};
+use super::quota::exchange_permits;
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
 use crate::follower::{FleetFollower, FollowerKind};
@@ -58,11 +57,8 @@
     pub codec: Box<dyn CallCodec>,
     /// The mechanisms that it decides by.
     pub policy: Policy,
-    /// How soon a key must be out of use everywhere once it was taken away; none if a gateway that
-    /// hears nothing may go on with what it knows.
-    pub revocation: Option<Duration>,
-    /// How tenants' requests are counted.
-    pub quota: QuotaTerms,
+    /// What is asked of it where callers are tenants.
+    pub tenants: TenantTerms,
 }
 
 /// A gateway doesn't start.
@@ -111,7 +107,7 @@
         peers.clone(),
         settings.addresses,
         FollowerKind::Gateway {
-            revocation: settings.revocation,
+            revocation: settings.tenants.revocation,
         },
         settings.seeds,
     );
@@ -129,10 +125,7 @@
         settings.metrics,
         settings.zone,
         settings.policy,
-        settings
-            .revocation
-            .map_or_else(AccessTerms::default, AccessTerms::strict),
-        Quotas::new(settings.quota),
+        settings.tenants,
     );
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use courseshed_consensus::FaultSwitch;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec};
+use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec, TenantTerms};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
@@ -86,8 +86,10 @@
         metrics: metrics.clone(),
         codec: Box::new(ShortCodec),
         policy,
-        revocation,
-        quota: QUOTA,
+        tenants: TenantTerms {
+            revocation,
+            quota: QUOTA,
+        },
     };
     actix_rt::spawn(async move {
         let stopped = async {
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -12,7 +12,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec};
+use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec, TenantTerms};
 use courseshed_edge::http::{HttpTiming, listen, read_body, serve};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
@@ -165,8 +165,7 @@
         metrics: Arc::new(Metrics::new()),
         codec: Box::new(ShortCodec),
         policy: Policy::default(),
-        revocation: None,
-        quota: QuotaTerms::default(),
+        tenants: TenantTerms::default(),
     };
     let run = gateway::run(settings, signals::stop_asked(), GRACE);
     run.await.map_err(|error| error.to_string())
