Let a new owner of permits trust what its gateways say, and a gateway wait shortly for a proof

Gateways that were frozen or just started refused 2,100 calls for want of a proof that came within some ms, and told callers to come back after 10 ms although no gateway had one.

Change: the controllers agree on which gateways hold permits, too. Once all of them have reported, each with how long it has lived, nothing is out that isn't known but what earlier lives sent. Ceilings have 16 steps.

--- a/crates/courseshed-edge/src/controller/quotas.rs
+++ b/crates/courseshed-edge/src/controller/quotas.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use courseshed_quota::{Ceiling, QuotaOwner, QuotaReport};
+use courseshed_quota::{OwnerBounds, QuotaOwner, QuotaReport};
 use courseshed_registry::{Command, Outcome};
 use courseshed_types::NodeId;
 use tokio::sync::oneshot;
@@ -14,8 +14,8 @@
 use crate::protocol::PeerReply;
 
 /// How often ceilings are looked at. They are lowered if what was out since the last time fits under
-/// a lower one, so a burst of some seconds raises and lowers one once.
-const CEILING_INTERVAL: Duration = Duration::from_secs(10);
+/// a lower one: as soon as the permits of a burst are free again, which takes about as long.
+const CEILING_INTERVAL: Duration = Duration::from_secs(4);
 /// How soon tenants get their first ceilings after a routing table named them.
 const NEW_CEILING_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -49,12 +49,12 @@
             let tenant = table?.table.tenant(name)?;
             tenant.quota.as_ref().map(|quota| terms.permits(quota))
         };
-        let (answer, ceilings) = quotas.owner.on_report(now, gateway, report, permits_of);
+        let (answer, bounds) = quotas.owner.on_report(now, gateway, report, permits_of);
         // A report that came late has no answer; its gateway has made another since.
         if let Some(answer) = answer {
             let _ = reply.send(PeerReply::Quota(answer));
         }
-        self.propose_ceilings(ceilings);
+        self.propose_bounds(bounds);
     }
 
     /// Gives new tenants their ceilings, and lowers those that are too high.
@@ -79,7 +79,7 @@
             let quota = tenant.quota.as_ref()?;
             Some((tenant.name.as_str(), terms.permits(quota)))
         });
-        let ceilings = quotas.owner.ceilings_due(now, limited);
+        let bounds = quotas.owner.bounds_due(now, limited);
         let is_new = quotas.version != version;
         quotas.version = version;
         quotas.next_check = now
@@ -88,26 +88,22 @@
             } else {
                 CEILING_INTERVAL
             };
-        self.propose_ceilings(ceilings);
+        self.propose_bounds(bounds);
     }
 
-    /// Takes in that ceilings were agreed on.
-    pub(super) fn note_ceilings(&mut self, outcome: Option<&Outcome>) {
-        let (Some(quotas), Some(Outcome::CeilingsSet(ceilings))) = (&mut self.quota, outcome)
-        else {
-            return;
-        };
-        for ceiling in ceilings {
-            quotas.owner.on_ceiling(ceiling);
+    /// Takes in that a change of the bounds was agreed on.
+    pub(super) fn note_bounds(&mut self, outcome: Option<&Outcome>) {
+        if let (Some(quotas), Some(Outcome::QuotasBound(bounds))) = (&mut self.quota, outcome) {
+            quotas.owner.on_bounds(bounds);
         }
     }
 
-    fn propose_ceilings(&mut self, ceilings: Vec<Ceiling>) {
-        if ceilings.is_empty() {
+    fn propose_bounds(&mut self, bounds: OwnerBounds) {
+        if bounds.is_empty() {
             return;
         }
-        log::info!(event = "quota_ceilings", tenants = ceilings.len(), first = ceilings[0].tenant.as_str(), permits = ceilings[0].permits; "proposing how many permits of tenants may be out");
-        self.submit(Command::SetQuotaCeilings(ceilings), None);
+        log::info!(event = "quota_bounds", ceilings = bounds.ceilings.len(), holders = bounds.holders.len(), former_holders = bounds.former_holders.len(); "proposing how many permits may be out, and where");
+        self.submit(Command::BoundQuotas(bounds), None);
     }
 
     /// Whether this controller surely leads now; it begins to own the permits if it does.
@@ -118,8 +114,8 @@
         }
         if self.quota.is_none() {
             let epoch = self.group.term().0;
-            let ceilings = self.group.machine().quota_ceilings();
-            let owner = QuotaOwner::new(self.options.quota, epoch, now, ceilings);
+            let bounds = self.group.machine().quota_bounds();
+            let owner = QuotaOwner::new(self.options.quota, epoch, now, bounds);
             log::info!(event = "quota_owner", epoch; "owning the permits of tenants from now on");
             self.quota = Some(OwnedQuotas {
                 owner,
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -278,7 +278,7 @@
         }
         for applied in outputs.applied {
             self.has_news = true;
-            self.note_ceilings(applied.output.as_ref());
+            self.note_bounds(applied.output.as_ref());
             if let Some((term, reply)) = self.proposals.remove(&applied.index) {
                 let committed = (term == applied.term)
                     .then_some(applied.output)
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -26,6 +26,8 @@
 const HOLDS_A_REVOCATION: u32 = 6;
 /// How much longer than that an answer may take.
 const ANSWER_SLACK: Duration = Duration::from_millis(250);
+/// An answer no older than this means that controllers can be reached: two requests that are held.
+const HEARD_LATELY: Duration = Duration::from_millis(1500);
 /// Pause after a controller that could not help.
 const PAUSE: Duration = Duration::from_millis(60);
 /// How long a node that knows nothing yet asks the same controllers before it looks for others.
@@ -92,6 +94,10 @@
     candidates: Mutex<VecDeque<NodeId>>,
     view: watch::Sender<FleetView>,
     proven: Mutex<Option<Proven>>,
+    /// Changes with each proof.
+    proofs: watch::Sender<()>,
+    /// When any controller answered last.
+    answered_at: Mutex<Option<Instant>>,
 }
 
 impl FleetFollower {
@@ -111,6 +117,8 @@
             candidates: Mutex::new(VecDeque::new()),
             view: watch::channel(FleetView::default()).0,
             proven: Mutex::new(None),
+            proofs: watch::channel(()).0,
+            answered_at: Mutex::new(None),
         })
     }
 
@@ -128,6 +136,20 @@
         self.view.subscribe()
     }
 
+    /// Waits for the next proof of the routing table, for a time at most.
+    pub async fn wait_for_proof(&self, limit: Duration) {
+        let mut proofs = self.proofs.subscribe();
+        // Whether one came shows in its age.
+        let _ = timeout(limit, proofs.changed()).await;
+    }
+
+    /// Whether a controller answered lately, so that what is lacking is lacking at all gateways.
+    #[must_use]
+    pub fn hears_controllers(&self) -> bool {
+        let answered_at = *self.answered_at.lock();
+        answered_at.is_some_and(|at| at.elapsed() < HEARD_LATELY)
+    }
+
     /// The newest that is known.
     #[must_use]
     pub fn view(&self) -> FleetView {
@@ -222,6 +244,7 @@
         else {
             return None;
         };
+        *self.answered_at.lock() = Some(Instant::now());
         self.learn(controller, controllers);
         if let Some(proof) = &proof {
             self.note_proof(proof, asked_at);
@@ -253,6 +276,8 @@
                 version: proof.version,
                 at,
             });
+            drop(proven);
+            self.proofs.send_replace(());
         }
     }
 
--- a/crates/courseshed-edge/src/gateway/access.rs
+++ b/crates/courseshed-edge/src/gateway/access.rs
@@ -25,6 +25,11 @@
 /// 1.6 s old: one question held for 0.6 s, the next one under way, and the controller's own 0.4 s.
 const UNKNOWN_KEY_PROOF: Duration = Duration::from_millis(2500);
 
+/// Another gateway may have a proof.
+const NOT_PROVEN_HERE: Refusal = Refusal::NoProof {
+    is_everywhere: false,
+};
+
 /// What is asked of a gateway whose callers are tenants.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TenantTerms {
@@ -92,11 +97,11 @@
             return Err(if is_sure {
                 Refusal::UnknownKey
             } else {
-                Refusal::NoProof
+                NOT_PROVEN_HERE
             });
         };
         if !self.is_proven(proof_age) {
-            return Err(Refusal::NoProof);
+            return Err(NOT_PROVEN_HERE);
         }
         Ok(Caller {
             identity: Some(Identity {
@@ -123,7 +128,7 @@
             return Ok(());
         };
         if !self.is_proven(proof_age) {
-            return Err(Refusal::NoProof);
+            return Err(NOT_PROVEN_HERE);
         }
         if now.version == version || now.table.tenants.is_none() {
             return Ok(());
--- a/crates/courseshed-edge/src/gateway/quota.rs
+++ b/crates/courseshed-edge/src/gateway/quota.rs
@@ -45,9 +45,11 @@
 
 impl Quotas {
     pub(super) fn new(terms: QuotaTerms) -> Self {
+        let clock = Clock::start();
+        let holder = QuotaHolder::new(terms, time_of_day_ms(), clock.now());
         Self {
-            holder: RefCell::new(QuotaHolder::new(terms, time_of_day_ms())),
-            clock: Clock::start(),
+            holder: RefCell::new(holder),
+            clock,
             wanted: Notify::new(),
             answers: watch::channel(0).0,
         }
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -21,7 +21,10 @@
     /// No tenant holds the key that the caller shows, or it shows none.
     UnknownKey,
     /// Whether the caller's key may still be used isn't known for sure here.
-    NoProof,
+    NoProof {
+        /// Whether that is so at all gateways, as far as this one can tell.
+        is_everywhere: bool,
+    },
     /// The tenant has made as many requests as it may.
     OverQuota {
         /// When to come back.
@@ -83,7 +86,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
-            Self::NoProof => "no_proof",
+            Self::NoProof { .. } => "no_proof",
             Self::OverQuota { .. } => "over_quota",
             Self::NoQuota => "no_quota",
             Self::NotStarted => "not_started",
@@ -108,7 +111,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotStarted
-            | Self::NoProof
+            | Self::NoProof { .. }
             | Self::NoQuota
             | Self::NoServer
             | Self::Leaving
@@ -123,9 +126,16 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NotStarted | Self::NoRecords => Some(RECORDS_RETRY),
+            Self::NotStarted
+            | Self::NoRecords
+            | Self::NoProof {
+                is_everywhere: true,
+            } => Some(RECORDS_RETRY),
             Self::NoRoom => Some(ROOM_RETRY),
-            Self::Leaving | Self::NoProof => Some(OTHER_GATEWAY_RETRY),
+            Self::Leaving
+            | Self::NoProof {
+                is_everywhere: false,
+            } => Some(OTHER_GATEWAY_RETRY),
             Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
             Self::OverQuota { retry_after } => Some(retry_after),
             Self::NoQuota => Some(QUOTA_RETRY),
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -255,6 +255,7 @@
         log::info!(event = "no_route", request = call.request_id.as_str(), host = call.host.as_str(), path = call.path.as_str(), version = routing.version; "no route fits");
         return Err(Refusal::NoRoute);
     };
+    wait_for_proof(core, &routing, wait).await;
     let caller = identify(core, &call, &route, &routing)?;
     let service = core.split(&route).ok_or(Refusal::NoRoute)?;
     let known = routing.table.service(&service);
@@ -277,6 +278,15 @@
     Ok((attempts, tokens_per_event))
 }
 
+/// Gives a gateway that was frozen, or has just started, time to hear that its table is the newest:
+/// one round between zones, if there is a leader.
+async fn wait_for_proof(core: &GatewayCore, routing: &VersionedTable, wait: Duration) {
+    let is_proven = core.access.is_proven(core.follower.proof_age());
+    if routing.table.tenants.is_some() && !is_proven {
+        core.follower.wait_for_proof(wait).await;
+    }
+}
+
 /// Who a call is made for, by the table that its route is of.
 fn identify(
     core: &GatewayCore,
@@ -288,6 +298,12 @@
     let identified = core
         .access
         .identify(call.credential, route, &routing.table, proof_age);
+    let identified = identified.map_err(|refusal| match refusal {
+        Refusal::NoProof { .. } => Refusal::NoProof {
+            is_everywhere: core.follower.hears_controllers(),
+        },
+        other => other,
+    });
     identified.inspect_err(|refusal| {
         let shows_key = matches!(call.credential, Credential::Key(_));
         log::info!(event = "not_let_in", request = call.request_id.as_str(), route = route.name.as_str(), outcome = refusal.as_str(), shows_key, version = routing.version, proof_age_ms = proof_age.map(|age| age.as_millis() as u64); "the caller's key doesn't let it in");
--- a/crates/courseshed-quota/src/holder.rs
+++ b/crates/courseshed-quota/src/holder.rs
@@ -85,6 +85,7 @@
 pub struct QuotaHolder {
     terms: QuotaTerms,
     incarnation: u64,
+    began: Duration,
     sequence: u64,
     epoch: Option<u64>,
     is_whole_due: bool,
@@ -100,12 +101,13 @@
 }
 
 impl QuotaHolder {
-    /// A gateway's holder without permits, in a life of its process.
+    /// A gateway's holder without permits, in a life of its process that begins now.
     #[must_use]
-    pub fn new(terms: QuotaTerms, incarnation: u64) -> Self {
+    pub fn new(terms: QuotaTerms, incarnation: u64, now: Duration) -> Self {
         Self {
             terms,
             incarnation,
+            began: now,
             sequence: 0,
             epoch: None,
             is_whole_due: true,
@@ -256,6 +258,7 @@
         });
         Some(QuotaReport {
             incarnation: self.incarnation,
+            life_ms: now.saturating_sub(self.began).as_millis() as u64,
             sequence: self.sequence,
             epoch: self.epoch,
             is_whole,
--- a/crates/courseshed-quota/src/lib.rs
+++ b/crates/courseshed-quota/src/lib.rs
@@ -16,6 +16,6 @@
 mod terms;
 
 pub use holder::{QuotaHolder, Shortage, Standing};
-pub use message::{QuotaAnswer, QuotaReport, TenantGrant, TenantUse};
-pub use owner::{Ceiling, QuotaOwner, Variant};
+pub use message::{Ceiling, OwnerBounds, QuotaAnswer, QuotaReport, TenantGrant, TenantUse};
+pub use owner::{QuotaOwner, Variant};
 pub use terms::{LEASE, QuotaTerms};
--- a/crates/courseshed-quota/src/message.rs
+++ b/crates/courseshed-quota/src/message.rs
@@ -1,5 +1,6 @@
 //! What gateways and the owner of the permits say to each other.
 
+use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
 
 /// A gateway's use of one tenant's permits.
@@ -20,6 +21,8 @@
 pub struct QuotaReport {
     /// The life of the gateway's process; a later one has a higher number.
     pub incarnation: u64,
+    /// How long that life has lasted, in milliseconds.
+    pub life_ms: u64,
     /// Grows with each report of that life.
     pub sequence: u64,
     /// The owner that the gateway believes to know all that it holds.
@@ -57,3 +60,32 @@
         epoch: u64,
     },
 }
+
+/// The most permits of a tenant that may be out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ceiling {
+    /// The tenant.
+    pub tenant: String,
+    /// Permits.
+    pub permits: u32,
+}
+
+/// What an owner is bound by, and the next one may rely on: agreed on by the controllers before it is
+/// used. A change of it, or all of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerBounds {
+    /// The most permits that may be out, by tenant.
+    pub ceilings: Vec<Ceiling>,
+    /// Gateways that may hold permits.
+    pub holders: Vec<NodeId>,
+    /// Gateways that may hold them no longer.
+    pub former_holders: Vec<NodeId>,
+}
+
+impl OwnerBounds {
+    /// Whether it changes nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ceilings.is_empty() && self.holders.is_empty() && self.former_holders.is_empty()
+    }
+}
--- a/crates/courseshed-quota/src/owner.rs
+++ b/crates/courseshed-quota/src/owner.rs
@@ -2,16 +2,19 @@
 //! allowed can be within the last window.
 //!
 //! An owner knows nothing of what the one before it granted. What those grants may come to at most is
-//! bounded by ceilings that the controllers agree on before they are used; until all leases of the
-//! owner before have lapsed, what of a ceiling no gateway has reported counts as out.
+//! bounded by ceilings, and who may have them by a list of holders; the controllers agree on both
+//! before they are used. What of a ceiling no gateway has reported counts as out until every holder
+//! has reported from a life that lasts for longer than a send counts, or, for those that stay silent,
+//! until all leases of the owner before have lapsed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use courseshed_types::NodeId;
-use serde::{Deserialize, Serialize};
 
-use crate::{LEASE, QuotaAnswer, QuotaReport, QuotaTerms, TenantGrant, TenantUse};
+use crate::{
+    Ceiling, LEASE, OwnerBounds, QuotaAnswer, QuotaReport, QuotaTerms, TenantGrant, TenantUse,
+};
 
 /// Permits that a gateway gets beyond its need, to begin with.
 const AHEAD: u32 = 1;
@@ -20,20 +23,14 @@
 /// The part of what is free that one gateway gets ahead of need at most: an eighth, so that some is
 /// left for whoever asks next.
 const FREE_PART: u32 = 8;
-/// Steps of a ceiling, as parts of a tenant's permits. Few steps mean few commands; half of the
-/// permits is about what a tenant uses whose limit is 1.6 times its mean.
-const CEILING_STEPS: u32 = 4;
-/// The step that a ceiling begins with.
-const FIRST_STEP: u32 = 2;
-
-/// The most permits of a tenant that may be out; agreed on by the controllers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ceiling {
-    /// The tenant.
-    pub tenant: String,
-    /// Permits.
-    pub permits: u32,
-}
+/// Steps of a ceiling, as parts of a tenant's permits. The finer, the more of its permits a new owner
+/// may grant at once; the coarser, the fewer commands.
+const CEILING_STEPS: u32 = 16;
+/// The step that a ceiling begins with: a quarter, half of what a tenant uses whose limit is 1.6 times
+/// its mean.
+const FIRST_STEP: u32 = 4;
+/// Steps that a ceiling is above what is out, so that it need not be raised with each grant.
+const SPARE_STEPS: u32 = 1;
 
 /// An owner that is broken on purpose, for tests of what checks it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -94,6 +91,14 @@
     epoch: u64,
     recovered_at: Duration,
     ceilings: BTreeMap<String, u32>,
+    /// Gateways that may hold permits.
+    holders: BTreeSet<NodeId>,
+    /// Holders of the owner before that haven't reported yet.
+    awaited: BTreeSet<NodeId>,
+    /// When no send of an earlier life of those that have reported counts any more.
+    lives_clear_at: Duration,
+    /// Holders that fell silent, and when nothing of them counts any more.
+    silent: BTreeMap<NodeId, Duration>,
     gateways: BTreeMap<NodeId, GatewayLedger>,
     tenants: BTreeMap<String, TenantLedger>,
     /// Gateways whose permits of the owner before were taken over, once each.
@@ -102,15 +107,11 @@
 }
 
 impl QuotaOwner {
-    /// An owner that begins now, under the ceilings that the one before was bound by.
+    /// An owner that begins now, under the bounds that the one before was bound by.
     #[must_use]
-    pub fn new(
-        terms: QuotaTerms,
-        epoch: u64,
-        now: Duration,
-        ceilings: impl IntoIterator<Item = Ceiling>,
-    ) -> Self {
-        let ceilings: BTreeMap<String, u32> = ceilings
+    pub fn new(terms: QuotaTerms, epoch: u64, now: Duration, bounds: OwnerBounds) -> Self {
+        let ceilings: BTreeMap<String, u32> = bounds
+            .ceilings
             .into_iter()
             .map(|ceiling| (ceiling.tenant, ceiling.permits))
             .collect();
@@ -127,6 +128,10 @@
             recovered_at: now + LEASE + terms.occupancy(),
             tenants: ceilings.iter().map(ledger).collect(),
             ceilings,
+            awaited: bounds.holders.iter().copied().collect(),
+            holders: bounds.holders.into_iter().collect(),
+            lives_clear_at: now,
+            silent: BTreeMap::new(),
             gateways: BTreeMap::new(),
             adopted: BTreeSet::new(),
             variant: Variant::Sound,
@@ -143,87 +148,109 @@
         self
     }
 
-    /// Notes that the controllers agreed on a ceiling.
-    pub fn on_ceiling(&mut self, ceiling: &Ceiling) {
-        self.ceilings
-            .insert(ceiling.tenant.clone(), ceiling.permits);
+    /// Notes that the controllers agreed on a change of the bounds.
+    pub fn on_bounds(&mut self, bounds: &OwnerBounds) {
+        for ceiling in &bounds.ceilings {
+            self.ceilings
+                .insert(ceiling.tenant.clone(), ceiling.permits);
+        }
+        self.holders.extend(&bounds.holders);
+        for node in &bounds.former_holders {
+            self.holders.remove(node);
+        }
     }
 
-    /// The ceilings that tenants should have and don't, each tenant with its permits. Called now and
-    /// then: a ceiling is lowered, for the sake of the next owner, if what was out since the last time
-    /// would fit under a lower one. A lowered one binds this owner at once.
+    /// How the bounds should change, with each tenant's permits. Called now and then: a ceiling is
+    /// lowered, for the sake of the next owner, if what was out since the last time would fit under a
+    /// lower one. What is lowered binds this owner at once.
     #[must_use]
-    pub fn ceilings_due<'a>(
+    pub fn bounds_due<'a>(
         &mut self,
         now: Duration,
         tenants: impl IntoIterator<Item = (&'a str, u32)>,
-    ) -> Vec<Ceiling> {
-        let mut due = Vec::new();
+    ) -> OwnerBounds {
+        self.forget_old(now);
+        let mut due = OwnerBounds::default();
         for (name, permits) in tenants {
             let ceiling = self.ceilings.get(name).copied().unwrap_or(0);
             let ledger = self.tenants.entry(name.to_owned()).or_default();
             let out = ledger.out();
             let most_out = std::mem::replace(&mut ledger.most_out, out).max(out);
-            let mut steps = (FIRST_STEP..=CEILING_STEPS).map(|number| step(permits, number));
-            let wanted = steps.find(|step| u64::from(*step) >= most_out);
-            let wanted = wanted.unwrap_or(permits);
+            let wanted = step_above(permits, most_out);
             let is_lower = wanted < ceiling && now >= self.recovered_at;
             if is_lower {
                 self.ceilings.insert(name.to_owned(), wanted);
             }
             if is_lower || ceiling < step(permits, FIRST_STEP) {
-                due.push(Ceiling {
+                due.ceilings.push(Ceiling {
                     tenant: name.to_owned(),
                     permits: wanted,
                 });
             }
         }
+        if now >= self.recovered_at {
+            let gateways = &self.gateways;
+            let silent = &self.silent;
+            let is_gone = |node: &&NodeId| {
+                let counts = silent.get(*node).is_some_and(|until| now < *until);
+                !counts && !gateways.contains_key(*node)
+            };
+            due.former_holders = self.holders.iter().filter(is_gone).copied().collect();
+            for node in &due.former_holders {
+                self.holders.remove(node);
+                self.silent.remove(node);
+            }
+        }
         due
     }
 
     /// Answers a gateway's report. `permits_of` tells how many permits a tenant has; none if it isn't
-    /// limited or isn't known. Returns the ceilings that should be raised, too.
+    /// limited or isn't known. Returns how the bounds should change, too.
     pub fn on_report(
         &mut self,
         now: Duration,
         gateway: NodeId,
         report: QuotaReport,
         permits_of: impl Fn(&str) -> Option<u32>,
-    ) -> (Option<QuotaAnswer>, Vec<Ceiling>) {
+    ) -> (Option<QuotaAnswer>, OwnerBounds) {
         self.forget_old(now);
         if !self.is_in_order(now, gateway, &report) {
-            return (None, Vec::new());
+            return (None, OwnerBounds::default());
         }
         let Some(ledger) = self.gateways.get_mut(&gateway) else {
-            return (None, Vec::new());
+            return (None, OwnerBounds::default());
         };
         ledger.heard_at = now;
         let is_new_owner = report.epoch != Some(self.epoch) || !ledger.is_known;
         if is_new_owner && !report.is_whole {
             let answer = QuotaAnswer::ReportAll { epoch: self.epoch };
-            return (Some(answer), Vec::new());
+            return (Some(answer), OwnerBounds::default());
         }
         ledger.is_known = true;
         let is_first = self.adopted.insert(gateway);
         if report.is_whole {
             self.drop_unlisted(gateway, &report);
         }
+        if is_first {
+            self.note_life(now, gateway, report.life_ms);
+        }
         let mut grants = Vec::new();
-        let mut ceilings = Vec::new();
+        let mut bounds = OwnerBounds::default();
+        if !self.holders.contains(&gateway) {
+            bounds.holders.push(gateway);
+        }
         for entry in &report.uses {
             let permits = permits_of(&entry.tenant).unwrap_or(0);
-            let grant = self.decide(gateway, entry, permits, is_first);
-            if grant.is_pending {
-                ceilings.extend(self.raised(&entry.tenant, permits));
-            }
+            let (grant, wanted) = self.decide(gateway, entry, permits, is_first);
+            bounds.ceilings.extend(wanted);
             grants.push(grant);
         }
         if report.epoch != Some(self.epoch) {
             // The gateway learns whose permits these are with its next report.
             let answer = QuotaAnswer::ReportAll { epoch: self.epoch };
-            return (Some(answer), ceilings);
+            return (Some(answer), bounds);
         }
-        (Some(QuotaAnswer::Granted { grants }), ceilings)
+        (Some(QuotaAnswer::Granted { grants }), bounds)
     }
 
     /// Permits of a tenant that count as out.
@@ -264,18 +291,31 @@
         true
     }
 
+    /// Takes in how long a gateway has lived that reports to this owner for the first time. Once all
+    /// holders have, nothing is out that isn't known, but what their earlier lives sent.
+    fn note_life(&mut self, now: Duration, gateway: NodeId, life_ms: u64) {
+        let life = Duration::from_millis(life_ms);
+        let clear_in = self.terms.occupancy().saturating_sub(life);
+        self.lives_clear_at = self.lives_clear_at.max(now + clear_in);
+        self.awaited.remove(&gateway);
+        if self.awaited.is_empty() {
+            self.recovered_at = self.recovered_at.min(self.lives_clear_at);
+        }
+    }
+
     fn decide(
         &mut self,
         gateway: NodeId,
         entry: &TenantUse,
         permits: u32,
         is_first: bool,
-    ) -> TenantGrant {
+    ) -> (TenantGrant, Option<Ceiling>) {
+        let is_holder = self.holders.contains(&gateway);
         let tenant = self.tenants.entry(entry.tenant.clone()).or_default();
         let ledger = self.gateways.get_mut(&gateway);
         let charge = ledger.map(|ledger| ledger.charges.entry(entry.tenant.clone()).or_default());
         let Some(charge) = charge else {
-            return refused(&entry.tenant);
+            return (refused(&entry.tenant), None);
         };
         let held = entry.held.max(entry.used);
         if is_first {
@@ -289,8 +329,12 @@
         let room = room_under(permits.min(ceiling));
         let need = entry.used.saturating_add(entry.waiting);
         let ahead = AHEAD + need / AHEAD_PART;
-        let granted = grant_within(room, need, ahead);
         let could_be = grant_within(room_under(permits), need, ahead);
+        let granted = if is_holder {
+            grant_within(room, need, ahead).min(could_be)
+        } else {
+            0
+        };
         let charged = match self.variant {
             Variant::LowersAtOnce => granted,
             _ => granted.max(held),
@@ -302,23 +346,18 @@
             permits: charged,
             in_use: need,
         };
-        TenantGrant {
+        let wanted = step_above(permits, others + u64::from(could_be));
+        let raised = (granted < could_be && wanted > ceiling).then(|| Ceiling {
+            tenant: entry.tenant.clone(),
+            permits: wanted,
+        });
+        let grant = TenantGrant {
             tenant: entry.tenant.clone(),
             permits: granted,
             occupied_permille: tenant.occupied_permille(permits),
-            is_pending: granted < could_be,
-        }
-    }
-
-    /// The next step of a tenant's ceiling; none at the last.
-    fn raised(&self, tenant: &str, permits: u32) -> Option<Ceiling> {
-        let ceiling = self.ceilings.get(tenant).copied().unwrap_or(0);
-        let mut steps = (FIRST_STEP..=CEILING_STEPS).map(|number| step(permits, number));
-        let next = steps.find(|step| *step > ceiling)?;
-        Some(Ceiling {
-            tenant: tenant.to_owned(),
-            permits: next,
-        })
+            is_pending: raised.is_some() || !is_holder,
+        };
+        (grant, raised)
     }
 
     /// A whole report tells that the gateway has nothing of tenants that it doesn't list.
@@ -370,6 +409,7 @@
             .collect();
         for gateway in silent {
             self.let_fade(now, gateway);
+            self.silent.insert(gateway, now + self.terms.occupancy());
         }
         let is_recovered = now >= self.recovered_at;
         for tenant in self.tenants.values_mut() {
@@ -413,6 +453,14 @@
     u32::try_from(part.div_ceil(u64::from(CEILING_STEPS))).unwrap_or(u32::MAX)
 }
 
+/// The lowest step of a ceiling that has so many permits under it, and some to spare.
+fn step_above(permits: u32, out: u64) -> u32 {
+    let mut steps = FIRST_STEP..=CEILING_STEPS;
+    let fits = steps.find(|number| u64::from(step(permits, *number)) >= out);
+    let number = fits.map_or(CEILING_STEPS, |number| number + SPARE_STEPS);
+    step(permits, number.min(CEILING_STEPS))
+}
+
 fn refused(tenant: &str) -> TenantGrant {
     TenantGrant {
         tenant: tenant.to_owned(),
--- a/crates/courseshed-registry/src/command.rs
+++ b/crates/courseshed-registry/src/command.rs
@@ -1,7 +1,7 @@
 //! What enters the controllers' log, and what comes of it.
 
 use bytes::Bytes;
-use courseshed_quota::Ceiling;
+use courseshed_quota::OwnerBounds;
 use courseshed_records::{StoreMachine, ViewChange};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -53,8 +53,8 @@
         /// The machine.
         node: NodeId,
     },
-    /// The most permits of some tenants that may be out, whoever leads.
-    SetQuotaCeilings(Vec<Ceiling>),
+    /// What the owner of tenants' permits is bound by changes.
+    BoundQuotas(OwnerBounds),
 }
 
 /// What came of a command.
@@ -66,6 +66,6 @@
     UnknownMachine,
     /// Too few machines would remain.
     TooFew,
-    /// These ceilings are in force.
-    CeilingsSet(Vec<Ceiling>),
+    /// These bounds of the owner of permits are in force.
+    QuotasBound(OwnerBounds),
 }
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{LogIndex, RestoreError, StateMachine};
-use courseshed_quota::Ceiling;
+use courseshed_quota::{Ceiling, OwnerBounds};
 use courseshed_records::{PartitionMap, StoreMachine, ViewChange};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -55,6 +55,9 @@
     /// The most permits of each tenant that may be out.
     #[serde(default)]
     quota_ceilings: BTreeMap<String, u32>,
+    /// Gateways that may hold permits.
+    #[serde(default)]
+    quota_holders: BTreeSet<NodeId>,
 }
 
 /// What a follower of the state has already.
@@ -107,13 +110,20 @@
         &self.records
     }
 
-    /// The most permits of each tenant that may be out.
-    pub fn quota_ceilings(&self) -> impl Iterator<Item = Ceiling> + '_ {
+    /// What the owner of tenants' permits is bound by.
+    #[must_use]
+    pub fn quota_bounds(&self) -> OwnerBounds {
         let ceilings = self.quota_ceilings.iter();
-        ceilings.map(|(tenant, permits)| Ceiling {
-            tenant: tenant.clone(),
-            permits: *permits,
-        })
+        OwnerBounds {
+            ceilings: ceilings
+                .map(|(tenant, permits)| Ceiling {
+                    tenant: tenant.clone(),
+                    permits: *permits,
+                })
+                .collect(),
+            holders: self.quota_holders.iter().copied().collect(),
+            former_holders: Vec::new(),
+        }
     }
 
     /// Machines with disks for records.
@@ -200,9 +210,9 @@
             Command::ChangeRecordViews(changes) => self.change_views(changes),
             Command::Retire { name, needed } => return self.retire(&name, needed),
             Command::CompleteRetirement { node } => self.complete_retirement(node),
-            Command::SetQuotaCeilings(ceilings) => {
-                self.set_quota_ceilings(&ceilings);
-                return Outcome::CeilingsSet(ceilings);
+            Command::BoundQuotas(bounds) => {
+                self.bound_quotas(&bounds);
+                return Outcome::QuotasBound(bounds);
             }
         }
         Outcome::Done
@@ -219,8 +229,12 @@
     }
 
     /// Ceilings of tenants that are gone are kept for a while: their permits may still be out.
-    fn set_quota_ceilings(&mut self, ceilings: &[Ceiling]) {
-        for ceiling in ceilings {
+    fn bound_quotas(&mut self, bounds: &OwnerBounds) {
+        self.quota_holders.extend(&bounds.holders);
+        for node in &bounds.former_holders {
+            self.quota_holders.remove(node);
+        }
+        for ceiling in &bounds.ceilings {
             self.quota_ceilings
                 .insert(ceiling.tenant.clone(), ceiling.permits);
         }
