--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -10,8 +10,8 @@
 use courseshed_quota::QuotaReport;
 use courseshed_records::CaughtUp;
 use courseshed_registry::{
-    Command, FleetState, LoadBoard, LoadReport, Outcome, Registration, Retirement, RoutingInForce,
-    ServerState,
+    Command, Confirmations, FleetState, LoadBoard, LoadReport, Outcome, Registration, Retirement,
+    RoutingInForce, RoutingProof, ServerState,
 };
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
@@ -22,7 +22,7 @@
 
 use crate::clock::Clock;
 use crate::peers::Peers;
-use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest, RoutingProof};
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
 
 /// How long a caller waits before it is told that nothing is certain. Callers try another controller
 /// after a second of silence.
@@ -70,13 +70,6 @@
     RoutingVersion,
 }
 
-/// A moment of this controller's clock at which a version of the routing table was the newest.
-#[derive(Clone, Copy, Debug)]
-struct ConfirmedVersion {
-    at: Duration,
-    version: Option<u64>,
-}
-
 /// What the worker is told.
 pub(crate) enum Input {
     Consensus(Message),
@@ -116,7 +109,7 @@
     published: watch::Sender<Published>,
     heard: Mutex<Heard>,
     load: Mutex<LoadBoard>,
-    confirmed: Mutex<Option<ConfirmedVersion>>,
+    confirmations: Mutex<Confirmations>,
 }
 
 #[derive(Default)]
@@ -137,27 +130,19 @@
             published: watch::channel(Published::default()).0,
             heard: Mutex::default(),
             load: Mutex::default(),
-            confirmed: Mutex::new(None),
+            confirmations: Mutex::default(),
         }
     }
 
     /// Notes that a version of the routing table was the newest at a time or later.
     pub(crate) fn note_confirmed(&self, at: Duration, version: Option<u64>) {
-        let mut confirmed = self.confirmed.lock();
-        if confirmed.is_none_or(|confirmed| confirmed.at < at) {
-            *confirmed = Some(ConfirmedVersion { at, version });
-        }
+        self.confirmations.lock().note(at, version);
     }
 
     /// What is certain of a state's routing table, for a question that arrived at a time.
     pub(crate) fn proof_of(&self, state: &FleetState, arrived: Duration) -> Option<RoutingProof> {
-        let confirmed = (*self.confirmed.lock())?;
         let held = state.routing().map(|routing| routing.table.version);
-        let before_question = arrived.saturating_sub(confirmed.at);
-        (held >= confirmed.version).then(|| RoutingProof {
-            version: held,
-            before_question_ms: before_question.as_micros().div_ceil(1000) as u64,
-        })
+        self.confirmations.lock().proof(held, arrived)
     }
 
     pub(crate) fn node(&self) -> NodeId {
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use courseshed_records::{PartitionMap, ViewChange};
-use courseshed_registry::{FleetUpdate, Known, ServerList};
+use courseshed_registry::{FleetUpdate, Known, ProofKeeper, RoutingProof, ServerList};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
@@ -17,8 +17,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::clock::Clock;
 use crate::peers::Peers;
-use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest, RoutingProof};
+use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
 
 /// How long a controller holds a request when there is nothing new.
 const HOLD: Duration = Duration::from_millis(600);
@@ -78,13 +79,6 @@
     }
 }
 
-/// A moment at which a version of the routing table was the newest that anyone was told of.
-#[derive(Clone, Copy, Debug)]
-struct Proven {
-    version: Option<u64>,
-    at: Instant,
-}
-
 /// Follows the fleet's state and shows the newest that is known.
 pub struct FleetFollower {
     peers: Arc<Peers>,
@@ -93,7 +87,8 @@
     seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
     candidates: Mutex<VecDeque<NodeId>>,
     view: watch::Sender<FleetView>,
-    proven: Mutex<Option<Proven>>,
+    clock: Clock,
+    proofs_kept: Mutex<ProofKeeper>,
     /// Changes with each proof.
     proofs: watch::Sender<()>,
     /// When any controller answered last.
@@ -116,7 +111,8 @@
             seeds,
             candidates: Mutex::new(VecDeque::new()),
             view: watch::channel(FleetView::default()).0,
-            proven: Mutex::new(None),
+            clock: Clock::start(),
+            proofs_kept: Mutex::default(),
             proofs: watch::channel(()).0,
             answered_at: Mutex::new(None),
         })
@@ -125,9 +121,8 @@
     /// How long ago the routing table shown was proven to be in force; none if it never was.
     #[must_use]
     pub fn proof_age(&self) -> Option<Duration> {
-        let proven = (*self.proven.lock())?;
         let held = self.view.borrow().routing.as_ref().map(|held| held.version);
-        (held >= proven.version).then(|| proven.at.elapsed())
+        self.proofs_kept.lock().age(self.clock.now(), held)
     }
 
     /// The newest that is known, and its changes.
@@ -230,7 +225,7 @@
             hold_ms: hold.as_millis() as u64,
             is_store: self.kind == FollowerKind::Store,
         };
-        let asked_at = Instant::now();
+        let asked_at = self.clock.now();
         let reply = self
             .peers
             .request(controller, request, hold + ANSWER_SLACK)
@@ -265,18 +260,8 @@
     }
 
     /// Notes a proof that came with the answer to a question asked at a time.
-    fn note_proof(&self, proof: &RoutingProof, asked_at: Instant) {
-        let before_question = Duration::from_millis(proof.before_question_ms);
-        let Some(at) = asked_at.checked_sub(before_question) else {
-            return;
-        };
-        let mut proven = self.proven.lock();
-        if proven.is_none_or(|proven| proven.at < at) {
-            *proven = Some(Proven {
-                version: proof.version,
-                at,
-            });
-            drop(proven);
+    fn note_proof(&self, proof: &RoutingProof, asked_at: Duration) {
+        if self.proofs_kept.lock().note(asked_at, proof) {
             self.proofs.send_replace(());
         }
     }
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -25,6 +25,14 @@
     route.retention_ms.max(LEAST_RETENTION_MS) + RETENTION_MARGIN_MS
 }
 
+/// The name under which the stores know a program: tenants may use the same names.
+fn program_key(tenant: Option<&str>, program: &str) -> String {
+    tenant.map_or_else(
+        || program.to_owned(),
+        |tenant| format!("{tenant}/{program}"),
+    )
+}
+
 /// Tokens set aside for a turn. When it is dropped, what was not given is given back.
 pub(super) struct TokenReservation {
     records: RecordClient,
@@ -77,6 +85,7 @@
 pub(super) async fn reserve(
     core: &Rc<GatewayCore>,
     call: &CallEnvelope,
+    tenant: Option<&str>,
     route: &Route,
     tokens_per_event: u64,
     deadline: Instant,
@@ -90,7 +99,7 @@
     // Made before the stores are asked: whatever comes of it, it is settled in the end.
     let mut held = TokenReservation {
         records: core.records.clone(),
-        program: claim.program.clone(),
+        program: program_key(tenant, &claim.program),
         id: xxh3_64(call.request_id.as_bytes()),
         most,
         keep_ms: keep_ms(route),
@@ -153,17 +162,19 @@
 pub(super) async fn compose_body(
     core: &Rc<GatewayCore>,
     call: &CallEnvelope,
+    tenant: Option<&str>,
     deadline: Instant,
 ) -> Result<ComposedBody, Refusal> {
     // A kept turn of no program is kept with those of the program without a name.
     let program = call.program.as_ref().map_or("", |claim| &claim.program);
+    let program = program_key(tenant, program);
     let Some(previous) = &call.previous_turn else {
         return Ok(ComposedBody {
             body: call.body.clone(),
-            partition: PartitionId::of_program(program),
+            partition: PartitionId::of_program(&program),
         });
     };
-    let chain = match core.records.chain(program, previous, deadline).await {
+    let chain = match core.records.chain(&program, previous, deadline).await {
         Ok(ChainLookup::Kept(chain)) => chain,
         Ok(ChainLookup::Unknown) => {
             log::info!(event = "unknown_turn", request = call.request_id.as_str(), previous = previous.as_str(); "the turn that it goes on from is not kept");
@@ -173,6 +184,11 @@
     };
     let partition = chain.partition;
     let chain = chain.turns;
+    let is_own = chain.iter().all(|turn| turn.tenant.as_deref() == tenant);
+    if !is_own {
+        log::warn!(event = "turn_of_another", request = call.request_id.as_str(), previous = previous.as_str(), tenant; "the turn that it goes on from is another tenant's");
+        return Err(Refusal::UnknownTurn);
+    }
     let hint = chain.last().and_then(|turn| turn.cached.as_ref());
     if let Some(cached) = hint.filter(|_| core.policy.uses(Mechanism::KeptTurnHints)) {
         let now = core.clock.now();
@@ -195,10 +211,16 @@
 }
 
 /// The record of a turn that was answered whole.
-pub(super) fn turn_of(call: &CallEnvelope, output: Bytes, cached: Option<CachedPrompt>) -> Turn {
+pub(super) fn turn_of(
+    call: &CallEnvelope,
+    tenant: Option<&str>,
+    output: Bytes,
+    cached: Option<CachedPrompt>,
+) -> Turn {
     Turn {
         id: call.request_id.clone(),
         previous: call.previous_turn.clone(),
+        tenant: tenant.map(str::to_owned),
         input: call.body.clone(),
         output,
         cached,
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -42,11 +42,17 @@
         reserve(
             &attempts.core,
             &attempts.call,
+            attempts.caller.tenant_name(),
             &attempts.route,
             tokens_per_event,
             attempts.deadline,
         ),
-        compose_body(&attempts.core, &attempts.call, attempts.deadline),
+        compose_body(
+            &attempts.core,
+            &attempts.call,
+            attempts.caller.tenant_name(),
+            attempts.deadline
+        ),
     );
     let (reservation, composed) = match prepared {
         (Ok(reservation), Ok(composed)) => (reservation, composed),
@@ -264,7 +270,12 @@
         }
         if self.attempts.route.keeps_turns {
             let output = self.output.split().freeze();
-            let turn = turn_of(&self.attempts.call, output, cached);
+            let turn = turn_of(
+                &self.attempts.call,
+                self.attempts.caller.tenant_name(),
+                output,
+                cached,
+            );
             let keep_ms = keep_ms(&self.attempts.route);
             let deadline = Instant::now() + KEEP_LIMIT;
             let kept = self
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -7,7 +7,9 @@
 use courseshed_records::{
     ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
 };
-use courseshed_registry::{Command, FleetUpdate, Known, LoadReport, Outcome, RoutingInForce};
+use courseshed_registry::{
+    Command, FleetUpdate, Known, LoadReport, Outcome, RoutingInForce, RoutingProof,
+};
 use courseshed_transport::{Protocol, TrafficClass};
 use courseshed_types::{CachedPrompt, NodeId};
 use serde::{Deserialize, Serialize};
@@ -172,16 +174,6 @@
     Full,
 }
 
-/// Until when it is certain that a version of the routing table was the newest one of which anyone
-/// was told that it is in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RoutingProof {
-    /// The version; none before the first.
-    pub version: Option<u64>,
-    /// How long before the question arrived, in milliseconds, rounded up.
-    pub before_question_ms: u64,
-}
-
 /// Answered.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum PeerReply {
--- a/crates/courseshed-edge/tests/tenants.rs
+++ b/crates/courseshed-edge/tests/tenants.rs
@@ -8,8 +8,8 @@
 use courseshed_edge::gateway::Policy;
 use courseshed_routing::Route;
 use futures_util::future::join_all;
-use support::server::{Act, StandIn, answer};
-use support::{Fleet, call, get, plain_route, status, tenant, until};
+use support::server::{Act, END, StandIn, answer, event, stream_head};
+use support::{Fleet, call, get, plain_route, status, stream_route, tenant, until};
 
 const GRACE: Duration = Duration::from_secs(20);
 const REVOCATION: Duration = Duration::from_secs(2);
@@ -127,3 +127,32 @@
     let other = call(fleet.callers, "d1", "x-auth: k2\r\n", "").await;
     assert_eq!(status(&other), 200, "{other}");
 }
+
+/// Another tenant's turn is as good as none, and a budget is not shared by a program of the same name.
+#[actix_rt::test]
+async fn tenants_have_turns_and_budgets_of_their_own() {
+    let fleet = Fleet::start(GRACE).await;
+    let server =
+        StandIn::start(|got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)))).await;
+    fleet.put(1, vec![public_route()], Some(vec![])).await;
+    fleet.announce("one", &server).await;
+    let tenants = vec![tenant("a", "k1", None), tenant("b", "k2", None)];
+    let mut route = stream_route();
+    route.keeps_turns = true;
+    fleet.put(2, vec![route], Some(tenants)).await;
+    let unknown = "x-auth: k1\r\nx-previous: never\r\n";
+    until(async || status(&call(fleet.callers, "p", unknown, "").await) == 404).await;
+    let turn = "x-auth: k1\r\nx-program: p\r\nx-budget: 10\r\nx-most: 10\r\n";
+    assert_eq!(status(&call(fleet.callers, "t1", turn, "first").await), 200);
+    let spent = call(fleet.callers, "t2", turn, "").await;
+    assert_eq!(status(&spent), 402, "{spent}");
+    let other = turn.replace("k1", "k2");
+    assert_eq!(status(&call(fleet.callers, "t3", &other, "").await), 200);
+    let own = "x-auth: k1\r\nx-program: p\r\nx-previous: t1\r\n";
+    assert_eq!(status(&call(fleet.callers, "t4", own, "more").await), 200);
+    let stolen = own.replace("k1", "k2");
+    assert_eq!(
+        status(&call(fleet.callers, "t5", &stolen, "more").await),
+        404
+    );
+}
--- a/crates/courseshed-records/src/record.rs
+++ b/crates/courseshed-records/src/record.rs
@@ -11,6 +11,9 @@
     pub id: String,
     /// The turn it goes on from.
     pub previous: Option<String>,
+    /// The tenant whose turn it is; none where calls need no key.
+    #[serde(default)]
+    pub tenant: Option<String>,
     /// What the caller sent.
     pub input: Bytes,
     /// What the engine answered: the data of each event with a line feed behind.
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -182,6 +182,7 @@
         input: Bytes::new(),
         output: Bytes::new(),
         cached: None,
+        tenant: None,
     }
 }
 
--- a/crates/courseshed-records/tests/store.rs
+++ b/crates/courseshed-records/tests/store.rs
@@ -36,6 +36,7 @@
             previous: previous.map(str::to_owned),
             input: Bytes::from_static(b"in"),
             output: Bytes::from_static(b"out"),
+            tenant: None,
             cached: Some(CachedPrompt::after_answer(
                 ServerKey(7),
                 &[PromptPart { id: 3, tokens: 40 }],
--- a/crates/courseshed-records/tests/store_model.rs
+++ b/crates/courseshed-records/tests/store_model.rs
@@ -275,6 +275,7 @@
             input: Bytes::from(vec![self.next_id as u8; size]),
             output: Bytes::from_static(b"out"),
             cached: None,
+            tenant: None,
         }
     }
 
--- a/crates/courseshed-records/tests/support/mod.rs
+++ b/crates/courseshed-records/tests/support/mod.rs
@@ -35,6 +35,7 @@
         input: Bytes::from(vec![b'i'; size]),
         output: Bytes::from_static(b"out"),
         cached: None,
+        tenant: None,
     };
     Record::Keep { turn, keep_ms }
 }
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -13,6 +13,7 @@
 mod command;
 mod liveness;
 mod load;
+mod proof;
 mod server;
 mod server_list;
 mod state;
@@ -20,6 +21,7 @@
 pub use command::{Command, Outcome};
 pub use liveness::{Liveness, LivenessSettings};
 pub use load::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
+pub use proof::{Confirmations, ProofKeeper, RoutingProof};
 pub use server::{Registration, Server, ServerState};
 pub use server_list::{ServerChanges, ServerList};
 pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
