--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -23,6 +23,7 @@
 pub use replica::StartError;
 
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
 use crate::protocol::{PeerAddresses, PeerPort};
 use handle::Shared;
@@ -46,6 +47,8 @@
     pub disks_borne: usize,
     /// How tenants' requests are counted.
     pub quota: QuotaTerms,
+    /// Where what happens is counted.
+    pub metrics: Arc<Metrics>,
     /// Makes writes of the log fail, for tests; does nothing by itself.
     pub disk_faults: FaultSwitch,
 }
@@ -103,6 +106,7 @@
         server_silence: settings.server_silence,
         disks_borne: settings.disks_borne,
         quota: settings.quota,
+        metrics: settings.metrics,
         disk_faults: settings.disk_faults,
     };
     replica::start(options, shared.clone(), peers).context(ReplicaSnafu)?;
--- a/crates/courseshed-edge/src/controller/quotas.rs
+++ b/crates/courseshed-edge/src/controller/quotas.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::worker::Worker;
+use crate::metrics::PermitFigures;
 use crate::protocol::PeerReply;
 
 /// How often ceilings are looked at. They are lowered if what was out since the last time fits under
@@ -79,7 +80,16 @@
             let quota = tenant.quota.as_ref()?;
             Some((tenant.name.as_str(), terms.permits(quota)))
         });
-        let bounds = quotas.owner.bounds_due(now, limited);
+        let limited: Vec<(&str, u32)> = limited.collect();
+        let bounds = quotas.owner.bounds_due(now, limited.iter().copied());
+        for (name, permits) in limited {
+            let figures = PermitFigures {
+                permits: u64::from(permits),
+                out: quotas.owner.out(name),
+                in_use: quotas.owner.in_use(name),
+            };
+            self.options.metrics.set_permits(name, figures);
+        }
         let is_new = quotas.version != version;
         quotas.version = version;
         quotas.next_check = now
--- a/crates/courseshed-edge/src/controller/replica.rs
+++ b/crates/courseshed-edge/src/controller/replica.rs
@@ -18,6 +18,7 @@
 use super::handle::{Input, Shared};
 use super::housekeeping::NODE_SILENCE;
 use super::worker::{Shown, Worker};
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::protocol::{PeerAddresses, replica_of};
 
@@ -65,6 +66,7 @@
     pub server_silence: Duration,
     pub disks_borne: usize,
     pub quota: QuotaTerms,
+    pub metrics: Arc<Metrics>,
     pub disk_faults: FaultSwitch,
 }
 
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -319,7 +319,9 @@
         for (_, (_, reply)) in std::mem::take(&mut self.reads) {
             let _ = reply.send(PeerReply::Unsure);
         }
-        self.quota = None;
+        if self.quota.take().is_some() {
+            self.options.metrics.clear_permits();
+        }
         self.housekeeper = (change.role == RoleName::Leader).then(|| {
             Housekeeper::new(
                 self.options.server_silence,
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -186,6 +186,7 @@
                             _in_flight: in_flight,
                         });
                     }
+                    self.log.note_refusal(&chosen.id, head.status.as_u16());
                     self.pass_over(&chosen.id);
                     upstream.finish();
                     if let Some(permit) = self.permit.take() {
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -17,6 +17,8 @@
     pub server: String,
     pub attempts: usize,
     pub refused_by: usize,
+    /// Which servers refused it, each with its status: as many as may before the caller is told.
+    refusals: Vec<String>,
     pub events: u64,
     pub resumed: usize,
     pub status: u16,
@@ -53,6 +55,7 @@
             server: String::new(),
             attempts: 0,
             refused_by: 0,
+            refusals: Vec::new(),
             events: 0,
             resumed: 0,
             status: 0,
@@ -77,6 +80,11 @@
         self.first_part.get_or_insert(now);
     }
 
+    /// Notes that a server refused the call without running it.
+    pub(super) fn note_refusal(&mut self, server: &str, status: u16) {
+        self.refusals.push(format!("{server}:{status}"));
+    }
+
     /// Notes what became of a try at a server.
     pub(super) fn note_error(&mut self, server: &str, error: &UpstreamError) {
         self.last_error = format!("{server}: {error}");
@@ -111,6 +119,7 @@
             server = self.server.as_str(),
             attempts = self.attempts,
             refused_by = self.refused_by,
+            refusals = self.refusals.join(" ").as_str(),
             events = self.events,
             resumed = self.resumed,
             version = self.version,
--- a/crates/courseshed-edge/src/gateway/quota.rs
+++ b/crates/courseshed-edge/src/gateway/quota.rs
@@ -17,6 +17,7 @@
 use super::core::GatewayCore;
 use super::refusal::Refusal;
 use crate::clock::{Clock, time_of_day_ms};
+use crate::metrics::TenantLabels;
 use crate::peers::Peers;
 use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
 
@@ -65,6 +66,28 @@
         tenant: &str,
         standing: Standing,
         deadline: Instant,
+    ) -> Result<Permit, Refusal> {
+        let began = Instant::now();
+        let acquired = Self::find(core, tenant, standing, deadline).await;
+        core.metrics
+            .permit_wait
+            .observe(began.elapsed().as_secs_f64());
+        if let Err(Refusal::OverQuota { .. }) = &acquired {
+            let tenant = tenant.to_owned();
+            let counter = core
+                .metrics
+                .over_quota
+                .get_or_create(&TenantLabels { tenant });
+            counter.inc();
+        }
+        acquired
+    }
+
+    async fn find(
+        core: &Rc<GatewayCore>,
+        tenant: &str,
+        standing: Standing,
+        deadline: Instant,
     ) -> Result<Permit, Refusal> {
         let quotas = &core.quotas;
         let now = Instant::now();
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -33,6 +33,24 @@
     pub outcome: &'static str,
 }
 
+/// A tenant, as a label. There are as many as routing tables have named.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantLabels {
+    /// The tenant.
+    pub tenant: String,
+}
+
+/// What an owner of permits knows of a tenant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PermitFigures {
+    /// Permits that there are.
+    pub permits: u64,
+    /// Permits that gateways hold, or that may still be occupied.
+    pub out: u64,
+    /// Permits that are occupied or waited for.
+    pub in_use: u64,
+}
+
 /// The counters and histograms of a process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -47,6 +65,13 @@
     pub resumed: Counter,
     /// How old the proof of the routing table was when a call with a key was sent, in seconds.
     pub proof_age: Histogram,
+    /// Calls that were refused since their tenant had made as many as it may.
+    pub over_quota: Family<TenantLabels, Counter>,
+    /// How long calls waited for a permit that this gateway didn't hold, in seconds.
+    pub permit_wait: Histogram,
+    permits: Family<TenantLabels, Gauge<i64, AtomicI64>>,
+    permits_out: Family<TenantLabels, Gauge<i64, AtomicI64>>,
+    permits_in_use: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the partitions of the records, as known here.
@@ -123,6 +148,11 @@
             attempts: Counter::default(),
             resumed: Counter::default(),
             proof_age: Histogram::new(SECONDS),
+            over_quota: Family::default(),
+            permit_wait: Histogram::new(SECONDS),
+            permits: Family::default(),
+            permits_out: Family::default(),
+            permits_in_use: Family::default(),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
             records: RECORD_FIGURES
@@ -157,6 +187,31 @@
             "Age of the proof that keys may be used, when a call was sent",
             self.proof_age.clone(),
         );
+        registry.register(
+            "over_quota",
+            "Calls refused since their tenant had made as many as it may",
+            self.over_quota.clone(),
+        );
+        registry.register(
+            "permit_wait_seconds",
+            "How long calls waited for a permit that the gateway didn't hold",
+            self.permit_wait.clone(),
+        );
+        registry.register(
+            "tenant_permits",
+            "Permits of a tenant; told by the leader of the controllers",
+            self.permits.clone(),
+        );
+        registry.register(
+            "tenant_permits_out",
+            "Permits of a tenant that gateways hold, or that may be occupied",
+            self.permits_out.clone(),
+        );
+        registry.register(
+            "tenant_permits_in_use",
+            "Permits of a tenant that are occupied or waited for",
+            self.permits_in_use.clone(),
+        );
         registry.register(
             "routing_version",
             "Version of the routing table in force",
@@ -183,6 +238,29 @@
         self.proof_age.observe(age);
     }
 
+    /// Forgets the permits of all tenants: another controller owns them.
+    pub fn clear_permits(&self) {
+        for family in [&self.permits, &self.permits_out, &self.permits_in_use] {
+            family.clear();
+        }
+    }
+
+    /// Notes what the owner of permits knows of a tenant.
+    pub fn set_permits(&self, tenant: &str, figures: PermitFigures) {
+        let labels = TenantLabels {
+            tenant: tenant.to_owned(),
+        };
+        let told = [
+            (&self.permits, figures.permits),
+            (&self.permits_out, figures.out),
+            (&self.permits_in_use, figures.in_use),
+        ];
+        for (family, figure) in told {
+            let figure = i64::try_from(figure).unwrap_or(i64::MAX);
+            family.get_or_create(&labels).set(figure);
+        }
+    }
+
     /// Notes what a store holds and uses.
     pub fn set_records(&self, figures: &StoreFigures) {
         for (figure, gauge) in &self.records {
--- a/crates/courseshed-edge/src/records/disk.rs
+++ b/crates/courseshed-edge/src/records/disk.rs
@@ -36,7 +36,7 @@
 /// What the thread is asked.
 enum DiskRequest {
     /// A peer's request.
-    Peer(RecordRequest, ReplySender<FleetProtocol>),
+    Peer(Box<RecordRequest>, ReplySender<FleetProtocol>),
     /// Records of a partition read from another store.
     Import(PartitionId, Vec<Record>, oneshot::Sender<bool>),
 }
@@ -68,7 +68,9 @@
 
     /// Has a peer's request answered; at once if the thread has fallen behind.
     pub(super) fn answer(&self, request: RecordRequest, reply: ReplySender<FleetProtocol>) {
-        let sent = self.requests.try_send(DiskRequest::Peer(request, reply));
+        let sent = self
+            .requests
+            .try_send(DiskRequest::Peer(Box::new(request), reply));
         let refused = match sent {
             Ok(()) => return,
             Err(TrySendError::Full(refused) | TrySendError::Disconnected(refused)) => refused,
@@ -167,7 +169,7 @@
         let is_written = self.write(now, records);
         for (request, reply) in answers {
             let answer = if is_written {
-                self.answer(now, request)
+                self.answer(now, *request)
             } else {
                 RecordReply::Unavailable
             };
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -155,6 +155,7 @@
             server_silence: Duration::from_secs(600),
             disks_borne: 0,
             quota: QUOTA,
+            metrics: Arc::new(Metrics::new()),
             disk_faults: disk_faults.clone(),
         })
         .await
--- a/crates/courseshed-quota/src/owner.rs
+++ b/crates/courseshed-quota/src/owner.rs
@@ -259,6 +259,12 @@
         self.tenants.get(tenant).map_or(0, TenantLedger::out)
     }
 
+    /// Permits of a tenant that are occupied or waited for, as gateways reported last.
+    #[must_use]
+    pub fn in_use(&self, tenant: &str) -> u64 {
+        self.tenants.get(tenant).map_or(0, |ledger| ledger.in_use)
+    }
+
     /// Whether a report is the newest of its gateway. A new life of a gateway takes the place of the
     /// one before, whose sends may still be within the window.
     fn is_in_order(&mut self, now: Duration, gateway: NodeId, report: &QuotaReport) -> bool {
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -202,6 +202,7 @@
         server_silence: SERVER_SILENCE,
         disks_borne: DISKS_BORNE,
         quota: QuotaTerms::default(),
+        metrics: Arc::new(Metrics::new()),
         disk_faults: Default::default(),
     })
     .await
