--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -262,7 +262,9 @@
             let generated = u64::from(self.events_here) * self.tokens_per_event;
             let generated = u32::try_from(generated).unwrap_or(u32::MAX);
             let held = self.attempts.note_finished(&opened, generated);
-            if let Some(reservation) = &mut self.reservation {
+            // A kept turn brings the same hint.
+            let is_kept = self.attempts.route.keeps_turns;
+            if let Some(reservation) = self.reservation.as_mut().filter(|_| !is_kept) {
                 reservation.note_cached(held.clone());
             }
             cached = Some(held);
