--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -15,6 +15,7 @@
 deployments=(
     large/tlqg-quotes-large
     large/ezo-quote-large
+    shifted/tlqg-quotes-now-grown
     grown/tlqg-quotes-grown
     grown/ezo-quote-grown
     further/slm-dispatch
