Hold calls at the scheduler of their pool in a controller

Cause: each gateway chooses engines on its own. Change: the peers' words for asking the scheduler of a pool, and the pools of a controller, which hold requests, tell decisions again and give back what nobody claims. Gateways don't ask yet.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -173,6 +173,11 @@
         self.published.borrow().clone()
     }
 
+    /// The state that is shown now.
+    pub(crate) fn state(&self) -> Arc<FleetState> {
+        self.published.borrow().state.clone()
+    }
+
     pub(crate) fn watch(&self) -> watch::Receiver<Published> {
         self.published.subscribe()
     }
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod handle;
 mod housekeeping;
 mod peers;
+mod pools;
 mod quotas;
 mod relay;
 mod replica;
@@ -77,7 +78,8 @@
 pub async fn start(settings: ControllerSettings) -> Result<ControllerHandle, ControllerError> {
     let clock = Clock::start();
     let shared = Arc::new(Shared::new(settings.node, clock));
-    let handler = Arc::new(peers::ControllerPeers::new(shared.clone()));
+    let pools = Arc::new(pools::Pools::new(shared.clone(), settings.metrics.clone()));
+    let handler = Arc::new(peers::ControllerPeers::new(shared.clone(), pools.clone()));
     let started = start_peers(
         settings.node,
         settings.addresses,
@@ -115,6 +117,7 @@
         settings.addresses,
         seeds,
     ));
+    tokio::spawn(pools::keep_pools(pools));
     tokio::spawn(relay::relay_heard(shared.clone()));
     tokio::spawn(relay::confirm_routing(shared.clone(), settings.addresses));
     tokio::spawn(relay::relay_load(shared));
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -12,16 +12,20 @@
 use tokio::time::{Instant, timeout};
 
 use super::handle::{Input, Reading, Shared};
+use super::pools::Pools;
 use crate::protocol::{FleetProtocol, PeerMessage, PeerReply, PeerRequest, node_of, replica_of};
 
 /// How often a held request looks whether this controller still hears the leader.
 const FRESHNESS_CHECK: Duration = Duration::from_millis(300);
 
-pub(super) struct ControllerPeers(Arc<Shared>);
+pub(super) struct ControllerPeers {
+    shared: Arc<Shared>,
+    pools: Arc<Pools>,
+}
 
 impl ControllerPeers {
-    pub(super) fn new(shared: Arc<Shared>) -> Self {
-        Self(shared)
+    pub(super) fn new(shared: Arc<Shared>, pools: Arc<Pools>) -> Self {
+        Self { shared, pools }
     }
 
     fn forward(
@@ -30,7 +34,7 @@
         make: impl FnOnce(oneshot::Sender<PeerReply>) -> Input,
     ) {
         let (sender, answered) = oneshot::channel();
-        self.0.tell(make(sender));
+        self.shared.tell(make(sender));
         tokio::spawn(async move {
             if let Ok(answer) = answered.await {
                 reply.send(answer);
@@ -43,10 +47,10 @@
     }
 
     fn known_incarnation(&self, node: NodeId) -> PeerReply {
-        if !self.0.is_fresh() {
+        if !self.shared.is_fresh() {
             return PeerReply::Unsure;
         }
-        let published = self.0.published();
+        let published = self.shared.published();
         PeerReply::Incarnation(published.controllers.get(&node).copied())
     }
 }
@@ -56,11 +60,19 @@
         match message {
             PeerMessage::Consensus(message) => {
                 if node_of(message.from.replica) == from.node {
-                    self.0.tell(Input::Consensus(message));
+                    self.shared.tell(Input::Consensus(message));
                 }
             }
-            PeerMessage::Heard { servers, nodes } => self.0.tell(Input::Heard { servers, nodes }),
-            PeerMessage::Load(report) => self.0.note_controller_load(from.node, report),
+            PeerMessage::Heard { servers, nodes } => {
+                self.shared.tell(Input::Heard { servers, nodes })
+            }
+            PeerMessage::Load(report) => self.shared.note_controller_load(from.node, report),
+            PeerMessage::PoolNotes { service, notes } => {
+                self.pools.note(from.node, &service, &notes);
+            }
+            PeerMessage::PoolCalls { service, calls } => {
+                self.pools.set_running(from.node, &service, calls);
+            }
         }
     }
 
@@ -77,10 +89,10 @@
                 is_store,
             } => {
                 if is_store {
-                    self.0.hear_node(from.node);
+                    self.shared.hear_node(from.node);
                 }
-                let arrived = self.0.clock().now();
-                tokio::spawn(follow(self.0.clone(), known, hold_ms, arrived, reply));
+                let arrived = self.shared.clock().now();
+                tokio::spawn(follow(self.shared.clone(), known, hold_ms, arrived, reply));
             }
             PeerRequest::Submit(command) => {
                 self.forward(reply, |reply| Input::Submit { command, reply });
@@ -102,11 +114,11 @@
                     node,
                     incarnation,
                 });
-                self.0.tell(Input::CaughtUp(caught_up.collect()));
+                self.shared.tell(Input::CaughtUp(caught_up.collect()));
                 reply.send(PeerReply::Joining);
             }
             PeerRequest::ShareLoad(report) => {
-                let others = self.0.exchange_load(from.node, report);
+                let others = self.shared.exchange_load(from.node, report);
                 reply.send(PeerReply::OthersLoad(others));
             }
             PeerRequest::Quota(report) => self.forward(reply, |reply| Input::Quota {
@@ -114,6 +126,9 @@
                 report,
                 reply,
             }),
+            PeerRequest::Schedule { service, demand } => {
+                self.pools.ask(from.node, &service, demand, reply);
+            }
             PeerRequest::Records(_) => {}
         }
     }
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -34,6 +34,11 @@
     NoQuota,
     /// No routing table is known yet.
     NotStarted,
+    /// The scheduler of the pool won't serve it in the time that it has.
+    Overloaded {
+        /// When to come back with a chance.
+        retry_after: Duration,
+    },
     /// No server takes it now.
     NoServer,
     /// A planned stop ends this gateway before the request would be over.
@@ -90,6 +95,7 @@
             Self::OverQuota { .. } => "over_quota",
             Self::NoQuota => "no_quota",
             Self::NotStarted => "not_started",
+            Self::Overloaded { .. } => "overloaded",
             Self::NoServer => "no_server",
             Self::Leaving => "leaving",
             Self::NoRecords => "no_records",
@@ -113,6 +119,7 @@
             Self::NotStarted
             | Self::NoProof { .. }
             | Self::NoQuota
+            | Self::Overloaded { .. }
             | Self::NoServer
             | Self::Leaving
             | Self::NoRecords
@@ -137,7 +144,7 @@
                 is_everywhere: false,
             } => Some(OTHER_GATEWAY_RETRY),
             Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
-            Self::OverQuota { retry_after } => Some(retry_after),
+            Self::OverQuota { retry_after } | Self::Overloaded { retry_after } => Some(retry_after),
             Self::NoQuota => Some(QUOTA_RETRY),
             _ => None,
         }
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -40,6 +40,29 @@
     pub tenant: String,
 }
 
+/// A pool of engines, as a label. There are as many as routing tables have named.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PoolLabels {
+    /// The service that it serves.
+    pub service: String,
+}
+
+/// What the scheduler of a pool said to calls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DecisionLabels {
+    /// The service that the pool serves.
+    pub service: String,
+    /// What it said.
+    pub verdict: &'static str,
+}
+
+/// Who chose the server of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ChoiceLabels {
+    /// The scheduler of the pool, or the gateway itself.
+    pub by: &'static str,
+}
+
 /// What an owner of permits knows of a tenant.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PermitFigures {
@@ -72,6 +95,18 @@
     permits: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_out: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_in_use: Family<TenantLabels, Gauge<i64, AtomicI64>>,
+    /// Calls that wait at the scheduler of a pool here.
+    pub pool_calls_waiting: Family<PoolLabels, Gauge<i64, AtomicI64>>,
+    /// Calls that the scheduler of a pool here knows to be at engines.
+    pub pool_calls_running: Family<PoolLabels, Gauge<i64, AtomicI64>>,
+    /// Decisions of the schedulers of pools here.
+    pub pool_decisions: Family<DecisionLabels, Counter>,
+    /// How long calls waited at the schedulers here until they were decided, in seconds.
+    pub pool_wait: Histogram,
+    /// Choices of servers by this gateway's calls.
+    pub choices: Family<ChoiceLabels, Counter>,
+    /// How long this gateway's calls took to get a verdict of a scheduler, in seconds.
+    pub verdict_wait: Histogram,
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the partitions of the records, as known here.
@@ -153,6 +188,12 @@
             permits: Family::default(),
             permits_out: Family::default(),
             permits_in_use: Family::default(),
+            pool_calls_waiting: Family::default(),
+            pool_calls_running: Family::default(),
+            pool_decisions: Family::default(),
+            pool_wait: Histogram::new(SECONDS),
+            choices: Family::default(),
+            verdict_wait: Histogram::new(SECONDS),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
             records: RECORD_FIGURES
@@ -161,6 +202,7 @@
             log_lines_left_out: Counter::default(),
         };
         metrics.register();
+        metrics.register_scheduling();
         metrics
     }
 
@@ -232,6 +274,40 @@
         );
     }
 
+    fn register_scheduling(&self) {
+        let mut registry = self.registry.lock();
+        registry.register(
+            "pool_calls_waiting",
+            "Calls that wait at the scheduler of a pool",
+            self.pool_calls_waiting.clone(),
+        );
+        registry.register(
+            "pool_calls_running",
+            "Calls that the scheduler of a pool knows to be at engines",
+            self.pool_calls_running.clone(),
+        );
+        registry.register(
+            "pool_decisions",
+            "Decisions of the schedulers of pools",
+            self.pool_decisions.clone(),
+        );
+        registry.register(
+            "pool_wait_seconds",
+            "How long calls waited at the scheduler of their pool until they were decided",
+            self.pool_wait.clone(),
+        );
+        registry.register(
+            "choices",
+            "Choices of servers, by the scheduler of a pool or by the gateway itself",
+            self.choices.clone(),
+        );
+        registry.register(
+            "verdict_wait_seconds",
+            "How long a gateway's calls took to get a verdict of a scheduler",
+            self.verdict_wait.clone(),
+        );
+    }
+
     /// Notes how old the proof of the routing table was when a call with a key was to be sent.
     pub fn note_proof_age(&self, age: Option<Duration>) {
         let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use courseshed_consensus::{Message, ReplicaId};
+use courseshed_pool::{CallDemand, CallNote, DecisionInputs, RunningCall, Verdict};
 use courseshed_quota::{QuotaAnswer, QuotaReport};
 use courseshed_records::{
     ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
@@ -73,6 +74,20 @@
     },
     /// The calls of the gateways that follow a controller, for the other controllers.
     Load(LoadReport),
+    /// What became of a gateway's calls, for the scheduler of their pool.
+    PoolNotes {
+        /// The service that the pool serves.
+        service: String,
+        /// The calls that are over.
+        notes: Vec<CallNote>,
+    },
+    /// All calls that a gateway has at the engines of a pool, for its scheduler.
+    PoolCalls {
+        /// The service that the pool serves.
+        service: String,
+        /// The calls.
+        calls: Vec<RunningCall>,
+    },
 }
 
 /// Asked.
@@ -113,6 +128,13 @@
     ShareLoad(LoadReport),
     /// A gateway's use of tenants' permits, for the leader.
     Quota(QuotaReport),
+    /// A call wants an engine of a pool; held for a while if none has room.
+    Schedule {
+        /// The service that the pool serves.
+        service: String,
+        /// What it needs.
+        demand: CallDemand,
+    },
 }
 
 /// A request to a store with records.
@@ -208,6 +230,17 @@
     OthersLoad(LoadReport),
     /// What a gateway may use of tenants' permits.
     Quota(QuotaAnswer),
+    /// What the scheduler of a pool says to a call.
+    Scheduled {
+        /// The life of the scheduler.
+        incarnation: u64,
+        /// What it says.
+        verdict: Verdict,
+        /// What decided it.
+        inputs: DecisionInputs,
+    },
+    /// The routing table in force here has no such pool.
+    UnknownPool,
 }
 
 /// The protocol of the fleet's transport.
@@ -219,8 +252,11 @@
     type Request = PeerRequest;
     type Reply = PeerReply;
 
-    fn message_class(_: &PeerMessage) -> TrafficClass {
-        TrafficClass::Control
+    fn message_class(message: &PeerMessage) -> TrafficClass {
+        match message {
+            PeerMessage::PoolNotes { .. } | PeerMessage::PoolCalls { .. } => TrafficClass::Data,
+            _ => TrafficClass::Control,
+        }
     }
 
     fn request_class(request: &PeerRequest) -> TrafficClass {
@@ -230,6 +266,7 @@
                 _ => TrafficClass::Data,
             },
             PeerRequest::ReadRouting => TrafficClass::Bulk,
+            PeerRequest::Schedule { .. } => TrafficClass::Data,
             _ => TrafficClass::Control,
         }
     }
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -199,6 +199,7 @@
             engine: Some(EngineLimits {
                 slots: 4,
                 tokens_per_event: 10,
+                memory_tokens: None,
             }),
         };
         let table = VersionedTable {
--- a/crates/courseshed-routing/src/table.rs
+++ b/crates/courseshed-routing/src/table.rs
@@ -79,6 +79,9 @@
     pub slots: u32,
     /// Tokens that one event of a stream stands for.
     pub tokens_per_event: u64,
+    /// Tokens of prompts and answers that the memory of one engine holds; none if that isn't known.
+    #[serde(default)]
+    pub memory_tokens: Option<u64>,
 }
 
 /// A service: servers that are alike.
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -430,6 +430,7 @@
                 engine: Some(EngineLimits {
                     slots: 16,
                     tokens_per_event: TOKENS_PER_EVENT,
+                    memory_tokens: None,
                 }),
             }],
             limits: CallLimits::default(),
