Decide for a pool of engines whose next call runs, where, and who waits

Cause: on the platform's path each gateway chose by loads 80 ms old and more, knew neither ranks nor programs' time, and engines queued what came. Change: a pure scheduler holds a call until an engine has a place, orders calls by whether their program can end in its aim, weighs engines by pace, prompts and the worth of the program's time, and lets failing engines rest. Not driven by anything yet, and not measured.

--- a/crates/courseshed-edge/src/gateway/answer_times.rs
+++ b/crates/courseshed-edge/src/gateway/answer_times.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::quantile::Quantile;
+use courseshed_pool::Quantile;
 
 /// Share of the answers of a route that come within the time that is followed.
 const FOLLOWED: f64 = 0.95;
--- a/crates/courseshed-edge/src/gateway/cost.rs
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -4,7 +4,7 @@
 //! them calls wait. What it has to read of a prompt holds up the call and, since servers read
 //! between the tokens of other calls, those as well.
 
-use super::quantile::Quantile;
+use courseshed_pool::Quantile;
 
 /// How much slower a call is for each other one at its server: batches take longer, and calls bring
 /// prompts that are read in between.
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -14,7 +14,6 @@
 mod policy;
 mod program;
 mod prompt_memory;
-mod quantile;
 mod quota;
 mod refusal;
 mod server;
--- a/crates/courseshed-pool/src/lib.rs
+++ b/crates/courseshed-pool/src/lib.rs
@@ -4,11 +4,22 @@
 //! deterministic: times are passed in. Its state is soft: a scheduler that starts learns the calls under way from
 //! the gateways that have them, and the rest from what it sees.
 
+mod calls;
+mod cost;
+mod engines;
+mod health;
+mod held_prompts;
 mod message;
+mod order;
+mod pace;
+mod programs;
+mod quantile;
 mod scheduler;
+mod shares;
 
 pub use message::{
     CallDemand, CallEnd, CallNote, Decision, DecisionInputs, EngineListing, NameKey,
     ProgramStanding, RunningCall, Ticket, Verdict,
 };
+pub use quantile::Quantile;
 pub use scheduler::PoolScheduler;
--- a/crates/courseshed-pool/src/message.rs
+++ b/crates/courseshed-pool/src/message.rs
@@ -38,6 +38,9 @@
     pub rank: u32,
     /// The tenant that it is made for; none where calls need no key.
     pub tenant: Option<NameKey>,
+    /// The tenant's part of the pool against other tenants' while room is short: its rate where requests are limited,
+    /// else 1.
+    pub tenant_weight: f32,
     /// The program that it is a turn of; none for a single call.
     pub program: Option<ProgramStanding>,
     /// The zone of its gateway.
