--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -71,7 +71,7 @@
                 self.pools.note(from.node, &service, &notes);
             }
             PeerMessage::PoolCalls { service, calls } => {
-                self.pools.set_running(from.node, &service, calls);
+                self.pools.set_running(from.node, &service, &calls);
             }
         }
     }
--- a/crates/courseshed-edge/src/controller/pools.rs
+++ b/crates/courseshed-edge/src/controller/pools.rs
@@ -78,7 +78,7 @@
     }
 
     /// A gateway tells all that it has at the engines of a pool.
-    pub(super) fn set_running(&self, gateway: NodeId, service: &str, calls: Vec<RunningCall>) {
+    pub(super) fn set_running(&self, gateway: NodeId, service: &str, calls: &[RunningCall]) {
         // One that has no pool here yet is made, so that it knows of the calls before the first is asked for.
         if let Some(pool) = self.find_or_make(service) {
             let now = self.shared.clock().now();
@@ -111,17 +111,24 @@
     fn tick(&self) -> bool {
         let state = self.shared.state();
         let now = self.shared.clock().now();
-        let pools: Vec<Arc<Mutex<Pool>>> = self.by_service.lock().values().cloned().collect();
-        let mut is_busy = false;
-        for pool in pools {
+        let pools: Vec<_> = {
+            let pools = self.by_service.lock();
+            let all = pools.iter();
+            all.map(|(service, pool)| (service.clone(), pool.clone()))
+                .collect()
+        };
+        let mut any_busy = false;
+        for (service, pool) in pools {
             let mut pool = pool.lock();
-            if pool.is_busy() {
-                pool.refresh(now, &state);
-                pool.tick(now);
-                is_busy |= pool.is_busy();
+            let is_there = pool.refresh(now, &state);
+            pool.tick(now);
+            let is_busy = pool.is_busy();
+            any_busy |= is_busy;
+            if !is_there && !is_busy {
+                self.by_service.lock().remove(&service);
             }
         }
-        is_busy
+        any_busy
     }
 }
 
--- a/crates/courseshed-edge/src/controller/pools/pool.rs
+++ b/crates/courseshed-edge/src/controller/pools/pool.rs
@@ -10,7 +10,7 @@
 };
 use courseshed_registry::FleetState;
 use courseshed_transport::ReplySender;
-use courseshed_types::{NodeId, ServerKey};
+use courseshed_types::NodeId;
 
 use super::list_engines;
 use crate::metrics::{DecisionLabels, Metrics, PoolLabels};
@@ -22,12 +22,8 @@
 /// How long a decision that could not be told waits to be asked for: a gateway asks again at once, and
 /// a round between zones takes 3 to 10 ms.
 const CLAIM_LIMIT: Duration = Duration::from_millis(150);
-/// A call granted so lately may be missing where a gateway names its calls, since the answer was on its way:
-/// longer than a gateway waits for an answer.
-const GRANT_ON_ITS_WAY: Duration = Duration::from_millis(300);
-/// After so much silence of a gateway its calls are forgotten: it names them every 2 s, so three times in a row
-/// it wasn't heard.
-const GATEWAY_SILENCE: Duration = Duration::from_millis(6500);
+/// How long a told decision is told again if it is asked for: longer than a gateway waits for an answer.
+const TOLD_AGAIN: Duration = Duration::from_millis(300);
 
 /// A request that has no answer yet.
 struct Held {
@@ -54,10 +50,6 @@
     shown: Option<Arc<FleetState>>,
     held: HashMap<Ticket, Held>,
     decided: HashMap<Ticket, Decided>,
-    /// Calls at engines, as gateways named them or as they were granted.
-    running: HashMap<Ticket, ServerKey>,
-    /// When each gateway was heard last.
-    heard: HashMap<NodeId, Duration>,
     metrics: Arc<Metrics>,
 }
 
@@ -71,15 +63,14 @@
             shown: None,
             held: HashMap::new(),
             decided: HashMap::new(),
-            running: HashMap::new(),
-            heard: HashMap::new(),
             metrics,
         }
     }
 
     /// Whether anything is to be done as time passes.
     pub(super) fn is_busy(&self) -> bool {
-        !self.held.is_empty() || !self.decided.is_empty() || !self.running.is_empty()
+        let has_calls = self.scheduler.waiting() + self.scheduler.running() > 0;
+        has_calls || !self.held.is_empty() || !self.decided.is_empty()
     }
 
     /// Takes the engines of a state in, if it is another one; false if the service has none any more.
@@ -109,7 +100,6 @@
         demand: CallDemand,
         reply: ReplySender<FleetProtocol>,
     ) {
-        self.heard.insert(gateway, now);
         let ticket = Ticket {
             gateway,
             number: demand.number,
@@ -128,7 +118,6 @@
 
     /// Calls of a gateway are over.
     pub(super) fn note(&mut self, now: Duration, gateway: NodeId, notes: &[CallNote]) {
-        self.heard.insert(gateway, now);
         for note in notes {
             let ticket = Ticket {
                 gateway,
@@ -136,41 +125,14 @@
             };
             self.held.remove(&ticket);
             self.decided.remove(&ticket);
-            self.running.remove(&ticket);
         }
         self.scheduler.note(now, gateway, notes);
         self.carry_out(now);
     }
 
-    /// A gateway names all its calls at engines. What was granted to it just now it may not know of yet.
-    pub(super) fn set_running(
-        &mut self,
-        now: Duration,
-        gateway: NodeId,
-        mut calls: Vec<RunningCall>,
-    ) {
-        self.heard.insert(gateway, now);
-        for (ticket, decided) in &self.decided {
-            let is_named = calls.iter().any(|call| call.number == ticket.number);
-            let age = now.saturating_sub(decided.at);
-            if let Verdict::Granted(engine) = decided.verdict
-                && ticket.gateway == gateway
-                && !is_named
-                && age < GRANT_ON_ITS_WAY
-            {
-                calls.push(RunningCall {
-                    number: ticket.number,
-                    engine,
-                    for_ms: age.as_millis() as u32,
-                });
-            }
-        }
-        self.running.retain(|ticket, _| ticket.gateway != gateway);
-        for call in &calls {
-            let number = call.number;
-            self.running.insert(Ticket { gateway, number }, call.engine);
-        }
-        self.scheduler.set_running(now, gateway, &calls);
+    /// A gateway names all its calls at engines.
+    pub(super) fn set_running(&mut self, now: Duration, gateway: NodeId, calls: &[RunningCall]) {
+        self.scheduler.set_running(now, gateway, calls);
         self.carry_out(now);
     }
 
@@ -180,7 +142,6 @@
         self.carry_out(now);
         self.answer_late(now);
         self.give_back_unclaimed(now);
-        self.forget_silent(now);
         self.show();
     }
 
@@ -193,9 +154,6 @@
                 verdict,
                 inputs,
             } = decision;
-            if let Verdict::Granted(engine) = verdict {
-                self.running.insert(ticket, engine);
-            }
             let held = self.held.remove(&ticket);
             let asker = held.map(|held| held.reply);
             let asker = asker.filter(|reply| !reply.is_closed());
@@ -235,7 +193,7 @@
     fn give_back_unclaimed(&mut self, now: Duration) {
         let old = self.decided.extract_if(|_, decided| {
             let limit = if decided.is_told {
-                GRANT_ON_ITS_WAY
+                TOLD_AGAIN
             } else {
                 CLAIM_LIMIT
             };
@@ -247,7 +205,6 @@
             .collect();
         for ticket in unclaimed {
             log::info!(event = "verdict_unclaimed", service = self.service.as_str(), gateway:% = ticket.gateway, number = ticket.number; "a verdict could not be told");
-            self.running.remove(&ticket);
             let note = CallNote {
                 number: ticket.number,
                 end: CallEnd::Given,
@@ -257,23 +214,14 @@
         self.carry_out(now);
     }
 
-    /// Forgets the calls of gateways that said nothing for long; the scheduler does the same.
-    fn forget_silent(&mut self, now: Duration) {
-        let is_heard = |at: &Duration| now.saturating_sub(*at) < GATEWAY_SILENCE;
-        self.heard.retain(|_, at| is_heard(at));
-        let heard = &self.heard;
-        self.running
-            .retain(|ticket, _| heard.contains_key(&ticket.gateway));
-    }
-
     /// Shows how many calls there are.
     fn show(&self) {
         let labels = PoolLabels {
             service: self.service.clone(),
         };
         let figures = [
-            (&self.metrics.pool_calls_waiting, self.held.len()),
-            (&self.metrics.pool_calls_running, self.running.len()),
+            (&self.metrics.pool_calls_waiting, self.scheduler.waiting()),
+            (&self.metrics.pool_calls_running, self.scheduler.running()),
         ];
         for (family, figure) in figures {
             let figure = i64::try_from(figure).unwrap_or(i64::MAX);
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -0,0 +1,209 @@
+//! Where a call goes next: to the engine that the scheduler of its pool grants, else to the server that this
+//! gateway chooses.
+//!
+//! Invariants: a server that refused the call, or had it, is never granted to it again; the last server that had
+//! it gets it again only when no other may.
+
+use std::time::Duration;
+
+use courseshed_pool::{CallDemand, DecisionInputs, NameKey, ProgramStanding};
+use courseshed_types::ServerKey;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::attempts::Attempts;
+use super::choice::{Chosen, Demand};
+use super::policy::Mechanism;
+use super::program::program_key;
+use super::refusal::Refusal;
+use super::schedule::{Asked, ScheduledCall};
+use crate::metrics::ChoiceLabels;
+
+/// Servers that may refuse a request, or can't be reached, before the caller is told.
+const REFUSALS_BORNE: usize = 4;
+/// How often a request is sent to the same server again.
+const REPEATS_BORNE: usize = 2;
+/// How often an engine may be granted that this gateway doesn't know, before it chooses by itself: the lists
+/// of servers differ for about a second.
+const STRANGERS_BORNE: usize = 2;
+/// The names of who chose a server.
+const BY_SCHEDULER: &str = "scheduler";
+const BY_GATEWAY: &str = "local";
+
+/// A server for a call, and the call's number at the scheduler of the pool.
+pub(super) struct Assigned {
+    pub chosen: Chosen,
+    pub call: Option<ScheduledCall>,
+}
+
+/// What the scheduler of a pool came to.
+enum Scheduled {
+    Engine(Assigned),
+    /// There is no engine: the gateway chooses by itself. A scheduler that knows of none may lack news which the
+    /// gateway has; if it has none either, there is no server.
+    Unknown,
+}
+
+impl Attempts {
+    /// The server that the request goes to next; none if there is none.
+    pub(super) async fn assign(&mut self) -> Result<Option<Assigned>, Refusal> {
+        if let Some(kept) = self.kept.take() {
+            return Ok(Some(kept));
+        }
+        if self.passed_over.len() > REFUSALS_BORNE {
+            return Ok(None);
+        }
+        if self.sent_to.len() < self.route.max_attempts as usize {
+            let mut excluded = self.passed_over.clone();
+            excluded.extend(self.sent_to.iter().cloned());
+            let other = match self.schedule(&excluded).await? {
+                Scheduled::Engine(assigned) => Some(assigned),
+                Scheduled::Unknown => self.choose_here(&excluded),
+            };
+            if other.is_some() {
+                return Ok(other);
+            }
+        }
+        Ok(self.repeat())
+    }
+
+    /// Asks the scheduler of the pool, if the service is one.
+    async fn schedule(&mut self, excluded: &[String]) -> Result<Scheduled, Refusal> {
+        if !self.is_pool || !self.core.policy.uses(Mechanism::PoolScheduler) {
+            return Ok(Scheduled::Unknown);
+        }
+        let mut excluded: Vec<ServerKey> = excluded.iter().map(|id| ServerKey::of(id)).collect();
+        for _ in 0..STRANGERS_BORNE {
+            let demand = self.demand(excluded.clone());
+            let renewed = |number| self.renewed(&demand, number);
+            let schedulers = self.core.schedulers.clone();
+            let asked = schedulers.ask(&self.service, self.deadline, renewed).await;
+            let (call, key, inputs) = match asked {
+                Asked::Granted(call, key, inputs) => (call, key, inputs),
+                Asked::Refused(retry_after, inputs) => {
+                    self.log.schedule = inputs;
+                    return Err(Refusal::Overloaded { retry_after });
+                }
+                Asked::NoEngine(inputs) => {
+                    self.log.schedule = inputs;
+                    return Ok(Scheduled::Unknown);
+                }
+                Asked::Unknown => return Ok(Scheduled::Unknown),
+                Asked::TooLate => return Err(self.out_of_time()),
+            };
+            let found = self.core.servers.borrow().listed_as(&self.service, key);
+            match found.filter(|_| !excluded.contains(&key)) {
+                Some(chosen) => {
+                    self.note_choice(BY_SCHEDULER, inputs);
+                    let call = Some(call);
+                    return Ok(Scheduled::Engine(Assigned { chosen, call }));
+                }
+                None => excluded.push(key),
+            }
+        }
+        Ok(Scheduled::Unknown)
+    }
+
+    /// Chooses a server by what this gateway knows. The schedulers of a pool learn of the call with the others.
+    fn choose_here(&mut self, excluded: &[String]) -> Option<Assigned> {
+        let chosen = {
+            let table = self.core.servers.borrow();
+            let demand = Demand {
+                service: &self.service,
+                zone: &self.core.zone,
+                parts: &self.parts,
+                most_in_flight: table.part_of(self.connection_limit),
+            };
+            table.choose(&demand, excluded, self.core.clock.now(), rand::random())?
+        };
+        self.note_choice(BY_GATEWAY, DecisionInputs::default());
+        let is_scheduled = self.is_pool && self.core.policy.uses(Mechanism::PoolScheduler);
+        let key = ServerKey::of(&chosen.id);
+        let call = is_scheduled.then(|| self.core.schedulers.begin_local(&self.service, key));
+        Some(Assigned { chosen, call })
+    }
+
+    /// The server that had the request last, which doesn't count again.
+    fn repeat(&mut self) -> Option<Assigned> {
+        if self.repeats >= REPEATS_BORNE {
+            return None;
+        }
+        self.repeats += 1;
+        let last = self.sent_to.last()?;
+        let chosen = self.core.servers.borrow().listed(last)?;
+        self.note_choice(BY_GATEWAY, DecisionInputs::default());
+        Some(Assigned { chosen, call: None })
+    }
+
+    fn note_choice(&mut self, by: &'static str, inputs: DecisionInputs) {
+        self.log.chosen_by = by;
+        self.log.schedule = inputs;
+        let choices = &self.core.metrics.choices;
+        choices.get_or_create(&ChoiceLabels { by }).inc();
+    }
+
+    /// What the call needs of an engine; what changes with time is filled in by [`Self::renewed`].
+    fn demand(&self, excluded: Vec<ServerKey>) -> CallDemand {
+        let tenant = self.caller.tenant();
+        let quota = tenant.and_then(|tenant| tenant.quota.as_ref());
+        let rate = quota.map(|quota| quota.rate_per_s);
+        let own_rank = tenant.and_then(|tenant| tenant.priority);
+        CallDemand {
+            number: 0,
+            route: name_key(&self.route.name),
+            rank: own_rank.unwrap_or(self.route.priority),
+            tenant: tenant.map(|tenant| name_key(&tenant.name)),
+            tenant_weight: rate.map_or(1.0, |rate| rate as f32),
+            program: self.program_standing(),
+            zone: name_key(&self.core.zone),
+            parts: self.parts.clone(),
+            most_tokens: self.call.most_tokens.unwrap_or(0),
+            waited_ms: 0,
+            time_left_ms: 0,
+            excluded,
+            held: self.held.clone(),
+        }
+    }
+
+    /// The demand as it is now, under a number.
+    fn renewed(&self, demand: &CallDemand, number: u64) -> CallDemand {
+        let program = demand.program.map(|standing| ProgramStanding {
+            left_ms: self.program_left_ms(),
+            ..standing
+        });
+        CallDemand {
+            number,
+            program,
+            waited_ms: milliseconds(self.arrived.elapsed()),
+            time_left_ms: milliseconds(self.time_left()),
+            ..demand.clone()
+        }
+    }
+
+    fn program_standing(&self) -> Option<ProgramStanding> {
+        let claim = self.call.program.as_ref()?;
+        let name = program_key(self.caller.tenant_name(), &claim.program);
+        let most = self.call.most_tokens.filter(|most| *most > 0);
+        let turns = claim.token_budget.zip(most);
+        Some(ProgramStanding {
+            program: name_key(&name),
+            left_ms: self.program_left_ms(),
+            turns_budgeted: turns.map(|(budget, most)| budget as f32 / most as f32),
+        })
+    }
+
+    /// Time until the program should be over, counted from now.
+    fn program_left_ms(&self) -> Option<u32> {
+        let left = self.call.program.as_ref()?.time_left?;
+        let passed = Instant::now().saturating_duration_since(self.arrived);
+        Some(milliseconds(left.saturating_sub(passed)))
+    }
+}
+
+fn name_key(name: &str) -> NameKey {
+    NameKey(xxh3_64(name.as_bytes()))
+}
+
+fn milliseconds(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -11,6 +11,7 @@
 
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use courseshed_pool::CallEnd;
 use courseshed_quota::Standing;
 use courseshed_routing::{CallKind, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
@@ -18,20 +19,18 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::access::Caller;
+use super::assign::Assigned;
 use super::call::{CallEnvelope, SendTerms};
 use super::call_log::CallLog;
-use super::choice::{ChoiceInputs, Chosen, Demand};
+use super::choice::{ChoiceInputs, Chosen};
 use super::core::{GatewayCore, InFlight};
 use super::policy::Mechanism;
 use super::quota::{Permit, Quotas};
 use super::refusal::Refusal;
+use super::schedule::ScheduledCall;
 use super::servers::Report;
 use super::upstream::{Upstream, UpstreamError};
 
-/// Servers that may refuse a request, or can't be reached, before the caller is told.
-const REFUSALS_BORNE: usize = 4;
-/// How often a request is sent to the same server again.
-const REPEATS_BORNE: usize = 2;
 /// What a thing known by its key alone counts for, in tokens of a prompt.
 const TOKENS_OF_KEY: u32 = 2_000;
 /// Less time than this is not worth another try.
@@ -45,10 +44,55 @@
     pub sent_at: Instant,
     /// Tokens of the prompt that the server had to read, as far as was known.
     pub unread_tokens: u32,
+    /// From the send to the first part of the answer, once that came.
+    pub first_part: Option<Duration>,
+    /// The call's number at the scheduler of its pool.
+    pub call: Option<ScheduledCall>,
     /// Counts the request at the server until it is dropped.
     pub _in_flight: InFlight,
 }
 
+impl Opened {
+    /// Tells the scheduler of the pool what became of the call.
+    pub(super) fn end_call(&mut self, end: CallEnd) {
+        if let Some(call) = self.call.take() {
+            call.end(end);
+        }
+    }
+
+    /// What an answer says of the engine that isn't a stream of its own: a failure of the server's or nothing.
+    pub(super) fn end_without_stream(&self) -> CallEnd {
+        if self.head.status.is_server_error() {
+            CallEnd::Failed
+        } else {
+            CallEnd::Given
+        }
+    }
+
+    /// What a whole answer says of the engine.
+    fn end_of_answer(&self, generated: u32, took: Duration) -> CallEnd {
+        if !self.head.status.is_success() {
+            return self.end_without_stream();
+        }
+        CallEnd::Whole {
+            generated,
+            first_part_ms: milliseconds(self.first_part.unwrap_or(took)),
+            took_ms: milliseconds(took),
+        }
+    }
+}
+
+fn milliseconds(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// When a request came, and when its time is over.
+#[derive(Clone, Copy)]
+pub(super) struct CallTimes {
+    pub arrived: Instant,
+    pub deadline: Instant,
+}
+
 /// The service that a request goes to.
 pub(super) struct ChosenService {
     pub name: String,
@@ -58,6 +102,8 @@
     pub version: u64,
     /// Who the request is made for, by the same table.
     pub caller: Caller,
+    /// Whether its servers are engines, whose calls one scheduler orders.
+    pub is_pool: bool,
 }
 
 /// What a server that saw the same thing lately need not read again; nothing if that's all the same.
@@ -82,7 +128,12 @@
     pub call: CallEnvelope,
     pub route: Arc<Route>,
     pub service: String,
+    pub arrived: Instant,
     pub deadline: Instant,
+    /// Whether the service is a pool of engines.
+    pub is_pool: bool,
+    /// What servers hold of the prompts of its program, as far as the records know.
+    pub held: Vec<CachedPrompt>,
     /// What the server gets as the body.
     pub body: Bytes,
     /// The prompt, if it matters what a server saw before.
@@ -94,10 +145,12 @@
     pub standing: Standing,
     permit: Option<Permit>,
     version: u64,
-    connection_limit: u32,
-    sent_to: Vec<String>,
-    passed_over: Vec<String>,
-    repeats: usize,
+    pub connection_limit: u32,
+    pub sent_to: Vec<String>,
+    pub passed_over: Vec<String>,
+    pub repeats: usize,
+    /// A server that was granted, and not sent to since the permit had lapsed.
+    pub kept: Option<Assigned>,
     /// Whether a server that had the request broke off, whatever became of that server since.
     may_have_run: bool,
 }
@@ -108,13 +161,15 @@
         call: CallEnvelope,
         route: Arc<Route>,
         service: ChosenService,
-        deadline: Instant,
+        times: CallTimes,
     ) -> Self {
+        let CallTimes { arrived, deadline } = times;
         let ChosenService {
             name: service,
             connection_limit,
             version,
             caller,
+            is_pool,
         } = service;
         let mut log = CallLog::new(&call, &route, &service, version, core.metrics.clone());
         log.tenant = caller.tenant_name().unwrap_or_default().to_owned();
@@ -130,11 +185,15 @@
             call,
             route,
             service,
+            arrived,
             deadline,
+            is_pool,
+            held: Vec::new(),
             log,
             sent_to: Vec::new(),
             passed_over: Vec::new(),
             repeats: 0,
+            kept: None,
             may_have_run: false,
         }
     }
@@ -148,7 +207,11 @@
             if let Err(refusal) = self.take_permit().await {
                 return Err(self.not_sent_again(refusal));
             }
-            let Some(chosen) = self.choose() else {
+            let assigned = match self.assign().await {
+                Ok(assigned) => assigned,
+                Err(refusal) => return Err(self.not_sent_again(refusal)),
+            };
+            let Some(Assigned { chosen, call }) = assigned else {
                 return Err(self.out_of_servers());
             };
             let inputs = self.choice_inputs(&chosen.id);
@@ -158,6 +221,7 @@
             let upstream = match self.connect(&chosen).await {
                 Ok(upstream) => upstream,
                 Err(error) => {
+                    end_call(call, end_of_error(&error));
                     self.on_error(&chosen, &error)?;
                     continue;
                 }
@@ -170,6 +234,7 @@
             if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
                 upstream.finish();
                 self.permit = None;
+                self.kept = Some(Assigned { chosen, call });
                 continue;
             }
             match self.send(upstream, &chosen, resume_after).await {
@@ -183,9 +248,12 @@
                             server: chosen.id,
                             sent_at,
                             unread_tokens,
+                            first_part: None,
+                            call,
                             _in_flight: in_flight,
                         });
                     }
+                    end_call(call, CallEnd::Refused);
                     self.log.note_refusal(&chosen.id, head.status.as_u16());
                     self.pass_over(&chosen.id);
                     upstream.finish();
@@ -196,6 +264,7 @@
                 Err(error) => {
                     // It may have run: the permit stays occupied, and another send needs another.
                     self.permit = None;
+                    end_call(call, end_of_error(&error));
                     self.on_error(&chosen, &error)?;
                 }
             }
@@ -215,13 +284,15 @@
 
     /// Notes that a server's answer is whole, with so many tokens generated. Returns what the server
     /// holds of the prompt now.
-    pub(super) fn note_finished(&self, opened: &Opened, generated: u32) -> CachedPrompt {
+    pub(super) fn note_finished(&self, opened: &mut Opened, generated: u32) -> CachedPrompt {
         let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
         let key = ServerKey::of(&opened.server);
         let cached = CachedPrompt::after_answer(key, &self.parts, generated);
         let mut servers = self.core.servers.borrow_mut();
         servers.note_finished(&opened.server, &cached, took, now);
+        drop(servers);
+        opened.end_call(opened.end_of_answer(generated, took));
         cached
     }
 
@@ -232,20 +303,21 @@
     }
 
     /// Notes that the first part of a server's answer came.
-    pub(super) fn note_read(&mut self, opened: &Opened) {
+    pub(super) fn note_read(&mut self, opened: &mut Opened) {
         self.log.note_first_part();
         let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
+        opened.first_part.get_or_insert(took);
         let unread = opened.unread_tokens;
         let mut servers = self.core.servers.borrow_mut();
         servers.note_read(&opened.server, &self.parts, unread, took, now);
     }
 
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn out_of_time(&self) -> Refusal {
+    pub(super) fn out_of_time(&self) -> Refusal {
         if self.may_have_run {
             Refusal::TimedOut
         } else {
@@ -268,38 +340,6 @@
         self.core.report(server, Report::Failed);
     }
 
-    fn choose(&mut self) -> Option<Chosen> {
-        if self.passed_over.len() > REFUSALS_BORNE {
-            return None;
-        }
-        let may_try_another = self.sent_to.len() < self.route.max_attempts as usize;
-        let mut excluded = self.passed_over.clone();
-        if may_try_another {
-            excluded.extend(self.sent_to.iter().cloned());
-        }
-        let table = self.core.servers.borrow();
-        let now = self.core.clock.now();
-        if may_try_another {
-            let demand = Demand {
-                service: &self.service,
-                zone: &self.core.zone,
-                parts: &self.parts,
-                most_in_flight: table.part_of(self.connection_limit),
-            };
-            let other = table.choose(&demand, &excluded, now, rand::random());
-            if other.is_some() {
-                return other;
-            }
-        }
-        // A server that had it already doesn't count again.
-        if self.repeats >= REPEATS_BORNE {
-            return None;
-        }
-        self.repeats += 1;
-        let last = self.sent_to.last()?;
-        table.listed(last)
-    }
-
     /// Takes a permit for the next send, if the tenant's requests are limited.
     async fn take_permit(&mut self) -> Result<(), Refusal> {
         let Some(tenant) = self.caller.tenant() else {
@@ -442,3 +482,20 @@
         }
     }
 }
+
+/// Tells the scheduler of the pool what became of a call that has a number there.
+fn end_call(call: Option<ScheduledCall>, end: CallEnd) {
+    if let Some(call) = call {
+        call.end(end);
+    }
+}
+
+/// What an error says of the engine.
+fn end_of_error(error: &UpstreamError) -> CallEnd {
+    match error {
+        UpstreamError::NotSent { .. } | UpstreamError::Broken { .. } | UpstreamError::Silent => {
+            CallEnd::Broken
+        }
+        UpstreamError::TimedOut => CallEnd::Given,
+    }
+}
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use courseshed_pool::DecisionInputs;
 use courseshed_routing::Route;
 use tokio::time::Instant;
 
@@ -28,6 +29,10 @@
     program_left: Option<Duration>,
     /// What decided the choice of the last server.
     pub choice: ChoiceInputs,
+    /// Who chose the last server: the scheduler of its pool, or this gateway; empty if none was chosen.
+    pub chosen_by: &'static str,
+    /// What decided the last verdict of the scheduler.
+    pub schedule: DecisionInputs,
     /// Version of the routing table that the request was routed by.
     version: u64,
     last_error: String,
@@ -62,6 +67,8 @@
             first_part: None,
             program_left: call.program.as_ref().and_then(|claim| claim.time_left),
             choice: ChoiceInputs::default(),
+            chosen_by: "",
+            schedule: DecisionInputs::default(),
             version,
             last_error: String::new(),
             tenant: String::new(),
@@ -126,6 +133,10 @@
             calls_there = self.choice.calls,
             loads_age_ms = milliseconds(self.choice.loads_age),
             unread_tokens = self.choice.unread_tokens,
+            chosen_by = self.chosen_by,
+            scheduler_waited_ms = self.schedule.waited_ms,
+            scheduler_waiting = self.schedule.waiting,
+            slack_percent = self.schedule.slack_percent,
             last_error = self.last_error.as_str(),
             program_left_ms = self.program_left.map(milliseconds),
             first_part_ms = self.first_part.map(milliseconds),
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -14,6 +14,7 @@
 use super::call::CallCodec;
 use super::policy::Policy;
 use super::quota::Quotas;
+use super::schedule::SchedulerClient;
 use super::servers::{Report, ServerTable};
 use super::upstream::UpstreamPool;
 use crate::clock::Clock;
@@ -26,6 +27,8 @@
     pub codec: Box<dyn CallCodec>,
     pub follower: Arc<FleetFollower>,
     pub records: RecordClient,
+    /// Asks the schedulers of pools for engines.
+    pub schedulers: Rc<SchedulerClient>,
     pub pool: UpstreamPool,
     pub metrics: Arc<Metrics>,
     /// What it decides by.
@@ -51,21 +54,36 @@
     counter: SplitCounter,
 }
 
+/// What a gateway is made of.
+pub(super) struct CoreParts {
+    pub codec: Box<dyn CallCodec>,
+    pub follower: Arc<FleetFollower>,
+    pub records: RecordClient,
+    pub schedulers: Rc<SchedulerClient>,
+    pub metrics: Arc<Metrics>,
+    pub zone: String,
+    pub policy: Policy,
+    pub tenants: TenantTerms,
+}
+
 impl GatewayCore {
-    pub(super) fn new(
-        codec: Box<dyn CallCodec>,
-        follower: Arc<FleetFollower>,
-        records: RecordClient,
-        metrics: Arc<Metrics>,
-        zone: String,
-        policy: Policy,
-        tenants: TenantTerms,
-    ) -> Rc<Self> {
+    pub(super) fn new(parts: CoreParts) -> Rc<Self> {
+        let CoreParts {
+            codec,
+            follower,
+            records,
+            schedulers,
+            metrics,
+            zone,
+            policy,
+            tenants,
+        } = parts;
         let access = tenants.revocation.map(AccessTerms::strict);
         Rc::new(Self {
             codec,
             follower,
             records,
+            schedulers,
             pool: UpstreamPool::new(),
             metrics,
             clock: Clock::start(),
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -2,8 +2,10 @@
 
 mod access;
 mod answer_times;
+mod assign;
 mod attempts;
 mod call;
+mod call_book;
 mod call_log;
 mod choice;
 mod core;
@@ -16,6 +18,7 @@
 mod prompt_memory;
 mod quota;
 mod refusal;
+mod schedule;
 mod server;
 mod servers;
 mod short_codec;
@@ -27,6 +30,7 @@
 pub use call::{
     AnswerMarks, CallCodec, CallEnvelope, Credential, ProgramClaim, SendTerms, UnreadableCall,
 };
+pub use call_book::{CallBook, SILENT_REST};
 pub use choice::{Chosen, Demand};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -4,6 +4,7 @@
 use actix_http::header;
 use actix_http::{Response, ResponseHead};
 use bytes::{Bytes, BytesMut};
+use courseshed_pool::CallEnd;
 use tokio::time::timeout_at;
 
 use super::attempts::{Attempts, Opened};
@@ -28,6 +29,7 @@
             Err(UpstreamError::TimedOut) => return refuse(attempts, Refusal::TimedOut),
             Err(error) => {
                 attempts.note_broken(&opened.server, &error);
+                opened.end_call(CallEnd::Broken);
                 if !attempts.may_repeat() {
                     return refuse(attempts, Refusal::Broken);
                 }
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -26,7 +26,7 @@
 }
 
 /// The name under which the stores know a program: tenants may use the same names.
-fn program_key(tenant: Option<&str>, program: &str) -> String {
+pub(super) fn program_key(tenant: Option<&str>, program: &str) -> String {
     tenant.map_or_else(
         || program.to_owned(),
         |tenant| format!("{tenant}/{program}"),
@@ -46,6 +46,8 @@
     is_first: bool,
     /// What the server that answered holds of the prompt now, for the program's next call.
     cached: Option<CachedPrompt>,
+    /// What servers held of the program's prompts, as far as the stores know.
+    hints: Vec<CachedPrompt>,
 }
 
 impl TokenReservation {
@@ -54,6 +56,11 @@
         self.cached = Some(cached);
     }
 
+    /// What servers held of the program's prompts, as far as the stores know.
+    pub(super) fn take_hints(&mut self) -> Vec<CachedPrompt> {
+        std::mem::take(&mut self.hints)
+    }
+
     /// Whether the turn begins its program, as far as its tokens tell.
     pub(super) fn is_first(&self) -> bool {
         self.is_first
@@ -107,6 +114,7 @@
         events: 0,
         is_first: false,
         cached: None,
+        hints: Vec::new(),
     };
     let reservation = Reservation {
         program: held.program.clone(),
@@ -120,7 +128,10 @@
     match decision {
         Ok((ReservationDecision::Granted { is_first }, hints)) => {
             held.is_first = is_first;
-            note_hints(core, &hints);
+            if core.policy.uses(Mechanism::ProgramHints) {
+                note_hints(core, &hints);
+                held.hints = hints;
+            }
             Ok(Some(held))
         }
         Ok((ReservationDecision::Spent { by_others }, _)) => {
@@ -133,9 +144,6 @@
 
 /// Learns which servers hold prompts that other gateways' calls had read.
 fn note_hints(core: &GatewayCore, hints: &[CachedPrompt]) {
-    if !core.policy.uses(Mechanism::ProgramHints) {
-        return;
-    }
     let now = core.clock.now();
     let mut servers = core.servers.borrow_mut();
     for cached in hints {
@@ -156,6 +164,8 @@
     pub body: Bytes,
     /// Where the turn is to be kept.
     pub partition: PartitionId,
+    /// What the server that made the turn before holds of the prompt, if that is known.
+    pub hint: Option<CachedPrompt>,
 }
 
 /// Reads what a turn goes on from. Learns on the way which server made the turn before.
@@ -172,6 +182,7 @@
         return Ok(ComposedBody {
             body: call.body.clone(),
             partition: PartitionId::of_program(&program),
+            hint: None,
         });
     };
     let chain = match core.records.chain(&program, previous, deadline).await {
@@ -189,8 +200,9 @@
         log::warn!(event = "turn_of_another", request = call.request_id.as_str(), previous = previous.as_str(), tenant; "the turn that it goes on from is another tenant's");
         return Err(Refusal::UnknownTurn);
     }
-    let hint = chain.last().and_then(|turn| turn.cached.as_ref());
-    if let Some(cached) = hint.filter(|_| core.policy.uses(Mechanism::KeptTurnHints)) {
+    let hint = chain.last().and_then(|turn| turn.cached.clone());
+    let hint = hint.filter(|_| core.policy.uses(Mechanism::KeptTurnHints));
+    if let Some(cached) = &hint {
         let now = core.clock.now();
         core.servers.borrow_mut().note_cached(cached, now);
     }
@@ -207,6 +219,7 @@
     Ok(ComposedBody {
         body: body.freeze(),
         partition,
+        hint,
     })
 }
 
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/schedule.rs
@@ -0,0 +1,352 @@
+//! Asking the scheduler of a pool for an engine, and telling it what became of calls.
+//!
+//! The scheduler of a service is at a controller that all gateways find by the same rule. Without an answer
+//! a call goes on to the next controller, and after two of them its gateway chooses by itself.
+//!
+//! Invariant: each number that was asked with is ended by one note, whatever becomes of its call.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_pool::{CallDemand, CallEnd, DecisionInputs, Verdict};
+use courseshed_types::{NodeId, ServerKey};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::call_book::CallBook;
+use crate::clock::{Clock, time_of_day_ms};
+use crate::follower::FleetFollower;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::protocol::{PeerMessage, PeerReply, PeerRequest};
+
+/// How long a controller may take to answer: it holds a request for 150 ms at most, and the rest is ten times
+/// a round between zones.
+const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+/// Controllers that may give no answer to a call before its gateway chooses by itself.
+const FAILURES_BORNE: usize = 2;
+/// How often a scheduler is told all calls at engines, which repairs lost notes: rare against the notes
+/// themselves, and a few times within the length of a usual call.
+const RUNNING_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What came of asking for an engine.
+pub(super) enum Asked {
+    /// An engine, and the call's number there.
+    Granted(ScheduledCall, ServerKey, DecisionInputs),
+    /// The call won't be served in its time.
+    Refused(Duration, DecisionInputs),
+    /// No engine may take it.
+    NoEngine(DecisionInputs),
+    /// No scheduler could be asked.
+    Unknown,
+    /// The call's time is over.
+    TooLate,
+}
+
+/// What a controller said.
+enum Answer {
+    Verdict(Verdict, DecisionInputs),
+    UnknownPool,
+    Failed,
+    /// Another controller is to be asked.
+    Moved,
+    TooLate,
+}
+
+/// Asks schedulers for the calls of a gateway.
+pub(super) struct SchedulerClient {
+    peers: Arc<Peers>,
+    follower: Arc<FleetFollower>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    book: RefCell<CallBook>,
+    /// Wakes the task that sends notes.
+    noted: Notify,
+    /// Changes when a controller fell silent, for the calls that wait there.
+    silenced: watch::Sender<()>,
+}
+
+impl SchedulerClient {
+    pub(super) fn new(
+        peers: Arc<Peers>,
+        follower: Arc<FleetFollower>,
+        metrics: Arc<Metrics>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            peers,
+            follower,
+            metrics,
+            clock: Clock::start(),
+            book: RefCell::new(CallBook::new(time_of_day_ms())),
+            noted: Notify::new(),
+            silenced: watch::channel(()).0,
+        })
+    }
+
+    /// Asks for an engine until there is a verdict. `demand` says what the call needs at that moment.
+    pub(super) async fn ask(
+        self: &Rc<Self>,
+        service: &str,
+        deadline: Instant,
+        demand: impl Fn(u64) -> CallDemand,
+    ) -> Asked {
+        let began = Instant::now();
+        let mut failures = 0;
+        while failures < FAILURES_BORNE {
+            let Some(controller) = self.scheduler_of(service) else {
+                return Asked::Unknown;
+            };
+            let call = self.begin_waiting(service, controller);
+            let answer = self
+                .ask_there(&call, service, controller, deadline, &demand)
+                .await;
+            match answer {
+                Answer::Verdict(verdict, inputs) => {
+                    self.metrics
+                        .verdict_wait
+                        .observe(began.elapsed().as_secs_f64());
+                    return self.conclude(call, verdict, inputs);
+                }
+                Answer::UnknownPool => return Asked::Unknown,
+                Answer::Failed => failures += 1,
+                Answer::Moved => {}
+                Answer::TooLate => return Asked::TooLate,
+            }
+        }
+        Asked::Unknown
+    }
+
+    fn conclude(&self, call: ScheduledCall, verdict: Verdict, inputs: DecisionInputs) -> Asked {
+        match verdict {
+            Verdict::Granted(engine) => {
+                let now = self.clock.now();
+                self.book
+                    .borrow_mut()
+                    .note_granted(call.number, engine, now);
+                Asked::Granted(call, engine, inputs)
+            }
+            Verdict::Refused { retry_after_ms } => {
+                let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+                Asked::Refused(retry_after, inputs)
+            }
+            Verdict::NoEngine => Asked::NoEngine(inputs),
+            Verdict::Waiting => Asked::Unknown,
+        }
+    }
+
+    /// Notes that a call goes to an engine that this gateway chose by itself.
+    pub(super) fn begin_local(self: &Rc<Self>, service: &str, engine: ServerKey) -> ScheduledCall {
+        let now = self.clock.now();
+        let number = self.book.borrow_mut().begin_running(service, engine, now);
+        ScheduledCall {
+            client: self.clone(),
+            number,
+            is_over: false,
+        }
+    }
+
+    fn begin_waiting(self: &Rc<Self>, service: &str, controller: NodeId) -> ScheduledCall {
+        let (number, is_other) = self.book.borrow_mut().begin_waiting(service, controller);
+        if is_other {
+            log::info!(event = "pool_scheduler_chosen", service, controller:% = controller; "the calls of a pool go to another scheduler");
+            self.tell_running(service, controller);
+        }
+        ScheduledCall {
+            client: self.clone(),
+            number,
+            is_over: false,
+        }
+    }
+
+    fn scheduler_of(&self, service: &str) -> Option<NodeId> {
+        let controllers = self.follower.controllers();
+        let now = self.clock.now();
+        self.book.borrow().scheduler_of(service, &controllers, now)
+    }
+
+    /// Asks one controller again and again until it decides.
+    async fn ask_there(
+        &self,
+        call: &ScheduledCall,
+        service: &str,
+        controller: NodeId,
+        deadline: Instant,
+        demand: &impl Fn(u64) -> CallDemand,
+    ) -> Answer {
+        loop {
+            self.send_notes();
+            let request = PeerRequest::Schedule {
+                service: service.to_owned(),
+                demand: demand(call.number),
+            };
+            let asked = self.request(controller, request);
+            let reply = match timeout_at(deadline, asked).await {
+                Ok(Some(reply)) => reply,
+                Ok(None) => return Answer::Failed,
+                Err(_) => return Answer::TooLate,
+            };
+            match reply {
+                PeerReply::Scheduled {
+                    incarnation,
+                    verdict,
+                    inputs,
+                } => {
+                    self.note_answer(call, service, controller, incarnation, verdict);
+                    if verdict != Verdict::Waiting {
+                        return Answer::Verdict(verdict, inputs);
+                    }
+                }
+                PeerReply::UnknownPool => return Answer::UnknownPool,
+                _ => {
+                    self.pass_over(controller, "an answer to something else");
+                    return Answer::Failed;
+                }
+            }
+            if self.scheduler_of(service) != Some(controller) {
+                return Answer::Moved;
+            }
+        }
+    }
+
+    /// Asks a controller; none if it doesn't answer, or didn't answer another call meanwhile.
+    async fn request(&self, controller: NodeId, request: PeerRequest) -> Option<PeerReply> {
+        let mut silenced = self.silenced.subscribe();
+        let is_silenced = async {
+            while silenced.changed().await.is_ok() {
+                if self.book.borrow().rests(controller, self.clock.now()) {
+                    return;
+                }
+            }
+        };
+        let reply = tokio::select! {
+            reply = self.peers.request(controller, request, ANSWER_LIMIT) => reply,
+            () = is_silenced => return None,
+        };
+        match reply {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                self.pass_over(controller, &error.to_string());
+                None
+            }
+        }
+    }
+
+    fn pass_over(&self, controller: NodeId, reason: &str) {
+        let now = self.clock.now();
+        let is_new = !self.book.borrow().rests(controller, now);
+        self.book.borrow_mut().rest(controller, now);
+        if is_new {
+            log::warn!(event = "pool_scheduler_silent", controller:% = controller, reason; "a controller gave no verdict and is passed over");
+            self.silenced.send_replace(());
+        }
+    }
+
+    /// Takes in which life of the scheduler answered. What it grants counts as running from here on, so that a new
+    /// life is told of it with the others.
+    fn note_answer(
+        &self,
+        call: &ScheduledCall,
+        service: &str,
+        controller: NodeId,
+        incarnation: u64,
+        verdict: Verdict,
+    ) {
+        let is_other = {
+            let mut book = self.book.borrow_mut();
+            if let Verdict::Granted(engine) = verdict {
+                book.note_granted(call.number, engine, self.clock.now());
+            }
+            book.note_answer(service, controller, incarnation)
+        };
+        if is_other {
+            log::info!(event = "pool_scheduler_restarted", service, controller:% = controller, incarnation; "a scheduler began anew and is told of the calls under way");
+            self.tell_running(service, controller);
+        }
+    }
+
+    /// Tells a scheduler all calls of a service that are at engines.
+    fn tell_running(&self, service: &str, controller: NodeId) {
+        self.send_notes();
+        let now = self.clock.now();
+        let mut book = self.book.borrow_mut();
+        let message = PeerMessage::PoolCalls {
+            service: service.to_owned(),
+            calls: book.tell_running(service, controller, now),
+        };
+        drop(book);
+        self.send(controller, message);
+    }
+
+    /// Sends the notes that weren't sent yet.
+    fn send_notes(&self) {
+        let notes = self.book.borrow_mut().take_notes();
+        for ((controller, service), notes) in notes {
+            self.send(controller, PeerMessage::PoolNotes { service, notes });
+        }
+    }
+
+    /// Tells a controller. What is lost is repaired when the calls at engines are told next.
+    fn send(&self, controller: NodeId, message: PeerMessage) {
+        if let Err(error) = self.peers.send(controller, message) {
+            log::info!(event = "pool_note_lost", controller:% = controller; "a scheduler could not be told: {error}");
+        }
+    }
+
+    fn end(&self, number: u64, end: CallEnd) {
+        self.book.borrow_mut().end(number, end);
+        self.noted.notify_one();
+    }
+}
+
+/// Sends notes as calls end, for as long as the process lives.
+pub(super) async fn send_notes(client: Rc<SchedulerClient>) {
+    loop {
+        client.noted.notified().await;
+        client.send_notes();
+    }
+}
+
+/// Tells schedulers again and again which calls are at engines; once more after the last one is over.
+pub(super) async fn repeat_running(client: Rc<SchedulerClient>) {
+    let mut busy_before = BTreeSet::new();
+    loop {
+        sleep(RUNNING_INTERVAL).await;
+        let schedulers = client.book.borrow().schedulers();
+        let mut busy = BTreeSet::new();
+        for (service, controller, is_busy) in schedulers {
+            if is_busy || busy_before.contains(&service) {
+                client.tell_running(&service, controller);
+            }
+            if is_busy {
+                busy.insert(service);
+            }
+        }
+        busy_before = busy;
+    }
+}
+
+/// A call that has a number at schedulers. Whatever becomes of it, they are told once.
+pub(super) struct ScheduledCall {
+    client: Rc<SchedulerClient>,
+    number: u64,
+    is_over: bool,
+}
+
+impl ScheduledCall {
+    /// Says what became of the call.
+    pub(super) fn end(mut self, end: CallEnd) {
+        self.is_over = true;
+        self.client.end(self.number, end);
+    }
+}
+
+impl Drop for ScheduledCall {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.client.end(self.number, CallEnd::Given);
+        }
+    }
+}
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -14,13 +14,14 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::access::{Caller, TenantTerms};
-use super::attempts::{Attempts, ChosenService};
+use super::attempts::{Attempts, CallTimes, ChosenService};
 use super::call::{CallCodec, CallEnvelope, Credential};
-use super::core::GatewayCore;
+use super::core::{CoreParts, GatewayCore};
 use super::load::share_load;
 use super::policy::{Mechanism, Policy};
 use super::quota::exchange_permits;
 use super::refusal::Refusal;
+use super::schedule::{SchedulerClient, repeat_running, send_notes};
 use super::stream::forward_by_kind;
 use crate::follower::{FleetFollower, FollowerKind};
 use crate::http::{BodyError, HttpTiming, listen, read_body, serve};
@@ -118,15 +119,22 @@
         settings.addresses,
         settings.zone.clone(),
     );
-    let core = GatewayCore::new(
-        settings.codec,
+    let schedulers =
+        SchedulerClient::new(peers.clone(), follower.clone(), settings.metrics.clone());
+    let core = GatewayCore::new(CoreParts {
+        codec: settings.codec,
         follower,
         records,
-        settings.metrics,
-        settings.zone,
-        settings.policy,
-        settings.tenants,
-    );
+        schedulers,
+        metrics: settings.metrics,
+        zone: settings.zone,
+        policy: settings.policy,
+        tenants: settings.tenants,
+    });
+    if core.policy.uses(Mechanism::PoolScheduler) {
+        actix_rt::spawn(send_notes(core.schedulers.clone()));
+        actix_rt::spawn(repeat_running(core.schedulers.clone()));
+    }
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
     actix_rt::spawn(exchange_permits(
@@ -267,6 +275,7 @@
         connection_limit: if limit == 0 { u32::MAX } else { limit },
         version: routing.version,
         caller,
+        is_pool: engine.is_some(),
     };
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived + call.time_left.map_or(timeout, |left| left.min(timeout));
@@ -274,7 +283,13 @@
         log::info!(event = "leaving", request = call.request_id.as_str(); "the gateway ends before the call would");
         return Err(Refusal::Leaving);
     }
-    let attempts = Attempts::new(core.clone(), call, route, service, deadline);
+    let attempts = Attempts::new(
+        core.clone(),
+        call,
+        route,
+        service,
+        CallTimes { arrived, deadline },
+    );
     Ok((attempts, tokens_per_event))
 }
 
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -111,6 +111,14 @@
         (seen.server.state == ServerState::Ready).then(|| seen.chosen())
     }
 
+    /// The server of a service that a key names, if it is on the list and takes new work.
+    #[must_use]
+    pub fn listed_as(&self, service: &str, key: ServerKey) -> Option<Chosen> {
+        let mut seen = self.seen.values();
+        let found = seen.find(|seen| seen.key == key && seen.server.service == service)?;
+        (found.server.state == ServerState::Ready).then(|| found.chosen())
+    }
+
     /// Takes in that the first part of an answer came, with so many tokens to read before it.
     pub fn note_read(
         &mut self,
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use courseshed_pool::CallEnd;
 use courseshed_quota::Standing;
 use courseshed_records::PartitionId;
 use futures_util::stream;
@@ -54,11 +55,15 @@
             attempts.deadline
         ),
     );
-    let (reservation, composed) = match prepared {
+    let (mut reservation, composed) = match prepared {
         (Ok(reservation), Ok(composed)) => (reservation, composed),
         (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
     };
     attempts.body = composed.body;
+    attempts.held.extend(composed.hint);
+    if let Some(reservation) = &mut reservation {
+        attempts.held.extend(reservation.take_hints());
+    }
     if reservation.as_ref().is_some_and(TokenReservation::is_first) {
         attempts.standing = Standing::New;
     }
@@ -109,12 +114,16 @@
         match timeout_at(deadline, opened.upstream.next_chunk()).await {
             Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
             Ok(Ok(None)) => break,
-            Ok(Err(_)) => return refuse(attempts, Refusal::Broken),
+            Ok(Err(_)) => {
+                opened.end_call(CallEnd::Broken);
+                return refuse(attempts, Refusal::Broken);
+            }
             Err(_) => return refuse(attempts, Refusal::TimedOut),
         }
     }
     let mut attempts = attempts;
     attempts.log.outcome = "answered";
+    opened.end_call(opened.end_without_stream());
     let response = answer_head(&opened.head).set_body(BoxBody::new(body.freeze()));
     opened.upstream.finish();
     response
@@ -190,7 +199,7 @@
 
     /// Notes how fast the server goes on.
     fn note_arrived(&mut self, events: u32) {
-        let Some(opened) = &self.opened else {
+        let Some(opened) = &mut self.opened else {
             return;
         };
         if events == 0 {
@@ -232,8 +241,9 @@
     /// Goes on behind the last event at a server, after the one before broke off.
     async fn take_up(&mut self, error: &UpstreamError) -> Result<(), BrokenOff> {
         self.splitter = EventSplitter::default();
-        if let Some(opened) = self.opened.take() {
+        if let Some(mut opened) = self.opened.take() {
             self.attempts.note_broken(&opened.server, error);
+            opened.end_call(self.end_of_break(error));
         }
         if !self.attempts.may_repeat() {
             return self.break_off();
@@ -250,6 +260,17 @@
         }
     }
 
+    /// What a break says of the engine: one that is silent for too long within a stream counts as broken, unless
+    /// it is the call's time that is over.
+    fn end_of_break(&self, error: &UpstreamError) -> CallEnd {
+        let is_out_of_time = matches!(error, UpstreamError::TimedOut);
+        if is_out_of_time && !self.attempts.may_repeat() {
+            CallEnd::Given
+        } else {
+            CallEnd::Broken
+        }
+    }
+
     fn break_off(&mut self) -> Result<(), BrokenOff> {
         self.attempts.log.outcome = "broken_off";
         Err(BrokenOff)
@@ -258,10 +279,10 @@
     /// Keeps the turn, if its route keeps turns, and gives the connection back.
     async fn finish(&mut self) -> Result<(), BrokenOff> {
         let mut cached = None;
-        if let Some(opened) = self.opened.take() {
+        if let Some(mut opened) = self.opened.take() {
             let generated = u64::from(self.events_here) * self.tokens_per_event;
             let generated = u32::try_from(generated).unwrap_or(u32::MAX);
-            let held = self.attempts.note_finished(&opened, generated);
+            let held = self.attempts.note_finished(&mut opened, generated);
             // A kept turn brings the same hint.
             let is_kept = self.attempts.route.keeps_turns;
             if let Some(reservation) = self.reservation.as_mut().filter(|_| !is_kept) {
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod scheduler;
 pub mod server;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -50,8 +51,8 @@
     pub readiness: SocketAddr,
     pub metrics: Arc<Metrics>,
     pub disk_faults: FaultSwitch,
-    addresses: PeerAddresses,
-    hosts: Ipv4Addr,
+    pub addresses: PeerAddresses,
+    pub hosts: Ipv4Addr,
     stop: Option<oneshot::Sender<()>>,
     _folder: TempDir,
 }
@@ -61,10 +62,10 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: Arc<Metrics>,
-    stop: oneshot::Sender<()>,
+    pub stop: oneshot::Sender<()>,
 }
 
-fn start_gateway(
+pub fn start_gateway(
     ip: Ipv4Addr,
     seed: Ipv4Addr,
     addresses: PeerAddresses,
@@ -138,9 +139,8 @@
         revocation: Option<Duration>,
     ) -> Self {
         let folder = TempDir::new().expect("a folder");
-        let subnet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
-        let process = (std::process::id() % 200) as u8 + 20;
-        let ip = move |host: u8| Ipv4Addr::new(127, process, subnet, host);
+        let [a, b, c, _] = new_subnet().octets();
+        let ip = move |host: u8| Ipv4Addr::new(a, b, c, host);
         let addresses = PeerAddresses {
             first_port: free_port(ip(1)),
         };
@@ -193,24 +193,7 @@
 
     /// Puts a version of the routing table in force.
     pub async fn put(&self, version: u64, routes: Vec<Route>, tenants: Option<Vec<Tenant>>) {
-        let service = Service {
-            name: "s".to_owned(),
-            connection_limit: 100,
-            engine: Some(EngineLimits {
-                slots: 4,
-                tokens_per_event: 10,
-                memory_tokens: None,
-            }),
-        };
-        let table = VersionedTable {
-            version,
-            table: RoutingTable {
-                routes: routes.into_iter().map(Arc::new).collect(),
-                services: vec![service],
-                limits: CallLimits::default(),
-                tenants: tenants.map(|tenants| tenants.into_iter().map(Arc::new).collect()),
-            },
-        };
+        let table = table(version, routes, tenants);
         until(async || {
             let done = self.controller.replace_routing(table.clone(), Bytes::new());
             done.await.is_ok()
@@ -269,6 +252,28 @@
     }
 }
 
+/// A routing table with one service of engines.
+pub fn table(version: u64, routes: Vec<Route>, tenants: Option<Vec<Tenant>>) -> VersionedTable {
+    let service = Service {
+        name: "s".to_owned(),
+        connection_limit: 100,
+        engine: Some(EngineLimits {
+            slots: 4,
+            tokens_per_event: 10,
+            memory_tokens: None,
+        }),
+    };
+    VersionedTable {
+        version,
+        table: RoutingTable {
+            routes: routes.into_iter().map(Arc::new).collect(),
+            services: vec![service],
+            limits: CallLimits::default(),
+            tenants: tenants.map(|tenants| tenants.into_iter().map(Arc::new).collect()),
+        },
+    }
+}
+
 /// A route of `/a/` to the service, without anything special.
 pub fn plain_route() -> Route {
     Route {
@@ -342,8 +347,15 @@
     panic!("it never held");
 }
 
+/// A network of loopback addresses that no other fleet of this process has.
+pub fn new_subnet() -> Ipv4Addr {
+    let subnet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+    let process = (std::process::id() % 200) as u8 + 20;
+    Ipv4Addr::new(127, process, subnet, 0)
+}
+
 /// The first of a row of ports that are free on an address.
-fn free_port(ip: Ipv4Addr) -> u16 {
+pub fn free_port(ip: Ipv4Addr) -> u16 {
     let listener = TcpListener::bind((ip, 0)).expect("a port");
     let port = listener.local_addr().expect("an address").port();
     port.min(u16::MAX - 20)
