Spread a pool's calls over engines that cost the same

Cause: among engines of equal cost the scheduler always took the one with the lowest key, so in an idle pool one engine got all new programs; three tests waited in vain for a second server's first call. Change: an order of the engines that depends on the prompt's first part (else on the call) weighs up to 4 ms, as in the gateways' own choice.

--- a/crates/courseshed-pool/src/cost.rs
+++ b/crates/courseshed-pool/src/cost.rs
@@ -4,6 +4,8 @@
 //! worth a fast engine; one with much leaves it free, as long as others make its aim; and a prompt is read anew only
 //! where that is cheaper than waiting for an engine that holds it.
 
+use courseshed_types::ServerKey;
+
 /// How much slower a call is for each other one at its engine: batches take longer.
 const SLOWDOWN_OF_CALL: f64 = 0.015;
 /// What a read holds up at each running call, as a part of its time: engines read between the tokens of others.
@@ -77,3 +79,17 @@
 
 /// Below this slack no engine of the pool makes a program's aim.
 const HOPELESS_SLACK: f64 = 0.6;
+
+/// Most that the order of engines which depends on the prompt alone may weigh, in milliseconds.
+const PREFERENCE_MS: f64 = 4.0;
+
+/// What an engine costs more than the first one in an order that depends on the salt alone: engines that cost the
+/// same otherwise are spread over, and the same prompt prefers the same one.
+pub(crate) fn preference_ms(engine: ServerKey, salt: u64) -> f64 {
+    // The finalizer of splitmix64, which spreads neighbouring inputs over all values.
+    let mut mixed = salt.wrapping_add(u64::from(engine.0).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^= mixed >> 31;
+    PREFERENCE_MS * (mixed as f64 / u64::MAX as f64)
+}
--- a/crates/courseshed-pool/src/scheduler.rs
+++ b/crates/courseshed-pool/src/scheduler.rs
@@ -250,7 +250,7 @@
         let usual = Duration::from_secs_f64(usual_decode_ms / 1000.0);
         let slowness = engine.pace.slowness(&self.pace) * engine.overdue(now, usual);
         let unread = engine.held.unread_tokens(&call.demand.parts);
-        cost::expected_ms(&Prospect {
+        let expected = cost::expected_ms(&Prospect {
             read_ms: self.pace.read_ms(unread) * slowness,
             decode_ms: usual_decode_ms * slowness,
             usual_decode_ms,
@@ -259,7 +259,10 @@
             is_near: engine.listing.zone == call.demand.zone,
             failing_part: engine.health.failing_part(now),
             worth: cost::worth_of(call.standing.slack(now)),
-        })
+        });
+        let salt = call.demand.parts.first();
+        let salt = salt.map_or(call.demand.number, |part| part.id);
+        expected + cost::preference_ms(engine.listing.key, salt)
     }
 
     /// Gives free places to the calls that wait.
