--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::attempts::Attempts;
+use super::attempts::{Attempts, LEAST_TIME};
 use super::choice::{Chosen, Demand};
 use super::policy::Mechanism;
 use super::program::program_key;
@@ -47,7 +47,9 @@
 impl Attempts {
     /// The server that the request goes to next; none if there is none.
     pub(super) async fn assign(&mut self) -> Result<Option<Assigned>, Refusal> {
-        if let Some(kept) = self.kept.take() {
+        if let Some(kept) = self.kept.take()
+            && self.core.servers.borrow().listed(&kept.chosen.id).is_some()
+        {
             return Ok(Some(kept));
         }
         if self.passed_over.len() > REFUSALS_BORNE {
@@ -73,16 +75,17 @@
             return Ok(Scheduled::Unknown);
         }
         let mut excluded: Vec<ServerKey> = excluded.iter().map(|id| ServerKey::of(id)).collect();
+        let give_up = self.deadline - LEAST_TIME;
         for _ in 0..STRANGERS_BORNE {
             let demand = self.demand(excluded.clone());
             let renewed = |number| self.renewed(&demand, number);
             let schedulers = self.core.schedulers.clone();
-            let asked = schedulers.ask(&self.service, self.deadline, renewed).await;
+            let asked = schedulers.ask(&self.service, give_up, renewed).await;
             let (call, key, inputs) = match asked {
                 Asked::Granted(call, key, inputs) => (call, key, inputs),
                 Asked::Refused(retry_after, inputs) => {
                     self.log.schedule = inputs;
-                    return Err(Refusal::Overloaded { retry_after });
+                    return Err(self.not_sent_again(Refusal::Overloaded { retry_after }));
                 }
                 Asked::NoEngine(inputs) => {
                     self.log.schedule = inputs;
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -34,7 +34,7 @@
 /// What a thing known by its key alone counts for, in tokens of a prompt.
 const TOKENS_OF_KEY: u32 = 2_000;
 /// Less time than this is not worth another try.
-const LEAST_TIME: Duration = Duration::from_millis(15);
+pub(super) const LEAST_TIME: Duration = Duration::from_millis(15);
 
 /// An answer that has begun.
 pub(super) struct Opened {
@@ -207,11 +207,7 @@
             if let Err(refusal) = self.take_permit().await {
                 return Err(self.not_sent_again(refusal));
             }
-            let assigned = match self.assign().await {
-                Ok(assigned) => assigned,
-                Err(refusal) => return Err(self.not_sent_again(refusal)),
-            };
-            let Some(Assigned { chosen, call }) = assigned else {
+            let Some(Assigned { chosen, call }) = self.assign().await? else {
                 return Err(self.out_of_servers());
             };
             let inputs = self.choice_inputs(&chosen.id);
@@ -372,7 +368,7 @@
     }
 
     /// What the caller is told if the request may not be sent any more.
-    fn not_sent_again(&self, refusal: Refusal) -> Refusal {
+    pub(super) fn not_sent_again(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
             Refusal::Broken
         } else {
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -256,7 +256,11 @@
                 self.events_here = 0;
                 Ok(())
             }
-            _ => self.break_off(),
+            Ok(mut opened) => {
+                opened.end_call(opened.end_without_stream());
+                self.break_off()
+            }
+            Err(_) => self.break_off(),
         }
     }
 
