--- /dev/null
+++ b/crates/courseshed-pool/tests/support/mod.rs
@@ -0,0 +1,774 @@
+//! Small fake engines, gateways and programs that load a [`PoolScheduler`] in virtual time, in steps of 1 ms.
+//!
+//! Not a model of any engine: just enough for queues, prompts that are read again and failures to have a price.
+#![allow(dead_code)] // each test file uses a part
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::Range,
+    time::Duration,
+};
+
+use courseshed_pool::{
+    CallDemand, CallEnd, CallNote, Decision, EngineListing, NameKey, PoolScheduler,
+    ProgramStanding, RunningCall, Ticket, Verdict,
+};
+use courseshed_types::{CachedPrompt, NodeId, PromptPart, ServerKey};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const SHARED_TOKENS: u32 = 12_600;
+pub const MEMORY_TOKENS: u64 = 226_000;
+const READ_TOKENS_PER_MS: f64 = 100.0;
+const MS_PER_TOKEN: f64 = 1.2;
+const SLOWER_PER_CALL: f64 = 0.03;
+const SLOWER_WHILE_READING: f64 = 1.3;
+const ENGINE_QUEUE: usize = 24;
+const DEADLINE_MS: u64 = 3_000;
+const ASK_AGAIN_MS: u64 = 150;
+const TRIES: u32 = 3;
+const ZONE: NameKey = NameKey(1);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Sound,
+    Failing,
+    Gone,
+}
+
+struct Job {
+    ticket: Ticket,
+    parts: Vec<PromptPart>,
+    unread: f64,
+    output: f64,
+    generated: f64,
+    sent_ms: u64,
+    first_ms: Option<u64>,
+}
+
+/// An engine: reads, generates, keeps what it read, queues beyond its slots.
+pub struct FakeEngine {
+    pub key: ServerKey,
+    pub slots: usize,
+    pub slowness: f64,
+    pub memory_tokens: u64,
+    pub health: Health,
+    /// Tokens of shared parts that it read.
+    pub shared_read: u64,
+    running: Vec<Job>,
+    queue: VecDeque<Job>,
+    memory: BTreeMap<u64, (u32, u64)>,
+}
+
+/// So many engines with 8 slots; `slowness` tells each one's by its place.
+pub fn engines(count: u32, slowness: impl Fn(u32) -> f64) -> Vec<FakeEngine> {
+    let engine = |place| FakeEngine {
+        key: ServerKey(1_000 + place),
+        slots: 8,
+        slowness: slowness(place),
+        memory_tokens: MEMORY_TOKENS,
+        health: Health::Sound,
+        shared_read: 0,
+        running: Vec::new(),
+        queue: VecDeque::new(),
+        memory: BTreeMap::new(),
+    };
+    (0..count).map(engine).collect()
+}
+
+impl FakeEngine {
+    pub fn holds(&self, part: u64) -> bool {
+        self.memory.contains_key(&part)
+    }
+
+    /// Takes a call, or says at once what becomes of it.
+    fn accept(&mut self, now: u64, job: Job) -> Option<CallEnd> {
+        match self.health {
+            Health::Gone => return Some(CallEnd::Broken),
+            Health::Failing => return Some(CallEnd::Failed),
+            Health::Sound => {}
+        }
+        if self.running.len() < self.slots {
+            self.start(now, job);
+        } else if self.queue.len() < ENGINE_QUEUE {
+            self.queue.push_back(job);
+        } else {
+            return Some(CallEnd::Refused);
+        }
+        None
+    }
+
+    fn start(&mut self, now: u64, mut job: Job) {
+        let mut is_prefix_held = true;
+        for part in &job.parts {
+            let held = self.memory.get(&part.id).map_or(0, |held| held.0);
+            let held = if is_prefix_held {
+                held.min(part.tokens)
+            } else {
+                0
+            };
+            is_prefix_held &= held > 0;
+            job.unread += f64::from(part.tokens - held);
+            if part.tokens == SHARED_TOKENS {
+                self.shared_read += u64::from(part.tokens - held);
+            }
+        }
+        let parts = job.parts.clone();
+        self.running.push(job);
+        self.keep(now, &parts);
+    }
+
+    fn keep(&mut self, now: u64, parts: &[PromptPart]) {
+        self.memory
+            .extend(parts.iter().map(|part| (part.id, (part.tokens, now))));
+        let mut total: u64 = self.memory.values().map(|held| u64::from(held.0)).sum();
+        while total > self.memory_tokens {
+            let Some((&part, &(tokens, _))) = self.memory.iter().min_by_key(|(_, held)| held.1)
+            else {
+                break;
+            };
+            self.memory.remove(&part);
+            total -= u64::from(tokens);
+        }
+    }
+
+    /// Works for 1 ms and tells which calls are whole.
+    fn step(&mut self, now: u64) -> Vec<(Ticket, CallEnd)> {
+        let readers = self.running.iter().filter(|job| job.unread > 0.0).count();
+        let crowd = 1.0 + SLOWER_PER_CALL * self.running.len().saturating_sub(1) as f64;
+        let reading = if readers > 0 {
+            SLOWER_WHILE_READING
+        } else {
+            1.0
+        };
+        let read = READ_TOKENS_PER_MS / self.slowness / readers.max(1) as f64;
+        let generated = 1.0 / (MS_PER_TOKEN * self.slowness * crowd * reading);
+        for job in &mut self.running {
+            if job.unread > 0.0 {
+                job.unread -= read;
+            } else {
+                job.generated += generated;
+                job.first_ms = job.first_ms.or(Some(now));
+            }
+        }
+        let whole: Vec<Job> = self
+            .running
+            .extract_if(.., |job| job.generated >= job.output)
+            .collect();
+        for job in &whole {
+            let kept = CachedPrompt::after_answer(self.key, &job.parts, job.output as u32);
+            self.keep(now, &kept.parts);
+        }
+        while self.running.len() < self.slots
+            && let Some(job) = self.queue.pop_front()
+        {
+            self.start(now, job);
+        }
+        whole
+            .iter()
+            .map(|job| (job.ticket, whole_end(now, job)))
+            .collect()
+    }
+
+    fn forget(&mut self, ticket: Ticket) {
+        self.running.retain(|job| job.ticket != ticket);
+        self.queue.retain(|job| job.ticket != ticket);
+    }
+}
+
+fn whole_end(now: u64, job: &Job) -> CallEnd {
+    CallEnd::Whole {
+        generated: job.output as u32,
+        first_part_ms: (job.first_ms.unwrap_or(now) - job.sent_ms) as u32 + 1,
+        took_ms: (now - job.sent_ms) as u32 + 2,
+    }
+}
+
+/// What programs of a stream are like.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub factor: f64,
+    pub rank: u32,
+    pub tenant: u64,
+    pub turns: Range<u32>,
+    pub shared_parts: u64,
+    /// How many of a hundred begin with the first shared part; the others share the rest evenly.
+    pub hot_percent: u32,
+}
+
+const GROWN: Range<u32> = 200..600;
+const OUTPUT: Range<u32> = 80..220;
+const PAUSE_MS: Range<u64> = 100..300;
+
+/// About 9 turns and little time to spare.
+pub fn tight() -> Kind {
+    Kind {
+        factor: 1.2,
+        rank: 0,
+        tenant: 1,
+        turns: 7..12,
+        shared_parts: 4,
+        hot_percent: 25,
+    }
+}
+
+/// About 3 turns and some time to spare.
+pub fn loose() -> Kind {
+    Kind {
+        factor: 1.4,
+        rank: 1,
+        turns: 2..5,
+        ..tight()
+    }
+}
+
+struct Turn {
+    grown: u32,
+    output: u32,
+    pause_ms: u64,
+}
+
+fn middle(range: &Range<u32>) -> f64 {
+    f64::from(range.start + range.end - 1) / 2.0
+}
+
+struct Stream {
+    kind: Kind,
+    per_ms: f64,
+    next_ms: f64,
+    until_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    InAim,
+    Late,
+    Failed,
+}
+
+pub struct Program {
+    pub kind: Kind,
+    pub started_ms: u64,
+    pub ended: Option<(u64, Outcome)>,
+    gateway: NodeId,
+    aim_ms: u64,
+    parts: Vec<PromptPart>,
+    turns: Vec<Turn>,
+    turn: usize,
+    tries: u32,
+    excluded: Vec<ServerKey>,
+    held: Vec<CachedPrompt>,
+}
+
+struct Call {
+    program: usize,
+    since_ms: u64,
+    /// Place of the engine that it was sent to, and when.
+    at: Option<(usize, u64)>,
+}
+
+/// How a call ended for its gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Ended(CallEnd),
+    RefusedByScheduler,
+    NoEngine,
+}
+
+/// The end of a call, for the figures.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub at_ms: u64,
+    /// How long the gateway had the call.
+    pub after_ms: u64,
+    pub program: usize,
+    pub engine: Option<usize>,
+    pub how: How,
+}
+
+enum Event {
+    TurnStarts(usize),
+    Asked(Ticket, CallDemand),
+    AskAgain(Ticket),
+    Decided(Decision),
+    Sent(Ticket),
+    Ended(Ticket, CallEnd),
+    Noted(Ticket, CallEnd),
+    Deadline(Ticket),
+}
+
+/// The engines, gateways and programs around one scheduler.
+pub struct World {
+    pub now: u64,
+    pub scheduler: PoolScheduler,
+    pub engines: Vec<FakeEngine>,
+    pub programs: Vec<Program>,
+    pub endings: Vec<Ending>,
+    /// When, to which call and at which place engines were granted.
+    pub grants: Vec<(u64, Ticket, usize)>,
+    /// Grants to calls that had been granted an engine already.
+    pub granted_twice: u32,
+    calls: BTreeMap<Ticket, Call>,
+    streams: Vec<Stream>,
+    events: BTreeMap<u64, Vec<Event>>,
+    gateways: Vec<NodeId>,
+    numbers: u64,
+    random: ChaCha8Rng,
+}
+
+impl World {
+    pub fn new(seed: u64, engines: Vec<FakeEngine>) -> Self {
+        let mut world = Self {
+            now: 0,
+            scheduler: PoolScheduler::new(),
+            engines,
+            programs: Vec::new(),
+            endings: Vec::new(),
+            grants: Vec::new(),
+            granted_twice: 0,
+            calls: BTreeMap::new(),
+            streams: Vec::new(),
+            events: BTreeMap::new(),
+            gateways: (1..=4).map(NodeId).collect(),
+            numbers: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        };
+        world.list(&[]);
+        world
+    }
+
+    fn clock(&self) -> Duration {
+        Duration::from_millis(self.now)
+    }
+
+    /// Tells the scheduler all engines, those at the places given as not ready.
+    pub fn list(&mut self, not_ready: &[usize]) {
+        let listing = |(place, engine): (usize, &FakeEngine)| EngineListing {
+            key: engine.key,
+            zone: ZONE,
+            slots: engine.slots as u32,
+            memory_tokens: Some(engine.memory_tokens),
+            is_ready: !not_ready.contains(&place),
+        };
+        let listings: Vec<_> = self.engines.iter().enumerate().map(listing).collect();
+        self.scheduler.set_engines(self.clock(), &listings);
+    }
+
+    /// Adds programs that take such a share of what all engines can do with full slots and prompts at hand.
+    pub fn load(&mut self, kind: Kind, share: f64, period_ms: Range<u64>) {
+        let turn_ms = |engine: &FakeEngine| {
+            let crowd = 1.0 + SLOWER_PER_CALL * (engine.slots - 1) as f64;
+            let reading = middle(&GROWN) / READ_TOKENS_PER_MS;
+            engine.slowness * (middle(&OUTPUT) * MS_PER_TOKEN * crowd + reading)
+        };
+        let turns_per_ms: f64 = self
+            .engines
+            .iter()
+            .map(|engine| engine.slots as f64 / turn_ms(engine))
+            .sum();
+        let per_ms = share * turns_per_ms / middle(&kind.turns);
+        let (next_ms, until_ms) = (period_ms.start as f64, period_ms.end);
+        self.streams.push(Stream {
+            kind,
+            per_ms,
+            next_ms,
+            until_ms,
+        });
+    }
+
+    /// Changes engines' health; those that are gone break off what they have and forget what they read.
+    pub fn set_health(&mut self, places: Range<usize>, health: Health) {
+        for place in places {
+            let engine = &mut self.engines[place];
+            engine.health = health;
+            if health == Health::Gone {
+                engine.memory.clear();
+                let jobs = engine.running.drain(..).chain(engine.queue.drain(..));
+                let broken: Vec<Ticket> = jobs.map(|job| job.ticket).collect();
+                for ticket in broken {
+                    self.after(1, Event::Ended(ticket, CallEnd::Broken));
+                }
+            }
+        }
+    }
+
+    /// A scheduler that knows nothing takes over; what the old one said last is lost.
+    pub fn replace_scheduler(&mut self) {
+        for events in self.events.values_mut() {
+            events.retain(|event| !matches!(event, Event::Decided(_)));
+        }
+        self.scheduler = PoolScheduler::new();
+        self.list(&[]);
+        for gateway in self.gateways.clone() {
+            let running = self.running_calls(gateway);
+            self.scheduler.set_running(self.clock(), gateway, &running);
+        }
+    }
+
+    fn running_calls(&self, gateway: NodeId) -> Vec<RunningCall> {
+        let running = |(ticket, call): (&Ticket, &Call)| {
+            let (place, since_ms) = call.at?;
+            Some(RunningCall {
+                number: ticket.number,
+                engine: self.engines[place].key,
+                for_ms: (self.now - since_ms) as u32,
+            })
+        };
+        let of_gateway = self
+            .calls
+            .iter()
+            .filter(|(ticket, _)| ticket.gateway == gateway);
+        of_gateway.filter_map(running).collect()
+    }
+
+    /// How many calls gateways have at the engine.
+    pub fn calls_at(&self, place: usize) -> usize {
+        let is_at = |call: &&Call| call.at.is_some_and(|(at, _)| at == place);
+        self.calls.values().filter(is_at).count()
+    }
+
+    /// The oldest call that no engine was granted to: how long its gateway has had it, in milliseconds.
+    pub fn longest_wait_ms(&self) -> u64 {
+        let waiting = self.calls.values().filter(|call| call.at.is_none());
+        waiting
+            .map(|call| self.now - call.since_ms)
+            .max()
+            .unwrap_or(0)
+    }
+
+    pub fn run_until(&mut self, end_ms: u64) {
+        while self.now < end_ms {
+            self.now += 1;
+            self.start_programs();
+            for event in self.events.remove(&self.now).unwrap_or_default() {
+                self.handle(event);
+            }
+            for place in 0..self.engines.len() {
+                for (ticket, end) in self.engines[place].step(self.now) {
+                    self.after(1, Event::Ended(ticket, end));
+                }
+            }
+            if self.now.is_multiple_of(5) {
+                self.scheduler.tick(self.clock());
+            }
+            for decision in self.scheduler.take_decisions() {
+                self.after(1, Event::Decided(decision));
+            }
+        }
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        self.events
+            .entry(self.now + delay_ms)
+            .or_default()
+            .push(event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::TurnStarts(program) => self.start_turn(program),
+            Event::Asked(ticket, demand) => {
+                self.scheduler.ask(self.clock(), ticket.gateway, demand);
+            }
+            Event::AskAgain(ticket) => {
+                if self
+                    .calls
+                    .get(&ticket)
+                    .is_some_and(|call| call.at.is_none())
+                {
+                    self.ask(ticket);
+                }
+            }
+            Event::Decided(decision) => self.take_in(decision),
+            Event::Sent(ticket) => self.reach_engine(ticket),
+            Event::Ended(ticket, end) => self.end_call(ticket, How::Ended(end)),
+            Event::Noted(ticket, end) => {
+                let note = CallNote {
+                    number: ticket.number,
+                    end,
+                };
+                self.scheduler.note(self.clock(), ticket.gateway, &[note]);
+            }
+            Event::Deadline(ticket) => self.end_call(ticket, How::Ended(CallEnd::Given)),
+        }
+    }
+
+    fn start_programs(&mut self) {
+        for place in 0..self.streams.len() {
+            loop {
+                let stream = &mut self.streams[place];
+                if stream.next_ms > self.now as f64 || self.now >= stream.until_ms {
+                    break;
+                }
+                stream.next_ms -= (1.0 - self.random.random::<f64>()).ln() / stream.per_ms;
+                let kind = stream.kind.clone();
+                self.start_program(kind);
+            }
+        }
+    }
+
+    fn start_program(&mut self, kind: Kind) {
+        let random = &mut self.random;
+        let count = random.random_range(kind.turns.clone());
+        let turn = |_| Turn {
+            grown: random.random_range(GROWN),
+            output: random.random_range(OUTPUT),
+            pause_ms: random.random_range(PAUSE_MS),
+        };
+        let turns: Vec<Turn> = (0..count).map(turn).collect();
+        let is_hot = kind.shared_parts == 1 || random.random_range(0..100) < kind.hot_percent;
+        let shared = if is_hot {
+            0
+        } else {
+            random.random_range(1..kind.shared_parts)
+        };
+        let gateway = self.gateways[random.random_range(0..self.gateways.len())];
+        let own = 1_000_000 + self.programs.len() as u64;
+        self.programs.push(Program {
+            aim_ms: self.now + (kind.factor * idle_ms(&turns)) as u64 + 250,
+            kind,
+            started_ms: self.now,
+            ended: None,
+            gateway,
+            parts: vec![
+                PromptPart {
+                    id: shared,
+                    tokens: SHARED_TOKENS,
+                },
+                PromptPart {
+                    id: own,
+                    tokens: turns[0].grown,
+                },
+            ],
+            turns,
+            turn: 0,
+            tries: 0,
+            excluded: Vec::new(),
+            held: Vec::new(),
+        });
+        self.start_turn(self.programs.len() - 1);
+    }
+
+    fn start_turn(&mut self, program: usize) {
+        self.numbers += 1;
+        let ticket = Ticket {
+            gateway: self.programs[program].gateway,
+            number: self.numbers,
+        };
+        self.programs[program].tries += 1;
+        self.calls.insert(
+            ticket,
+            Call {
+                program,
+                since_ms: self.now,
+                at: None,
+            },
+        );
+        self.after(DEADLINE_MS, Event::Deadline(ticket));
+        self.ask(ticket);
+    }
+
+    fn ask(&mut self, ticket: Ticket) {
+        let call = &self.calls[&ticket];
+        let waited = self.now - call.since_ms;
+        let program = &self.programs[call.program];
+        let demand = CallDemand {
+            number: ticket.number,
+            route: NameKey(1),
+            rank: program.kind.rank,
+            tenant: Some(NameKey(program.kind.tenant)),
+            program: Some(ProgramStanding {
+                program: NameKey(call.program as u64),
+                left_ms: Some(program.aim_ms.saturating_sub(self.now) as u32),
+                turns_budgeted: Some(1.5 * program.turns.len() as f32),
+            }),
+            zone: ZONE,
+            parts: program.parts.clone(),
+            most_tokens: OUTPUT.end,
+            waited_ms: waited as u32,
+            time_left_ms: DEADLINE_MS.saturating_sub(waited) as u32,
+            excluded: program.excluded.clone(),
+            held: program.held.clone(),
+        };
+        self.after(1, Event::Asked(ticket, demand));
+        self.after(ASK_AGAIN_MS, Event::AskAgain(ticket));
+    }
+
+    fn take_in(&mut self, decision: Decision) {
+        let ticket = decision.ticket;
+        let Some(call) = self.calls.get_mut(&ticket) else {
+            self.after(1, Event::Noted(ticket, CallEnd::Given));
+            return;
+        };
+        match decision.verdict {
+            Verdict::Granted(key) => {
+                if call.at.is_some() {
+                    self.granted_twice += 1;
+                    return;
+                }
+                let is_granted = |engine: &FakeEngine| engine.key == key;
+                let place = self
+                    .engines
+                    .iter()
+                    .position(is_granted)
+                    .expect("a listed engine");
+                call.at = Some((place, self.now));
+                self.grants.push((self.now, ticket, place));
+                self.after(1, Event::Sent(ticket));
+            }
+            Verdict::Refused { retry_after_ms } => {
+                self.finish(ticket, How::RefusedByScheduler, Some(retry_after_ms.into()));
+            }
+            Verdict::NoEngine => self.finish(ticket, How::NoEngine, None),
+            Verdict::Waiting => panic!("{decision:?} is no decision"),
+        }
+    }
+
+    fn reach_engine(&mut self, ticket: Ticket) {
+        let Some(Call {
+            program,
+            at: Some((place, _)),
+            ..
+        }) = self.calls.get(&ticket)
+        else {
+            return;
+        };
+        let program = &self.programs[*program];
+        let job = Job {
+            ticket,
+            parts: program.parts.clone(),
+            unread: 0.0,
+            output: program.turns[program.turn].output.into(),
+            generated: 0.0,
+            sent_ms: self.now,
+            first_ms: None,
+        };
+        if let Some(end) = self.engines[*place].accept(self.now, job) {
+            self.after(1, Event::Ended(ticket, end));
+        }
+    }
+
+    /// The gateway learns how its call ended, and tells the scheduler.
+    fn end_call(&mut self, ticket: Ticket, how: How) {
+        if self.calls.contains_key(&ticket) {
+            let How::Ended(end) = how else { return };
+            self.after(1, Event::Noted(ticket, end));
+            self.finish(ticket, how, None);
+        }
+    }
+
+    fn finish(&mut self, ticket: Ticket, how: How, retry_after_ms: Option<u64>) {
+        let call = self.calls.remove(&ticket).expect("a call under way");
+        let engine = call.at.map(|(place, _)| place);
+        if let Some(place) = engine {
+            self.engines[place].forget(ticket);
+        }
+        let after_ms = self.now - call.since_ms;
+        let (at_ms, program) = (self.now, call.program);
+        self.endings.push(Ending {
+            at_ms,
+            after_ms,
+            program,
+            engine,
+            how,
+        });
+        match how {
+            How::Ended(CallEnd::Whole { generated, .. }) => {
+                self.go_on(program, generated, engine.expect("an engine that answered"));
+            }
+            _ => self.try_again(program, engine, retry_after_ms),
+        }
+    }
+
+    fn go_on(&mut self, place: usize, generated: u32, engine: usize) {
+        let program = &mut self.programs[place];
+        let kept = CachedPrompt::after_answer(self.engines[engine].key, &program.parts, generated);
+        program.parts.clone_from(&kept.parts);
+        program.held = vec![kept];
+        program.excluded.clear();
+        program.tries = 0;
+        let pause_ms = program.turns[program.turn].pause_ms;
+        program.turn += 1;
+        if let Some(turn) = program.turns.get(program.turn) {
+            program.parts[1].tokens += turn.grown;
+            self.after(pause_ms, Event::TurnStarts(place));
+        } else {
+            let outcome = if self.now <= program.aim_ms {
+                Outcome::InAim
+            } else {
+                Outcome::Late
+            };
+            program.ended = Some((self.now, outcome));
+        }
+    }
+
+    fn try_again(&mut self, place: usize, engine: Option<usize>, retry_after_ms: Option<u64>) {
+        let program = &mut self.programs[place];
+        program
+            .excluded
+            .extend(engine.map(|engine| self.engines[engine].key));
+        if program.tries >= TRIES {
+            program.ended = Some((self.now, Outcome::Failed));
+            return;
+        }
+        let delay_ms = retry_after_ms.unwrap_or_else(|| self.random.random_range(100..=400));
+        self.after(delay_ms.max(1), Event::TurnStarts(place));
+    }
+
+    /// Percent in aim, late and failed of the programs chosen that have ended, and how many these are.
+    pub fn shares(&self, chosen: impl Fn(&Program) -> bool) -> Shares {
+        let ended = self.programs.iter().filter(|program| chosen(program));
+        let outcomes: Vec<_> = ended.filter_map(|program| program.ended).collect();
+        let percent = |wanted| {
+            let count = outcomes
+                .iter()
+                .filter(|(_, outcome)| *outcome == wanted)
+                .count();
+            100.0 * count as f64 / outcomes.len().max(1) as f64
+        };
+        Shares {
+            programs: outcomes.len(),
+            in_aim: percent(Outcome::InAim),
+            late: percent(Outcome::Late),
+            failed: percent(Outcome::Failed),
+        }
+    }
+
+    /// How many calls ended so in the period.
+    pub fn count_endings(&self, period_ms: Range<u64>, how: impl Fn(&Ending) -> bool) -> usize {
+        let in_period = |ending: &&Ending| period_ms.contains(&ending.at_ms);
+        self.endings
+            .iter()
+            .filter(in_period)
+            .filter(|ending| how(ending))
+            .count()
+    }
+
+    /// Turns that were answered whole over all programs, for the figures.
+    pub fn turns_served(&self, period_ms: Range<u64>) -> usize {
+        self.count_endings(period_ms, |ending| {
+            matches!(ending.how, How::Ended(CallEnd::Whole { .. }))
+        })
+    }
+}
+
+/// Time that the turns take on an idle engine of slowness 1 that holds the shared part, in milliseconds.
+fn idle_ms(turns: &[Turn]) -> f64 {
+    let turn_ms = |turn: &Turn| {
+        f64::from(turn.grown) / READ_TOKENS_PER_MS + f64::from(turn.output) * MS_PER_TOKEN
+    };
+    let pauses = turns
+        .split_last()
+        .map_or(&[][..], |(_, before)| before)
+        .iter();
+    turns.iter().map(turn_ms).sum::<f64>() + pauses.map(|turn| turn.pause_ms as f64).sum::<f64>()
+}
+
+/// How programs ended, in percent.
+#[derive(Clone, Copy, Debug)]
+pub struct Shares {
+    pub programs: usize,
+    pub in_aim: f64,
+    pub late: f64,
+    pub failed: f64,
+}
