--- a/crates/courseshed-pool/tests/support/mod.rs
+++ b/crates/courseshed-pool/tests/support/mod.rs
@@ -783,3 +783,10 @@
     pub late: f64,
     pub failed: f64,
 }
+
+/// Notes what is wrong, so that one test tells all of it.
+pub fn check(faults: &mut Vec<String>, is_right: bool, fault: String) {
+    if !is_right {
+        faults.push(fault);
+    }
+}
