Learn what turns need without their waits, and weigh more calls for a free place

Cause (load tests): spans with waits made programs count as late in a crowd; retried turns counted as other ones; the fewest tokens seen said nothing of what a first part brings; engines that left the list and came back lost their calls; learning went in the order of a hash map. Change: spans without waits, first tokens told, ordered maps, engines with calls kept.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -46,6 +46,8 @@
     pub unread_tokens: u32,
     /// From the send to the first part of the answer, once that came.
     pub first_part: Option<Duration>,
+    /// Tokens that the first part brought.
+    pub first_tokens: u32,
     /// The call's number at the scheduler of its pool.
     pub call: Option<ScheduledCall>,
     /// Counts the request at the server until it is dropped.
@@ -76,6 +78,7 @@
         }
         CallEnd::Whole {
             generated,
+            first_tokens: self.first_tokens,
             first_part_ms: milliseconds(self.first_part.unwrap_or(took)),
             took_ms: milliseconds(took),
         }
@@ -245,6 +248,7 @@
                             sent_at,
                             unread_tokens,
                             first_part: None,
+                            first_tokens: 0,
                             call,
                             _in_flight: in_flight,
                         });
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -136,6 +136,8 @@
             chosen_by = self.chosen_by,
             scheduler_waited_ms = self.schedule.waited_ms,
             scheduler_waiting = self.schedule.waiting,
+            scheduler_unread_tokens = self.schedule.unread_tokens,
+            scheduler_calls_there = self.schedule.calls,
             slack_percent = self.schedule.slack_percent,
             last_error = self.last_error.as_str(),
             program_left_ms = self.program_left.map(milliseconds),
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -207,7 +207,11 @@
         }
         let now = Instant::now();
         match self.last_arrival.replace(now) {
-            None => self.attempts.note_read(opened),
+            None => {
+                let tokens = u64::from(events) * self.tokens_per_event;
+                opened.first_tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+                self.attempts.note_read(opened);
+            }
             Some(before) => {
                 let each = now.duration_since(before) / events;
                 let core = &self.attempts.core;
--- a/crates/courseshed-edge/tests/call_book.rs
+++ b/crates/courseshed-edge/tests/call_book.rs
@@ -12,6 +12,7 @@
 const ENGINE: ServerKey = ServerKey(7);
 const WHOLE: CallEnd = CallEnd::Whole {
     generated: 30,
+    first_tokens: 3,
     first_part_ms: 5,
     took_ms: 50,
 };
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -306,6 +306,7 @@
     let [
         CallEnd::Whole {
             generated,
+            first_tokens,
             first_part_ms,
             took_ms,
         },
@@ -315,6 +316,7 @@
     };
     // Two events of ten tokens each.
     assert_eq!(*generated, 20);
+    assert!([10, 20].contains(first_tokens));
     assert!(first_part_ms <= took_ms);
 }
 
@@ -453,6 +455,7 @@
     assert_eq!(still, (incarnation, Verdict::Waiting));
     let end = CallEnd::Whole {
         generated: 10,
+        first_tokens: 1,
         first_part_ms: 1,
         took_ms: 2,
     };
--- a/crates/courseshed-pool/src/engines.rs
+++ b/crates/courseshed-pool/src/engines.rs
@@ -108,7 +108,8 @@
 }
 
 impl Engines {
-    /// Takes in the whole list. What is known of engines that stay is kept.
+    /// Takes in the whole list. What is known of engines that stay is kept, and of those that left with calls: one that
+    /// comes back still has them.
     pub(crate) fn replace(&mut self, listings: &[EngineListing]) {
         let mut known = std::mem::take(&mut self.by_key);
         for listing in listings {
@@ -124,6 +125,12 @@
             };
             self.by_key.insert(listing.key, engine);
         }
+        for (key, mut engine) in known {
+            engine.listing.is_ready = false;
+            if engine.running() > 0 {
+                self.by_key.insert(key, engine);
+            }
+        }
     }
 
     pub(crate) fn get(&self, key: ServerKey) -> Option<&Engine> {
--- a/crates/courseshed-pool/src/order.rs
+++ b/crates/courseshed-pool/src/order.rs
@@ -3,7 +3,7 @@
 //! Load that it answers: more calls than engines can serve in aim, for some seconds. First come, first served makes
 //! every program late then; here those that can still end in their aim go first, and among them those under way, so
 //! that what is let in ends in time. Nobody starves: within a class a call is overtaken only by calls that come within
-//! a bounded time after it, and one place in [`LATE_PLACES`] goes to the calls of late programs.
+//! a bounded time after it, and one place in [`LATE_PLACES`] goes to calls of late programs.
 
 use std::time::Duration;
 
@@ -12,9 +12,9 @@
 /// A program counts as still able to end in its aim from this slack on: below it, half again as fast as usual would
 /// not be enough.
 const FEASIBLE_SLACK: f64 = 0.8;
-/// One of so many engine places goes to the longest waiting call of a late program while there is one: they earn less,
+/// One of so many engine places goes to a call of a late program while there is one: they earn less,
 /// but their callers wait, too.
-pub(crate) const LATE_PLACES: u32 = 6;
+pub(crate) const LATE_PLACES: u32 = 10;
 /// How much later a call counts as having come for each step of rank, in milliseconds: about the time that a turn of a
 /// busy pool waits, so that urgent calls pass others of their class and no rank is shut out.
 const DELAY_OF_RANK_MS: f64 = 100.0;
@@ -43,6 +43,13 @@
     pub at_ms: f64,
 }
 
+impl Rank {
+    /// Whether the call's program can't end in its aim any more.
+    pub(crate) fn is_late(&self) -> bool {
+        self.class >= Class::Late
+    }
+}
+
 /// What the order goes by.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Claim<'a> {
@@ -72,6 +79,10 @@
         return Class::InAim;
     };
     if slack >= FEASIBLE_SLACK {
+        if standing.is_first && claim.share_delay_ms > 0.0 {
+            // A tenant beyond its share begins programs with the room that the others leave.
+            return Class::Late;
+        }
         return if standing.is_first {
             Class::New
         } else {
--- a/crates/courseshed-pool/src/pace.rs
+++ b/crates/courseshed-pool/src/pace.rs
@@ -28,6 +28,8 @@
     pub unread_tokens: u32,
     /// Tokens generated.
     pub generated: u32,
+    /// Tokens of them that the first part brought, which have no time of their own.
+    pub first_tokens: u32,
     /// From the send to the first part.
     pub first_part_ms: f64,
     /// From the send to the end.
@@ -41,8 +43,6 @@
     token_ms: Option<f64>,
     read_ms_per_token: Quantile,
     first_part_ms: Quantile,
-    /// The fewest tokens that an answer had: what its first part brings, which has no time of its own.
-    first_tokens: u32,
 }
 
 impl Default for PoolPace {
@@ -51,7 +51,6 @@
             token_ms: None,
             read_ms_per_token: Quantile::new(READ_QUANTILE, 0.005),
             first_part_ms: Quantile::new(READ_QUANTILE, 20.0),
-            first_tokens: u32::MAX,
         }
     }
 }
@@ -69,12 +68,8 @@
     }
 
     /// Time for a token at an engine, if the answer was long enough to tell.
-    fn token_sample(&mut self, times: &AnswerTimes) -> Option<f64> {
-        if times.generated == 0 {
-            return None;
-        }
-        self.first_tokens = self.first_tokens.min(times.generated);
-        let timed = times.generated - self.first_tokens;
+    fn token_sample(times: &AnswerTimes) -> Option<f64> {
+        let timed = times.generated.saturating_sub(times.first_tokens);
         let decode_ms = times.took_ms - times.first_part_ms;
         (timed > 0 && decode_ms > 0.0).then(|| decode_ms / f64::from(timed))
     }
@@ -100,7 +95,7 @@
     /// Takes in an answer, for the engine and its pool.
     pub(crate) fn note(&mut self, pool: &mut PoolPace, times: &AnswerTimes) {
         pool.note_first_part(times);
-        let Some(sample) = pool.token_sample(times) else {
+        let Some(sample) = PoolPace::token_sample(times) else {
             return;
         };
         let usual = *pool.token_ms.get_or_insert(sample);
--- a/crates/courseshed-pool/src/programs.rs
+++ b/crates/courseshed-pool/src/programs.rs
@@ -2,12 +2,11 @@
 //!
 //! A program doesn't say how many turns it will make. Its budget tells: budgets are made for so many turns, and how
 //! many turns of a budget programs of a route make is learned. The time that a turn takes with the tools and the pause
-//! behind it is learned, too, from programs that nothing held up.
+//! behind it is learned, too, without the time that turns waited for engines.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::quantile::Quantile;
 use crate::{NameKey, ProgramStanding};
 
 /// Turns made of those that a budget holds, before any program of a route was seen to its end.
@@ -16,8 +15,10 @@
 const PROGRAM_WEIGHT: f64 = 0.05;
 /// Weight of an answer in what is learned of its route's answers.
 const ANSWER_WEIGHT: f64 = 0.05;
-/// Where the time from turn to turn is followed: what was held up is no sign of what a turn needs.
-const SPAN_QUANTILE: f64 = 0.35;
+/// Weight of a turn in the time that turns of its route take.
+const SPAN_WEIGHT: f64 = 0.02;
+/// A turn counts for so many usual ones at most: a program that was held up elsewhere says nothing of others.
+const LONGEST_SPAN: f64 = 4.0;
 /// Time from turn to turn assumed of a route that wasn't seen yet, in milliseconds.
 const ASSUMED_SPAN_MS: f64 = 400.0;
 /// A program that was silent for so long has ended, as far as its turns are counted.
@@ -31,7 +32,7 @@
 #[derive(Clone, Copy, Debug)]
 struct RouteShape {
     answer_tokens: Option<f64>,
-    span_ms: Quantile,
+    span_ms: f64,
     part_of_budget: f64,
 }
 
@@ -39,12 +40,20 @@
     fn default() -> Self {
         Self {
             answer_tokens: None,
-            span_ms: Quantile::new(SPAN_QUANTILE, ASSUMED_SPAN_MS),
+            span_ms: ASSUMED_SPAN_MS,
             part_of_budget: ASSUMED_PART,
         }
     }
 }
 
+impl RouteShape {
+    fn note_span(&mut self, span_ms: f64) {
+        let bounded = span_ms.clamp(0.0, LONGEST_SPAN * self.span_ms);
+        self.span_ms += SPAN_WEIGHT * (bounded - self.span_ms);
+        self.span_ms = self.span_ms.max(1.0);
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ProgramEntry {
     route: NameKey,
@@ -54,6 +63,9 @@
     /// Time that it had at its first turn.
     aim: Duration,
     last_turn: Duration,
+    /// How long its last turn waited for an engine, in milliseconds; none while it waits, or if it was never granted
+    /// one.
+    waited_ms: Option<f64>,
     is_counted: bool,
 }
 
@@ -100,8 +112,8 @@
 /// The programs of a pool, and what is learned of their routes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Programs {
-    entries: HashMap<NameKey, ProgramEntry>,
-    routes: HashMap<NameKey, RouteShape>,
+    entries: BTreeMap<NameKey, ProgramEntry>,
+    routes: BTreeMap<NameKey, RouteShape>,
 }
 
 impl Programs {
@@ -120,8 +132,11 @@
         let entry = match known {
             Some(entry) => {
                 let span = now.saturating_sub(entry.last_turn).as_secs_f64() * 1000.0;
-                shape.span_ms.note(span);
-                entry.turns += 1;
+                // A turn that got no engine is asked for again: it is no other one.
+                if let Some(waited_ms) = entry.waited_ms.take() {
+                    shape.note_span(span - waited_ms);
+                    entry.turns += 1;
+                }
                 entry.last_turn = now;
                 *entry
             }
@@ -133,6 +148,7 @@
                     aim_at,
                     aim: left.unwrap_or_default(),
                     last_turn: now,
+                    waited_ms: None,
                     is_counted: false,
                 };
                 self.entries.insert(claim.program, entry);
@@ -149,7 +165,14 @@
                 .or(entry.aim_at),
             aim: entry.aim,
             turns_left: (expected - done).max(1.0),
-            span_ms: shape.span_ms.value(),
+            span_ms: shape.span_ms,
+        }
+    }
+
+    /// Takes in that a program's turn got an engine, after so long.
+    pub(crate) fn note_granted(&mut self, program: NameKey, waited: Duration) {
+        if let Some(entry) = self.entries.get_mut(&program) {
+            entry.waited_ms = Some(waited.as_secs_f64() * 1000.0);
         }
     }
 
--- a/crates/courseshed-pool/src/scheduler.rs
+++ b/crates/courseshed-pool/src/scheduler.rs
@@ -27,8 +27,9 @@
 const LONGEST_PLAN: Duration = Duration::from_millis(150);
 /// Room for error of an expected wait.
 const PLAN_MARGIN: Duration = Duration::from_millis(10);
-/// Waiting calls that are weighed against each other for one free place.
-const WEIGHED: usize = 16;
+/// Waiting calls that are weighed against each other for one free place: with fewer than there are engines, hardly one
+/// would have its prompt at the engine whose place is free.
+const WEIGHED: usize = 128;
 /// How long a scheduler that has just started believes gateways about where prompts are held.
 const LEARNS_FOR: Duration = Duration::from_secs(30);
 /// How often programs are looked through.
@@ -299,10 +300,8 @@
         let mut ranked: Vec<(Rank, Ticket, &WaitingCall)> = open
             .map(|(ticket, call)| (self.rank(now, call), *ticket, call))
             .collect();
-        if self.since_late >= LATE_PLACES
-            && let Some(ticket) = longest_waiting_late(&ranked)
-        {
-            return Some(ticket);
+        if self.since_late >= LATE_PLACES && ranked.iter().any(|(rank, ..)| rank.is_late()) {
+            ranked.retain(|(rank, ..)| rank.is_late());
         }
         ranked.sort_by(|(left, ..), (right, ..)| {
             let by_class = left.class.cmp(&right.class);
@@ -341,13 +340,17 @@
 
     fn grant(&mut self, now: Duration, ticket: Ticket, call: WaitingCall, key: ServerKey) {
         let rank = self.rank(now, &call);
-        if rank.class >= order::Class::Late {
+        if rank.is_late() {
             self.since_late = 0;
         } else if !self.calls.waiting.is_empty() {
             self.since_late = self.since_late.saturating_add(1);
         }
         let inputs = self.inputs(now, &call, Some(key));
         let expected = self.expected_time(&call, key);
+        if let Some(claim) = &call.demand.program {
+            let waited = now.saturating_sub(call.asked_at);
+            self.programs.note_granted(claim.program, waited);
+        }
         if let Some(tenant) = call.demand.tenant {
             let weight = f64::from(call.demand.tenant_weight);
             let cost_ms = expected.as_secs_f64() * 1000.0;
@@ -387,6 +390,7 @@
         match end {
             CallEnd::Whole {
                 generated,
+                first_tokens,
                 first_part_ms,
                 took_ms,
             } => {
@@ -394,6 +398,7 @@
                 let times = AnswerTimes {
                     unread_tokens: granted.unread_tokens,
                     generated,
+                    first_tokens,
                     first_part_ms: f64::from(first_part_ms),
                     took_ms: f64::from(took_ms),
                 };
@@ -415,7 +420,8 @@
             gateway,
             number: call.number,
         };
-        if self.calls.granted.contains_key(&ticket) {
+        if let Some(known) = self.calls.granted.get_mut(&ticket) {
+            known.forgotten_at = known.forgotten_at.max(now + FOREIGN_LIFE);
             return;
         }
         let Some(engine) = self.engines.get_mut(call.engine) else {
@@ -562,12 +568,3 @@
         !self.demand.excluded.contains(&engine.listing.key)
     }
 }
-
-/// The call of a late program that has waited for longest.
-fn longest_waiting_late(ranked: &[(Rank, Ticket, &WaitingCall)]) -> Option<Ticket> {
-    let late = ranked
-        .iter()
-        .filter(|(rank, ..)| rank.class >= order::Class::Late);
-    let longest = late.min_by_key(|(_, _, call)| call.arrived);
-    longest.map(|(_, ticket, _)| *ticket)
-}
--- a/crates/courseshed-pool/src/shares.rs
+++ b/crates/courseshed-pool/src/shares.rs
@@ -12,9 +12,9 @@
 /// Time in which service counts half: programs take some seconds, and a rush must tell before it has held up theirs.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// A tenant may have so many times its share before its calls wait for it: single programs make shares uneven.
-const SHARE_BORNE: f64 = 1.5;
+const SHARE_BORNE: f64 = 1.2;
 /// How much later a call counts as having come, for each share that its tenant has beyond that.
-const DELAY_PER_SHARE_MS: f64 = 150.0;
+const DELAY_PER_SHARE_MS: f64 = 600.0;
 /// The longest such delay: callers' turns wait 3 s at most, so nobody is starved by it.
 const LONGEST_DELAY_MS: f64 = 1_000.0;
 /// Service below which a tenant is forgotten, in milliseconds of an engine's slot.
--- a/crates/courseshed-pool/tests/invariants.rs
+++ b/crates/courseshed-pool/tests/invariants.rs
@@ -218,6 +218,7 @@
             3 => CallEnd::Given,
             _ => CallEnd::Whole {
                 generated: self.below(2_000) as u32,
+                first_tokens: 1,
                 first_part_ms: took_ms / 4,
                 took_ms,
             },
--- a/crates/courseshed-pool/tests/support/engine.rs
+++ b/crates/courseshed-pool/tests/support/engine.rs
@@ -163,6 +163,7 @@
 fn whole_end(now: u64, job: &Job) -> CallEnd {
     CallEnd::Whole {
         generated: job.output as u32,
+        first_tokens: 1,
         first_part_ms: (job.first_ms.unwrap_or(now) - job.sent_ms) as u32 + 1,
         took_ms: (now - job.sent_ms) as u32 + 2,
     }
