Avoid servers that fail far more calls than the others of their service

Cause: an answer of 500 and above counted as a good, quick answer. A server that fails every call quickly looked idle and fast and drew ever more calls, and each of many gateways saw too few of them to be sure.

Change: an answer of 500 and above is Report::Erred. It says nothing of a server's pace, of how long calls take or of what it holds of a prompt. Gateways count answered and failed calls by server, fading by half each second, and tell each other with their load reports, which the controllers sum up. A server whose failures can't have come by chance at a server like the better half of the others (chance 1e-7 by Chernoff's bound, and at least 8 in 100) is avoided for 0.5 s, later 1 s, then probed by single calls, by about one gateway at a time (calls that began before keep no probe away), and trusted after four answers. None is avoided if more than half of the servers fail or the better half fails a quarter of its calls. Two errors in a row at one gateway make the server rest there. Mechanism "shared-outcomes"; log lines server_avoided and server_trusted_again; gauge servers_avoided by service.

Answered calls are told of all servers, not only of those with failures: without the answers of the gateways that saw no failure the share of failures is far too large.

The two tests of forwarding.rs fail when Report::of_answer takes errors for answers (60 of 60 calls go to the failing server).

--- a/crates/courseshed-edge/src/controller/relay.rs
+++ b/crates/courseshed-edge/src/controller/relay.rs
@@ -72,8 +72,8 @@
             .filter(|node| *node != shared.node())
             .collect();
         let report = shared.load_of_own_gateways();
-        let is_idle = report.servers.is_empty();
-        let servers = report.servers.len() * others.len();
+        let is_idle = report.lines() == 0;
+        let servers = report.lines() * others.len();
         let pause = pause_after_reports(others.len(), servers, LOAD_INTERVAL);
         let report = report.until_next(pause);
         if let (false, Some(peers)) = (is_idle && was_idle, shared.peers()) {
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -2,12 +2,13 @@
 //!
 //! A call goes where it is expected to cost least (see [`super::cost`]); of servers that cost nearly
 //! the same, all gateways prefer the same one for the same prompt, so that it need not be read at
-//! many. Servers that rest are chosen only when no other is open.
+//! many. Servers that rest or are avoided are chosen only when no other is open; one that is to be
+//! probed is chosen before all others.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_registry::ServerState;
+use courseshed_registry::{ServerState, Standing};
 use courseshed_types::{PromptPart, ServerKey};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -69,10 +70,15 @@
             .filter(|seen| !excluded.contains(&seen.server.id))
             .filter(|seen| seen.in_flight < demand.most_in_flight)
             .collect();
+        let probed = |seen: &&&Seen| self.standing(seen, now) == Standing::Probed;
+        if let Some(probed) = open.iter().find(probed) {
+            return Some(probed.chosen());
+        }
         let awake: Vec<&Seen> = open
             .iter()
             .copied()
             .filter(|seen| seen.rests_until <= now)
+            .filter(|seen| self.standing(seen, now) == Standing::Trusted)
             .collect();
         let candidates = if awake.is_empty() { open } else { awake };
         let usual_ms = median_ms(&candidates);
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use courseshed_registry::AvoidanceChange;
 use courseshed_routing::{Route, RoutingTable, SplitCounter, Target};
 
 use tokio::time::Instant;
@@ -12,6 +13,7 @@
 use super::access::{AccessTerms, TenantTerms};
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
+use super::outcomes::OutcomeChange;
 use super::policy::Policy;
 use super::quota::Quotas;
 use super::servers::{Report, ServerTable};
@@ -69,7 +71,7 @@
             pool: UpstreamPool::new(),
             metrics,
             clock: Clock::start(),
-            servers: RefCell::new(ServerTable::new(policy.clone())),
+            servers: RefCell::new(ServerTable::new(policy.clone()).with_seed(rand::random())),
             policy,
             access: access.unwrap_or_default(),
             quotas: Quotas::new(tenants.quota),
@@ -116,8 +118,54 @@
 
     pub(super) fn report(&self, server: &str, report: Report) {
         let now = self.clock.now();
-        self.servers.borrow_mut().report(server, report, now);
+        let mut servers = self.servers.borrow_mut();
+        servers.report(server, report, now);
+        servers.advance_outcomes_after(server, report, now);
+        self.tell_changes(&mut servers);
     }
+
+    /// Judges anew which servers are avoided.
+    pub(super) fn advance_outcomes(&self) {
+        let mut servers = self.servers.borrow_mut();
+        servers.advance_outcomes(self.clock.now());
+        self.tell_changes(&mut servers);
+    }
+
+    /// Judges anew, and counts the avoided servers: some may have left the list.
+    pub(super) fn tell_avoided(&self) {
+        self.advance_outcomes();
+        self.metrics.set_avoided(&self.servers.borrow().avoided());
+    }
+
+    /// Logs which servers begin and cease to be avoided, and counts them.
+    fn tell_changes(&self, servers: &mut ServerTable) {
+        let changes = servers.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            log_change(&change);
+        }
+        self.metrics.set_avoided(&servers.avoided());
+    }
+}
+
+fn log_change(change: &OutcomeChange) {
+    let event = match change.change {
+        AvoidanceChange::Begun => "server_avoided",
+        AvoidanceChange::Ended => "server_trusted_again",
+        // Probes fail again and again while a server is down: its begin and its end are enough.
+        AvoidanceChange::Prolonged => return,
+    };
+    log::info!(
+        event = event,
+        server = change.server.as_str(),
+        service = change.service.as_str(),
+        answered = change.counts.answered,
+        failed = change.counts.failed,
+        others_age_ms = change.counts_age.as_millis() as u64;
+        "whether a server is avoided has changed"
+    );
 }
 
 impl RouteSplit {
@@ -137,7 +185,11 @@
 
 impl InFlight {
     pub(super) fn begin(core: &Rc<GatewayCore>, server: &str) -> Self {
-        core.servers.borrow_mut().begin(server);
+        let now = core.clock.now();
+        let mut servers = core.servers.borrow_mut();
+        servers.begin(server);
+        servers.note_sent(server, now);
+        drop(servers);
         Self {
             core: core.clone(),
             server: server.to_owned(),
--- a/crates/courseshed-edge/src/gateway/load.rs
+++ b/crates/courseshed-edge/src/gateway/load.rs
@@ -1,4 +1,4 @@
-//! Telling the other gateways of our calls at servers, and learning of theirs.
+//! Telling the other gateways of our calls at servers and of what became of them, and learning of theirs.
 //!
 //! The exchange goes through the controller that is followed, and takes a bounded part of the link,
 //! however many servers there are.
@@ -24,9 +24,13 @@
     let mut was_idle = true;
     let mut pause = INTERVAL;
     loop {
-        let own = core.servers.borrow().load_report().until_next(pause);
-        let is_idle = own.servers.is_empty();
-        let sent = own.servers.len();
+        let own = core
+            .servers
+            .borrow()
+            .load_report(core.clock.now())
+            .until_next(pause);
+        let is_idle = own.lines() == 0;
+        let sent = own.lines();
         let received = if is_idle && was_idle {
             let now = core.clock.now();
             core.servers.borrow_mut().forget_old_loads(now);
@@ -34,6 +38,7 @@
         } else {
             exchange(&core, &peers, own).await
         };
+        core.advance_outcomes();
         was_idle = is_idle;
         pause = pause_after_reports(2, sent + received, INTERVAL);
         sleep(pause).await;
@@ -54,5 +59,5 @@
         return 0;
     };
     servers.note_others(&others, now);
-    others.servers.len()
+    others.lines()
 }
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod events;
 mod load;
+mod outcomes;
 mod plain;
 mod policy;
 mod program;
@@ -31,6 +32,7 @@
 pub use choice::{Chosen, Demand};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
+pub use outcomes::OutcomeChange;
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/outcomes.rs
@@ -0,0 +1,142 @@
+//! Which servers are avoided since they fail far more calls than the others of their service. Pure:
+//! times are passed in.
+//!
+//! Judged by what this gateway saw and what the others said; see [`courseshed_registry::Avoidance`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use courseshed_registry::{
+    Avoidance, AvoidanceChange, OutcomeCounts, ProbeTurn, ServerState, Standing, advance_service,
+};
+
+use super::policy::Mechanism;
+use super::servers::{Report, Seen, ServerTable};
+
+/// A server begins or ceases to be avoided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutcomeChange {
+    /// The life of the server.
+    pub server: String,
+    /// Its service.
+    pub service: String,
+    /// What changed.
+    pub change: AvoidanceChange,
+    /// What was counted of it by all gateways, as far as known.
+    pub counts: OutcomeCounts,
+    /// How long ago the other gateways told of their part.
+    pub counts_age: Duration,
+}
+
+impl ServerTable {
+    /// Judges the servers anew, of services where some fail calls.
+    pub fn advance_outcomes(&mut self, now: Duration) {
+        let services: BTreeSet<String> = self
+            .seen
+            .values()
+            .filter(|seen| seen.avoidance.is_on() || seen.outcomes(now).failed >= 1.0)
+            .map(|seen| seen.server.service.clone())
+            .collect();
+        for service in services {
+            self.advance_outcomes_of(&service, now);
+        }
+    }
+
+    /// Judges the servers of one service anew.
+    fn advance_outcomes_of(&mut self, service: &str, now: Duration) {
+        if !self.policy.uses(Mechanism::SharedOutcomes) {
+            return;
+        }
+        let mut ids = Vec::new();
+        let mut judged: Vec<(&mut Avoidance, OutcomeCounts)> = Vec::new();
+        for (id, seen) in &mut self.seen {
+            if seen.server.service == service && seen.server.state == ServerState::Ready {
+                let counts = seen.outcomes(now);
+                let calls = seen.calls();
+                seen.avoidance.note_calls(calls);
+                ids.push((id, counts));
+                judged.push((&mut seen.avoidance, counts));
+            }
+        }
+        let changes = advance_service(&mut judged, now);
+        let counts_age = now.saturating_sub(self.others_noted);
+        for ((id, counts), change) in ids.into_iter().zip(changes) {
+            self.changes.extend(change.map(|change| OutcomeChange {
+                server: id.clone(),
+                service: service.to_owned(),
+                change,
+                counts,
+                counts_age,
+            }));
+        }
+        self.end_rests_of_trusted();
+    }
+
+    /// A server that answered its probes need not go on resting for what it failed before.
+    fn end_rests_of_trusted(&mut self) {
+        for change in &self.changes {
+            if change.change == AvoidanceChange::Ended
+                && let Some(seen) = self.seen.get_mut(&change.server)
+            {
+                seen.end_rest();
+            }
+        }
+    }
+
+    /// Judges the service of a server anew, if what became of a call there may change something.
+    pub fn advance_outcomes_after(&mut self, id: &str, report: Report, now: Duration) {
+        let Some(seen) = self.seen.get(id) else {
+            return;
+        };
+        let may_change = match report {
+            Report::Erred | Report::Failed => true,
+            Report::Answered => seen.avoidance.is_on(),
+            Report::Paced(_) | Report::Full => false,
+        };
+        if may_change {
+            let service = seen.server.service.clone();
+            self.advance_outcomes_of(&service, now);
+        }
+    }
+
+    /// What changed since this was asked last.
+    pub fn take_changes(&mut self) -> Vec<OutcomeChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// How many servers are avoided, by service; with zeros.
+    #[must_use]
+    pub fn avoided(&self) -> BTreeMap<String, usize> {
+        let mut avoided = BTreeMap::new();
+        for seen in self.seen.values() {
+            let number = avoided.entry(seen.server.service.clone()).or_default();
+            *number += usize::from(seen.avoidance.is_on());
+        }
+        avoided
+    }
+
+    /// Notes that a request goes to a server at a time.
+    pub fn note_sent(&mut self, id: &str, now: Duration) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.avoidance.note_sent(now);
+        }
+    }
+
+    /// How a server stands with this gateway.
+    pub(super) fn standing(&self, seen: &Seen, now: Duration) -> Standing {
+        let turn = ProbeTurn {
+            seed: self.seed ^ u64::from(seen.key.0),
+            gateways: self.gateways,
+            calls: seen.calls(),
+        };
+        seen.avoidance.standing(turn, now)
+    }
+}
+
+impl Seen {
+    /// What became of the calls of all gateways, as far as known.
+    fn outcomes(&self, now: Duration) -> OutcomeCounts {
+        let own = self.own_outcomes.at(now);
+        own.plus(&self.others_outcomes.at(now))
+    }
+}
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -56,13 +56,22 @@
     let body = timeout_at(attempts.deadline, read)
         .await
         .unwrap_or(Err(UpstreamError::TimedOut))?;
-    let took = opened.sent_at.elapsed();
-    attempts.core.report(&opened.server, Report::Paced(took));
-    attempts.note_answer_time(took);
-    attempts.note_finished(opened, 0);
+    note_answered(opened, attempts);
     Ok(body)
 }
 
+/// Notes a whole answer. An error of the server's own says nothing of how fast it serves calls.
+fn note_answered(opened: &Opened, attempts: &Attempts) {
+    let report = Report::of_answer(opened.head.status);
+    attempts.core.report(&opened.server, report);
+    if report == Report::Answered {
+        let took = opened.sent_at.elapsed();
+        attempts.core.report(&opened.server, Report::Paced(took));
+        attempts.note_answer_time(took);
+        attempts.note_finished(opened, 0);
+    }
+}
+
 fn answer(opened: Opened, body: Bytes) -> Response<BoxBody> {
     let response = answer_head(&opened.head).set_body(BoxBody::new(body));
     opened.upstream.finish();
--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -28,11 +28,13 @@
     OwnZone,
     /// How fast servers read is learned.
     LearnedReading,
+    /// Gateways tell each other of the calls that servers failed, and avoid those that fail far more.
+    SharedOutcomes,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::PromptMemory,
         Self::KeptTurnHints,
         Self::ProgramHints,
@@ -43,6 +45,7 @@
         Self::SharedPreference,
         Self::OwnZone,
         Self::LearnedReading,
+        Self::SharedOutcomes,
     ];
 
     /// Its name in settings.
@@ -59,6 +62,7 @@
             Self::SharedPreference => "shared-preference",
             Self::OwnZone => "own-zone",
             Self::LearnedReading => "learned-reading",
+            Self::SharedOutcomes => "shared-outcomes",
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -172,6 +172,7 @@
     loop {
         sleep(TIDY_INTERVAL).await;
         core.servers.borrow_mut().tidy(core.clock.now());
+        core.tell_avoided();
         core.pool.retain(|id| core.servers.borrow().contains(id));
     }
 }
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -1,15 +1,21 @@
 //! The servers, with what this gateway has seen of them and what the others said. Pure: times are
-//! passed in. Which one a call goes to is chosen in [`super::choice`].
+//! passed in. Which one a call goes to is chosen in [`super::choice`]; which ones fail is judged in
+//! [`super::outcomes`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_registry::{LoadReport, Server, ServerList, ServerLoad, ServerState};
+use actix_http::StatusCode;
+use courseshed_registry::{
+    Avoidance, FadingCounts, LoadReport, OutcomeCounts, Server, ServerList, ServerOutcome,
+    ServerState,
+};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 
 use super::choice::Chosen;
 use super::cost::PaceEstimate;
+use super::outcomes::OutcomeChange;
 use super::policy::{Mechanism, Policy};
 use super::prompt_memory::PromptMemory;
 
@@ -22,12 +28,19 @@
 const OTHERS_LIFE: Duration = Duration::from_secs(1);
 /// Rest after a server said that it is full.
 const FULL_REST: Duration = Duration::from_millis(40);
+/// A server that answered so many calls of this gateway in a row with errors of its own rests. Where 1
+/// call in 100 is answered so by the application, that befalls a sound server once in 10,000 pairs.
+const ERRORS_BEFORE_REST: u32 = 2;
 
 /// What became of a request at a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Report {
     /// It answered a plain call, or went on with a stream by one event, after so long.
     Paced(Duration),
+    /// It answered a call, be it with a refusal of what was asked; said once for each call.
+    Answered,
+    /// It answered a call with an error of its own.
+    Erred,
     /// It was full, or refused without running the request.
     Full,
     /// The connection failed, or no whole answer came.
@@ -47,7 +60,14 @@
     /// was seen.
     pub usual_ms: f64,
     failures: u32,
+    /// Errors of its own in a row.
+    errors: u32,
     pub rests_until: Duration,
+    /// What became of the calls of this gateway.
+    pub own_outcomes: FadingCounts,
+    /// What became of the calls of the other gateways, as they said last.
+    pub others_outcomes: FadingCounts,
+    pub avoidance: Avoidance,
 }
 
 /// The servers, as this gateway sees them.
@@ -57,7 +77,10 @@
     pub(super) seen: BTreeMap<String, Seen>,
     /// When the other gateways' calls were noted last.
     pub(super) others_noted: Duration,
-    gateways: u32,
+    pub(super) gateways: u32,
+    /// Differs by gateway, so that they take turns.
+    pub(super) seed: u64,
+    pub(super) changes: Vec<OutcomeChange>,
     pub(super) prompts: PromptMemory,
     /// How long calls take, by service.
     pub(super) paces: BTreeMap<String, PaceEstimate>,
@@ -73,6 +96,12 @@
         }
     }
 
+    /// The same table with a seed, by which gateways take turns.
+    #[must_use]
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self { seed, ..self }
+    }
+
     /// Takes in the list of servers. What was seen of those that stay is kept.
     pub fn replace(&mut self, servers: &ServerList) {
         let mut seen = BTreeMap::new();
@@ -90,7 +119,11 @@
                     others: 0,
                     usual_ms: 0.0,
                     failures: 0,
+                    errors: 0,
                     rests_until: Duration::ZERO,
+                    own_outcomes: FadingCounts::default(),
+                    others_outcomes: FadingCounts::default(),
+                    avoidance: Avoidance::default(),
                 },
             };
             seen.insert(server.id.clone(), entry);
@@ -161,30 +194,23 @@
             .retain(|service, _| services.contains(service.as_str()));
     }
 
-    /// The calls of this gateway, for the others.
+    /// The calls of this gateway and what became of those before, for the others.
     #[must_use]
-    pub fn load_report(&self) -> LoadReport {
-        let busy = self.seen.values().filter(|seen| seen.in_flight > 0);
-        let servers = busy.map(|seen| ServerLoad {
-            server: seen.key,
-            in_flight: seen.in_flight,
-        });
-        LoadReport {
-            gateways: 1,
-            counts_for_ms: 0,
-            servers: servers.collect(),
-        }
+    pub fn load_report(&self, now: Duration) -> LoadReport {
+        let seen = self.seen.values();
+        LoadReport::of(
+            1,
+            seen.map(|seen| (seen.key, seen.in_flight, seen.own_outcomes.at(now))),
+        )
     }
 
     /// Takes in the calls of the other gateways.
     pub fn note_others(&mut self, others: &LoadReport, now: Duration) {
-        let by_key: BTreeMap<ServerKey, u32> = others
-            .servers
-            .iter()
-            .map(|load| (load.server, load.in_flight))
-            .collect();
+        let by_key: BTreeMap<ServerKey, (u32, OutcomeCounts)> = others.by_server();
         for seen in self.seen.values_mut() {
-            seen.others = by_key.get(&seen.key).copied().unwrap_or(0);
+            let (in_flight, counts) = by_key.get(&seen.key).copied().unwrap_or_default();
+            seen.others = in_flight;
+            seen.others_outcomes = FadingCounts::new(counts, now);
         }
         self.others_noted = now;
         self.gateways = others.gateways + 1;
@@ -226,6 +252,11 @@
             return;
         };
         let rests = self.policy.uses(Mechanism::Rests);
+        if self.policy.uses(Mechanism::SharedOutcomes)
+            && let Some(outcome) = report.outcome()
+        {
+            seen.own_outcomes.note(outcome, now);
+        }
         match report {
             Report::Paced(took) => {
                 let took_ms = milliseconds(took);
@@ -237,18 +268,55 @@
                 seen.failures = 0;
                 seen.rests_until = Duration::ZERO;
             }
-            Report::Full | Report::Failed if !rests => {}
+            Report::Answered => seen.errors = 0,
+            Report::Full | Report::Failed | Report::Erred if !rests => {}
             Report::Full => seen.rests_until = now + FULL_REST,
-            Report::Failed => {
-                let rest = FIRST_REST * 2u32.saturating_pow(seen.failures.min(8));
-                seen.failures += 1;
-                seen.rests_until = now + rest.min(LONGEST_REST);
+            Report::Failed => seen.rest(now),
+            Report::Erred => {
+                seen.errors += 1;
+                if seen.errors >= ERRORS_BEFORE_REST {
+                    seen.rest(now);
+                }
             }
         }
     }
 }
 
+impl Report {
+    /// What an answer with a status says of its server.
+    #[must_use]
+    pub fn of_answer(status: StatusCode) -> Self {
+        if status.is_server_error() {
+            Self::Erred
+        } else {
+            Self::Answered
+        }
+    }
+
+    /// What it says of the server that had a call; nothing if it says nothing, or is one of many.
+    fn outcome(self) -> Option<ServerOutcome> {
+        match self {
+            Self::Answered => Some(ServerOutcome::Answered),
+            Self::Erred | Self::Failed => Some(ServerOutcome::Failed),
+            Self::Paced(_) | Self::Full => None,
+        }
+    }
+}
+
 impl Seen {
+    /// Forgets what the server failed.
+    pub fn end_rest(&mut self) {
+        self.failures = 0;
+        self.errors = 0;
+        self.rests_until = Duration::ZERO;
+    }
+
+    fn rest(&mut self, now: Duration) {
+        let rest = FIRST_REST * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.rests_until = now + rest.min(LONGEST_REST);
+    }
+
     /// Calls of all gateways, as far as known.
     pub fn calls(&self) -> u32 {
         self.in_flight + self.others
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -101,7 +101,7 @@
 }
 
 /// An answer of the server's own that is no stream: read whole and passed on as it is.
-async fn whole(attempts: Attempts, opened: Opened) -> Response<BoxBody> {
+async fn whole(mut attempts: Attempts, opened: Opened) -> Response<BoxBody> {
     let mut opened = opened;
     let mut body = BytesMut::new();
     let deadline = attempts.deadline;
@@ -109,11 +109,15 @@
         match timeout_at(deadline, opened.upstream.next_chunk()).await {
             Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
             Ok(Ok(None)) => break,
-            Ok(Err(_)) => return refuse(attempts, Refusal::Broken),
+            Ok(Err(error)) => {
+                attempts.note_broken(&opened.server, &error);
+                return refuse(attempts, Refusal::Broken);
+            }
             Err(_) => return refuse(attempts, Refusal::TimedOut),
         }
     }
-    let mut attempts = attempts;
+    let report = Report::of_answer(opened.head.status);
+    attempts.core.report(&opened.server, report);
     attempts.log.outcome = "answered";
     let response = answer_head(&opened.head).set_body(BoxBody::new(body.freeze()));
     opened.upstream.finish();
@@ -198,7 +202,11 @@
         }
         let now = Instant::now();
         match self.last_arrival.replace(now) {
-            None => self.attempts.note_read(opened),
+            None => {
+                let core = &self.attempts.core;
+                core.report(&opened.server, Report::Answered);
+                self.attempts.note_read(opened);
+            }
             Some(before) => {
                 let each = now.duration_since(before) / events;
                 let core = &self.attempts.core;
@@ -246,7 +254,12 @@
                 self.events_here = 0;
                 Ok(())
             }
-            _ => self.break_off(),
+            Ok(opened) => {
+                let report = Report::of_answer(opened.head.status);
+                self.attempts.core.report(&opened.server, report);
+                self.break_off()
+            }
+            Err(_) => self.break_off(),
         }
     }
 
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a process, as text for whoever scrapes them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 use std::time::Duration;
@@ -40,6 +41,13 @@
     pub tenant: String,
 }
 
+/// A service, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
 /// What an owner of permits knows of a tenant.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PermitFigures {
@@ -69,6 +77,7 @@
     pub over_quota: Family<TenantLabels, Counter>,
     /// How long calls waited for a permit that this gateway didn't hold, in seconds.
     pub permit_wait: Histogram,
+    avoided: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
     permits: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_out: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_in_use: Family<TenantLabels, Gauge<i64, AtomicI64>>,
@@ -150,6 +159,7 @@
             proof_age: Histogram::new(SECONDS),
             over_quota: Family::default(),
             permit_wait: Histogram::new(SECONDS),
+            avoided: Family::default(),
             permits: Family::default(),
             permits_out: Family::default(),
             permits_in_use: Family::default(),
@@ -197,6 +207,11 @@
             "How long calls waited for a permit that the gateway didn't hold",
             self.permit_wait.clone(),
         );
+        registry.register(
+            "servers_avoided",
+            "Servers that get no calls since they fail far more than the others",
+            self.avoided.clone(),
+        );
         registry.register(
             "tenant_permits",
             "Permits of a tenant; told by the leader of the controllers",
@@ -238,6 +253,18 @@
         self.proof_age.observe(age);
     }
 
+    /// Notes how many servers are avoided, by service.
+    pub fn set_avoided(&self, avoided: &BTreeMap<String, usize>) {
+        self.avoided.clear();
+        for (service, number) in avoided {
+            let labels = ServiceLabels {
+                service: service.clone(),
+            };
+            let number = i64::try_from(*number).unwrap_or(i64::MAX);
+            self.avoided.get_or_create(&labels).set(number);
+        }
+    }
+
     /// Forgets the permits of all tenants: another controller owns them.
     pub fn clear_permits(&self) {
         for family in [&self.permits, &self.permits_out, &self.permits_in_use] {
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -100,7 +100,9 @@
         servers: vec![ServerLoad {
             server: ServerKey::of("a"),
             in_flight: 3,
+            answered_eighths: 0,
         }],
+        failures: Vec::new(),
     };
     table.note_others(&others, NOW);
     table.begin("b");
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -168,6 +168,7 @@
         gateways: 7,
         counts_for_ms: 1_000,
         servers: Vec::new(),
+        failures: Vec::new(),
     };
     table.note_others(&others, NOW);
     assert_eq!(table.part_of(160), 20);
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -105,6 +105,59 @@
     assert_eq!(free.got().len(), 4);
 }
 
+/// A server that answers each call with a quick error of its own looked idle and fast, and drew ever
+/// more calls.
+#[actix_rt::test]
+async fn a_server_that_answers_with_errors_is_not_preferred() {
+    const CALLS: usize = 60;
+    const SOUND_CALL: Duration = Duration::from_millis(20);
+    let fleet = Fleet::start(GRACE).await;
+    let failing = StandIn::start(|got| {
+        Act::Write(answer(got, "broken").replace("200 OK", "500 Internal Server Error"))
+    })
+    .await;
+    let sound = StandIn::start(|got| {
+        std::thread::sleep(SOUND_CALL);
+        Act::Write(answer(got, "served"))
+    })
+    .await;
+    fleet.route(vec![plain_route()]).await;
+    fleet.announce("failing", &failing).await;
+    fleet.announce("sound", &sound).await;
+    for index in 0..CALLS {
+        let answer = call(fleet.callers, &format!("c{index}"), "", "").await;
+        assert!(matches!(status(&answer), 200 | 500), "{answer}");
+    }
+    let (failed, served) = (failing.got().len(), sound.got().len());
+    assert!(failed < served / 4, "{failed} failed, {served} served");
+}
+
+/// Rests are switched off, so that only what gateways tell each other keeps calls from the server.
+#[actix_rt::test]
+async fn a_server_that_answers_streams_with_errors_is_avoided() {
+    const MOST_CALLS: usize = 2_000;
+    let policy = Policy::without([Mechanism::Rests, Mechanism::ServerPace]);
+    let fleet = Fleet::start_with(GRACE, policy).await;
+    let failing = StandIn::start(|got| {
+        Act::Write(answer(got, "broken").replace("200 OK", "503 Service Unavailable"))
+    })
+    .await;
+    let sound =
+        StandIn::start(|got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)))).await;
+    fleet.route(vec![stream_route()]).await;
+    fleet.announce("failing", &failing).await;
+    fleet.announce("sound", &sound).await;
+    let told = "courseshed_servers_avoided{service=\"s\"} 1";
+    let mut calls = 0;
+    while !fleet.metrics.text().contains(told) {
+        calls += 1;
+        assert!(calls < MOST_CALLS, "it is never avoided");
+        let answer = call(fleet.callers, &format!("c{calls}"), "", "").await;
+        assert!(matches!(status(&answer), 200 | 503), "{answer}");
+    }
+    assert!(failing.got().len() >= 4);
+}
+
 /// Found on a played day: servers ran calls of tools and their answers were lost; callers
 /// waited for their deadlines. The servers' pace doesn't count here: on a busy machine one of them
 /// looked slower than the other and got nothing more.
--- a/crates/courseshed-edge/tests/policy.rs
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -60,12 +60,23 @@
     table.report("a", Report::Failed, NOW);
 }
 
+/// Errors by turns with answers, so that it doesn't rest.
+fn has_erred_often(table: &mut ServerTable) {
+    for _ in 0..12 {
+        for report in [Report::Erred, Report::Answered] {
+            table.report("a", report, NOW);
+        }
+    }
+    table.advance_outcomes(NOW);
+}
+
 fn nothing(_: &mut ServerTable) {}
 
 #[parameterized(
     prompt_memory = { Mechanism::PromptMemory, "near", has_read },
     server_pace = { Mechanism::ServerPace, "near", is_slow },
     rests = { Mechanism::Rests, "near", has_failed },
+    shared_outcomes = { Mechanism::SharedOutcomes, "near", has_erred_often },
     own_zone = { Mechanism::OwnZone, "far", nothing },
 )]
 fn a_mechanism_decides_only_while_it_is_used(
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -10,17 +10,21 @@
 //! - A server that drains or left never becomes ready again under the same id.
 //! - An older announcement of a server never replaces a newer one.
 
+mod avoidance;
 mod command;
 mod liveness;
 mod load;
+mod outcomes;
 mod proof;
 mod server;
 mod server_list;
 mod state;
 
+pub use avoidance::{Avoidance, AvoidanceChange, ProbeTurn, Standing, advance_service};
 pub use command::{Command, Outcome};
 pub use liveness::{Liveness, LivenessSettings};
-pub use load::{LoadBoard, LoadReport, ServerLoad, pause_after_reports};
+pub use load::{LoadBoard, LoadReport, ServerFailures, ServerLoad, pause_after_reports};
+pub use outcomes::{FadingCounts, OutcomeCounts, ServerOutcome, failing_servers};
 pub use proof::{Confirmations, ProofKeeper, RoutingProof};
 pub use server::{Registration, Server, ServerState};
 pub use server_list::{ServerChanges, ServerList};
