--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -106,7 +106,7 @@
 }
 
 /// An answer of the server's own that is no stream: read whole and passed on as it is.
-async fn whole(attempts: Attempts, opened: Opened) -> Response<BoxBody> {
+async fn whole(mut attempts: Attempts, opened: Opened) -> Response<BoxBody> {
     let mut opened = opened;
     let mut body = BytesMut::new();
     let deadline = attempts.deadline;
@@ -114,14 +114,16 @@
         match timeout_at(deadline, opened.upstream.next_chunk()).await {
             Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
             Ok(Ok(None)) => break,
-            Ok(Err(_)) => {
+            Ok(Err(error)) => {
                 opened.end_call(CallEnd::Broken);
+                attempts.note_broken(&opened.server, &error);
                 return refuse(attempts, Refusal::Broken);
             }
             Err(_) => return refuse(attempts, Refusal::TimedOut),
         }
     }
-    let mut attempts = attempts;
+    let report = Report::of_answer(opened.head.status);
+    attempts.core.report(&opened.server, report);
     attempts.log.outcome = "answered";
     opened.end_call(opened.end_without_stream());
     let response = answer_head(&opened.head).set_body(BoxBody::new(body.freeze()));
@@ -207,7 +209,11 @@
         }
         let now = Instant::now();
         match self.last_arrival.replace(now) {
-            None => self.attempts.note_read(opened),
+            None => {
+                let core = &self.attempts.core;
+                core.report(&opened.server, Report::Answered);
+                self.attempts.note_read(opened);
+            }
             Some(before) => {
                 let each = now.duration_since(before) / events;
                 let core = &self.attempts.core;
@@ -257,6 +263,8 @@
                 Ok(())
             }
             Ok(mut opened) => {
+                let report = Report::of_answer(opened.head.status);
+                self.attempts.core.report(&opened.server, report);
                 opened.end_call(opened.end_without_stream());
                 self.break_off()
             }
