Bound what a gateway holds for callers and servers that read slowly

Cause: nothing counted what slow callers and servers hold; request bodies were copied to be sent and kept to the end of the answer, answers of plain calls and events without end were read without bound, callers that read nothing stayed for ever, and a server that read nothing of a long body for 0.9 s was taken for one out of reach (502, may have run).

Change: an account of held memory (pure) decides what gives way: servers' streams wait, new bodies are refused with 503 and Retry-After, callers that take nothing are cut off after 10 s, after 3 s while memory is short, at once beyond the total. The limit comes from the machine's memory. Bodies are sent without a copy and let go when no resume is possible; plain answers beyond 1 MiB leave in pieces; a body over 32 KiB gets a fresh connection that bears a slow server until the deadline. Gauges and counters of it, and a line for each cut-off.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use courseshed_quota::Standing;
 use courseshed_routing::{CallKind, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
@@ -22,6 +22,8 @@
 use super::call_log::CallLog;
 use super::choice::{ChoiceInputs, Chosen, Demand};
 use super::core::{GatewayCore, InFlight};
+use super::held::Holding;
+use super::held_memory::HeldKind;
 use super::policy::Mechanism;
 use super::quota::{Permit, Quotas};
 use super::refusal::Refusal;
@@ -92,6 +94,8 @@
     pub caller: Caller,
     /// Whether the request begins a program.
     pub standing: Standing,
+    /// What is held for it.
+    pub holding: Holding,
     permit: Option<Permit>,
     version: u64,
     connection_limit: u32,
@@ -109,6 +113,7 @@
         route: Arc<Route>,
         service: ChosenService,
         deadline: Instant,
+        holding: Holding,
     ) -> Self {
         let ChosenService {
             name: service,
@@ -123,6 +128,7 @@
             parts: parts_of(&call, &route),
             caller,
             standing: Standing::UnderWay,
+            holding,
             permit: None,
             version,
             connection_limit,
@@ -213,6 +219,19 @@
         self.route.is_idempotent() && self.time_left() >= LEAST_TIME
     }
 
+    /// Lets the body go if no server can need it any more: an answer has begun, and the request may
+    /// not be sent again. A turn's own input stays if it is to be kept.
+    pub(super) fn release_body(&mut self) {
+        if self.route.is_idempotent() {
+            return;
+        }
+        self.body = Bytes::new();
+        if !self.route.keeps_turns {
+            self.call.body = Bytes::new();
+        }
+        self.holding.set(HeldKind::Request, self.call.body.len());
+    }
+
     /// Notes that a server's answer is whole, with so many tokens generated. Returns what the server
     /// holds of the prompt now.
     pub(super) fn note_finished(&self, opened: &Opened, generated: u32) -> CachedPrompt {
@@ -315,7 +334,8 @@
 
     async fn connect(&self, chosen: &Chosen) -> Result<Upstream, UpstreamError> {
         let pool = self.core.pool.clone();
-        pool.connect(&chosen.id, chosen.address).await
+        pool.connect(&chosen.id, chosen.address, self.body.len())
+            .await
     }
 
     /// Whether the caller may still be served.
@@ -346,7 +366,8 @@
         chosen: &Chosen,
         resume_after: Option<u64>,
     ) -> Result<(ResponseHead, Upstream, Instant), UpstreamError> {
-        let request = self.write_request(chosen, resume_after);
+        let head = self.write_head(chosen, resume_after);
+        let request = head.chain(self.body.clone());
         self.log.attempts += 1;
         if !self.sent_to.contains(&chosen.id) {
             self.sent_to.push(chosen.id.clone());
@@ -361,7 +382,7 @@
         let silence = self.silence_borne();
         let patience = silence.filter(|silence| sent_at + *silence < self.deadline);
         let limit = patience.map_or(self.deadline, |patience| sent_at + patience);
-        let answered = upstream.exchange(&request, limit, is_ours).await;
+        let answered = upstream.exchange(request, limit, is_ours).await;
         if let (Err(UpstreamError::TimedOut), Some(patience)) = (&answered, patience) {
             self.note_answer_time(patience);
             return Err(UpstreamError::Silent);
@@ -381,7 +402,7 @@
         times.silence_borne(&self.route.name)
     }
 
-    fn write_request(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
+    fn write_head(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
         let terms = SendTerms {
             time_left: Some(self.time_left()),
             server: chosen.id.clone(),
@@ -389,11 +410,10 @@
             tenant: self.caller.tenant_name().map(str::to_owned),
             hides_key: self.caller.hides_key,
         };
-        let mut request = BytesMut::with_capacity(1024 + self.body.len());
+        let mut request = BytesMut::with_capacity(1024);
         self.core
             .codec
             .write_head(&self.call, self.body.len(), &terms, &mut request);
-        request.extend_from_slice(&self.body);
         request
     }
 
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -12,6 +12,8 @@
 use super::access::{AccessTerms, TenantTerms};
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
+use super::held::Ledger;
+use super::held_memory::HeldTerms;
 use super::policy::Policy;
 use super::quota::Quotas;
 use super::servers::{Report, ServerTable};
@@ -21,6 +23,14 @@
 use crate::metrics::Metrics;
 use crate::records::RecordClient;
 
+/// What a gateway is told of itself.
+pub(super) struct CoreTerms {
+    pub zone: String,
+    pub policy: Policy,
+    pub tenants: TenantTerms,
+    pub memory: HeldTerms,
+}
+
 /// What all requests of a gateway share.
 pub(super) struct GatewayCore {
     pub codec: Box<dyn CallCodec>,
@@ -35,6 +45,8 @@
     /// Permits of tenants whose requests are limited.
     pub quotas: Quotas,
     pub clock: Clock,
+    /// What is held for callers.
+    pub ledger: Rc<Ledger>,
     pub servers: RefCell<ServerTable>,
     pub answer_times: RefCell<AnswerTimes>,
     /// Where this gateway stands.
@@ -57,16 +69,21 @@
         follower: Arc<FleetFollower>,
         records: RecordClient,
         metrics: Arc<Metrics>,
-        zone: String,
-        policy: Policy,
-        tenants: TenantTerms,
+        terms: CoreTerms,
     ) -> Rc<Self> {
+        let CoreTerms {
+            zone,
+            policy,
+            tenants,
+            memory,
+        } = terms;
         let access = tenants.revocation.map(AccessTerms::strict);
         Rc::new(Self {
             codec,
             follower,
             records,
             pool: UpstreamPool::new(),
+            ledger: Ledger::new(memory, metrics.clone()),
             metrics,
             clock: Clock::start(),
             servers: RefCell::new(ServerTable::new(policy.clone())),
--- a/crates/courseshed-edge/src/gateway/events.rs
+++ b/crates/courseshed-edge/src/gateway/events.rs
@@ -32,6 +32,18 @@
         Some(read_event(bytes))
     }
 
+    /// Bytes of memory that are held, of which what is left of an event is a part.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Bytes of an event that isn't whole yet.
+    #[must_use]
+    pub fn partial(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the bytes end with part of an event.
     #[must_use]
     pub fn has_partial(&self) -> bool {
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -9,6 +9,8 @@
 mod core;
 mod cost;
 mod events;
+mod held;
+mod held_memory;
 mod load;
 mod plain;
 mod policy;
@@ -31,6 +33,7 @@
 pub use choice::{Chosen, Demand};
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
+pub use held_memory::{CutOff, CutReason, HeldId, HeldKind, HeldMemory, HeldTerms};
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -1,17 +1,31 @@
-//! Calls that are answered at once: the whole answer is read before the caller gets any of it.
+//! Calls that are answered at once: the whole answer is read before the caller gets any of it, up to
+//! a bound. What is longer, or finds no memory, is passed on in pieces as the caller takes them.
 
-use actix_http::body::BoxBody;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody};
 use actix_http::header;
 use actix_http::{Response, ResponseHead};
 use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use snafu::Snafu;
 use tokio::time::timeout_at;
 
 use super::attempts::{Attempts, Opened};
+use super::held::Holding;
+use super::held_memory::HeldKind;
 use super::refusal::Refusal;
 use super::servers::Report;
 use super::upstream::UpstreamError;
 use crate::http::is_of_connection;
 
+/// Longest answer that is read whole, in bytes: far more than a tool or a model answers with, and
+/// small beside the memory of the smallest machine.
+const WHOLE_ANSWER: usize = 1024 * 1024;
+/// What is handed to the caller's connection at a time, in bytes: what the library writes at once.
+const PIECE: usize = 8 * 1024;
+
 /// Passes a call on and answers it.
 pub(super) async fn forward(mut attempts: Attempts) -> Response<BoxBody> {
     loop {
@@ -19,12 +33,9 @@
             Ok(opened) => opened,
             Err(refusal) => return refuse(attempts, refusal),
         };
+        attempts.release_body();
         match read_body(&mut opened, &attempts).await {
-            Ok(body) => {
-                attempts.log.outcome = "answered";
-                attempts.log.status = opened.head.status.as_u16();
-                return answer(opened, body);
-            }
+            Ok(read) => return answer(attempts, opened, read),
             Err(UpstreamError::TimedOut) => return refuse(attempts, Refusal::TimedOut),
             Err(error) => {
                 attempts.note_broken(&opened.server, &error);
@@ -44,29 +55,143 @@
     response
 }
 
-async fn read_body(opened: &mut Opened, attempts: &Attempts) -> Result<Bytes, UpstreamError> {
+/// As much of an answer as is read before the caller gets any of it.
+pub(super) enum AnswerRead {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning.
+    Begun(Bytes),
+}
+
+async fn read_body(opened: &mut Opened, attempts: &Attempts) -> Result<AnswerRead, UpstreamError> {
+    let read = read_to_bound(opened, attempts).await?;
+    let took = opened.sent_at.elapsed();
+    attempts.core.report(&opened.server, Report::Paced(took));
+    attempts.note_answer_time(took);
+    attempts.note_finished(opened, 0);
+    Ok(read)
+}
+
+/// Reads an answer, as far as it may be read before the caller gets any of it.
+pub(super) async fn read_to_bound(
+    opened: &mut Opened,
+    attempts: &Attempts,
+) -> Result<AnswerRead, UpstreamError> {
     let upstream = &mut opened.upstream;
+    let holding = &attempts.holding;
     let read = async {
         let mut body = BytesMut::new();
         while let Some(chunk) = upstream.next_chunk().await? {
             body.extend_from_slice(&chunk);
+            holding.set(HeldKind::Answer, body.capacity() + upstream.buffered());
+            if body.len() > WHOLE_ANSWER || !holding.has_room() {
+                return Ok(AnswerRead::Begun(body.freeze()));
+            }
         }
-        Ok(body.freeze())
+        Ok(AnswerRead::Whole(body.freeze()))
     };
-    let body = timeout_at(attempts.deadline, read)
+    timeout_at(attempts.deadline, read)
         .await
-        .unwrap_or(Err(UpstreamError::TimedOut))?;
-    let took = opened.sent_at.elapsed();
-    attempts.core.report(&opened.server, Report::Paced(took));
-    attempts.note_answer_time(took);
-    attempts.note_finished(opened, 0);
-    Ok(body)
+        .unwrap_or(Err(UpstreamError::TimedOut))
 }
 
-fn answer(opened: Opened, body: Bytes) -> Response<BoxBody> {
-    let response = answer_head(&opened.head).set_body(BoxBody::new(body));
-    opened.upstream.finish();
-    response
+/// Answers a caller with what was read, and what follows it.
+pub(super) fn answer(
+    mut attempts: Attempts,
+    opened: Opened,
+    read: AnswerRead,
+) -> Response<BoxBody> {
+    let response = answer_head(&opened.head);
+    attempts.log.status = opened.head.status.as_u16();
+    match read {
+        AnswerRead::Whole(body) => {
+            attempts.log.outcome = "answered";
+            opened.upstream.finish();
+            response.set_body(BoxBody::new(WholeAnswer {
+                rest: body,
+                _holding: attempts.holding,
+            }))
+        }
+        AnswerRead::Begun(ready) => {
+            let pieces = Pieces {
+                attempts,
+                opened,
+                ready,
+            };
+            response.set_body(BoxBody::new(BodyStream::new(Box::pin(pieces.stream()))))
+        }
+    }
+}
+
+/// An answer that was read whole, handed on as the caller's connection takes it.
+struct WholeAnswer {
+    rest: Bytes,
+    _holding: Holding,
+}
+
+impl MessageBody for WholeAnswer {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.rest.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let length = self.rest.len().min(PIECE);
+        let piece = self.rest.split_to(length);
+        Poll::Ready((!piece.is_empty()).then_some(Ok(piece)))
+    }
+}
+
+/// The rest of an answer doesn't come; its connection is closed so that it doesn't look whole.
+#[derive(Debug, Snafu)]
+#[snafu(display("the answer was broken off"))]
+struct BrokenOff;
+
+/// An answer of which the caller gets the beginning before its end is there.
+struct Pieces {
+    attempts: Attempts,
+    opened: Opened,
+    ready: Bytes,
+}
+
+impl Pieces {
+    fn stream(self) -> impl stream::Stream<Item = Result<Bytes, BrokenOff>> {
+        stream::unfold(Some(self), |pieces| async {
+            let mut pieces = pieces?;
+            match pieces.next().await {
+                Ok(Some(piece)) => Some((Ok(piece), Some(pieces))),
+                Ok(None) => {
+                    pieces.attempts.log.outcome = "answered";
+                    pieces.opened.upstream.finish();
+                    None
+                }
+                Err(error) => {
+                    let server = pieces.opened.server.clone();
+                    pieces.attempts.note_broken(&server, &error);
+                    pieces.attempts.log.outcome = "broken_off";
+                    Some((Err(BrokenOff), None))
+                }
+            }
+        })
+    }
+
+    /// The next piece; nothing is read from the server before the one before was taken.
+    async fn next(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        if !self.ready.is_empty() {
+            let length = self.ready.len().min(PIECE);
+            return Ok(Some(self.ready.split_to(length)));
+        }
+        self.ready = Bytes::new();
+        let upstream = &mut self.opened.upstream;
+        let next = timeout_at(self.attempts.deadline, upstream.next_chunk()).await;
+        let buffered = upstream.buffered();
+        self.attempts.holding.set(HeldKind::Answer, buffered);
+        next.unwrap_or(Err(UpstreamError::TimedOut))
+    }
 }
 
 /// The head of the server's answer, as it goes to the caller.
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -11,6 +11,8 @@
 
 use super::call::CallEnvelope;
 use super::core::GatewayCore;
+use super::held::Holding;
+use super::held_memory::HeldKind;
 use super::policy::Mechanism;
 use super::refusal::Refusal;
 use crate::records::{ChainLookup, RecordClient, RecordsUnavailable, Reservation, Settlement};
@@ -164,6 +166,7 @@
     call: &CallEnvelope,
     tenant: Option<&str>,
     deadline: Instant,
+    holding: &Holding,
 ) -> Result<ComposedBody, Refusal> {
     // A kept turn of no program is kept with those of the program without a name.
     let program = call.program.as_ref().map_or("", |claim| &claim.program);
@@ -198,6 +201,8 @@
         .iter()
         .map(|turn| turn.input.len() + turn.output.len())
         .sum::<usize>();
+    holding.check_room(size + call.body.len())?;
+    holding.set(HeldKind::Request, size + 2 * call.body.len());
     let mut body = BytesMut::with_capacity(size + call.body.len());
     for turn in &chain {
         body.extend_from_slice(&turn.input);
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -36,6 +36,8 @@
     NotStarted,
     /// No server takes it now.
     NoServer,
+    /// As much is held for other requests as this machine has memory for.
+    NoMemory,
     /// A planned stop ends this gateway before the request would be over.
     Leaving,
     /// The stores that must agree can't be reached.
@@ -59,6 +61,9 @@
 const RECORDS_RETRY: Duration = Duration::from_millis(600);
 /// When to come back after the stores had no room: they look this often for what is kept no longer.
 const ROOM_RETRY: Duration = Duration::from_secs(2);
+/// When to come back after the machine had no memory left: slow readers give up after two seconds or
+/// more, and another gateway may have room sooner.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
 /// When to come back, to another gateway.
 const OTHER_GATEWAY_RETRY: Duration = Duration::from_millis(10);
 /// When to come back after the owner of the permits could not be asked: in about the time that the
@@ -91,6 +96,7 @@
             Self::NoQuota => "no_quota",
             Self::NotStarted => "not_started",
             Self::NoServer => "no_server",
+            Self::NoMemory => "no_memory",
             Self::Leaving => "leaving",
             Self::NoRecords => "no_records",
             Self::NoRoom => "no_room",
@@ -114,6 +120,7 @@
             | Self::NoProof { .. }
             | Self::NoQuota
             | Self::NoServer
+            | Self::NoMemory
             | Self::Leaving
             | Self::NoRecords
             | Self::NoRoom
@@ -132,6 +139,7 @@
                 is_everywhere: true,
             } => Some(RECORDS_RETRY),
             Self::NoRoom => Some(ROOM_RETRY),
+            Self::NoMemory => Some(MEMORY_RETRY),
             Self::Leaving
             | Self::NoProof {
                 is_everywhere: false,
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -16,14 +16,16 @@
 use super::access::{Caller, TenantTerms};
 use super::attempts::{Attempts, ChosenService};
 use super::call::{CallCodec, CallEnvelope, Credential};
-use super::core::GatewayCore;
+use super::core::{CoreTerms, GatewayCore};
+use super::held::{Holding, watch_callers};
+use super::held_memory::HeldTerms;
 use super::load::share_load;
 use super::policy::{Mechanism, Policy};
 use super::quota::exchange_permits;
 use super::refusal::Refusal;
 use super::stream::forward_by_kind;
 use crate::follower::{FleetFollower, FollowerKind};
-use crate::http::{BodyError, HttpTiming, listen, read_body, serve};
+use crate::http::{BodyError, HttpTiming, connection_of, listen, serve};
 use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
 use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
@@ -59,6 +61,8 @@
     pub policy: Policy,
     /// What is asked of it where callers are tenants.
     pub tenants: TenantTerms,
+    /// How much it may hold for callers and servers that read slowly.
+    pub memory: HeldTerms,
 }
 
 /// A gateway doesn't start.
@@ -123,12 +127,16 @@
         follower,
         records,
         settings.metrics,
-        settings.zone,
-        settings.policy,
-        settings.tenants,
+        CoreTerms {
+            zone: settings.zone,
+            policy: settings.policy,
+            tenants: settings.tenants,
+            memory: settings.memory,
+        },
     );
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
+    actix_rt::spawn(watch_callers(core.ledger.clone()));
     actix_rt::spawn(exchange_permits(
         core.clone(),
         peers.clone(),
@@ -243,7 +251,7 @@
 ) -> Result<(Attempts, Option<u64>), Refusal> {
     let arrived = Instant::now();
     let limits = limits_in_force(core);
-    let call = read_call(core, request, &limits).await?;
+    let (call, holding) = read_call(core, request, &limits).await?;
     let wait = call
         .time_left
         .map_or(START_WAIT, |left| START_WAIT.min(left / 4));
@@ -274,7 +282,7 @@
         log::info!(event = "leaving", request = call.request_id.as_str(); "the gateway ends before the call would");
         return Err(Refusal::Leaving);
     }
-    let attempts = Attempts::new(core.clone(), call, route, service, deadline);
+    let attempts = Attempts::new(core.clone(), call, route, service, deadline, holding);
     Ok((attempts, tokens_per_event))
 }
 
@@ -325,7 +333,7 @@
     core: &Rc<GatewayCore>,
     mut request: Request,
     limits: &CallLimits,
-) -> Result<CallEnvelope, Refusal> {
+) -> Result<(CallEnvelope, Holding), Refusal> {
     let head_bytes: usize = request
         .headers()
         .iter()
@@ -333,7 +341,11 @@
         .sum::<usize>()
         + request.uri().to_string().len();
     let read = core.codec.read_call(request.head());
-    let body = read_body(&mut request, limits.max_body_bytes).await?;
+    let request_id = read.as_ref().map_or("", |call| &call.request_id);
+    let holding = core.ledger.begin(connection_of(&request), request_id);
+    let body = holding
+        .read_body(&mut request, limits.max_body_bytes)
+        .await?;
     if head_bytes > limits.max_header_bytes {
         return Err(Refusal::HeadTooLarge);
     }
@@ -342,7 +354,7 @@
         Refusal::Unreadable
     })?;
     call.body = body;
-    Ok(call)
+    Ok((call, holding))
 }
 
 impl From<BodyError> for Refusal {
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -17,7 +17,8 @@
 
 use super::attempts::{Attempts, Opened};
 use super::events::{Event, EventSplitter};
-use super::plain::{answer_head, forward, refuse};
+use super::held_memory::HeldKind;
+use super::plain::{answer, answer_head, forward, read_to_bound, refuse};
 use super::program::{TokenReservation, compose_body, keep_ms, reserve, turn_of};
 use super::refusal::Refusal;
 use super::servers::Report;
@@ -25,6 +26,9 @@
 
 /// How long a resumable stream may be silent before it is taken up again.
 const SILENCE_BORNE: Duration = Duration::from_millis(1200);
+/// Largest event that is waited for, in bytes: many times what a model makes at once, and what its
+/// longest whole answer has.
+const LARGEST_EVENT: usize = 1024 * 1024;
 /// How long keeping a turn may take after its last event.
 const KEEP_LIMIT: Duration = Duration::from_millis(2500);
 
@@ -51,7 +55,8 @@
             &attempts.core,
             &attempts.call,
             attempts.caller.tenant_name(),
-            attempts.deadline
+            attempts.deadline,
+            &attempts.holding
         ),
     );
     let (reservation, composed) = match prepared {
@@ -71,6 +76,7 @@
     if opened.head.status != StatusCode::OK {
         return whole(attempts, opened).await;
     }
+    attempts.release_body();
     let response = answer_head(&opened.head);
     let relay = EventRelay {
         attempts,
@@ -100,24 +106,14 @@
     response.set_body(BoxBody::new(BodyStream::new(Box::pin(events))))
 }
 
-/// An answer of the server's own that is no stream: read whole and passed on as it is.
-async fn whole(attempts: Attempts, opened: Opened) -> Response<BoxBody> {
-    let mut opened = opened;
-    let mut body = BytesMut::new();
-    let deadline = attempts.deadline;
-    loop {
-        match timeout_at(deadline, opened.upstream.next_chunk()).await {
-            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
-            Ok(Ok(None)) => break,
-            Ok(Err(_)) => return refuse(attempts, Refusal::Broken),
-            Err(_) => return refuse(attempts, Refusal::TimedOut),
-        }
+/// An answer of the server's own that is no stream, passed on as it is.
+async fn whole(mut attempts: Attempts, mut opened: Opened) -> Response<BoxBody> {
+    attempts.release_body();
+    match read_to_bound(&mut opened, &attempts).await {
+        Ok(read) => answer(attempts, opened, read),
+        Err(UpstreamError::TimedOut) => refuse(attempts, Refusal::TimedOut),
+        Err(_) => refuse(attempts, Refusal::Broken),
     }
-    let mut attempts = attempts;
-    attempts.log.outcome = "answered";
-    let response = answer_head(&opened.head).set_body(BoxBody::new(body.freeze()));
-    opened.upstream.finish();
-    response
 }
 
 /// A stream on its way from a server to a caller.
@@ -146,7 +142,7 @@
                 return Ok(Some(ready));
             }
             match self.read().await {
-                Ok(Some(chunk)) => self.splitter.push(&chunk),
+                Ok(Some(chunk)) => self.push(&chunk)?,
                 Ok(None) if !self.splitter.has_partial() => {
                     self.finish().await?;
                     return Ok(None);
@@ -162,6 +158,29 @@
         }
     }
 
+    /// Takes bytes in. An event that never ends is not waited for.
+    fn push(&mut self, chunk: &[u8]) -> Result<(), BrokenOff> {
+        self.splitter.push(chunk);
+        self.note_held();
+        if self.splitter.partial() > LARGEST_EVENT {
+            let error = UpstreamError::Broken {
+                reason: "an event is longer than is waited for".to_owned(),
+            };
+            if let Some(opened) = self.opened.take() {
+                self.attempts.note_broken(&opened.server, &error);
+            }
+            return self.break_off();
+        }
+        Ok(())
+    }
+
+    fn note_held(&self) {
+        let upstream = self.opened.as_ref();
+        let read = upstream.map_or(0, |opened| opened.upstream.buffered());
+        let held = read + self.splitter.held() + self.output.len();
+        self.attempts.holding.set(HeldKind::Answer, held);
+    }
+
     /// Whole events that the caller lacks, with their bytes as they came.
     fn take_events(&mut self) -> Bytes {
         let mut ready = BytesMut::new();
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -14,7 +14,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::{self, HeaderValue};
 use actix_http::{ResponseHead, ServiceConfig};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -31,7 +31,13 @@
 const REST_MARGIN: Duration = Duration::from_millis(800);
 /// Connections kept for one server.
 const KEPT_PER_SERVER: usize = 24;
-const READ_BYTES: usize = 16 * 1024;
+/// Longest body that a server's socket surely takes while the server reads nothing, in bytes: half of
+/// the smallest window that systems begin with. A longer one gets a fresh connection, which is known
+/// not to be silent, and may wait there for a server that reads slowly.
+const SURELY_TAKEN: usize = 32 * 1024;
+/// What is read from a server at a time, in bytes: many events of a stream, and little to hold for a
+/// caller that doesn't read.
+const READ_BYTES: usize = 8 * 1024;
 /// Largest head of an answer.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
 
@@ -87,7 +93,7 @@
         }
     }
 
-    /// A connection to a server: a kept one that is still open, or a new one.
+    /// A connection to a server for a body of so many bytes: a kept one that is still open, or a new one.
     ///
     /// # Errors
     /// [`UpstreamError::NotSent`].
@@ -95,11 +101,17 @@
         &self,
         server: &str,
         address: SocketAddr,
+        body_bytes: usize,
     ) -> Result<Upstream, UpstreamError> {
-        let kept = self.take_kept(server, address);
+        let is_patient = body_bytes > SURELY_TAKEN;
+        let kept = if is_patient {
+            None
+        } else {
+            self.take_kept(server, address)
+        };
         let stream = match kept {
             Some(stream) => stream,
-            None => open(address)
+            None => open(address, is_patient)
                 .await
                 .map_err(|source| UpstreamError::NotSent { source })?,
         };
@@ -112,6 +124,7 @@
             payload: None,
             ends_with_connection: false,
             is_reusable: false,
+            is_patient,
             rest: USUAL_REST,
         })
     }
@@ -163,11 +176,14 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
-async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+async fn open(address: SocketAddr, is_patient: bool) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     sockets::prepare(&stream)?;
+    if is_patient {
+        sockets::bear_slow_reader(&stream)?;
+    }
     Ok(stream)
 }
 
@@ -181,6 +197,8 @@
     payload: Option<ClientPayloadCodec>,
     ends_with_connection: bool,
     is_reusable: bool,
+    /// Whether it bears a server that reads slowly.
+    is_patient: bool,
     rest: Duration,
 }
 
@@ -191,7 +209,7 @@
     /// [`UpstreamError`]: the request may have run.
     pub async fn exchange(
         &mut self,
-        request: &[u8],
+        request: impl Buf,
         deadline: Instant,
         is_ours: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ResponseHead, UpstreamError> {
@@ -219,9 +237,9 @@
     }
 
     /// Writes the request while watching for an early answer; false if one came before all was written.
-    async fn send_until_answered(&mut self, request: &[u8]) -> Result<bool, UpstreamError> {
+    async fn send_until_answered(&mut self, mut request: impl Buf) -> Result<bool, UpstreamError> {
         let (mut reader, mut writer) = self.stream.split();
-        let write = writer.write_all(request);
+        let write = writer.write_all_buf(&mut request);
         tokio::pin!(write);
         let mut early = BytesMut::with_capacity(READ_BYTES);
         tokio::select! {
@@ -299,9 +317,21 @@
         }
     }
 
+    /// Bytes that were read from the server and not yet given on.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Gives the connection back, if its answer was whole and nothing is left over.
     pub fn finish(self) {
         if self.is_reusable && self.payload.is_none() && self.buffer.is_empty() {
+            if self.is_patient
+                && let Err(error) = sockets::prepare(&self.stream)
+            {
+                log::info!(event = "not_kept", server = self.server.as_str(); "a connection can't be kept: {error}");
+                return;
+            }
             self.pool
                 .put_back(&self.server, self.address, self.stream, self.rest);
         }
--- a/crates/courseshed-edge/src/http.rs
+++ b/crates/courseshed-edge/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -10,11 +11,20 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use snafu::Snafu;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::watched::{Connection, WatchedStream};
+
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const BACKLOG: u32 = 1024;
+/// What the library may hold of an answer that its caller doesn't take, in bytes, before it asks for
+/// no more: one read from a server, so that each is written in one go.
+const WRITE_BUFFER_BYTES: usize = 8 * 1024;
+/// What the system may hold of it, in bytes, of which it uses twice as many with its own records:
+/// tens of seconds of a stream, and 3 MB/s of a whole answer over 10 ms there and back.
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
 
 /// How long callers are waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,15 +97,18 @@
     let mut service = build(current, handle.clone()).await;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let wanted = timing();
                 if wanted != current {
                     current = wanted;
                     service = build(current, handle.clone()).await;
                 }
-                if stream.set_nodelay(true).is_ok() {
-                    actix_rt::spawn(service.call(stream));
+                if let Err(error) = prepare(&stream) {
+                    log::info!(event = "not_prepared"; "a caller's connection can't be used: {error}");
+                    continue;
                 }
+                let stream = WatchedStream::new(stream);
+                actix_rt::spawn(service.call((stream, Some(peer))));
             }
             Err(error) => {
                 log::warn!(event = "accept_failed"; "cannot accept a connection: {error}");
@@ -105,6 +118,18 @@
     }
 }
 
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+}
+
+/// What is known of the connection that a request came on.
+#[must_use]
+pub fn connection_of(request: &Request) -> Rc<Connection> {
+    let connection = request.conn_data::<Rc<Connection>>();
+    connection.cloned().unwrap_or_default()
+}
+
 /// The body of a request.
 ///
 /// # Errors
@@ -125,7 +150,10 @@
 async fn build<Handle, Answer>(
     timing: HttpTiming,
     handle: Handle,
-) -> impl Service<TcpStream, Future = impl Future<Output = Result<(), impl Sized + 'static>> + 'static>
+) -> impl Service<
+    (WatchedStream, Option<SocketAddr>),
+    Future = impl Future<Output = Result<(), impl Sized + 'static>> + 'static,
+>
 where
     Handle: Fn(Request) -> Answer + Clone + 'static,
     Answer: Future<Output = Response<BoxBody>> + 'static,
@@ -138,8 +166,11 @@
         .keep_alive(KeepAlive::Timeout(timing.idle))
         .client_request_timeout(timing.head)
         .h1_allow_half_closed(false)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
+        .on_connect_ext(|stream: &WatchedStream, data| {
+            data.insert(stream.connection());
+        })
         .h1(service)
-        .tcp()
         .new_service(())
         .await
         .unwrap_or_else(|()| unreachable!("the service can always be made"))
--- a/crates/courseshed-edge/src/lib.rs
+++ b/crates/courseshed-edge/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod records;
 pub mod signals;
 pub mod sockets;
+pub mod watched;
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -40,6 +40,13 @@
     pub tenant: String,
 }
 
+/// Why callers were cut off, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CutLabels {
+    /// Why.
+    pub reason: &'static str,
+}
+
 /// What an owner of permits knows of a tenant.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PermitFigures {
@@ -72,6 +79,16 @@
     permits: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_out: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_in_use: Family<TenantLabels, Gauge<i64, AtomicI64>>,
+    /// Bytes that a gateway holds for callers and servers that read slowly.
+    pub held_bytes: Gauge<i64, AtomicI64>,
+    /// The most that it held since the start.
+    pub held_peak: Gauge<i64, AtomicI64>,
+    /// The most that it may hold.
+    pub held_limit: Gauge<i64, AtomicI64>,
+    /// Calls refused since there was no memory for their bodies.
+    pub held_refusals: Counter,
+    /// Callers that were cut off since they didn't read.
+    pub callers_cut_off: Family<CutLabels, Counter>,
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the partitions of the records, as known here.
@@ -153,6 +170,11 @@
             permits: Family::default(),
             permits_out: Family::default(),
             permits_in_use: Family::default(),
+            held_bytes: Gauge::default(),
+            held_peak: Gauge::default(),
+            held_limit: Gauge::default(),
+            held_refusals: Counter::default(),
+            callers_cut_off: Family::default(),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
             records: RECORD_FIGURES
@@ -166,6 +188,7 @@
 
     fn register(&self) {
         let mut registry = self.registry.lock();
+        self.register_held(&mut registry);
         registry.register("calls", "Calls that are over", self.calls.clone());
         registry.register(
             "call_seconds",
@@ -232,6 +255,43 @@
         );
     }
 
+    fn register_held(&self, registry: &mut Registry) {
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers and servers that read slowly",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "held_peak_bytes",
+            "The most bytes held so since the start",
+            self.held_peak.clone(),
+        );
+        registry.register(
+            "held_limit_bytes",
+            "The most bytes that may be held so",
+            self.held_limit.clone(),
+        );
+        registry.register(
+            "held_refusals",
+            "Calls refused since there was no memory for their bodies",
+            self.held_refusals.clone(),
+        );
+        registry.register(
+            "callers_cut_off",
+            "Callers cut off since they didn't read",
+            self.callers_cut_off.clone(),
+        );
+    }
+
+    /// Notes how many bytes are held for callers and servers that read slowly.
+    pub fn set_held(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.held_bytes.set(bytes);
+        if bytes > self.held_peak.get() {
+            self.held_peak.set(bytes);
+        }
+    }
+
     /// Notes how old the proof of the routing table was when a call with a key was to be sent.
     pub fn note_proof_age(&self, age: Option<Duration>) {
         let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
--- a/crates/courseshed-edge/src/sockets.rs
+++ b/crates/courseshed-edge/src/sockets.rs
@@ -18,6 +18,15 @@
 /// Pause between probes that aren't answered. The limit for unacknowledged bytes ends them.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Has a fresh connection bear a server that reads slowly: one that reads nothing for a while leaves
+/// bytes unacknowledged as well, and only the request's own deadline ends the wait for it.
+///
+/// # Errors
+/// What the system says.
+pub fn bear_slow_reader(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(None)
+}
+
 /// Sets a fresh connection to a server up.
 ///
 /// # Errors
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use courseshed_consensus::FaultSwitch;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec, TenantTerms};
+use courseshed_edge::gateway::{self, GatewaySettings, HeldTerms, Policy, ShortCodec, TenantTerms};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
@@ -36,6 +36,9 @@
     slack: 0.0,
 };
 
+/// More memory than the gateway of a test needs, in bytes.
+pub const AMPLE_MEMORY: u64 = 500_000_000;
+
 /// More than the store of a test needs.
 pub const AMPLE_STORE: StoreLimits = StoreLimits {
     memory_bytes: 128 * 1024 * 1024,
@@ -71,6 +74,7 @@
     grace: Duration,
     policy: Policy,
     revocation: Option<Duration>,
+    memory: HeldTerms,
 ) -> Gateway {
     let callers = SocketAddr::from((ip, addresses.first_port + 8));
     let readiness = SocketAddr::from((ip, addresses.first_port + 9));
@@ -90,6 +94,7 @@
             revocation,
             quota: QUOTA,
         },
+        memory,
     };
     actix_rt::spawn(async move {
         let stopped = async {
@@ -119,7 +124,15 @@
 
     /// Starts a fleet in which a key is out of use everywhere that long after it was taken away.
     pub async fn start_strict(grace: Duration, revocation: Duration) -> Self {
-        Self::start_as(grace, Policy::default(), AMPLE_STORE, Some(revocation)).await
+        let memory = HeldTerms::of_machine(AMPLE_MEMORY);
+        Self::start_as(
+            grace,
+            Policy::default(),
+            AMPLE_STORE,
+            Some(revocation),
+            memory,
+        )
+        .await
     }
 
     /// Starts a fleet whose store may use little of its machine.
@@ -128,7 +141,13 @@
         policy: Policy,
         store_limits: StoreLimits,
     ) -> Self {
-        Self::start_as(grace, policy, store_limits, None).await
+        let memory = HeldTerms::of_machine(AMPLE_MEMORY);
+        Self::start_as(grace, policy, store_limits, None, memory).await
+    }
+
+    /// Starts a fleet whose gateway may hold so much for slow readers.
+    pub async fn start_holding(grace: Duration, memory: HeldTerms) -> Self {
+        Self::start_as(grace, Policy::default(), AMPLE_STORE, None, memory).await
     }
 
     async fn start_as(
@@ -136,6 +155,7 @@
         policy: Policy,
         store_limits: StoreLimits,
         revocation: Option<Duration>,
+        memory: HeldTerms,
     ) -> Self {
         let folder = TempDir::new().expect("a folder");
         let subnet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
@@ -171,7 +191,7 @@
             metrics: Arc::new(Metrics::new()),
         })
         .expect("a store");
-        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy, revocation);
+        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy, revocation, memory);
         Self {
             controller,
             callers: gateway.callers,
@@ -254,7 +274,15 @@
         let host = |host| Ipv4Addr::new(a, b, c, host);
         let grace = Duration::from_secs(20);
         let policy = Policy::default();
-        let gateway = start_gateway(host(4), host(1), self.addresses, grace, policy, None);
+        let gateway = start_gateway(
+            host(4),
+            host(1),
+            self.addresses,
+            grace,
+            policy,
+            None,
+            HeldTerms::of_machine(AMPLE_MEMORY),
+        );
         until(async || status(&get(gateway.readiness, "/").await) == 200).await;
         gateway
     }
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -11,6 +11,9 @@
 /// The id of calls that only look whether the gateway sends here; the script doesn't see them.
 pub const PROBE: &str = "probe";
 
+/// How the ids of calls begin whose bodies the server never reads.
+pub const NEVER_READ: &str = "unread";
+
 /// A request as the server got it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Got {
@@ -34,6 +37,12 @@
     Write(String),
     /// Writes these bytes and closes the connection.
     WriteAndClose(String),
+    /// Writes a head, and the same piece behind it so many times, as fast as it is taken.
+    Repeat {
+        head: String,
+        piece: Arc<str>,
+        times: usize,
+    },
     /// Says nothing, takes no more connections, and closes this one.
     End,
 }
@@ -112,6 +121,14 @@
                     let _ = stream.write_all(text.as_bytes()).await;
                     return;
                 }
+                Act::Repeat { head, piece, times } => {
+                    if write_repeated(&mut stream, &head, &piece, times)
+                        .await
+                        .is_err()
+                    {
+                        return;
+                    }
+                }
                 Act::End => {
                     self.ended.send_replace(true);
                     let mut is_closed = self.is_closed.subscribe();
@@ -123,10 +140,26 @@
     }
 }
 
+async fn write_repeated(
+    stream: &mut TcpStream,
+    head: &str,
+    piece: &str,
+    times: usize,
+) -> std::io::Result<()> {
+    stream.write_all(head.as_bytes()).await?;
+    for _ in 0..times {
+        stream.write_all(piece.as_bytes()).await?;
+    }
+    stream.write_all(END.as_bytes()).await
+}
+
 async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Got> {
     loop {
         let text = String::from_utf8_lossy(buffer).into_owned();
         if let Some((head, rest)) = text.split_once("\r\n\r\n") {
+            if head.contains(&format!("x-call: {NEVER_READ}")) {
+                std::future::pending::<()>().await;
+            }
             let length = head
                 .lines()
                 .find_map(|line| line.strip_prefix("content-length: "))
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -12,7 +12,7 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec, TenantTerms};
+use courseshed_edge::gateway::{self, GatewaySettings, HeldTerms, Policy, ShortCodec, TenantTerms};
 use courseshed_edge::http::{HttpTiming, listen, read_body, serve};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
@@ -30,6 +30,8 @@
 const HAND_OVER_TIME: Duration = Duration::from_millis(400);
 /// Memory and disk that a store is told of, in bytes: those of a small machine that was played.
 const STORE_MEMORY: u64 = 130_000_000;
+/// Memory that a gateway is told of, in bytes: the same machine's.
+const GATEWAY_MEMORY: u64 = 130_000_000;
 const STORE_DISK: u64 = 370_000_000;
 /// Largest body that an operator sends, in bytes.
 const OPERATOR_BODY: usize = 1024 * 1024;
@@ -166,6 +168,7 @@
         codec: Box::new(ShortCodec),
         policy: Policy::default(),
         tenants: TenantTerms::default(),
+        memory: HeldTerms::of_machine(GATEWAY_MEMORY),
     };
     let run = gateway::run(settings, signals::stop_asked(), GRACE);
     run.await.map_err(|error| error.to_string())
