--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -13,6 +13,8 @@
 use super::access::{AccessTerms, TenantTerms};
 use super::answer_times::AnswerTimes;
 use super::call::CallCodec;
+use super::held::Ledger;
+use super::held_memory::HeldTerms;
 use super::outcomes::OutcomeChange;
 use super::policy::Policy;
 use super::quota::Quotas;
@@ -40,6 +42,8 @@
     /// Permits of tenants whose requests are limited.
     pub quotas: Quotas,
     pub clock: Clock,
+    /// What is held for callers.
+    pub ledger: Rc<Ledger>,
     pub servers: RefCell<ServerTable>,
     pub answer_times: RefCell<AnswerTimes>,
     /// Where this gateway stands.
@@ -66,6 +70,8 @@
     pub zone: String,
     pub policy: Policy,
     pub tenants: TenantTerms,
+    /// How much it may hold for callers and servers that read slowly.
+    pub memory: HeldTerms,
 }
 
 impl GatewayCore {
@@ -79,6 +85,7 @@
             zone,
             policy,
             tenants,
+            memory,
         } = parts;
         let access = tenants.revocation.map(AccessTerms::strict);
         Rc::new(Self {
@@ -87,6 +94,7 @@
             records,
             schedulers,
             pool: UpstreamPool::new(),
+            ledger: Ledger::new(memory, metrics.clone()),
             metrics,
             clock: Clock::start(),
             servers: RefCell::new(ServerTable::new(policy.clone()).with_seed(rand::random())),
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -17,6 +17,8 @@
 use super::attempts::{Attempts, CallTimes, ChosenService};
 use super::call::{CallCodec, CallEnvelope, Credential};
 use super::core::{CoreParts, GatewayCore};
+use super::held::{Holding, watch_callers};
+use super::held_memory::HeldTerms;
 use super::load::share_load;
 use super::policy::{Mechanism, Policy};
 use super::quota::exchange_permits;
@@ -24,7 +26,7 @@
 use super::schedule::{SchedulerClient, repeat_running, send_notes};
 use super::stream::forward_by_kind;
 use crate::follower::{FleetFollower, FollowerKind};
-use crate::http::{BodyError, HttpTiming, listen, read_body, serve};
+use crate::http::{BodyError, HttpTiming, connection_of, listen, serve};
 use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
 use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
@@ -60,6 +62,8 @@
     pub policy: Policy,
     /// What is asked of it where callers are tenants.
     pub tenants: TenantTerms,
+    /// How much it may hold for callers and servers that read slowly.
+    pub memory: HeldTerms,
 }
 
 /// A gateway doesn't start.
@@ -130,6 +134,7 @@
         zone: settings.zone,
         policy: settings.policy,
         tenants: settings.tenants,
+        memory: settings.memory,
     });
     if core.policy.uses(Mechanism::PoolScheduler) {
         actix_rt::spawn(send_notes(core.schedulers.clone()));
@@ -137,6 +142,7 @@
     }
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(tidy(core.clone()));
+    actix_rt::spawn(watch_callers(core.ledger.clone()));
     actix_rt::spawn(exchange_permits(
         core.clone(),
         peers.clone(),
@@ -252,7 +258,7 @@
 ) -> Result<(Attempts, Option<u64>), Refusal> {
     let arrived = Instant::now();
     let limits = limits_in_force(core);
-    let call = read_call(core, request, &limits).await?;
+    let (call, holding) = read_call(core, request, &limits).await?;
     let wait = call
         .time_left
         .map_or(START_WAIT, |left| START_WAIT.min(left / 4));
@@ -290,6 +296,7 @@
         route,
         service,
         CallTimes { arrived, deadline },
+        holding,
     );
     Ok((attempts, tokens_per_event))
 }
@@ -341,7 +348,7 @@
     core: &Rc<GatewayCore>,
     mut request: Request,
     limits: &CallLimits,
-) -> Result<CallEnvelope, Refusal> {
+) -> Result<(CallEnvelope, Holding), Refusal> {
     let head_bytes: usize = request
         .headers()
         .iter()
@@ -349,7 +356,11 @@
         .sum::<usize>()
         + request.uri().to_string().len();
     let read = core.codec.read_call(request.head());
-    let body = read_body(&mut request, limits.max_body_bytes).await?;
+    let request_id = read.as_ref().map_or("", |call| &call.request_id);
+    let holding = core.ledger.begin(connection_of(&request), request_id);
+    let body = holding
+        .read_body(&mut request, limits.max_body_bytes)
+        .await?;
     if head_bytes > limits.max_header_bytes {
         return Err(Refusal::HeadTooLarge);
     }
@@ -358,7 +369,7 @@
         Refusal::Unreadable
     })?;
     call.body = body;
-    Ok(call)
+    Ok((call, holding))
 }
 
 impl From<BodyError> for Refusal {
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use courseshed_edge::gateway::{Policy, SILENT_REST};
+use courseshed_edge::gateway::{HeldTerms, Policy, SILENT_REST};
 use courseshed_edge::peers::{Peers, start_peers};
 use courseshed_edge::protocol::{
     FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest, node_at,
@@ -24,8 +24,8 @@
 use support::scheduler::{Shown, StandInController};
 use support::server::{Act, END, StandIn, answer, event, stream_head};
 use support::{
-    Fleet, Gateway, call, free_port, get, new_subnet, plain_route, start_gateway, status,
-    stream_route, table, until,
+    AMPLE_MEMORY, Fleet, Gateway, call, free_port, get, new_subnet, plain_route, start_gateway,
+    status, stream_route, table, until,
 };
 
 const GRACE: Duration = Duration::from_secs(20);
@@ -62,7 +62,15 @@
         let controllers = starts
             .map(|(host, script)| StandInController::start(*host, addresses, shown.clone(), script))
             .collect();
-        let gateway = start_gateway(ip(3), hosts[0], addresses, GRACE, Policy::default(), None);
+        let gateway = start_gateway(
+            ip(3),
+            hosts[0],
+            addresses,
+            GRACE,
+            Policy::default(),
+            None,
+            HeldTerms::of_machine(AMPLE_MEMORY),
+        );
         until(async || status(&get(gateway.readiness, "/").await) == 200).await;
         Self {
             gateway,
@@ -329,6 +337,32 @@
     }
 }
 
+/// An answer that is longer than is read whole goes to the caller in pieces: its end is told when it is there.
+#[actix_rt::test]
+async fn a_scheduler_is_told_the_end_of_an_answer_that_goes_on_in_pieces() {
+    const LONG: usize = 3 * 1024 * 1024;
+    let cases = [
+        ("200 OK", true, CallEnd::Given),
+        ("500 Failed", true, CallEnd::Failed),
+        ("200 OK", false, CallEnd::Broken),
+    ];
+    for (head, is_whole, end) in cases {
+        let server = StandIn::start(move |got| {
+            let mut long = answer(got, &"~".repeat(LONG)).replace("200 OK", head);
+            if is_whole {
+                return Act::Write(long);
+            }
+            long.truncate(LONG / 2);
+            Act::WriteAndClose(long)
+        })
+        .await;
+        let (answer, ends) = ends_of(plain_route(), &server, 1).await;
+        assert!(answer.starts_with(&format!("HTTP/1.1 {}", &head[..3])));
+        assert_eq!(answer.ends_with(END), is_whole);
+        assert_eq!(ends, [end], "{head} {is_whole}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_scheduler_is_told_that_an_engine_refused_and_is_asked_again() {
     let server = StandIn::start(|got| {
