--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -13,6 +13,7 @@
 
 use super::attempts::{Attempts, LEAST_TIME};
 use super::choice::{Chosen, Demand};
+use super::core::InFlight;
 use super::policy::Mechanism;
 use super::program::program_key;
 use super::refusal::Refusal;
@@ -34,6 +35,18 @@
 pub(super) struct Assigned {
     pub chosen: Chosen,
     pub call: Option<ScheduledCall>,
+    /// Counts the call at the server, if that was begun: for one that is kept while a permit is renewed.
+    pub in_flight: Option<InFlight>,
+}
+
+impl Assigned {
+    fn new(chosen: Chosen, call: Option<ScheduledCall>) -> Self {
+        Self {
+            chosen,
+            call,
+            in_flight: None,
+        }
+    }
 }
 
 /// What the scheduler of a pool came to.
@@ -98,8 +111,8 @@
             match found.filter(|_| !excluded.contains(&key)) {
                 Some(chosen) => {
                     self.note_choice(BY_SCHEDULER, inputs);
-                    let call = Some(call);
-                    return Ok(Scheduled::Engine(Assigned { chosen, call }));
+                    let assigned = Assigned::new(chosen, Some(call));
+                    return Ok(Scheduled::Engine(assigned));
                 }
                 None => excluded.push(key),
             }
@@ -123,7 +136,7 @@
         let is_scheduled = self.is_pool && self.core.policy.uses(Mechanism::PoolScheduler);
         let key = ServerKey::of(&chosen.id);
         let call = is_scheduled.then(|| self.core.schedulers.begin_local(&self.service, key));
-        Some(Assigned { chosen, call })
+        Some(Assigned::new(chosen, call))
     }
 
     /// The server that had the request last, which doesn't count again.
@@ -135,7 +148,7 @@
         let last = self.sent_to.last()?;
         let chosen = self.core.servers.borrow().listed(last)?;
         self.note_choice(BY_GATEWAY, DecisionInputs::default());
-        Some(Assigned { chosen, call: None })
+        Some(Assigned::new(chosen, None))
     }
 
     fn note_choice(&mut self, by: &'static str, inputs: DecisionInputs) {
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -213,13 +213,19 @@
             if let Err(refusal) = self.take_permit().await {
                 return Err(self.not_sent_again(refusal));
             }
-            let Some(Assigned { chosen, call }) = self.assign().await? else {
+            let Some(assigned) = self.assign().await? else {
                 return Err(self.out_of_servers());
             };
+            let Assigned {
+                chosen,
+                call,
+                in_flight,
+            } = assigned;
             let inputs = self.choice_inputs(&chosen.id);
             let unread_tokens = inputs.unread_tokens;
             self.log.choice = inputs;
-            let in_flight = InFlight::begin(&self.core, &chosen.id);
+            // One that was kept is counted already, and a probe noted.
+            let in_flight = in_flight.unwrap_or_else(|| InFlight::begin(&self.core, &chosen.id));
             let upstream = match self.connect(&chosen).await {
                 Ok(upstream) => upstream,
                 Err(error) => {
@@ -236,7 +242,11 @@
             if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
                 upstream.finish();
                 self.permit = None;
-                self.kept = Some(Assigned { chosen, call });
+                self.kept = Some(Assigned {
+                    chosen,
+                    call,
+                    in_flight: Some(in_flight),
+                });
                 continue;
             }
             match self.send(upstream, &chosen, resume_after).await {
@@ -369,9 +379,14 @@
 
     /// Notes that a server which had the request broke off.
     pub(super) fn note_broken(&mut self, server: &str, error: &UpstreamError) {
+        self.note_lost(server, error);
+        self.core.report(server, Report::Failed);
+    }
+
+    /// Notes that the rest of an answer doesn't come, for which the server isn't to blame.
+    pub(super) fn note_lost(&mut self, server: &str, error: &UpstreamError) {
         self.may_have_run = true;
         self.log.note_error(server, error);
-        self.core.report(server, Report::Failed);
     }
 
     /// Takes a permit for the next send, if the tenant's requests are limited.
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -16,7 +16,7 @@
 use snafu::Snafu;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempts::{Attempts, Opened};
+use super::attempts::{Attempts, LEAST_TIME, Opened};
 use super::events::{Event, EventSplitter};
 use super::held_memory::HeldKind;
 use super::plain::{answer, answer_head, forward, read_to_bound, refuse};
@@ -33,6 +33,13 @@
 /// How long keeping a turn may take after its last event.
 const KEEP_LIMIT: Duration = Duration::from_millis(2500);
 
+/// A caller that took nothing for so long holds the stream back: longer than a busy gateway is late, and shorter
+/// than servers wait for whoever doesn't read.
+const HELD_BACK: Duration = Duration::from_secs(1);
+/// A read that takes so long shows that all that the server had sent before was read: many times the way between
+/// zones.
+const CAUGHT_UP: Duration = Duration::from_millis(100);
+
 /// A stream can't be finished; its connection is closed so that it doesn't look whole.
 #[derive(Debug, Snafu)]
 #[snafu(display("the stream was broken off"))]
@@ -95,6 +102,8 @@
         tokens_per_event,
         last_arrival: None,
         events_here: 0,
+        given_at: None,
+        is_held_back: false,
     };
     let events = stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
@@ -140,14 +149,21 @@
     /// When the server that has the stream sent events last, and how many it has sent.
     last_arrival: Option<Instant>,
     events_here: u32,
+    /// When the caller's connection was given something last.
+    given_at: Option<Instant>,
+    /// Whether what is read now may have waited at the server for the caller.
+    is_held_back: bool,
 }
 
 impl EventRelay {
     /// The next bytes for the caller: all whole events that are there. None at the end.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        let taken_after = self.given_at.map(|given_at| given_at.elapsed());
+        self.is_held_back |= taken_after.is_some_and(|time| time > HELD_BACK);
         loop {
             let ready = self.take_events();
             if !ready.is_empty() {
+                self.given_at = Some(Instant::now());
                 return Ok(Some(ready));
             }
             match self.read().await {
@@ -256,7 +272,11 @@
         if self.attempts.route.resumable && !self.is_first {
             limit = limit.min(Instant::now() + SILENCE_BORNE);
         }
+        let began = Instant::now();
         let chunk = timeout_at(limit, opened.upstream.next_chunk()).await;
+        if began.elapsed() > CAUGHT_UP {
+            self.is_held_back = false;
+        }
         let chunk = chunk.unwrap_or(Err(UpstreamError::TimedOut))?;
         self.is_first = false;
         Ok(chunk)
@@ -266,8 +286,13 @@
     async fn take_up(&mut self, error: &UpstreamError) -> Result<(), BrokenOff> {
         self.splitter = EventSplitter::default();
         if let Some(mut opened) = self.opened.take() {
-            self.attempts.note_broken(&opened.server, error);
-            opened.end_call(self.end_of_break(error));
+            if self.is_to_blame() {
+                self.attempts.note_broken(&opened.server, error);
+                opened.end_call(CallEnd::Broken);
+            } else {
+                self.attempts.note_lost(&opened.server, error);
+                opened.end_call(CallEnd::Given);
+            }
         }
         if !self.attempts.may_repeat() {
             return self.break_off();
@@ -278,6 +303,7 @@
                 self.opened = Some(opened);
                 self.last_arrival = None;
                 self.events_here = 0;
+                self.is_held_back = false;
                 Ok(())
             }
             Ok(mut opened) => {
@@ -290,15 +316,10 @@
         }
     }
 
-    /// What a break says of the engine: one that is silent for too long within a stream counts as broken, unless
-    /// it is the call's time that is over.
-    fn end_of_break(&self, error: &UpstreamError) -> CallEnd {
-        let is_out_of_time = matches!(error, UpstreamError::TimedOut);
-        if is_out_of_time && !self.attempts.may_repeat() {
-            CallEnd::Given
-        } else {
-            CallEnd::Broken
-        }
+    /// Whether a break is the server's fault, also one that is silent for too long within a stream: not if the
+    /// call's time is over, or if it may have cut off the stream because the caller didn't read.
+    fn is_to_blame(&self) -> bool {
+        !self.is_held_back && self.attempts.time_left() >= LEAST_TIME
     }
 
     fn break_off(&mut self) -> Result<(), BrokenOff> {
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use courseshed_edge::gateway::{HeldTerms, Policy, SILENT_REST};
+use courseshed_edge::gateway::{HeldTerms, Mechanism, Policy, SILENT_REST};
 use courseshed_edge::peers::{Peers, start_peers};
 use courseshed_edge::protocol::{
     FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest, node_at,
@@ -22,11 +22,13 @@
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::{NodeId, ServerKey};
 use support::scheduler::{Shown, StandInController};
-use support::server::{Act, END, StandIn, answer, event, stream_head};
+use support::server::{Act, END, StandIn, answer, chunk, event, stream_head};
 use support::{
     AMPLE_MEMORY, Fleet, Gateway, call, free_port, get, new_subnet, plain_route, start_gateway,
     status, stream_route, table, until,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const GRACE: Duration = Duration::from_secs(20);
 /// How long a request to a controller may take in tests, which may be slow.
@@ -396,6 +398,79 @@
     assert_eq!(server.got().len(), 2);
 }
 
+/// A server that waited for the caller in vain is not to blame; what it had sent before still reaches the caller.
+#[actix_rt::test]
+async fn an_engine_that_cuts_off_a_caller_that_does_not_read_is_not_blamed() {
+    const PIECE_BYTES: usize = 4096;
+    const PIECES: usize = 8192;
+    /// Longer than a pause of a caller that counts.
+    const WRITE_LIMIT: Duration = Duration::from_millis(1500);
+    let piece: Arc<str> = chunk(&format!("data: {}\n\n", "x".repeat(PIECE_BYTES))).into();
+    let server = StandIn::start(move |got| Act::RepeatAndCut {
+        head: stream_head(got),
+        piece: piece.clone(),
+        times: PIECES,
+        patience: WRITE_LIMIT,
+    })
+    .await;
+    let script: Script = Box::new(|_| scheduled(1, granted()));
+    let fleet = StandInFleet::start(stream_route(), &server, vec![script]).await;
+    let mut caller = TcpStream::connect(fleet.gateway.callers)
+        .await
+        .expect("connected");
+    let request =
+        "POST /a/x HTTP/1.1\r\nhost: a.example\r\nx-call: c1\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    until(async || server.cut() == 1).await;
+    let got = &fleet.controllers[0].got;
+    assert_eq!(got.lock().notes.len(), 0);
+    let mut answer = Vec::new();
+    let _ = caller.read_to_end(&mut answer).await;
+    assert!(answer.len() > PIECE_BYTES && !answer.ends_with(END.as_bytes()));
+    until(async || !got.lock().notes.is_empty()).await;
+    let ends: Vec<CallEnd> = got.lock().notes.iter().map(|note| note.end).collect();
+    assert_eq!(ends, [CallEnd::Given]);
+}
+
+/// What the gateway itself sees of errors is switched off, so that the scheduler alone keeps calls from the engine,
+/// whose quick answers make it look the least occupied.
+#[actix_rt::test]
+async fn an_engine_that_answers_streams_with_errors_is_granted_few_calls() {
+    const CALLS: usize = 400;
+    const MOST_FAILED: usize = CALLS / 20;
+    let policy = Policy::without([
+        Mechanism::Rests,
+        Mechanism::ServerPace,
+        Mechanism::SharedOutcomes,
+    ]);
+    let fleet = Fleet::start_with(GRACE, policy).await;
+    let failing =
+        StandIn::start(|got| Act::Write(answer(got, "broken").replace("200 OK", "500 Failed")))
+            .await;
+    let sound =
+        StandIn::start(|got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)))).await;
+    fleet.route(vec![stream_route()]).await;
+    fleet.announce("failing", &failing).await;
+    fleet.announce("sound", &sound).await;
+    // A scheduler that is late on a busy machine is passed over for a while: what the gateway chooses then by itself
+    // doesn't count.
+    let (mut granted, mut failed) = (0, 0);
+    until(async || {
+        let before = choices(&fleet.metrics, "scheduler");
+        let answer = call(fleet.callers, &format!("c{granted}"), "", "").await;
+        assert!(matches!(status(&answer), 200 | 500), "{answer}");
+        if choices(&fleet.metrics, "scheduler") > before {
+            granted += 1;
+            failed += usize::from(status(&answer) == 500);
+        }
+        granted == CALLS
+    })
+    .await;
+    eprintln!("{failed} of {CALLS} granted calls failed");
+    assert!(!failing.got().is_empty());
+    assert!(failed <= MOST_FAILED, "{failed} of {CALLS}");
+}
+
 struct NoHandler;
 
 impl Handler<FleetProtocol> for NoHandler {
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -43,6 +44,13 @@
         piece: Arc<str>,
         times: usize,
     },
+    /// The same, and closes the connection once nothing was taken for so long.
+    RepeatAndCut {
+        head: String,
+        piece: Arc<str>,
+        times: usize,
+        patience: Duration,
+    },
     /// Says nothing, takes no more connections, and closes this one.
     End,
 }
@@ -56,6 +64,7 @@
     got: Arc<Mutex<Vec<Got>>>,
     connections: Arc<Mutex<usize>>,
     probes: Arc<Mutex<usize>>,
+    cut: Arc<Mutex<usize>>,
     ended: Arc<watch::Sender<bool>>,
     is_closed: Arc<watch::Sender<bool>>,
 }
@@ -68,6 +77,7 @@
             got: Arc::default(),
             connections: Arc::default(),
             probes: Arc::default(),
+            cut: Arc::default(),
             ended: Arc::new(watch::channel(false).0),
             is_closed: Arc::new(watch::channel(false).0),
         };
@@ -103,6 +113,11 @@
         *self.probes.lock()
     }
 
+    /// Connections that were cut off since nothing was taken.
+    pub fn cut(&self) -> usize {
+        *self.cut.lock()
+    }
+
     async fn serve(self, mut stream: TcpStream, script: Arc<Mutex<Script>>) {
         let mut buffer = Vec::new();
         while let Some(got) = read_request(&mut stream, &mut buffer).await {
@@ -129,6 +144,21 @@
                         return;
                     }
                 }
+                Act::RepeatAndCut {
+                    head,
+                    piece,
+                    times,
+                    patience,
+                } => {
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    for _ in 0..times {
+                        let written = stream.write_all(piece.as_bytes());
+                        if tokio::time::timeout(patience, written).await.is_err() {
+                            *self.cut.lock() += 1;
+                            return;
+                        }
+                    }
+                }
                 Act::End => {
                     self.ended.send_replace(true);
                     let mut is_closed = self.is_closed.subscribe();
