--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use courseshed_pool::CallEnd;
 use courseshed_quota::Standing;
 use courseshed_routing::{CallKind, Route};
@@ -24,6 +24,8 @@
 use super::call_log::CallLog;
 use super::choice::{ChoiceInputs, Chosen};
 use super::core::{GatewayCore, InFlight};
+use super::held::Holding;
+use super::held_memory::HeldKind;
 use super::policy::Mechanism;
 use super::quota::{Permit, Quotas};
 use super::refusal::Refusal;
@@ -146,6 +148,8 @@
     pub caller: Caller,
     /// Whether the request begins a program.
     pub standing: Standing,
+    /// What is held for it.
+    pub holding: Holding,
     permit: Option<Permit>,
     version: u64,
     pub connection_limit: u32,
@@ -165,6 +169,7 @@
         route: Arc<Route>,
         service: ChosenService,
         times: CallTimes,
+        holding: Holding,
     ) -> Self {
         let CallTimes { arrived, deadline } = times;
         let ChosenService {
@@ -181,6 +186,7 @@
             parts: parts_of(&call, &route),
             caller,
             standing: Standing::UnderWay,
+            holding,
             permit: None,
             version,
             connection_limit,
@@ -210,13 +216,19 @@
             if let Err(refusal) = self.take_permit().await {
                 return Err(self.not_sent_again(refusal));
             }
-            let Some(Assigned { chosen, call }) = self.assign().await? else {
+            let Some(assigned) = self.assign().await? else {
                 return Err(self.out_of_servers());
             };
+            let Assigned {
+                chosen,
+                call,
+                in_flight,
+            } = assigned;
             let inputs = self.choice_inputs(&chosen.id);
             let unread_tokens = inputs.unread_tokens;
             self.log.choice = inputs;
-            let in_flight = InFlight::begin(&self.core, &chosen.id);
+            // One that was kept is counted already, and a probe noted.
+            let in_flight = in_flight.unwrap_or_else(|| InFlight::begin(&self.core, &chosen.id));
             let upstream = match self.connect(&chosen).await {
                 Ok(upstream) => upstream,
                 Err(error) => {
@@ -233,7 +245,11 @@
             if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
                 upstream.finish();
                 self.permit = None;
-                self.kept = Some(Assigned { chosen, call });
+                self.kept = Some(Assigned {
+                    chosen,
+                    call,
+                    in_flight: Some(in_flight),
+                });
                 continue;
             }
             match self.send(upstream, &chosen, resume_after).await {
@@ -282,20 +298,52 @@
         self.route.is_idempotent() && self.time_left() >= LEAST_TIME
     }
 
+    /// Lets the body go if no server can need it any more: an answer has begun, and the request may
+    /// not be sent again. A turn's own input stays if it is to be kept.
+    pub(super) fn release_body(&mut self) {
+        if self.route.is_idempotent() {
+            return;
+        }
+        self.body = Bytes::new();
+        if !self.route.keeps_turns {
+            self.call.body = Bytes::new();
+        }
+        self.holding.set(HeldKind::Request, self.call.body.len());
+    }
+
     /// Notes that a server's answer is whole, with so many tokens generated. Returns what the server
     /// holds of the prompt now.
     pub(super) fn note_finished(&self, opened: &mut Opened, generated: u32) -> CachedPrompt {
-        let now = self.core.clock.now();
         let took = opened.sent_at.elapsed();
+        let cached = self.note_read_prompt(opened, generated, took);
+        opened.end_call(opened.end_of_answer(generated, took));
+        cached
+    }
+
+    /// Notes that a server has read the prompt and answered, as far as its own time goes. Returns what
+    /// it holds of the prompt now.
+    pub(super) fn note_read_prompt(
+        &self,
+        opened: &Opened,
+        generated: u32,
+        took: Duration,
+    ) -> CachedPrompt {
+        let now = self.core.clock.now();
         let key = ServerKey::of(&opened.server);
         let cached = CachedPrompt::after_answer(key, &self.parts, generated);
         let mut servers = self.core.servers.borrow_mut();
         servers.note_finished(&opened.server, &cached, took, now);
-        drop(servers);
-        opened.end_call(opened.end_of_answer(generated, took));
         cached
     }
 
+    /// Tells of the end of an answer that is whole: the other gateways whether the server answered or
+    /// erred, and the scheduler of the pool, if nobody has.
+    pub(super) fn note_answered(&self, opened: &mut Opened) {
+        let report = Report::of_answer(opened.head.status);
+        self.core.report(&opened.server, report);
+        opened.end_call(opened.end_without_stream());
+    }
+
     /// Notes how long the whole answer of a plain call took, or how long it was waited for in vain.
     pub(super) fn note_answer_time(&self, took: Duration) {
         let mut times = self.core.answer_times.borrow_mut();
@@ -335,9 +383,14 @@
 
     /// Notes that a server which had the request broke off.
     pub(super) fn note_broken(&mut self, server: &str, error: &UpstreamError) {
+        self.note_lost(server, error);
+        self.core.report(server, Report::Failed);
+    }
+
+    /// Notes that the rest of an answer doesn't come, for which the server isn't to blame.
+    pub(super) fn note_lost(&mut self, server: &str, error: &UpstreamError) {
         self.may_have_run = true;
         self.log.note_error(server, error);
-        self.core.report(server, Report::Failed);
     }
 
     /// Takes a permit for the next send, if the tenant's requests are limited.
@@ -355,7 +408,8 @@
 
     async fn connect(&self, chosen: &Chosen) -> Result<Upstream, UpstreamError> {
         let pool = self.core.pool.clone();
-        pool.connect(&chosen.id, chosen.address).await
+        pool.connect(&chosen.id, chosen.address, self.body.len())
+            .await
     }
 
     /// Whether the caller may still be served.
@@ -386,7 +440,8 @@
         chosen: &Chosen,
         resume_after: Option<u64>,
     ) -> Result<(ResponseHead, Upstream, Instant), UpstreamError> {
-        let request = self.write_request(chosen, resume_after);
+        let head = self.write_head(chosen, resume_after);
+        let request = head.chain(self.body.clone());
         self.log.attempts += 1;
         if !self.sent_to.contains(&chosen.id) {
             self.sent_to.push(chosen.id.clone());
@@ -401,7 +456,7 @@
         let silence = self.silence_borne();
         let patience = silence.filter(|silence| sent_at + *silence < self.deadline);
         let limit = patience.map_or(self.deadline, |patience| sent_at + patience);
-        let answered = upstream.exchange(&request, limit, is_ours).await;
+        let answered = upstream.exchange(request, limit, is_ours).await;
         if let (Err(UpstreamError::TimedOut), Some(patience)) = (&answered, patience) {
             self.note_answer_time(patience);
             return Err(UpstreamError::Silent);
@@ -421,7 +476,7 @@
         times.silence_borne(&self.route.name)
     }
 
-    fn write_request(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
+    fn write_head(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
         let terms = SendTerms {
             time_left: Some(self.time_left()),
             server: chosen.id.clone(),
@@ -429,11 +484,10 @@
             tenant: self.caller.tenant_name().map(str::to_owned),
             hides_key: self.caller.hides_key,
         };
-        let mut request = BytesMut::with_capacity(1024 + self.body.len());
+        let mut request = BytesMut::with_capacity(1024);
         self.core
             .codec
             .write_head(&self.call, self.body.len(), &terms, &mut request);
-        request.extend_from_slice(&self.body);
         request
     }
 
--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -30,11 +30,13 @@
     LearnedReading,
     /// One scheduler chooses the engines of a pool for the calls of all gateways.
     PoolScheduler,
+    /// Gateways tell each other of the calls that servers failed, and avoid those that fail far more.
+    SharedOutcomes,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::PromptMemory,
         Self::KeptTurnHints,
         Self::ProgramHints,
@@ -46,6 +48,7 @@
         Self::OwnZone,
         Self::LearnedReading,
         Self::PoolScheduler,
+        Self::SharedOutcomes,
     ];
 
     /// Its name in settings.
@@ -63,6 +66,7 @@
             Self::OwnZone => "own-zone",
             Self::LearnedReading => "learned-reading",
             Self::PoolScheduler => "pool-scheduler",
+            Self::SharedOutcomes => "shared-outcomes",
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -16,9 +16,10 @@
 use snafu::Snafu;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempts::{Attempts, Opened};
+use super::attempts::{Attempts, LEAST_TIME, Opened};
 use super::events::{Event, EventSplitter};
-use super::plain::{answer_head, forward, refuse};
+use super::held_memory::HeldKind;
+use super::plain::{answer, answer_head, forward, read_to_bound, refuse};
 use super::program::{TokenReservation, compose_body, keep_ms, reserve, turn_of};
 use super::refusal::Refusal;
 use super::servers::Report;
@@ -26,9 +27,19 @@
 
 /// How long a resumable stream may be silent before it is taken up again.
 const SILENCE_BORNE: Duration = Duration::from_millis(1200);
+/// Largest event that is waited for, in bytes: many times what a model makes at once, and what its
+/// longest whole answer has.
+const LARGEST_EVENT: usize = 1024 * 1024;
 /// How long keeping a turn may take after its last event.
 const KEEP_LIMIT: Duration = Duration::from_millis(2500);
 
+/// A caller that took nothing for so long holds the stream back: longer than a busy gateway is late, and shorter
+/// than servers wait for whoever doesn't read.
+const HELD_BACK: Duration = Duration::from_secs(1);
+/// A read that takes so long shows that all that the server had sent before was read: many times the way between
+/// zones.
+const CAUGHT_UP: Duration = Duration::from_millis(100);
+
 /// A stream can't be finished; its connection is closed so that it doesn't look whole.
 #[derive(Debug, Snafu)]
 #[snafu(display("the stream was broken off"))]
@@ -52,7 +63,8 @@
             &attempts.core,
             &attempts.call,
             attempts.caller.tenant_name(),
-            attempts.deadline
+            attempts.deadline,
+            &attempts.holding
         ),
     );
     let (mut reservation, composed) = match prepared {
@@ -76,6 +88,7 @@
     if opened.head.status != StatusCode::OK {
         return whole(attempts, opened).await;
     }
+    attempts.release_body();
     let response = answer_head(&opened.head);
     let relay = EventRelay {
         attempts,
@@ -89,6 +102,8 @@
         tokens_per_event,
         last_arrival: None,
         events_here: 0,
+        given_at: None,
+        is_held_back: false,
     };
     let events = stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
@@ -105,28 +120,18 @@
     response.set_body(BoxBody::new(BodyStream::new(Box::pin(events))))
 }
 
-/// An answer of the server's own that is no stream: read whole and passed on as it is.
-async fn whole(attempts: Attempts, opened: Opened) -> Response<BoxBody> {
-    let mut opened = opened;
-    let mut body = BytesMut::new();
-    let deadline = attempts.deadline;
-    loop {
-        match timeout_at(deadline, opened.upstream.next_chunk()).await {
-            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
-            Ok(Ok(None)) => break,
-            Ok(Err(_)) => {
-                opened.end_call(CallEnd::Broken);
-                return refuse(attempts, Refusal::Broken);
-            }
-            Err(_) => return refuse(attempts, Refusal::TimedOut),
+/// An answer of the server's own that is no stream, passed on as it is.
+async fn whole(mut attempts: Attempts, mut opened: Opened) -> Response<BoxBody> {
+    attempts.release_body();
+    match read_to_bound(&mut opened, &attempts).await {
+        Ok(read) => answer(attempts, opened, read),
+        Err(UpstreamError::TimedOut) => refuse(attempts, Refusal::TimedOut),
+        Err(error) => {
+            opened.end_call(CallEnd::Broken);
+            attempts.note_broken(&opened.server, &error);
+            refuse(attempts, Refusal::Broken)
         }
     }
-    let mut attempts = attempts;
-    attempts.log.outcome = "answered";
-    opened.end_call(opened.end_without_stream());
-    let response = answer_head(&opened.head).set_body(BoxBody::new(body.freeze()));
-    opened.upstream.finish();
-    response
 }
 
 /// A stream on its way from a server to a caller.
@@ -144,18 +149,25 @@
     /// When the server that has the stream sent events last, and how many it has sent.
     last_arrival: Option<Instant>,
     events_here: u32,
+    /// When the caller's connection was given something last.
+    given_at: Option<Instant>,
+    /// Whether what is read now may have waited at the server for the caller.
+    is_held_back: bool,
 }
 
 impl EventRelay {
     /// The next bytes for the caller: all whole events that are there. None at the end.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        let taken_after = self.given_at.map(|given_at| given_at.elapsed());
+        self.is_held_back |= taken_after.is_some_and(|time| time > HELD_BACK);
         loop {
             let ready = self.take_events();
             if !ready.is_empty() {
+                self.given_at = Some(Instant::now());
                 return Ok(Some(ready));
             }
             match self.read().await {
-                Ok(Some(chunk)) => self.splitter.push(&chunk),
+                Ok(Some(chunk)) => self.push(&chunk)?,
                 Ok(None) if !self.splitter.has_partial() => {
                     self.finish().await?;
                     return Ok(None);
@@ -171,6 +183,30 @@
         }
     }
 
+    /// Takes bytes in. An event that never ends is not waited for.
+    fn push(&mut self, chunk: &[u8]) -> Result<(), BrokenOff> {
+        self.splitter.push(chunk);
+        self.note_held();
+        if self.splitter.partial() > LARGEST_EVENT {
+            let error = UpstreamError::Broken {
+                reason: "an event is longer than is waited for".to_owned(),
+            };
+            if let Some(mut opened) = self.opened.take() {
+                self.attempts.note_broken(&opened.server, &error);
+                opened.end_call(CallEnd::Broken);
+            }
+            return self.break_off();
+        }
+        Ok(())
+    }
+
+    fn note_held(&self) {
+        let upstream = self.opened.as_ref();
+        let read = upstream.map_or(0, |opened| opened.upstream.buffered());
+        let held = read + self.splitter.held() + self.output.len();
+        self.attempts.holding.set(HeldKind::Answer, held);
+    }
+
     /// Whole events that the caller lacks, with their bytes as they came.
     fn take_events(&mut self) -> Bytes {
         let mut ready = BytesMut::new();
@@ -210,6 +246,8 @@
             None => {
                 let tokens = u64::from(events) * self.tokens_per_event;
                 opened.first_tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+                let core = &self.attempts.core;
+                core.report(&opened.server, Report::Answered);
                 self.attempts.note_read(opened);
             }
             Some(before) => {
@@ -236,7 +274,11 @@
         if self.attempts.route.resumable && !self.is_first {
             limit = limit.min(Instant::now() + SILENCE_BORNE);
         }
+        let began = Instant::now();
         let chunk = timeout_at(limit, opened.upstream.next_chunk()).await;
+        if began.elapsed() > CAUGHT_UP {
+            self.is_held_back = false;
+        }
         let chunk = chunk.unwrap_or(Err(UpstreamError::TimedOut))?;
         self.is_first = false;
         Ok(chunk)
@@ -246,8 +288,13 @@
     async fn take_up(&mut self, error: &UpstreamError) -> Result<(), BrokenOff> {
         self.splitter = EventSplitter::default();
         if let Some(mut opened) = self.opened.take() {
-            self.attempts.note_broken(&opened.server, error);
-            opened.end_call(self.end_of_break(error));
+            if self.is_to_blame() {
+                self.attempts.note_broken(&opened.server, error);
+                opened.end_call(CallEnd::Broken);
+            } else {
+                self.attempts.note_lost(&opened.server, error);
+                opened.end_call(CallEnd::Given);
+            }
         }
         if !self.attempts.may_repeat() {
             return self.break_off();
@@ -258,9 +305,12 @@
                 self.opened = Some(opened);
                 self.last_arrival = None;
                 self.events_here = 0;
+                self.is_held_back = false;
                 Ok(())
             }
             Ok(mut opened) => {
+                let report = Report::of_answer(opened.head.status);
+                self.attempts.core.report(&opened.server, report);
                 opened.end_call(opened.end_without_stream());
                 self.break_off()
             }
@@ -268,15 +318,10 @@
         }
     }
 
-    /// What a break says of the engine: one that is silent for too long within a stream counts as broken, unless
-    /// it is the call's time that is over.
-    fn end_of_break(&self, error: &UpstreamError) -> CallEnd {
-        let is_out_of_time = matches!(error, UpstreamError::TimedOut);
-        if is_out_of_time && !self.attempts.may_repeat() {
-            CallEnd::Given
-        } else {
-            CallEnd::Broken
-        }
+    /// Whether a break is the server's fault, also one that is silent for too long within a stream: not if the
+    /// call's time is over, or if it may have cut off the stream because the caller didn't read.
+    fn is_to_blame(&self) -> bool {
+        !self.is_held_back && self.attempts.time_left() >= LEAST_TIME
     }
 
     fn break_off(&mut self) -> Result<(), BrokenOff> {
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a process, as text for whoever scrapes them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 use std::time::Duration;
@@ -63,6 +64,20 @@
     pub by: &'static str,
 }
 
+/// A service, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
+/// Why callers were cut off, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CutLabels {
+    /// Why.
+    pub reason: &'static str,
+}
+
 /// What an owner of permits knows of a tenant.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PermitFigures {
@@ -92,6 +107,7 @@
     pub over_quota: Family<TenantLabels, Counter>,
     /// How long calls waited for a permit that this gateway didn't hold, in seconds.
     pub permit_wait: Histogram,
+    avoided: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
     permits: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_out: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_in_use: Family<TenantLabels, Gauge<i64, AtomicI64>>,
@@ -107,6 +123,16 @@
     pub choices: Family<ChoiceLabels, Counter>,
     /// How long this gateway's calls took to get a verdict of a scheduler, in seconds.
     pub verdict_wait: Histogram,
+    /// Bytes that a gateway holds for callers and servers that read slowly.
+    pub held_bytes: Gauge<i64, AtomicI64>,
+    /// The most that it held since the start.
+    pub held_peak: Gauge<i64, AtomicI64>,
+    /// The most that it may hold.
+    pub held_limit: Gauge<i64, AtomicI64>,
+    /// Calls refused since there was no memory for their bodies.
+    pub held_refusals: Counter,
+    /// Callers that were cut off since they didn't read.
+    pub callers_cut_off: Family<CutLabels, Counter>,
     /// Version of the routing table in force here.
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the partitions of the records, as known here.
@@ -185,6 +211,7 @@
             proof_age: Histogram::new(SECONDS),
             over_quota: Family::default(),
             permit_wait: Histogram::new(SECONDS),
+            avoided: Family::default(),
             permits: Family::default(),
             permits_out: Family::default(),
             permits_in_use: Family::default(),
@@ -194,6 +221,11 @@
             pool_wait: Histogram::new(SECONDS),
             choices: Family::default(),
             verdict_wait: Histogram::new(SECONDS),
+            held_bytes: Gauge::default(),
+            held_peak: Gauge::default(),
+            held_limit: Gauge::default(),
+            held_refusals: Counter::default(),
+            callers_cut_off: Family::default(),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
             records: RECORD_FIGURES
@@ -208,6 +240,7 @@
 
     fn register(&self) {
         let mut registry = self.registry.lock();
+        self.register_held(&mut registry);
         registry.register("calls", "Calls that are over", self.calls.clone());
         registry.register(
             "call_seconds",
@@ -239,6 +272,11 @@
             "How long calls waited for a permit that the gateway didn't hold",
             self.permit_wait.clone(),
         );
+        registry.register(
+            "servers_avoided",
+            "Servers that get no calls since they fail far more than the others",
+            self.avoided.clone(),
+        );
         registry.register(
             "tenant_permits",
             "Permits of a tenant; told by the leader of the controllers",
@@ -308,12 +346,61 @@
         );
     }
 
+    fn register_held(&self, registry: &mut Registry) {
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers and servers that read slowly",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "held_peak_bytes",
+            "The most bytes held so since the start",
+            self.held_peak.clone(),
+        );
+        registry.register(
+            "held_limit_bytes",
+            "The most bytes that may be held so",
+            self.held_limit.clone(),
+        );
+        registry.register(
+            "held_refusals",
+            "Calls refused since there was no memory for their bodies",
+            self.held_refusals.clone(),
+        );
+        registry.register(
+            "callers_cut_off",
+            "Callers cut off since they didn't read",
+            self.callers_cut_off.clone(),
+        );
+    }
+
+    /// Notes how many bytes are held for callers and servers that read slowly.
+    pub fn set_held(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.held_bytes.set(bytes);
+        if bytes > self.held_peak.get() {
+            self.held_peak.set(bytes);
+        }
+    }
+
     /// Notes how old the proof of the routing table was when a call with a key was to be sent.
     pub fn note_proof_age(&self, age: Option<Duration>) {
         let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
         self.proof_age.observe(age);
     }
 
+    /// Notes how many servers are avoided, by service.
+    pub fn set_avoided(&self, avoided: &BTreeMap<String, usize>) {
+        self.avoided.clear();
+        for (service, number) in avoided {
+            let labels = ServiceLabels {
+                service: service.clone(),
+            };
+            let number = i64::try_from(*number).unwrap_or(i64::MAX);
+            self.avoided.get_or_create(&labels).set(number);
+        }
+    }
+
     /// Forgets the permits of all tenants: another controller owns them.
     pub fn clear_permits(&self) {
         for family in [&self.permits, &self.permits_out, &self.permits_in_use] {
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use courseshed_edge::gateway::{Policy, SILENT_REST};
+use courseshed_edge::gateway::{HeldTerms, Mechanism, Policy, SILENT_REST};
 use courseshed_edge::peers::{Peers, start_peers};
 use courseshed_edge::protocol::{
     FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest, node_at,
@@ -22,11 +22,13 @@
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::{NodeId, ServerKey};
 use support::scheduler::{Shown, StandInController};
-use support::server::{Act, END, StandIn, answer, event, stream_head};
+use support::server::{Act, END, StandIn, answer, chunk, event, stream_head};
 use support::{
-    Fleet, Gateway, call, free_port, get, new_subnet, plain_route, start_gateway, status,
-    stream_route, table, until,
+    AMPLE_MEMORY, Fleet, Gateway, call, free_port, get, new_subnet, plain_route, start_gateway,
+    status, stream_route, table, until,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const GRACE: Duration = Duration::from_secs(20);
 /// How long a request to a controller may take in tests, which may be slow.
@@ -62,7 +64,15 @@
         let controllers = starts
             .map(|(host, script)| StandInController::start(*host, addresses, shown.clone(), script))
             .collect();
-        let gateway = start_gateway(ip(3), hosts[0], addresses, GRACE, Policy::default(), None);
+        let gateway = start_gateway(
+            ip(3),
+            hosts[0],
+            addresses,
+            GRACE,
+            Policy::default(),
+            None,
+            HeldTerms::of_machine(AMPLE_MEMORY),
+        );
         until(async || status(&get(gateway.readiness, "/").await) == 200).await;
         Self {
             gateway,
@@ -331,6 +341,32 @@
     }
 }
 
+/// An answer that is longer than is read whole goes to the caller in pieces: its end is told when it is there.
+#[actix_rt::test]
+async fn a_scheduler_is_told_the_end_of_an_answer_that_goes_on_in_pieces() {
+    const LONG: usize = 3 * 1024 * 1024;
+    let cases = [
+        ("200 OK", true, CallEnd::Given),
+        ("500 Failed", true, CallEnd::Failed),
+        ("200 OK", false, CallEnd::Broken),
+    ];
+    for (head, is_whole, end) in cases {
+        let server = StandIn::start(move |got| {
+            let mut long = answer(got, &"~".repeat(LONG)).replace("200 OK", head);
+            if is_whole {
+                return Act::Write(long);
+            }
+            long.truncate(LONG / 2);
+            Act::WriteAndClose(long)
+        })
+        .await;
+        let (answer, ends) = ends_of(plain_route(), &server, 1).await;
+        assert!(answer.starts_with(&format!("HTTP/1.1 {}", &head[..3])));
+        assert_eq!(answer.ends_with(END), is_whole);
+        assert_eq!(ends, [end], "{head} {is_whole}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_scheduler_is_told_that_an_engine_refused_and_is_asked_again() {
     let server = StandIn::start(|got| {
@@ -364,6 +400,79 @@
     assert_eq!(server.got().len(), 2);
 }
 
+/// A server that waited for the caller in vain is not to blame; what it had sent before still reaches the caller.
+#[actix_rt::test]
+async fn an_engine_that_cuts_off_a_caller_that_does_not_read_is_not_blamed() {
+    const PIECE_BYTES: usize = 4096;
+    const PIECES: usize = 8192;
+    /// Longer than a pause of a caller that counts.
+    const WRITE_LIMIT: Duration = Duration::from_millis(1500);
+    let piece: Arc<str> = chunk(&format!("data: {}\n\n", "x".repeat(PIECE_BYTES))).into();
+    let server = StandIn::start(move |got| Act::RepeatAndCut {
+        head: stream_head(got),
+        piece: piece.clone(),
+        times: PIECES,
+        patience: WRITE_LIMIT,
+    })
+    .await;
+    let script: Script = Box::new(|_| scheduled(1, granted()));
+    let fleet = StandInFleet::start(stream_route(), &server, vec![script]).await;
+    let mut caller = TcpStream::connect(fleet.gateway.callers)
+        .await
+        .expect("connected");
+    let request =
+        "POST /a/x HTTP/1.1\r\nhost: a.example\r\nx-call: c1\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    until(async || server.cut() == 1).await;
+    let got = &fleet.controllers[0].got;
+    assert_eq!(got.lock().notes.len(), 0);
+    let mut answer = Vec::new();
+    let _ = caller.read_to_end(&mut answer).await;
+    assert!(answer.len() > PIECE_BYTES && !answer.ends_with(END.as_bytes()));
+    until(async || !got.lock().notes.is_empty()).await;
+    let ends: Vec<CallEnd> = got.lock().notes.iter().map(|note| note.end).collect();
+    assert_eq!(ends, [CallEnd::Given]);
+}
+
+/// What the gateway itself sees of errors is switched off, so that the scheduler alone keeps calls from the engine,
+/// whose quick answers make it look the least occupied.
+#[actix_rt::test]
+async fn an_engine_that_answers_streams_with_errors_is_granted_few_calls() {
+    const CALLS: usize = 400;
+    const MOST_FAILED: usize = CALLS / 20;
+    let policy = Policy::without([
+        Mechanism::Rests,
+        Mechanism::ServerPace,
+        Mechanism::SharedOutcomes,
+    ]);
+    let fleet = Fleet::start_with(GRACE, policy).await;
+    let failing =
+        StandIn::start(|got| Act::Write(answer(got, "broken").replace("200 OK", "500 Failed")))
+            .await;
+    let sound =
+        StandIn::start(|got| Act::Write(format!("{}{}{END}", stream_head(got), event(1)))).await;
+    fleet.route(vec![stream_route()]).await;
+    fleet.announce("failing", &failing).await;
+    fleet.announce("sound", &sound).await;
+    // A scheduler that is late on a busy machine is passed over for a while: what the gateway chooses then by itself
+    // doesn't count.
+    let (mut granted, mut failed) = (0, 0);
+    until(async || {
+        let before = choices(&fleet.metrics, "scheduler");
+        let answer = call(fleet.callers, &format!("c{granted}"), "", "").await;
+        assert!(matches!(status(&answer), 200 | 500), "{answer}");
+        if choices(&fleet.metrics, "scheduler") > before {
+            granted += 1;
+            failed += usize::from(status(&answer) == 500);
+        }
+        granted == CALLS
+    })
+    .await;
+    eprintln!("{failed} of {CALLS} granted calls failed");
+    assert!(!failing.got().is_empty());
+    assert!(failed <= MOST_FAILED, "{failed} of {CALLS}");
+}
+
 struct NoHandler;
 
 impl Handler<FleetProtocol> for NoHandler {
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use courseshed_consensus::FaultSwitch;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings};
-use courseshed_edge::gateway::{self, GatewaySettings, Policy, ShortCodec, TenantTerms};
+use courseshed_edge::gateway::{self, GatewaySettings, HeldTerms, Policy, ShortCodec, TenantTerms};
 use courseshed_edge::metrics::Metrics;
 use courseshed_edge::protocol::{PeerAddresses, node_at};
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
@@ -37,6 +37,12 @@
     slack: 0.0,
 };
 
+/// Calls that a server of a test runs at once, if the test doesn't say.
+pub const SLOTS: u32 = 4;
+
+/// More memory than the gateway of a test needs, in bytes.
+pub const AMPLE_MEMORY: u64 = 500_000_000;
+
 /// More than the store of a test needs.
 pub const AMPLE_STORE: StoreLimits = StoreLimits {
     memory_bytes: 128 * 1024 * 1024,
@@ -72,6 +78,7 @@
     grace: Duration,
     policy: Policy,
     revocation: Option<Duration>,
+    memory: HeldTerms,
 ) -> Gateway {
     let callers = SocketAddr::from((ip, addresses.first_port + 8));
     let readiness = SocketAddr::from((ip, addresses.first_port + 9));
@@ -91,6 +98,7 @@
             revocation,
             quota: QUOTA,
         },
+        memory,
     };
     actix_rt::spawn(async move {
         let stopped = async {
@@ -120,7 +128,15 @@
 
     /// Starts a fleet in which a key is out of use everywhere that long after it was taken away.
     pub async fn start_strict(grace: Duration, revocation: Duration) -> Self {
-        Self::start_as(grace, Policy::default(), AMPLE_STORE, Some(revocation)).await
+        let memory = HeldTerms::of_machine(AMPLE_MEMORY);
+        Self::start_as(
+            grace,
+            Policy::default(),
+            AMPLE_STORE,
+            Some(revocation),
+            memory,
+        )
+        .await
     }
 
     /// Starts a fleet whose store may use little of its machine.
@@ -129,7 +145,13 @@
         policy: Policy,
         store_limits: StoreLimits,
     ) -> Self {
-        Self::start_as(grace, policy, store_limits, None).await
+        let memory = HeldTerms::of_machine(AMPLE_MEMORY);
+        Self::start_as(grace, policy, store_limits, None, memory).await
+    }
+
+    /// Starts a fleet whose gateway may hold so much for slow readers.
+    pub async fn start_holding(grace: Duration, memory: HeldTerms) -> Self {
+        Self::start_as(grace, Policy::default(), AMPLE_STORE, None, memory).await
     }
 
     async fn start_as(
@@ -137,6 +159,7 @@
         policy: Policy,
         store_limits: StoreLimits,
         revocation: Option<Duration>,
+        memory: HeldTerms,
     ) -> Self {
         let folder = TempDir::new().expect("a folder");
         let [a, b, c, _] = new_subnet().octets();
@@ -171,7 +194,7 @@
             metrics: Arc::new(Metrics::new()),
         })
         .expect("a store");
-        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy, revocation);
+        let gateway = start_gateway(ip(3), ip(1), addresses, grace, policy, revocation, memory);
         Self {
             controller,
             callers: gateway.callers,
@@ -187,13 +210,25 @@
 
     /// Puts routes in force and waits until the gateway serves.
     pub async fn route(&self, routes: Vec<Route>) {
-        self.put(1, routes, None).await;
+        self.route_with_slots(routes, SLOTS).await;
+    }
+
+    /// The same for a service whose engines run so many calls at once.
+    pub async fn route_with_slots(&self, routes: Vec<Route>, slots: u32) {
+        let mut table = table(1, routes, None);
+        for service in &mut table.table.services {
+            service.engine.as_mut().expect("an engine").slots = slots;
+        }
+        self.put_table(table).await;
         until(async || status(&get(self.readiness, "/").await) == 200).await;
     }
 
     /// Puts a version of the routing table in force.
     pub async fn put(&self, version: u64, routes: Vec<Route>, tenants: Option<Vec<Tenant>>) {
-        let table = table(version, routes, tenants);
+        self.put_table(table(version, routes, tenants)).await;
+    }
+
+    async fn put_table(&self, table: VersionedTable) {
         until(async || {
             let done = self.controller.replace_routing(table.clone(), Bytes::new());
             done.await.is_ok()
@@ -212,12 +247,17 @@
 
     /// Announces a stand-in server and waits until the gateway sends there.
     pub async fn announce(&self, id: &str, stand_in: &server::StandIn) {
+        self.announce_with_slots(id, stand_in, SLOTS).await;
+    }
+
+    /// The same for a server that runs so many calls at once.
+    pub async fn announce_with_slots(&self, id: &str, stand_in: &server::StandIn, slots: u32) {
         let server = Server {
             id: id.to_owned(),
             service: "s".to_owned(),
             address: stand_in.address,
             zone: "a".to_owned(),
-            slots: 4,
+            slots,
             state: ServerState::Ready,
         };
         let registration = Registration {
@@ -238,7 +278,15 @@
         let host = |host| Ipv4Addr::new(a, b, c, host);
         let grace = Duration::from_secs(20);
         let policy = Policy::default();
-        let gateway = start_gateway(host(4), host(1), self.addresses, grace, policy, None);
+        let gateway = start_gateway(
+            host(4),
+            host(1),
+            self.addresses,
+            grace,
+            policy,
+            None,
+            HeldTerms::of_machine(AMPLE_MEMORY),
+        );
         until(async || status(&get(gateway.readiness, "/").await) == 200).await;
         gateway
     }
@@ -258,7 +306,7 @@
         name: "s".to_owned(),
         connection_limit: 100,
         engine: Some(EngineLimits {
-            slots: 4,
+            slots: SLOTS,
             tokens_per_event: 10,
             memory_tokens: None,
         }),
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,6 +12,9 @@
 /// The id of calls that only look whether the gateway sends here; the script doesn't see them.
 pub const PROBE: &str = "probe";
 
+/// How the ids of calls begin whose bodies the server never reads.
+pub const NEVER_READ: &str = "unread";
+
 /// A request as the server got it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Got {
@@ -34,6 +38,19 @@
     Write(String),
     /// Writes these bytes and closes the connection.
     WriteAndClose(String),
+    /// Writes a head, and the same piece behind it so many times, as fast as it is taken.
+    Repeat {
+        head: String,
+        piece: Arc<str>,
+        times: usize,
+    },
+    /// The same, and closes the connection once nothing was taken for so long.
+    RepeatAndCut {
+        head: String,
+        piece: Arc<str>,
+        times: usize,
+        patience: Duration,
+    },
     /// Says nothing, takes no more connections, and closes this one.
     End,
 }
@@ -47,6 +64,7 @@
     got: Arc<Mutex<Vec<Got>>>,
     connections: Arc<Mutex<usize>>,
     probes: Arc<Mutex<usize>>,
+    cut: Arc<Mutex<usize>>,
     ended: Arc<watch::Sender<bool>>,
     is_closed: Arc<watch::Sender<bool>>,
 }
@@ -59,6 +77,7 @@
             got: Arc::default(),
             connections: Arc::default(),
             probes: Arc::default(),
+            cut: Arc::default(),
             ended: Arc::new(watch::channel(false).0),
             is_closed: Arc::new(watch::channel(false).0),
         };
@@ -94,6 +113,11 @@
         *self.probes.lock()
     }
 
+    /// Connections that were cut off since nothing was taken.
+    pub fn cut(&self) -> usize {
+        *self.cut.lock()
+    }
+
     async fn serve(self, mut stream: TcpStream, script: Arc<Mutex<Script>>) {
         let mut buffer = Vec::new();
         while let Some(got) = read_request(&mut stream, &mut buffer).await {
@@ -112,6 +136,29 @@
                     let _ = stream.write_all(text.as_bytes()).await;
                     return;
                 }
+                Act::Repeat { head, piece, times } => {
+                    if write_repeated(&mut stream, &head, &piece, times)
+                        .await
+                        .is_err()
+                    {
+                        return;
+                    }
+                }
+                Act::RepeatAndCut {
+                    head,
+                    piece,
+                    times,
+                    patience,
+                } => {
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    for _ in 0..times {
+                        let written = stream.write_all(piece.as_bytes());
+                        if tokio::time::timeout(patience, written).await.is_err() {
+                            *self.cut.lock() += 1;
+                            return;
+                        }
+                    }
+                }
                 Act::End => {
                     self.ended.send_replace(true);
                     let mut is_closed = self.is_closed.subscribe();
@@ -123,10 +170,26 @@
     }
 }
 
+async fn write_repeated(
+    stream: &mut TcpStream,
+    head: &str,
+    piece: &str,
+    times: usize,
+) -> std::io::Result<()> {
+    stream.write_all(head.as_bytes()).await?;
+    for _ in 0..times {
+        stream.write_all(piece.as_bytes()).await?;
+    }
+    stream.write_all(END.as_bytes()).await
+}
+
 async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Got> {
     loop {
         let text = String::from_utf8_lossy(buffer).into_owned();
         if let Some((head, rest)) = text.split_once("\r\n\r\n") {
+            if head.contains(&format!("x-call: {NEVER_READ}")) {
+                std::future::pending::<()>().await;
+            }
             let length = head
                 .lines()
                 .find_map(|line| line.strip_prefix("content-length: "))
--- a/crates/courseshed-pool/src/order.rs
+++ b/crates/courseshed-pool/src/order.rs
@@ -54,7 +54,11 @@
 
 /// The delay of a call whose program can't end in its aim any more, or could not if it began now.
 fn delay_of_late(claim: &Claim, now: Duration) -> f64 {
-    let needed = if claim.standing.is_first { SLACK_TO_BEGIN } else { SLACK_TO_GO_ON };
+    let needed = if claim.standing.is_first {
+        SLACK_TO_BEGIN
+    } else {
+        SLACK_TO_GO_ON
+    };
     match claim.standing.slack(now) {
         Some(slack) if slack < needed => DELAY_OF_LATE_MS,
         _ => 0.0,
