Drop what the pool's scheduler keeps and never reads, and work that it does twice

Cause: with classes of calls gone, a program's whole aim and the end of an engine's rest were kept and read by nobody; a grant was noted in the gateway's book twice, unread tokens of a granted call were counted twice in the scheduler, and the gateway turned times into milliseconds by two equal functions. Change: the dead state goes, each of the others is done once. Nothing decides differently.

--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -4,14 +4,12 @@
 //! Invariants: a server that refused the call, or had it, is never granted to it again; the last server that had
 //! it gets it again only when no other may.
 
-use std::time::Duration;
-
 use courseshed_pool::{CallDemand, DecisionInputs, NameKey, ProgramStanding};
 use courseshed_types::ServerKey;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::attempts::{Attempts, LEAST_TIME};
+use super::attempts::{Attempts, LEAST_TIME, milliseconds};
 use super::choice::{Chosen, Demand};
 use super::core::InFlight;
 use super::policy::Mechanism;
@@ -219,7 +217,3 @@
 fn name_key(name: &str) -> NameKey {
     NameKey(xxh3_64(name.as_bytes()))
 }
-
-fn milliseconds(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -87,7 +87,8 @@
     }
 }
 
-fn milliseconds(time: Duration) -> u32 {
+/// A time in whole milliseconds, for messages; the longest is 49 days.
+pub(super) fn milliseconds(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
--- a/crates/courseshed-edge/src/gateway/schedule.rs
+++ b/crates/courseshed-edge/src/gateway/schedule.rs
@@ -121,13 +121,7 @@
 
     fn conclude(&self, call: ScheduledCall, verdict: Verdict, inputs: DecisionInputs) -> Asked {
         match verdict {
-            Verdict::Granted(engine) => {
-                let now = self.clock.now();
-                self.book
-                    .borrow_mut()
-                    .note_granted(call.number, engine, now);
-                Asked::Granted(call, engine, inputs)
-            }
+            Verdict::Granted(engine) => Asked::Granted(call, engine, inputs),
             Verdict::Refused { retry_after_ms } => {
                 let retry_after = Duration::from_millis(u64::from(retry_after_ms));
                 Asked::Refused(retry_after, inputs)
--- a/crates/courseshed-pool/src/engines.rs
+++ b/crates/courseshed-pool/src/engines.rs
@@ -148,12 +148,4 @@
     pub(crate) fn keys(&self) -> Vec<ServerKey> {
         self.by_key.keys().copied().collect()
     }
-
-    /// When the first rest of an engine ends.
-    pub(crate) fn next_rest_end(&self, now: Duration) -> Option<Duration> {
-        let ends = self
-            .iter()
-            .filter_map(|engine| engine.health.rests_until(now));
-        ends.min()
-    }
 }
--- a/crates/courseshed-pool/src/health.rs
+++ b/crates/courseshed-pool/src/health.rs
@@ -36,11 +36,6 @@
         self.rests_until <= now && (!self.is_probing || running == 0)
     }
 
-    /// When its rest ends, if it rests.
-    pub(crate) fn rests_until(&self, now: Duration) -> Option<Duration> {
-        (self.rests_until > now).then_some(self.rests_until)
-    }
-
     /// The part of calls that failed lately, 0 to 1.
     pub(crate) fn failing_part(&self, now: Duration) -> f64 {
         let fade = self.fade(now);
--- a/crates/courseshed-pool/src/programs.rs
+++ b/crates/courseshed-pool/src/programs.rs
@@ -60,8 +60,6 @@
     turns: u32,
     turns_budgeted: Option<f32>,
     aim_at: Option<Duration>,
-    /// Time that it had at its first turn.
-    aim: Duration,
     last_turn: Duration,
     /// How long its last turn waited for an engine, in milliseconds; none while it waits, or if it was never granted
     /// one.
@@ -76,8 +74,6 @@
     pub is_first: bool,
     /// When the program should be over; none if it doesn't say.
     pub aim_at: Option<Duration>,
-    /// Time that the program had when it began.
-    pub aim: Duration,
     /// Turns left with this one, as far as known.
     pub turns_left: f64,
     /// Time that a turn takes with the pause behind it, in milliseconds.
@@ -90,7 +86,6 @@
         Self {
             is_first: false,
             aim_at: None,
-            aim: Duration::ZERO,
             turns_left: 1.0,
             span_ms: ASSUMED_SPAN_MS,
         }
@@ -146,7 +141,6 @@
                     turns: 1,
                     turns_budgeted: claim.turns_budgeted,
                     aim_at,
-                    aim: left.unwrap_or_default(),
                     last_turn: now,
                     waited_ms: None,
                     is_counted: false,
@@ -163,7 +157,6 @@
             aim_at: aim_at
                 .filter(|_| left > Some(Duration::ZERO))
                 .or(entry.aim_at),
-            aim: entry.aim,
             turns_left: (expected - done).max(1.0),
             span_ms: shape.span_ms,
         }
--- a/crates/courseshed-pool/src/scheduler.rs
+++ b/crates/courseshed-pool/src/scheduler.rs
@@ -163,12 +163,6 @@
         self.calls.granted.len()
     }
 
-    /// When the rest of an engine ends, if calls may wait for it.
-    #[must_use]
-    pub fn next_rest_end(&self, now: Duration) -> Option<Duration> {
-        self.engines.next_rest_end(now)
-    }
-
     fn waiting_call(&mut self, now: Duration, demand: CallDemand) -> WaitingCall {
         let standing = match &demand.program {
             Some(claim) => self.programs.begin_turn(now, demand.route, claim),
@@ -326,7 +320,7 @@
 
     fn grant(&mut self, now: Duration, ticket: Ticket, call: WaitingCall, key: ServerKey) {
         let inputs = self.inputs(now, &call, Some(key));
-        let expected = self.expected_time(&call, key);
+        let expected = self.expected_time(&call, key, inputs.unread_tokens);
         if let Some(claim) = &call.demand.program {
             let waited = now.saturating_sub(call.asked_at);
             self.programs.note_granted(claim.program, waited);
@@ -352,13 +346,12 @@
         self.decide(ticket, Verdict::Granted(key), inputs);
     }
 
-    fn expected_time(&self, call: &WaitingCall, key: ServerKey) -> Duration {
+    fn expected_time(&self, call: &WaitingCall, key: ServerKey, unread_tokens: u32) -> Duration {
         let Some(engine) = self.engines.get(key) else {
             return Duration::ZERO;
         };
         let slowness = engine.pace.slowness(&self.pace);
-        let unread = engine.held.unread_tokens(&call.demand.parts);
-        let work = call.expected_tokens * self.pace.token_ms() + self.pace.read_ms(unread);
+        let work = call.expected_tokens * self.pace.token_ms() + self.pace.read_ms(unread_tokens);
         Duration::from_secs_f64(work * slowness / 1000.0)
     }
 
