Choose engines in the gateway's own region until those are crowded

Cause: another region cost as much as another zone (8 ms), while a call to it takes four round trips of 60 ms and its prompt the room of a link that all traffic between the regions shares.

Change: the way to another region costs four round trips, learned from the time that connecting takes there; a link that fills makes itself dearer.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -409,8 +409,13 @@
 
     async fn connect(&self, chosen: &Chosen) -> Result<Upstream, UpstreamError> {
         let pool = self.core.pool.clone();
-        pool.connect(&chosen.id, chosen.address, self.body.len())
-            .await
+        let connected = pool.connect(&chosen.id, chosen.address, self.body.len());
+        let upstream = connected.await?;
+        if let Some(took) = upstream.connected_in() {
+            let mut servers = self.core.servers.borrow_mut();
+            servers.note_connected(&chosen.id, &self.core.zone, took);
+        }
+        Ok(upstream)
     }
 
     /// Whether the caller may still be served.
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use courseshed_registry::{ServerState, Standing};
-use courseshed_types::{PromptPart, ServerKey};
+use courseshed_types::{Distance, PromptPart, ServerKey};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::cost::{Prospect, ServicePace, expected_ms};
+use super::cost::{OTHER_ZONE_MS, Prospect, ServicePace, expected_ms};
 use super::policy::Mechanism;
 use super::servers::{Seen, ServerTable};
 
@@ -111,7 +111,19 @@
             slots: seen.server.slots,
             slowness,
             unread_tokens,
-            is_near: seen.server.zone == demand.zone || !self.policy.uses(Mechanism::OwnZone),
+            way_ms: self.way_ms(demand.zone, &seen.server.zone),
+        }
+    }
+
+    /// What the way of a call between two zones costs, in milliseconds.
+    fn way_ms(&self, from: &str, to: &str) -> f64 {
+        if !self.policy.uses(Mechanism::OwnZone) {
+            return 0.0;
+        }
+        match self.zones.distance(from, to) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => OTHER_ZONE_MS,
+            Distance::OtherRegion => self.region_way.call_ms(),
         }
     }
 
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -7,6 +7,7 @@
 
 use courseshed_registry::AvoidanceChange;
 use courseshed_routing::{Route, RoutingTable, SplitCounter, Target};
+use courseshed_types::ZoneMap;
 
 use tokio::time::Instant;
 
@@ -68,6 +69,8 @@
     pub schedulers: Rc<SchedulerClient>,
     pub metrics: Arc<Metrics>,
     pub zone: String,
+    /// The regions of zones.
+    pub zones: Arc<ZoneMap>,
     pub policy: Policy,
     pub tenants: TenantTerms,
     /// How much it may hold for callers and servers that read slowly.
@@ -83,6 +86,7 @@
             schedulers,
             metrics,
             zone,
+            zones,
             policy,
             tenants,
             memory,
@@ -97,7 +101,11 @@
             ledger: Ledger::new(memory, metrics.clone()),
             metrics,
             clock: Clock::start(),
-            servers: RefCell::new(ServerTable::new(policy.clone()).with_seed(rand::random())),
+            servers: RefCell::new(
+                ServerTable::new(policy.clone())
+                    .with_seed(rand::random())
+                    .with_zones(zones),
+            ),
             policy,
             access: access.unwrap_or_default(),
             quotas: Quotas::new(tenants.quota),
--- a/crates/courseshed-edge/src/gateway/cost.rs
+++ b/crates/courseshed-edge/src/gateway/cost.rs
@@ -4,6 +4,8 @@
 //! them calls wait. What it has to read of a prompt holds up the call and, since servers read
 //! between the tokens of other calls, those as well.
 
+use std::time::Duration;
+
 use courseshed_pool::Quantile;
 
 /// How much slower a call is for each other one at its server: batches take longer, and calls bring
@@ -15,7 +17,14 @@
 /// for the room that the read takes from calls to come.
 const READ_HOLDS_UP: f64 = 2.0;
 /// What sending a call to another zone is worth.
-const OTHER_ZONE_MS: f64 = 8.0;
+pub const OTHER_ZONE_MS: f64 = 8.0;
+/// Round trips of a call to another region: one to connect, two to bring a prompt of some 20 to 70 KB
+/// through windows that open slowly, and one to its first part.
+const ROUND_TRIPS_OF_CALL: f64 = 4.0;
+/// What a round trip between regions is taken to be before one was seen, in milliseconds.
+const USUAL_REGION_ROUND_TRIP_MS: f64 = 60.0;
+/// Weight of the newest round trip.
+const NEWEST_ROUND_TRIP: f64 = 0.1;
 
 /// What is known of a service's calls.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,8 +46,8 @@
     pub slowness: f64,
     /// Tokens of the prompt that it has still to read.
     pub unread_tokens: u32,
-    /// Whether it stands in the gateway's own zone.
-    pub is_near: bool,
+    /// What the way there and back costs, in milliseconds.
+    pub way_ms: f64,
 }
 
 /// The expected cost, in milliseconds.
@@ -51,8 +60,38 @@
     let read = f64::from(prospect.unread_tokens) * pace.read_ms_per_token;
     let held_up = 1.0 + READ_HOLDS_UP * calls.min(slots);
     let own = pace.call_ms * (1.0 + crowd + waiting) + read * held_up;
-    let distance = if prospect.is_near { 0.0 } else { OTHER_ZONE_MS };
-    own * prospect.slowness + distance
+    own * prospect.slowness + prospect.way_ms
+}
+
+/// Learns how far the servers of other regions are, from the time that connecting to them takes.
+///
+/// Guards against calls that cross a link which all traffic between two regions shares while servers of
+/// the own region could take them. A link that fills makes connecting slower, and so the way dearer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RegionWay {
+    round_trip_ms: f64,
+}
+
+impl Default for RegionWay {
+    fn default() -> Self {
+        Self {
+            round_trip_ms: USUAL_REGION_ROUND_TRIP_MS,
+        }
+    }
+}
+
+impl RegionWay {
+    /// Takes in how long a connection to a server of another region took to come about.
+    pub fn note(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1000.0;
+        self.round_trip_ms += NEWEST_ROUND_TRIP * (took_ms - self.round_trip_ms);
+    }
+
+    /// What the way of a call there and back costs, in milliseconds.
+    #[must_use]
+    pub fn call_ms(&self) -> f64 {
+        ROUND_TRIPS_OF_CALL * self.round_trip_ms
+    }
 }
 
 /// Learns how long the calls of a service take, and how fast its servers read.
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -135,6 +135,7 @@
         schedulers,
         metrics: settings.metrics,
         zone: settings.zone,
+        zones: settings.zones,
         policy: settings.policy,
         tenants: settings.tenants,
         memory: settings.memory,
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -11,10 +11,10 @@
     Avoidance, FadingCounts, LoadReport, OutcomeCounts, Server, ServerList, ServerOutcome,
     ServerState,
 };
-use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
+use courseshed_types::{CachedPrompt, Distance, PromptPart, ServerKey, ZoneMap};
 
 use super::choice::Chosen;
-use super::cost::PaceEstimate;
+use super::cost::{PaceEstimate, RegionWay};
 use super::outcomes::OutcomeChange;
 use super::policy::{Mechanism, Policy};
 use super::prompt_memory::PromptMemory;
@@ -84,6 +84,9 @@
     pub(super) prompts: PromptMemory,
     /// How long calls take, by service.
     pub(super) paces: BTreeMap<String, PaceEstimate>,
+    pub(super) zones: Arc<ZoneMap>,
+    /// How far the servers of other regions are.
+    pub(super) region_way: RegionWay,
 }
 
 impl ServerTable {
@@ -102,6 +105,22 @@
         Self { seed, ..self }
     }
 
+    /// The same table with the regions of zones.
+    #[must_use]
+    pub fn with_zones(self, zones: Arc<ZoneMap>) -> Self {
+        Self { zones, ..self }
+    }
+
+    /// Takes in how long it took to connect to a server, for a gateway in a zone.
+    pub fn note_connected(&mut self, id: &str, zone: &str, took: Duration) {
+        let Some(seen) = self.seen.get(id) else {
+            return;
+        };
+        if self.zones.distance(zone, &seen.server.zone) == Distance::OtherRegion {
+            self.region_way.note(took);
+        }
+    }
+
     /// Takes in the list of servers. What was seen of those that stay is kept.
     pub fn replace(&mut self, servers: &ServerList) {
         let mut seen = BTreeMap::new();
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -109,6 +109,8 @@
         } else {
             self.take_kept(server, address)
         };
+        let began = Instant::now();
+        let is_new = kept.is_none();
         let stream = match kept {
             Some(stream) => stream,
             None => open(address, is_patient)
@@ -125,6 +127,7 @@
             ends_with_connection: false,
             is_reusable: false,
             is_patient,
+            connected_in: is_new.then(|| began.elapsed()),
             rest: USUAL_REST,
         })
     }
@@ -199,6 +202,8 @@
     is_reusable: bool,
     /// Whether it bears a server that reads slowly.
     is_patient: bool,
+    /// How long the connection took to come about, if it is new.
+    connected_in: Option<Duration>,
     rest: Duration,
 }
 
@@ -317,6 +322,12 @@
         }
     }
 
+    /// How long the connection took to come about; none for one that was kept.
+    #[must_use]
+    pub fn connected_in(&self) -> Option<Duration> {
+        self.connected_in
+    }
+
     /// Bytes that were read from the server and not yet given on.
     #[must_use]
     pub fn buffered(&self) -> usize {
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -1,5 +1,6 @@
 //! What a call is expected to cost at a server, and which one is chosen for it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use courseshed_edge::gateway::{
@@ -19,7 +20,7 @@
     slots: 12,
     slowness: 1.0,
     unread_tokens: 0,
-    is_near: true,
+    way_ms: 0.0,
 };
 const SHARED: PromptPart = PromptPart {
     id: 1,
@@ -34,7 +35,7 @@
     more_calls = { Prospect { calls: 6, ..IDLE } },
     slower = { Prospect { slowness: 1.3, ..IDLE } },
     more_to_read = { Prospect { unread_tokens: 500, ..IDLE } },
-    another_zone = { Prospect { is_near: false, ..IDLE } },
+    another_zone = { Prospect { way_ms: 8.0, ..IDLE } },
 )]
 fn whatever_is_worse_costs_more(worse: Prospect) {
     assert!(expected_ms(&worse, &PACE) > expected_ms(&IDLE, &PACE));
@@ -65,7 +66,7 @@
     let far = Prospect {
         calls: 3,
         slots: 64,
-        is_near: false,
+        way_ms: 8.0,
         ..IDLE
     };
     assert!(expected_ms(&crowded, &PACE) > 1.2 * expected_ms(&far, &PACE));
@@ -76,7 +77,7 @@
     let full = Prospect { calls: 12, ..IDLE };
     let far = Prospect {
         calls: 6,
-        is_near: false,
+        way_ms: 8.0,
         ..IDLE
     };
     assert!(expected_ms(&full, &PACE) > expected_ms(&far, &PACE));
@@ -146,16 +147,39 @@
 #[test]
 fn a_turn_goes_back_to_the_server_that_has_read_its_prompt() {
     let mut table = ServerTable::default();
-    table.replace(&ServerList::from_iter([
-        server("near", "near"),
-        server("far", "far"),
-    ]));
+    table.replace(&ServerList::from_iter([server("near", "near"), server("far", "far")]));
     let prompt = [SHARED, own(1_000)];
     assert_eq!(choose(&table, &prompt, 9), Some("near".to_owned()));
     table.note_read("far", &prompt, 13_000, Duration::from_millis(60), NOW);
     assert_eq!(choose(&table, &prompt, 9), Some("far".to_owned()));
 }
 
+/// The link between two regions is shared by all their traffic, so calls cross it only to spare a wait that
+/// is longer than the way.
+#[test]
+fn calls_stay_in_their_region_until_its_servers_are_crowded() {
+    let zones = [("near", "own"), ("next", "own"), ("far", "other")];
+    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    let mut table = ServerTable::default().with_zones(Arc::new(zones.into_iter().collect()));
+    let servers = [server("next", "next"), server("far", "far")];
+    table.replace(&ServerList::from_iter(servers));
+    table.note_read("far", &[SHARED], 12_000, Duration::from_millis(60), NOW);
+    for _ in 0..6 {
+        assert_eq!(choose(&table, &[SHARED], 99), Some("next".to_owned()));
+        table.begin("next");
+        table.note_read("next", &[SHARED], 12_000, Duration::from_millis(60), NOW);
+    }
+    for _ in 6..40 {
+        table.begin("next");
+    }
+    assert_eq!(choose(&table, &[SHARED], 99), Some("far".to_owned()));
+    // A link that is full shows in the time that it takes to connect, and keeps calls away.
+    for _ in 0..40 {
+        table.note_connected("far", "near", Duration::from_secs(1));
+    }
+    assert_eq!(choose(&table, &[SHARED], 99), Some("next".to_owned()));
+}
+
 #[test]
 fn a_gateway_keeps_to_its_part_of_a_limit() {
     let mut table = ServerTable::default();
