Tell lives of servers apart, empty zones on request, and spare cold servers

Cause: a server that starts again under its id counts its announcements anew, and they were taken for late ones of the life before, whose calls, rests and prompts were kept for it. Evacuation of zones and servers that bear little while they are cold were unknown.

Change: a life is named by the server's name and its birth; the later one ends the earlier, whatever comes late. Zones are evacuated by a committed command that followers learn of like routing tables. Cold servers of a service that bounds what they bear get nothing: the bound is a sum over all gateways, which none knows. The lists find earlier lives by index instead of walking all servers for each announcement.

Measured: tests of the state, the choice, and of real gateways before stand-in servers.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -14,7 +14,7 @@
     RoutingInForce, RoutingProof, ServerState,
 };
 use courseshed_routing::VersionedTable;
-use courseshed_types::NodeId;
+use courseshed_types::{NodeId, ZoneMap};
 use parking_lot::Mutex;
 use snafu::Snafu;
 use tokio::sync::{oneshot, watch};
@@ -40,6 +40,9 @@
     /// No machine of that name is known.
     #[snafu(display("no machine of that name is known"))]
     UnknownMachine,
+    /// No zone of that name is known.
+    #[snafu(display("no zone of that name is known"))]
+    UnknownZone,
     /// Too few machines would remain.
     #[snafu(display("too few machines would remain"))]
     TooFew,
@@ -235,11 +238,16 @@
 pub struct ControllerHandle {
     shared: Arc<Shared>,
     addresses: PeerAddresses,
+    zones: Arc<ZoneMap>,
 }
 
 impl ControllerHandle {
-    pub(super) fn new(shared: Arc<Shared>, addresses: PeerAddresses) -> Self {
-        Self { shared, addresses }
+    pub(super) fn new(shared: Arc<Shared>, addresses: PeerAddresses, zones: Arc<ZoneMap>) -> Self {
+        Self {
+            shared,
+            addresses,
+            zones,
+        }
     }
 
     /// Takes an announcement of a server. Only what is new is committed.
@@ -270,6 +278,24 @@
         result.map(|_| ())
     }
 
+    /// Keeps all new work from the servers of a zone, or lets it go there again. Once this is committed,
+    /// gateways that hear a controller learn of it like of a routing table, within a round between zones.
+    ///
+    /// # Errors
+    /// [`ControlError::UnknownZone`], or [`ControlError::Unsure`] when it could not be committed in time.
+    pub async fn evacuate(&self, zone: &str, is_evacuated: bool) -> Result<(), ControlError> {
+        if !self.zones.is_empty() && !self.zones.contains(zone) {
+            return Err(ControlError::UnknownZone);
+        }
+        let command = Command::Evacuate {
+            zone: zone.to_owned(),
+            is_evacuated,
+        };
+        let result = self.submit(command).await;
+        log::info!(event = "evacuation", zone, is_evacuated, committed = result.is_ok(); "an operator evacuates a zone or takes it back");
+        result
+    }
+
     /// Puts a checked routing table in force, unless a higher version is.
     ///
     /// # Errors
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -88,7 +88,11 @@
     );
     let peers = Arc::new(started.context(PeersSnafu)?);
     shared.set_peers(peers.clone());
-    let handle = ControllerHandle::new(shared.clone(), settings.addresses);
+    let handle = ControllerHandle::new(
+        shared.clone(),
+        settings.addresses,
+        settings.losses.zone_map.clone(),
+    );
     let seeds = Arc::new(settings.seeds);
     let incarnation = founding::choose_incarnation(
         &shared,
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use courseshed_records::{PartitionMap, ViewChange};
-use courseshed_registry::{FleetUpdate, Known, ProofKeeper, RoutingProof, ServerList};
+use courseshed_registry::{
+    EvacuatedZones, FleetUpdate, Known, ProofKeeper, RoutingProof, ServerList,
+};
 use courseshed_routing::VersionedTable;
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
@@ -43,6 +45,8 @@
     pub servers: Arc<ServerList>,
     /// Where records are kept.
     pub records: Arc<PartitionMap>,
+    /// Zones whose servers get nothing.
+    pub evacuated: Arc<EvacuatedZones>,
 }
 
 /// What a follower is, and so what it must know.
@@ -304,6 +308,7 @@
         next.routing = next.routing.max(known.routing);
         next.servers = next.servers.max(known.servers);
         next.records = next.records.max(known.records);
+        next.evacuated = next.evacuated.max(known.evacuated);
         if update.is_empty() {
             return next;
         }
@@ -323,6 +328,12 @@
                 servers.apply(changes);
                 log::info!(event = "servers_changed", revision = update.known.servers, changed, removed, is_whole, servers = servers.len(); "the servers changed");
             }
+            if let Some(evacuated) = update.evacuated
+                && evacuated.revision > view.evacuated.revision
+            {
+                log::info!(event = "evacuated_zones", revision = evacuated.revision, zones:? = evacuated.zones; "the zones whose servers get nothing changed");
+                view.evacuated = Arc::new(evacuated);
+            }
             if !update.record_views.is_empty() {
                 learn_views(&mut view.records, update.record_views);
             }
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -485,7 +485,7 @@
     fn write_head(&self, chosen: &Chosen, resume_after: Option<u64>) -> BytesMut {
         let terms = SendTerms {
             time_left: Some(self.time_left()),
-            server: chosen.id.clone(),
+            server: chosen.name.clone(),
             resume_after,
             tenant: self.caller.tenant_name().map(str::to_owned),
             hides_key: self.caller.hides_key,
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -3,12 +3,13 @@
 //! A call goes where it is expected to cost least (see [`super::cost`]); of servers that cost nearly
 //! the same, all gateways prefer the same one for the same prompt, so that it need not be read at
 //! many. Servers that rest or are avoided are chosen only when no other is open; one that is to be
-//! probed is chosen before all others.
+//! probed is chosen before all others. Servers of evacuated zones get nothing, and cold ones of a service
+//! that bounds what they bear nothing until their time is over.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_registry::{ServerState, Standing};
+use courseshed_registry::Standing;
 use courseshed_types::{Distance, PromptPart, ServerKey};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -24,6 +25,8 @@
 pub struct Chosen {
     /// The life of the server.
     pub id: String,
+    /// What the server calls itself.
+    pub name: String,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -66,10 +69,12 @@
             .seen
             .values()
             .filter(|seen| seen.server.service == demand.service)
-            .filter(|seen| seen.server.state == ServerState::Ready)
+            .filter(|seen| self.takes_calls(seen))
+            .filter(|seen| self.should_be_warm(seen, now))
             .filter(|seen| !excluded.contains(&seen.server.id))
             .filter(|seen| seen.in_flight < demand.most_in_flight)
             .collect();
+        let open = self.warm_first(open);
         let probed = |seen: &&&Seen| self.standing(seen, now) == Standing::Probed;
         if let Some(probed) = open.iter().find(probed) {
             return Some(probed.chosen());
@@ -95,6 +100,16 @@
         Some(chosen.chosen())
     }
 
+    /// The servers that are warm for sure, or all if there are none.
+    fn warm_first<'a>(&self, open: Vec<&'a Seen>) -> Vec<&'a Seen> {
+        let warm: Vec<&Seen> = open
+            .iter()
+            .copied()
+            .filter(|seen| !self.is_cold(seen))
+            .collect();
+        if warm.is_empty() { open } else { warm }
+    }
+
     fn prospect(&self, seen: &Seen, demand: &Demand, usual_ms: f64, now: Duration) -> Prospect {
         let unread_tokens = if self.policy.uses(Mechanism::PromptMemory) {
             self.prompts.unread_tokens(seen.key, demand.parts, now)
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -43,5 +43,5 @@
 pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
 pub use server::{GatewayError, GatewaySettings, run};
-pub use servers::{Report, ServerTable};
+pub use servers::{Report, ServerTable, ServingTerms};
 pub use short_codec::ShortCodec;
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -171,7 +171,7 @@
     let mut watch = core.follower.watch();
     loop {
         let view = watch.borrow_and_update().clone();
-        core.servers.borrow_mut().replace(&view.servers);
+        core.servers.borrow_mut().follow(&view, core.clock.now());
         core.pool.retain(|id| core.servers.borrow().contains(id));
         core.metrics
             .record_revision
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -8,8 +8,8 @@
 
 use actix_http::StatusCode;
 use courseshed_registry::{
-    Avoidance, FadingCounts, LoadReport, OutcomeCounts, Server, ServerList, ServerOutcome,
-    ServerState,
+    Avoidance, EvacuatedZones, FadingCounts, LoadReport, OutcomeCounts, Server, ServerList,
+    ServerOutcome, ServerState,
 };
 use courseshed_types::{CachedPrompt, Distance, PromptPart, ServerKey, ZoneMap};
 
@@ -18,6 +18,7 @@
 use super::outcomes::OutcomeChange;
 use super::policy::{Mechanism, Policy};
 use super::prompt_memory::PromptMemory;
+use crate::follower::FleetView;
 
 /// Weight of the newest time in the average of a server's times.
 const NEWEST_WEIGHT: f64 = 0.15;
@@ -68,6 +69,13 @@
     /// What became of the calls of the other gateways, as they said last.
     pub others_outcomes: FadingCounts,
     pub avoidance: Avoidance,
+    /// When the server should bear all again, by what it said last.
+    cold_until: Duration,
+}
+
+/// When a server should bear all, if it told now how much longer it is cold.
+fn cold_until(server: &Server, now: Duration) -> Duration {
+    now + Duration::from_millis(u64::from(server.cold_ms))
 }
 
 /// The servers, as this gateway sees them.
@@ -87,6 +95,16 @@
     pub(super) zones: Arc<ZoneMap>,
     /// How far the servers of other regions are.
     pub(super) region_way: RegionWay,
+    serving: ServingTerms,
+}
+
+/// Which of the servers may get calls at all.
+#[derive(Clone, Debug, Default)]
+pub struct ServingTerms {
+    /// Zones whose servers get nothing.
+    pub evacuated: Arc<EvacuatedZones>,
+    /// Services whose servers bear only so many calls a second while they are cold.
+    pub cold_bounded: BTreeSet<String>,
 }
 
 impl ServerTable {
@@ -121,13 +139,35 @@
         }
     }
 
+    /// Takes in what changed of the fleet.
+    pub fn follow(&mut self, view: &FleetView, now: Duration) {
+        self.replace(&view.servers, now);
+        let services = view
+            .routing
+            .iter()
+            .flat_map(|routing| &routing.table.services);
+        let cold_bounded = services.filter(|service| service.bounds_cold_servers());
+        self.serving = ServingTerms {
+            evacuated: view.evacuated.clone(),
+            cold_bounded: cold_bounded.map(|service| service.name.clone()).collect(),
+        };
+    }
+
+    /// Sets which servers may get calls.
+    pub fn set_serving(&mut self, serving: ServingTerms) {
+        self.serving = serving;
+    }
+
     /// Takes in the list of servers. What was seen of those that stay is kept.
-    pub fn replace(&mut self, servers: &ServerList) {
+    pub fn replace(&mut self, servers: &ServerList, now: Duration) {
         let mut seen = BTreeMap::new();
         for server in servers.iter() {
             let known = self.seen.remove(&server.id);
             let entry = match known {
                 Some(mut entry) => {
+                    if entry.server.cold_ms != server.cold_ms {
+                        entry.cold_until = cold_until(server, now);
+                    }
                     entry.server = server.clone();
                     entry
                 }
@@ -143,6 +183,7 @@
                     own_outcomes: FadingCounts::default(),
                     others_outcomes: FadingCounts::default(),
                     avoidance: Avoidance::default(),
+                    cold_until: cold_until(server, now),
                 },
             };
             seen.insert(server.id.clone(), entry);
@@ -156,11 +197,28 @@
         self.seen.contains_key(id)
     }
 
+    /// Whether calls may go to a server as far as it and operators say.
+    pub(super) fn takes_calls(&self, seen: &Seen) -> bool {
+        seen.server.state == ServerState::Ready
+            && !self.serving.evacuated.zones.contains(&seen.server.zone)
+    }
+
+    /// Whether a server bears little for now, by what it said last. What it bears then is summed over all
+    /// gateways, which none of them knows, so it gets nothing while others are there.
+    pub(super) fn is_cold(&self, seen: &Seen) -> bool {
+        seen.server.cold_ms > 0 && self.serving.cold_bounded.contains(&seen.server.service)
+    }
+
+    /// Whether a server that said that it is cold should have become warm since, without having said so.
+    pub(super) fn should_be_warm(&self, seen: &Seen, now: Duration) -> bool {
+        !self.is_cold(seen) || now >= seen.cold_until
+    }
+
     /// A server that is on the list and takes new work.
     #[must_use]
     pub fn listed(&self, id: &str) -> Option<Chosen> {
         let seen = self.seen.get(id)?;
-        (seen.server.state == ServerState::Ready).then(|| seen.chosen())
+        (self.takes_calls(seen) && !self.is_cold(seen)).then(|| seen.chosen())
     }
 
     /// The server of a service that a key names, if it is on the list and takes new work.
@@ -168,7 +226,7 @@
     pub fn listed_as(&self, service: &str, key: ServerKey) -> Option<Chosen> {
         let mut seen = self.seen.values();
         let found = seen.find(|seen| seen.key == key && seen.server.service == service)?;
-        (found.server.state == ServerState::Ready).then(|| found.chosen())
+        (self.takes_calls(found) && !self.is_cold(found)).then(|| found.chosen())
     }
 
     /// Takes in that the first part of an answer came, with so many tokens to read before it.
@@ -352,6 +410,7 @@
     pub fn chosen(&self) -> Chosen {
         Chosen {
             id: self.server.id.clone(),
+            name: self.server.name().to_owned(),
             address: self.server.address,
         }
     }
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -1,9 +1,12 @@
 //! Which server a gateway chooses, and how streams are split into events.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_edge::gateway::{Demand, EventSplitter, Report, ServerTable};
-use courseshed_registry::{LoadReport, Server, ServerList, ServerLoad, ServerState};
+use courseshed_edge::gateway::{Demand, EventSplitter, Report, ServerTable, ServingTerms};
+use courseshed_registry::{
+    EvacuatedZones, LoadReport, Server, ServerList, ServerLoad, ServerState,
+};
 use courseshed_types::{PromptPart, ServerKey};
 use yare::parameterized;
 
@@ -12,6 +15,9 @@
 fn server(id: &str, state: ServerState) -> Server {
     Server {
         id: id.to_owned(),
+        name: String::new(),
+        born_ms: None,
+        cold_ms: 0,
         service: "s".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "a".to_owned(),
@@ -26,7 +32,7 @@
         .iter()
         .map(|id| server(id, ServerState::Ready))
         .collect();
-    table.replace(&servers.into_iter().collect());
+    table.replace(&servers.into_iter().collect(), NOW);
     table
 }
 
@@ -57,7 +63,7 @@
         server("a", ServerState::Draining),
         server("b", ServerState::Ready),
     ];
-    table.replace(&servers.into_iter().collect());
+    table.replace(&servers.into_iter().collect(), NOW);
     assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
     assert_eq!(choose(&table, Some("k"), &[]), Some("b".to_owned()));
     assert_eq!(choose(&table, None, &["b"]), None);
@@ -145,11 +151,91 @@
 fn what_was_seen_of_a_server_outlives_a_new_list() {
     let mut table = table(&["a", "b"]);
     table.begin("a");
-    table.replace(&ServerList::from_iter([
+    table.replace(
+        &ServerList::from_iter([
+            server("a", ServerState::Ready),
+            server("b", ServerState::Ready),
+        ]),
+        NOW,
+    );
+    assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+}
+
+#[test]
+fn servers_of_an_evacuated_zone_get_nothing_even_alone() {
+    let mut table = table(&["a"]);
+    let evacuated = EvacuatedZones {
+        revision: 1,
+        zones: ["a".to_owned()].into(),
+    };
+    table.set_serving(ServingTerms {
+        evacuated: Arc::new(evacuated),
+        ..ServingTerms::default()
+    });
+    assert_eq!(choose(&table, None, &[]), None);
+    assert_eq!(
+        table.listed("a"),
+        None,
+        "nor the rest of a call that was there"
+    );
+    table.set_serving(ServingTerms::default());
+    assert_eq!(choose(&table, None, &[]), Some("a".to_owned()));
+}
+
+const COLD: Duration = Duration::from_secs(3);
+
+fn cold(id: &str) -> Server {
+    Server {
+        cold_ms: COLD.as_millis() as u32,
+        ..server(id, ServerState::Ready)
+    }
+}
+
+fn cold_is_bounded() -> ServingTerms {
+    ServingTerms {
+        cold_bounded: ["s".to_owned()].into(),
+        ..ServingTerms::default()
+    }
+}
+
+/// What a cold server bears in a second is a sum over all gateways, which none of them knows.
+#[test]
+fn a_cold_server_that_bears_little_gets_nothing_until_it_is_warm() {
+    let mut table = ServerTable::default();
+    table.set_serving(cold_is_bounded());
+    let servers = [cold("a"), server("b", ServerState::Ready)];
+    table.replace(&servers.into_iter().collect(), NOW);
+    for _ in 0..20 {
+        assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+        table.begin("b");
+    }
+    assert_eq!(choose(&table, None, &["b"]), None);
+    assert_eq!(table.listed("a"), None);
+    let servers = [
         server("a", ServerState::Ready),
         server("b", ServerState::Ready),
-    ]));
-    assert_eq!(choose(&table, None, &[]), Some("b".to_owned()));
+    ];
+    table.replace(&servers.into_iter().collect(), NOW);
+    assert_eq!(choose(&table, None, &[]), Some("a".to_owned()));
+}
+
+/// Controllers that can't be heard tell of no warm server; the time that it told them is over all the same.
+#[test]
+fn a_server_that_should_be_warm_serves_where_no_other_is() {
+    let mut table = ServerTable::default();
+    table.set_serving(cold_is_bounded());
+    table.replace(&[cold("a")].into_iter().collect(), NOW);
+    let demand = demand(&[]);
+    let at = |time| table.choose(&demand, &[], time, 7).map(|chosen| chosen.id);
+    assert_eq!(at(NOW + COLD - Duration::from_millis(1)), None);
+    assert_eq!(at(NOW + COLD), Some("a".to_owned()));
+}
+
+#[test]
+fn a_cold_server_of_a_service_that_bears_all_is_chosen() {
+    let mut table = ServerTable::default();
+    table.replace(&[cold("a")].into_iter().collect(), NOW);
+    assert_eq!(choose(&table, None, &[]), Some("a".to_owned()));
 }
 
 #[test]
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -126,6 +126,9 @@
 fn server(id: &str, zone: &str) -> Server {
     Server {
         id: id.to_owned(),
+        name: String::new(),
+        born_ms: None,
+        cold_ms: 0,
         service: "s".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: zone.to_owned(),
@@ -147,7 +150,10 @@
 #[test]
 fn a_turn_goes_back_to_the_server_that_has_read_its_prompt() {
     let mut table = ServerTable::default();
-    table.replace(&ServerList::from_iter([server("near", "near"), server("far", "far")]));
+    table.replace(
+        &ServerList::from_iter([server("near", "near"), server("far", "far")]),
+        NOW,
+    );
     let prompt = [SHARED, own(1_000)];
     assert_eq!(choose(&table, &prompt, 9), Some("near".to_owned()));
     table.note_read("far", &prompt, 13_000, Duration::from_millis(60), NOW);
@@ -162,7 +168,7 @@
     let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
     let mut table = ServerTable::default().with_zones(Arc::new(zones.into_iter().collect()));
     let servers = [server("next", "next"), server("far", "far")];
-    table.replace(&ServerList::from_iter(servers));
+    table.replace(&ServerList::from_iter(servers), NOW);
     table.note_read("far", &[SHARED], 12_000, Duration::from_millis(60), NOW);
     for _ in 0..6 {
         assert_eq!(choose(&table, &[SHARED], 99), Some("next".to_owned()));
@@ -183,7 +189,7 @@
 #[test]
 fn a_gateway_keeps_to_its_part_of_a_limit() {
     let mut table = ServerTable::default();
-    table.replace(&ServerList::from_iter([server("near", "near")]));
+    table.replace(&ServerList::from_iter([server("near", "near")]), NOW);
     table.begin("near");
     assert_eq!(choose(&table, &[], 2), Some("near".to_owned()));
     assert_eq!(choose(&table, &[], 1), None);
--- a/crates/courseshed-edge/tests/failing_servers.rs
+++ b/crates/courseshed-edge/tests/failing_servers.rs
@@ -63,6 +63,9 @@
         let servers: ServerList = (0..SERVERS)
             .map(|server| Server {
                 id: name(server),
+                name: String::new(),
+                born_ms: None,
+                cold_ms: 0,
                 service: "s".to_owned(),
                 address: ([127, 0, 0, 1], 80).into(),
                 zone: "a".to_owned(),
@@ -74,7 +77,7 @@
             let table = ServerTable::new(policy.clone());
             let mut table =
                 table.with_seed((seed << 16 | gateway as u64).wrapping_mul(0x9e37_79b9));
-            table.replace(&servers);
+            table.replace(&servers, Duration::ZERO);
             table
         });
         let mut play = Self {
--- a/crates/courseshed-edge/tests/policy.rs
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -16,6 +16,9 @@
 fn server(id: &str, zone: &str) -> Server {
     Server {
         id: id.to_owned(),
+        name: String::new(),
+        born_ms: None,
+        cold_ms: 0,
         service: "s".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: zone.to_owned(),
@@ -27,10 +30,10 @@
 /// How many of many calls go to server `a`, with mechanisms switched off and after something was seen.
 fn share_of_a(without: &[Mechanism], zone_of_a: &str, see: impl Fn(&mut ServerTable)) -> usize {
     let mut table = ServerTable::new(Policy::without(without.iter().copied()));
-    table.replace(&ServerList::from_iter([
-        server("a", zone_of_a),
-        server("b", "near"),
-    ]));
+    table.replace(
+        &ServerList::from_iter([server("a", zone_of_a), server("b", "near")]),
+        NOW,
+    );
     see(&mut table);
     let demand = Demand {
         service: "s",
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -93,6 +93,9 @@
 fn listed(id: &str, stand_in: &StandIn) -> Server {
     Server {
         id: id.to_owned(),
+        name: String::new(),
+        born_ms: None,
+        cold_ms: 0,
         service: "s".to_owned(),
         address: stand_in.address,
         zone: "a".to_owned(),
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -256,6 +256,9 @@
     pub async fn announce_with_slots(&self, id: &str, stand_in: &server::StandIn, slots: u32) {
         let server = Server {
             id: id.to_owned(),
+            name: String::new(),
+            born_ms: None,
+            cold_ms: 0,
             service: "s".to_owned(),
             address: stand_in.address,
             zone: "a".to_owned(),
@@ -305,6 +308,7 @@
 /// A routing table with one service of engines.
 pub fn table(version: u64, routes: Vec<Route>, tenants: Option<Vec<Tenant>>) -> VersionedTable {
     let service = Service {
+        cold_per_s: None,
         name: "s".to_owned(),
         connection_limit: 100,
         engine: Some(EngineLimits {
--- a/crates/courseshed-edge/tests/support/scheduler.rs
+++ b/crates/courseshed-edge/tests/support/scheduler.rs
@@ -84,10 +84,12 @@
         };
         PeerReply::Update {
             update: Box::new(FleetUpdate {
+                evacuated: None,
                 known: Known {
                     routing: Some(self.shown.table.version),
                     servers: 1,
                     records: 0,
+                    evacuated: 0,
                 },
                 routing: is_new.then(|| self.shown.table.clone()),
                 servers: is_new.then_some(servers),
--- a/crates/courseshed-registry/src/command.rs
+++ b/crates/courseshed-registry/src/command.rs
@@ -23,7 +23,7 @@
     Announce(Registration),
     /// A server leaves.
     Leave {
-        /// Its id.
+        /// The id of a life, or the name of a server, of which the newest life is meant.
         server: String,
     },
     /// Servers were silent for too long.
@@ -53,6 +53,13 @@
         /// The machine.
         node: NodeId,
     },
+    /// An operator wants a zone's servers to get nothing more, or takes the zone back.
+    Evacuate {
+        /// The zone.
+        zone: String,
+        /// Whether they get nothing more from now on.
+        is_evacuated: bool,
+    },
     /// What the owner of tenants' permits is bound by changes.
     BoundQuotas(OwnerBounds),
 }
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -8,7 +8,7 @@
 //! Invariants:
 //! - The version of the routing table in force never falls.
 //! - A server that drains or left never becomes ready again under the same id.
-//! - An older announcement of a server never replaces a newer one.
+//! - An older announcement of a server never replaces a newer one, and an ended life never a later one.
 
 mod avoidance;
 mod command;
@@ -28,4 +28,4 @@
 pub use proof::{Confirmations, ProofKeeper, RoutingProof};
 pub use server::{Registration, Server, ServerState};
 pub use server_list::{ServerChanges, ServerList};
-pub use state::{FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
+pub use state::{EvacuatedZones, FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- a/crates/courseshed-registry/src/server_list.rs
+++ b/crates/courseshed-registry/src/server_list.rs
@@ -4,6 +4,7 @@
 //! list that gave them.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -31,13 +32,47 @@
 }
 
 /// The servers, as the controllers agree on them. Each change makes a higher revision.
+///
+/// Finding a server by its address or name takes no walk over all of them: with 10,000 servers that start
+/// together, each of whose announcements looks for earlier lives, that was 100 million comparisons.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredServers")]
 pub(crate) struct AnnouncedServers {
     revision: u64,
     by_id: BTreeMap<String, Announced>,
     removals: VecDeque<Removal>,
     /// Removals up to this revision may have been forgotten.
     forgotten: u64,
+    /// Ids by where servers listen.
+    #[serde(skip)]
+    by_address: BTreeMap<SocketAddr, String>,
+    /// Ids of the newest lives by the names of servers.
+    #[serde(skip)]
+    by_name: BTreeMap<String, String>,
+}
+
+/// What is stored of [`AnnouncedServers`]; the rest follows from it.
+#[derive(Deserialize)]
+struct StoredServers {
+    revision: u64,
+    by_id: BTreeMap<String, Announced>,
+    removals: VecDeque<Removal>,
+    forgotten: u64,
+}
+
+impl From<StoredServers> for AnnouncedServers {
+    fn from(stored: StoredServers) -> Self {
+        let mut servers = Self {
+            revision: stored.revision,
+            removals: stored.removals,
+            forgotten: stored.forgotten,
+            ..Self::default()
+        };
+        for (id, announced) in stored.by_id {
+            servers.put(id, announced);
+        }
+        servers
+    }
 }
 
 impl AnnouncedServers {
@@ -56,16 +91,57 @@
     pub(crate) fn insert(&mut self, registration: Registration) {
         self.revision += 1;
         let id = registration.server.id.clone();
+        self.take_out(&id);
         let announced = Announced {
             server: Arc::new(registration.server),
             sequence: registration.sequence,
             revision: self.revision,
         };
+        self.put(id, announced);
+    }
+
+    fn put(&mut self, id: String, announced: Announced) {
+        let server = &announced.server;
+        self.by_address.insert(server.address, id.clone());
+        self.by_name.insert(server.name().to_owned(), id.clone());
         self.by_id.insert(id, announced);
     }
 
+    /// Takes a server out of all indexes.
+    fn take_out(&mut self, id: &str) -> Option<Announced> {
+        let announced = self.by_id.remove(id)?;
+        let server = &announced.server;
+        if self
+            .by_address
+            .get(&server.address)
+            .is_some_and(|held| held == id)
+        {
+            self.by_address.remove(&server.address);
+        }
+        if self
+            .by_name
+            .get(server.name())
+            .is_some_and(|held| held == id)
+        {
+            self.by_name.remove(server.name());
+        }
+        Some(announced)
+    }
+
+    /// The server that listens at an address.
+    pub(crate) fn at(&self, address: SocketAddr) -> Option<&Server> {
+        let id = self.by_address.get(&address)?;
+        self.by_id.get(id).map(|announced| &*announced.server)
+    }
+
+    /// The newest life of the server of a name.
+    pub(crate) fn newest_life(&self, name: &str) -> Option<&Server> {
+        let id = self.by_name.get(name)?;
+        self.by_id.get(id).map(|announced| &*announced.server)
+    }
+
     pub(crate) fn remove(&mut self, id: &str) {
-        if self.by_id.remove(id).is_none() {
+        if self.take_out(id).is_none() {
             return;
         }
         self.revision += 1;
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -8,10 +8,11 @@
 use courseshed_consensus::{LogIndex, RestoreError, StateMachine};
 use courseshed_quota::{Ceiling, OwnerBounds};
 use courseshed_records::{PartitionMap, StoreMachine, ViewChange};
-use courseshed_routing::VersionedTable;
+use courseshed_routing::{Service, VersionedTable};
 use courseshed_types::NodeId;
 use serde::{Deserialize, Serialize};
 
+use crate::server::is_later_life;
 use crate::server_list::AnnouncedServers;
 use crate::{Command, Outcome, Registration, Server, ServerChanges, ServerState};
 
@@ -52,6 +53,8 @@
     stores: BTreeMap<NodeId, StoreMachine>,
     records: PartitionMap,
     retirements: BTreeMap<NodeId, Retirement>,
+    #[serde(default)]
+    evacuated: EvacuatedZones,
     /// The most permits of each tenant that may be out.
     #[serde(default)]
     quota_ceilings: BTreeMap<String, u32>,
@@ -69,6 +72,9 @@
     pub servers: u64,
     /// Revision of the partitions of the records.
     pub records: u64,
+    /// Revision of the evacuated zones.
+    #[serde(default)]
+    pub evacuated: u64,
 }
 
 /// What a follower of the state lacks.
@@ -82,13 +88,28 @@
     pub servers: Option<ServerChanges>,
     /// The views of partitions of the records that changed.
     pub record_views: Vec<ViewChange>,
+    /// The zones whose servers get nothing, if they changed.
+    #[serde(default)]
+    pub evacuated: Option<EvacuatedZones>,
+}
+
+/// Zones whose servers get nothing more.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedZones {
+    /// Grows with each change.
+    pub revision: u64,
+    /// The zones.
+    pub zones: BTreeSet<String>,
 }
 
 impl FleetUpdate {
     /// Whether there is nothing new.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.routing.is_none() && self.servers.is_none() && self.record_views.is_empty()
+        self.routing.is_none()
+            && self.servers.is_none()
+            && self.record_views.is_empty()
+            && self.evacuated.is_none()
     }
 }
 
@@ -156,20 +177,62 @@
         let id = &registration.server.id;
         match self.servers.get(id) {
             Some(known) => {
-                registration.sequence <= known.sequence || *known.server == registration.server
+                let later = &registration.server;
+                let is_cold_news = self.bounds_cold_servers(&later.service);
+                registration.sequence <= known.sequence
+                    || known.server.is_repeated_by(later, is_cold_news)
+            }
+            None => {
+                self.departed.contains(id)
+                    || self.was_followed(&registration.server)
+                    || self.has_later_life(&registration.server)
+                    || self.is_unused_at_taken_address(&registration.server)
             }
-            None => self.departed.contains(id) || self.was_followed(&registration.server),
         }
     }
 
+    /// Whether the servers of a service bear little while they are cold.
+    fn bounds_cold_servers(&self, service: &str) -> bool {
+        let table = self.routing.as_ref().map(|routing| &routing.table.table);
+        let service = table.and_then(|table| table.service(service));
+        service.is_some_and(Service::bounds_cold_servers)
+    }
+
+    /// Whether a later life of the server is or was known: this one has ended.
+    fn has_later_life(&self, server: &Server) -> bool {
+        let Some(born) = server.born_ms else {
+            return false;
+        };
+        let listed = self.servers.newest_life(server.name());
+        let is_later = |id: &String| is_later_life(id, server.name(), born);
+        listed.is_some_and(|life| life.born_ms > Some(born))
+            || self.departed.iter().any(is_later)
+            || self.expired.iter().any(is_later)
+    }
+
+    /// Whether a server of a service that no route uses says that it is where another one is. Whoever writes
+    /// such entries must not end the life of a server that is used.
+    fn is_unused_at_taken_address(&self, server: &Server) -> bool {
+        let Some(routing) = &self.routing else {
+            return false;
+        };
+        let is_known = routing.table.table.service(&server.service).is_some();
+        !is_known && self.holder_of(server.address).is_some()
+    }
+
     /// Whether a server that fell silent has lost its address to another one since: its next life.
     fn was_followed(&self, server: &Server) -> bool {
         self.expired.contains(&server.id) && self.holder_of(server.address).is_some()
     }
 
     fn holder_of(&self, address: SocketAddr) -> Option<&Server> {
-        let mut servers = self.servers.iter();
-        servers.find(|server| server.address == address)
+        self.servers.at(address)
+    }
+
+    /// The zones whose servers get nothing.
+    #[must_use]
+    pub fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
     }
 
     /// What a follower lacks.
@@ -183,10 +246,12 @@
                 routing: routing.map(|table| table.version),
                 servers: self.servers.revision(),
                 records: self.records.revision(),
+                evacuated: self.evacuated.revision,
             },
             routing: newer.cloned(),
             servers: self.servers.changes_since(known.servers),
             record_views: self.records.changes_since(known.records),
+            evacuated: (known.evacuated < self.evacuated.revision).then(|| self.evacuated.clone()),
         }
     }
 
@@ -210,6 +275,7 @@
             Command::ChangeRecordViews(changes) => self.change_views(changes),
             Command::Retire { name, needed } => return self.retire(&name, needed),
             Command::CompleteRetirement { node } => self.complete_retirement(node),
+            Command::Evacuate { zone, is_evacuated } => self.evacuate(zone, is_evacuated),
             Command::BoundQuotas(bounds) => {
                 self.bound_quotas(&bounds);
                 return Outcome::QuotasBound(bounds);
@@ -262,17 +328,32 @@
             self.expired.retain(|expired| expired != id);
             // Whoever is listed at the address is an earlier life of the server, which has ended. Should
             // it be the later one, it comes back once this one has expired.
-            let earlier = self.holder_of(registration.server.address);
-            if let Some(earlier) = earlier.map(|earlier| earlier.id.clone()) {
-                self.expire(earlier);
+            let at_address = self.holder_of(registration.server.address);
+            let of_name = self.servers.newest_life(registration.server.name());
+            let earlier = at_address.into_iter().chain(of_name);
+            let earlier: Vec<String> = earlier.map(|earlier| earlier.id.clone()).collect();
+            for life in earlier {
+                self.expire(life);
             }
         }
         self.servers.insert(registration);
     }
 
     fn depart(&mut self, server: &str) {
-        self.servers.remove(server);
-        remember(&mut self.departed, server);
+        let newest = self.servers.newest_life(server).map(|life| life.id.clone());
+        let life = newest.as_deref().unwrap_or(server);
+        self.servers.remove(life);
+        remember(&mut self.departed, life);
+    }
+
+    fn evacuate(&mut self, zone: String, is_evacuated: bool) {
+        let zones = &mut self.evacuated.zones;
+        let is_new = if is_evacuated {
+            zones.insert(zone)
+        } else {
+            zones.remove(&zone)
+        };
+        self.evacuated.revision += u64::from(is_new);
     }
 
     fn expire(&mut self, server: String) {
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -10,7 +10,7 @@
     Command, FleetState, Known, Liveness, LivenessSettings, Outcome, Registration, Retirement,
     Server, ServerList, ServerState,
 };
-use courseshed_routing::{RoutingTable, VersionedTable};
+use courseshed_routing::{RoutingTable, Service, VersionedTable};
 use courseshed_types::NodeId;
 use yare::parameterized;
 
@@ -37,6 +37,9 @@
     Registration {
         server: Server {
             id: "one".to_owned(),
+            name: String::new(),
+            born_ms: None,
+            cold_ms: 0,
             service: "s".to_owned(),
             address: ([127, 0, 0, 1], 80).into(),
             zone: "a".to_owned(),
@@ -156,6 +159,179 @@
     assert_eq!(listed(&state), ["first"]);
 }
 
+/// An announcement of the server `one` in a life that began at a time.
+fn life(born_ms: u64, sequence: u64, state: ServerState) -> Registration {
+    let mut registration = registration(state, sequence);
+    let server = &mut registration.server;
+    server.id = Server::life_id("one", Some(born_ms));
+    server.name = "one".to_owned();
+    server.born_ms = Some(born_ms);
+    registration
+}
+
+fn begin(state: &mut FleetState, born_ms: u64, sequence: u64) {
+    apply(
+        state,
+        Command::Announce(life(born_ms, sequence, ServerState::Ready)),
+    );
+}
+
+/// A server may start again under the id that it had; its count of announcements starts anew. Its first
+/// ones were taken for late ones of the life before.
+#[parameterized(
+    at_its_address = { false },
+    at_another_address = { true },
+)]
+fn a_server_that_starts_again_under_its_name_is_another_one(moves: bool) {
+    let mut state = FleetState::default();
+    begin(&mut state, 1_000, 50);
+    let mut next = life(2_000, 1, ServerState::Ready);
+    if moves {
+        next.server.address.set_port(81);
+    }
+    assert!(!state.is_ordinary(&next));
+    apply(&mut state, Command::Announce(next.clone()));
+    assert_eq!(listed(&state), ["one/2000"]);
+    let late = life(1_000, 51, ServerState::Draining);
+    assert!(state.is_ordinary(&late), "a late one of the life before");
+    apply(&mut state, Command::Announce(late));
+    let server = Server::life_id("one", Some(1_000));
+    apply(&mut state, Command::Leave { server });
+    assert_eq!(listed(&state), ["one/2000"]);
+    assert!(state.is_ordinary(&next));
+}
+
+#[test]
+fn a_new_life_takes_work_where_the_one_before_was_emptied() {
+    let mut state = FleetState::default();
+    apply(
+        &mut state,
+        Command::Announce(life(1_000, 50, ServerState::Draining)),
+    );
+    begin(&mut state, 2_000, 1);
+    let states: Vec<_> = state.servers().map(|server| server.state).collect();
+    assert_eq!(states, [ServerState::Ready]);
+}
+
+/// The later life is known although it isn't listed any more.
+#[parameterized(
+    left = { Command::Leave { server: "one".to_owned() } },
+    fell_silent = { Command::Expire { servers: vec!["one/2000".to_owned()] } },
+)]
+fn an_ended_life_does_not_come_back_after_a_later_one(end: Command) {
+    let mut state = FleetState::default();
+    begin(&mut state, 2_000, 1);
+    apply(&mut state, end);
+    assert_eq!(listed(&state), [""; 0]);
+    begin(&mut state, 1_000, 9);
+    assert_eq!(listed(&state), [""; 0]);
+    begin(&mut state, 3_000, 1);
+    assert_eq!(listed(&state), ["one/3000"]);
+}
+
+/// What looks for earlier lives isn't stored, and must be there again after a start.
+#[test]
+fn a_restored_state_finds_earlier_lives() {
+    let mut before = FleetState::default();
+    begin(&mut before, 1_000, 5);
+    let mut state = FleetState::default();
+    state.restore(&before.snapshot()).expect("restored");
+    assert_eq!(state, before);
+    let mut next = life(2_000, 1, ServerState::Ready);
+    next.server.address.set_port(81);
+    apply(&mut state, Command::Announce(next));
+    assert_eq!(listed(&state), ["one/2000"]);
+    apply(&mut state, announce_life("other", 1));
+    apply(&mut state, announce_life("another", 1));
+    assert_eq!(listed(&state), ["another", "one/2000"]);
+}
+
+/// A routing table with the service `s`, whose cold servers bear so many calls a second.
+fn route_to_s(cold_per_s: Option<f64>) -> Command {
+    let table = RoutingTable {
+        services: vec![Service {
+            name: "s".to_owned(),
+            connection_limit: 10,
+            engine: None,
+            cold_per_s,
+        }],
+        ..RoutingTable::default()
+    };
+    Command::ReplaceRouting {
+        table: VersionedTable { version: 1, table },
+        document: Bytes::new(),
+    }
+}
+
+#[test]
+fn an_entry_of_an_unknown_service_ends_no_life_of_a_server() {
+    let mut state = FleetState::default();
+    apply(&mut state, route_to_s(None));
+    begin(&mut state, 1_000, 1);
+    let mut stray = registration(ServerState::Ready, 1);
+    stray.server.id = "stray".to_owned();
+    stray.server.service = "unheard of".to_owned();
+    apply(&mut state, Command::Announce(stray.clone()));
+    assert_eq!(listed(&state), ["one/1000"]);
+    // At an address of its own it waits for a routing table that names its service.
+    stray.server.address.set_port(81);
+    apply(&mut state, Command::Announce(stray));
+    assert_eq!(listed(&state), ["one/1000", "stray"]);
+}
+
+#[parameterized(
+    gets_cold = { Some(24.0), 0, 3_000, true },
+    gets_warm = { Some(24.0), 900, 0, true },
+    is_less_cold = { Some(24.0), 3_000, 1_800, false },
+    is_cold_for_longer = { Some(24.0), 900, 3_000, true },
+    bears_all = { None, 0, 3_000, false },
+)]
+fn how_long_a_server_is_cold_is_news_where_it_bounds_what_it_bears(
+    cold_per_s: Option<f64>,
+    before_ms: u32,
+    after_ms: u32,
+    is_news: bool,
+) {
+    let mut state = FleetState::default();
+    apply(&mut state, route_to_s(cold_per_s));
+    let mut first = registration(ServerState::Ready, 1);
+    first.server.cold_ms = before_ms;
+    apply(&mut state, Command::Announce(first));
+    let mut next = registration(ServerState::Ready, 2);
+    next.server.cold_ms = after_ms;
+    assert_eq!(!state.is_ordinary(&next), is_news);
+}
+
+fn evacuate(zone: &str, is_evacuated: bool) -> Command {
+    Command::Evacuate {
+        zone: zone.to_owned(),
+        is_evacuated,
+    }
+}
+
+#[test]
+fn evacuated_zones_outlive_a_start_and_are_told_once() {
+    let mut state = FleetState::default();
+    let before = state.update_for(Known::default()).known;
+    for _ in 0..2 {
+        apply(&mut state, evacuate("a", true));
+    }
+    apply(&mut state, evacuate("b", true));
+    apply(&mut state, evacuate("b", false));
+    let update = state.update_for(before);
+    let told = update.evacuated.as_ref().expect("news");
+    assert_eq!(told.zones.iter().collect::<Vec<_>>(), ["a"]);
+    assert!(state.update_for(update.known).is_empty());
+    apply(&mut state, evacuate("a", true));
+    assert!(state.update_for(update.known).is_empty(), "nothing new");
+    let mut restored = FleetState::default();
+    restored.restore(&state.snapshot()).expect("restored");
+    assert_eq!(restored.evacuated(), state.evacuated());
+    apply(&mut state, evacuate("a", false));
+    let taken_back = state.update_for(update.known).evacuated.expect("news");
+    assert!(taken_back.zones.is_empty());
+}
+
 #[test]
 fn followers_are_told_only_what_is_newer() {
     let mut state = FleetState::default();
--- a/crates/courseshed-routing/src/table.rs
+++ b/crates/courseshed-routing/src/table.rs
@@ -93,6 +93,17 @@
     pub connection_limit: u32,
     /// What its engines can bear, for a service of model engines.
     pub engine: Option<EngineLimits>,
+    /// Requests that a server bears in a second while it is cold, all callers together; none if it bears all.
+    #[serde(default)]
+    pub cold_per_s: Option<f64>,
+}
+
+impl Service {
+    /// Whether its servers bear little while they are cold.
+    #[must_use]
+    pub fn bounds_cold_servers(&self) -> bool {
+        self.cold_per_s.is_some()
+    }
 }
 
 /// Bounds on what callers may send.
--- a/crates/courseshed-routing/tests/table.rs
+++ b/crates/courseshed-routing/tests/table.rs
@@ -38,6 +38,7 @@
     RoutingTable {
         routes: routes.into_iter().map(Arc::new).collect(),
         services: vec![Service {
+            cold_per_s: None,
             name: "s".to_owned(),
             connection_limit: 10,
             engine: None,
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -425,6 +425,7 @@
         table: RoutingTable {
             routes: routes.into_iter().map(Arc::new).collect(),
             services: vec![Service {
+                cold_per_s: None,
                 name: SERVICE.to_owned(),
                 connection_limit: 0,
                 engine: Some(EngineLimits {
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -100,6 +100,9 @@
             let registration = Registration {
                 server: Server {
                     id: self.id.clone(),
+                    name: String::new(),
+                    born_ms: None,
+                    cold_ms: 0,
                     service: SERVICE.to_owned(),
                     address: self.address,
                     zone: "a".to_owned(),
