Let connections between nodes rest without waking anybody

Cause: each connection's timer fired every 500 ms also when the peer owed no answer. A gateway of the whole fleet has a connection to each of a hundred stores that its programs' partitions are on, and woke some 200 times a second for nothing.

Change: the timer runs only while an answer is owed; a peer's silence counts from the first request that it owes an answer to.

Measured: the transport's tests of silence and timing hold.

--- a/crates/courseshed-transport/src/connection.rs
+++ b/crates/courseshed-transport/src/connection.rs
@@ -207,6 +207,11 @@
     let mut next = Some(first);
     loop {
         let mut batch = 0;
+        // The peer's silence counts only from when it owes an answer.
+        if waiting.lock().is_empty() {
+            *heard.lock() = Instant::now();
+            ping.reset();
+        }
         while let Some(outgoing) = next.take() {
             next_id += 1;
             if let Some((mechanism, frame)) = encode_outgoing(outgoing, next_id, waiting)? {
@@ -221,16 +226,16 @@
             }
         }
         within(timing.write, SinkExt::<Bytes>::flush(&mut writer)).await?;
+        // A connection that rests wakes nobody: a gateway of a large fleet has one to each of a hundred stores,
+        // and woke 200 times a second for nothing.
+        let is_owed = !waiting.lock().is_empty();
         tokio::select! {
             received = queue.recv() => match received {
                 Some(outgoing) => next = Some(outgoing),
                 None => return Ok(()),
             },
-            _ = ping.tick() => {
-                if waiting.lock().is_empty() {
-                    // The peer owes no answer: its silence counts only from when it does.
-                    *heard.lock() = Instant::now();
-                } else {
+            _ = ping.tick(), if is_owed => {
+                if !waiting.lock().is_empty() {
                     check_silence(*heard.lock(), timing.silence)?;
                     let frame = encode(&ForwardFrame::<P>::Ping)?;
                     shared.counters.count_sent(Mechanism::KEEP_ALIVE, frame.len() + LENGTH_BYTES);
