Tell followers a long list of servers in parts

Cause: a controller answered each follower that starts with the whole list.

Change: changes are told in the order of their revisions, 1,000 at a time, with a cursor for changes and one for removals, so that a list that changes meanwhile still comes to the whole.

Measured by a test: 3,500 servers with none, 7 and 3,000 changes between the parts, more removals than are remembered among them.

--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -85,6 +85,7 @@
         match self {
             Self::Store => Known {
                 servers: Known::EVERYTHING.servers,
+                removals: Known::EVERYTHING.removals,
                 ..Known::default()
             },
             Self::Gateway { .. } => Known::default(),
@@ -392,7 +393,11 @@
     fn take_in(&self, known: Known, update: FleetUpdate) -> Known {
         let mut next = update.known;
         next.routing = next.routing.max(known.routing);
-        next.servers = next.servers.max(known.servers);
+        let servers = update.servers.as_ref();
+        if !servers.is_some_and(|changes| changes.is_whole) {
+            next.servers = next.servers.max(known.servers);
+            next.removals = next.removals.max(known.removals);
+        }
         next.records = next.records.max(known.records);
         next.evacuated = next.evacuated.max(known.evacuated);
         if update.is_empty() {
--- a/crates/courseshed-edge/tests/directory.rs
+++ b/crates/courseshed-edge/tests/directory.rs
@@ -95,6 +95,7 @@
             is_whole: false,
             changed: vec![server(5_000 + round as u32).into()],
             removed: vec![preferred.clone()],
+            ..ServerChanges::default()
         });
         table.replace(&list, NOW);
         let mut anew = ServerTable::default();
--- a/crates/courseshed-edge/tests/growth.rs
+++ b/crates/courseshed-edge/tests/growth.rs
@@ -95,6 +95,7 @@
         is_whole: false,
         changed: vec![server(servers + 1).into()],
         removed: vec![server(3).id],
+        ..ServerChanges::default()
     });
     table.replace(&list, NOW);
     region.change().bytes_allocated
--- a/crates/courseshed-edge/tests/support/scheduler.rs
+++ b/crates/courseshed-edge/tests/support/scheduler.rs
@@ -81,6 +81,7 @@
             is_whole: true,
             changed: self.shown.servers.iter().cloned().map(Arc::new).collect(),
             removed: Vec::new(),
+            ..ServerChanges::default()
         };
         PeerReply::Update {
             update: Box::new(FleetUpdate {
@@ -89,6 +90,7 @@
                     routing: Some(self.shown.table.version),
                     servers: 1,
                     records: 0,
+                    removals: 0,
                     evacuated: 0,
                 },
                 routing: is_new.then(|| self.shown.table.clone()),
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -27,5 +27,5 @@
 pub use outcomes::{FadingCounts, OutcomeCounts, ServerOutcome, failing_servers};
 pub use proof::{Confirmations, ProofKeeper, RoutingProof};
 pub use server::{Registration, Server, ServerState};
-pub use server_list::{ListChange, ServerChanges, ServerList};
+pub use server_list::{ListChange, ServerChanges, ServerList, ServersKnown};
 pub use state::{EvacuatedZones, FleetState, FleetUpdate, Known, Retirement, RoutingInForce};
--- a/crates/courseshed-registry/src/liveness.rs
+++ b/crates/courseshed-registry/src/liveness.rs
@@ -6,7 +6,7 @@
 
 use courseshed_types::NodeId;
 
-use crate::{FleetState, ServerChanges};
+use crate::{FleetState, ServerChanges, ServersKnown};
 
 /// How long silence is borne.
 #[derive(Clone, Copy, Debug)]
@@ -27,8 +27,8 @@
     since: Duration,
     servers: BTreeMap<Arc<str>, Duration>,
     servers_by_time: BTreeSet<(Duration, Arc<str>)>,
-    /// Revision of the list of servers that was observed last.
-    observed: u64,
+    /// What was observed of the list of servers.
+    observed: ServersKnown,
     nodes: BTreeMap<NodeId, Duration>,
 }
 
@@ -41,7 +41,7 @@
             since: now,
             servers: BTreeMap::new(),
             servers_by_time: BTreeSet::new(),
-            observed: 0,
+            observed: ServersKnown::default(),
             nodes: BTreeMap::new(),
         }
     }
@@ -49,8 +49,8 @@
     /// Takes in who is there. Whoever is seen for the first time counts as heard: a server or machine
     /// that has just announced itself may have done so to another controller.
     pub fn observe(&mut self, now: Duration, state: &FleetState) {
-        if let Some(changes) = state.server_changes_since(self.observed) {
-            self.observed = state.server_revision();
+        while let Some(changes) = state.server_changes_since(self.observed) {
+            self.observed = changes.known;
             self.take_in(now, changes);
         }
         for node in state.stores().keys() {
--- a/crates/courseshed-registry/src/server_list.rs
+++ b/crates/courseshed-registry/src/server_list.rs
@@ -17,6 +17,11 @@
 /// 4,096 are more than an hour of a fleet whose 3,000 servers are all replaced once.
 const REMEMBERED_REMOVALS: usize = 4096;
 
+/// Changes that are told at a time: some 160 KB. Followers of a controller that start together take one such
+/// message each of its memory; with whole lists of 10,000 servers it was 1.6 MB for each of 87, 276 MB of the
+/// 512 MB that it may use.
+const MOST_CHANGES: usize = 1_000;
+
 /// A server with its newest announcement.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Announced {
@@ -98,10 +103,6 @@
 }
 
 impl AnnouncedServers {
-    pub(crate) fn revision(&self) -> u64 {
-        self.revision
-    }
-
     pub(crate) fn get(&self, id: &str) -> Option<&Announced> {
         self.by_id.get(id)
     }
@@ -178,40 +179,77 @@
         }
     }
 
-    /// What changed after a revision; none if nothing did.
-    pub(crate) fn changes_since(&self, revision: u64) -> Option<ServerChanges> {
-        if self.revision <= revision {
+    /// What a follower lacks that knows so much, at most [`MOST_CHANGES`] servers of it; none if it lacks nothing.
+    pub(crate) fn changes_since(&self, known: ServersKnown) -> Option<ServerChanges> {
+        if self.revision <= known.changes && self.revision <= known.removals {
             return None;
         }
-        let is_whole = revision == 0 || revision < self.forgotten;
-        if is_whole {
-            let all = self.by_id.values();
-            return Some(ServerChanges {
-                is_whole,
-                changed: all.map(|announced| announced.server.clone()).collect(),
-                removed: Vec::new(),
-            });
-        }
-        let newer = self.by_revision.range(revision + 1..);
-        let changed = newer.filter_map(|(_, id)| self.by_id.get(id));
-        let removed = self.removals.range(revision + 1..);
+        let is_whole = known.changes == 0 || known.removals < self.forgotten;
+        let known = if is_whole {
+            ServersKnown {
+                changes: 0,
+                removals: self.revision,
+            }
+        } else {
+            known
+        };
+        let mut newer = self.by_revision.range(known.changes.saturating_add(1)..);
+        let told: Vec<(&u64, &String)> = newer.by_ref().take(MOST_CHANGES).collect();
+        let last = told
+            .last()
+            .map_or(self.revision, |(revision, _)| **revision);
+        let has_more = newer.next().is_some();
+        let ids = told.into_iter().map(|(_, id)| id);
+        let changed = ids.filter_map(|id| self.by_id.get(id));
+        let removed = self.removals.range(known.removals.saturating_add(1)..);
         Some(ServerChanges {
             is_whole,
             changed: changed.map(|announced| announced.server.clone()).collect(),
             removed: removed.map(|(_, id)| id.clone()).collect(),
+            known: ServersKnown {
+                changes: if has_more { last } else { self.revision },
+                removals: self.revision,
+            },
+            has_more,
         })
     }
+
+    /// What a follower knows that was told all.
+    pub(crate) fn known(&self) -> ServersKnown {
+        ServersKnown {
+            changes: self.revision,
+            removals: self.revision,
+        }
+    }
+}
+
+/// How much of the servers a follower knows.
+///
+/// Changes are told in the order of their revisions, a bounded number at a time; removals all at once. A server
+/// that was told and is removed before the rest is told is among the removals since.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServersKnown {
+    /// Revision up to which changes were told; 0 before the first.
+    pub changes: u64,
+    /// Revision up to which removals were told.
+    pub removals: u64,
 }
 
 /// What changed of the servers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerChanges {
     /// Whether a server that isn't named is gone.
     pub is_whole: bool,
     /// Servers that are new or changed.
     pub changed: Vec<Arc<Server>>,
-    /// Ids of servers that are gone; one that came back since is among the changed, too.
+    /// Ids of servers that are gone; one that came back since is among the changed, now or later.
     pub removed: Vec<String>,
+    /// What the follower knows once it has taken them in.
+    #[serde(default)]
+    pub known: ServersKnown,
+    /// Whether there are more.
+    #[serde(default)]
+    pub has_more: bool,
 }
 
 /// The servers, as a follower knows them. A copy shares what didn't change.
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -15,7 +15,7 @@
 
 use crate::server::is_later_life;
 use crate::server_list::AnnouncedServers;
-use crate::{Command, Outcome, Registration, Server, ServerChanges, ServerState};
+use crate::{Command, Outcome, Registration, Server, ServerChanges, ServerState, ServersKnown};
 
 /// Servers that left are remembered, so that a late announcement doesn't bring them back.
 const REMEMBERED_DEPARTURES: usize = 4096;
@@ -69,8 +69,11 @@
 pub struct Known {
     /// Version of the routing table; none before the first.
     pub routing: Option<u64>,
-    /// Revision of the servers.
+    /// Revision up to which changes of the servers were told, see [`ServersKnown`].
     pub servers: u64,
+    /// Revision up to which removals of servers were told.
+    #[serde(default)]
+    pub removals: u64,
     /// Revision of the partitions of the records.
     pub records: u64,
     /// Revision of the evacuated zones.
@@ -83,10 +86,20 @@
     pub const EVERYTHING: Self = Self {
         routing: Some(u64::MAX),
         servers: u64::MAX,
+        removals: u64::MAX,
         records: u64::MAX,
         evacuated: u64::MAX,
     };
 
+    /// What is known of the servers.
+    #[must_use]
+    pub fn server_list(&self) -> ServersKnown {
+        ServersKnown {
+            changes: self.servers,
+            removals: self.removals,
+        }
+    }
+
     /// Whether there is anything to be known.
     #[must_use]
     pub fn is_any(&self) -> bool {
@@ -125,11 +138,19 @@
     #[must_use]
     pub fn can_wait(&self) -> bool {
         self.servers.is_some()
+            && !self.has_more()
             && self.routing.is_none()
             && self.record_views.is_empty()
             && self.evacuated.is_none()
     }
 
+    /// Whether more is to be told at once.
+    #[must_use]
+    pub fn has_more(&self) -> bool {
+        let servers = self.servers.as_ref();
+        servers.is_some_and(|servers| servers.has_more)
+    }
+
     /// Whether there is nothing new.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -147,16 +168,10 @@
         self.routing.as_ref()
     }
 
-    /// Grows with each change of the servers.
-    #[must_use]
-    pub fn server_revision(&self) -> u64 {
-        self.servers.revision()
-    }
-
-    /// What changed of the servers after a revision; none if nothing did.
+    /// What a follower of the servers lacks that knows so much, or a part of it; none if it lacks nothing.
     #[must_use]
-    pub fn server_changes_since(&self, revision: u64) -> Option<ServerChanges> {
-        self.servers.changes_since(revision)
+    pub fn server_changes_since(&self, known: ServersKnown) -> Option<ServerChanges> {
+        self.servers.changes_since(known)
     }
 
     /// The servers.
@@ -280,15 +295,19 @@
         let routing = self.routing.as_ref().map(|routing| &routing.table);
         let newer =
             routing.filter(|table| known.routing.is_none_or(|version| version < table.version));
+        let servers = self.servers.changes_since(known.server_list());
+        let told = servers.as_ref().map(|changes| changes.known);
+        let told = told.unwrap_or_else(|| self.servers.known());
         FleetUpdate {
             known: Known {
                 routing: routing.map(|table| table.version),
-                servers: self.servers.revision(),
+                servers: told.changes,
+                removals: told.removals,
                 records: self.records.revision(),
                 evacuated: self.evacuated.revision,
             },
             routing: newer.cloned(),
-            servers: self.servers.changes_since(known.servers),
+            servers,
             record_views: self.records.changes_since(known.records),
             evacuated: (known.evacuated < self.evacuated.revision).then(|| self.evacuated.clone()),
         }
--- a/crates/courseshed-registry/tests/growth.rs
+++ b/crates/courseshed-registry/tests/growth.rs
@@ -7,7 +7,7 @@
 
 use courseshed_consensus::{LogIndex, StateMachine};
 use courseshed_registry::{
-    Command, FleetState, Known, Registration, Server, ServerList, ServerState,
+    Command, FleetState, Known, Registration, Server, ServerList, ServerState, ServersKnown,
 };
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 
@@ -48,14 +48,21 @@
     for number in 0..servers {
         announce(&mut state, number, 1);
     }
-    let known = state.update_for(Known::default()).known;
     let mut follower = ServerList::default();
-    follower.apply(state.server_changes_since(0).expect("servers"));
+    let mut told = ServersKnown::default();
+    while let Some(changes) = state.server_changes_since(told) {
+        told = changes.known;
+        follower.apply(changes);
+    }
     let shown = state.clone();
     let region = Region::new(ALLOCATOR);
     announce(&mut state, servers / 2, 2);
     let copy = state.clone();
-    let update = copy.update_for(known);
+    let update = copy.update_for(Known {
+        servers: told.changes,
+        removals: told.removals,
+        ..Known::default()
+    });
     let changes = update.servers.expect("changes");
     assert_eq!(changes.changed.len() + changes.removed.len(), 2);
     let before = follower.clone();
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -422,6 +422,56 @@
     assert_eq!(follow(&state), 0);
 }
 
+/// A long list is told in parts, while servers come, change and go; so a controller holds little of it for each of
+/// the followers that start together.
+#[parameterized(
+    a_quiet_list = { 0 },
+    a_busy_list = { 7 },
+    more_removals_than_are_remembered = { 3_000 },
+)]
+fn a_long_list_is_told_in_parts_that_come_to_the_whole(changes_between: u64) {
+    let mut state = FleetState::default();
+    for number in 0..3_500 {
+        apply(&mut state, numbered(number, 1));
+    }
+    let mut known = Known::default();
+    let mut follower = ServerList::default();
+    let mut next = 0;
+    for part in 0..40 {
+        let update = state.update_for(known);
+        known = update.known;
+        let has_more = update.has_more();
+        let Some(changes) = update.servers else {
+            break;
+        };
+        assert!(changes.changed.len() <= 1_000, "{}", changes.changed.len());
+        follower.apply(changes);
+        // Parts end once the list rests for a while.
+        if has_more && part < 10 {
+            for _ in 0..changes_between {
+                let number = (next * 7) % 3_500;
+                apply(&mut state, expire(&format!("n{number:05}")));
+                apply(&mut state, numbered(number as u16, 2 + next));
+                apply(&mut state, expire(&format!("n{:05}", (next * 11) % 3_500)));
+                next += 1;
+            }
+        }
+    }
+    let whole: Vec<&Server> = state.servers().collect();
+    let has: Vec<&Server> = follower.iter().map(|server| &**server).collect();
+    assert_eq!(has.len(), whole.len());
+    assert_eq!(has, whole);
+    assert!(state.update_for(known).is_empty());
+}
+
+/// One of many servers, at an address of its own.
+fn numbered(number: u16, sequence: u64) -> Command {
+    let mut registration = registration(ServerState::Ready, sequence);
+    registration.server.id = format!("n{number:05}");
+    registration.server.address.set_port(number);
+    Command::Announce(registration)
+}
+
 #[test]
 fn a_follower_that_lacks_forgotten_removals_is_told_the_whole() {
     let mut state = FleetState::default();
