Let joining stores read last from replicas that lost their place

Change: replicas that count come first, those of the own region before others, and those that lost their place last. The order is a pure function with a test of that view.

--- a/crates/courseshed-edge/src/records/ask_order.rs
+++ b/crates/courseshed-edge/src/records/ask_order.rs
@@ -45,3 +45,24 @@
             && first.all(|member| zones.distance(own_zone, &member.zone) != Distance::OtherRegion)
     }
 }
+
+/// Whom a joining replica in a zone reads from, in this order: what is read from another region takes the room of
+/// all that crosses over, so those of the own region come first.
+///
+/// Replicas that have lost their place come last wherever they are: most lost it since they are silent, and each
+/// is waited for in vain for two seconds, for each partition. They stood in the zone of whoever took the place,
+/// so by distance alone they came first: after a loss of disks stores joined too late for programs to go on.
+#[must_use]
+pub fn order_of_sources<'a>(
+    view: &'a RecordView,
+    zones: &ZoneMap,
+    own_zone: &str,
+) -> Vec<&'a RecordMember> {
+    let is_far =
+        |member: &&RecordMember| zones.distance(own_zone, &member.zone) == Distance::OtherRegion;
+    let mut active: Vec<&RecordMember> = view.active().collect();
+    active.sort_by_key(is_far);
+    let mut former: Vec<&RecordMember> = view.former.iter().collect();
+    former.sort_by_key(is_far);
+    active.into_iter().chain(former).collect()
+}
--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -7,6 +7,7 @@
 use courseshed_types::{NodeId, ZoneMap};
 use tokio::time::{sleep, timeout};
 
+use super::ask_order::order_of_sources;
 use super::disk::Disk;
 use crate::control_client::ControlClient;
 use crate::follower::FleetFollower;
@@ -75,10 +76,7 @@
     async fn read_from_enough(&self, partition: PartitionId, records: &PartitionMap) -> bool {
         let view = records.view(partition);
         let mut missing = view.sources_needed();
-        // The near ones first: what is read from another region takes the room of all that crosses over.
-        let mut sources: Vec<&RecordMember> = view.sources().collect();
-        sources.sort_by_key(|source| self.zones.distance(&self.zone, &source.zone));
-        for source in sources {
+        for source in order_of_sources(view, &self.zones, &self.zone) {
             if missing > 0 && self.read_from(partition, view.epoch, source).await {
                 missing -= 1;
             }
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -7,7 +7,7 @@
 mod outages;
 mod store;
 
-pub use ask_order::AskOrder;
+pub use ask_order::{AskOrder, order_of_sources};
 pub use client::{ChainLookup, RecordClient, RecordsUnavailable, Reservation, Settlement};
 pub use courseshed_records::StoreLimits;
 pub use outages::{Outages, Outlook};
--- a/crates/courseshed-edge/tests/ask_order.rs
+++ b/crates/courseshed-edge/tests/ask_order.rs
@@ -1,6 +1,6 @@
 //! Which replicas of a partition are asked first.
 
-use courseshed_edge::records::AskOrder;
+use courseshed_edge::records::{AskOrder, order_of_sources};
 use courseshed_records::{RecordMember, RecordView};
 use courseshed_types::{NodeId, ZoneMap};
 use yare::parameterized;
@@ -58,3 +58,18 @@
     assert!(!AskOrder::new(&view, &zones, "b1").is_local(&zones, "b1"));
     assert!(!AskOrder::new(&RecordView::default(), &zones, "a1").is_local(&zones, "a1"));
 }
+
+/// Found by days on which stores lost their disks: the replica that had lost its place stood in the zone of the one
+/// that joined, was read from first, and never answered.
+#[test]
+fn a_joining_replica_reads_last_from_those_that_lost_their_place() {
+    let mut view = view(["b1", "a2", "a1", "a2", "b2"], Some(3));
+    view.former = vec![RecordMember {
+        node: NodeId(9),
+        incarnation: 1,
+        zone: "a1".to_owned(),
+        active: true,
+    }];
+    let order = order_of_sources(&view, &zones(), "a1");
+    assert_eq!(nodes(&order), [2, 4, 1, 5, 9]);
+}
