--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -30,8 +30,8 @@
 const HOLDS_A_REVOCATION: u32 = 6;
 /// How much longer than that an answer may take.
 const ANSWER_SLACK: Duration = Duration::from_millis(250);
-/// How much longer an answer may take that tells of all servers: of 10,000 it is 1.6 MB, 0.43 s of a gateway's
-/// link of 30 Mbit/s, and 1.1 s of a controller's of 1,000 Mbit/s for 87 gateways that start together.
+/// How much longer the first answer may take. It tells of up to 1,000 servers, some 160 KB: 43 ms of a gateway's
+/// link of 30 Mbit/s, and 0.11 s of a controller's of 1,000 Mbit/s for 87 gateways that start together.
 const WHOLE_SLACK: Duration = Duration::from_secs(3);
 /// An answer no older than this means that controllers can be reached: two requests that are held.
 const HEARD_LATELY: Duration = Duration::from_millis(1500);
@@ -226,8 +226,8 @@
 
     /// Looks for a controller with something to begin with, and takes it from that one: after a loss of
     /// power some may not be there yet, and any state that was in force once serves until a leader is found.
-    /// All are asked whether they have something, and only one for it: with 10,000 servers it is 1.6 MB,
-    /// half a second of a gateway's link of 30 Mbit/s.
+    /// All are asked whether they have something, and only one for it: with 10,000 servers it is 1.6 MB
+    /// in ten parts, half a second of a gateway's link of 30 Mbit/s.
     async fn first_news(&self) -> Known {
         loop {
             let controllers = self.controllers();
