Tell which controller brought a routing table, and when a controller lacks what is committed

Cause: a gateway that serves an older routing table can have got it late from a controller that lies behind, from one whose link is full, or under a change of the leader; no line told these apart. Change: routing_in_force names the controller; replica_behind and replica_caught_up of controllers, from a pure tracker of what the leader told to be committed against what is applied. Nothing decides by it yet.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -29,7 +29,7 @@
 const SUBMIT_LIMIT: Duration = Duration::from_millis(900);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// A controller that has not heard the leader for so long may not say that nothing is new.
-const FRESH_LIMIT: Duration = Duration::from_millis(600);
+pub(super) const FRESH_LIMIT: Duration = Duration::from_millis(600);
 
 /// Why a controller can't do what it was asked.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -12,11 +12,11 @@
     GroupOutputs, LogIndex, Message, MessageBody, ProposeError, ReadId, ReplicaAddress, RoleChange,
     RoleName, Term,
 };
-use courseshed_registry::{Command, Outcome};
+use courseshed_registry::{Command, CommitFreshness, Outcome};
 use courseshed_types::NodeId;
 use tokio::sync::oneshot;
 
-use super::handle::{Input, Published, Reading, Shared};
+use super::handle::{FRESH_LIMIT, Input, Published, Reading, Shared};
 use super::housekeeping::{Housekeeper, INTERVAL, replicas_wanted};
 use super::quotas::OwnedQuotas;
 use super::replica::{Group, ReplicaFailure, WorkerOptions};
@@ -57,6 +57,9 @@
     pub(super) quota: Option<OwnedQuotas>,
     next_housekeeping: Duration,
     leader_heard: Duration,
+    freshness: CommitFreshness,
+    /// Since when this replica lacks what it was told to be committed, once that was said in the log.
+    behind_since: Option<Duration>,
     pub(super) shown: Shown,
     has_news: bool,
 }
@@ -82,6 +85,8 @@
             quota: None,
             next_housekeeping: Duration::ZERO,
             leader_heard: Duration::ZERO,
+            freshness: CommitFreshness::default(),
+            behind_since: None,
             shown,
             has_news: true,
         };
@@ -97,6 +102,7 @@
             self.keep_house();
             let outputs = self.group.take_outputs();
             self.carry_out(outputs);
+            self.note_applied();
             if let Some(failure) = self.group.failure() {
                 return Some(ReplicaFailure::of(failure));
             }
@@ -161,6 +167,9 @@
         );
         if is_from_leader && message.term >= self.group.term() {
             self.leader_heard = now;
+            if let MessageBody::Append { commit, .. } = message.body {
+                self.freshness.note_committed(now, commit);
+            }
         }
         if let Some(housekeeper) = &mut self.housekeeper {
             housekeeper.liveness.heard_node(now, from);
@@ -168,6 +177,28 @@
         self.group.handle(now, message);
     }
 
+    /// Follows how new the state is, and says when it falls behind what is committed.
+    fn note_applied(&mut self) {
+        let now = self.now();
+        let applied = self.group.status().applied_index;
+        self.freshness.note_applied(applied);
+        let current = self.freshness.current_as_of().unwrap_or_default();
+        let lacked = self.freshness.lacked();
+        let is_behind = lacked.is_some() && now.saturating_sub(current) > FRESH_LIMIT;
+        match (self.behind_since, is_behind, lacked) {
+            (None, true, Some(lacked)) => {
+                self.behind_since = Some(current);
+                log::warn!(event = "replica_behind", applied = applied.0, committed = lacked.0; "this controller lacks what was committed a while ago");
+            }
+            (Some(since), false, _) => {
+                self.behind_since = None;
+                let behind_ms = now.saturating_sub(since).as_millis() as u64;
+                log::info!(event = "replica_caught_up", applied = applied.0, behind_ms; "this controller has all that is committed again");
+            }
+            _ => {}
+        }
+    }
+
     fn on_heard(&mut self, servers: Vec<String>, nodes: Vec<NodeId>) {
         let now = self.now();
         if let Some(housekeeper) = &mut self.housekeeper {
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -212,7 +212,7 @@
                     log::info!(event = "controller_regained", controller:% = controller, failures; "following a controller again");
                 }
                 failures = 0;
-                known = self.take_in(known, update);
+                known = self.take_in(controller, known, update);
                 continue;
             }
             failures += 1;
@@ -244,7 +244,7 @@
                     if let Some(update) = self.ask(controller, known).await
                         && !update.is_empty()
                     {
-                        return self.take_in(known, update);
+                        return self.take_in(controller, known, update);
                     }
                 }
             }
@@ -390,7 +390,7 @@
         }
     }
 
-    fn take_in(&self, known: Known, update: FleetUpdate) -> Known {
+    fn take_in(&self, controller: NodeId, known: Known, update: FleetUpdate) -> Known {
         let mut next = update.known;
         next.routing = next.routing.max(known.routing);
         let servers = update.servers.as_ref();
@@ -407,7 +407,7 @@
             if let Some(routing) = update.routing {
                 let held = view.routing.as_ref().map(|held| held.version);
                 if held < Some(routing.version) {
-                    log::info!(event = "routing_in_force", version = routing.version, routes = routing.table.routes.len(); "a routing table is in force here");
+                    log::info!(event = "routing_in_force", controller:% = controller, version = routing.version, routes = routing.table.routes.len(); "a routing table is in force here");
                     view.routing = Some(routing);
                 }
             }
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod avoidance;
 mod command;
+mod freshness;
 mod liveness;
 mod load;
 mod outcomes;
@@ -22,6 +23,7 @@
 
 pub use avoidance::{Avoidance, AvoidanceChange, ProbeTurn, Standing, advance_service};
 pub use command::{Command, Outcome};
+pub use freshness::CommitFreshness;
 pub use liveness::{Liveness, LivenessSettings};
 pub use load::{LoadBoard, LoadReport, ServerFailures, ServerLoad, pause_after_reports};
 pub use outcomes::{FadingCounts, OutcomeCounts, ServerOutcome, failing_servers};
