--- /dev/null
+++ b/crates/courseshed-edge/tests/lagging_controller.rs
@@ -0,0 +1,221 @@
+//! A controller that hears its leader, but lacks what that leader has committed.
+//!
+//! What was seen: operators were told that routes were in force, and 2.6 and 2.9 s later two of 79 gateways
+//! answered 404 for them.
+//!
+//! Order of events: operators changed the routing table two or three times a second. Two of five controllers had
+//! been cut off for some seconds, and returned. They heard the leader again at once, long before they had
+//! been sent what had been committed meanwhile.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use courseshed_consensus::{
+    Entry, EntryPayload, FaultSwitch, GroupId, LogIndex, Message, MessageBody, Probe,
+    ReplicaAddress, StateMachine, Term,
+};
+use courseshed_edge::controller::{self, ControllerSettings, LossTerms};
+use courseshed_edge::follower::{FleetFollower, FollowerKind};
+use courseshed_edge::follower_order::{CandidateController, order_of_controllers};
+use courseshed_edge::metrics::Metrics;
+use courseshed_edge::peers::{Peers, start_peers};
+use courseshed_edge::protocol::{
+    FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest, node_at,
+    replica_of,
+};
+use courseshed_registry::{Command, FleetState};
+use courseshed_transport::{Handler, PeerIdentity, ReplySender};
+use courseshed_types::NodeId;
+use parking_lot::Mutex;
+use support::{QUOTA, free_port, new_subnet, plain_route, table, until};
+use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
+
+/// How soon a change must be in force everywhere, by the shortest bound that users ask for.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// How often a leader lets its followers hear it.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// The group, term and disks' lives of the controllers of a first start.
+const GROUP: GroupId = GroupId(1);
+const TERM: Term = Term(1);
+const INCARNATION: u64 = 1;
+
+/// What a leader has committed, and what of it the controller under test was sent.
+#[derive(Default)]
+struct Log {
+    state: FleetState,
+    committed: Vec<Entry>,
+    sent: usize,
+}
+
+/// The leader, as far as one replica and its followers see it.
+struct Leader {
+    log: Mutex<Log>,
+}
+
+impl Leader {
+    /// Commits a version of the routing table, with the other replicas.
+    fn commit(&self, version: u64) {
+        let command = Command::ReplaceRouting {
+            table: table(version, vec![plain_route()], None),
+            document: Bytes::new(),
+        };
+        let data = rmp_serde::to_vec_named(&command).expect("a command");
+        let mut log = self.log.lock();
+        let index = LogIndex(log.committed.len() as u64 + 1);
+        log.state.apply(index, &data);
+        log.committed.push(Entry {
+            term: TERM,
+            index,
+            payload: EntryPayload::Data(data.into()),
+        });
+    }
+
+    /// All that the replica was not sent yet, or nothing: a heartbeat.
+    fn append(&self, sends_entries: bool) -> MessageBody {
+        let mut log = self.log.lock();
+        let from = log.sent;
+        if sends_entries {
+            log.sent = log.committed.len();
+        }
+        let entries = log.committed[from..log.sent].to_vec();
+        MessageBody::Append {
+            previous_index: LogIndex(from as u64),
+            previous_term: if from == 0 { Term(0) } else { TERM },
+            entries,
+            commit: LogIndex(log.committed.len() as u64),
+            probe: Probe::default(),
+        }
+    }
+}
+
+struct LeaderPeers {
+    leader: Arc<Leader>,
+    controllers: Vec<NodeId>,
+}
+
+impl Handler<FleetProtocol> for LeaderPeers {
+    fn on_message(&self, _from: PeerIdentity, _message: PeerMessage) {}
+
+    fn on_request(
+        &self,
+        _from: PeerIdentity,
+        request: PeerRequest,
+        reply: ReplySender<FleetProtocol>,
+    ) {
+        let PeerRequest::Follow { known, hold_ms, .. } = request else {
+            return;
+        };
+        let leader = self.leader.clone();
+        let controllers = self.controllers.clone();
+        tokio::spawn(async move {
+            let mut update = leader.log.lock().state.update_for(known);
+            if update.is_empty() {
+                sleep(Duration::from_millis(hold_ms)).await;
+                update = leader.log.lock().state.update_for(known);
+            }
+            reply.send(PeerReply::Update {
+                update: Box::new(update),
+                controllers,
+                is_fresh: true,
+                proof: None,
+            });
+        });
+    }
+}
+
+/// Lets a replica hear the leader without being sent anything.
+async fn keep_hearing(peers: Arc<Peers>, leader: Arc<Leader>, from: NodeId, to: NodeId) {
+    loop {
+        tell(&peers, from, to, leader.append(false));
+        sleep(HEARTBEAT).await;
+    }
+}
+
+fn tell(peers: &Peers, from: NodeId, to: NodeId, body: MessageBody) {
+    let message = Message {
+        group: GROUP,
+        from: ReplicaAddress::new(replica_of(from), INCARNATION),
+        to: replica_of(to),
+        term: TERM,
+        body,
+    };
+    peers
+        .send(to, PeerMessage::Consensus(message))
+        .expect("a known peer");
+}
+
+/// A machine whose first choice among controllers is the given one.
+fn follower_of(host: impl Fn(u8) -> Ipv4Addr, preferred: NodeId, other: NodeId) -> NodeId {
+    let candidate = |node| CandidateController {
+        node,
+        answered_in: Some(Duration::ZERO),
+    };
+    (10..100)
+        .map(|number| node_at(host(number)))
+        .find(|node| {
+            let candidates = vec![candidate(preferred), candidate(other)];
+            order_of_controllers(*node, candidates)[0] == preferred
+        })
+        .expect("half of all nodes prefer it")
+}
+
+#[actix_rt::test]
+async fn a_controller_that_lacks_what_is_committed_keeps_no_gateway_from_it() {
+    let folder = TempDir::new().expect("a folder");
+    let [a, b, c, _] = new_subnet().octets();
+    let host = |number: u8| Ipv4Addr::new(a, b, c, number);
+    let addresses = PeerAddresses {
+        first_port: free_port(host(1)),
+    };
+    let [behind, leading, silent] = [1, 2, 3].map(|number| node_at(host(number)));
+    controller::start(ControllerSettings {
+        node: behind,
+        folder: folder.path().to_owned(),
+        is_first_start: true,
+        seeds: Box::new(move || vec![behind, leading, silent]),
+        addresses,
+        server_silence: Duration::from_secs(600),
+        losses: LossTerms::default(),
+        quota: QUOTA,
+        metrics: Arc::new(Metrics::new()),
+        disk_faults: FaultSwitch::default(),
+    })
+    .await
+    .expect("a controller");
+    let leader = Arc::new(Leader {
+        log: Mutex::default(),
+    });
+    let handler = Arc::new(LeaderPeers {
+        leader: leader.clone(),
+        controllers: vec![behind, leading],
+    });
+    let peers = start_peers(leading, addresses, PeerPort::Controller, handler.clone());
+    let peers = Arc::new(peers.expect("a port"));
+    peers.set_address(behind, addresses.of(behind, PeerPort::Controller));
+    leader.commit(1);
+    tell(&peers, leading, behind, leader.append(true));
+    tokio::spawn(keep_hearing(peers.clone(), leader.clone(), leading, behind));
+
+    let node = follower_of(host, behind, leading);
+    let own = start_peers(node, addresses, PeerPort::Gateway, handler);
+    let follower = FleetFollower::new(
+        Arc::new(own.expect("a port")),
+        addresses,
+        FollowerKind::Gateway { revocation: None },
+        Box::new(move || vec![behind, leading]),
+    );
+    tokio::spawn(follower.clone().run());
+    let version = || follower.view().routing.map(|routing| routing.version);
+    until(async || version() == Some(1)).await;
+    until(async || follower.controllers().first() == Some(&behind)).await;
+
+    leader.commit(2);
+    let in_force = until(async || version() == Some(2));
+    let is_in_time = timeout(IN_FORCE, in_force).await.is_ok();
+    assert!(is_in_time, "the gateway holds {:?}", version());
+}
