Count a controller as fresh by what it has applied, not by having heard its leader

Callers saw 404 at single gateways for routes that had been confirmed 2.6 and 2.9 s before. Those gateways followed a controller that had returned from behind a cut: it heard the leader at once, so it told them that nothing was new, while it still lacked what had been committed meanwhile. Class: freshness judged by a sign of life in place of the state that is asked for. Change: a controller's state is as new as the last word of its leader whose commit index it has applied; older than 0.6 s, it no longer says that nothing is new. It holds because followers need no other ground to leave: the next controller in their order is asked within 60 ms, and news are still taken from anyone. Ruled out: a proof of the routing table (deployments with strict keys) never came from such a controller.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -28,7 +28,7 @@
 /// after a second of silence.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(900);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// A controller that has not heard the leader for so long may not say that nothing is new.
+/// A controller whose state is older than this may not say that nothing is new.
 pub(super) const FRESH_LIMIT: Duration = Duration::from_millis(600);
 
 /// Why a controller can't do what it was asked.
@@ -61,7 +61,8 @@
     pub leader: Option<NodeId>,
     /// The controllers, with the lives of their disks.
     pub controllers: BTreeMap<NodeId, u64>,
-    pub leader_heard: Duration,
+    /// Up to when the state holds all that was committed; none if that was never known.
+    pub current_as_of: Option<Duration>,
 }
 
 /// What is read of the state once a quorum has confirmed it.
@@ -192,11 +193,16 @@
         });
     }
 
-    /// Whether this controller leads, or heard the leader lately.
+    /// Whether the state holds all that was committed until lately, so that its lack of news is one.
+    ///
+    /// It isn't enough to have heard the leader: a controller that returns from behind a cut hears it at once, and
+    /// would keep its followers from what it lacks itself.
     pub(crate) fn is_fresh(&self) -> bool {
         let published = self.published.borrow();
-        published.leader.is_some()
-            && self.clock.now().saturating_sub(published.leader_heard) < FRESH_LIMIT
+        let age = published
+            .current_as_of
+            .map(|at| self.clock.now().saturating_sub(at));
+        published.leader.is_some() && age.is_some_and(|age| age < FRESH_LIMIT)
     }
 
     pub(crate) fn hear_node(&self, node: NodeId) {
@@ -347,7 +353,7 @@
         state.retirement(name).ok_or(ControlError::UnknownMachine)
     }
 
-    /// Whether this controller leads, or heard the leader lately.
+    /// Whether this controller leads, or has all that the leader had committed until lately.
     #[must_use]
     pub fn hears_a_leader(&self) -> bool {
         self.shared.is_fresh()
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -56,7 +56,6 @@
     /// The owner of tenants' permits, while this controller leads.
     pub(super) quota: Option<OwnedQuotas>,
     next_housekeeping: Duration,
-    leader_heard: Duration,
     freshness: CommitFreshness,
     /// Since when this replica lacks what it was told to be committed, once that was said in the log.
     behind_since: Option<Duration>,
@@ -84,7 +83,6 @@
             housekeeper: None,
             quota: None,
             next_housekeeping: Duration::ZERO,
-            leader_heard: Duration::ZERO,
             freshness: CommitFreshness::default(),
             behind_since: None,
             shown,
@@ -161,15 +159,10 @@
     fn on_consensus(&mut self, message: Message) {
         let now = self.now();
         let from = node_of(message.from.replica);
-        let is_from_leader = matches!(
-            message.body,
-            MessageBody::Append { .. } | MessageBody::SnapshotChunk { .. }
-        );
-        if is_from_leader && message.term >= self.group.term() {
-            self.leader_heard = now;
-            if let MessageBody::Append { commit, .. } = message.body {
-                self.freshness.note_committed(now, commit);
-            }
+        if let MessageBody::Append { commit, .. } = message.body
+            && message.term >= self.group.term()
+        {
+            self.freshness.note_committed(now, commit);
         }
         if let Some(housekeeper) = &mut self.housekeeper {
             housekeeper.liveness.heard_node(now, from);
@@ -366,12 +359,12 @@
         let is_leader = self.group.is_leader();
         let configuration = self.group.peer().configuration();
         let now = self.now();
+        let applied = self.group.status().applied_index;
         let has_lease = is_leader && self.group.lease_valid(now);
         if has_lease {
-            self.leader_heard = now;
+            self.freshness.note_committed(now, applied);
         }
         let news = std::mem::take(&mut self.has_news);
-        let applied = self.group.status().applied_index;
         if news && applied >= self.shown.applied {
             self.shown.applied = applied;
             self.shown.published.state = Arc::new(self.group.machine().clone());
@@ -386,7 +379,7 @@
                 .members()
                 .map(|(id, member)| (node_of(id), member.incarnation))
                 .collect(),
-            leader_heard: self.leader_heard,
+            current_as_of: self.freshness.current_as_of(),
         };
         self.shown.published = published.clone();
         if has_lease {
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -217,7 +217,7 @@
             }
             failures += 1;
             if failures == 1 {
-                log::warn!(event = "controller_lost", controller:% = controller; "a controller does not answer, or has not heard the leader");
+                log::warn!(event = "controller_lost", controller:% = controller; "a controller does not answer, or may lack what is committed");
             }
             self.pass_over(controller, failures);
             sleep(PAUSE).await;
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -205,7 +205,7 @@
         update: Box<FleetUpdate>,
         /// The controllers, to ask others when this one falls silent.
         controllers: Vec<NodeId>,
-        /// Whether this controller heard the leader lately.
+        /// Whether this controller has all that was committed until lately.
         is_fresh: bool,
         /// When the routing table was surely the newest; none if that isn't known.
         proof: Option<RoutingProof>,
--- a/crates/courseshed-edge/tests/lagging_controller.rs
+++ b/crates/courseshed-edge/tests/lagging_controller.rs
@@ -6,6 +6,13 @@
 //! Order of events: operators changed the routing table two or three times a second. Two of five controllers had
 //! been cut off for some seconds, and returned. They heard the leader again at once, long before they had
 //! been sent what had been committed meanwhile.
+//!
+//! Cause: a controller counted as fresh when it had heard the leader, whatever it lacked, and so told its followers
+//! that nothing was new. They had no reason to ask another one.
+//!
+//! Proof: on a day with such a cut, `replica_behind` showed a controller that heard the leader and lacked up to 13 committed
+//! entries for 1.6 s. The test below, with such a controller, left its gateway at the older table for
+//! as long as it lasted.
 
 mod support;
 
