Deny no retirement that a controller may lack

An operator that asked a controller which lacked what was committed how far the emptying of a machine is got 404, as if nobody had asked for it. Change: what isn't known is denied only by a controller that has all that was committed 0.6 s ago, else 503: ask again. A retirement asked for within those 0.6 s can still be denied. Measured: the test failed before (UnknownMachine in place of Unsure) and passes.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -361,10 +361,14 @@
     /// How far the emptying of a machine is, as far as this controller knows.
     ///
     /// # Errors
-    /// [`ControlError::UnknownMachine`] when no emptying of it was asked for.
+    /// [`ControlError::UnknownMachine`] when no emptying of it was asked for, [`ControlError::Unsure`] when this
+    /// controller may lack that it was.
     pub fn retirement(&self, name: &str) -> Result<Retirement, ControlError> {
-        let state = self.shared.published().state;
-        state.retirement(name).ok_or(ControlError::UnknownMachine)
+        match self.shared.state().retirement(name) {
+            Some(retirement) => Ok(retirement),
+            None if self.shared.is_fresh() => Err(ControlError::UnknownMachine),
+            None => Err(ControlError::Unsure),
+        }
     }
 
     /// Whether this controller leads, or has all that the leader had committed until lately.
--- a/crates/courseshed-edge/tests/lagging_controller.rs
+++ b/crates/courseshed-edge/tests/lagging_controller.rs
@@ -25,7 +25,9 @@
     Entry, EntryPayload, FaultSwitch, GroupId, LogIndex, Message, MessageBody, Probe,
     ReplicaAddress, StateMachine, Term,
 };
-use courseshed_edge::controller::{self, ControllerSettings, LossTerms};
+use courseshed_edge::controller::{
+    self, ControlError, ControllerHandle, ControllerSettings, LossTerms,
+};
 use courseshed_edge::follower::{FleetFollower, FollowerKind};
 use courseshed_edge::follower_order::{CandidateController, order_of_controllers};
 use courseshed_edge::metrics::Metrics;
@@ -176,58 +178,114 @@
         .expect("half of all nodes prefer it")
 }
 
+/// A controller under test, a follower that prefers it, and its leader.
+struct Fleet {
+    controller: ControllerHandle,
+    leader: Arc<Leader>,
+    peers: Arc<Peers>,
+    follower: Arc<FleetFollower>,
+    behind: NodeId,
+    leading: NodeId,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts with version 1 in force everywhere, and the follower at the controller under test.
+    async fn start() -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let [a, b, c, _] = new_subnet().octets();
+        let host = |number: u8| Ipv4Addr::new(a, b, c, number);
+        let addresses = PeerAddresses {
+            first_port: free_port(host(1)),
+        };
+        let [behind, leading, silent] = [1, 2, 3].map(|number| node_at(host(number)));
+        let controller = controller::start(ControllerSettings {
+            node: behind,
+            folder: folder.path().to_owned(),
+            is_first_start: true,
+            seeds: Box::new(move || vec![behind, leading, silent]),
+            addresses,
+            server_silence: Duration::from_secs(600),
+            losses: LossTerms::default(),
+            quota: QUOTA,
+            metrics: Arc::new(Metrics::new()),
+            disk_faults: FaultSwitch::default(),
+        })
+        .await
+        .expect("a controller");
+        let leader = Arc::new(Leader {
+            log: Mutex::default(),
+        });
+        let handler = Arc::new(LeaderPeers {
+            leader: leader.clone(),
+            controllers: vec![behind, leading],
+        });
+        let peers = start_peers(leading, addresses, PeerPort::Controller, handler.clone());
+        let peers = Arc::new(peers.expect("a port"));
+        peers.set_address(behind, addresses.of(behind, PeerPort::Controller));
+        leader.commit(1);
+        tell(&peers, leading, behind, leader.append(true));
+        let hearing = keep_hearing(peers.clone(), leader.clone(), leading, behind);
+        tokio::spawn(hearing);
+        let node = follower_of(host, behind, leading);
+        let own = start_peers(node, addresses, PeerPort::Gateway, handler);
+        let follower = FleetFollower::new(
+            Arc::new(own.expect("a port")),
+            addresses,
+            FollowerKind::Gateway { revocation: None },
+            Box::new(move || vec![behind, leading]),
+        );
+        tokio::spawn(follower.clone().run());
+        let fleet = Self {
+            controller,
+            leader,
+            peers,
+            follower,
+            behind,
+            leading,
+            _folder: folder,
+        };
+        until(async || fleet.version() == Some(1)).await;
+        until(async || fleet.followed() == Some(behind)).await;
+        fleet
+    }
+
+    fn version(&self) -> Option<u64> {
+        self.follower.view().routing.map(|routing| routing.version)
+    }
+
+    fn followed(&self) -> Option<NodeId> {
+        self.follower.controllers().first().copied()
+    }
+
+    /// Sends the controller under test all that it lacks.
+    fn let_catch_up(&self) {
+        let entries = self.leader.append(true);
+        tell(&self.peers, self.leading, self.behind, entries);
+    }
+}
+
 #[actix_rt::test]
 async fn a_controller_that_lacks_what_is_committed_keeps_no_gateway_from_it() {
-    let folder = TempDir::new().expect("a folder");
-    let [a, b, c, _] = new_subnet().octets();
-    let host = |number: u8| Ipv4Addr::new(a, b, c, number);
-    let addresses = PeerAddresses {
-        first_port: free_port(host(1)),
-    };
-    let [behind, leading, silent] = [1, 2, 3].map(|number| node_at(host(number)));
-    controller::start(ControllerSettings {
-        node: behind,
-        folder: folder.path().to_owned(),
-        is_first_start: true,
-        seeds: Box::new(move || vec![behind, leading, silent]),
-        addresses,
-        server_silence: Duration::from_secs(600),
-        losses: LossTerms::default(),
-        quota: QUOTA,
-        metrics: Arc::new(Metrics::new()),
-        disk_faults: FaultSwitch::default(),
-    })
-    .await
-    .expect("a controller");
-    let leader = Arc::new(Leader {
-        log: Mutex::default(),
-    });
-    let handler = Arc::new(LeaderPeers {
-        leader: leader.clone(),
-        controllers: vec![behind, leading],
-    });
-    let peers = start_peers(leading, addresses, PeerPort::Controller, handler.clone());
-    let peers = Arc::new(peers.expect("a port"));
-    peers.set_address(behind, addresses.of(behind, PeerPort::Controller));
-    leader.commit(1);
-    tell(&peers, leading, behind, leader.append(true));
-    tokio::spawn(keep_hearing(peers.clone(), leader.clone(), leading, behind));
-
-    let node = follower_of(host, behind, leading);
-    let own = start_peers(node, addresses, PeerPort::Gateway, handler);
-    let follower = FleetFollower::new(
-        Arc::new(own.expect("a port")),
-        addresses,
-        FollowerKind::Gateway { revocation: None },
-        Box::new(move || vec![behind, leading]),
-    );
-    tokio::spawn(follower.clone().run());
-    let version = || follower.view().routing.map(|routing| routing.version);
-    until(async || version() == Some(1)).await;
-    until(async || follower.controllers().first() == Some(&behind)).await;
-
-    leader.commit(2);
-    let in_force = until(async || version() == Some(2));
+    let fleet = Fleet::start().await;
+    fleet.leader.commit(2);
+    let in_force = until(async || fleet.version() == Some(2));
     let is_in_time = timeout(IN_FORCE, in_force).await.is_ok();
-    assert!(is_in_time, "the gateway holds {:?}", version());
+    assert!(is_in_time, "the gateway holds {:?}", fleet.version());
+}
+
+/// Operators that asked how far the emptying of a machine is were told that nobody had asked for it.
+#[actix_rt::test]
+async fn a_controller_that_lacks_what_is_committed_denies_no_retirement() {
+    let fleet = Fleet::start().await;
+    let known = fleet.controller.retirement("store-1");
+    assert_eq!(known, Err(ControlError::UnknownMachine));
+    fleet.leader.commit(2);
+    until(async || !fleet.controller.hears_a_leader()).await;
+    let unsure = fleet.controller.retirement("store-1");
+    assert_eq!(unsure, Err(ControlError::Unsure));
+    fleet.let_catch_up();
+    until(async || fleet.controller.hears_a_leader()).await;
+    let known = fleet.controller.retirement("store-1");
+    assert_eq!(known, Err(ControlError::UnknownMachine));
 }
