Let followers return to the controller of their choice

Cause: a follower left a controller only when that was lost. Change: one that doesn't follow the first of its order, or couldn't compare all controllers, compares them again every 4 to 6 s; only those that have what is committed count as there. It holds as it is the same pure order as at the start, spread by node, and costs a question to each controller.

--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -33,6 +33,9 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(250);
 /// An answer no older than this means that controllers can be reached: two requests that are held.
 const HEARD_LATELY: Duration = Duration::from_millis(1500);
+/// How often a node that follows another controller than it would choose looks whether that one serves again: a cut
+/// drives all followers to the controllers that are left, and what these send would stay theirs.
+const RETURN_CHECK: Duration = Duration::from_secs(5);
 /// Pause after a controller that could not help.
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause between questions to a controller that has nothing to tell yet.
@@ -106,6 +109,14 @@
     }
 }
 
+/// In which order a node would follow controllers.
+#[derive(Default)]
+struct ControllerOrder {
+    nodes: Vec<NodeId>,
+    /// Whether all of them could be followed then.
+    is_whole: bool,
+}
+
 /// What a controller answered.
 struct ControllerAnswer {
     update: FleetUpdate,
@@ -120,6 +131,8 @@
     kind: FollowerKind,
     seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
     candidates: Mutex<VecDeque<NodeId>>,
+    /// The order of controllers when they were compared last.
+    order: Mutex<ControllerOrder>,
     view: watch::Sender<FleetView>,
     assembler: Mutex<TableAssembler>,
     clock: Clock,
@@ -145,6 +158,7 @@
             kind,
             seeds,
             candidates: Mutex::new(VecDeque::new()),
+            order: Mutex::default(),
             view: watch::channel(FleetView::default()).0,
             assembler: Mutex::default(),
             clock: Clock::start(),
@@ -205,7 +219,14 @@
     pub async fn run(self: Arc<Self>) {
         let mut known = self.first_news().await;
         let mut failures = 0;
+        let mut next_check = Instant::now() + return_pause();
         loop {
+            if next_check <= Instant::now() {
+                next_check = Instant::now() + return_pause();
+                if !self.follows_first_choice() {
+                    self.order_controllers().await;
+                }
+            }
             let controllers = self.controllers();
             let Some(controller) = controllers.first().copied() else {
                 sleep(PAUSE).await;
@@ -265,8 +286,8 @@
             .map(|node| async move {
                 let answer = self
                     .exchange(*node, Known::EVERYTHING, Duration::ZERO)
-                    .await;
-                answer.map(|_| (*node, began.elapsed()))
+                    .await?;
+                answer.is_sure.then(|| (*node, began.elapsed()))
             })
             .collect();
         let mut answered = BTreeMap::new();
@@ -278,10 +299,26 @@
             answered_in: answered.get(node).copied(),
         });
         let order = order_of_controllers(self.peers.identity().node, candidates.collect());
-        log::info!(event = "controllers_ordered", controllers:? = order; "the order in which controllers are followed");
+        let mut known = self.order.lock();
+        if known.nodes != order {
+            log::info!(event = "controllers_ordered", controllers:? = order; "the order in which controllers are followed");
+        }
+        *known = ControllerOrder {
+            nodes: order.clone(),
+            is_whole: answered.len() == order.len(),
+        };
         *self.candidates.lock() = order.into();
     }
 
+    /// Whether the controller that is followed is the one that this node would choose, had it the choice of all.
+    fn follows_first_choice(&self) -> bool {
+        let candidates = self.candidates.lock();
+        let order = self.order.lock();
+        let is_same = candidates.len() == order.nodes.len()
+            && candidates.iter().all(|node| order.nodes.contains(node));
+        is_same && order.is_whole && candidates.front() == order.nodes.first()
+    }
+
     /// Asks a controller until it has something to tell, less and less often: a fleet that starts for the first
     /// time waits for its first routing table, and asks the three controllers that all of it knows.
     async fn ask_until_any(&self, controller: NodeId) -> NodeId {
@@ -442,6 +479,11 @@
     }
 }
 
+/// Spread, so that the followers of a controller that returned don't all come back at once.
+fn return_pause() -> Duration {
+    RETURN_CHECK.mul_f64(rand::random_range(0.75..1.25))
+}
+
 /// Takes in views of partitions, and says which are new here.
 fn learn_views(records: &mut Arc<PartitionMap>, changes: Vec<ViewChange>) {
     let records = Arc::make_mut(records);
--- a/crates/courseshed-edge/tests/lagging_controller.rs
+++ b/crates/courseshed-edge/tests/lagging_controller.rs
@@ -46,6 +46,8 @@
 
 /// How soon a change must be in force everywhere, by the shortest bound that users ask for.
 const IN_FORCE: Duration = Duration::from_secs(2);
+/// More than the time after which a follower looks whether its first choice serves again.
+const LONGER_THAN_A_CHECK: Duration = Duration::from_secs(7);
 /// How often a leader lets its followers hear it.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 /// The group, term and disks' lives of the controllers of a first start.
@@ -289,3 +291,19 @@
     let known = fleet.controller.retirement("store-1");
     assert_eq!(known, Err(ControlError::UnknownMachine));
 }
+
+/// After a cut nobody went back: the leader of five had 115 connections, and one that had returned 28.
+#[actix_rt::test]
+async fn a_gateway_returns_to_its_controller_once_that_has_caught_up() {
+    let fleet = Fleet::start().await;
+    fleet.leader.commit(2);
+    until(async || fleet.followed() == Some(fleet.leading)).await;
+    sleep(LONGER_THAN_A_CHECK).await;
+    assert_eq!(fleet.followed(), Some(fleet.leading), "it lacks version 2");
+    fleet.let_catch_up();
+    until(async || fleet.followed() == Some(fleet.behind)).await;
+    fleet.leader.commit(3);
+    fleet.let_catch_up();
+    until(async || fleet.version() == Some(3)).await;
+    assert_eq!(fleet.followed(), Some(fleet.behind));
+}
