Hold one lock at a time where the order of controllers is made

Cause: the order and the candidates were locked one inside the other in two places, in different orders. Both run in one task, so nothing could wait, but nothing said so either. Change: the order is replaced first, then the candidates.

--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -299,14 +299,14 @@
             answered_in: answered.get(node).copied(),
         });
         let order = order_of_controllers(self.peers.identity().node, candidates.collect());
-        let mut known = self.order.lock();
-        if known.nodes != order {
-            log::info!(event = "controllers_ordered", controllers:? = order; "the order in which controllers are followed");
-        }
-        *known = ControllerOrder {
+        let made = ControllerOrder {
             nodes: order.clone(),
             is_whole: answered.len() == order.len(),
         };
+        let before = std::mem::replace(&mut *self.order.lock(), made);
+        if before.nodes != order {
+            log::info!(event = "controllers_ordered", controllers:? = order; "the order in which controllers are followed");
+        }
         *self.candidates.lock() = order.into();
     }
 
