Keep calls and kept turns within the regions of their route and tenant

Cause: allowed_regions of routes and tenants were not read: calls went to servers of any region, and turns were kept wherever their partition had replicas. Change: the platform's lists are decoded into home_regions; HomeRegions (pure) is what route and tenant both allow. It binds the choice of a server, where a turn is kept and what it goes on from; controllers let replicas join in a partition's home region only, once anything is restricted. What can't be served there is refused at once.

--- a/crates/courseshed-edge/src/controller/housekeeping.rs
+++ b/crates/courseshed-edge/src/controller/housekeeping.rs
@@ -89,6 +89,9 @@
                 zones: &self.terms.zone_map,
                 zones_borne: self.terms.zones,
                 regions_borne: self.terms.regions,
+                must_stay_home: state
+                    .routing()
+                    .is_some_and(|routing| routing.table.table.has_home_regions()),
             },
         };
         let changes = plan_map(&plan, &caught_up);
--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -82,7 +82,9 @@
 
     /// Asks the scheduler of the pool, if the service is one.
     async fn schedule(&mut self, excluded: &[String]) -> Result<Scheduled, Refusal> {
-        if !self.is_pool || !self.core.policy.uses(Mechanism::PoolScheduler) {
+        // The scheduler of a pool knows nothing of regions to which calls are restricted.
+        let is_scheduled = self.is_pool && !self.homes.is_restricted();
+        if !is_scheduled || !self.core.policy.uses(Mechanism::PoolScheduler) {
             return Ok(Scheduled::Unknown);
         }
         let mut excluded: Vec<ServerKey> = excluded.iter().map(|id| ServerKey::of(id)).collect();
@@ -127,6 +129,7 @@
                 zone: &self.core.zone,
                 parts: &self.parts,
                 most_in_flight: table.part_of(self.connection_limit),
+                homes: &self.homes,
             };
             table.choose(&demand, excluded, self.core.clock.now(), rand::random())?
         };
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -13,7 +13,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use courseshed_pool::CallEnd;
 use courseshed_quota::Standing;
-use courseshed_routing::{CallKind, Route};
+use courseshed_routing::{CallKind, HomeRegions, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -147,6 +147,8 @@
     pub log: CallLog,
     /// Who the request is made for.
     pub caller: Caller,
+    /// Where it may be served, and what it says kept.
+    pub homes: HomeRegions,
     /// Whether the request begins a program.
     pub standing: Standing,
     /// What is held for it.
@@ -185,6 +187,7 @@
         Self {
             body: call.body.clone(),
             parts: parts_of(&call, &route),
+            homes: HomeRegions::of(&route, caller.tenant().map(|tenant| &**tenant)),
             caller,
             standing: Standing::UnderWay,
             holding,
@@ -288,6 +291,15 @@
         }
     }
 
+    /// Where its turn may be kept: anywhere if it isn't kept at all.
+    pub(super) fn kept_within(&self) -> HomeRegions {
+        if self.route.keeps_turns {
+            self.homes.clone()
+        } else {
+            HomeRegions::ANY
+        }
+    }
+
     fn choice_inputs(&self, server: &str) -> ChoiceInputs {
         let now = self.core.clock.now();
         let servers = self.core.servers.borrow();
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use courseshed_registry::{Server, Standing};
+use courseshed_routing::HomeRegions;
 use courseshed_types::{Distance, PromptPart, ServerKey};
 
 use super::cost::{OTHER_ZONE_MS, Prospect, ServicePace, expected_ms, would_wait};
@@ -63,6 +64,8 @@
     pub parts: &'a [PromptPart],
     /// Most calls that this gateway may have at one server.
     pub most_in_flight: u32,
+    /// Where the servers must be.
+    pub homes: &'a HomeRegions,
 }
 
 /// What decided the choice of a server, for the log.
@@ -103,6 +106,7 @@
                 .iter()
                 .map(|seen| &**seen)
                 .filter(|seen| self.takes_calls(&seen.server))
+                .filter(|seen| demand.homes.allows(self.zones.region_of(&seen.server.zone)))
                 .filter(|seen| self.should_be_warm(&seen.server, now))
                 .filter(|seen| !excluded.contains(&seen.server.id))
                 .filter(|seen| seen.in_flight < demand.most_in_flight)
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use courseshed_records::{PartitionId, ReservationDecision, Turn};
-use courseshed_routing::Route;
+use courseshed_routing::{HomeRegions, Route};
 use courseshed_types::CachedPrompt;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -175,6 +175,7 @@
     core: &Rc<GatewayCore>,
     call: &CallEnvelope,
     tenant: Option<&str>,
+    homes: &HomeRegions,
     deadline: Instant,
     holding: &Holding,
 ) -> Result<ComposedBody, Refusal> {
@@ -182,9 +183,10 @@
     let program = call.program.as_ref().map_or("", |claim| &claim.program);
     let program = program_key(tenant, program);
     let Some(previous) = &call.previous_turn else {
+        let partition = core.records.home_within(&program, homes);
         return Ok(ComposedBody {
             body: call.body.clone(),
-            partition: core.records.home_of(&program),
+            partition: partition.ok_or_else(|| no_home(call))?,
             hint: None,
         });
     };
@@ -197,6 +199,9 @@
         Err(unavailable) => return Err(refusal_for(unavailable)),
     };
     let partition = chain.partition;
+    if !core.records.may_keep(partition, homes) {
+        return Err(no_home(call));
+    }
     let chain = chain.turns;
     let is_own = chain.iter().all(|turn| turn.tenant.as_deref() == tenant);
     if !is_own {
@@ -228,6 +233,12 @@
     })
 }
 
+/// The turn can't be kept where it may be kept, and so isn't begun.
+fn no_home(call: &CallEnvelope) -> Refusal {
+    log::info!(event = "no_home", request = call.request_id.as_str(); "no partition has all its replicas in the regions where the turn may be kept");
+    Refusal::NoRecords
+}
+
 /// The record of a turn that was answered whole.
 pub(super) fn turn_of(
     call: &CallEnvelope,
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -10,6 +10,7 @@
     ChainError, MissTally, PartitionId, PartitionMap, Record, RecordMember, RecordView,
     ReservationDecision, ReservationTally, Turn, WriteTally,
 };
+use courseshed_routing::HomeRegions;
 use courseshed_types::{CachedPrompt, Distance, NodeId, ZoneMap};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -199,11 +200,39 @@
     /// Where the first kept turn of a program goes when it comes in here: the program's partition, or another
     /// one whose replicas are in this region. What goes on from it stays there.
     #[must_use]
-    pub fn home_of(&self, program: &str) -> PartitionId {
+    fn home_of(&self, program: &str) -> PartitionId {
         let records = self.follower.view().records;
-        records.home_of(program, |view| {
-            AskOrder::new(view, &self.zones, &self.zone).is_local(&self.zones, &self.zone)
-        })
+        records.home_of(program, |view| self.is_local(view))
+    }
+
+    fn is_local(&self, view: &RecordView) -> bool {
+        AskOrder::new(view, &self.zones, &self.zone).is_local(&self.zones, &self.zone)
+    }
+
+    /// Where the first kept turn of a program goes that may be kept in some regions only: near, if that is one
+    /// of them. None if no partition has all its replicas there.
+    #[must_use]
+    pub fn home_within(&self, program: &str, homes: &HomeRegions) -> Option<PartitionId> {
+        if !homes.is_restricted() {
+            return Some(self.home_of(program));
+        }
+        let records = self.follower.view().records;
+        let near = records.preferred(program, |view| {
+            self.is_within(view, homes) && self.is_local(view)
+        });
+        near.or_else(|| records.preferred(program, |view| self.is_within(view, homes)))
+    }
+
+    /// Whether all replicas of a partition, those that join too, are where a call's turns may be kept.
+    #[must_use]
+    pub fn may_keep(&self, partition: PartitionId, homes: &HomeRegions) -> bool {
+        let records = self.follower.view().records;
+        !homes.is_restricted() || self.is_within(records.view(partition), homes)
+    }
+
+    fn is_within(&self, view: &RecordView, homes: &HomeRegions) -> bool {
+        let is_allowed = |member: &RecordMember| homes.allows(self.zones.region_of(&member.zone));
+        !view.members.is_empty() && view.members.iter().all(is_allowed)
     }
 
     /// Reads a turn with its chain for a program. It is where the program's first turn went, unless it is
--- a/crates/courseshed-edge/tests/access.rs
+++ b/crates/courseshed-edge/tests/access.rs
@@ -30,6 +30,7 @@
         affinity: false,
         resumable: false,
         is_public,
+        home_regions: Vec::new(),
     }
 }
 
@@ -40,6 +41,7 @@
             keys: vec![KeyDigest::of(key.as_bytes())],
             priority: None,
             quota: None,
+            home_regions: Vec::new(),
         })
     };
     let table = RoutingTable {
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -7,7 +7,8 @@
 use courseshed_registry::{
     EvacuatedZones, LoadReport, Server, ServerList, ServerLoad, ServerState,
 };
-use courseshed_types::{PromptPart, ServerKey};
+use courseshed_routing::{CallKind, HomeRegions, Route, Target};
+use courseshed_types::{PromptPart, ServerKey, ZoneMap};
 use yare::parameterized;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -42,6 +43,7 @@
         zone: "a",
         parts,
         most_in_flight: u32::MAX,
+        homes: &HomeRegions::ANY,
     }
 }
 
@@ -258,3 +260,70 @@
         assert_eq!(bytes, text.len() - "id: 3\nda".len());
     }
 }
+
+fn route() -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: "/a/".to_owned(),
+        kind: CallKind::Repeatable,
+        timeout_ms: 1_000,
+        aim_ms: 100,
+        priority: 0,
+        targets: vec![Target {
+            service: "s".to_owned(),
+            weight: 1.0,
+        }],
+        max_attempts: 1,
+        keeps_turns: false,
+        retention_ms: 0,
+        affinity: false,
+        resumable: false,
+        is_public: false,
+        home_regions: Vec::new(),
+    }
+}
+
+/// Calls that may be served in one region only, whose servers are crowded while those of another are free.
+#[test]
+fn a_call_that_is_restricted_to_regions_goes_to_no_server_elsewhere() {
+    let regions = [("a", "north"), ("b", "south")];
+    let zones: ZoneMap = regions
+        .map(|(zone, region)| (zone.to_owned(), region.to_owned()))
+        .into_iter()
+        .collect();
+    let mut table = ServerTable::default().with_zones(Arc::new(zones));
+    let in_zone = |id: &str, zone: &str| Server {
+        zone: zone.to_owned(),
+        ..server(id, ServerState::Ready)
+    };
+    let servers = [
+        in_zone("home", "a"),
+        in_zone("abroad", "b"),
+        in_zone("nowhere", "unknown"),
+    ];
+    table.replace(&servers.into_iter().collect(), NOW);
+    for _ in 0..200 {
+        table.begin("home");
+    }
+    let restricted = |regions: &[&str]| Route {
+        home_regions: regions.iter().map(|region| (*region).to_owned()).collect(),
+        ..route()
+    };
+    let chosen = |regions: &[&str], excluded: &[String]| {
+        let homes = HomeRegions::of(&restricted(regions), None);
+        let demand = Demand {
+            homes: &homes,
+            ..demand(&[])
+        };
+        let chosen = table.choose(&demand, excluded, NOW, 7);
+        chosen.map(|chosen| chosen.id)
+    };
+    let home = Some("home".to_owned());
+    assert_ne!(chosen(&[], &[]), home, "unrestricted calls leave it");
+    assert_eq!(chosen(&["north"], &[]), home);
+    assert_eq!(chosen(&["north", "east"], &[]), home);
+    assert_eq!(chosen(&["south"], &[]), Some("abroad".to_owned()));
+    assert_eq!(chosen(&["north"], &["home".to_owned()]), None);
+    assert_eq!(chosen(&["east"], &[]), None);
+}
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -7,6 +7,7 @@
     Demand, PaceEstimate, Prospect, ServerTable, ServicePace, expected_ms,
 };
 use courseshed_registry::{Server, ServerList, ServerState};
+use courseshed_routing::HomeRegions;
 use courseshed_types::PromptPart;
 use yare::parameterized;
 
@@ -143,6 +144,7 @@
         zone: "near",
         parts,
         most_in_flight,
+        homes: &HomeRegions::ANY,
     };
     table.choose(&demand, &[], NOW, 7).map(|chosen| chosen.id)
 }
--- a/crates/courseshed-edge/tests/directory.rs
+++ b/crates/courseshed-edge/tests/directory.rs
@@ -6,6 +6,7 @@
 
 use courseshed_edge::gateway::{Demand, ServerTable};
 use courseshed_registry::{Server, ServerChanges, ServerList, ServerState};
+use courseshed_routing::HomeRegions;
 use courseshed_types::PromptPart;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -49,6 +50,7 @@
         zone: "zone-1",
         parts: prompt,
         most_in_flight: u32::MAX,
+        homes: &HomeRegions::ANY,
     };
     table.choose(&demand, &[], NOW, tie).map(|chosen| chosen.id)
 }
--- a/crates/courseshed-edge/tests/failing_servers.rs
+++ b/crates/courseshed-edge/tests/failing_servers.rs
@@ -9,6 +9,7 @@
 use courseshed_registry::{
     AvoidanceChange, LoadBoard, Server, ServerList, ServerState, pause_after_reports,
 };
+use courseshed_routing::HomeRegions;
 use courseshed_types::NodeId;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
@@ -146,6 +147,7 @@
                 zone: "a",
                 parts: &[],
                 most_in_flight: 100,
+                homes: &HomeRegions::ANY,
             };
             let now = Duration::from_millis(at);
             let table = &mut self.gateways[gateway];
--- a/crates/courseshed-edge/tests/growth.rs
+++ b/crates/courseshed-edge/tests/growth.rs
@@ -8,6 +8,7 @@
 
 use courseshed_edge::gateway::{Demand, Report, ServerTable};
 use courseshed_registry::{LoadReport, Server, ServerChanges, ServerList, ServerLoad, ServerState};
+use courseshed_routing::HomeRegions;
 use courseshed_types::{PromptPart, ServerKey};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 
@@ -56,6 +57,7 @@
         zone: "zone-1",
         parts: prompt,
         most_in_flight: u32::MAX,
+        homes: &HomeRegions::ANY,
     };
     table.choose(&demand, &[], NOW, tie).map(|chosen| chosen.id)
 }
--- a/crates/courseshed-edge/tests/policy.rs
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -4,6 +4,7 @@
 
 use courseshed_edge::gateway::{Demand, Mechanism, Policy, Report, ServerTable};
 use courseshed_registry::{Server, ServerList, ServerState};
+use courseshed_routing::HomeRegions;
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use yare::parameterized;
 
@@ -40,6 +41,7 @@
         zone: "near",
         parts: &PROMPT,
         most_in_flight: u32::MAX,
+        homes: &HomeRegions::ANY,
     };
     (0..100)
         .filter_map(|tie| table.choose(&demand, &[], NOW, tie))
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -348,6 +348,7 @@
         affinity: false,
         resumable: false,
         is_public: false,
+        home_regions: Vec::new(),
     }
 }
 
@@ -425,5 +426,6 @@
             rate_per_s,
             burst: 0.0,
         }),
+        home_regions: Vec::new(),
     }
 }
--- a/crates/courseshed-edge/tests/tenants.rs
+++ b/crates/courseshed-edge/tests/tenants.rs
@@ -19,6 +19,7 @@
         name: "public".to_owned(),
         path_prefix: "/a/".to_owned(),
         is_public: true,
+        home_regions: Vec::new(),
         ..plain_route()
     }
 }
--- a/crates/courseshed-records/src/partition.rs
+++ b/crates/courseshed-records/src/partition.rs
@@ -86,14 +86,26 @@
     #[must_use]
     pub fn home_of(&self, program: &str, is_near: impl Fn(&RecordView) -> bool) -> PartitionId {
         let usual = PartitionId::of_program(program);
-        if is_near(self.view(usual)) {
-            return usual;
+        self.preferred(program, is_near).unwrap_or(usual)
+    }
+
+    /// Of the partitions whose view will do, the program's own or the one that it prefers; none if none will.
+    #[must_use]
+    pub fn preferred(
+        &self,
+        program: &str,
+        will_do: impl Fn(&RecordView) -> bool,
+    ) -> Option<PartitionId> {
+        let usual = PartitionId::of_program(program);
+        if will_do(self.view(usual)) {
+            return Some(usual);
         }
-        let near = self.views().filter(|(_, view)| is_near(view));
+        let others = self.views().filter(|(_, view)| will_do(view));
         let preference =
             |partition: &PartitionId| xxh3_64_with_seed(program.as_bytes(), u64::from(partition.0));
-        let home = near.map(|(partition, _)| partition).max_by_key(preference);
-        home.unwrap_or(usual)
+        others
+            .map(|(partition, _)| partition)
+            .max_by_key(preference)
     }
 
     /// All partitions with their views.
--- a/crates/courseshed-records/src/plan.rs
+++ b/crates/courseshed-records/src/plan.rs
@@ -35,6 +35,8 @@
     pub replicas: &'a BTreeMap<NodeId, usize>,
     /// The region that replicas are to be in as far as it has machines; none if any will do.
     pub home: Option<HomeRegion<'a>>,
+    /// Whether they must be there.
+    pub must_stay_home: bool,
 }
 
 /// The region where a partition's replicas are.
@@ -59,6 +61,9 @@
     pub zones_borne: usize,
     /// Regions that may be lost at once.
     pub regions_borne: usize,
+    /// Whether replicas must stay in the home region of their partition, since operators restrict what is kept to
+    /// regions. A partition then has fewer replicas rather than one elsewhere.
+    pub must_stay_home: bool,
 }
 
 impl<'a> Spread<'a> {
@@ -123,6 +128,7 @@
                 wanted: plan.wanted,
                 replicas: &replicas,
                 home: plan.spread.home(partition),
+                must_stay_home: plan.spread.must_stay_home,
             })
         });
         if let Some(next) = planned {
@@ -275,6 +281,7 @@
             .iter()
             .filter(|(node, _)| !view.needs(**node))
             .filter(|(node, _)| !self.silent.contains(node) && !self.retiring.contains(node))
+            .filter(|(_, store)| !self.must_stay_home || !is_abroad(&store.zone))
             .min_by_key(|(node, store)| {
                 (is_abroad(&store.zone), in_zone(&store.zone), replicas(node))
             })
--- a/crates/courseshed-records/tests/partitions.rs
+++ b/crates/courseshed-records/tests/partitions.rs
@@ -33,6 +33,7 @@
     zones: ZoneMap,
     regions_borne: usize,
     zones_borne: usize,
+    must_stay_home: bool,
 }
 
 impl Fleet {
@@ -45,6 +46,7 @@
             zones: ZoneMap::default(),
             regions_borne: 0,
             zones_borne: 0,
+            must_stay_home: false,
         }
     }
 
@@ -60,6 +62,7 @@
                 zones: &self.zones,
                 zones_borne: self.zones_borne,
                 regions_borne: self.regions_borne,
+                must_stay_home: self.must_stay_home,
             },
         };
         plan_map(&plan, caught_up)
@@ -211,6 +214,35 @@
     assert!(most_in_a_region(&fleet).into_iter().all(|most| most <= 3));
 }
 
+/// What may be kept in one region only stays there, whatever is lost: with fewer replicas, if need be.
+#[test]
+fn replicas_that_must_stay_home_never_leave_their_region() {
+    let mut fleet = Fleet::new(8, 6);
+    two_regions(&mut fleet);
+    fleet.must_stay_home = true;
+    fleet.settle();
+    let check = |fleet: &Fleet, replicas: usize| {
+        for (partition, view) in fleet.map.views() {
+            let regions: BTreeSet<_> = view
+                .members
+                .iter()
+                .map(|member| fleet.zones.region_of(&member.zone))
+                .collect();
+            assert_eq!(regions.len(), 1, "{partition:?}");
+            assert_eq!(view.members.len(), replicas, "{partition:?}");
+        }
+    };
+    check(&fleet, 4);
+    fleet.silent.insert(NodeId(1));
+    fleet.settle();
+    check(&fleet, 4);
+    let mut larger = machines(12, 6);
+    larger.retain(|node, _| !fleet.stores.contains_key(node));
+    fleet.stores.extend(larger);
+    fleet.settle();
+    check(&fleet, WANTED);
+}
+
 /// A program keeps its partition where that is near, and else prefers one near partition steadily.
 #[test]
 fn the_home_of_a_program_is_near_and_moves_for_few_when_a_view_changes() {
--- a/crates/courseshed-registry/tests/answer_size.rs
+++ b/crates/courseshed-registry/tests/answer_size.rs
@@ -47,6 +47,7 @@
         affinity: true,
         resumable: true,
         is_public: false,
+        home_regions: Vec::new(),
     }
 }
 
--- a/crates/courseshed-routing/src/lib.rs
+++ b/crates/courseshed-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! The crate does no I/O.
 
 mod check;
+mod home;
 mod matching;
 mod parts;
 mod split;
@@ -12,6 +13,7 @@
 mod tenant;
 
 pub use check::TableError;
+pub use home::HomeRegions;
 pub use parts::{
     MOST_ITEMS, PartsTaken, RecentTables, RoutePlace, TableAssembler, TableFrame, TableItem,
     TablePart,
--- a/crates/courseshed-routing/src/table.rs
+++ b/crates/courseshed-routing/src/table.rs
@@ -58,6 +58,9 @@
     /// Whether it is served without a key where tenants are listed.
     #[serde(default)]
     pub is_public: bool,
+    /// Regions to which serving its calls and keeping what they say is restricted; none if it isn't.
+    #[serde(default)]
+    pub home_regions: Vec<String>,
 }
 
 impl Route {
--- a/crates/courseshed-routing/src/tenant.rs
+++ b/crates/courseshed-routing/src/tenant.rs
@@ -49,6 +49,9 @@
     pub priority: Option<u32>,
     /// How often it may call; none if it isn't limited.
     pub quota: Option<RequestQuota>,
+    /// Regions to which serving its calls and keeping what they say is restricted; none if it isn't.
+    #[serde(default)]
+    pub home_regions: Vec<String>,
 }
 
 impl RoutingTable {
--- a/crates/courseshed-routing/tests/parts.rs
+++ b/crates/courseshed-routing/tests/parts.rs
@@ -29,6 +29,7 @@
         affinity: false,
         resumable: false,
         is_public: false,
+        home_regions: Vec::new(),
     })
 }
 
@@ -38,6 +39,7 @@
         keys: vec![KeyDigest::of(&key.to_le_bytes())],
         priority: None,
         quota: None,
+        home_regions: Vec::new(),
     })
 }
 
--- a/crates/courseshed-routing/tests/table.rs
+++ b/crates/courseshed-routing/tests/table.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use courseshed_routing::{
-    CallKind, KeyDigest, RequestQuota, Route, RoutingTable, Service, SplitCounter, TableError,
-    Target, Tenant,
+    CallKind, HomeRegions, KeyDigest, RequestQuota, Route, RoutingTable, Service, SplitCounter,
+    TableError, Target, Tenant,
 };
 use yare::parameterized;
 
@@ -24,6 +24,7 @@
         affinity: false,
         resumable: false,
         is_public: false,
+        home_regions: Vec::new(),
     }
 }
 
@@ -101,6 +102,7 @@
             .collect(),
         priority: None,
         quota: None,
+        home_regions: Vec::new(),
     }
 }
 
@@ -149,3 +151,34 @@
     assert_eq!(holder("k"), None);
     assert_eq!(holder(""), None);
 }
+
+#[parameterized(
+    nobody_restricts = { &[], &[], &["north", "south"], true },
+    route_alone = { &["north"], &[], &["north"], false },
+    tenant_alone = { &[], &["south", "north"], &["north", "south"], false },
+    both_bind = { &["north", "south"], &["south", "east"], &["south"], false },
+    nothing_is_left = { &["north"], &["south"], &[], false },
+)]
+fn a_call_stays_where_its_route_and_its_tenant_allow(
+    of_route: &[&str],
+    of_tenant: &[&str],
+    allowed: &[&str],
+    allows_unknown: bool,
+) {
+    let names = |regions: &[&str]| regions.iter().map(|region| (*region).to_owned()).collect();
+    let route = Route {
+        home_regions: names(of_route),
+        ..route("r", "/a/")
+    };
+    let tenant = Tenant {
+        home_regions: names(of_tenant),
+        ..tenant("t", &["k"])
+    };
+    let homes = HomeRegions::of(&route, Some(&tenant));
+    for region in ["north", "south", "east"] {
+        let expected = allowed.contains(&region) || allows_unknown;
+        assert_eq!(homes.allows(Some(region)), expected, "{region}");
+    }
+    assert_eq!(homes.allows(None), allows_unknown);
+    assert_eq!(homes.is_restricted(), !allows_unknown);
+}
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -414,6 +414,7 @@
         affinity: keeps_turns,
         resumable: false,
         is_public: false,
+        home_regions: Vec::new(),
     };
     let routes = [
         route("once", CallKind::AtMostOnce, 2, false),
