Let imports of the gateway read downwards, and stories say what callers saw

Cause: the table of servers took types from the choice and the judgement that are built on it, and the tries of a call from what assigns them; three tests named deployments in place of what was seen. Change: Chosen, OutcomeChange and Assigned have files of their own below both of their users. quota.rs still takes the gateway's core, which holds it. No behaviour changes. Measured: clippy over all targets; the tests of the choice, of failing servers, of pools, of narrow links and of controllers pass.

--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -9,13 +9,13 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::assigned::Assigned;
 use super::attempts::{Attempts, LEAST_TIME, milliseconds};
-use super::choice::{Chosen, Demand};
-use super::core::InFlight;
+use super::choice::Demand;
 use super::policy::Mechanism;
 use super::program::program_key;
 use super::refusal::Refusal;
-use super::schedule::{Asked, ScheduledCall};
+use super::schedule::Asked;
 use crate::metrics::ChoiceLabels;
 
 /// Servers that may refuse a request, or can't be reached, before the caller is told.
@@ -29,24 +29,6 @@
 const BY_SCHEDULER: &str = "scheduler";
 const BY_GATEWAY: &str = "local";
 
-/// A server for a call, and the call's number at the scheduler of the pool.
-pub(super) struct Assigned {
-    pub chosen: Chosen,
-    pub call: Option<ScheduledCall>,
-    /// Counts the call at the server, if that was begun: for one that is kept while a permit is renewed.
-    pub in_flight: Option<InFlight>,
-}
-
-impl Assigned {
-    fn new(chosen: Chosen, call: Option<ScheduledCall>) -> Self {
-        Self {
-            chosen,
-            call,
-            in_flight: None,
-        }
-    }
-}
-
 /// What the scheduler of a pool came to.
 enum Scheduled {
     Engine(Assigned),
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -19,10 +19,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::access::Caller;
-use super::assign::Assigned;
+use super::assigned::Assigned;
 use super::call::{CallEnvelope, SendTerms};
 use super::call_log::CallLog;
-use super::choice::{ChoiceInputs, Chosen};
+use super::choice::ChoiceInputs;
+use super::chosen::Chosen;
 use super::core::{GatewayCore, InFlight};
 use super::held::Holding;
 use super::held_memory::HeldKind;
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -8,7 +8,6 @@
 
 use std::borrow::Cow;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use courseshed_routing::HomeRegions;
 use courseshed_types::{Distance, PromptPart, ServerKey};
 
+use super::chosen::Chosen;
 use super::cost::{OTHER_ZONE_MS, Prospect, ServicePace, expected_ms, would_wait};
 use super::directory::{Preference, preference};
 use super::policy::Mechanism;
@@ -30,29 +30,6 @@
 /// own zone the least crowded one is about as good as among all.
 const MOST_WIDTH: usize = 16;
 
-/// A server that was chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Chosen {
-    /// The life of the server.
-    pub id: String,
-    /// What the server calls itself.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
-impl Chosen {
-    /// A server, as it is listed.
-    #[must_use]
-    pub fn of(server: &Server) -> Self {
-        Self {
-            id: server.id.clone(),
-            name: server.name().to_owned(),
-            address: server.address,
-        }
-    }
-}
-
 /// What a call needs of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -16,7 +16,7 @@
 use super::call::CallCodec;
 use super::held::Ledger;
 use super::held_memory::HeldTerms;
-use super::outcomes::OutcomeChange;
+use super::outcome_change::OutcomeChange;
 use super::policy::Policy;
 use super::quota::Quotas;
 use super::schedule::SchedulerClient;
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -3,11 +3,13 @@
 mod access;
 mod answer_times;
 mod assign;
+mod assigned;
 mod attempts;
 mod call;
 mod call_book;
 mod call_log;
 mod choice;
+mod chosen;
 mod core;
 mod cost;
 mod directory;
@@ -15,6 +17,7 @@
 mod held;
 mod held_memory;
 mod load;
+mod outcome_change;
 mod outcomes;
 mod plain;
 mod policy;
@@ -35,11 +38,12 @@
     AnswerMarks, CallCodec, CallEnvelope, Credential, ProgramClaim, SendTerms, UnreadableCall,
 };
 pub use call_book::{CallBook, SILENT_REST};
-pub use choice::{Chosen, Demand};
+pub use choice::Demand;
+pub use chosen::Chosen;
 pub use cost::{PaceEstimate, Prospect, ServicePace, expected_ms};
 pub use events::{Event, EventSplitter};
 pub use held_memory::{CutOff, CutReason, HeldId, HeldKind, HeldMemory, HeldTerms};
-pub use outcomes::OutcomeChange;
+pub use outcome_change::OutcomeChange;
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use prompt_memory::PromptMemory;
 pub use refusal::Refusal;
--- a/crates/courseshed-edge/src/gateway/outcomes.rs
+++ b/crates/courseshed-edge/src/gateway/outcomes.rs
@@ -10,6 +10,7 @@
     Avoidance, AvoidanceChange, OutcomeCounts, ProbeTurn, ServerState, Standing, advance_service,
 };
 
+use super::outcome_change::OutcomeChange;
 use super::policy::Mechanism;
 use super::servers::{Report, Seen, ServerTable};
 
@@ -17,21 +18,6 @@
 /// sound, and this many outweigh all that one gateway ever sees fail at a time.
 const MOST_SILENT: usize = 64;
 
-/// A server begins or ceases to be avoided.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OutcomeChange {
-    /// The life of the server.
-    pub server: String,
-    /// Its service.
-    pub service: String,
-    /// What changed.
-    pub change: AvoidanceChange,
-    /// What was counted of it by all gateways, as far as known.
-    pub counts: OutcomeCounts,
-    /// How long ago the other gateways told of their part.
-    pub counts_age: Duration,
-}
-
 impl ServerTable {
     /// Judges the servers anew, of services where some fail calls.
     pub fn advance_outcomes(&mut self, now: Duration) {
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -13,10 +13,10 @@
 };
 use courseshed_types::{CachedPrompt, Distance, PromptPart, ServerKey, ZoneMap};
 
-use super::choice::Chosen;
+use super::chosen::Chosen;
 use super::cost::{PaceEstimate, RegionWay};
 use super::directory::Directory;
-use super::outcomes::OutcomeChange;
+use super::outcome_change::OutcomeChange;
 use super::policy::{Mechanism, Policy};
 use super::prompt_memory::PromptMemory;
 use crate::follower::FleetView;
--- a/crates/courseshed-edge/tests/controllers.rs
+++ b/crates/courseshed-edge/tests/controllers.rs
@@ -19,8 +19,8 @@
     }
 }
 
-/// Found by a day with a full disk on a core machine of Hokkaido: the replica stopped for good, and
-/// its controller went on telling gateways that nothing was new.
+/// The replica stopped for good once its disk was full, and its controller went on telling gateways that
+/// nothing was new.
 #[actix_rt::test]
 async fn a_controller_whose_disk_was_full_takes_part_again() {
     let fleet = Fleet::start(GRACE).await;
--- a/crates/courseshed-edge/tests/forwarding.rs
+++ b/crates/courseshed-edge/tests/forwarding.rs
@@ -437,7 +437,7 @@
     assert_eq!(stranger.got().len(), 0);
 }
 
-/// Found by ezo-quote scale-1, seed 11: a call taken 7.1 s after SIGTERM was cut off by the end of
+/// A caller's connection was closed without an answer: a call taken 7.1 s after SIGTERM was cut off by the end of
 /// the process.
 #[actix_rt::test]
 async fn a_stopping_gateway_takes_only_what_it_can_finish() {
--- a/crates/courseshed-edge/tests/narrow_links.rs
+++ b/crates/courseshed-edge/tests/narrow_links.rs
@@ -44,6 +44,8 @@
 const MANY_ROUTES: usize = 510;
 /// Bytes a second for one of 91 followers of a controller with 86 Mbit/s.
 const SHARE_OF_LINK: u64 = 86_000_000 / 8 / 91;
+/// More than the ports of one node's roles.
+const PORTS_OF_A_NODE: u16 = 10;
 /// Bytes that pass at once.
 const PIECE: usize = 4096;
 /// Time between changes of operators in a hurry.
@@ -125,7 +127,7 @@
             first_port: free_port(host(1)),
         };
         let near_follower = PeerAddresses {
-            first_port: free_port(host(1)),
+            first_port: near_controller.first_port + PORTS_OF_A_NODE,
         };
         let controller = controller::start(ControllerSettings {
             node: node_at(host(1)),
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -554,7 +554,7 @@
     assert_eq!(state, FleetState::default());
 }
 
-/// Found in the logs of ezo-quote hunt-c280-39: a server was dropped in the moment it announced itself.
+/// Callers were refused while a server stood idle: it was dropped in the moment it announced itself.
 #[test]
 fn whoever_has_just_announced_itself_is_not_silent() {
     let second = Duration::from_secs(1);
