Wait for the peers' thread when a node stops, since it holds a port

Cause: stopping a node joined its threads but the one on which peers are accepted. Its listener lived on for a moment. Class: a resource given back by a thread that nobody waits for. Change: that thread is joined like the others. Ruled out: another process (the addresses are the fleet's own), and the listener of callers, which never showed.

--- a/crates/courseshed-node/src/node.rs
+++ b/crates/courseshed-node/src/node.rs
@@ -112,8 +112,8 @@
     peer_address: SocketAddr,
     system: System,
     server: ServerHandle,
-    /// The threads of control, which hold the lock of the data folder until they have ended.
-    control: Vec<Arbiter>,
+    /// Threads that hold a port or the lock of the data folder until they have ended.
+    threads: Vec<Arbiter>,
     _folder: Option<LockedFolder>,
     thread: Option<JoinHandle<()>>,
 }
@@ -121,7 +121,7 @@
 struct Started {
     system: System,
     server: ServerHandle,
-    control: Vec<Arbiter>,
+    threads: Vec<Arbiter>,
 }
 
 /// The listening sockets of a node that has not started yet, so that its addresses are known before.
@@ -200,7 +200,7 @@
         let Started {
             system,
             server,
-            control,
+            threads,
         } = started?;
         Ok(NodeHandle {
             context,
@@ -208,7 +208,7 @@
             peer_address,
             system,
             server,
-            control,
+            threads,
             _folder: folder,
             thread: Some(thread),
         })
@@ -276,7 +276,7 @@
     Ok(Started {
         system: System::current(),
         server,
-        control: vec![controller, follower],
+        threads: vec![peers, controller, follower],
     })
 }
 
@@ -382,10 +382,10 @@
         };
         self.context.transport().stop();
         self.system.stop();
-        for arbiter in self.control.drain(..) {
+        for arbiter in self.threads.drain(..) {
             arbiter.stop();
             if arbiter.join().is_err() {
-                log::error!("a thread of control panicked");
+                log::error!("a thread of the node panicked");
             }
         }
         if thread.join().is_err() {
