--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -3,7 +3,7 @@
 //! Invariant: within one life of a process the routing table's version never falls, whichever
 //! controller answers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::clock::Clock;
+use crate::followed_controllers::{ControllerOrder, FollowedControllers};
 use crate::follower_order::{CandidateController, order_of_controllers};
 use crate::peers::Peers;
 use crate::protocol::{PeerAddresses, PeerPort, PeerReply, PeerRequest};
@@ -109,14 +110,6 @@
     }
 }
 
-/// In which order a node would follow controllers.
-#[derive(Default)]
-struct ControllerOrder {
-    nodes: Vec<NodeId>,
-    /// Whether all of them could be followed then.
-    is_whole: bool,
-}
-
 /// What a controller answered.
 struct ControllerAnswer {
     update: FleetUpdate,
@@ -130,9 +123,7 @@
     addresses: PeerAddresses,
     kind: FollowerKind,
     seeds: Box<dyn Fn() -> Vec<NodeId> + Send + Sync>,
-    candidates: Mutex<VecDeque<NodeId>>,
-    /// The order of controllers when they were compared last.
-    order: Mutex<ControllerOrder>,
+    controllers: Mutex<FollowedControllers>,
     view: watch::Sender<FleetView>,
     assembler: Mutex<TableAssembler>,
     clock: Clock,
@@ -157,8 +148,7 @@
             addresses,
             kind,
             seeds,
-            candidates: Mutex::new(VecDeque::new()),
-            order: Mutex::default(),
+            controllers: Mutex::default(),
             view: watch::channel(FleetView::default()).0,
             assembler: Mutex::default(),
             clock: Clock::start(),
@@ -204,15 +194,12 @@
     /// The controllers that are known, the one that answered last first.
     #[must_use]
     pub fn controllers(&self) -> Vec<NodeId> {
-        let mut candidates = self.candidates.lock();
-        if candidates.is_empty() {
-            candidates.extend((self.seeds)());
-        }
-        for node in candidates.iter() {
+        let nodes = self.controllers.lock().all(&self.seeds);
+        for node in &nodes {
             let address = self.addresses.of(*node, PeerPort::Controller);
             self.peers.set_address(*node, address);
         }
-        candidates.iter().copied().collect()
+        nodes
     }
 
     /// Follows until the process ends.
@@ -223,7 +210,8 @@
         loop {
             if next_check <= Instant::now() {
                 next_check = Instant::now() + return_pause();
-                if !self.follows_first_choice() {
+                let is_first_choice = self.controllers.lock().follows_first_choice();
+                if !is_first_choice {
                     self.order_controllers().await;
                 }
             }
@@ -244,7 +232,9 @@
             if failures == 1 {
                 log::warn!(event = "controller_lost", controller:% = controller; "a controller does not answer, or may lack what is committed");
             }
-            self.pass_over(controller, failures);
+            self.controllers
+                .lock()
+                .pass_over(controller, failures, &self.seeds);
             sleep(PAUSE).await;
         }
     }
@@ -300,23 +290,12 @@
         });
         let order = order_of_controllers(self.peers.identity().node, candidates.collect());
         let made = ControllerOrder {
-            nodes: order.clone(),
             is_whole: answered.len() == order.len(),
+            nodes: order.clone(),
         };
-        let before = std::mem::replace(&mut *self.order.lock(), made);
-        if before.nodes != order {
+        if self.controllers.lock().put_in_order(made) {
             log::info!(event = "controllers_ordered", controllers:? = order; "the order in which controllers are followed");
         }
-        *self.candidates.lock() = order.into();
-    }
-
-    /// Whether the controller that is followed is the one that this node would choose, had it the choice of all.
-    fn follows_first_choice(&self) -> bool {
-        let candidates = self.candidates.lock();
-        let order = self.order.lock();
-        let is_same = candidates.len() == order.nodes.len()
-            && candidates.iter().all(|node| order.nodes.contains(node));
-        is_same && order.is_whole && candidates.front() == order.nodes.first()
     }
 
     /// Asks a controller until it has something to tell, less and less often: a fleet that starts for the first
@@ -366,7 +345,7 @@
             return None;
         };
         *self.answered_at.lock() = Some(Instant::now());
-        self.learn(controller, controllers);
+        self.controllers.lock().learn(controller, controllers);
         if let Some(proof) = &proof {
             self.note_proof(proof, asked_at);
         }
@@ -394,39 +373,6 @@
         }
     }
 
-    /// Remembers the controllers that one of them named, keeping that one first.
-    fn learn(&self, first: NodeId, controllers: Vec<NodeId>) {
-        let mut candidates = self.candidates.lock();
-        let mut known: VecDeque<NodeId> = candidates
-            .iter()
-            .copied()
-            .filter(|node| controllers.contains(node))
-            .collect();
-        for node in controllers {
-            if !known.contains(&node) {
-                known.push_back(node);
-            }
-        }
-        known.retain(|node| *node != first);
-        known.push_front(first);
-        *candidates = known;
-    }
-
-    /// Puts a controller last; after a whole round in vain, asks for the seeds again.
-    fn pass_over(&self, controller: NodeId, failures: usize) {
-        let mut candidates = self.candidates.lock();
-        if candidates.front() == Some(&controller) {
-            candidates.rotate_left(1);
-        }
-        if !candidates.is_empty() && failures.is_multiple_of(candidates.len()) {
-            for seed in (self.seeds)() {
-                if !candidates.contains(&seed) {
-                    candidates.push_front(seed);
-                }
-            }
-        }
-    }
-
     fn take_in(&self, controller: NodeId, known: Known, mut update: FleetUpdate) -> Known {
         let mut next = update.known;
         let held = self.view.borrow().routing.clone();
--- a/crates/courseshed-edge/src/lib.rs
+++ b/crates/courseshed-edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 mod control_client;
 pub mod controller;
+mod followed_controllers;
 pub mod follower;
 pub mod follower_order;
 pub mod gateway;
