--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -1,5 +1,7 @@
 //! Which server a gateway chooses, and how streams are split into events.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +9,7 @@
 use courseshed_registry::{
     EvacuatedZones, LoadReport, Server, ServerList, ServerLoad, ServerState,
 };
-use courseshed_routing::{CallKind, HomeRegions, Route, Target};
+use courseshed_routing::{HomeRegions, Route};
 use courseshed_types::{PromptPart, ServerKey, ZoneMap};
 use yare::parameterized;
 
@@ -261,29 +263,6 @@
     }
 }
 
-fn route() -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "a.example".to_owned(),
-        path_prefix: "/a/".to_owned(),
-        kind: CallKind::Repeatable,
-        timeout_ms: 1_000,
-        aim_ms: 100,
-        priority: 0,
-        targets: vec![Target {
-            service: "s".to_owned(),
-            weight: 1.0,
-        }],
-        max_attempts: 1,
-        keeps_turns: false,
-        retention_ms: 0,
-        affinity: false,
-        resumable: false,
-        is_public: false,
-        home_regions: Vec::new(),
-    }
-}
-
 /// Calls that may be served in one region only, whose servers are crowded while those of another are free.
 #[test]
 fn a_call_that_is_restricted_to_regions_goes_to_no_server_elsewhere() {
@@ -308,7 +287,7 @@
     }
     let restricted = |regions: &[&str]| Route {
         home_regions: regions.iter().map(|region| (*region).to_owned()).collect(),
-        ..route()
+        ..support::plain_route()
     };
     let chosen = |regions: &[&str], excluded: &[String]| {
         let homes = HomeRegions::of(&restricted(regions), None);
--- a/crates/courseshed-edge/tests/lagging_controller.rs
+++ b/crates/courseshed-edge/tests/lagging_controller.rs
@@ -22,15 +22,12 @@
 
 use bytes::Bytes;
 use courseshed_consensus::{
-    Entry, EntryPayload, FaultSwitch, GroupId, LogIndex, Message, MessageBody, Probe,
-    ReplicaAddress, StateMachine, Term,
-};
-use courseshed_edge::controller::{
-    self, ControlError, ControllerHandle, ControllerSettings, LossTerms,
+    Entry, EntryPayload, GroupId, LogIndex, Message, MessageBody, Probe, ReplicaAddress,
+    StateMachine, Term,
 };
+use courseshed_edge::controller::{self, ControlError, ControllerHandle};
 use courseshed_edge::follower::{FleetFollower, FollowerKind};
 use courseshed_edge::follower_order::{CandidateController, order_of_controllers};
-use courseshed_edge::metrics::Metrics;
 use courseshed_edge::peers::{Peers, start_peers};
 use courseshed_edge::protocol::{
     FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest, node_at,
@@ -40,7 +37,7 @@
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
 use courseshed_types::NodeId;
 use parking_lot::Mutex;
-use support::{QUOTA, free_port, new_subnet, plain_route, table, until};
+use support::{controller_settings, free_port, new_subnet, plain_route, table, until};
 use tempfile::TempDir;
 use tokio::time::{sleep, timeout};
 
@@ -201,20 +198,13 @@
             first_port: free_port(host(1)),
         };
         let [behind, leading, silent] = [1, 2, 3].map(|number| node_at(host(number)));
-        let controller = controller::start(ControllerSettings {
-            node: behind,
-            folder: folder.path().to_owned(),
-            is_first_start: true,
-            seeds: Box::new(move || vec![behind, leading, silent]),
+        let settings = controller_settings(
+            behind,
+            folder.path(),
             addresses,
-            server_silence: Duration::from_secs(600),
-            losses: LossTerms::default(),
-            quota: QUOTA,
-            metrics: Arc::new(Metrics::new()),
-            disk_faults: FaultSwitch::default(),
-        })
-        .await
-        .expect("a controller");
+            vec![behind, leading, silent],
+        );
+        let controller = controller::start(settings).await.expect("a controller");
         let leader = Arc::new(Leader {
             log: Mutex::default(),
         });
--- a/crates/courseshed-edge/tests/narrow_links.rs
+++ b/crates/courseshed-edge/tests/narrow_links.rs
@@ -22,17 +22,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use courseshed_consensus::FaultSwitch;
-use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings, LossTerms};
+use courseshed_edge::controller::{self, ControllerHandle};
 use courseshed_edge::follower::{FleetFollower, FollowerKind};
-use courseshed_edge::metrics::Metrics;
 use courseshed_edge::peers::start_peers;
 use courseshed_edge::protocol::{
     FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest, node_at,
 };
 use courseshed_routing::Route;
 use courseshed_transport::{Handler, PeerIdentity, ReplySender};
-use support::{QUOTA, free_port, new_subnet, plain_route, table, until};
+use support::{controller_settings, free_port, new_subnet, plain_route, table, until};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -129,20 +127,9 @@
         let near_follower = PeerAddresses {
             first_port: near_controller.first_port + PORTS_OF_A_NODE,
         };
-        let controller = controller::start(ControllerSettings {
-            node: node_at(host(1)),
-            folder: folder.path().to_owned(),
-            is_first_start: true,
-            seeds: Box::new(seeds),
-            addresses: near_controller,
-            server_silence: Duration::from_secs(600),
-            losses: LossTerms::default(),
-            quota: QUOTA,
-            metrics: Arc::new(Metrics::new()),
-            disk_faults: FaultSwitch::default(),
-        })
-        .await
-        .expect("a controller");
+        let settings =
+            controller_settings(node_at(host(1)), folder.path(), near_controller, seeds());
+        let controller = controller::start(settings).await.expect("a controller");
         let link = Arc::new(Link {
             bytes_a_second,
             passed: AtomicU64::new(0),
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod server;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -23,6 +24,7 @@
     CallKind, CallLimits, EngineLimits, KeyDigest, RequestQuota, Route, RoutingTable, Service,
     Target, Tenant, VersionedTable,
 };
+use courseshed_types::NodeId;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -117,6 +119,27 @@
     }
 }
 
+/// How the controller of a test runs, at the first start of its fleet.
+pub fn controller_settings(
+    node: NodeId,
+    folder: &Path,
+    addresses: PeerAddresses,
+    seeds: Vec<NodeId>,
+) -> ControllerSettings {
+    ControllerSettings {
+        node,
+        folder: folder.to_owned(),
+        is_first_start: true,
+        seeds: Box::new(move || seeds.clone()),
+        addresses,
+        server_silence: Duration::from_secs(600),
+        losses: LossTerms::default(),
+        quota: QUOTA,
+        metrics: Arc::new(Metrics::new()),
+        disk_faults: FaultSwitch::default(),
+    }
+}
+
 impl Fleet {
     pub async fn start(grace: Duration) -> Self {
         Self::start_with(grace, Policy::default()).await
@@ -171,16 +194,13 @@
         let seeds = move || vec![node_at(ip(1))];
         let disk_faults = FaultSwitch::default();
         let controller = controller::start(ControllerSettings {
-            node: node_at(ip(1)),
-            folder: folder.path().join("controller"),
-            is_first_start: true,
-            seeds: Box::new(seeds),
-            addresses,
-            server_silence: Duration::from_secs(600),
-            losses: LossTerms::default(),
-            quota: QUOTA,
-            metrics: Arc::new(Metrics::new()),
             disk_faults: disk_faults.clone(),
+            ..controller_settings(
+                node_at(ip(1)),
+                &folder.path().join("controller"),
+                addresses,
+                seeds(),
+            )
         })
         .await
         .expect("a controller");
