--- a/crates/courseshed-edge/tests/narrow_links.rs
+++ b/crates/courseshed-edge/tests/narrow_links.rs
@@ -7,7 +7,7 @@
 //! each time. The links of the controllers were full from then on: the leader's carried 8 to 12 MB a second of the
 //! 10.75 that it bears. Followers gave up answers that were still arriving, and asked other controllers for the same.
 //!
-//! Cause: each change was told whole to each follower, 107 KB a time, and an answer was waited for no longer than
+//! Cause: each change was told whole to each follower, some 110 KB a time, and an answer was waited for no longer than
 //! one of a few bytes.
 //!
 //! Proof: on days with such changes gateways had a version mostly 0.2 to 0.6 s and up to 1.8 s after it was accepted, and
