Take no replica for current that lacks what an earlier leader told to be committed

What was seen: nothing by callers; found by reading CommitFreshness against its own invariant. A new leader tells a lower commit index for the moment until its first entry is committed. A replica that lacked what the leader before had told counted as current by that. Cause: each word was weighed by itself, and the open ones before it forgotten. Change: a word tells at least what is still lacked. The open ones are in order by that, so the newest is the last. Measured: the new test failed before (current as of 300 ms in place of 100) and passes.

--- a/crates/courseshed-registry/src/freshness.rs
+++ b/crates/courseshed-registry/src/freshness.rs
@@ -23,7 +23,7 @@
 /// What a replica was told to be committed, against what it has applied.
 #[derive(Clone, Debug, Default)]
 pub struct CommitFreshness {
-    /// Commits that were told and aren't applied, oldest first.
+    /// Commits that were told and aren't applied, oldest first; none is below the one before.
     open: VecDeque<CommitTold>,
     applied: LogIndex,
     current_as_of: Option<Duration>,
@@ -31,7 +31,10 @@
 
 impl CommitFreshness {
     /// Notes that the leader told its commit index at a time.
+    ///
+    /// What an earlier leader told stays committed, also while a new one hasn't learned of it yet.
     pub fn note_committed(&mut self, at: Duration, commit: LogIndex) {
+        let commit = self.lacked().map_or(commit, |lacked| lacked.max(commit));
         if commit <= self.applied {
             self.current_as_of = Some(at);
         } else if self.open.len() < REMEMBERED_COMMITS {
@@ -62,6 +65,6 @@
     /// The newest commit index that was told and isn't applied.
     #[must_use]
     pub fn lacked(&self) -> Option<LogIndex> {
-        self.open.iter().map(|told| told.commit).max()
+        self.open.back().map(|told| told.commit)
     }
 }
--- a/crates/courseshed-registry/tests/freshness.rs
+++ b/crates/courseshed-registry/tests/freshness.rs
@@ -62,3 +62,17 @@
     freshness.note_committed(ms(100_001), LogIndex(1_000_000));
     assert_eq!(freshness.current_as_of(), Some(ms(100_001)));
 }
+
+/// A new leader knows less of what is committed for a moment than the one before it had told.
+#[test]
+fn a_new_leader_that_tells_less_makes_no_replica_current_that_lacks_what_was_told_before() {
+    let mut freshness = CommitFreshness::default();
+    freshness.note_applied(LogIndex(7));
+    freshness.note_committed(ms(100), LogIndex(7));
+    freshness.note_committed(ms(200), LogIndex(9));
+    freshness.note_committed(ms(300), LogIndex(7));
+    assert_eq!(freshness.current_as_of(), Some(ms(100)));
+    assert_eq!(freshness.lacked(), Some(LogIndex(9)));
+    freshness.note_applied(LogIndex(9));
+    assert_eq!(freshness.current_as_of(), Some(ms(300)));
+}
