Let tests share the large fleet and the plain route that two files each spelled out

Cause: directory.rs and growth.rs of the gateway had the same 40 lines; two test files of the routing table each had a route. Change: support files; every assertion and value is as before. Measured: clippy over all targets; all tests of routing, records, registry and edge pass.

--- a/crates/courseshed-edge/tests/directory.rs
+++ b/crates/courseshed-edge/tests/directory.rs
@@ -1,59 +1,14 @@
 //! Which servers of a large fleet a gateway weighs for a call.
 
+#[path = "support/large_fleet.rs"]
+mod large_fleet;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_edge::gateway::{Demand, ServerTable};
-use courseshed_registry::{Server, ServerChanges, ServerList, ServerState};
-use courseshed_routing::HomeRegions;
-use courseshed_types::PromptPart;
-
-const NOW: Duration = Duration::from_secs(10);
-const MANY: u32 = 10_000;
-const PROMPT: [PromptPart; 2] = [
-    PromptPart {
-        id: 7,
-        tokens: 12_600,
-    },
-    PromptPart {
-        id: 8,
-        tokens: 1_680,
-    },
-];
-
-fn server(number: u32) -> Server {
-    let [_, _, high, low] = number.to_be_bytes();
-    Server {
-        id: format!("i-{number:08x}"),
-        name: String::new(),
-        born_ms: None,
-        service: "engines".to_owned(),
-        address: SocketAddr::from(([10, 0, high, low], 80)),
-        zone: format!("zone-{}", number % 5),
-        slots: 6,
-        state: ServerState::Ready,
-        cold_ms: 0,
-    }
-}
-
-fn table(servers: u32) -> (ServerTable, ServerList) {
-    let list: ServerList = (0..servers).map(server).collect();
-    let mut table = ServerTable::default();
-    table.replace(&list, NOW);
-    (table, list)
-}
-
-fn choose(table: &ServerTable, prompt: &[PromptPart], tie: u64) -> Option<String> {
-    let demand = Demand {
-        service: "engines",
-        zone: "zone-1",
-        parts: prompt,
-        most_in_flight: u32::MAX,
-        homes: &HomeRegions::ANY,
-    };
-    table.choose(&demand, &[], NOW, tie).map(|chosen| chosen.id)
-}
+use courseshed_edge::gateway::ServerTable;
+use courseshed_registry::ServerChanges;
+use large_fleet::{MANY, NOW, PROMPT, choose, server, table};
 
 /// All gateways find the same few servers for a prompt, and more of them as these fill.
 #[test]
--- a/crates/courseshed-edge/tests/growth.rs
+++ b/crates/courseshed-edge/tests/growth.rs
@@ -2,66 +2,22 @@
 //! fleet. Work is measured by the bytes that are allocated for it, which are the same on every run: so this file
 //! has one test, beside which nothing else runs.
 
+#[path = "support/large_fleet.rs"]
+mod large_fleet;
+
 use std::alloc::System;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_edge::gateway::{Demand, Report, ServerTable};
-use courseshed_registry::{LoadReport, Server, ServerChanges, ServerList, ServerLoad, ServerState};
-use courseshed_routing::HomeRegions;
-use courseshed_types::{PromptPart, ServerKey};
+use courseshed_edge::gateway::Report;
+use courseshed_registry::{LoadReport, ServerChanges, ServerLoad};
+use courseshed_types::ServerKey;
+use large_fleet::{MANY, NOW, PROMPT, choose, server, table};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
-const NOW: Duration = Duration::from_secs(10);
 const FEW: u32 = 1_000;
-const MANY: u32 = 10_000;
-const PROMPT: [PromptPart; 2] = [
-    PromptPart {
-        id: 7,
-        tokens: 12_600,
-    },
-    PromptPart {
-        id: 8,
-        tokens: 1_680,
-    },
-];
-
-fn server(number: u32) -> Server {
-    let [_, _, high, low] = number.to_be_bytes();
-    Server {
-        id: format!("i-{number:08x}"),
-        name: String::new(),
-        born_ms: None,
-        service: "engines".to_owned(),
-        address: SocketAddr::from(([10, 0, high, low], 80)),
-        zone: format!("zone-{}", number % 5),
-        slots: 6,
-        state: ServerState::Ready,
-        cold_ms: 0,
-    }
-}
-
-fn table(servers: u32) -> (ServerTable, ServerList) {
-    let list: ServerList = (0..servers).map(server).collect();
-    let mut table = ServerTable::default();
-    table.replace(&list, NOW);
-    (table, list)
-}
-
-fn choose(table: &ServerTable, prompt: &[PromptPart], tie: u64) -> Option<String> {
-    let demand = Demand {
-        service: "engines",
-        zone: "zone-1",
-        parts: prompt,
-        most_in_flight: u32::MAX,
-        homes: &HomeRegions::ANY,
-    };
-    table.choose(&demand, &[], NOW, tie).map(|chosen| chosen.id)
-}
-
 /// The loads that other gateways tell of some servers.
 fn loads() -> LoadReport {
     let busy = (0..50).map(|number| ServerLoad {
--- a/crates/courseshed-records/tests/views.rs
+++ b/crates/courseshed-records/tests/views.rs
@@ -51,7 +51,6 @@
         wanted: 3,
         replicas: &BTreeMap::new(),
         home: None,
-        must_stay_home: false,
     })
 }
 
--- a/crates/courseshed-routing/tests/parts.rs
+++ b/crates/courseshed-routing/tests/parts.rs
@@ -1,35 +1,22 @@
 //! A table that is told in parts is the table that was told, whatever changed and whoever tells.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use courseshed_routing::{
-    CallKind, KeyDigest, MOST_ITEMS, PartsTaken, RecentTables, Route, RoutingTable, Service,
-    TableAssembler, Target, Tenant, VersionedTable,
+    KeyDigest, MOST_ITEMS, PartsTaken, RecentTables, Route, RoutingTable, Service, TableAssembler,
+    Tenant, VersionedTable,
 };
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
 fn route(number: u32, timeout_ms: u64) -> Arc<Route> {
     Arc::new(Route {
-        name: format!("r-{number}"),
         host: format!("h-{}.example", number % 3),
-        path_prefix: format!("/p-{number}/"),
-        kind: CallKind::Repeatable,
         timeout_ms,
-        aim_ms: 100,
-        priority: 0,
-        targets: vec![Target {
-            service: "s".to_owned(),
-            weight: 1.0,
-        }],
-        max_attempts: 1,
-        keeps_turns: false,
-        retention_ms: 0,
-        affinity: false,
-        resumable: false,
-        is_public: false,
-        home_regions: Vec::new(),
+        ..support::route(&format!("r-{number}"), &format!("/p-{number}/"))
     })
 }
 
--- a/crates/courseshed-routing/tests/table.rs
+++ b/crates/courseshed-routing/tests/table.rs
@@ -1,40 +1,16 @@
 //! Which tables are accepted, which route a call finds, and how splits keep to their weights.
 
+mod support;
+
 use std::sync::Arc;
 
 use courseshed_routing::{
-    CallKind, HomeRegions, KeyDigest, RequestQuota, Route, RoutingTable, Service, SplitCounter,
-    TableError, Target, Tenant,
+    HomeRegions, KeyDigest, RequestQuota, Route, RoutingTable, Service, SplitCounter, TableError,
+    Tenant,
 };
+use support::{route, target};
 use yare::parameterized;
 
-fn route(name: &str, prefix: &str) -> Route {
-    Route {
-        name: name.to_owned(),
-        host: "a.example".to_owned(),
-        path_prefix: prefix.to_owned(),
-        kind: CallKind::Repeatable,
-        timeout_ms: 1000,
-        aim_ms: 100,
-        priority: 0,
-        targets: vec![target("s", 1.0)],
-        max_attempts: 1,
-        keeps_turns: false,
-        retention_ms: 0,
-        affinity: false,
-        resumable: false,
-        is_public: false,
-        home_regions: Vec::new(),
-    }
-}
-
-fn target(service: &str, weight: f64) -> Target {
-    Target {
-        service: service.to_owned(),
-        weight,
-    }
-}
-
 fn table(routes: Vec<Route>) -> RoutingTable {
     RoutingTable {
         routes: routes.into_iter().map(Arc::new).collect(),
