Ask for a replica's place in the log without copying its members, and keep a binding home in one place

Cause: the controllers' worker made a whole status of the group, with a copy of its members, twice a round for one number. That a partition's home binds was told beside the home, where it means nothing without one. A follower derived the version that it holds a second time, and took its assembler's lock twice. A call's homes were copied to be read. Change: the number alone is asked for; HomeRegion says whether it binds; taking a part in is a step of its own; homes are borrowed. One comment told of ten parts where there are fifty now, another says what never having been current means. No behaviour changes.

--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -173,9 +173,10 @@
     /// Follows how new the state is, and says when it falls behind what is committed.
     fn note_applied(&mut self) {
         let now = self.now();
-        let applied = self.group.status().applied_index;
+        let applied = self.group.peer().applied_index();
         self.freshness.note_applied(applied);
-        let current = self.freshness.current_as_of().unwrap_or_default();
+        // One that never was current has been behind since the clock started, with the process.
+        let current = self.freshness.current_as_of().unwrap_or(Duration::ZERO);
         let lacked = self.freshness.lacked();
         let is_behind = lacked.is_some() && now.saturating_sub(current) > FRESH_LIMIT;
         match (self.behind_since, is_behind, lacked) {
@@ -359,7 +360,7 @@
         let is_leader = self.group.is_leader();
         let configuration = self.group.peer().configuration();
         let now = self.now();
-        let applied = self.group.status().applied_index;
+        let applied = self.group.peer().applied_index();
         let has_lease = is_leader && self.group.lease_valid(now);
         if has_lease {
             self.freshness.note_committed(now, applied);
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -11,7 +11,7 @@
 use courseshed_registry::{
     EvacuatedZones, FleetUpdate, Known, ProofKeeper, RoutingProof, ServerList,
 };
-use courseshed_routing::{TableAssembler, VersionedTable};
+use courseshed_routing::{PartsTaken, TableAssembler, VersionedTable};
 use courseshed_types::NodeId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -242,7 +242,7 @@
     /// Looks for a controller with something to begin with, and takes it from that one: after a loss of
     /// power some may not be there yet, and any state that was in force once serves until a leader is found.
     /// All are asked whether they have something, and only one for it: with 10,000 servers it is 1.6 MB
-    /// in ten parts, half a second of a gateway's link of 30 Mbit/s.
+    /// in some fifty parts, half a second of a gateway's link of 30 Mbit/s.
     async fn first_news(&self) -> Known {
         loop {
             let controllers = self.controllers();
@@ -373,18 +373,23 @@
         }
     }
 
-    fn take_in(&self, controller: NodeId, known: Known, mut update: FleetUpdate) -> Known {
-        let mut next = update.known;
-        let held = self.view.borrow().routing.clone();
+    /// Puts a part of a routing table to those that were taken; a table that is whole by that is an update like one
+    /// that came whole. Returns what is taken of one that isn't.
+    fn assemble(&self, update: &mut FleetUpdate) -> Option<PartsTaken> {
+        let mut assembler = self.assembler.lock();
         if let Some(part) = update.table_part.take() {
-            let whole = self.assembler.lock().take(held.as_deref(), part);
-            update.routing = whole.map(Arc::new);
+            let held = self.view.borrow().routing.clone();
+            update.routing = assembler.take(held.as_deref(), part).map(Arc::new);
         }
-        let version = |table: &Arc<VersionedTable>| table.version;
-        let told = update.routing.as_ref().map(version);
-        next.routing = known.routing.max(held.as_ref().map(version)).max(told);
+        assembler.taken()
+    }
+
+    fn take_in(&self, controller: NodeId, known: Known, mut update: FleetUpdate) -> Known {
+        let mut next = update.known;
         next.takes_parts = known.takes_parts;
-        next.parts = self.assembler.lock().taken();
+        next.parts = self.assemble(&mut update);
+        let told = update.routing.as_ref().map(|table| table.version);
+        next.routing = known.routing.max(told);
         let servers = update.servers.as_ref();
         if !servers.is_some_and(|changes| changes.is_whole) {
             next.servers = next.servers.max(known.servers);
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -293,11 +293,11 @@
     }
 
     /// Where its turn may be kept: anywhere if it isn't kept at all.
-    pub(super) fn kept_within(&self) -> HomeRegions {
+    pub(super) fn kept_within(&self) -> &HomeRegions {
         if self.route.keeps_turns {
-            self.homes.clone()
+            &self.homes
         } else {
-            HomeRegions::ANY
+            &HomeRegions::ANY
         }
     }
 
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -50,7 +50,6 @@
     mut attempts: Attempts,
     tokens_per_event: u64,
 ) -> Response<BoxBody> {
-    let kept_within = attempts.kept_within();
     let prepared = futures_util::join!(
         reserve(
             &attempts.core,
@@ -64,7 +63,7 @@
             &attempts.core,
             &attempts.call,
             attempts.caller.tenant_name(),
-            &kept_within,
+            attempts.kept_within(),
             attempts.deadline,
             &attempts.holding
         ),
--- a/crates/courseshed-records/src/plan.rs
+++ b/crates/courseshed-records/src/plan.rs
@@ -35,8 +35,6 @@
     pub replicas: &'a BTreeMap<NodeId, usize>,
     /// The region that replicas are to be in as far as it has machines; none if any will do.
     pub home: Option<HomeRegion<'a>>,
-    /// Whether they must be there.
-    pub must_stay_home: bool,
 }
 
 /// The region where a partition's replicas are.
@@ -46,6 +44,8 @@
     pub region: &'a str,
     /// The regions of zones.
     pub zones: &'a ZoneMap,
+    /// Whether replicas must stay there.
+    pub is_binding: bool,
 }
 
 /// Which losses of whole places replicas must survive, and so how they are spread.
@@ -81,6 +81,7 @@
         is_enough.then_some(HomeRegion {
             region,
             zones: self.zones,
+            is_binding: self.must_stay_home,
         })
     }
 }
@@ -128,7 +129,6 @@
                 wanted: plan.wanted,
                 replicas: &replicas,
                 home: plan.spread.home(partition),
-                must_stay_home: plan.spread.must_stay_home,
             })
         });
         if let Some(next) = planned {
@@ -277,11 +277,12 @@
             self.home
                 .is_some_and(|home| home.zones.region_of(zone) != Some(home.region))
         };
+        let is_bound = self.home.is_some_and(|home| home.is_binding);
         self.stores
             .iter()
             .filter(|(node, _)| !view.needs(**node))
             .filter(|(node, _)| !self.silent.contains(node) && !self.retiring.contains(node))
-            .filter(|(_, store)| !self.must_stay_home || !is_abroad(&store.zone))
+            .filter(|(_, store)| !is_bound || !is_abroad(&store.zone))
             .min_by_key(|(node, store)| {
                 (is_abroad(&store.zone), in_zone(&store.zone), replicas(node))
             })
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -440,7 +440,6 @@
             wanted: 2 * self.borne + 1,
             replicas: &BTreeMap::new(),
             home: None,
-            must_stay_home: false,
         };
         if let Some(next) = plan_view(&plan) {
             self.adopt(next);
