Elect a leader at once after a restart of all voters

A replica that restarts rejects elections for one election timeout, since it may have acknowledged a leader's append before the restart and must respect its lease. After a restart of all voters no lease exists, and the wait is lost.

With PeerConfig::restart_election (off by default) a replica that has started asks all voters whether they are leaderless: neither leader nor candidate of the requester's term. If all say so, none of them can lead that term or an earlier one any more, and an election starts immediately. The configuration must be known to be committed, since a leader that removed itself leads until then. One voter that is missing, or answers with an older build, leaves the timeout in force.

--- a/crates/courseshed-consensus/src/message.rs
+++ b/crates/courseshed-consensus/src/message.rs
@@ -66,12 +66,18 @@
 }
 
 /// The content of a message.
+///
+/// Fields that were added are last in their variant and skipped while they have their default, since
+/// `courseshed-node` encodes fields by position.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum MessageBody {
     /// Asks whether the receiver would grant a vote in the next term. Doesn't change its state.
     PreVoteRequest {
         /// The end of the sender's log.
         log_end: LogEnd,
+        /// The sender has restarted, and also asks whether the receiver is leaderless.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        after_restart: bool,
     },
     /// Response to a pre-vote request.
     PreVoteResponse {
@@ -81,12 +87,16 @@
         asked_in: Term,
         /// Whether the vote would be granted.
         granted: bool,
+        /// In the term of the request, the sender is neither leader nor candidate.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        leaderless: bool,
     },
     /// Requests a vote in the message's term.
     VoteRequest {
         /// The end of the candidate's log.
         log_end: LogEnd,
-        /// The election is part of a leadership transfer, so an active leader doesn't prevent it.
+        /// The election is part of a leadership transfer, or all voters stated that they are
+        /// leaderless, so an earlier leader's lease doesn't prevent it.
         handover: bool,
     },
     /// Response to a vote request.
--- a/crates/courseshed-consensus/src/model/action.rs
+++ b/crates/courseshed-consensus/src/model/action.rs
@@ -10,6 +10,8 @@
 pub(super) enum Step {
     /// Its election timer fires.
     Campaign,
+    /// It asks all voters, as after a start, whether they are leaderless.
+    AskLeaderless,
     /// It takes a proposal, as the leader.
     Propose(u8),
     /// Its heartbeat timer fires, as the leader.
@@ -43,6 +45,7 @@
         let replica = self.action.replica + 1;
         match self.action.step {
             Step::Campaign => write!(formatter, "replica {replica} starts an election"),
+            Step::AskLeaderless => write!(formatter, "replica {replica} asks who is leaderless"),
             Step::Propose(_) => write!(formatter, "leader {replica} takes a proposal"),
             Step::Heartbeat => write!(formatter, "leader {replica} sends heartbeats"),
             Step::Remove(member) => write!(formatter, "leader {replica} removes member {member}"),
@@ -67,7 +70,11 @@
 fn describe(message: &Message) -> String {
     let body = match &message.body {
         MessageBody::PreVoteRequest { .. } => "pre-vote request".to_owned(),
-        MessageBody::PreVoteResponse { granted, .. } => format!("pre-vote, granted: {granted}"),
+        MessageBody::PreVoteResponse {
+            granted,
+            leaderless,
+            ..
+        } => format!("pre-vote, granted: {granted}, leaderless: {leaderless}"),
         MessageBody::VoteRequest { log_end, .. } => {
             format!(
                 "vote request, log ends at {} of term {}",
--- a/crates/courseshed-consensus/src/model/history.rs
+++ b/crates/courseshed-consensus/src/model/history.rs
@@ -15,6 +15,8 @@
     LeaderLacksCommitted,
     /// A replica was asked to replace a committed entry.
     CommittedReplaced,
+    /// A leader was elected after a restart while an earlier one might hold a lease.
+    ElectedBeforeLeaseEnd,
     /// Two logs hold entries of the same index and term with different content.
     LogsDiffer,
 }
@@ -26,6 +28,9 @@
             Self::CommitsDiffer => "all replicas commit the same entry at an index",
             Self::LeaderLacksCommitted => "a leader has every entry committed in earlier terms",
             Self::CommittedReplaced => "a committed entry is never replaced",
+            Self::ElectedBeforeLeaseEnd => {
+                "no election after a restart succeeds while a leader may hold a lease"
+            }
             Self::LogsDiffer => "an index and a term name one entry",
         }
     }
@@ -92,6 +97,12 @@
     }
 }
 
+/// Whether the first replica was elected after a restart while the second may hold a lease of an
+/// earlier term. Without time in the model, every established leader may.
+pub(super) fn precedes_lease_end(elected: &Peer, other: &Peer) -> bool {
+    elected.won_restart_election() && other.is_established() && other.term() < elected.term()
+}
+
 /// Checks that two logs agree wherever index and term are the same.
 pub(super) fn logs_match(left: &Peer, right: &Peer) -> Result<(), Violation> {
     let mut index = LogIndex(1);
--- a/crates/courseshed-consensus/src/model/replicas.rs
+++ b/crates/courseshed-consensus/src/model/replicas.rs
@@ -108,6 +108,7 @@
         let mut peer = before.clone();
         match step {
             Step::Campaign => peer.campaign(),
+            Step::AskLeaderless => peer.request_statements(),
             Step::Propose(number) => drop(peer.propose(vec![number])),
             Step::Heartbeat => peer.request_heartbeat(),
             Step::Remove(member) => {
@@ -139,6 +140,7 @@
         config.pre_vote = false;
         config.check_quorum = false;
         config.lease = false;
+        config.restart_election = self.rules.budget.restart_requests > 0;
         config.eager_commit = false;
         config.max_batch_bytes =
             self.rules.entries_per_message * crate::entry::ENTRY_OVERHEAD_BYTES;
--- a/crates/courseshed-consensus/src/model/rules.rs
+++ b/crates/courseshed-consensus/src/model/rules.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Budget {
     pub(super) campaigns: u8,
+    /// Rounds of requests for an election after a restart. With 0, no replica holds such elections.
+    pub(super) restart_requests: u8,
     pub(super) proposals: u8,
     pub(super) heartbeats: u8,
     pub(super) removals: u8,
--- a/crates/courseshed-consensus/src/model/scenarios.rs
+++ b/crates/courseshed-consensus/src/model/scenarios.rs
@@ -9,6 +9,7 @@
 
 const NOTHING: Budget = Budget {
     campaigns: 0,
+    restart_requests: 0,
     proposals: 0,
     heartbeats: 0,
     removals: 0,
@@ -59,12 +60,14 @@
         .map(Scenario::check)
 }
 
-fn scenarios(depth: Depth) -> [Scenario; 4] {
+fn scenarios(depth: Depth) -> [Scenario; 6] {
     [
         durable(depth),
         volatile(depth),
         membership(depth),
         old_terms(depth),
+        restart_election(depth),
+        restart_election_after_removal(depth),
     ]
 }
 
@@ -101,6 +104,7 @@
     } = rules;
     let Budget {
         campaigns,
+        restart_requests,
         proposals,
         heartbeats,
         removals,
@@ -108,7 +112,7 @@
         duplicates,
     } = budget;
     format!(
-        "{REPLICAS} replicas, {campaigns} elections, {proposals} proposals, {heartbeats} heartbeats, \
+        "{REPLICAS} replicas, {campaigns} elections, {restart_requests} requests after a restart, {proposals} proposals, {heartbeats} heartbeats, \
          {removals} removals, {restarts} restarts, {duplicates} duplicates, \
          {network_capacity} messages in flight"
     )
@@ -268,6 +272,83 @@
     }
 }
 
+/// Replicas that restarted ask for an election, while others lead, are candidates or restart again.
+fn restart_election(depth: Depth) -> Scenario {
+    let budget = Budget {
+        campaigns: 2,
+        restart_requests: 2,
+        restarts: 1,
+        ..NOTHING
+    };
+    let two_restarts = Rules {
+        budget: Budget {
+            restarts: 2,
+            ..budget
+        },
+        ..PLAIN
+    };
+    let rules = match depth {
+        Depth::Quick => Rules { budget, ..PLAIN },
+        Depth::Deep => two_restarts,
+    };
+    let with_defect = |defect| Rules { defect, ..rules };
+    let variants = vec![
+        Variant {
+            name: "the statements of a quorum are enough",
+            rules: with_defect(Defect::RestartElectionByQuorum),
+        },
+        Variant {
+            name: "a candidate states that it is leaderless",
+            rules: with_defect(Defect::CandidatesLeaderless),
+        },
+        Variant {
+            name: "a replica states that it is leaderless in another term than its own",
+            rules: Rules {
+                defect: Defect::LeaderlessInAnyTerm,
+                ..two_restarts
+            },
+        },
+    ];
+    Scenario {
+        name: "elections after a restart",
+        rules,
+        goal: Peer::won_restart_election,
+        variants,
+    }
+}
+
+/// A leader removes itself, and leads on until the others have committed it.
+fn restart_election_after_removal(depth: Depth) -> Scenario {
+    let budget = Budget {
+        campaigns: 1,
+        restart_requests: 2,
+        removals: 1,
+        restarts: 1,
+        ..NOTHING
+    };
+    let rules = match depth {
+        Depth::Quick => Rules { budget, ..PLAIN },
+        Depth::Deep => Rules {
+            budget,
+            network_capacity: 3,
+            ..PLAIN
+        },
+    };
+    let variants = vec![Variant {
+        name: "the configuration may be uncommitted",
+        rules: Rules {
+            defect: Defect::RestartElectionUncommitted,
+            ..rules
+        },
+    }];
+    Scenario {
+        name: "elections after a restart and a removal",
+        rules,
+        goal: Peer::won_restart_election,
+        variants,
+    }
+}
+
 fn has_committed_data(peer: &Peer) -> bool {
     let committed = (1..=peer.commit_index().0).filter_map(|index| peer.entry(index.into()));
     committed
--- a/crates/courseshed-consensus/src/model/state.rs
+++ b/crates/courseshed-consensus/src/model/state.rs
@@ -1,14 +1,15 @@
 //! One state of a modelled group, and its successors.
 //!
 //! The network holds a bounded number of messages and delivers them in any order. When more are
-//! sent, any of them are lost. Messages of a term older than the receiver's are always lost.
+//! sent, any of them are lost. Messages of a term older than the receiver's are always lost, except
+//! statements to be leaderless, which are matched by the term of their request.
 
 use super::action::{Action, Step};
-use super::history::{History, Violation};
+use super::history::{self, History, Violation};
 use super::interner::Id;
 use super::replicas::Replicas;
 use super::rules::Budget;
-use crate::{Message, Peer, ReplicaId};
+use crate::{Message, MessageBody, Peer, ReplicaId};
 
 /// Replicas in a modelled group.
 pub(super) const REPLICAS: usize = 3;
@@ -76,6 +77,7 @@
             }
         };
         offer(self.budget.restarts, Step::Restart);
+        offer(self.budget.restart_requests, Step::AskLeaderless);
         if !replicas.peer(self.replicas[replica]).is_leader() {
             offer(self.budget.campaigns, Step::Campaign);
             return;
@@ -111,6 +113,7 @@
         let budget = &mut self.budget;
         match action.step {
             Step::Campaign => budget.campaigns -= 1,
+            Step::AskLeaderless => budget.restart_requests -= 1,
             Step::Propose(_) => budget.proposals -= 1,
             Step::Heartbeat => budget.heartbeats -= 1,
             Step::Remove(_) => budget.removals -= 1,
@@ -124,7 +127,14 @@
         let peers = self.replicas;
         self.network.retain(|id| {
             let message = replicas.message(*id);
-            message.term >= replicas.peer(peers[message.to.0 as usize - 1]).term()
+            let is_statement = matches!(
+                message.body,
+                MessageBody::PreVoteResponse {
+                    leaderless: true,
+                    ..
+                }
+            );
+            is_statement || message.term >= replicas.peer(peers[message.to.0 as usize - 1]).term()
         });
         self.network.sort_unstable();
         self.network.dedup();
@@ -140,7 +150,12 @@
         let mismatch = others
             .filter_map(|other| replicas.logs_match(*other, peer).err())
             .next();
-        self.violation = self.violation.or(mismatch);
+        let before_lease_end = self.replicas.iter().any(|other| {
+            let (one, other) = (replicas.peer(peer), replicas.peer(*other));
+            history::precedes_lease_end(&one, &other) || history::precedes_lease_end(&other, &one)
+        });
+        let early = before_lease_end.then_some(Violation::ElectedBeforeLeaseEnd);
+        self.violation = self.violation.or(mismatch).or(early);
     }
 
     /// Whether this state differs from the one before by more than a budget.
--- a/crates/courseshed-consensus/src/peer/defect.rs
+++ b/crates/courseshed-consensus/src/peer/defect.rs
@@ -18,4 +18,12 @@
     IgnoresLogEnds,
     /// Votes are counted regardless of the incarnations of voter and candidate.
     IgnoresIncarnations,
+    /// Statements of a quorum allow an election after a restart, instead of those of all voters.
+    RestartElectionByQuorum,
+    /// An election after a restart uses a configuration that may not be committed.
+    RestartElectionUncommitted,
+    /// A candidate states that it is leaderless.
+    CandidatesLeaderless,
+    /// A replica states that it is leaderless in another term than its own.
+    LeaderlessInAnyTerm,
 }
--- a/crates/courseshed-consensus/src/peer/election.rs
+++ b/crates/courseshed-consensus/src/peer/election.rs
@@ -12,10 +12,22 @@
 
 use super::{Defect, Peer, Role};
 
+/// What makes an election possible.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum ElectionKind {
+    /// No leader was heard from for an election timeout.
+    Timeout,
+    /// The leader transfers its leadership.
+    Handover,
+    /// All voters stated after a restart that there is no leader.
+    AfterRestart,
+}
+
 /// The votes granted to a candidate so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct VoteSet {
     granted: BTreeSet<ReplicaId>,
+    kind: ElectionKind,
 }
 
 impl Peer {
@@ -27,7 +39,7 @@
         if self.config.pre_vote {
             self.start_pre_vote();
         } else {
-            self.start_election(false);
+            self.start_election(ElectionKind::Timeout);
         }
     }
 
@@ -41,30 +53,35 @@
 
     fn start_pre_vote(&mut self) {
         self.leader = None;
-        self.role = Role::PreCandidate(self.own_vote());
+        self.role = Role::PreCandidate(self.own_vote(ElectionKind::Timeout));
         let log_end = self.log.end();
-        self.send_to_other_voters(&MessageBody::PreVoteRequest { log_end });
+        self.send_to_other_voters(&MessageBody::PreVoteRequest {
+            log_end,
+            after_restart: false,
+        });
         self.check_pre_vote_quorum();
     }
 
-    pub(super) fn start_election(&mut self, handover: bool) {
+    pub(super) fn start_election(&mut self, kind: ElectionKind) {
         self.hard_state.term = self.hard_state.term.next();
         self.hard_state.vote = Some(self.address());
         self.leader = None;
         self.partial_snapshot = None;
-        self.role = Role::Candidate(self.own_vote());
+        self.restart_election = None;
+        self.role = Role::Candidate(self.own_vote(kind));
         self.reset_election_deadline();
         let log_end = self.log.end();
+        let handover = kind != ElectionKind::Timeout;
         self.send_to_other_voters(&MessageBody::VoteRequest { log_end, handover });
         self.check_vote_quorum();
     }
 
-    fn own_vote(&self) -> VoteSet {
+    fn own_vote(&self, kind: ElectionKind) -> VoteSet {
         let granted = BTreeSet::from([self.config.id]);
-        VoteSet { granted }
+        VoteSet { granted, kind }
     }
 
-    fn send_to_other_voters(&mut self, body: &MessageBody) {
+    pub(super) fn send_to_other_voters(&mut self, body: &MessageBody) {
         let voters: Vec<ReplicaId> = self.configuration().voters().collect();
         for voter in voters {
             if voter != self.config.id {
@@ -78,13 +95,16 @@
         from: ReplicaAddress,
         term: Term,
         log_end: LogEnd,
+        after_restart: bool,
     ) {
+        let leaderless = after_restart && self.state_leaderless(from, term, log_end);
         let is_not_stale = term >= self.hard_state.term;
         let granted = is_not_stale && self.is_log_up_to_date(log_end) && !self.has_active_leader();
         let body = MessageBody::PreVoteResponse {
             candidate: from,
             asked_in: term,
             granted,
+            leaderless,
         };
         self.send(from.replica, body);
     }
@@ -94,15 +114,20 @@
             candidate,
             asked_in,
             granted,
+            leaderless,
         } = message.body
         else {
             return;
         };
         if message.term > self.hard_state.term {
             self.become_follower(message.term, None);
+            self.repeat_request();
             return;
         }
         let is_ours = candidate == self.address() && asked_in == self.hard_state.term;
+        if is_ours && leaderless {
+            self.record_leaderless(message.from);
+        }
         if is_ours && granted && self.counts_towards_quorum(message.from) {
             if let Role::PreCandidate(votes) = &mut self.role {
                 votes.granted.insert(message.from.replica);
@@ -113,7 +138,7 @@
 
     fn check_pre_vote_quorum(&mut self) {
         if matches!(&self.role, Role::PreCandidate(votes) if self.has_quorum(votes)) {
-            self.start_election(false);
+            self.start_election(ElectionKind::Timeout);
         }
     }
 
@@ -126,6 +151,7 @@
         if granted {
             self.hard_state.vote = Some(from);
             self.reset_election_deadline();
+            self.postpone_request();
         }
         let body = MessageBody::VoteResponse {
             candidate: from,
@@ -156,8 +182,11 @@
     }
 
     fn check_vote_quorum(&mut self) {
-        if matches!(&self.role, Role::Candidate(votes) if self.has_quorum(votes)) {
-            self.become_leader();
+        if let Role::Candidate(votes) = &self.role
+            && self.has_quorum(votes)
+        {
+            let kind = votes.kind;
+            self.become_leader(kind);
         }
     }
 
--- a/crates/courseshed-consensus/src/peer/follower.rs
+++ b/crates/courseshed-consensus/src/peer/follower.rs
@@ -49,6 +49,7 @@
             return false;
         }
         self.leader_contact = Some(self.now);
+        self.restart_election = None;
         self.become_follower(self.hard_state.term, Some(from));
         true
     }
--- a/crates/courseshed-consensus/src/peer/leader.rs
+++ b/crates/courseshed-consensus/src/peer/leader.rs
@@ -11,6 +11,7 @@
     ReplicaId,
 };
 
+use super::election::ElectionKind;
 use super::leadership_transfer::LeadershipTransfer;
 use super::reads::PendingRead;
 use super::{Peer, Role};
@@ -34,6 +35,7 @@
     pub(super) lease_revoked: bool,
     /// Members that sent messages in a later incarnation than the admitted one.
     pub(super) returned: BTreeMap<ReplicaId, u64>,
+    pub(super) won_restart_election: bool,
 }
 
 impl LeaderState {
@@ -72,7 +74,7 @@
 }
 
 impl Peer {
-    pub(super) fn become_leader(&mut self) {
+    pub(super) fn become_leader(&mut self, kind: ElectionKind) {
         let mut leader = LeaderState {
             followers: BTreeMap::new(),
             first_index: self.log.last_index().next(),
@@ -84,6 +86,7 @@
             transfer: None,
             lease_revoked: false,
             returned: BTreeMap::new(),
+            won_restart_election: kind == ElectionKind::AfterRestart,
         };
         let last_index = self.log.last_index();
         leader.sync_followers(
--- a/crates/courseshed-consensus/src/peer/leadership_transfer.rs
+++ b/crates/courseshed-consensus/src/peer/leadership_transfer.rs
@@ -5,6 +5,7 @@
 use crate::{LogIndex, MessageBody, ReplicaId, TransferError};
 
 use super::Peer;
+use super::election::ElectionKind;
 
 /// A leadership transfer in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -103,7 +104,7 @@
 
     pub(super) fn on_timeout_now(&mut self) {
         if !self.is_leader() && self.can_campaign() {
-            self.start_election(true);
+            self.start_election(ElectionKind::Handover);
         }
     }
 }
--- a/crates/courseshed-consensus/src/peer/mod.rs
+++ b/crates/courseshed-consensus/src/peer/mod.rs
@@ -17,6 +17,7 @@
 mod output;
 mod reads;
 mod replication;
+mod restart_election;
 
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 use election::VoteSet;
 use follower::PartialSnapshot;
 use leader::LeaderState;
+use restart_election::RestartElection;
 
 /// The Raft role of a replica, with the state specific to that role.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -56,6 +58,8 @@
     /// When the leader last contacted this replica. After a restart in a term above 0 it is the start
     /// time, since a lease granted before the restart may still be valid.
     leader_contact: Option<Duration>,
+    /// The attempt to be elected right after the start, while it lasts.
+    restart_election: Option<RestartElection>,
     partial_snapshot: Option<PartialSnapshot>,
     pending_snapshot: Option<Snapshot>,
     outbox: Vec<Message>,
@@ -76,6 +80,8 @@
         let hard_state = restored.hard_state;
         let log = ReplicaLog::new(restored, &config.initial_members);
         let has_seen_term = hard_state.term > Term(0);
+        let attempt = || RestartElection::new(now, config.election_timeout);
+        let restart_election = config.restart_election.then(attempt);
         let mut peer = Self {
             config,
             defect: Defect::None,
@@ -87,6 +93,7 @@
             leader: None,
             election_deadline: now,
             leader_contact: has_seen_term.then_some(now),
+            restart_election,
             partial_snapshot: None,
             pending_snapshot: None,
             outbox: Vec::new(),
@@ -119,8 +126,11 @@
         }
         self.record_returned_member(message.from);
         match message.body {
-            MessageBody::PreVoteRequest { log_end } => {
-                self.on_pre_vote_request(message.from, message.term, log_end);
+            MessageBody::PreVoteRequest {
+                log_end,
+                after_restart,
+            } => {
+                self.on_pre_vote_request(message.from, message.term, log_end, after_restart);
             }
             MessageBody::PreVoteResponse { .. } => self.on_pre_vote_response(&message),
             MessageBody::VoteRequest { handover, .. } if !handover && self.has_active_leader() => {}
@@ -191,6 +201,8 @@
         } else if self.now >= self.election_deadline {
             self.reset_election_deadline();
             self.campaign();
+        } else {
+            self.tick_restart_election();
         }
     }
 
@@ -202,7 +214,11 @@
         }
         match &self.role {
             Role::Leader(leader) => leader.next_wakeup(),
-            _ if self.can_campaign() => self.election_deadline,
+            _ if self.can_campaign() => {
+                let attempt = self.restart_election.as_ref();
+                let next = attempt.map_or(Duration::MAX, RestartElection::next_wakeup);
+                next.min(self.election_deadline)
+            }
             _ => Duration::MAX,
         }
     }
--- a/crates/courseshed-consensus/src/settings.rs
+++ b/crates/courseshed-consensus/src/settings.rs
@@ -54,6 +54,9 @@
     pub clock_drift_permille: u32,
     /// Whether to hold a pre-vote before an election, to avoid disrupting an active leader.
     pub pre_vote: bool,
+    /// Whether a replica that has started asks for an immediate election, which takes place if all
+    /// voters state that they are leaderless.
+    pub restart_election: bool,
     /// Whether a leader steps down when it loses contact to a quorum. Required for the lease.
     pub check_quorum: bool,
     /// Whether the leader automatically readmits members that return in a later incarnation.
@@ -118,6 +121,7 @@
             lease: true,
             clock_drift_permille: DEFAULT_CLOCK_DRIFT_PERMILLE,
             pre_vote: true,
+            restart_election: false,
             check_quorum: true,
             readmit: true,
             promotion_lag: DEFAULT_PROMOTION_LAG,
--- a/crates/courseshed-consensus/src/simulation/cluster.rs
+++ b/crates/courseshed-consensus/src/simulation/cluster.rs
@@ -152,6 +152,7 @@
         config.max_batch_bytes = 256;
         config.max_inflight = 4;
         config.promotion_lag = 8;
+        config.restart_election = true;
         config.snapshot_chunk_bytes = 64;
         config.snapshot_after_entries = 40;
         config.retained_entries = 8;
@@ -308,6 +309,7 @@
         }
         let outputs = running.group.take_outputs();
         let failure = running.group.failure().map(ToString::to_string);
+        let won_restart_election = running.group.peer().won_restart_election();
         let is_inconsistent = matches!(running.group.failure(), Some(GroupError::Inconsistent));
         let address = process.address;
         if disk.take_killed() {
@@ -318,6 +320,10 @@
             disk.flush();
         }
         self.observe_roles(address, &outputs.role_changes);
+        let is_elected = |change: &crate::RoleChange| change.role == RoleName::Leader;
+        if won_restart_election && outputs.role_changes.iter().any(is_elected) {
+            self.report.restart_elections += 1;
+        }
         self.answer_applied(replica, &outputs);
         self.report.snapshots_installed += u64::from(outputs.installed.is_some());
         for message in outputs.messages {
--- a/crates/courseshed-consensus/src/simulation/faults.rs
+++ b/crates/courseshed-consensus/src/simulation/faults.rs
@@ -17,6 +17,7 @@
 const SHORTEST_CALM_MILLIS: u64 = 50;
 /// The rate of a clock that breaks the bounds, where that is to be caught.
 const BROKEN_CLOCK_PERMILLE: u32 = 100;
+const RESTART_MILLIS: std::ops::Range<u64> = 1..50;
 const CUT_MILLIS: std::ops::Range<u64> = 100..6_000;
 const PAUSE_MILLIS: std::ops::Range<u64> = 50..6_000;
 const DISK_FAULT_MILLIS: std::ops::Range<u64> = 100..4_000;
@@ -38,7 +39,7 @@
         }
         self.schedule_fault();
         let target = self.draw_target();
-        match self.random.random_range(0..17) {
+        match self.random.random_range(0..18) {
             0..3 => self.crash(target),
             3 => self.crash_during_write(target),
             4 | 5 => self.lose_state(target),
@@ -50,6 +51,7 @@
             12 => self.break_disk(target, WriteFate::Full, Fault::DiskFull),
             13 => self.break_disk(target, WriteFate::Fails, Fault::DiskFailing),
             14 => self.ask_leader(Self::hand_over),
+            17 => self.restart_whole_group(),
             _ => self.ask_leader(Self::change_members),
         }
     }
@@ -151,6 +153,29 @@
         }
     }
 
+    /// All processes restart almost at once, or all but a leader, which is cut off from the others
+    /// and may hold a lease.
+    fn restart_whole_group(&mut self) {
+        let mut processes = self.processes.values();
+        if processes.any(|process| process.disk.forgets()) {
+            return;
+        }
+        let spares_leader = self.random.random_range(0..2) == 0;
+        let spared = self.some_leader().filter(|_| spares_leader);
+        for replica in self.replicas() {
+            if Some(replica) != spared && self.processes[&replica].running.is_some() {
+                self.kill(replica);
+                let life = self.processes[&replica].life;
+                let at = self.now + self.draw_millis(RESTART_MILLIS);
+                self.events.schedule(at, Event::Start { replica, life });
+            }
+        }
+        if let Some(leader) = spared {
+            self.isolate(leader);
+        }
+        self.count(Fault::WholeGroupRestart);
+    }
+
     fn replicas(&self) -> Vec<ReplicaId> {
         self.processes.keys().copied().collect()
     }
--- a/crates/courseshed-consensus/src/simulation/options.rs
+++ b/crates/courseshed-consensus/src/simulation/options.rs
@@ -43,11 +43,13 @@
     IgnoresLogEnds,
     /// Votes and acknowledgements count whichever incarnation gave them.
     IgnoresIncarnations,
+    /// An election after a restart needs the statements of a quorum instead of all voters.
+    RestartElectionByQuorum,
 }
 
 impl Variant {
     /// All variants that must be caught.
-    pub const BROKEN: [Self; 7] = [
+    pub const BROKEN: [Self; 8] = [
         Self::AcknowledgesBeforeFlush,
         Self::ReturnsUnderOldIncarnation,
         Self::ReadsWithoutLease,
@@ -55,6 +57,7 @@
         Self::CommitsAlone,
         Self::IgnoresLogEnds,
         Self::IgnoresIncarnations,
+        Self::RestartElectionByQuorum,
     ];
 
     /// A name for people.
@@ -71,6 +74,7 @@
             Self::CommitsAlone => "a leader commits without a quorum",
             Self::IgnoresLogEnds => "votes are given to candidates with shorter logs",
             Self::IgnoresIncarnations => "votes count whichever incarnation gave them",
+            Self::RestartElectionByQuorum => "a quorum is enough for an election after a restart",
         }
     }
 
@@ -79,6 +83,7 @@
             Self::CommitsAlone => Defect::CommitsAlone,
             Self::IgnoresLogEnds => Defect::IgnoresLogEnds,
             Self::IgnoresIncarnations => Defect::IgnoresIncarnations,
+            Self::RestartElectionByQuorum => Defect::RestartElectionByQuorum,
             _ => Defect::None,
         }
     }
--- a/crates/courseshed-consensus/src/simulation/report.rs
+++ b/crates/courseshed-consensus/src/simulation/report.rs
@@ -25,6 +25,8 @@
     StateLost,
     /// All processes were killed at once.
     WholeGroupCrash,
+    /// All processes, or all but a leader that was cut off, restarted at once.
+    WholeGroupRestart,
     /// A process was frozen, and went on later.
     Pause,
     /// A disk refused writes as full.
@@ -39,7 +41,7 @@
 
 impl Fault {
     /// All kinds of fault.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::MessageLost,
         Self::MessageRepeated,
         Self::MessageReordered,
@@ -50,6 +52,7 @@
         Self::CrashDuringWrite,
         Self::StateLost,
         Self::WholeGroupCrash,
+        Self::WholeGroupRestart,
         Self::Pause,
         Self::DiskFull,
         Self::DiskFailing,
@@ -71,6 +74,7 @@
             Self::CrashDuringWrite => "process killed during a write",
             Self::StateLost => "memory or disk lost",
             Self::WholeGroupCrash => "whole group killed",
+            Self::WholeGroupRestart => "whole group restarted",
             Self::Pause => "process frozen",
             Self::DiskFull => "disk full",
             Self::DiskFailing => "disk failing",
@@ -152,6 +156,8 @@
     pub reads_answered: u64,
     /// Terms that had a leader.
     pub terms_led: u64,
+    /// Leaders elected by the statements of all voters after a restart.
+    pub restart_elections: u64,
     /// Snapshots that followers took over from a leader.
     pub snapshots_installed: u64,
     /// Messages delivered to replicas.
--- a/crates/courseshed-consensus/tests/model.rs
+++ b/crates/courseshed-consensus/tests/model.rs
@@ -8,6 +8,8 @@
     volatile = { "volatile replicas" },
     membership = { "membership changes" },
     old_terms = { "entries of older terms" },
+    restart = { "elections after a restart" },
+    restart_after_removal = { "elections after a restart and a removal" },
 )]
 fn promises_hold_and_broken_variants_are_caught(name: &str) {
     let report = check(name).expect("the scenario exists");
--- a/crates/courseshed-consensus/tests/simulation.rs
+++ b/crates/courseshed-consensus/tests/simulation.rs
@@ -31,6 +31,9 @@
         "not all faults came: {faults:?}"
     );
     let confirmed: u64 = reports.iter().map(|report| report.writes_confirmed).sum();
+    let elected: u64 = reports.iter().map(|report| report.restart_elections).sum();
+    println!("{elected} elections after a restart");
+    assert!(elected > 0, "no election after a restart took place");
     assert!(confirmed > 100 * reports.len() as u64, "{confirmed} writes");
 }
 
@@ -55,6 +58,7 @@
     alone = { Variant::CommitsAlone },
     log_ends = { Variant::IgnoresLogEnds },
     incarnations = { Variant::IgnoresIncarnations },
+    restart_election = { Variant::RestartElectionByQuorum },
 )]
 fn broken_variant_is_caught(variant: Variant) {
     let options = SimulationOptions {
