Print the milestones of recovery from log lines

After a stop of many processes the times of recovery were put together by hand from the logs of all nodes. Invalid lines are counted and named, lines may come in any order, only the last start of a node counts, and events that precede their causes are reported as clocks that differ.

The daemons do not write quota_first_grant, quorum_answered and first_call_sent yet; these milestones read "-" until they do.

--- a/crates/courseshed-cli/src/arguments/mod.rs
+++ b/crates/courseshed-cli/src/arguments/mod.rs
@@ -6,6 +6,7 @@
 
 mod fleet;
 mod settings;
+mod timeline;
 
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 
 pub(crate) use fleet::*;
 pub(crate) use settings::*;
+pub(crate) use timeline::*;
 
 use crate::error::EXIT_CODES;
 use crate::output::Format;
@@ -62,6 +64,7 @@
     Nodes(NodesCommand),
     Status(StatusCommand),
     Explain(ExplainCommand),
+    Timeline(TimelineCommand),
 }
 
 impl Arguments {
--- a/crates/courseshed-cli/src/lib.rs
+++ b/crates/courseshed-cli/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' command-line client, `courseshed`.
 //!
-//! It speaks the operators' HTTP interface ([`courseshed_types::admin`]) and
-//! keeps no state. Invariant: the exit code says what is known of the request;
+//! It speaks the operators' HTTP interface ([`courseshed_types::admin`]), reads
+//! log files of the daemons, and keeps no state. Invariant: the exit code says what is known of the request;
 //! a change whose answer was lost is never reported as refused.
 
 mod arguments;
@@ -10,11 +10,11 @@
 mod error;
 mod output;
 mod retry;
+mod timeline;
 
 use std::io::Write;
 
 use arguments::{Arguments, Parsed};
-use client::AdminClient;
 use output::Printer;
 
 pub use error::Exit;
@@ -30,13 +30,8 @@
             return written(writeln!(err, "{}", text.trim_end()), Exit::Usage);
         }
     };
-    let outcome = match AdminClient::new(&arguments) {
-        Ok(client) => {
-            let mut printer = Printer::new(arguments.output, out);
-            commands::run(arguments.command, &client, &mut printer).await
-        }
-        Err(error) => Err(error),
-    };
+    let mut printer = Printer::new(arguments.output, out);
+    let outcome = commands::run(arguments, &mut printer).await;
     match outcome {
         Ok(exit) => exit,
         Err(error) => written(writeln!(err, "courseshed: {error}"), error.exit()),
