Recover a gateway whose event loop stood still before it serves

Cause: a gateway that wakes from a freeze sent requests whose deadline had passed meanwhile, and served by the routing table and server list of before the freeze. Its follower also took the poll that timed out during the freeze for a lost controller.

A freeze between these checks and the send repeats them. No switch; without a freeze nothing is checked. Counted in freezes and dropped_after_freeze; logged as woke_from_freeze.

--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -16,7 +16,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::clock::Clock;
@@ -129,6 +129,12 @@
     proof_keeper: Mutex<LatestProof>,
     /// Notified on each new proof.
     proofs: watch::Sender<()>,
+    /// When a refresh was requested that no response has fulfilled yet.
+    refresh_requested_at: Mutex<Option<Duration>>,
+    /// Interrupts the current poll for a refresh.
+    refresh_request: Notify,
+    /// Notified when a refresh is complete.
+    refreshes: watch::Sender<()>,
     /// Time of the last response of any controller.
     answered_at: Mutex<Option<Instant>>,
 }
@@ -153,6 +159,9 @@
             clock: Clock::start(),
             proof_keeper: Mutex::default(),
             proofs: watch::channel(()).0,
+            refresh_requested_at: Mutex::new(None),
+            refresh_request: Notify::new(),
+            refreshes: watch::channel(()).0,
             answered_at: Mutex::new(None),
         })
     }
@@ -177,6 +186,30 @@
         let _ = timeout(limit, proofs.changed()).await;
     }
 
+    /// Polls a controller at once, because the state may be outdated after a freeze.
+    pub fn request_refresh(&self) {
+        *self.refresh_requested_at.lock() = Some(self.clock.now());
+        self.refresh_request.notify_one();
+    }
+
+    /// Waits until a requested refresh is complete, up to a time limit.
+    pub async fn wait_for_refresh(&self, limit: Duration) {
+        let mut refreshes = self.refreshes.subscribe();
+        if self.refresh_requested_at.lock().is_some() {
+            // Without a controller, the state held is used.
+            let _ = timeout(limit, refreshes.changed()).await;
+        }
+    }
+
+    /// Completes a requested refresh if `asked_at`, when the answered poll was sent, is later.
+    fn complete_refresh(&self, asked_at: Duration) {
+        let mut requested_at = self.refresh_requested_at.lock();
+        if requested_at.is_some_and(|requested_at| requested_at <= asked_at) {
+            *requested_at = None;
+            self.refreshes.send_replace(());
+        }
+    }
+
     /// Whether a controller answered recently. If so, state missing here is missing at all gateways.
     #[must_use]
     pub fn has_controller_contact(&self) -> bool {
@@ -219,12 +252,21 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            if let Some(update) = self.poll(controller, known).await {
+            let asked_at = self.clock.now();
+            let polled = tokio::select! {
+                polled = self.poll(controller, known) => polled,
+                () = self.refresh_request.notified() => continue,
+            };
+            if let Some(update) = polled {
                 if failures > 0 {
                     log::info!(event = "controller_regained", controller:% = controller, failures; "following a controller after failures");
                 }
                 failures = 0;
                 known = self.apply_update(controller, known, update);
+                self.complete_refresh(asked_at);
+                continue;
+            }
+            if self.has_overslept(asked_at) {
                 continue;
             }
             failures += 1;
@@ -238,6 +280,14 @@
         }
     }
 
+    /// Whether a poll sent at `asked_at` took much longer than its time limit, so that this process
+    /// stood still and the controller may well have answered.
+    fn has_overslept(&self, asked_at: Duration) -> bool {
+        let is_gateway = matches!(self.kind, FollowerKind::Gateway { .. });
+        let passed = self.clock.now().saturating_sub(asked_at);
+        is_gateway && passed > POLL_TIMEOUT + 2 * RESPONSE_MARGIN
+    }
+
     /// Loads the initial state from any controller that has one, even if it is not up to date, so that a node can
     /// serve before a leader is elected. All controllers are polled for whether they have state, but only one
     /// transfers it, since the state of a large fleet saturates a gateway's link.
@@ -359,6 +409,9 @@
     /// The poll timeout of the next request; zero while the proof is missing or old.
     fn poll_timeout(&self) -> Duration {
         let poll_timeout = self.kind.poll_timeout();
+        if self.refresh_requested_at.lock().is_some() {
+            return Duration::ZERO;
+        }
         let is_proven = self.proof_age().is_some_and(|age| age < poll_timeout * 3);
         if self.kind.is_strict() && !is_proven {
             return Duration::ZERO;
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -31,6 +31,7 @@
 use super::refusal::Refusal;
 use super::schedule::ScheduledCall;
 use super::selected_server::SelectedServer;
+use super::server::MAX_ROUTING_WAIT;
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
 
@@ -161,7 +162,8 @@
     pub attempted_servers: Vec<String>,
     pub excluded_servers: Vec<String>,
     pub same_server_retries: usize,
-    /// A selected server to which nothing was sent because the permit expired.
+    /// A selected server to which nothing was sent because the permit expired or the event loop
+    /// stood still.
     pub reserved: Option<Assignment>,
     /// Whether a server failed after it received the request, even if that server is gone by now.
     may_have_run: bool,
@@ -222,6 +224,7 @@
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
             }
+            let freezes = self.recover_from_freeze().await?;
             if let Err(refusal) = self.take_permit().await {
                 return Err(self.final_refusal(refusal));
             }
@@ -252,9 +255,14 @@
                 upstream.release();
                 return Err(self.final_refusal(refusal));
             }
-            if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
+            let has_frozen = self.core.observe_event_loop() != freezes;
+            let lacks_permit =
+                !has_frozen && self.permit.as_mut().is_some_and(|permit| !permit.send());
+            if has_frozen || lacks_permit {
                 upstream.release();
-                self.permit = None;
+                if lacks_permit {
+                    self.permit = None;
+                }
                 self.reserved = Some(Assignment {
                     chosen,
                     call,
@@ -417,6 +425,16 @@
         self.log.record_error(server, error);
     }
 
+    /// After a freeze, checks that the call can still be served. Returns the number of freezes.
+    async fn recover_from_freeze(&self) -> Result<u64, Refusal> {
+        let limit = MAX_ROUTING_WAIT.min(self.time_left() / 4);
+        let recovered =
+            self.core
+                .recover_from_freeze(&self.memory, self.arrived, Some(self.deadline), limit);
+        let refused = |refusal| self.final_refusal(refusal);
+        recovered.await.map_err(refused)
+    }
+
     /// Takes a permit for the next attempt, if the tenant has a quota.
     async fn take_permit(&mut self) -> Result<(), Refusal> {
         let Some(tenant) = self.caller.tenant() else {
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use courseshed_registry::AvoidanceChange;
 use courseshed_routing::{Route, RoutingTable, Target, WeightedRoundRobin};
@@ -13,11 +14,13 @@
 
 use super::access::{AccessPolicy, TenantSettings};
 use super::call::CallCodec;
+use super::freeze::FreezeDetector;
 use super::memory_budget::MemoryLimits;
-use super::memory_tracker::MemoryTracker;
+use super::memory_tracker::{MemoryTracker, RequestMemory};
 use super::outcome_change::OutcomeChange;
 use super::policy::Policy;
 use super::quota::Quotas;
+use super::refusal::Refusal;
 use super::response_times::ResponseTimes;
 use super::schedule::SchedulerClient;
 use super::servers::{CallReport, ServerTable};
@@ -51,6 +54,7 @@
     /// When a graceful shutdown terminates the process; `None` while not shutting down.
     pub shutdown_at: Cell<Option<Instant>>,
     pub in_flight_requests: Cell<usize>,
+    freezes: RefCell<FreezeDetector>,
     splits: RefCell<HashMap<String, RouteSplit>>,
 }
 
@@ -90,6 +94,7 @@
             tenants,
             memory,
         } = config;
+        let clock = Clock::start();
         let access = tenants.revocation.map(AccessPolicy::strict);
         Rc::new(Self {
             codec,
@@ -99,7 +104,7 @@
             pool: UpstreamPool::new(),
             memory_tracker: MemoryTracker::new(memory, metrics.clone()),
             metrics,
-            clock: Clock::start(),
+            clock,
             servers: RefCell::new(
                 ServerTable::new(policy.clone())
                     .with_seed(rand::random())
@@ -112,6 +117,7 @@
             zone,
             shutdown_at: Cell::new(None),
             in_flight_requests: Cell::new(0),
+            freezes: RefCell::new(FreezeDetector::new(clock.now())),
             splits: RefCell::default(),
         })
     }
@@ -126,6 +132,50 @@
         self.shutdown_at.get().is_none_or(|end| time <= end)
     }
 
+    /// Records that the event loop is running, and handles the end of a freeze. Returns the number
+    /// of freezes so far.
+    pub(super) fn observe_event_loop(&self) -> u64 {
+        let now = self.clock.now();
+        let mut freezes = self.freezes.borrow_mut();
+        if let Some(stood_still) = freezes.observe(now) {
+            self.metrics.freezes.inc();
+            self.servers.borrow_mut().expire_load_report(now);
+            self.follower.request_refresh();
+            log::warn!(event = "woke_from_freeze", stood_still_ms = stood_still.as_millis() as u64, in_flight = self.in_flight_requests.get(); "the event loop stood still");
+        }
+        freezes.count()
+    }
+
+    /// If a request may have waited during a freeze, checks that its client is still there and
+    /// waits up to `limit` for the current fleet state. Returns the number of freezes so far.
+    ///
+    /// # Errors
+    /// [`Refusal::TooLate`] if the client is gone, or if the deadline, where it is known, has passed.
+    pub(super) async fn recover_from_freeze(
+        &self,
+        memory: &RequestMemory,
+        arrived: Instant,
+        deadline: Option<Instant>,
+        limit: Duration,
+    ) -> Result<u64, Refusal> {
+        let count = self.observe_event_loop();
+        let arrived = self.clock.now().saturating_sub(arrived.elapsed());
+        if !self.freezes.borrow().affects(arrived) {
+            return Ok(count);
+        }
+        let check = || {
+            if memory.is_client_gone() || deadline.is_some_and(|at| at <= Instant::now()) {
+                self.metrics.dropped_after_freeze.inc();
+                return Err(Refusal::TooLate);
+            }
+            Ok(())
+        };
+        check()?;
+        self.follower.wait_for_refresh(limit).await;
+        check()?;
+        Ok(self.observe_event_loop())
+    }
+
     /// Picks the service for the next call of a route.
     pub(super) fn split(&self, route: &Route) -> Option<String> {
         if let [only] = route.targets.as_slice() {
--- a/crates/courseshed-edge/src/gateway/memory_tracker.rs
+++ b/crates/courseshed-edge/src/gateway/memory_tracker.rs
@@ -69,13 +69,14 @@
             .entry(Rc::as_ptr(&connection))
             .or_insert_with(|| TrackedConnection {
                 id: self.memory.borrow_mut().begin(),
-                connection,
+                connection: connection.clone(),
                 request: String::new(),
             });
         request.clone_into(&mut tracked.request);
         RequestMemory {
             tracker: self.clone(),
             id: tracked.id,
+            connection,
         }
     }
 
@@ -135,6 +136,7 @@
 pub(super) struct RequestMemory {
     tracker: Rc<MemoryTracker>,
     id: ConnectionId,
+    connection: Rc<Connection>,
 }
 
 impl RequestMemory {
@@ -150,6 +152,11 @@
         self.tracker.memory.borrow().has_room()
     }
 
+    /// Whether the client has closed the connection.
+    pub(super) fn is_client_gone(&self) -> bool {
+        self.connection.is_closed_by_client()
+    }
+
     /// Checks that the budget admits more bytes of request bodies.
     ///
     /// # Errors
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod cost;
 mod directory;
 mod events;
+mod freeze;
 mod load;
 mod memory_budget;
 mod memory_tracker;
@@ -42,6 +43,7 @@
 pub use choice::Demand;
 pub use cost::{CostInputs, LatencyEstimate, ServiceLatency, expected_cost_ms};
 pub use events::{Event, EventSplitter};
+pub use freeze::FreezeDetector;
 pub use memory_budget::{
     BufferKind, ConnectionId, Disconnect, DisconnectReason, MemoryBudget, MemoryLimits,
 };
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -17,6 +17,7 @@
 use super::attempts::{Attempts, CallTimes, ChosenService};
 use super::call::{CallCodec, Credential, GatewayRequest};
 use super::core::{CoreConfig, GatewayCore};
+use super::freeze::OBSERVATION_INTERVAL;
 use super::load::share_load;
 use super::memory_budget::MemoryLimits;
 use super::memory_tracker::{RequestMemory, monitor_connections};
@@ -37,7 +38,7 @@
 const DRAIN_PERIOD: Duration = Duration::from_millis(3200);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time that a request waits for the first routing table.
-const MAX_ROUTING_WAIT: Duration = Duration::from_millis(300);
+pub(super) const MAX_ROUTING_WAIT: Duration = Duration::from_millis(300);
 /// Interval of the cleanup of idle connections and server statistics.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -147,6 +148,7 @@
     }
     actix_rt::spawn(follow_fleet(core.clone()));
     actix_rt::spawn(clean_up(core.clone()));
+    actix_rt::spawn(observe_event_loop(core.clone()));
     actix_rt::spawn(monitor_connections(core.memory_tracker.clone()));
     actix_rt::spawn(exchange_permits(
         core.clone(),
@@ -187,6 +189,13 @@
     }
 }
 
+async fn observe_event_loop(core: Rc<GatewayCore>) {
+    loop {
+        sleep(OBSERVATION_INTERVAL).await;
+        core.observe_event_loop();
+    }
+}
+
 async fn clean_up(core: Rc<GatewayCore>) {
     loop {
         sleep(CLEANUP_INTERVAL).await;
@@ -268,6 +277,8 @@
     let wait = call
         .time_left
         .map_or(MAX_ROUTING_WAIT, |left| MAX_ROUTING_WAIT.min(left / 4));
+    core.recover_from_freeze(&memory, arrived, None, wait)
+        .await?;
     let routing = routing_in_force(core, wait)
         .await
         .ok_or(Refusal::NotStarted)?;
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -131,6 +131,10 @@
     pub held_limit: Gauge<i64, AtomicI64>,
     /// Calls refused because there was no memory for their bodies.
     pub held_refusals: Counter,
+    /// Freezes of the event loop.
+    pub freezes: Counter,
+    /// Requests dropped after a freeze because their client was gone or their deadline had passed.
+    pub dropped_after_freeze: Counter,
     /// Client connections aborted because the client did not read.
     pub callers_cut_off: Family<DisconnectLabels, Counter>,
     /// Version of the routing table in force on this node.
@@ -225,6 +229,8 @@
             held_peak: Gauge::default(),
             held_limit: Gauge::default(),
             held_refusals: Counter::default(),
+            freezes: Counter::default(),
+            dropped_after_freeze: Counter::default(),
             callers_cut_off: Family::default(),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
@@ -367,6 +373,16 @@
             "Calls refused since there was no memory for their bodies",
             self.held_refusals.clone(),
         );
+        registry.register(
+            "freezes",
+            "Times that the event loop of this process stood still",
+            self.freezes.clone(),
+        );
+        registry.register(
+            "dropped_after_freeze",
+            "Requests dropped after a freeze, since their client was gone or their time over",
+            self.dropped_after_freeze.clone(),
+        );
         registry.register(
             "callers_cut_off",
             "Callers cut off since they didn't read",
--- a/crates/courseshed-edge/src/watched.rs
+++ b/crates/courseshed-edge/src/watched.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
@@ -18,6 +19,8 @@
 /// Observed state of a client connection.
 #[derive(Debug, Default)]
 pub struct Connection {
+    /// The socket; `None` once the connection was closed here.
+    socket: RefCell<Option<TcpStream>>,
     unwritten: Cell<usize>,
     blocked_since: Cell<Option<Instant>>,
     waker: RefCell<Option<Waker>>,
@@ -44,6 +47,34 @@
         self.is_closed.get()
     }
 
+    /// Whether the client has closed the connection, or it was closed here. Asks the kernel, so that
+    /// it holds before the event loop has handled the event. Unread data hides the closing.
+    #[must_use]
+    pub fn is_closed_by_client(&self) -> bool {
+        let socket = self.socket.borrow();
+        let Some(socket) = &*socket else {
+            return self.is_closed.get();
+        };
+        match SockRef::from(socket).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(read) => read == 0,
+            Err(error) => !matches!(
+                error.kind(),
+                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+            ),
+        }
+    }
+
+    /// Calls `poll` with the socket.
+    fn poll_socket<Output>(
+        &self,
+        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<Output>>,
+    ) -> Poll<io::Result<Output>> {
+        match &mut *self.socket.borrow_mut() {
+            Some(socket) => poll(Pin::new(socket)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+
     /// Aborts the connection the next time its task runs, discarding unwritten bytes.
     pub fn cut(&self) {
         self.is_aborted.set(true);
@@ -78,7 +109,6 @@
 /// A client connection with its observed state.
 #[derive(Debug)]
 pub struct WatchedStream {
-    stream: TcpStream,
     connection: Rc<Connection>,
 }
 
@@ -86,9 +116,12 @@
     /// Wraps a connection.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
+        let connection = Connection {
+            socket: RefCell::new(Some(stream)),
+            ..Connection::default()
+        };
         Self {
-            stream,
-            connection: Rc::default(),
+            connection: Rc::new(connection),
         }
     }
 
@@ -102,9 +135,12 @@
 impl Drop for WatchedStream {
     fn drop(&mut self) {
         self.connection.is_closed.set(true);
-        if self.connection.is_aborted.get() {
+        let socket = self.connection.socket.take();
+        if let Some(socket) = socket
+            && self.connection.is_aborted.get()
+        {
             // Reset the connection, or the kernel would keep the unsent bytes.
-            let reset = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            let reset = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
             if let Err(error) = reset {
                 log::warn!(event = "not_reset"; "cannot reset an aborted client connection: {error}");
             }
@@ -114,12 +150,13 @@
 
 impl AsyncRead for WatchedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.connection.ensure_not_aborted()?;
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let connection = &self.connection;
+        let read = connection.poll_socket(|socket| socket.poll_read(context, buffer));
         if read.is_pending() {
             self.connection.set_waker(context.waker());
         }
@@ -129,12 +166,13 @@
 
 impl AsyncWrite for WatchedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.connection.ensure_not_aborted()?;
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let connection = &self.connection;
+        let written = connection.poll_socket(|socket| socket.poll_write(context, bytes));
         if written.is_pending() {
             self.connection.set_waker(context.waker());
             self.connection.record_blocked(bytes.len());
@@ -144,11 +182,13 @@
         Poll::Ready(Ok(written))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection
+            .poll_socket(|socket| socket.poll_flush(context))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection
+            .poll_socket(|socket| socket.poll_shutdown(context))
     }
 }
