Store restricted turns within their region where the loss of a region is tolerated

Where the loss of a whole region must be tolerated, the replicas of every partition lie in several regions, so gateways refused all turns that are restricted to regions. A default partition whose replicas happened to lie in one region after the loss of another was accepted, although its next replica could be placed elsewhere.

A view can now promise that its present and future replicas lie in one region (`RecordView::home_region`). The planner makes the promise once it is required and true, and never withdraws it. Gateways store restricted turns only in partitions with a promise for an allowed region; unrestricted programs start in default partitions as before, whose placement does not change. A store of a region without a spare one can be retired while a majority of the wanted replicas remains.

--- a/crates/courseshed-edge/src/controller/housekeeping.rs
+++ b/crates/courseshed-edge/src/controller/housekeeping.rs
@@ -77,6 +77,9 @@
         let silent = self.liveness.silent_stores(now, state);
         let retiring = state.retiring();
         let allow_initial_placement = self.is_store_count_stable(now, state.stores().len());
+        let restricted_regions = state.routing().map_or_else(Default::default, |routing| {
+            routing.table.table.restricted_regions()
+        });
         let plan = MapPlan {
             map: state.records(),
             stores: state.stores(),
@@ -88,9 +91,7 @@
                 zones: &self.terms.zone_map,
                 tolerated_zone_failures: self.terms.zones,
                 tolerated_region_failures: self.terms.regions,
-                pin_to_home_region: state
-                    .routing()
-                    .is_some_and(|routing| routing.table.table.has_region_restrictions()),
+                restricted_regions: &restricted_regions,
             },
         };
         let changes = plan_map(&plan, &caught_up);
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -198,7 +198,10 @@
             hint: None,
         });
     };
-    let chain = match core.records.chain(&program, previous, deadline).await {
+    let chain = core
+        .records
+        .chain(&program, previous, allowed_regions, deadline);
+    let chain = match chain.await {
         Ok(ChainLookup::Kept(chain)) => chain,
         Ok(ChainLookup::Unknown) => {
             log::info!(event = "unknown_turn", request = call.request_id.as_str(), previous = previous.as_str(); "previous turn not found");
@@ -243,7 +246,7 @@
 
 /// No partition is allowed to store the turn, so it is not started.
 fn no_partition(call: &GatewayRequest) -> Refusal {
-    log::info!(event = "no_home", request = call.request_id.as_str(); "no partition has all its replicas in the allowed regions");
+    log::info!(event = "no_home", request = call.request_id.as_str(); "no partition is guaranteed to stay in the allowed regions");
     Refusal::NoRecords
 }
 
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -209,7 +209,7 @@
     }
 
     /// The partition of a new program whose turns are restricted to some regions; prefers local
-    /// partitions. None if no partition has all its replicas in the allowed regions.
+    /// partitions. None if no partition is guaranteed to stay in the allowed regions.
     #[must_use]
     pub fn partition_for_new_program(
         &self,
@@ -228,7 +228,8 @@
         })
     }
 
-    /// Whether all replicas of a partition, including joining ones, are in the allowed regions.
+    /// Whether all replicas of a partition, including joining and future ones, are in the allowed
+    /// regions.
     #[must_use]
     pub fn may_store_in(&self, partition: PartitionId, allowed_regions: &AllowedRegions) -> bool {
         let records = self.follower.view().records;
@@ -238,11 +239,13 @@
     fn is_within(&self, view: &RecordView, allowed_regions: &AllowedRegions) -> bool {
         let is_allowed =
             |member: &RecordMember| allowed_regions.allows(self.zones.region_of(&member.zone));
-        !view.members.is_empty() && view.members.iter().all(is_allowed)
+        allowed_regions.allows(view.home_region.as_deref())
+            && !view.members.is_empty()
+            && view.members.iter().all(is_allowed)
     }
 
-    /// Reads a turn with its chain. Tries the program's home partition first, then all others, since the turn may
-    /// belong to another program or have been received in another region.
+    /// Reads a turn with its chain. Tries the partition first that the program's first turn is stored in, then all
+    /// others, since the turn may belong to another program or have been received in another region.
     ///
     /// # Errors
     /// Returns [`RecordsUnavailable`] if the turn was not found, but a partition had no quorum to confirm its
@@ -251,15 +254,20 @@
         &self,
         program: &str,
         id: &str,
+        allowed_regions: &AllowedRegions,
         deadline: Instant,
     ) -> Result<ChainLookup, RecordsUnavailable> {
-        let home = self.home_of(program);
+        let home = self
+            .partition_for_new_program(program, allowed_regions)
+            .unwrap_or_else(|| self.home_of(program));
         let home_lookup = self.chain_in(home, id, deadline).await?;
         if matches!(home_lookup, ChainLookup::Kept(_)) {
             return Ok(home_lookup);
         }
-        let others = PartitionId::all().filter(|partition| *partition != home);
-        let mut lookups: FuturesUnordered<_> = others
+        let records = self.follower.view().records;
+        let partitions = records.views().map(|(partition, _)| partition);
+        let mut lookups: FuturesUnordered<_> = partitions
+            .filter(|partition| *partition != home)
             .map(|partition| self.chain_in(partition, id, deadline))
             .collect();
         let mut result = Ok(ChainLookup::Unknown);
--- a/crates/courseshed-edge/tests/ask_order.rs
+++ b/crates/courseshed-edge/tests/ask_order.rs
@@ -23,6 +23,7 @@
         epoch: 1,
         members: members.collect(),
         former: Vec::new(),
+        home_region: None,
     }
 }
 
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -18,6 +18,7 @@
 mod plan;
 mod prompt_hints;
 mod record;
+mod regional;
 mod replica;
 mod segments;
 pub mod simulation;
@@ -34,6 +35,7 @@
 };
 pub use prompt_hints::PromptHints;
 pub use record::{ExportCursor, ExportPage, Record, Reserved, Turn};
+pub use regional::REGIONAL_PARTITIONS;
 pub use replica::{
     ChainError, EntryKey, EntryPage, Location, RecordReplica, SegmentNumber, StoredEntry,
 };
--- a/crates/courseshed-records/src/partition.rs
+++ b/crates/courseshed-records/src/partition.rs
@@ -11,7 +11,8 @@
 
 use crate::{Location, Record, RecordMember, RecordReplica, RecordView};
 
-/// Number of partitions. Must not change, since it determines the partition of a program.
+/// Number of default partitions. Must not change, since it determines the default partition of a
+/// program. Ids from here on belong to regional partitions.
 pub const PARTITION_COUNT: u8 = 24;
 
 /// View of a partition that has no replicas yet.
@@ -19,6 +20,7 @@
     epoch: 0,
     members: Vec::new(),
     former: Vec::new(),
+    home_region: None,
 };
 
 /// Id of a partition.
@@ -28,11 +30,18 @@
 pub struct PartitionId(pub u8);
 
 impl PartitionId {
-    /// All partition ids.
+    /// The ids of the default partitions.
     pub fn all() -> impl Iterator<Item = Self> {
         (0..PARTITION_COUNT).map(Self)
     }
 
+    /// Whether the partition is regional: created for turns that must stay in one region, and never
+    /// the default partition of a program.
+    #[must_use]
+    pub fn is_regional(self) -> bool {
+        self.0 >= PARTITION_COUNT
+    }
+
     /// The partition that a program hashes to.
     #[must_use]
     pub fn of_program(program: &str) -> Self {
@@ -78,9 +87,9 @@
         known.map_or(&EMPTY_VIEW, |known| &known.view)
     }
 
-    /// The partition of a program. If its default partition is not near, the preferred one of those
-    /// that are; the default one if none is. Rendezvous hashing limits how many programs move when
-    /// a view changes.
+    /// The partition of a program without region restrictions. If its default partition is not near,
+    /// the preferred default partition of those that are; its own if none is. Rendezvous hashing
+    /// limits how many programs move when a view changes.
     #[must_use]
     pub fn home_partition(
         &self,
@@ -88,35 +97,36 @@
         is_near: impl Fn(&RecordView) -> bool,
     ) -> PartitionId {
         let default_partition = PartitionId::of_program(program);
-        self.preferred_partition(program, is_near)
-            .unwrap_or(default_partition)
+        preferred_among(program, self.default_views(), is_near).unwrap_or(default_partition)
     }
 
     /// The program's default partition if eligible, else the eligible one that it prefers by
-    /// rendezvous hashing.
+    /// rendezvous hashing. Includes regional partitions.
     #[must_use]
     pub fn preferred_partition(
         &self,
         program: &str,
         is_eligible: impl Fn(&RecordView) -> bool,
     ) -> Option<PartitionId> {
-        let default_partition = PartitionId::of_program(program);
-        if is_eligible(self.view(default_partition)) {
-            return Some(default_partition);
-        }
-        let others = self.views().filter(|(_, view)| is_eligible(view));
-        let preference =
-            |partition: &PartitionId| xxh3_64_with_seed(program.as_bytes(), u64::from(partition.0));
-        others
-            .map(|(partition, _)| partition)
-            .max_by_key(preference)
+        preferred_among(program, self.views(), is_eligible)
     }
 
-    /// All partitions with their views.
+    /// All partitions with their views, the default ones first.
     pub fn views(&self) -> impl Iterator<Item = (PartitionId, &RecordView)> {
+        self.default_views().chain(self.regional_views())
+    }
+
+    /// The default partitions with their views.
+    pub fn default_views(&self) -> impl Iterator<Item = (PartitionId, &RecordView)> {
         PartitionId::all().map(|partition| (partition, self.view(partition)))
     }
 
+    /// The regional partitions with their views.
+    pub fn regional_views(&self) -> impl Iterator<Item = (PartitionId, &RecordView)> {
+        let regional = self.views.range(PartitionId(PARTITION_COUNT)..);
+        regional.map(|(partition, known)| (*partition, &known.view))
+    }
+
     /// Whether every partition has replicas and all of them are active.
     #[must_use]
     pub fn is_fully_active(&self) -> bool {
@@ -192,6 +202,25 @@
     }
 }
 
+/// The program's default partition if eligible, else the eligible one that it prefers by rendezvous
+/// hashing.
+fn preferred_among<'a>(
+    program: &str,
+    views: impl Iterator<Item = (PartitionId, &'a RecordView)>,
+    is_eligible: impl Fn(&RecordView) -> bool,
+) -> Option<PartitionId> {
+    let default_partition = PartitionId::of_program(program);
+    let eligible = views.filter(|(_, view)| is_eligible(view));
+    let preference = |partition: &PartitionId| {
+        let is_default = *partition == default_partition;
+        let rank = xxh3_64_with_seed(program.as_bytes(), u64::from(partition.0));
+        (is_default, rank)
+    };
+    eligible
+        .map(|(partition, _)| partition)
+        .max_by_key(preference)
+}
+
 /// A record with its partition.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartitionRecord {
--- a/crates/courseshed-records/src/plan.rs
+++ b/crates/courseshed-records/src/plan.rs
@@ -5,7 +5,7 @@
 use courseshed_types::{NodeId, ZoneMap};
 use serde::{Deserialize, Serialize};
 
-use crate::{PartitionId, PartitionMap, RecordMember, RecordView, ViewChange};
+use crate::{PartitionId, PartitionMap, RecordMember, RecordView, ViewChange, regional};
 
 /// A node with a disk for records, as registered with the controllers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,18 +61,23 @@
     pub tolerated_zone_failures: usize,
     /// Number of simultaneous region failures to tolerate.
     pub tolerated_region_failures: usize,
-    /// Whether replicas must not leave the home region of their partition, for data residency.
-    /// A partition then runs with fewer replicas if the region lacks stores.
-    pub pin_to_home_region: bool,
+    /// The regions that routes and tenants are restricted to. If there are any, replicas must not
+    /// leave the home region of their partition, for data residency. A partition then runs with
+    /// fewer replicas if the region lacks stores.
+    pub restricted_regions: &'a BTreeSet<&'a str>,
 }
 
 impl<'a> PlacementPolicy<'a> {
-    /// The home region of a partition, assigned round-robin. `None` if replicas in a single region
-    /// could lose their majority to the failures that must be tolerated.
+    /// The home region of a default partition, assigned round-robin. `None` if replicas in a single
+    /// region could lose their majority to the failures that must be tolerated.
     #[must_use]
     pub fn home(&self, partition: PartitionId) -> Option<HomeRegion<'a>> {
         let regions: Vec<&str> = self.zones.regions().into_iter().collect();
-        if self.tolerated_region_failures > 0 || regions.len() < 2 {
+        let is_required = !self.restricted_regions.is_empty();
+        if let [region] = regions[..] {
+            return is_required.then(|| self.required_home(region));
+        }
+        if self.tolerated_region_failures > 0 || regions.is_empty() {
             return None;
         }
         let region = regions[usize::from(partition.0) % regions.len()];
@@ -82,9 +87,51 @@
         is_enough.then_some(HomeRegion {
             region,
             zones: self.zones,
-            is_required: self.pin_to_home_region,
+            is_required,
         })
     }
+
+    /// The home region of a partition with this view. What the view promises takes precedence over
+    /// the current policy.
+    pub(crate) fn home_of_view(
+        &self,
+        partition: PartitionId,
+        view: &'a RecordView,
+    ) -> Option<HomeRegion<'a>> {
+        if let Some(region) = &view.home_region {
+            return Some(self.required_home(region));
+        }
+        if partition.is_regional() {
+            // A controller of an earlier version has dropped the region, which its members tell.
+            let region = view
+                .members
+                .first()
+                .and_then(|member| self.zones.region_of(&member.zone));
+            return region.map(|region| self.required_home(region));
+        }
+        self.home(partition)
+    }
+
+    pub(crate) fn required_home(&self, region: &'a str) -> HomeRegion<'a> {
+        HomeRegion {
+            region,
+            zones: self.zones,
+            is_required: true,
+        }
+    }
+}
+
+impl HomeRegion<'_> {
+    /// Whether a zone lies in the region.
+    pub(crate) fn contains(&self, zone: &str) -> bool {
+        self.zones.region_of(zone) == Some(self.region)
+    }
+
+    /// Whether all members of a view lie in the region.
+    pub(crate) fn contains_members_of(&self, view: &RecordView) -> bool {
+        let mut members = view.members.iter();
+        members.all(|member| self.contains(&member.zone))
+    }
 }
 
 /// Inputs for planning all partitions. See [`ViewPlan`] for the shared fields.
@@ -129,23 +176,35 @@
                 retiring: plan.retiring,
                 replication_factor: plan.replication_factor,
                 replicas: &replicas,
-                home: plan.spread.home(partition),
+                home: plan.spread.home_of_view(partition, view),
             })
         });
         if let Some(next) = planned {
-            let added = next.members.iter().map(|member| member.node);
-            for node in added.filter(|node| view.member(*node).is_none()) {
-                *replicas.entry(node).or_default() += 1;
-            }
+            count_added(&mut replicas, view, &next);
             changes.push(ViewChange {
                 partition,
                 view: next,
             });
         }
     }
+    if plan.allow_initial_placement {
+        changes.extend(regional::plan_missing(plan, &mut replicas));
+    }
     changes
 }
 
+/// Counts the replicas that a planned view adds.
+pub(crate) fn count_added(
+    replicas: &mut BTreeMap<NodeId, usize>,
+    view: &RecordView,
+    next: &RecordView,
+) {
+    let added = next.members.iter().map(|member| member.node);
+    for node in added.filter(|node| view.member(*node).is_none()) {
+        *replicas.entry(node).or_default() += 1;
+    }
+}
+
 /// A joining replica has read from enough sources to become active.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CaughtUp {
@@ -162,6 +221,7 @@
 #[must_use]
 pub fn plan_view(plan: &ViewPlan<'_>) -> Option<RecordView> {
     plan.initial_view()
+        .or_else(|| plan.pin_to_home())
         .or_else(|| plan.rejoin_wiped_disk())
         .or_else(|| plan.replace_silent_member())
         .or_else(|| plan.decommission_member())
@@ -182,14 +242,35 @@
             member.active = true;
             next.members.push(member);
         }
+        next.home_region = self.required_region().map(str::to_owned);
         (!next.members.is_empty()).then_some(next)
     }
 
+    /// The region that replicas must not leave.
+    fn required_region(&self) -> Option<&str> {
+        let home = self.home.filter(|home| home.is_required)?;
+        Some(home.region)
+    }
+
+    /// Promises that the replicas stay in the required region, once all of them lie there.
+    fn pin_to_home(&self) -> Option<RecordView> {
+        let region = self.required_region()?;
+        let is_pinned = self.view.home_region.as_deref() == Some(region);
+        if self.view.members.is_empty() || is_pinned || !self.home?.contains_members_of(self.view) {
+            return None;
+        }
+        let mut next = self.view.next_epoch();
+        next.home_region = Some(region.to_owned());
+        Some(next)
+    }
+
     /// Re-adds a member whose disk was wiped as a joining one.
     fn rejoin_wiped_disk(&self) -> Option<RecordView> {
         let position = self.view.members.iter().position(|member| {
             let store = self.stores.get(&member.node);
-            store.is_some_and(|store| store.incarnation != member.incarnation)
+            store.is_some_and(|store| {
+                store.incarnation != member.incarnation && self.may_host(&store.zone)
+            })
         })?;
         let mut next = self.view.next_epoch();
         let node = next.members[position].node;
@@ -235,11 +316,17 @@
             .iter()
             .position(|member| self.retiring.contains(&member.node))?;
         let mut next = self.view.next_epoch();
-        if self.view.members.len() > self.replication_factor {
+        let candidate = self.best_candidate(self.view);
+        let has_spare = self.view.members.len() > self.replication_factor;
+        // A required region may have no other store. The remaining replicas must then tolerate as
+        // many lost disks as the fewest that a quorum of all wanted replicas has.
+        let is_dispensable = candidate.is_none()
+            && self.required_region().is_some()
+            && self.view.members.len() > self.replication_factor / 2 + 1;
+        if has_spare || is_dispensable {
             next.members.remove(position);
         } else {
-            next.members
-                .push(self.joining_member(self.best_candidate(self.view)?)?);
+            next.members.push(self.joining_member(candidate?)?);
         }
         Some(next)
     }
@@ -269,6 +356,12 @@
         })
     }
 
+    /// Whether a store in this zone may be a member.
+    fn may_host(&self, zone: &str) -> bool {
+        self.home
+            .is_none_or(|home| !home.is_required || home.contains(zone))
+    }
+
     /// The best node for a new member: in the home region if possible, then in the zone with the
     /// fewest members, then with the fewest replicas.
     fn best_candidate(&self, view: &RecordView) -> Option<NodeId> {
@@ -279,16 +372,12 @@
                 .count()
         };
         let replicas = |node: &NodeId| self.replicas.get(node).copied().unwrap_or(0);
-        let is_outside_home = |zone: &str| {
-            self.home
-                .is_some_and(|home| home.zones.region_of(zone) != Some(home.region))
-        };
-        let is_home_required = self.home.is_some_and(|home| home.is_required);
+        let is_outside_home = |zone: &str| self.home.is_some_and(|home| !home.contains(zone));
         self.stores
             .iter()
             .filter(|(node, _)| !view.needs(**node))
             .filter(|(node, _)| !self.silent.contains(node) && !self.retiring.contains(node))
-            .filter(|(_, store)| !is_home_required || !is_outside_home(&store.zone))
+            .filter(|(_, store)| self.may_host(&store.zone))
             .min_by_key(|(node, store)| {
                 (
                     is_outside_home(&store.zone),
--- a/crates/courseshed-records/src/view.rs
+++ b/crates/courseshed-records/src/view.rs
@@ -27,6 +27,10 @@
     /// remain valid sources for catch-up.
     #[serde(default)]
     pub former: Vec<RecordMember>,
+    /// The region that all present and future members lie in; none without such a promise. Once
+    /// set, it never changes, because records may have been stored on account of it.
+    #[serde(default)]
+    pub home_region: Option<String>,
 }
 
 impl RecordView {
--- a/crates/courseshed-records/tests/partitions.rs
+++ b/crates/courseshed-records/tests/partitions.rs
@@ -6,7 +6,7 @@
 
 use courseshed_records::{
     CaughtUp, MapPlan, PARTITION_COUNT, PartitionId, PartitionMap, PartitionRecord,
-    PlacementPolicy, Record, StoreMachine, ViewChange, plan_map,
+    PlacementPolicy, REGIONAL_PARTITIONS, Record, RecordView, StoreMachine, ViewChange, plan_map,
 };
 use courseshed_types::{NodeId, ZoneMap};
 use support::{AMPLE, compact_all, open, segment_files, turn_of_size};
@@ -33,7 +33,7 @@
     zones: ZoneMap,
     tolerated_region_failures: usize,
     tolerated_zone_failures: usize,
-    pin_to_home_region: bool,
+    restricted_regions: BTreeSet<&'static str>,
 }
 
 impl Fleet {
@@ -46,7 +46,7 @@
             zones: ZoneMap::default(),
             tolerated_region_failures: 0,
             tolerated_zone_failures: 0,
-            pin_to_home_region: false,
+            restricted_regions: BTreeSet::new(),
         }
     }
 
@@ -62,7 +62,7 @@
                 zones: &self.zones,
                 tolerated_zone_failures: self.tolerated_zone_failures,
                 tolerated_region_failures: self.tolerated_region_failures,
-                pin_to_home_region: self.pin_to_home_region,
+                restricted_regions: &self.restricted_regions,
             },
         };
         plan_map(&plan, caught_up)
@@ -229,7 +229,7 @@
 fn pinned_replicas_never_leave_home_region() {
     let mut fleet = Fleet::new(8, 6);
     assign_two_regions(&mut fleet);
-    fleet.pin_to_home_region = true;
+    fleet.restricted_regions = BTreeSet::from(["east"]);
     fleet.settle();
     let check = |fleet: &Fleet, replicas: usize| {
         for (partition, view) in fleet.map.views() {
@@ -253,6 +253,147 @@
     check(&fleet, WANTED);
 }
 
+fn regions_of<'a>(fleet: &'a Fleet, view: &RecordView) -> BTreeSet<Option<&'a str>> {
+    let members = view.members.iter();
+    members
+        .map(|member| fleet.zones.region_of(&member.zone))
+        .collect()
+}
+
+fn regional_homes(fleet: &Fleet) -> Vec<Option<&str>> {
+    let views = fleet.map.regional_views();
+    views.map(|(_, view)| view.home_region.as_deref()).collect()
+}
+
+/// Guards against refusing restricted turns where the loss of a region must be tolerated, and
+/// against moving other turns for them.
+#[test]
+fn restricted_regions_get_their_own_partitions_where_a_region_failure_is_tolerated() {
+    let mut fleet = Fleet::new(12, 6);
+    assign_two_regions(&mut fleet);
+    fleet.tolerated_region_failures = 1;
+    fleet.settle();
+    let default_views = |fleet: &Fleet| -> Vec<RecordView> {
+        let views = fleet.map.default_views();
+        views.map(|(_, view)| view.clone()).collect()
+    };
+    let before = default_views(&fleet);
+    assert_eq!(fleet.map.regional_views().count(), 0);
+    fleet.restricted_regions = BTreeSet::from(["east", "unknown"]);
+    fleet.settle();
+    let expected = usize::from(REGIONAL_PARTITIONS);
+    assert_eq!(regional_homes(&fleet), vec![Some("east"); expected]);
+    for (partition, view) in fleet.map.regional_views() {
+        assert_eq!(regions_of(&fleet, view), BTreeSet::from([Some("east")]));
+        assert_eq!(view.members.len(), WANTED, "{partition:?}");
+    }
+    assert_eq!(before, default_views(&fleet));
+    fleet.restricted_regions = BTreeSet::from(["west"]);
+    fleet.settle();
+    let homes = regional_homes(&fleet);
+    assert_eq!(homes[..expected], vec![Some("east"); expected]);
+    assert_eq!(homes[expected..], vec![Some("west"); expected]);
+    for program in 0..100 {
+        let home = fleet.map.home_partition(&format!("p{program}"), |_| true);
+        assert!(!home.is_regional(), "unrestricted turns tolerate the loss");
+    }
+}
+
+/// Guards against replicas of restricted turns in another region: after the loss of stores of the
+/// home region, its return, and the end of the restriction.
+#[test]
+fn regional_partition_never_leaves_its_region() {
+    let mut fleet = Fleet::new(12, 6);
+    assign_two_regions(&mut fleet);
+    fleet.tolerated_region_failures = 1;
+    fleet.restricted_regions = BTreeSet::from(["east"]);
+    fleet.settle();
+    let east: BTreeSet<NodeId> = fleet
+        .stores
+        .iter()
+        .filter(|(_, store)| fleet.zones.region_of(&store.zone) == Some("east"))
+        .map(|(node, _)| *node)
+        .collect();
+    let check = |fleet: &Fleet| {
+        for (_, view) in fleet.map.regional_views() {
+            assert_eq!(regions_of(fleet, view), BTreeSet::from([Some("east")]));
+        }
+    };
+    fleet.silent = east.iter().take(2).copied().collect();
+    fleet.settle();
+    check(&fleet);
+    fleet.silent.clone_from(&east);
+    fleet.settle();
+    check(&fleet);
+    fleet.silent.clear();
+    fleet.restricted_regions.clear();
+    for node in &east {
+        fleet.stores.get_mut(node).expect("a store").incarnation += 1;
+        fleet.settle();
+        check(&fleet);
+    }
+    assert!(fleet.map.is_fully_active());
+}
+
+/// A default partition whose replicas happen to lie in one region after the loss of another is not
+/// a home for restricted turns: its next replica may be elsewhere.
+#[test]
+fn default_partition_promises_no_region_where_a_region_failure_is_tolerated() {
+    let mut fleet = Fleet::new(24, 6);
+    assign_two_regions(&mut fleet);
+    fleet.tolerated_region_failures = 1;
+    fleet.restricted_regions = BTreeSet::from(["east"]);
+    fleet.settle();
+    let zones = &fleet.zones;
+    let lost = fleet
+        .stores
+        .iter()
+        .filter(|(node, store)| zones.region_of(&store.zone) == Some("west") && node.0 > 2);
+    fleet.silent = lost.map(|(node, _)| *node).collect();
+    fleet.settle();
+    let mut views = fleet.map.default_views();
+    assert!(views.all(|(_, view)| view.home_region.is_none()));
+}
+
+/// Guards against a retirement that never ends because a required region has no other store.
+#[test]
+fn store_of_a_small_region_can_be_retired() {
+    let mut fleet = Fleet::new(8, 6);
+    assign_two_regions(&mut fleet);
+    fleet.tolerated_region_failures = 1;
+    fleet.restricted_regions = BTreeSet::from(["east"]);
+    fleet.settle();
+    let node = fleet.map.regional_views().next().expect("a view").1.members[0].node;
+    fleet.retiring.insert(node);
+    fleet.settle();
+    assert!(!fleet.map.has_member(node));
+    for (_, view) in fleet.map.regional_views() {
+        assert_eq!(view.members.len(), 3);
+    }
+}
+
+/// Controllers of earlier versions apply and store views without their region.
+#[test]
+fn promise_dropped_by_an_earlier_version_is_restored() {
+    let mut fleet = Fleet::new(12, 6);
+    assign_two_regions(&mut fleet);
+    fleet.tolerated_region_failures = 1;
+    fleet.restricted_regions = BTreeSet::from(["west"]);
+    fleet.settle();
+    let mut earlier = PartitionMap::default();
+    for (partition, view) in fleet.map.views() {
+        let view = RecordView {
+            home_region: None,
+            ..view.clone()
+        };
+        assert!(earlier.merge(ViewChange { partition, view }));
+    }
+    fleet.map = earlier;
+    fleet.settle();
+    let expected = usize::from(REGIONAL_PARTITIONS);
+    assert_eq!(regional_homes(&fleet), vec![Some("west"); expected]);
+}
+
 /// A program uses its default partition if near, else a stable choice among the near ones.
 #[test]
 fn home_partition_is_near_and_stable_across_view_changes() {
--- a/crates/courseshed-records/tests/views.rs
+++ b/crates/courseshed-records/tests/views.rs
@@ -23,6 +23,7 @@
         epoch: 7,
         members,
         former: Vec::new(),
+        home_region: None,
     }
 }
 
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -607,6 +607,7 @@
             epoch,
             members: nodes.iter().map(member).collect(),
             former: Vec::new(),
+            home_region: None,
         },
     }])
 }
--- a/crates/courseshed-routing/src/home.rs
+++ b/crates/courseshed-routing/src/home.rs
@@ -46,13 +46,12 @@
 }
 
 impl RoutingTable {
-    /// Whether any route or tenant is restricted to regions.
+    /// The regions that any route or tenant is restricted to; empty without restrictions.
     #[must_use]
-    pub fn has_region_restrictions(&self) -> bool {
-        let mut tenants = self.tenants.iter().flatten();
-        self.routes
-            .iter()
-            .any(|route| !route.allowed_regions.is_empty())
-            || tenants.any(|tenant| !tenant.allowed_regions.is_empty())
+    pub fn restricted_regions(&self) -> BTreeSet<&str> {
+        let routes = self.routes.iter().map(|route| &route.allowed_regions);
+        let tenants = self.tenants.iter().flatten();
+        let regions = routes.chain(tenants.map(|tenant| &tenant.allowed_regions));
+        regions.flatten().map(String::as_str).collect()
     }
 }
