Send calls to servers that are warming up, with permits

A service whose servers were all warming up was refused entirely, since no gateway knows what the others send. Gateways now take permits from the controllers' leader, in an exchange of their own. A call goes to such a server if it costs less than a warm one, or if no warm one is available, and only with a permit, checked right before it is sent.

--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -15,6 +15,7 @@
 };
 use courseshed_routing::{RecentTables, VersionedTable};
 use courseshed_types::{NodeId, ZoneMap};
+use courseshed_warmup::WarmupReport;
 use parking_lot::Mutex;
 use snafu::Snafu;
 use tokio::sync::{oneshot, watch};
@@ -99,6 +100,12 @@
         report: QuotaReport,
         reply: oneshot::Sender<PeerReply>,
     },
+    /// A gateway's use of the permits of servers that are warming up.
+    Warmup {
+        gateway: NodeId,
+        report: WarmupReport,
+        reply: oneshot::Sender<PeerReply>,
+    },
     TransferLeadership,
 }
 
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -9,6 +9,7 @@
 mod quotas;
 mod relay;
 mod replica;
+mod warmup;
 mod worker;
 
 use std::path::PathBuf;
@@ -18,6 +19,7 @@
 use courseshed_consensus::FaultSwitch;
 use courseshed_quota::QuotaPolicy;
 use courseshed_types::NodeId;
+use courseshed_warmup::WarmupPolicy;
 
 pub use handle::{ControlError, ControllerHandle};
 pub use housekeeping::{LossTerms, replicas_wanted};
@@ -48,6 +50,8 @@
     pub losses: LossTerms,
     /// Terms of tenants' request quotas.
     pub quota: QuotaPolicy,
+    /// How far the requests to a server that is warming up may exceed its rate.
+    pub warmup: WarmupPolicy,
     /// Metrics of the process.
     pub metrics: Arc<Metrics>,
     /// Fault injection for writes of the log, for tests.
@@ -113,6 +117,7 @@
         server_silence: settings.server_silence,
         losses: settings.losses,
         quota: settings.quota,
+        warmup: settings.warmup,
         metrics: settings.metrics,
         disk_faults: settings.disk_faults,
     };
--- a/crates/courseshed-edge/src/controller/peers.rs
+++ b/crates/courseshed-edge/src/controller/peers.rs
@@ -130,6 +130,11 @@
                 report,
                 reply,
             }),
+            PeerRequest::Warmup(report) => self.forward(reply, |reply| Input::Warmup {
+                gateway: from.node,
+                report,
+                reply,
+            }),
             PeerRequest::Schedule { service, demand } => {
                 self.pools.request(from.node, &service, demand, reply);
             }
--- a/crates/courseshed-edge/src/controller/replica.rs
+++ b/crates/courseshed-edge/src/controller/replica.rs
@@ -13,6 +13,7 @@
 use courseshed_quota::QuotaPolicy;
 use courseshed_registry::FleetState;
 use courseshed_types::NodeId;
+use courseshed_warmup::WarmupPolicy;
 use snafu::{ResultExt, Snafu};
 
 use super::handle::{Input, Shared};
@@ -66,6 +67,7 @@
     pub server_silence: Duration,
     pub losses: LossTerms,
     pub quota: QuotaPolicy,
+    pub warmup: WarmupPolicy,
     pub metrics: Arc<Metrics>,
     pub disk_faults: FaultSwitch,
 }
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -20,6 +20,7 @@
 use super::housekeeping::{HOUSEKEEPING_INTERVAL, Housekeeper, replicas_wanted};
 use super::quotas::OwnedQuotas;
 use super::replica::{Group, ReplicaFailure, WorkerOptions};
+use super::warmup::OwnedWarmup;
 use crate::peers::Peers;
 use crate::protocol::{PeerMessage, PeerPort, PeerReply, node_of};
 
@@ -55,6 +56,8 @@
     pub(super) housekeeper: Option<Housekeeper>,
     /// The owner of tenants' permits, while this controller leads.
     pub(super) quota: Option<OwnedQuotas>,
+    /// The owner of the permits of servers that are warming up, while this controller leads.
+    pub(super) warmup: Option<OwnedWarmup>,
     next_housekeeping: Duration,
     freshness: CommitFreshness,
     /// Since when this replica lacks committed entries, once this was logged.
@@ -82,6 +85,7 @@
             reads: BTreeMap::new(),
             housekeeper: None,
             quota: None,
+            warmup: None,
             next_housekeeping: Duration::ZERO,
             freshness: CommitFreshness::default(),
             behind_since: None,
@@ -152,6 +156,11 @@
                 report,
                 reply,
             } => self.on_quota(gateway, report, reply),
+            Input::Warmup {
+                gateway,
+                report,
+                reply,
+            } => self.on_warmup(gateway, &report, reply),
             Input::TransferLeadership => self.transfer_leadership(),
         }
     }
@@ -292,6 +301,7 @@
             self.submit(command, None);
         }
         self.update_quotas();
+        self.update_warmup();
     }
 
     fn process_outputs(&mut self, outputs: GroupOutputs<Option<Outcome>>) {
@@ -347,6 +357,8 @@
         if self.quota.take().is_some() {
             self.options.metrics.clear_permits();
         }
+        self.warmup = None;
+        self.options.metrics.set_warmup_outstanding(0);
         self.housekeeper = (change.role == RoleName::Leader).then(|| {
             Housekeeper::new(
                 self.options.server_silence,
--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -11,11 +11,12 @@
 
 use super::assignment::Assignment;
 use super::attempts::{Attempts, MIN_ATTEMPT_TIME, milliseconds};
-use super::choice::Demand;
+use super::choice::{Demand, ServerChoice};
 use super::policy::Mechanism;
 use super::program::program_key;
 use super::refusal::Refusal;
 use super::schedule::EngineReply;
+use super::warmup::{PermitAccess, WarmupPermits};
 use crate::metrics::ChoiceLabels;
 
 /// Maximum number of servers that refuse a call or are unreachable before the client gets an error.
@@ -29,14 +30,6 @@
 const BY_SCHEDULER: &str = "scheduler";
 const BY_GATEWAY: &str = "local";
 
-/// The result of asking the pool scheduler.
-enum Scheduled {
-    Engine(Assignment),
-    /// No engine was granted, so the gateway chooses a server itself. Its server list may be more
-    /// recent than the scheduler's.
-    Undecided,
-}
-
 impl Attempts {
     /// Selects the server for the next attempt; `None` if none is available.
     pub(super) async fn assign(&mut self) -> Result<Option<Assignment>, Refusal> {
@@ -57,8 +50,8 @@
             let mut excluded = self.excluded_servers.clone();
             excluded.extend(self.attempted_servers.iter().cloned());
             let other = match self.schedule(&excluded).await? {
-                Scheduled::Engine(assigned) => Some(assigned),
-                Scheduled::Undecided => self.choose_locally(&excluded),
+                Some(assigned) => Some(assigned),
+                None => self.choose_locally(&excluded).await,
             };
             if other.is_some() {
                 return Ok(other);
@@ -67,12 +60,13 @@
         Ok(self.retry_last_server())
     }
 
-    /// Asks the pool scheduler, if the service is a pool.
-    async fn schedule(&mut self, excluded: &[String]) -> Result<Scheduled, Refusal> {
+    /// Asks the pool scheduler, if the service is a pool. `None` if no engine was granted, so that
+    /// the gateway chooses a server itself; its server list may be more recent than the scheduler's.
+    async fn schedule(&mut self, excluded: &[String]) -> Result<Option<Assignment>, Refusal> {
         // Pool schedulers don't support region restrictions.
         let is_scheduled = self.is_pool && !self.allowed_regions.is_restricted();
         if !is_scheduled || !self.core.policy.uses(Mechanism::PoolScheduler) {
-            return Ok(Scheduled::Undecided);
+            return Ok(None);
         }
         let mut excluded: Vec<ServerKey> = excluded.iter().map(|id| ServerKey::of(id)).collect();
         let give_up = self.deadline - MIN_ATTEMPT_TIME;
@@ -91,9 +85,9 @@
                 }
                 EngineReply::NoEngine(inputs) => {
                     self.log.schedule = inputs;
-                    return Ok(Scheduled::Undecided);
+                    return Ok(None);
                 }
-                EngineReply::Unknown => return Ok(Scheduled::Undecided),
+                EngineReply::Unknown => return Ok(None),
                 EngineReply::TooLate => return Err(self.deadline_refusal()),
             };
             let found = self
@@ -105,33 +99,67 @@
                 Some(chosen) => {
                     self.record_choice(BY_SCHEDULER, inputs);
                     let assigned = Assignment::new(chosen, Some(call));
-                    return Ok(Scheduled::Engine(assigned));
+                    return Ok(Some(assigned));
                 }
                 None => excluded.push(key),
             }
         }
-        Ok(Scheduled::Undecided)
+        Ok(None)
     }
 
     /// Chooses a server by this gateway's own statistics. In a pool, the call is later reported to
     /// the scheduler as running.
-    fn choose_locally(&mut self, excluded: &[String]) -> Option<Assignment> {
-        let chosen = {
-            let table = self.core.servers.borrow();
-            let demand = Demand {
-                service: &self.service,
-                zone: &self.core.zone,
-                parts: &self.parts,
-                max_in_flight: table.share_of_limit(self.connection_limit),
-                allowed_regions: &self.allowed_regions,
+    async fn choose_locally(&mut self, excluded: &[String]) -> Option<Assignment> {
+        let mut warmup = None;
+        let mut wait_until = None;
+        let chosen = loop {
+            let choice = self.choose_server(excluded, wait_until);
+            let Some(server) = choice.server else {
+                self.warm_in = choice.warm_in;
+                return None;
             };
-            table.choose(&demand, excluded, self.core.clock.now(), rand::random())?
+            if !choice.needs_permit {
+                break server;
+            }
+            let limit = *wait_until.get_or_insert_with(|| {
+                let permits = &self.core.warmup;
+                permits.wait_limit(self.deadline, choice.has_warm)
+            });
+            let acquired = WarmupPermits::acquire(&self.core, &server.name, &self.service, limit);
+            warmup = acquired.await;
+            if warmup.is_some() {
+                break server;
+            }
         };
         self.record_choice(BY_GATEWAY, DecisionInputs::default());
         let is_scheduled = self.is_pool && self.core.policy.uses(Mechanism::PoolScheduler);
         let key = ServerKey::of(&chosen.id);
         let call = is_scheduled.then(|| self.core.schedulers.begin_local(&self.service, key));
-        Some(Assignment::new(chosen, call))
+        Some(Assignment {
+            warmup,
+            ..Assignment::new(chosen, call)
+        })
+    }
+
+    /// Chooses a server by this gateway's own statistics. Once `wait_until` has passed, servers
+    /// whose permits would have to be requested are not considered.
+    fn choose_server(&self, excluded: &[String], wait_until: Option<Instant>) -> ServerChoice {
+        let permits = &self.core.warmup;
+        let may_wait = wait_until.is_none_or(|until| Instant::now() < until);
+        let access = |server: &str| match permits.access(server) {
+            PermitAccess::Requestable if !may_wait => PermitAccess::Denied,
+            access => access,
+        };
+        let table = self.core.servers.borrow();
+        let demand = Demand {
+            service: &self.service,
+            zone: &self.core.zone,
+            parts: &self.parts,
+            max_in_flight: table.share_of_limit(self.connection_limit),
+            allowed_regions: &self.allowed_regions,
+        };
+        let now = self.core.clock.now();
+        table.choose_with_permits(&demand, excluded, now, rand::random(), access)
     }
 
     /// Selects the last server again; this does not count towards the maximum number of servers.
--- a/crates/courseshed-edge/src/gateway/assignment.rs
+++ b/crates/courseshed-edge/src/gateway/assignment.rs
@@ -3,6 +3,7 @@
 use super::core::InFlightGuard;
 use super::schedule::ScheduledCall;
 use super::selected_server::SelectedServer;
+use super::warmup::WarmupPermit;
 
 /// A selected server, with the call's registration at the pool scheduler.
 pub(super) struct Assignment {
@@ -11,6 +12,8 @@
     /// Set if the call is already counted as in flight, when a server is reused after the permit
     /// expired.
     pub in_flight: Option<InFlightGuard>,
+    /// Permit of a server that is warming up.
+    pub warmup: Option<WarmupPermit>,
 }
 
 impl Assignment {
@@ -19,6 +22,7 @@
             chosen,
             call,
             in_flight: None,
+            warmup: None,
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -33,6 +33,8 @@
 use super::selected_server::SelectedServer;
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
+use super::warmup::WarmupPermit;
+use crate::metrics::ServiceLabels;
 
 /// Prompt tokens attributed to a request that has only an affinity key.
 const AFFINITY_KEY_TOKENS: u32 = 2_000;
@@ -163,6 +165,9 @@
     pub same_server_retries: usize,
     /// A selected server to which nothing was sent because the permit expired.
     pub reserved: Option<Assignment>,
+    /// Time until the first of the servers that are warming up should be warm, if the last choice
+    /// found no other servers.
+    pub warm_in: Option<Duration>,
     /// Whether a server failed after it received the request, even if that server is gone by now.
     may_have_run: bool,
 }
@@ -209,6 +214,7 @@
             excluded_servers: Vec::new(),
             same_server_retries: 0,
             reserved: None,
+            warm_in: None,
             may_have_run: false,
         }
     }
@@ -232,6 +238,7 @@
                 chosen,
                 call,
                 in_flight,
+                mut warmup,
             } = assigned;
             let inputs = self.choice_inputs(&chosen.id);
             let uncached_tokens = inputs.uncached_tokens;
@@ -252,13 +259,24 @@
                 upstream.release();
                 return Err(self.final_refusal(refusal));
             }
+            if !self.may_send_to(&chosen, warmup.as_mut()) {
+                upstream.release();
+                end_call(call, CallEnd::Refused);
+                continue;
+            }
             if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
                 upstream.release();
                 self.permit = None;
+                if let Some(warmup) = warmup {
+                    warmup.refund();
+                    end_call(call, CallEnd::Refused);
+                    continue;
+                }
                 self.reserved = Some(Assignment {
                     chosen,
                     call,
                     in_flight: Some(in_flight),
+                    warmup: None,
                 });
                 continue;
             }
@@ -283,6 +301,12 @@
                     self.log.record_refusal(&chosen.id, head.status.as_u16());
                     self.exclude(&chosen.id);
                     upstream.release();
+                    // Only requests for another incarnation don't count at a server.
+                    if head.status == StatusCode::MISDIRECTED_REQUEST
+                        && let Some(warmup) = warmup
+                    {
+                        warmup.refund();
+                    }
                     if let Some(permit) = self.permit.take() {
                         permit.release();
                     }
@@ -399,9 +423,26 @@
 
     fn no_server_refusal(&self) -> Refusal {
         if self.may_have_run {
-            Refusal::Broken
-        } else {
-            Refusal::NoServer
+            return Refusal::Broken;
+        }
+        if self.warm_in.is_none() {
+            return Refusal::NoServer;
+        }
+        let refusals = &self.core.metrics.warmup_refusals;
+        let service = self.service.clone();
+        refusals.get_or_create(&ServiceLabels { service }).inc();
+        let retry_after = self.core.warmup.retry_after(self.warm_in, rand::random());
+        Refusal::WarmingUp { retry_after }
+    }
+
+    /// Whether the request may be sent to a server that may be warming up. The permit counts as
+    /// used if so.
+    fn may_send_to(&self, chosen: &SelectedServer, warmup: Option<&mut WarmupPermit>) -> bool {
+        let servers = self.core.servers.borrow();
+        match warmup {
+            Some(permit) => servers.contains(&chosen.id) && permit.send(),
+            // The server may have started to warm up since it was chosen.
+            None => !servers.needs_permit(&chosen.id, self.core.clock.now()),
         }
     }
 
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -3,8 +3,10 @@
 //! Selects the server with the lowest expected cost (see [`super::cost`]). Among servers of similar
 //! cost, all gateways prefer the same one for the same prompt, so that few servers have to prefill
 //! it. Servers in backoff or avoided by outlier detection are used only if no other is available; a
-//! server due for a probe is selected first. Servers of evacuated zones are excluded, and so are
-//! cold servers of services that limit them until they should be warm.
+//! server due for a probe is selected first. Servers of evacuated zones are excluded.
+//!
+//! Servers that are warming up in a service that limits them need a permit. They are selected if a
+//! permit may be had and no warm server is available or has a lower cost.
 
 use std::borrow::Cow;
 use std::collections::HashSet;
@@ -20,6 +22,7 @@
 use super::policy::Mechanism;
 use super::selected_server::SelectedServer;
 use super::servers::{ServerStats, ServerTable};
+use super::warmup::PermitAccess;
 
 /// Maximum cost, in milliseconds, by which the shared preference order ranks servers.
 const MAX_PREFERENCE_COST_MS: f64 = 4.0;
@@ -30,6 +33,10 @@
 /// candidates hardly improve the choice.
 const MAX_WIDTH: usize = 16;
 
+/// Cost of requesting a permit, in milliseconds: a round trip to the controllers' leader, which may
+/// be writing its log.
+const PERMIT_REQUEST_COST_MS: f64 = 5.0;
+
 /// The requirements of a call for its server.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -56,8 +63,124 @@
     pub uncached_tokens: u32,
 }
 
+/// A selected server, or why there is none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServerChoice {
+    /// The server; `None` if none is available.
+    pub server: Option<SelectedServer>,
+    /// Whether a call to it needs a permit, since it is warming up.
+    pub needs_permit: bool,
+    /// Whether a server that needs no permit is available.
+    pub has_warm: bool,
+    /// Time until the first of the servers that are warming up should be warm; `None` if no such
+    /// server could serve the call.
+    pub warm_in: Option<Duration>,
+}
+
+/// A server with its expected cost for a call.
+#[derive(Clone, Copy)]
+struct Rated<'a> {
+    stats: &'a ServerStats,
+    cost_ms: f64,
+    /// Whether the server is neither in backoff nor avoided.
+    is_trusted: bool,
+}
+
+/// A server selected for a call, with its expected cost.
+struct RatedServer {
+    server: SelectedServer,
+    cost_ms: f64,
+    is_trusted: bool,
+}
+
 impl ServerTable {
-    /// Selects a server for a call, excluding `excluded`. `tie` is a random number that breaks
+    /// Selects a server for a call, excluding `excluded`. Servers that are warming up are selected
+    /// if `access`, which is called with a server's name, says that a permit may be had. `tie` is a
+    /// random number that breaks ties.
+    #[must_use]
+    pub fn choose_with_permits(
+        &self,
+        demand: &Demand,
+        excluded: &[String],
+        now: Duration,
+        tie: u64,
+        access: impl Fn(&str) -> PermitAccess,
+    ) -> ServerChoice {
+        let warm = self.choose_rated(demand, excluded, now, tie);
+        let mut choice = ServerChoice {
+            has_warm: warm.is_some(),
+            ..ServerChoice::default()
+        };
+        let warming = self.choose_warming(demand, excluded, now, tie, access, &mut choice.warm_in);
+        choice.needs_permit = match (&warm, &warming) {
+            (Some(warm), Some(warming)) => !warm.is_trusted || warming.cost_ms < warm.cost_ms,
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        let chosen = if choice.needs_permit { warming } else { warm };
+        choice.server = chosen.map(|chosen| chosen.server);
+        choice
+    }
+
+    /// Selects among the servers that are warming up in a service that limits them.
+    fn choose_warming(
+        &self,
+        demand: &Demand,
+        excluded: &[String],
+        now: Duration,
+        tie: u64,
+        access: impl Fn(&str) -> PermitAccess,
+        warm_in: &mut Option<Duration>,
+    ) -> Option<RatedServer> {
+        if !self.limits_warm_up(demand.service) {
+            return None;
+        }
+        let (salt, preference) = self.preference(demand, tie);
+        let candidates = self.candidates(demand, preference, 1, now);
+        let warming: Vec<&ServerStats> = candidates
+            .iter()
+            .map(|stats| &**stats)
+            .filter(|stats| self.may_serve(stats, demand, excluded))
+            .filter(|stats| !self.is_expected_warm(&stats.server, now))
+            .filter(|stats| stats.backoff_until <= now)
+            .filter(|stats| self.availability(stats, now) == ServerAvailability::Trusted)
+            .collect();
+        let times = warming.iter();
+        *warm_in = times
+            .filter_map(|stats| self.warm_in(&stats.server.id, now))
+            .min();
+        let median_latency_ms = median_ms(&warming);
+        let latency = self.latency_of(demand.service);
+        let rated = warming.into_iter().filter_map(|stats| {
+            let request_ms = match access(stats.server.name()) {
+                PermitAccess::Free => 0.0,
+                PermitAccess::Requestable => PERMIT_REQUEST_COST_MS,
+                PermitAccess::Denied => return None,
+            };
+            let inputs = self.cost_inputs(stats, demand, median_latency_ms, now);
+            let cost_ms = expected_cost_ms(&inputs, &latency)
+                + request_ms
+                + MAX_PREFERENCE_COST_MS * stats.preference_rank(salt);
+            Some((cost_ms, stats))
+        });
+        let (cost_ms, stats) = rated.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(RatedServer {
+            server: SelectedServer::of(&stats.server),
+            cost_ms,
+            is_trusted: true,
+        })
+    }
+
+    /// Whether a server may serve a call at all.
+    fn may_serve(&self, stats: &ServerStats, demand: &Demand, excluded: &[String]) -> bool {
+        let region = self.zones.region_of(&stats.server.zone);
+        self.is_eligible(&stats.server)
+            && demand.allowed_regions.allows(region)
+            && !excluded.contains(&stats.server.id)
+            && stats.in_flight < demand.max_in_flight
+    }
+
+    /// Selects a server that needs no permit for a call, excluding `excluded`. `tie` is a random number that breaks
     /// ties.
     ///
     /// The candidate set grows while all candidates are unavailable or crowded.
@@ -69,12 +192,18 @@
         now: Duration,
         tie: u64,
     ) -> Option<SelectedServer> {
-        let is_shared = self.policy.uses(Mechanism::SharedPreference);
-        let shared_salt = demand.parts.first().filter(|_| is_shared);
-        let (salt, preference) = match shared_salt {
-            Some(part) => (part.id, Preference::Shared(part.id)),
-            None => (tie, Preference::Any(tie)),
-        };
+        let chosen = self.choose_rated(demand, excluded, now, tie)?;
+        Some(chosen.server)
+    }
+
+    fn choose_rated(
+        &self,
+        demand: &Demand,
+        excluded: &[String],
+        now: Duration,
+        tie: u64,
+    ) -> Option<RatedServer> {
+        let (salt, preference) = self.preference(demand, tie);
         let all = self.directory.count(demand.service);
         let mut width = 1;
         loop {
@@ -83,25 +212,32 @@
             let available: Vec<&ServerStats> = candidates
                 .iter()
                 .map(|stats| &**stats)
-                .filter(|stats| self.is_eligible(&stats.server))
-                .filter(|stats| {
-                    demand
-                        .allowed_regions
-                        .allows(self.zones.region_of(&stats.server.zone))
-                })
+                .filter(|stats| self.may_serve(stats, demand, excluded))
                 .filter(|stats| self.is_expected_warm(&stats.server, now))
-                .filter(|stats| !excluded.contains(&stats.server.id))
-                .filter(|stats| stats.in_flight < demand.max_in_flight)
                 .collect();
             let chosen = self.choose_among(self.prefer_warm(available), demand, now, salt);
             let is_last = is_all || (width >= MAX_WIDTH && chosen.is_some());
-            if is_last || chosen.is_some_and(|chosen| !chosen.is_crowded()) {
-                return chosen.map(|stats| SelectedServer::of(&stats.server));
+            if is_last || chosen.is_some_and(|chosen| !chosen.stats.is_crowded()) {
+                return chosen.map(|chosen| RatedServer {
+                    server: SelectedServer::of(&chosen.stats.server),
+                    cost_ms: chosen.cost_ms,
+                    is_trusted: chosen.is_trusted,
+                });
             }
             width *= WIDTH_GROWTH;
         }
     }
 
+    /// The salt of the preference order for a call, and how its candidates are picked.
+    fn preference(&self, demand: &Demand, tie: u64) -> (u64, Preference) {
+        let is_shared = self.policy.uses(Mechanism::SharedPreference);
+        let shared_salt = demand.parts.first().filter(|_| is_shared);
+        match shared_salt {
+            Some(part) => (part.id, Preference::Shared(part.id)),
+            None => (tie, Preference::Any(tie)),
+        }
+    }
+
     /// The candidates for a call: the preferred servers, those that have the call's own prompt
     /// segments cached, and avoided ones that may be due for a probe.
     fn candidates(
@@ -146,11 +282,16 @@
         demand: &Demand,
         now: Duration,
         salt: u64,
-    ) -> Option<&'a ServerStats> {
+    ) -> Option<Rated<'a>> {
         let probed =
             |stats: &&&ServerStats| self.availability(stats, now) == ServerAvailability::Probed;
         if let Some(probed) = available.iter().find(probed) {
-            return Some(probed);
+            // Selected whatever the others cost.
+            return Some(Rated {
+                stats: probed,
+                cost_ms: 0.0,
+                is_trusted: true,
+            });
         }
         let trusted: Vec<&ServerStats> = available
             .iter()
@@ -158,11 +299,8 @@
             .filter(|stats| stats.backoff_until <= now)
             .filter(|stats| self.availability(stats, now) == ServerAvailability::Trusted)
             .collect();
-        let candidates = if trusted.is_empty() {
-            available
-        } else {
-            trusted
-        };
+        let is_trusted = !trusted.is_empty();
+        let candidates = if is_trusted { trusted } else { available };
         let median_latency_ms = median_ms(&candidates);
         let latency = self.latency_of(demand.service);
         let cost = |stats: &ServerStats| {
@@ -171,8 +309,12 @@
                 + MAX_PREFERENCE_COST_MS * stats.preference_rank(salt)
         };
         let costs = candidates.into_iter().map(|stats| (cost(stats), stats));
-        let (_, chosen) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(chosen)
+        let (cost_ms, stats) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(Rated {
+            stats,
+            cost_ms,
+            is_trusted,
+        })
     }
 
     /// The servers known to be warm, or all if there are none.
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -22,6 +22,7 @@
 use super::schedule::SchedulerClient;
 use super::servers::{CallReport, ServerTable};
 use super::upstream::UpstreamPool;
+use super::warmup::WarmupPermits;
 use crate::clock::Clock;
 use crate::follower::FleetFollower;
 use crate::metrics::Metrics;
@@ -41,6 +42,8 @@
     pub access: AccessPolicy,
     /// Rate-limit permits of tenants with a quota.
     pub quotas: Quotas,
+    /// Permits of servers that are warming up.
+    pub warmup: WarmupPermits,
     pub clock: Clock,
     /// Memory held for client connections.
     pub memory_tracker: Rc<MemoryTracker>,
@@ -108,6 +111,7 @@
             policy,
             access: access.unwrap_or_default(),
             quotas: Quotas::new(tenants.quota),
+            warmup: WarmupPermits::new(),
             response_times: RefCell::default(),
             zone,
             shutdown_at: Cell::new(None),
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod short_codec;
 mod stream;
 mod upstream;
+mod warmup;
 
 pub use access::{AccessPolicy, Caller, Identity, TenantSettings};
 pub use call::{
@@ -39,7 +40,7 @@
     ResponseMetadata,
 };
 pub use call_tracker::{CallTracker, UNRESPONSIVE_COOLDOWN};
-pub use choice::Demand;
+pub use choice::{Demand, ServerChoice};
 pub use cost::{CostInputs, LatencyEstimate, ServiceLatency, expected_cost_ms};
 pub use events::{Event, EventSplitter};
 pub use memory_budget::{
@@ -54,3 +55,4 @@
 pub use server::{GatewayError, GatewaySettings, run};
 pub use servers::{CallReport, ServerTable, ServingConstraints};
 pub use short_codec::ShortCodec;
+pub use warmup::PermitAccess;
--- a/crates/courseshed-edge/src/gateway/quota.rs
+++ b/crates/courseshed-edge/src/gateway/quota.rs
@@ -259,7 +259,7 @@
 }
 
 /// The next controller to ask: the leader named in the reply, otherwise the next in the list.
-fn next_controller(
+pub(super) fn next_controller(
     core: &GatewayCore,
     asked: Option<NodeId>,
     answer: Option<PeerReply>,
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -40,6 +40,11 @@
         /// When a retry has a chance of success.
         retry_after: Duration,
     },
+    /// All servers that could accept the request are warming up, and none may get more requests.
+    WarmingUp {
+        /// When permits become free or a server has warmed up.
+        retry_after: Duration,
+    },
     /// No server accepts the request.
     NoServer,
     /// The memory budget of this gateway is exhausted.
@@ -101,6 +106,7 @@
             Self::NoQuota => "no_quota",
             Self::NotStarted => "not_started",
             Self::Overloaded { .. } => "overloaded",
+            Self::WarmingUp { .. } => "warming_up",
             Self::NoServer => "no_server",
             Self::NoMemory => "no_memory",
             Self::Leaving => "leaving",
@@ -126,6 +132,7 @@
             | Self::NoProof { .. }
             | Self::NoQuota
             | Self::Overloaded { .. }
+            | Self::WarmingUp { .. }
             | Self::NoServer
             | Self::NoMemory
             | Self::Leaving
@@ -152,7 +159,9 @@
                 is_everywhere: false,
             } => Some(OTHER_GATEWAY_RETRY),
             Self::NoServer | Self::TooLate => Some(SERVER_RETRY),
-            Self::OverQuota { retry_after } | Self::Overloaded { retry_after } => Some(retry_after),
+            Self::OverQuota { retry_after }
+            | Self::Overloaded { retry_after }
+            | Self::WarmingUp { retry_after } => Some(retry_after),
             Self::NoQuota => Some(QUOTA_RETRY),
             _ => None,
         }
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -25,6 +25,7 @@
 use super::refusal::Refusal;
 use super::schedule::{SchedulerClient, resend_running_calls, send_notes};
 use super::stream::forward_by_kind;
+use super::warmup::exchange_warmup_permits;
 use crate::follower::{FleetFollower, FollowerKind};
 use crate::http::{BodyError, HttpTiming, connection_of, listen, serve};
 use crate::metrics::Metrics;
@@ -153,6 +154,11 @@
         peers.clone(),
         settings.addresses,
     ));
+    actix_rt::spawn(exchange_warmup_permits(
+        core.clone(),
+        peers.clone(),
+        settings.addresses,
+    ));
     if core.policy.uses(Mechanism::SharedLoads) {
         actix_rt::spawn(share_load(core.clone(), peers));
     }
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -220,8 +220,8 @@
     }
 
     /// Whether the server last reported a cold start in a service that limits cold servers. The
-    /// limit applies to the calls of all gateways together, which no gateway knows, so cold servers
-    /// are used only if no warm one is available.
+    /// limit applies to the calls of all gateways together, so such a server gets calls only with
+    /// permits (see [`super::warmup`]).
     pub(super) fn is_cold(&self, server: &Server) -> bool {
         server.warmup_remaining_ms > 0 && self.serving.cold_limited.contains(&server.service)
     }
@@ -232,6 +232,35 @@
         !self.is_cold(server) || until.is_none_or(|until| now >= *until)
     }
 
+    /// Whether a service limits servers that are warming up.
+    pub(super) fn limits_warm_up(&self, service: &str) -> bool {
+        self.serving.cold_limited.contains(service)
+    }
+
+    /// Whether calls to a server need a permit, since it is warming up in a service that limits
+    /// such servers.
+    #[must_use]
+    pub fn needs_permit(&self, id: &str, now: Duration) -> bool {
+        let server = self.directory.get(id);
+        server.is_some_and(|server| !self.is_expected_warm(server, now))
+    }
+
+    /// Names of the servers whose calls need a permit.
+    pub(super) fn warming_names(&self, now: Duration) -> BTreeSet<String> {
+        let warming = self.cold_until.keys();
+        warming
+            .filter_map(|id| self.directory.get(id))
+            .filter(|server| !self.is_expected_warm(server, now))
+            .map(|server| server.name().to_owned())
+            .collect()
+    }
+
+    /// Time until a server that is warming up should be warm.
+    pub(super) fn warm_in(&self, id: &str, now: Duration) -> Option<Duration> {
+        let until = self.cold_until.get(id)?;
+        Some(until.saturating_sub(now))
+    }
+
     /// Returns a server if it is listed and accepts new calls.
     #[must_use]
     pub fn available(&self, id: &str) -> Option<SelectedServer> {
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -107,6 +107,15 @@
     pub over_quota: Family<TenantLabels, Counter>,
     /// Time calls waited for a permit that this gateway did not hold, in seconds.
     pub permit_wait: Histogram,
+    /// Requests sent to servers that are warming up, each with a permit.
+    pub warmup_sends: Family<ServiceLabels, Counter>,
+    /// Calls refused because no permit of a server that is warming up was free.
+    pub warmup_refusals: Family<ServiceLabels, Counter>,
+    /// Time calls waited for a permit of a server that is warming up, in seconds.
+    pub warmup_wait: Histogram,
+    /// Permits of servers that are warming up that this gateway holds.
+    pub warmup_held: Gauge<i64, AtomicI64>,
+    warmup_outstanding: Gauge<i64, AtomicI64>,
     avoided: Family<ServiceLabels, Gauge<i64, AtomicI64>>,
     permits: Family<TenantLabels, Gauge<i64, AtomicI64>>,
     permits_out: Family<TenantLabels, Gauge<i64, AtomicI64>>,
@@ -211,6 +220,11 @@
             proof_age: Histogram::new(DURATION_BUCKETS),
             over_quota: Family::default(),
             permit_wait: Histogram::new(DURATION_BUCKETS),
+            warmup_sends: Family::default(),
+            warmup_refusals: Family::default(),
+            warmup_wait: Histogram::new(DURATION_BUCKETS),
+            warmup_held: Gauge::default(),
+            warmup_outstanding: Gauge::default(),
             avoided: Family::default(),
             permits: Family::default(),
             permits_out: Family::default(),
@@ -235,6 +249,7 @@
         };
         metrics.register();
         metrics.register_scheduling();
+        metrics.register_warmup();
         metrics
     }
 
@@ -346,6 +361,35 @@
         );
     }
 
+    fn register_warmup(&self) {
+        let mut registry = self.registry.lock();
+        registry.register(
+            "warmup_sends",
+            "Requests sent to servers that are warming up, each with a permit",
+            self.warmup_sends.clone(),
+        );
+        registry.register(
+            "warmup_refusals",
+            "Calls refused since no permit of a server that is warming up was free",
+            self.warmup_refusals.clone(),
+        );
+        registry.register(
+            "warmup_wait_seconds",
+            "How long calls waited for a permit of a server that is warming up",
+            self.warmup_wait.clone(),
+        );
+        registry.register(
+            "warmup_permits_held",
+            "Permits of servers that are warming up that the gateway holds",
+            self.warmup_held.clone(),
+        );
+        registry.register(
+            "warmup_permits_out",
+            "Permits of servers that are warming up that gateways hold, or that may be occupied; told by the leader of the controllers",
+            self.warmup_outstanding.clone(),
+        );
+    }
+
     fn register_held(&self, registry: &mut Registry) {
         registry.register(
             "held_bytes",
@@ -408,6 +452,12 @@
         }
     }
 
+    /// Sets the outstanding permits of servers that are warming up.
+    pub fn set_warmup_outstanding(&self, permits: u64) {
+        let permits = i64::try_from(permits).unwrap_or(i64::MAX);
+        self.warmup_outstanding.set(permits);
+    }
+
     /// Sets the permit gauges of a tenant.
     pub fn set_permits(&self, tenant: &str, figures: PermitCounts) {
         let labels = TenantLabels {
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -13,6 +13,7 @@
 };
 use courseshed_transport::{Protocol, TrafficClass};
 use courseshed_types::{CachedPrompt, NodeId};
+use courseshed_warmup::{WarmupAnswer, WarmupReport};
 use serde::{Deserialize, Serialize};
 
 /// The port on which a role listens for peers, as an offset from the first peer port.
@@ -129,6 +130,8 @@
     ShareLoad(LoadReport),
     /// Reports a gateway's use of tenants' permits; for the leader.
     Quota(QuotaReport),
+    /// Reports a gateway's use of the permits of servers that are warming up; for the leader.
+    Warmup(WarmupReport),
     /// Asks the scheduler of a pool for an engine; waits briefly if none has capacity.
     Schedule {
         /// The service that the pool serves.
@@ -234,6 +237,8 @@
     OthersLoad(LoadReport),
     /// The tenants' permits granted to a gateway.
     Quota(QuotaAnswer),
+    /// The permits of servers that are warming up, granted to a gateway.
+    Warmup(WarmupAnswer),
     /// The verdict of a pool's scheduler on a call.
     Scheduled {
         /// The incarnation of the scheduler.
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -27,6 +27,7 @@
     Target, Tenant, VersionedTable,
 };
 use courseshed_types::NodeId;
+use courseshed_warmup::WarmupPolicy;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -137,6 +138,7 @@
         server_silence: Duration::from_secs(600),
         losses: LossTerms::default(),
         quota: QUOTA,
+        warmup: WarmupPolicy::default(),
         metrics: Arc::new(Metrics::new()),
         disk_faults: FaultSwitch::default(),
     }
@@ -257,7 +259,7 @@
         self.publish_table(table(version, routes, tenants)).await;
     }
 
-    async fn publish_table(&self, table: VersionedTable) {
+    pub async fn publish_table(&self, table: VersionedTable) {
         wait_until(async || {
             let done = self.controller.replace_routing(table.clone(), Bytes::new());
             done.await.is_ok()
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -192,6 +192,12 @@
         self.servers.iter()
     }
 
+    /// The newest incarnation of the server with a name.
+    #[must_use]
+    pub fn server_named(&self, name: &str) -> Option<&Server> {
+        self.servers.newest_incarnation(name)
+    }
+
     /// The current views of all partitions.
     #[must_use]
     pub fn records(&self) -> &PartitionMap {
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -212,6 +212,7 @@
             ..LossTerms::default()
         },
         quota: QuotaPolicy::default(),
+        warmup: Default::default(),
         metrics: Arc::new(Metrics::new()),
         disk_faults: Default::default(),
     })
