Decide on the admission of new programs by the observed load

Cause: in a burst of two to three times the usual rate, engines queue and nearly all programs become late.

Change: AdmissionControl (pure, not used by the gateway yet) admits a share of the new programs of a service that falls with its calls per slot above 0.6 and never reaches zero, after a shortage of 0.2 s in load reports that are younger than 1 s. The draw comes from the program, so that a retry does not get another chance. Turns of programs in progress are always admitted.

--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! service.
 
 mod access;
+mod admission;
 mod assign;
 mod assignment;
 mod attempts;
@@ -35,6 +36,7 @@
 mod upstream;
 
 pub use access::{AccessPolicy, Caller, Identity, TenantSettings};
+pub use admission::{AdmissionControl, AdmissionDecision, AdmissionRequest, ServiceLoad};
 pub use call::{
     CallCodec, Credential, ForwardingContext, GatewayRequest, InvalidRequest, ProgramHeaders,
     ResponseMetadata,
