--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -334,7 +334,7 @@
     }
 
     fn on_role_change(&mut self, change: RoleChange) {
-        log::info!(event = "role_changed", role:? = change.role, term = change.term.0, leader = change.leader.map_or(0, |leader| leader.0); "the role of this controller changed");
+        log::info!(event = "role_changed", role:? = change.role, term = change.term.0, leader = change.leader.map_or(0, |leader| leader.0), after_restart = self.group.peer().won_restart_election(); "the role of this controller changed");
         self.has_changes = true;
         for (_, (_, reply)) in std::mem::take(&mut self.proposals) {
             if let Some(reply) = reply {
