Persist a commit index only for entries that are durable already

A replica persisted its commit index with the same write as the entries that it covers. If only the commit index survived, entries that the write was to replace counted as committed after the restart, and the replica stopped at the next leader's append.

--- a/crates/courseshed-consensus/src/group.rs
+++ b/crates/courseshed-consensus/src/group.rs
@@ -262,7 +262,8 @@
         if let Some(snapshot) = &ready.install {
             self.install(snapshot)?;
         }
-        self.storage.note_committed(self.peer.commit_index());
+        self.storage
+            .note_committed(self.peer.durable_commit_index());
         if ready.hard_state.is_some() || !ready.entries.is_empty() {
             let written = self
                 .storage
--- a/crates/courseshed-consensus/src/peer/output.rs
+++ b/crates/courseshed-consensus/src/peer/output.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Index of the last committed entry that is durable here. A commit index that is persisted with
+    /// the entries it covers would, if only part of that write survives, declare the entries
+    /// committed that the write was to replace.
+    #[must_use]
+    pub fn durable_commit_index(&self) -> LogIndex {
+        self.log.committed().min(self.log.stable())
+    }
+
     /// Records that the work of a [`Ready`] is done.
     pub fn advance(&mut self, persisted: Persisted) {
         if let Some(hard_state) = persisted.hard_state {
--- a/crates/courseshed-consensus/tests/simulation.rs
+++ b/crates/courseshed-consensus/tests/simulation.rs
@@ -70,3 +70,11 @@
     println!("{}: caught by seed {caught:?}", variant.name());
     assert!(caught.is_some(), "{} was not caught", variant.name());
 }
+
+/// Guards against a persisted commit index that covers entries of the same write: when only part of
+/// the write survived, entries that it was to replace counted as committed.
+#[parameterized(first = { 2331 }, second = { 3663 }, third = { 4116 })]
+fn commit_index_of_a_torn_write_covers_durable_entries_only(seed: u64) {
+    let report = run(seed);
+    assert!(report.violations.is_empty(), "{report:#?}");
+}
