Bind calls in flight by the region restrictions of the routing table in force

A call was bound only by the restrictions of the table that it was accepted under. A retry after a change of `allowed_regions` went to a region that the new table forbids, and a turn was stored where it was to be stored before.

The gateway now applies the restrictions of the table in force in addition, before it chooses a server and again right before it sends. A turn whose partition is no longer allowed is refused as not run. The retry at the last server checks its region too.

`tests/regions.rs` runs controllers, stores, gateways and servers of three regions, with links that are recorded and can be cut, and checks what servers, disks and links receive. Without this change `call_in_flight_is_bound_by_a_new_restriction` and `turn_in_flight_is_not_run_if_its_partition_is_no_longer_allowed` fail (answered with 200 after the change).

--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -16,6 +16,7 @@
 use super::program::program_key;
 use super::refusal::Refusal;
 use super::schedule::EngineReply;
+use super::selected_server::SelectedServer;
 use crate::metrics::ChoiceLabels;
 
 /// Maximum number of servers that refuse a call or are unreachable before the client gets an error.
@@ -41,12 +42,7 @@
     /// Selects the server for the next attempt; `None` if none is available.
     pub(super) async fn assign(&mut self) -> Result<Option<Assignment>, Refusal> {
         if let Some(reserved) = self.reserved.take()
-            && self
-                .core
-                .servers
-                .borrow()
-                .available(&reserved.chosen.id)
-                .is_some()
+            && self.available(&reserved.chosen.id).is_some()
         {
             return Ok(Some(reserved));
         }
@@ -141,11 +137,20 @@
         }
         self.same_server_retries += 1;
         let last = self.attempted_servers.last()?;
-        let chosen = self.core.servers.borrow().available(last)?;
+        let chosen = self.available(last)?;
         self.record_choice(BY_GATEWAY, DecisionInputs::default());
         Some(Assignment::new(chosen, None))
     }
 
+    /// A server, if it is listed, accepts calls and lies in an allowed region.
+    fn available(&self, id: &str) -> Option<SelectedServer> {
+        let servers = self.core.servers.borrow();
+        let chosen = servers.available(id)?;
+        servers
+            .is_allowed(id, &self.allowed_regions)
+            .then_some(chosen)
+    }
+
     fn record_choice(&mut self, by: &'static str, inputs: DecisionInputs) {
         self.log.chosen_by = by;
         self.log.schedule = inputs;
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -13,6 +13,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use courseshed_pool::CallEnd;
 use courseshed_quota::ProgramPhase;
+use courseshed_records::PartitionId;
 use courseshed_routing::{AllowedRegions, CallKind, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tokio::time::Instant;
@@ -149,8 +150,13 @@
     pub parts: Vec<PromptPart>,
     pub log: CallLog,
     pub caller: Caller,
-    /// The regions in which the request may be served and its turn stored.
+    /// The regions in which the request may be served and its turn stored, by all routing tables
+    /// applied so far.
     pub allowed_regions: AllowedRegions,
+    /// Version of the routing table whose region restrictions were last applied.
+    restrictions_version: u64,
+    /// The partition that stores the turn, if it is stored.
+    pub partition: Option<PartitionId>,
     /// Whether the request is the first of a program.
     pub phase: ProgramPhase,
     /// Memory held for the request.
@@ -190,6 +196,8 @@
             body: call.body.clone(),
             parts: affinity_segments(&call, &route),
             allowed_regions: AllowedRegions::of(&route, caller.tenant().map(|tenant| &**tenant)),
+            restrictions_version: version,
+            partition: None,
             caller,
             phase: ProgramPhase::Running,
             memory,
@@ -222,6 +230,9 @@
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
             }
+            if let Err(refusal) = self.apply_restrictions() {
+                return Err(self.final_refusal(refusal));
+            }
             if let Err(refusal) = self.take_permit().await {
                 return Err(self.final_refusal(refusal));
             }
@@ -247,11 +258,16 @@
                     continue;
                 }
             };
-            // No await point between this check and the send.
-            if let Err(refusal) = self.check_access() {
+            // No await point between these checks and the send.
+            if let Err(refusal) = self.check_access().and_then(|()| self.apply_restrictions()) {
                 upstream.release();
                 return Err(self.final_refusal(refusal));
             }
+            if !self.may_serve(&chosen) {
+                upstream.release();
+                end_call(call, CallEnd::Refused);
+                continue;
+            }
             if self.permit.as_mut().is_some_and(|permit| !permit.send()) {
                 upstream.release();
                 self.permit = None;
@@ -454,6 +470,36 @@
             .recheck(&self.caller, self.version, routing, proof_age)
     }
 
+    /// Applies the region restrictions of the routing table in force, in addition to those under
+    /// which the call was accepted.
+    fn apply_restrictions(&mut self) -> Result<(), Refusal> {
+        let view = self.core.follower.view();
+        let Some(routing) = &view.routing else {
+            return Ok(());
+        };
+        if routing.version != self.restrictions_version {
+            self.restrictions_version = routing.version;
+            let tenant = self.caller.tenant_name();
+            let table = &routing.table;
+            let in_force = table.allowed_regions(&self.call.host, &self.call.path, tenant);
+            self.allowed_regions = self.allowed_regions.and(&in_force);
+        }
+        let records = &self.core.records;
+        let may_store = self
+            .partition
+            .is_none_or(|partition| records.may_store_in(partition, &self.allowed_regions));
+        if !may_store {
+            log::info!(event = "no_home", request = self.call.request_id.as_str(), version = routing.version; "the turn's partition is no longer in an allowed region");
+            return Err(Refusal::NoRecords);
+        }
+        Ok(())
+    }
+
+    fn may_serve(&self, chosen: &SelectedServer) -> bool {
+        let servers = self.core.servers.borrow();
+        servers.is_allowed(&chosen.id, &self.allowed_regions)
+    }
+
     /// The refusal returned if no further attempt is made.
     pub(super) fn final_refusal(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run {
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -11,6 +11,7 @@
     Avoidance, DecayingCounts, EvacuatedZones, ListChange, LoadReport, Server, ServerList,
     ServerOutcome, ServerState,
 };
+use courseshed_routing::AllowedRegions;
 use courseshed_types::{CachedPrompt, Distance, PromptPart, ServerKey, ZoneMap};
 
 use super::cost::{LatencyEstimate, RegionLatency};
@@ -239,6 +240,15 @@
         (self.is_eligible(server) && !self.is_cold(server)).then(|| SelectedServer::of(server))
     }
 
+    /// Whether a listed server lies in an allowed region.
+    #[must_use]
+    pub fn is_allowed(&self, id: &str, allowed_regions: &AllowedRegions) -> bool {
+        let server = self.directory.get(id);
+        !allowed_regions.is_restricted()
+            || server
+                .is_some_and(|server| allowed_regions.allows(self.zones.region_of(&server.zone)))
+    }
+
     /// Returns a server of a service by its key, if it is listed and accepts new calls.
     #[must_use]
     pub fn available_by_key(&self, service: &str, key: ServerKey) -> Option<SelectedServer> {
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -72,6 +72,9 @@
         (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
     };
     attempts.body = composed.body;
+    if attempts.route.stores_turns {
+        attempts.partition = Some(composed.partition);
+    }
     attempts.cached_prompts.extend(composed.hint);
     if let Some(reservation) = &mut reservation {
         attempts.cached_prompts.extend(reservation.take_hints());
--- /dev/null
+++ b/crates/courseshed-edge/tests/regions.rs
@@ -0,0 +1,280 @@
+//! What servers, stores and links between regions receive of calls that are restricted to a region,
+//! while the fleet tolerates the loss of a region.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use courseshed_routing::{CallKind, Route};
+use support::regions::{EAST, RegionFleet, WEST};
+use support::server::{Action, FINAL_CHUNK, MockServer, ReceivedRequest, event, stream_head};
+use support::{plain_route, post, status, stream_route, wait_until};
+use tokio::sync::watch;
+
+/// Longer than messages between regions take, in which a replica elsewhere would have been written.
+const SETTLING_TIME: Duration = Duration::from_millis(300);
+/// Bound on an immediate refusal: far below the timeouts of a round of queries and of a connection.
+const IMMEDIATE: Duration = Duration::from_millis(250);
+const RESTRICTED: &str = "/a/x";
+const UNRESTRICTED: &str = "/b/x";
+
+fn answer(request: &ReceivedRequest) -> Action {
+    let head = stream_head(request);
+    Action::Write(format!("{head}{}{FINAL_CHUNK}", event(1)))
+}
+
+/// A route that stores turns, restricted to `regions`.
+fn storing_route(path_prefix: &str, regions: &[&str]) -> Route {
+    Route {
+        name: path_prefix.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        stores_turns: true,
+        allowed_regions: regions.iter().map(|region| (*region).to_owned()).collect(),
+        ..stream_route()
+    }
+}
+
+fn routes() -> Vec<Route> {
+    vec![storing_route("/a/", &["east"]), storing_route("/b/", &[])]
+}
+
+struct Setup {
+    fleet: RegionFleet,
+    east: MockServer,
+    west: MockServer,
+}
+
+/// A fleet with a server in each of two regions and a route that is restricted to the first one.
+async fn start() -> Setup {
+    let fleet = RegionFleet::start().await;
+    let east = MockServer::start(answer).await;
+    let west = MockServer::start(answer).await;
+    fleet.publish(1, routes(), None).await;
+    fleet.add_server(EAST, &east).await;
+    fleet.add_server(WEST, &west).await;
+    for region in [EAST, WEST] {
+        let address = fleet.gateway(region);
+        for path in [RESTRICTED, UNRESTRICTED] {
+            let mut tries = 0;
+            wait_until(async || {
+                tries += 1;
+                let id = format!("warm-up-{region}-{tries}-{}", path.len() + tries);
+                status(&post(address, path, &id, "", "warm-up").await) == 200
+            })
+            .await;
+        }
+    }
+    Setup { fleet, east, west }
+}
+
+fn has_received(server: &MockServer, text: &str) -> bool {
+    let requests = server.requests();
+    requests.iter().any(|request| request.body.contains(text))
+}
+
+/// Asserts that a call is refused as not run, with the time after which it may be sent again.
+async fn assert_refused(address: SocketAddr, path: &str, id: &str, body: &str) -> Duration {
+    let began = Instant::now();
+    let response = post(address, path, id, "", body).await;
+    let took = began.elapsed();
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(response.contains("retry-after: "), "{response}");
+    took
+}
+
+/// Guards against refusing restricted turns, and against replicas of them in other regions.
+#[actix_rt::test]
+async fn restricted_turns_are_stored_and_read_within_their_region() {
+    let Setup { fleet, east, west } = start().await;
+    let gateway = fleet.gateway(EAST);
+    let first = post(gateway, RESTRICTED, "t1", "", "secret-one").await;
+    assert_eq!(status(&first), 200, "{first}");
+    let second = post(
+        gateway,
+        RESTRICTED,
+        "t2",
+        "x-previous: t1\r\n",
+        "secret-two",
+    )
+    .await;
+    assert_eq!(status(&second), 200, "{second}");
+    assert!(has_received(&east, "secret-oned1\nsecret-two"));
+    let open = post(gateway, UNRESTRICTED, "u1", "", "anywhere").await;
+    assert_eq!(status(&open), 200, "{open}");
+    tokio::time::sleep(SETTLING_TIME).await;
+    for text in ["secret-one", "secret-two"] {
+        assert_eq!(fleet.regions_storing(text), ["east"]);
+        assert!(!fleet.has_crossed(text), "{text}");
+        assert!(!has_received(&west, text), "{text}");
+    }
+    assert_eq!(fleet.regions_storing("anywhere"), ["east", "west", "north"]);
+    assert!(fleet.has_crossed("anywhere"));
+}
+
+/// Guards against leaving the region when a program continues at a gateway elsewhere.
+#[actix_rt::test]
+async fn program_continues_at_another_gateway_after_the_loss_of_its_own() {
+    let Setup {
+        mut fleet,
+        east,
+        west,
+    } = start().await;
+    let first = post(fleet.gateway(EAST), RESTRICTED, "t1", "", "secret-one").await;
+    assert_eq!(status(&first), 200, "{first}");
+    fleet.lose_gateway(EAST);
+    let previous = "x-previous: t1\r\n";
+    let second = post(
+        fleet.gateway(WEST),
+        RESTRICTED,
+        "t2",
+        previous,
+        "secret-two",
+    )
+    .await;
+    assert_eq!(status(&second), 200, "{second}");
+    assert!(has_received(&east, "secret-oned1\nsecret-two"));
+    tokio::time::sleep(SETTLING_TIME).await;
+    for text in ["secret-one", "secret-two"] {
+        assert_eq!(fleet.regions_storing(text), ["east"]);
+        assert!(!has_received(&west, text), "{text}");
+    }
+}
+
+/// Guards against failover to a region that is not allowed.
+#[actix_rt::test]
+async fn restricted_calls_are_refused_immediately_without_servers_of_their_region() {
+    let fleet = RegionFleet::start().await;
+    let east = MockServer::start(|_| Action::Shutdown).await;
+    let west = MockServer::start(answer).await;
+    let restricted = Route {
+        kind: CallKind::Repeatable,
+        max_attempts: 3,
+        allowed_regions: vec!["east".to_owned()],
+        ..plain_route()
+    };
+    let open = Route {
+        name: "open".to_owned(),
+        path_prefix: "/b/".to_owned(),
+        allowed_regions: Vec::new(),
+        ..restricted.clone()
+    };
+    fleet.publish(1, vec![restricted, open], None).await;
+    fleet.add_server(EAST, &east).await;
+    fleet.add_server(WEST, &west).await;
+    let gateways = [EAST, WEST].map(|region| fleet.gateway(region));
+    for gateway in gateways {
+        wait_until(async || {
+            let response = post(gateway, UNRESTRICTED, "warm-up", "", "").await;
+            status(&response) == 200
+        })
+        .await;
+    }
+    // The first call that reaches the server ends it.
+    let mut tries = 0;
+    wait_until(async || {
+        tries += 1;
+        let id = format!("last-{tries}");
+        post(gateways[0], RESTRICTED, &id, "", "").await;
+        !east.requests().is_empty()
+    })
+    .await;
+    for (number, gateway) in gateways.into_iter().enumerate() {
+        let id = format!("c{number}");
+        let took = assert_refused(gateway, RESTRICTED, &id, "secret").await;
+        assert!(took < IMMEDIATE, "{took:?}");
+    }
+    assert!(!has_received(&west, "secret"));
+}
+
+/// Sends a call that its first server, in the east, rejects as not run after the restriction of the
+/// route has changed from `before` to `after`. Returns the response, and whether the server in the
+/// west has received the call.
+async fn reject_after_change(before: Route, after: Route) -> (String, bool) {
+    let fleet = RegionFleet::start().await;
+    let release = Arc::new(watch::channel(false).0);
+    let released = release.subscribe();
+    let east = MockServer::start(move |request| match request.body.as_str() {
+        "in-flight" => Action::Reject {
+            when: released.clone(),
+        },
+        _ => answer(request),
+    })
+    .await;
+    let west = MockServer::start(answer).await;
+    let warm_up = storing_route("/b/", &[]);
+    fleet.publish(1, vec![before, warm_up.clone()], None).await;
+    fleet.add_server(WEST, &west).await;
+    fleet.add_server(EAST, &east).await;
+    let gateway = fleet.gateway(EAST);
+    // Until the gateway has listed both servers and has a partition for the route.
+    for path in [UNRESTRICTED, RESTRICTED] {
+        let mut tries = 0;
+        wait_until(async || {
+            tries += 1;
+            let id = format!("warm-up-{tries}{path}");
+            let response = post(gateway, path, &id, "", "").await;
+            status(&response) == 200 && !east.requests().is_empty()
+        })
+        .await;
+    }
+    let call =
+        actix_rt::spawn(async move { post(gateway, RESTRICTED, "c", "", "in-flight").await });
+    wait_until(async || has_received(&east, "in-flight")).await;
+    fleet.publish(2, vec![after, warm_up], None).await;
+    release.send_replace(true);
+    let response = call.await.expect("a response");
+    (response, has_received(&west, "in-flight"))
+}
+
+fn plain_restricted_route(regions: &[&str]) -> Route {
+    Route {
+        kind: CallKind::Repeatable,
+        max_attempts: 3,
+        stores_turns: false,
+        ..storing_route("/a/", regions)
+    }
+}
+
+/// Guards against forwarding a call by the table that it was accepted under alone.
+#[actix_rt::test]
+async fn call_in_flight_is_bound_by_a_new_restriction() {
+    let before = plain_restricted_route(&[]);
+    let after = plain_restricted_route(&["east"]);
+    let (response, has_left) = reject_after_change(before, after).await;
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(!has_left);
+}
+
+/// Guards against forwarding a call by the table in force alone.
+#[actix_rt::test]
+async fn call_in_flight_is_still_bound_by_the_restriction_that_it_was_accepted_under() {
+    let before = plain_restricted_route(&["east"]);
+    let after = plain_restricted_route(&[]);
+    let (response, has_left) = reject_after_change(before, after).await;
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(!has_left);
+}
+
+/// A call that no restriction concerns is sent to the other region, so the tests above can fail.
+#[actix_rt::test]
+async fn unrestricted_call_in_flight_is_sent_to_another_region() {
+    let route = plain_restricted_route(&[]);
+    let (response, has_left) = reject_after_change(route.clone(), route).await;
+    assert_eq!(status(&response), 200, "{response}");
+    assert!(has_left);
+}
+
+/// Guards against storing a turn where it was to be stored before the restriction came into force.
+#[actix_rt::test]
+async fn turn_in_flight_is_not_run_if_its_partition_is_no_longer_allowed() {
+    let before = Route {
+        max_attempts: 3,
+        ..storing_route("/a/", &[])
+    };
+    let after = storing_route("/a/", &["west"]);
+    let (response, has_left) = reject_after_change(before, after).await;
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(!has_left);
+}
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod regions;
 pub mod scheduler;
 pub mod server;
 
@@ -401,9 +402,14 @@
 
 /// Sends one request on a new connection and reads until the gateway closes it.
 pub async fn call(address: SocketAddr, id: &str, headers: &str, body: &str) -> String {
+    post(address, "/a/x?y=1", id, headers, body).await
+}
+
+/// Like `call`, for a given path.
+pub async fn post(address: SocketAddr, path: &str, id: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     let request = format!(
-        "POST /a/x?y=1 HTTP/1.1\r\nhost: a.example\r\nx-call: {id}\r\n{headers}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nx-call: {id}\r\n{headers}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
     );
     exchange(address, &request).await
 }
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -51,6 +51,8 @@
         times: usize,
         write_timeout: Duration,
     },
+    /// Responds that the call was not run, once told to.
+    Reject { when: watch::Receiver<bool> },
     /// Sends no response, stops accepting connections and closes this one.
     Shutdown,
 }
@@ -159,6 +161,11 @@
                         }
                     }
                 }
+                Action::Reject { mut when } => {
+                    let text = rejection(self.requests.lock().last().expect("pushed above"));
+                    let _ = when.wait_for(|released| *released).await;
+                    let _ = stream.write_all(text.as_bytes()).await;
+                }
                 Action::Shutdown => {
                     self.shutdown.send_replace(true);
                     let mut is_closed = self.is_closed.subscribe();
@@ -221,6 +228,12 @@
     format!("HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-length: {length}\r\n\r\n{body}")
 }
 
+/// A response that the call was not run.
+pub fn rejection(request: &ReceivedRequest) -> String {
+    let rejected = response(request, "").replace("200 OK", "503 Full");
+    rejected.replace("\r\n\r\n", "\r\nx-not-run: 1\r\n\r\n")
+}
+
 /// The response head of an event stream.
 pub fn stream_head(request: &ReceivedRequest) -> String {
     let id = request.header("x-call").unwrap_or("");
--- a/crates/courseshed-routing/src/home.rs
+++ b/crates/courseshed-routing/src/home.rs
@@ -18,8 +18,24 @@
     /// Returns the regions allowed for a tenant's calls of a route.
     #[must_use]
     pub fn of(route: &Route, tenant: Option<&Tenant>) -> Self {
+        Self::of_lists(&route.allowed_regions, tenant)
+    }
+
+    /// A restriction to these regions; none if there are none.
+    #[must_use]
+    pub fn of_list(regions: &[String]) -> Self {
+        Self::of_lists(regions, None)
+    }
+
+    /// The allowed regions; empty without a restriction.
+    #[must_use]
+    pub fn to_list(&self) -> Vec<String> {
+        self.allowed.iter().flatten().cloned().collect()
+    }
+
+    fn of_lists(of_route: &[String], tenant: Option<&Tenant>) -> Self {
         let of_tenant = tenant.map_or(&[][..], |tenant| &tenant.allowed_regions);
-        let lists = [&route.allowed_regions[..], of_tenant];
+        let lists = [of_route, of_tenant];
         let restrictions = lists.into_iter().filter(|list| !list.is_empty());
         let allowed = restrictions
             .map(|list| list.iter().cloned().collect::<BTreeSet<_>>())
@@ -27,6 +43,16 @@
         Self { allowed }
     }
 
+    /// Regions allowed by both of two restrictions.
+    #[must_use]
+    pub fn and(&self, other: &Self) -> Self {
+        let allowed = match (&self.allowed, &other.allowed) {
+            (Some(left), Some(right)) => Some(left & right),
+            (left, right) => left.as_ref().or(right.as_ref()).cloned(),
+        };
+        Self { allowed }
+    }
+
     /// Whether the call is restricted to regions.
     #[must_use]
     pub fn is_restricted(&self) -> bool {
@@ -46,6 +72,15 @@
 }
 
 impl RoutingTable {
+    /// The regions allowed for a call by this table, whichever table it was accepted under.
+    #[must_use]
+    pub fn allowed_regions(&self, host: &str, path: &str, tenant: Option<&str>) -> AllowedRegions {
+        let route = self.find(host, path);
+        let of_route = route.map_or(&[][..], |route| &route.allowed_regions);
+        let tenant = tenant.and_then(|tenant| self.tenant(tenant));
+        AllowedRegions::of_lists(of_route, tenant.map(|tenant| &**tenant))
+    }
+
     /// The regions that any route or tenant is restricted to; empty without restrictions.
     #[must_use]
     pub fn restricted_regions(&self) -> BTreeSet<&str> {
--- a/crates/courseshed-routing/tests/table.rs
+++ b/crates/courseshed-routing/tests/table.rs
@@ -158,3 +158,26 @@
     assert_eq!(allowed_regions.allows(None), allows_unknown);
     assert_eq!(allowed_regions.is_restricted(), !allows_unknown);
 }
+
+/// Guards against a call in flight that escapes the restriction of either table.
+#[test]
+fn call_is_bound_by_the_restrictions_of_two_tables() {
+    let regions = ["north", "south", "east"];
+    let allowed = |regions: &[&str]| {
+        let regions: Vec<String> = regions.iter().map(|region| (*region).to_owned()).collect();
+        AllowedRegions::of_list(&regions)
+    };
+    let outcome = |before: &[&str], after: &[&str]| {
+        let both = allowed(before).and(&allowed(after));
+        let kept = regions
+            .into_iter()
+            .filter(|region| both.allows(Some(region)));
+        (both.is_restricted(), kept.collect::<Vec<_>>())
+    };
+    assert_eq!(outcome(&[], &[]), (false, regions.to_vec()));
+    assert_eq!(outcome(&["north"], &[]), (true, vec!["north"]));
+    assert_eq!(outcome(&[], &["south"]), (true, vec!["south"]));
+    let overlapping = outcome(&["north", "south"], &["south", "east"]);
+    assert_eq!(overlapping, (true, vec!["south"]));
+    assert_eq!(outcome(&["north"], &["south"]), (true, vec![]));
+}
