Refuse restricted turns before they run while their partition has no quorum

A restricted turn ran although the stores of its home region had no quorum, and its answer was cut off when it could not be stored. While the home region was unreachable, gateways of other regions sent such turns there all the same.

The gateway now confirms that a quorum of the partition answers before it sends a restricted turn, in a single round. During a known outage it refuses the turn at once and probes the replicas in the background. This costs a restricted turn one round trip to its home region; unrestricted turns are unchanged. The cost under load was not measured.

Without this change `restricted_turns_are_refused_without_a_quorum_of_the_home_regions_stores` and `isolated_home_region_serves_its_restricted_calls_and_no_other_region_does` fail (200 in place of 503).

--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -192,9 +192,11 @@
         let partition = core
             .records
             .partition_for_new_program(&program, allowed_regions);
+        let partition = partition.ok_or_else(|| no_partition(call))?;
+        confirm_storage(core, partition, allowed_regions, deadline).await?;
         return Ok(ComposedBody {
             body: call.body.clone(),
-            partition: partition.ok_or_else(|| no_partition(call))?,
+            partition,
             hint: None,
         });
     };
@@ -213,6 +215,7 @@
     if !core.records.may_store_in(partition, allowed_regions) {
         return Err(no_partition(call));
     }
+    confirm_storage(core, partition, allowed_regions, deadline).await?;
     let chain = chain.turns;
     let is_own = chain.iter().all(|turn| turn.tenant.as_deref() == tenant);
     if !is_own {
@@ -244,6 +247,22 @@
     })
 }
 
+/// Refuses a restricted turn that its partition can't store, before it runs. An unrestricted turn has
+/// other partitions, and restricted ones are more often without a quorum: their replicas lie in a
+/// single region.
+async fn confirm_storage(
+    core: &GatewayCore,
+    partition: PartitionId,
+    allowed_regions: &AllowedRegions,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    if !allowed_regions.is_restricted() {
+        return Ok(());
+    }
+    let confirmed = core.records.confirm_quorum(partition, deadline).await;
+    confirmed.map_err(refusal_for)
+}
+
 /// No partition is allowed to store the turn, so it is not started.
 fn no_partition(call: &GatewayRequest) -> Refusal {
     log::info!(event = "no_home", request = call.request_id.as_str(); "no partition is guaranteed to stay in the allowed regions");
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -85,12 +85,16 @@
     /// While the outage is expected to end before the deadline: no work was done yet, and a client that
     /// is refused early can retry.
     WhileEndExpected(Instant),
+    /// For a single round: nobody waits for the outcome, or a refusal is better than a wait.
+    OneRound(Instant),
 }
 
 impl WaitPolicy {
     fn deadline(self) -> Instant {
         match self {
-            Self::UntilDeadline(deadline) | Self::WhileEndExpected(deadline) => deadline,
+            Self::UntilDeadline(deadline)
+            | Self::WhileEndExpected(deadline)
+            | Self::OneRound(deadline) => deadline,
         }
     }
 }
@@ -244,6 +248,50 @@
             && view.members.iter().all(is_allowed)
     }
 
+    /// Confirms that a quorum of a partition's replicas answers now. During a known outage the caller is refused
+    /// at once, and the replicas are probed in the background.
+    ///
+    /// # Errors
+    /// Returns [`RecordsUnavailable`] if no quorum answered.
+    pub async fn confirm_quorum(
+        &self,
+        partition: PartitionId,
+        deadline: Instant,
+    ) -> Result<(), RecordsUnavailable> {
+        let now = Instant::now();
+        let decision = self.outages.lock().decide(partition, now, now);
+        match decision {
+            OutageDecision::Wait => self.query_quorum(partition, deadline).await,
+            OutageDecision::Refuse => Err(RecordsUnavailable::NoQuorum),
+            OutageDecision::Probe => {
+                let client = self.clone();
+                let deadline = now + 2 * ROUND_TIMEOUT;
+                tokio::spawn(async move { client.query_quorum(partition, deadline).await });
+                Err(RecordsUnavailable::NoQuorum)
+            }
+        }
+    }
+
+    /// Queries the replicas of a partition for a turn that doesn't exist, in one round.
+    async fn query_quorum(
+        &self,
+        partition: PartitionId,
+        deadline: Instant,
+    ) -> Result<(), RecordsUnavailable> {
+        let operation = RecordOperation::Chain { id: String::new() };
+        let policy = WaitPolicy::OneRound(deadline);
+        self.run_rounds(partition, &operation, policy, |view| {
+            let mut answers = MissTally::new(view);
+            move |node, reply| match reply {
+                RecordReply::Chain(_) | RecordReply::IncompleteChain(_) => {
+                    answers.on_missing(node).then_some(())
+                }
+                _ => None,
+            }
+        })
+        .await
+    }
+
     /// Reads a turn with its chain. Tries the partition first that the program's first turn is stored in, then all
     /// others, since the turn may belong to another program or have been received in another region.
     ///
@@ -364,7 +412,7 @@
         loop {
             let began = Instant::now();
             let decision = match policy {
-                WaitPolicy::UntilDeadline(_) => OutageDecision::Wait,
+                WaitPolicy::UntilDeadline(_) | WaitPolicy::OneRound(_) => OutageDecision::Wait,
                 WaitPolicy::WhileEndExpected(_) => {
                     let mut outages = self.outages.lock();
                     outages.decide(partition, began, deadline)
@@ -386,7 +434,9 @@
                 Err(_) if limit < ROUND_TIMEOUT => {}
                 Ok(None) | Err(_) => self.record_failure(partition, began),
             }
-            if decision == OutageDecision::Probe || Instant::now() + ROUND_DELAY >= deadline {
+            let is_only_round =
+                decision == OutageDecision::Probe || matches!(policy, WaitPolicy::OneRound(_));
+            if is_only_round || Instant::now() + ROUND_DELAY >= deadline {
                 return Err(RecordsUnavailable::NoQuorum);
             }
             sleep(ROUND_DELAY).await;
--- a/crates/courseshed-edge/tests/regions.rs
+++ b/crates/courseshed-edge/tests/regions.rs
@@ -142,6 +142,77 @@
     }
 }
 
+/// Guards against running turns that can't be stored, and against storing them elsewhere.
+#[actix_rt::test]
+async fn restricted_turns_are_refused_without_a_quorum_of_the_home_regions_stores() {
+    let Setup {
+        mut fleet,
+        east,
+        west,
+    } = start().await;
+    fleet.lose_stores(EAST, 2);
+    for attempt in 0..3 {
+        for region in [EAST, WEST] {
+            let id = format!("t{attempt}-{region}");
+            let gateway = fleet.gateway(region);
+            let took = assert_refused(gateway, RESTRICTED, &id, "secret").await;
+            assert!(attempt == 0 || took < IMMEDIATE, "{took:?}");
+        }
+    }
+    for region in [EAST, WEST] {
+        let id = format!("u{region}");
+        let open = post(fleet.gateway(region), UNRESTRICTED, &id, "", "anywhere").await;
+        assert_eq!(status(&open), 200, "{open}");
+    }
+    tokio::time::sleep(SETTLING_TIME).await;
+    assert!(!has_received(&east, "secret") && !has_received(&west, "secret"));
+    assert!(fleet.regions_storing("secret").is_empty());
+    assert!(!fleet.has_crossed("secret"));
+}
+
+/// Guards against serving restricted calls elsewhere while their region is unreachable, against
+/// holding them, and against a home region that can't serve without the others.
+#[actix_rt::test]
+async fn isolated_home_region_serves_its_restricted_calls_and_no_other_region_does() {
+    let Setup { fleet, east, west } = start().await;
+    let first = post(fleet.gateway(EAST), RESTRICTED, "t1", "", "secret-one").await;
+    assert_eq!(status(&first), 200, "{first}");
+    fleet.isolate(Some(EAST));
+    for attempt in 0..3 {
+        let id = format!("w{attempt}");
+        let took = assert_refused(fleet.gateway(WEST), RESTRICTED, &id, "kept-out").await;
+        assert!(attempt == 0 || took < IMMEDIATE, "{took:?}");
+    }
+    let previous = "x-previous: t1\r\n";
+    let second = post(
+        fleet.gateway(EAST),
+        RESTRICTED,
+        "t2",
+        previous,
+        "secret-two",
+    )
+    .await;
+    assert_eq!(status(&second), 200, "{second}");
+    assert!(has_received(&east, "secret-oned1\nsecret-two"));
+    let open = post(fleet.gateway(WEST), UNRESTRICTED, "u1", "", "anywhere").await;
+    assert_eq!(status(&open), 200, "unrestricted programs continue: {open}");
+    assert!(!has_received(&east, "kept-out") && !has_received(&west, "kept-out"));
+    assert!(fleet.regions_storing("kept-out").is_empty());
+    fleet.isolate(None);
+    let mut tries = 0;
+    wait_until(async || {
+        tries += 1;
+        let id = format!("back-{tries}");
+        status(&post(fleet.gateway(WEST), RESTRICTED, &id, "", "secret-back").await) == 200
+    })
+    .await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    for text in ["secret-one", "secret-two", "secret-back"] {
+        assert_eq!(fleet.regions_storing(text), ["east"]);
+        assert!(!has_received(&west, text), "{text}");
+    }
+}
+
 /// Guards against failover to a region that is not allowed.
 #[actix_rt::test]
 async fn restricted_calls_are_refused_immediately_without_servers_of_their_region() {
