Bind calls that continue a restricted turn by its restriction

A call on a route without a restriction could continue a restricted turn. The turn's text was then sent to a server of any region as the beginning of the call.

A stored turn now carries the regions that it was restricted to, and a call that continues it is bound by them; its own turn carries them on. Turns stored by earlier versions carry none. Without this, `call_that_continues_a_restricted_turn_is_bound_by_its_restriction` fails.

The test of an isolated home region now lasts until silent stores would be replaced, and checks that the region's programs continue when it is back.

--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -174,6 +174,8 @@
     pub partition: PartitionId,
     /// Prompt segments cached by the server of the previous turn, if known.
     pub hint: Option<CachedPrompt>,
+    /// The regions that the previous turns must not leave.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Loads the turns that a request continues, and records which server generated the last one.
@@ -198,6 +200,7 @@
             body: call.body.clone(),
             partition,
             hint: None,
+            allowed_regions: AllowedRegions::ANY,
         });
     };
     let chain = core
@@ -212,7 +215,13 @@
         Err(unavailable) => return Err(refusal_for(unavailable)),
     };
     let partition = chain.partition;
-    if !core.records.may_store_in(partition, allowed_regions) {
+    let chain_regions = chain
+        .turns
+        .iter()
+        .map(|turn| AllowedRegions::of_list(&turn.allowed_regions))
+        .fold(AllowedRegions::ANY, |all, of_turn| all.and(&of_turn));
+    let both = allowed_regions.and(&chain_regions);
+    if !core.records.may_store_in(partition, &both) {
         return Err(no_partition(call));
     }
     confirm_storage(core, partition, allowed_regions, deadline).await?;
@@ -244,6 +253,7 @@
         body: body.freeze(),
         partition,
         hint,
+        allowed_regions: chain_regions,
     })
 }
 
@@ -273,6 +283,7 @@
 pub(super) fn build_turn(
     call: &GatewayRequest,
     tenant: Option<&str>,
+    allowed_regions: &AllowedRegions,
     output: Bytes,
     cached: Option<CachedPrompt>,
 ) -> Turn {
@@ -283,5 +294,6 @@
         input: call.body.clone(),
         output,
         cached,
+        allowed_regions: allowed_regions.to_list(),
     }
 }
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -72,6 +72,7 @@
         (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
     };
     attempts.body = composed.body;
+    attempts.allowed_regions = attempts.allowed_regions.and(&composed.allowed_regions);
     if attempts.route.stores_turns {
         attempts.partition = Some(composed.partition);
     }
@@ -355,6 +356,7 @@
             let turn = build_turn(
                 &self.attempts.call,
                 self.attempts.caller.tenant_name(),
+                &self.attempts.allowed_regions,
                 output,
                 cached,
             );
--- a/crates/courseshed-edge/tests/regions.rs
+++ b/crates/courseshed-edge/tests/regions.rs
@@ -15,6 +15,8 @@
 
 /// Longer than messages between regions take, in which a replica elsewhere would have been written.
 const SETTLING_TIME: Duration = Duration::from_millis(300);
+/// Longer than stores must be silent to be replaced, with time to plan and to read the records.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(5);
 /// Bound on an immediate refusal: far below the timeouts of a round of queries and of a connection.
 const IMMEDIATE: Duration = Duration::from_millis(250);
 const RESTRICTED: &str = "/a/x";
@@ -142,6 +144,31 @@
     }
 }
 
+/// Guards against sending a restricted turn to another region as the beginning of a call of a route
+/// without a restriction.
+#[actix_rt::test]
+async fn call_that_continues_a_restricted_turn_is_bound_by_its_restriction() {
+    let Setup { fleet, east, west } = start().await;
+    let first = post(fleet.gateway(EAST), RESTRICTED, "t1", "", "secret-one").await;
+    assert_eq!(status(&first), 200, "{first}");
+    let gateway = fleet.gateway(WEST);
+    let own = post(gateway, UNRESTRICTED, "u1", "", "anywhere").await;
+    assert_eq!(status(&own), 200, "{own}");
+    assert!(has_received(&west, "anywhere"), "the near server is free");
+    let previous = "x-previous: t1\r\n";
+    let second = post(gateway, UNRESTRICTED, "u2", previous, "secret-two").await;
+    assert_eq!(status(&second), 200, "{second}");
+    let previous = "x-previous: u2\r\n";
+    let third = post(gateway, UNRESTRICTED, "u3", previous, "secret-three").await;
+    assert_eq!(status(&third), 200, "{third}");
+    assert!(has_received(&east, "secret-twod1\nsecret-three"));
+    tokio::time::sleep(SETTLING_TIME).await;
+    for text in ["secret-one", "secret-two", "secret-three"] {
+        assert_eq!(fleet.regions_storing(text), ["east"]);
+        assert!(!has_received(&west, text), "{text}");
+    }
+}
+
 /// Guards against running turns that can't be stored, and against storing them elsewhere.
 #[actix_rt::test]
 async fn restricted_turns_are_refused_without_a_quorum_of_the_home_regions_stores() {
@@ -198,14 +225,23 @@
     assert_eq!(status(&open), 200, "unrestricted programs continue: {open}");
     assert!(!has_received(&east, "kept-out") && !has_received(&west, "kept-out"));
     assert!(fleet.regions_storing("kept-out").is_empty());
+    // Until the controllers would replace the stores that they don't hear.
+    tokio::time::sleep(REPLACEMENT_TIME).await;
+    let took = assert_refused(fleet.gateway(WEST), RESTRICTED, "w3", "kept-out").await;
+    assert!(took < IMMEDIATE, "{took:?}");
+    let open = post(fleet.gateway(WEST), UNRESTRICTED, "u2", "", "anywhere").await;
+    assert_eq!(status(&open), 200, "unrestricted programs continue: {open}");
     fleet.isolate(None);
     let mut tries = 0;
     wait_until(async || {
         tries += 1;
         let id = format!("back-{tries}");
-        status(&post(fleet.gateway(WEST), RESTRICTED, &id, "", "secret-back").await) == 200
+        let previous = "x-previous: t2\r\n";
+        let gateway = fleet.gateway(WEST);
+        status(&post(gateway, RESTRICTED, &id, previous, "secret-back").await) == 200
     })
     .await;
+    assert!(has_received(&east, "secret-twod1\nsecret-back"));
     tokio::time::sleep(SETTLING_TIME).await;
     for text in ["secret-one", "secret-two", "secret-back"] {
         assert_eq!(fleet.regions_storing(text), ["east"]);
--- a/crates/courseshed-records/src/record.rs
+++ b/crates/courseshed-records/src/record.rs
@@ -22,6 +22,9 @@
     /// the turns that continue this one. `None` in records of older versions.
     #[serde(default)]
     pub cached: Option<CachedPrompt>,
+    /// The regions that the turn must not leave; empty without a restriction.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<String>,
 }
 
 /// An entry of a replica's journal.
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -183,6 +183,7 @@
         output: Bytes::new(),
         cached: None,
         tenant: None,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/courseshed-records/tests/store.rs
+++ b/crates/courseshed-records/tests/store.rs
@@ -37,6 +37,7 @@
             input: Bytes::from_static(b"in"),
             output: Bytes::from_static(b"out"),
             tenant: None,
+            allowed_regions: Vec::new(),
             cached: Some(CachedPrompt::after_answer(
                 ServerKey(7),
                 &[PromptPart { id: 3, tokens: 40 }],
--- a/crates/courseshed-records/tests/store_model.rs
+++ b/crates/courseshed-records/tests/store_model.rs
@@ -279,6 +279,7 @@
             output: Bytes::from_static(b"out"),
             cached: None,
             tenant: None,
+            allowed_regions: Vec::new(),
         }
     }
 
--- a/crates/courseshed-records/tests/support/mod.rs
+++ b/crates/courseshed-records/tests/support/mod.rs
@@ -36,6 +36,7 @@
         output: Bytes::from_static(b"out"),
         cached: None,
         tenant: None,
+        allowed_regions: Vec::new(),
     };
     Record::StoreTurn { turn, keep_ms }
 }
