--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -174,6 +174,8 @@
     pub partition: PartitionId,
     /// Prompt segments cached by the server of the previous turn, if known.
     pub hint: Option<CachedPrompt>,
+    /// The regions that the previous turns must not leave.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Loads the turns that a request continues, and records which server generated the last one.
@@ -192,10 +194,13 @@
         let partition = core
             .records
             .partition_for_new_program(&program, allowed_regions);
+        let partition = partition.ok_or_else(|| no_partition(call))?;
+        confirm_storage(core, partition, allowed_regions, deadline).await?;
         return Ok(ComposedBody {
             body: call.body.clone(),
-            partition: partition.ok_or_else(|| no_partition(call))?,
+            partition,
             hint: None,
+            allowed_regions: AllowedRegions::ANY,
         });
     };
     let chain = core
@@ -210,9 +215,16 @@
         Err(unavailable) => return Err(refusal_for(unavailable)),
     };
     let partition = chain.partition;
-    if !core.records.may_store_in(partition, allowed_regions) {
+    let chain_regions = chain
+        .turns
+        .iter()
+        .map(|turn| AllowedRegions::of_list(&turn.allowed_regions))
+        .fold(AllowedRegions::ANY, |all, of_turn| all.and(&of_turn));
+    let both = allowed_regions.and(&chain_regions);
+    if !core.records.may_store_in(partition, &both) {
         return Err(no_partition(call));
     }
+    confirm_storage(core, partition, allowed_regions, deadline).await?;
     let chain = chain.turns;
     let is_own = chain.iter().all(|turn| turn.tenant.as_deref() == tenant);
     if !is_own {
@@ -241,9 +253,26 @@
         body: body.freeze(),
         partition,
         hint,
+        allowed_regions: chain_regions,
     })
 }
 
+/// Refuses a restricted turn that its partition can't store, before it runs. An unrestricted turn has
+/// other partitions, and restricted ones are more often without a quorum: their replicas lie in a
+/// single region.
+async fn confirm_storage(
+    core: &GatewayCore,
+    partition: PartitionId,
+    allowed_regions: &AllowedRegions,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    if !allowed_regions.is_restricted() {
+        return Ok(());
+    }
+    let confirmed = core.records.confirm_quorum(partition, deadline).await;
+    confirmed.map_err(refusal_for)
+}
+
 /// No partition is allowed to store the turn, so it is not started.
 fn no_partition(call: &GatewayRequest) -> Refusal {
     log::info!(event = "no_home", request = call.request_id.as_str(); "no partition is guaranteed to stay in the allowed regions");
@@ -254,6 +283,7 @@
 pub(super) fn build_turn(
     call: &GatewayRequest,
     tenant: Option<&str>,
+    allowed_regions: &AllowedRegions,
     output: Bytes,
     cached: Option<CachedPrompt>,
 ) -> Turn {
@@ -264,5 +294,6 @@
         input: call.body.clone(),
         output,
         cached,
+        allowed_regions: allowed_regions.to_list(),
     }
 }
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -72,6 +72,10 @@
         (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
     };
     attempts.body = composed.body;
+    attempts.allowed_regions = attempts.allowed_regions.and(&composed.allowed_regions);
+    if attempts.route.stores_turns {
+        attempts.partition = Some(composed.partition);
+    }
     attempts.cached_prompts.extend(composed.hint);
     if let Some(reservation) = &mut reservation {
         attempts.cached_prompts.extend(reservation.take_hints());
@@ -352,6 +356,7 @@
             let turn = build_turn(
                 &self.attempts.call,
                 self.attempts.caller.tenant_name(),
+                &self.attempts.allowed_regions,
                 output,
                 cached,
             );
