Count routing tables of gateways alone in a timeline

Stores log routing_in_force too, so that `courseshed timeline` counted five tables at two gateways. Only lines of gateways count now. Found on the lines of a real fleet whose processes were all killed; the test with lines of a fleet has a store with a table now and failed before.

--- a/crates/courseshed-cli/src/timeline/milestones.rs
+++ b/crates/courseshed-cli/src/timeline/milestones.rs
@@ -96,16 +96,16 @@
         let stores = roles.get("store").map_or(0, Vec::len);
         vec![
             self.milestone("processes up", started, all),
-            self.first_by_node("stores open", stores, |event| *event == Event::StoreOpened),
-            self.first_by_node("controllers open", controllers, |event| {
-                *event == Event::ReplicaOpened
+            self.first_by_node("stores open", stores, |line| {
+                line.event == Event::StoreOpened
+            }),
+            self.first_by_node("controllers open", controllers, |line| {
+                line.event == Event::ReplicaOpened
             }),
             self.first("leader elected", |event| {
                 matches!(event, Event::RoleChanged { leads: true, .. })
             }),
-            self.first_by_node("routing table at gateways", gateways, |event| {
-                *event == Event::RoutingInForce
-            }),
+            self.first_by_node("routing table at gateways", gateways, is_table_at_gateway),
         ]
     }
 
@@ -124,7 +124,7 @@
                 *event == Event::PermitsGranted
             }),
             self.milestone("partitions with a quorum", partitions, None),
-            self.first_by_node("first call sent", 0, |event| *event == Event::CallSent),
+            self.first_by_node("first call sent", 0, |line| line.event == Event::CallSent),
             self.milestone("first answer", answers, None),
         ]
     }
@@ -212,11 +212,11 @@
         if !controllers.all(|node| self.restart.started.contains_key(node)) {
             return Vec::new();
         }
-        let opened = self.times_by_node(|event| *event == Event::ReplicaOpened);
+        let opened = self.times_by_node(|line| line.event == Event::ReplicaOpened);
         let Some(opened) = opened.values().min() else {
             return Vec::new();
         };
-        let tables = self.times_by_node(|event| *event == Event::RoutingInForce);
+        let tables = self.times_by_node(is_table_at_gateway);
         let early = tables
             .into_iter()
             .filter(|(_, at_ms)| at_ms + CLOCK_TOLERANCE_MS < *opened);
@@ -244,7 +244,7 @@
         &self,
         name: &'static str,
         of: usize,
-        is_it: impl Fn(&Event) -> bool,
+        is_it: impl Fn(&LogLine) -> bool,
     ) -> Milestone {
         let times = self.times_by_node(is_it).into_values().collect();
         self.milestone(name, times, (of > 0).then_some(of))
@@ -252,11 +252,11 @@
 
     /// Only what follows the last start of a node counts: an earlier process may have reached the
     /// milestone and died.
-    fn times_by_node(&self, is_it: impl Fn(&Event) -> bool) -> BTreeMap<&str, u64> {
+    fn times_by_node(&self, is_it: impl Fn(&LogLine) -> bool) -> BTreeMap<&str, u64> {
         let mut times = BTreeMap::new();
         for line in self.lines {
             let started = self.restart.started.get(&line.node);
-            if started.is_some_and(|(_, at_ms)| *at_ms <= line.at_ms) && is_it(&line.event) {
+            if started.is_some_and(|(_, at_ms)| *at_ms <= line.at_ms) && is_it(line) {
                 times.entry(line.node.as_str()).or_insert(line.at_ms);
             }
         }
@@ -282,6 +282,11 @@
     }
 }
 
+/// Stores and controllers follow the routing table too.
+fn is_table_at_gateway(line: &LogLine) -> bool {
+    line.role == GATEWAY && line.event == Event::RoutingInForce
+}
+
 /// Times of successful answers, in order.
 fn answers(lines: &[LogLine]) -> Vec<u64> {
     let answers = lines.iter().filter_map(|line| match &line.event {
--- a/crates/courseshed-cli/tests/timeline.rs
+++ b/crates/courseshed-cli/tests/timeline.rs
@@ -97,6 +97,8 @@
         plain("store-1", ZERO - 60_000, "start"),
         plain("store-1", ZERO + 20, "start"),
         plain("store-1", ZERO + 60, "store_opened"),
+        // Stores have the table too, which says nothing of gateways.
+        plain("store-1", ZERO + 80, "routing_in_force"),
     ];
     let mut first = plain("gateway-1", ZERO - 60_000, "start");
     for number in 0..100 {
@@ -230,8 +232,8 @@
     assert_eq!(milestone(&timeline, "stores open"), at(60));
     assert_eq!(milestone(&timeline, "usual number of answers"), at(900));
     let text = files.text(&[]).await;
-    assert!(text.contains("store:4: not a JSON object"), "{text}");
-    assert!(text.contains("store:8: missing field `node`"), "{text}");
+    assert!(text.contains("store:5: not a JSON object"), "{text}");
+    assert!(text.contains("store:9: missing field `node`"), "{text}");
 }
 
 /// Guards against figures that depend on the order of lines or files.
