Play evacuations, frozen gateways, regions and warm-up limits in the soak

The soak had no faults that close zones or stop several gateways at once, and no zones with regions. Added by seed: a third of the gateways frozen at once, all processes killed at once, evacuations of 4 to 9 s that overlap with other faults; seeds with even numbers have two regions and calls that are restricted to one.

Checks: no call reaches an evacuated zone 3 s after its gateway could learn of it beside a majority of controllers, restricted calls run in their region alone, stores of other regions hold none of their turns, and a server that warms up gets at most rate x 1.5 + 5 calls in a second.

--- a/crates/courseshed-soak/src/caller.rs
+++ b/crates/courseshed-soak/src/caller.rs
@@ -14,6 +14,7 @@
 use crate::ledger::{CallKind, CallSeen, Outcome, ProgramBudget, Promise, TurnSeen};
 use crate::run::World;
 use crate::server::{events_of, plain_answer};
+use crate::zones::{REGIONS, marker};
 
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -32,6 +33,8 @@
 const TRIES_OF_TURN: u32 = 3;
 /// Longest pause between two calls, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 120;
+/// Of ten calls or programs, those that are restricted to a region.
+const RESTRICTED_OF_10: u32 = 4;
 
 /// One caller. It uses one connection to each gateway for as long as that is open.
 pub struct Caller {
@@ -46,6 +49,8 @@
 struct Call<'a> {
     id: &'a str,
     kind: CallKind,
+    /// The region to which it is restricted.
+    region: Option<&'static str>,
     headers: String,
     body: &'a str,
 }
@@ -60,6 +65,7 @@
 struct Conversation {
     program: String,
     budget: u64,
+    region: Option<&'static str>,
     previous: Option<String>,
     history: String,
 }
@@ -96,22 +102,26 @@
         let call = Call {
             id: &id,
             kind: CallKind::Repeatable,
+            region: None,
             headers: String::new(),
             body: "",
         };
         let plain = self.call_at(gateway, &call).await;
-        let mut conversation = self.conversation(AMPLE_BUDGET);
+        let mut conversation = self.conversation(AMPLE_BUDGET, None);
         let plain_served = plain.outcome == Outcome::Answered { status: 200 };
         plain_served && self.turn(&mut conversation, Some(gateway)).await == Some(200)
     }
 
     async fn plain(&mut self, kind: CallKind) {
         let id = self.next_id();
+        let region = self.draw_region().filter(|_| kind == CallKind::Repeatable);
+        let body = region.map_or_else(|| "a question".to_owned(), marker);
         let call = Call {
             id: &id,
             kind,
+            region,
             headers: String::new(),
-            body: "a question",
+            body: &body,
         };
         let gateway = self.choose_gateway();
         let ended = self.call_at(gateway, &call).await;
@@ -129,7 +139,8 @@
         } else {
             (AMPLE_BUDGET, self.random.random_range(1..=MOST_TURNS))
         };
-        let mut conversation = self.conversation(budget);
+        let region = self.draw_region();
+        let mut conversation = self.conversation(budget, region);
         for _ in 0..turns {
             let mut served = false;
             for _ in 0..TRIES_OF_TURN {
@@ -148,7 +159,14 @@
         }
     }
 
-    fn conversation(&mut self, budget: u64) -> Conversation {
+    /// The region to which the next call is restricted.
+    fn draw_region(&mut self) -> Option<&'static str> {
+        let is_restricted = self.random.random_range(0..10) < RESTRICTED_OF_10;
+        let region = REGIONS.choose(&mut self.random).copied();
+        region.filter(|_| is_restricted && self.world.has_regions())
+    }
+
+    fn conversation(&mut self, budget: u64, region: Option<&'static str>) -> Conversation {
         let program = format!("p-{}", self.next_id());
         let allowed = ProgramBudget {
             tokens: budget,
@@ -159,6 +177,7 @@
         Conversation {
             program,
             budget,
+            region,
             previous: None,
             history: String::new(),
         }
@@ -171,7 +190,8 @@
         gateway: Option<usize>,
     ) -> Option<u16> {
         let id = self.next_id();
-        let input = format!("input of {id}\n");
+        let marker = conversation.region.map(marker).unwrap_or_default();
+        let input = format!("input of {id} {marker}\n");
         let whole = format!("{}{input}", conversation.history);
         self.world.expect_history(&id, &whole);
         let Conversation {
@@ -185,6 +205,7 @@
         let call = Call {
             id: &id,
             kind: CallKind::Turn,
+            region: conversation.region,
             headers,
             body: &input,
         };
@@ -253,10 +274,14 @@
                 None => return nothing(Outcome::NotConnected),
             },
         };
-        let path = match call.kind {
-            CallKind::Once => "/once/x",
-            CallKind::Repeatable => "/safe/x",
-            CallKind::Turn => "/turn/x",
+        let name = match call.kind {
+            CallKind::Once => "once",
+            CallKind::Repeatable => "safe",
+            CallKind::Turn => "turn",
+        };
+        let path = match call.region {
+            Some(region) => format!("/{region}-{name}/x"),
+            None => format!("/{name}/x"),
         };
         let Call {
             id, headers, body, ..
--- a/crates/courseshed-soak/src/faults.rs
+++ b/crates/courseshed-soak/src/faults.rs
@@ -5,8 +5,10 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::node::Role;
+use crate::zones::ZONES;
 
 /// Quiet time at the beginning, in milliseconds.
 const FIRST_MS: u64 = 1_000;
@@ -15,9 +17,13 @@
 /// How long a process is gone, or paused, in milliseconds.
 const AWAY_MS: std::ops::Range<u64> = 50..1_500;
 const PAUSE_MS: std::ops::Range<u64> = 100..2_500;
+/// How long a zone is evacuated, in milliseconds: longer than gateways may take to learn of it.
+const EVACUATION_MS: std::ops::Range<u64> = 4_000..9_000;
+/// The part of the gateways that freezes at once.
+const FROZEN_GATEWAYS: usize = 3;
 
 /// What happens.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FaultKind {
     /// A process is asked to stop, and started again.
     Stop {
@@ -54,6 +60,25 @@
         /// How long.
         how_long: Duration,
     },
+    /// Several gateways stand still at once.
+    Freeze {
+        /// Which.
+        members: Vec<usize>,
+        /// How long.
+        how_long: Duration,
+    },
+    /// All processes are killed at once.
+    KillFleet {
+        /// How long they are away.
+        away: Duration,
+    },
+    /// A zone's servers are closed to calls, and opened again.
+    Evacuate {
+        /// Which zone.
+        zone: String,
+        /// How long.
+        how_long: Duration,
+    },
     /// A process is told that its settings may have changed.
     Reload {
         /// Which.
@@ -71,7 +96,7 @@
 }
 
 /// A fault at its time.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     /// Counted from the start of traffic.
     pub at: Duration,
@@ -104,30 +129,57 @@
     let away = milliseconds(random, AWAY_MS);
     let role = roles[member];
     match random.random_range(0..100) {
-        0..28 => FaultKind::Stop { member, away },
-        28..36 => FaultKind::StopInTurn {
+        0..22 => FaultKind::Stop { member, away },
+        22..28 => FaultKind::StopInTurn {
             role,
             gap: milliseconds(random, AWAY_MS),
         },
-        36..54 => FaultKind::Kill { member, away },
-        54..59 => FaultKind::KillAll { role, away },
-        59..72 => FaultKind::Pause {
+        28..43 => FaultKind::Kill { member, away },
+        43..47 => FaultKind::KillAll { role, away },
+        47..49 => FaultKind::KillFleet { away },
+        49..59 => FaultKind::Pause {
             member,
             how_long: milliseconds(random, PAUSE_MS),
         },
-        72..78 => FaultKind::Reload { member },
-        78..83 if may_wipe => wipe(random, roles),
-        83..92 => FaultKind::ReplaceServer,
+        59..67 => freeze(random, roles),
+        67..71 => FaultKind::Reload { member },
+        71..76 if may_wipe => wipe(random, roles),
+        76..84 => FaultKind::ReplaceServer,
+        84..94 => evacuate(random),
         _ => FaultKind::ChangeRouting,
     }
 }
 
-fn wipe(random: &mut ChaCha8Rng, roles: &Roles) -> FaultKind {
+/// Freezes a third of the gateways.
+fn freeze(random: &mut ChaCha8Rng, roles: &Roles) -> FaultKind {
+    let gateways = members_of(roles, Role::Gateway);
+    let count = gateways.len().div_ceil(FROZEN_GATEWAYS);
+    let mut members: Vec<usize> = gateways.sample(random, count).copied().collect();
+    members.sort_unstable();
+    FaultKind::Freeze {
+        members,
+        how_long: milliseconds(random, PAUSE_MS),
+    }
+}
+
+fn evacuate(random: &mut ChaCha8Rng) -> FaultKind {
+    let zone = ZONES[random.random_range(0..ZONES.len())];
+    FaultKind::Evacuate {
+        zone: zone.to_owned(),
+        how_long: milliseconds(random, EVACUATION_MS),
+    }
+}
+
+fn members_of(roles: &Roles, role: Role) -> Vec<usize> {
     let places = roles.iter().enumerate();
-    let stores: Vec<usize> = places
-        .filter(|(_, role)| **role == Role::Store)
+    places
+        .filter(|(_, its_role)| **its_role == role)
         .map(|(place, _)| place)
-        .collect();
+        .collect()
+}
+
+fn wipe(random: &mut ChaCha8Rng, roles: &Roles) -> FaultKind {
+    let stores = members_of(roles, Role::Store);
     match stores.choose(random) {
         Some(member) => FaultKind::Wipe { member: *member },
         None => FaultKind::ChangeRouting,
--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -13,10 +13,10 @@
 use tokio::time::Instant;
 
 use crate::node::{CALLERS_PORT, OPERATOR_PORT, Role};
+use crate::zones::zone_at;
 
 /// How long a process that was asked to stop may take before it is killed: its grace and a little.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
-const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Ports of a machine that the fleet uses.
 const PORTS: u16 = 16;
 
@@ -31,6 +31,22 @@
     pub controllers: usize,
 }
 
+impl FleetSize {
+    /// The roles of the members, by their places in the fleet.
+    #[must_use]
+    pub fn roles(self) -> Vec<Role> {
+        let roles = [
+            (Role::Controller, self.controllers),
+            (Role::Store, self.stores),
+            (Role::Gateway, self.gateways),
+        ];
+        let roles = roles.into_iter();
+        roles
+            .flat_map(|(role, count)| std::iter::repeat_n(role, count))
+            .collect()
+    }
+}
+
 /// A process can't be started.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't {operation}: {source}"))]
@@ -57,6 +73,30 @@
     is_paused: bool,
     restart_at: Option<Instant>,
     restart_gap: Duration,
+    /// Since when it is stopping, gone or paused.
+    absent_since: Option<Instant>,
+}
+
+/// When a member was stopping, gone or paused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    /// Its place in the fleet.
+    pub member: usize,
+    /// From when.
+    pub from: Instant,
+    /// To when.
+    pub to: Instant,
+}
+
+/// How the processes know zones and regions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownRegions {
+    /// They know of none.
+    None,
+    /// They know them as they are.
+    Right,
+    /// They take each zone for one of the other region, as a broken variant.
+    Wrong,
 }
 
 /// A process that ended by itself.
@@ -72,7 +112,9 @@
 pub struct Fleet {
     program: PathBuf,
     first_port: u16,
+    regions: KnownRegions,
     members: Vec<Member>,
+    absences: Vec<Absence>,
 }
 
 impl Fleet {
@@ -80,7 +122,12 @@
     ///
     /// # Errors
     /// [`FleetError`] when a process can't be started.
-    pub fn start(program: PathBuf, folder: &Path, size: FleetSize) -> Result<Self, FleetError> {
+    pub fn start(
+        program: PathBuf,
+        folder: &Path,
+        size: FleetSize,
+        regions: KnownRegions,
+    ) -> Result<Self, FleetError> {
         let [subnet_high, subnet_low] = subnet();
         let mut members = Vec::new();
         let roles = [
@@ -95,7 +142,7 @@
                 members.push(Member {
                     role,
                     ip,
-                    zone: ZONES[place % ZONES.len()],
+                    zone: zone_at(place),
                     folder: folder.join(format!("{}-{place}", role.as_str())),
                     child: None,
                     lives: 0,
@@ -103,6 +150,7 @@
                     is_paused: false,
                     restart_at: None,
                     restart_gap: Duration::ZERO,
+                    absent_since: None,
                 });
             }
         }
@@ -111,7 +159,9 @@
             first_port: free_ports(&members).context(FleetSnafu {
                 operation: "find free ports",
             })?,
+            regions,
             members,
+            absences: Vec::new(),
         };
         for index in 0..fleet.members.len() {
             fleet.spawn(index)?;
@@ -135,6 +185,33 @@
         self.members[index].role
     }
 
+    /// The zone and the folder of a member.
+    #[must_use]
+    pub fn place(&self, index: usize) -> (&'static str, &Path) {
+        let member = &self.members[index];
+        (member.zone, &member.folder)
+    }
+
+    /// When members were stopping, gone or paused, to now.
+    #[must_use]
+    pub fn absences(&self) -> Vec<Absence> {
+        let mut absences = self.absences.clone();
+        let to = Instant::now();
+        let open = self.members.iter().enumerate();
+        absences.extend(open.filter_map(|(member, state)| {
+            let from = state.absent_since?;
+            Some(Absence { member, from, to })
+        }));
+        absences
+    }
+
+    fn end_absence(&mut self, member: usize) {
+        if let Some(from) = self.members[member].absent_since.take() {
+            let to = Instant::now();
+            self.absences.push(Absence { member, from, to });
+        }
+    }
+
     /// Where callers connect to a gateway.
     #[must_use]
     pub fn callers_address(&self, index: usize) -> SocketAddr {
@@ -158,6 +235,7 @@
         let member = &mut self.members[index];
         if member.ending.is_none() && member.signal(Signal::TERM) {
             member.ending = Some(Ending::Planned { since });
+            member.absent_since.get_or_insert(since);
             member.restart_gap = gap;
         }
     }
@@ -170,6 +248,7 @@
             member.ending = Some(Ending::Killed);
             member.is_paused = false;
             member.restart_gap = gap;
+            member.absent_since.get_or_insert_with(Instant::now);
         }
         was_running
     }
@@ -178,7 +257,10 @@
     pub fn pause(&mut self, index: usize) -> bool {
         let member = &mut self.members[index];
         let is_paused = !member.is_paused && member.signal(Signal::STOP);
-        member.is_paused |= is_paused;
+        if is_paused {
+            member.is_paused = true;
+            member.absent_since.get_or_insert_with(Instant::now);
+        }
         is_paused
     }
 
@@ -188,6 +270,10 @@
         if member.is_paused {
             member.signal(Signal::CONT);
             member.is_paused = false;
+            // A member that was asked to stop meanwhile stays absent until it is started again.
+            if member.ending.is_none() {
+                self.end_absence(index);
+            }
         }
     }
 
@@ -231,6 +317,7 @@
                 member.child = None;
                 member.ending = None;
                 member.is_paused = false;
+                member.absent_since.get_or_insert(now);
                 member.restart_at = Some(now + member.restart_gap);
             }
             if member.restart_at.is_some_and(|at| at <= now) {
@@ -280,12 +367,22 @@
         if is_first {
             command.arg("--first-start");
         }
+        match self.regions {
+            KnownRegions::None => {}
+            KnownRegions::Right => {
+                command.args(["--regions", "right"]);
+            }
+            KnownRegions::Wrong => {
+                command.args(["--regions", "wrong"]);
+            }
+        }
         let child = command.spawn().context(FleetSnafu {
             operation: "start a process",
         })?;
         member.child = Some(child);
         member.lives += 1;
         member.restart_at = None;
+        self.end_absence(index);
         Ok(())
     }
 }
--- a/crates/courseshed-soak/src/ledger.rs
+++ b/crates/courseshed-soak/src/ledger.rs
@@ -2,9 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::fleet::Absence;
+
 /// Tokens of one event, as the routing table of the soak says.
 pub const TOKENS_PER_EVENT: u64 = 10;
 
@@ -25,6 +28,14 @@
     Budget,
     /// Nothing that was passed on is cut off, neither by a planned stop nor without any.
     NotCutOff,
+    /// No call reaches a server of an evacuated zone once its gateway must know of the evacuation.
+    EvacuatedZone,
+    /// A call that is restricted to a region reaches no server of another one.
+    AllowedRegion,
+    /// A turn that is restricted to a region is stored in no other one.
+    StoredRegion,
+    /// A server that is warming up gets no more calls in a second than its limit.
+    WarmUpLimit,
     /// No process ends by itself.
     StaysUp,
     /// Once the faults are over, everything serves again.
@@ -126,9 +137,33 @@
     to: Instant,
 }
 
+/// A call that reached a server of a zone while the zone was evacuated.
+#[derive(Clone, Debug)]
+struct LateArrival {
+    call: String,
+    zone: String,
+    evacuated: Instant,
+    at: Instant,
+}
+
+/// How long a gateway may take to learn of a committed evacuation while it runs beside a majority of
+/// controllers: it may follow one that is gone, and finds another within two timeouts of 600 ms; the
+/// rest is for a busy machine.
+pub const EVACUATION_BOUND: Duration = Duration::from_secs(3);
+/// The span in which arrivals at a server that is warming up are counted.
+const WARM_UP_WINDOW: Duration = Duration::from_secs(1);
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// Zones that are evacuated, and since when this is committed.
+    evacuated: BTreeMap<String, Instant>,
+    late_arrivals: Vec<LateArrival>,
+    cold_arrivals: BTreeMap<String, Vec<Instant>>,
+    warm_up_limit: Option<usize>,
+    restricted_runs: usize,
+    absences: Vec<Absence>,
+    controllers: Vec<usize>,
     calls: BTreeMap<String, CallSeen>,
     runs: BTreeMap<String, u64>,
     dropped: BTreeMap<String, u64>,
@@ -148,6 +183,12 @@
     pub refused: usize,
     /// Ended otherwise.
     pub failed: usize,
+    /// Runs of calls that are restricted to a region.
+    pub restricted_runs: usize,
+    /// Calls that reached an evacuated zone, late or while gateways may not have known of it.
+    pub evacuated_arrivals: usize,
+    /// Calls that reached servers that were warming up.
+    pub cold_arrivals: usize,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -178,6 +219,54 @@
         self.disturbances.push(Disturbance { what, from, to });
     }
 
+    /// Notes that the evacuation of a zone is committed.
+    pub fn note_evacuated(&mut self, zone: &str, at: Instant) {
+        self.evacuated.insert(zone.to_owned(), at);
+    }
+
+    /// Notes that a zone is about to be opened again.
+    pub fn note_opened(&mut self, zone: &str) {
+        self.evacuated.remove(zone);
+    }
+
+    /// Notes that a call reached a server of a zone.
+    pub fn note_arrival(&mut self, call: &str, zone: &str, at: Instant) {
+        if let Some(evacuated) = self.evacuated.get(zone) {
+            self.late_arrivals.push(LateArrival {
+                call: call.to_owned(),
+                zone: zone.to_owned(),
+                evacuated: *evacuated,
+                at,
+            });
+        }
+    }
+
+    /// Sets how many calls a server that is warming up may get in a second.
+    pub fn set_warm_up_limit(&mut self, limit: usize) {
+        self.warm_up_limit = Some(limit);
+    }
+
+    /// Notes that a call reached a server that is warming up, which did not answer with 421.
+    pub fn note_cold_arrival(&mut self, server: &str, at: Instant) {
+        let arrivals = self.cold_arrivals.entry(server.to_owned()).or_default();
+        arrivals.push(at);
+    }
+
+    /// Notes that a call that is restricted to a region runs in a region.
+    pub fn note_restricted_run(&mut self, call: &str, allowed: &str, region: &str) {
+        self.restricted_runs += 1;
+        if allowed != region {
+            let detail = format!("{call} is for {allowed} and reached a server in {region}");
+            self.note_violation(Promise::AllowedRegion, detail);
+        }
+    }
+
+    /// Notes when members were stopping, gone or paused, and which of them are controllers.
+    pub fn note_absences(&mut self, absences: Vec<Absence>, controllers: Vec<usize>) {
+        self.absences = absences;
+        self.controllers = controllers;
+    }
+
     /// Notes a promise that was seen broken.
     pub fn note_violation(&mut self, promise: Promise, detail: String) {
         self.seen.push(Violation { promise, detail });
@@ -189,6 +278,9 @@
         let mut tally = Tally {
             calls: self.calls.len(),
             violations: self.seen.clone(),
+            restricted_runs: self.restricted_runs,
+            evacuated_arrivals: self.late_arrivals.len(),
+            cold_arrivals: self.cold_arrivals.values().map(Vec::len).sum(),
             ..Tally::default()
         };
         for (id, call) in &self.calls {
@@ -200,6 +292,8 @@
             tally.violations.extend(self.judge_call(id, call));
         }
         tally.violations.extend(self.judge_budgets());
+        tally.violations.extend(self.judge_evacuations());
+        tally.violations.extend(self.judge_warm_up());
         tally
     }
 
@@ -235,6 +329,58 @@
         was_passed_on && !self.disturbances.iter().any(is_cause)
     }
 
+    fn judge_evacuations(&self) -> Vec<Violation> {
+        let late = self.late_arrivals.iter().filter_map(|arrival| {
+            let gateway = self.calls.get(&arrival.call)?.gateway;
+            let must_have_known = self.could_learn(gateway, arrival.evacuated, arrival.at);
+            must_have_known.then(|| Violation {
+                promise: Promise::EvacuatedZone,
+                detail: format!(
+                    "{} of gateway {gateway} reached zone {} {:?} after its evacuation",
+                    arrival.call,
+                    arrival.zone,
+                    arrival.at - arrival.evacuated
+                ),
+            })
+        });
+        late.collect()
+    }
+
+    /// Whether a gateway ran beside the same majority of controllers for as long as learning of an
+    /// evacuation may take, at some time in a span.
+    fn could_learn(&self, gateway: usize, from: Instant, to: Instant) -> bool {
+        let ends = self.absences.iter().map(|absence| absence.to);
+        let mut begins = ends.filter(|end| *end > from).chain([from]);
+        begins.any(|begin| {
+            let end = begin + EVACUATION_BOUND;
+            let runs = |member: usize| {
+                let mut absences = self.absences.iter();
+                !absences.any(|absence| {
+                    absence.member == member && absence.from < end && absence.to > begin
+                })
+            };
+            let controllers = self.controllers.iter().copied();
+            let running = controllers.filter(|controller| runs(*controller)).count();
+            end <= to && runs(gateway) && 2 * running > self.controllers.len()
+        })
+    }
+
+    fn judge_warm_up(&self) -> Vec<Violation> {
+        let Some(limit) = self.warm_up_limit else {
+            return Vec::new();
+        };
+        let servers = self.cold_arrivals.iter().filter_map(|(server, arrivals)| {
+            let most = most_within(arrivals, WARM_UP_WINDOW);
+            (most > limit).then(|| Violation {
+                promise: Promise::WarmUpLimit,
+                detail: format!(
+                    "{server} got {most} calls in a second of its warm-up, {limit} are allowed"
+                ),
+            })
+        });
+        servers.collect()
+    }
+
     fn judge_budgets(&self) -> Vec<Violation> {
         let mut given: BTreeMap<&str, u64> = BTreeMap::new();
         for turn in self.calls.values().filter_map(|call| call.turn.as_ref()) {
@@ -252,6 +398,15 @@
     }
 }
 
+/// The most of ordered times that lie within a window.
+fn most_within(times: &[Instant], window: Duration) -> usize {
+    let counts = times.iter().enumerate().map(|(first, begin)| {
+        let end = *begin + window;
+        times[first..].partition_point(|time| *time < end)
+    });
+    counts.max().unwrap_or(0)
+}
+
 /// Whether a status says that the call has not run and never will.
 #[must_use]
 pub fn is_not_run(status: u16) -> bool {
--- a/crates/courseshed-soak/src/lib.rs
+++ b/crates/courseshed-soak/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod node;
 pub mod run;
 pub mod server;
+pub mod zones;
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use courseshed_soak::faults::plan;
 use courseshed_soak::fleet::FleetSize;
 use courseshed_soak::ledger::Tally;
 use courseshed_soak::node::{self, NodeArguments};
@@ -39,11 +40,11 @@
     /// how long faults come, in seconds (20)
     #[argh(option, default = "20")]
     seconds: u64,
-    /// gateways (3)
-    #[argh(option, default = "3")]
+    /// gateways (6)
+    #[argh(option, default = "6")]
     gateways: usize,
-    /// stores (4)
-    #[argh(option, default = "4")]
+    /// stores (6)
+    #[argh(option, default = "6")]
     stores: usize,
     /// controllers (3)
     #[argh(option, default = "3")]
@@ -54,6 +55,12 @@
     /// callers (12)
     #[argh(option, default = "12")]
     callers: usize,
+    /// limit calls to servers that warm up, and check it
+    #[argh(switch)]
+    limit_warm_up: bool,
+    /// a file with the faults, as a failed run leaves one (those of the seed)
+    #[argh(option)]
+    plan: Option<PathBuf>,
     /// where files of a run with broken promises are kept (a folder of the system's)
     #[argh(option)]
     keep: Option<PathBuf>,
@@ -95,14 +102,24 @@
         Some(parent) => named.tempdir_in(parent)?,
         None => named.tempdir()?,
     };
+    let how_long = Duration::from_secs(arguments.seconds);
+    let size = FleetSize {
+        gateways: arguments.gateways,
+        stores: arguments.stores,
+        controllers: arguments.controllers,
+    };
+    let faults = match &arguments.plan {
+        Some(file) => serde_json::from_slice(&std::fs::read(file)?)?,
+        None => plan(seed, how_long, &size.roles()),
+    };
     let options = SoakOptions {
         seed,
-        how_long: Duration::from_secs(arguments.seconds),
-        size: FleetSize {
-            gateways: arguments.gateways,
-            stores: arguments.stores,
-            controllers: arguments.controllers,
-        },
+        how_long,
+        faults: Some(faults.clone()),
+        has_regions: seed.is_multiple_of(2),
+        limits_warm_up: arguments.limit_warm_up,
+        broken: None,
+        size,
         servers: arguments.servers,
         callers: arguments.callers,
         program: std::env::current_exe()?,
@@ -113,6 +130,8 @@
     let is_sound = tally.violations.is_empty();
     if !is_sound {
         folder.disable_cleanup(true);
+        let plan = folder.path().join("plan.json");
+        std::fs::write(plan, serde_json::to_vec_pretty(&faults)?)?;
         println!("  files are kept in {}", folder.path().display());
         for line in warnings(folder.path())?.iter().take(5) {
             println!("  {line}");
@@ -127,11 +146,14 @@
         answered,
         refused,
         failed,
+        restricted_runs,
+        evacuated_arrivals,
+        cold_arrivals,
         violations,
     } = tally;
     let broken = violations.len();
     println!(
-        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed, {broken} promises broken"
+        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {broken} promises broken"
     );
     for violation in violations {
         println!("  {violation}");
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -21,6 +21,10 @@
 use courseshed_edge::records::{self, StoreLimits, StoreSettings};
 use courseshed_edge::{logging, signals};
 use courseshed_quota::QuotaPolicy;
+use courseshed_types::ZoneMap;
+use serde::{Deserialize, Serialize};
+
+use crate::zones::zone_map;
 
 /// Lost disks that the fleet bears at once.
 const DISKS_BORNE: usize = 1;
@@ -46,7 +50,7 @@
 pub const OPERATOR_PORT: u16 = 10;
 
 /// What a process does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Role {
     /// Takes callers' requests.
     Gateway,
@@ -103,6 +107,9 @@
     /// whether the whole fleet starts for the first time
     #[argh(switch)]
     first_start: bool,
+    /// the regions that it knows: none, right or wrong ones (none)
+    #[argh(option, default = "String::from(\"none\")")]
+    regions: String,
 }
 
 impl NodeArguments {
@@ -116,6 +123,14 @@
         SocketAddr::from((self.ip, self.first_port + port))
     }
 
+    fn zones(&self) -> Arc<ZoneMap> {
+        match self.regions.as_str() {
+            "right" => Arc::new(zone_map(false)),
+            "wrong" => Arc::new(zone_map(true)),
+            _ => Arc::default(),
+        }
+    }
+
     fn name(&self) -> String {
         format!("{}-{}", self.role.as_str(), self.ip)
     }
@@ -162,7 +177,7 @@
     let settings = GatewaySettings {
         node: node_at(arguments.ip),
         zone: arguments.zone.clone(),
-        zones: Arc::default(),
+        zones: arguments.zones(),
         callers: arguments.listen_on(CALLERS_PORT),
         readiness: arguments.listen_on(READINESS_PORT),
         seeds: Box::new(move || seeds.iter().copied().map(node_at).collect()),
@@ -183,7 +198,7 @@
         node: node_at(arguments.ip),
         name: arguments.name(),
         zone: arguments.zone.clone(),
-        zones: Arc::default(),
+        zones: arguments.zones(),
         folder: arguments.folder.clone(),
         seeds: Box::new(move || seeds.iter().copied().map(node_at).collect()),
         addresses: arguments.addresses(),
@@ -209,6 +224,7 @@
         server_silence: SERVER_SILENCE,
         losses: LossTerms {
             disks: DISKS_BORNE,
+            zone_map: arguments.zones(),
             ..LossTerms::default()
         },
         quota: QuotaPolicy::default(),
@@ -228,7 +244,7 @@
     Ok(())
 }
 
-/// An operator's call: `POST /routing`, `POST /announce` and `POST /leave`, with a JSON body.
+/// An operator's call: `POST /routing`, `/announce`, `/leave` or `/evacuate`, with a JSON body.
 async fn answer_operator(handle: Rc<ControllerHandle>, mut request: Request) -> Response<BoxBody> {
     let path = request.path().to_owned();
     let status = match read_body(&mut request, OPERATOR_BODY).await {
@@ -252,6 +268,10 @@
             Ok(server) => handle.leave(server).await,
             Err(_) => return StatusCode::BAD_REQUEST,
         },
+        "/evacuate" => match serde_json::from_slice::<(String, bool)>(body) {
+            Ok((zone, is_evacuated)) => handle.evacuate(&zone, is_evacuated).await,
+            Err(_) => return StatusCode::BAD_REQUEST,
+        },
         _ => return StatusCode::NOT_FOUND,
     };
     match done {
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -1,7 +1,7 @@
 //! One run: the fleet, its servers and callers, the faults, and what it comes to.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -13,15 +13,17 @@
 };
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::caller::Caller;
 use crate::faults::{Fault, FaultKind, plan};
-use crate::fleet::{Fleet, FleetError, FleetSize};
+use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions};
 use crate::http_text::TextConnection;
 use crate::ledger::{Disturbed, Ledger, Promise, TOKENS_PER_EVENT, Tally};
 use crate::node::Role;
 use crate::server::{SERVICE, SoakServer};
+use crate::zones::{REGIONS, marker, region_of, zone_at};
 
 /// How often processes are looked at.
 const TEND_INTERVAL: Duration = Duration::from_millis(20);
@@ -36,6 +38,25 @@
 /// others, and a gateway that stood still works off what came meanwhile.
 const AFTERMATH: Duration = Duration::from_secs(6);
 
+/// How long a zone is left alone after its evacuation: an operator's call that timed out may still be
+/// carried out by a controller that was paused.
+const EVACUATION_PAUSE: Duration = Duration::from_secs(5);
+/// Calls per second that a server bears while it warms up.
+const WARM_UP_RATE: f64 = 4.0;
+/// Calls that may reach it in a second: one and a half times the rate and 5.
+const WARM_UP_LIMIT: usize = 11;
+
+/// A fault of the fleet that is put in on purpose, to see that a check catches it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// Evacuations that operators are told to be committed never reach the controllers.
+    IgnoresEvacuations,
+    /// Processes take each zone for one of the other region.
+    ConfusesRegions,
+    /// The routing table that reaches the controllers has no warm-up limit.
+    IgnoresWarmUpLimit,
+}
+
 /// What is to be run.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -43,6 +64,14 @@
     pub seed: u64,
     /// How long faults come.
     pub how_long: Duration,
+    /// The faults, if not those of the seed.
+    pub faults: Option<Vec<Fault>>,
+    /// Whether zones have regions and some calls are restricted to one.
+    pub has_regions: bool,
+    /// Whether the service limits calls to servers that warm up.
+    pub limits_warm_up: bool,
+    /// A fault put in on purpose.
+    pub broken: Option<Broken>,
     /// Processes.
     pub size: FleetSize,
     /// Servers.
@@ -85,6 +114,9 @@
     addresses: BTreeMap<usize, SocketAddr>,
     operators: Vec<SocketAddr>,
     next_operator: Cell<usize>,
+    has_regions: bool,
+    limits_warm_up: bool,
+    broken: Option<Broken>,
     is_over: Cell<bool>,
 }
 
@@ -107,6 +139,12 @@
         self.is_over.get()
     }
 
+    /// Whether some calls are restricted to a region.
+    #[must_use]
+    pub fn has_regions(&self) -> bool {
+        self.has_regions
+    }
+
     /// Notes what a server is to get for a turn.
     pub fn expect_history(&self, turn: &str, body: &str) {
         let mut histories = self.histories.borrow_mut();
@@ -132,11 +170,23 @@
     }
 
     async fn put_routing_in_force(&self, version: u64) {
-        let table = serde_json::to_string(&routing(version)).unwrap_or_default();
-        while !self.operate("/routing", &table).await && !self.is_over() {
+        let table = serde_json::to_string(&self.routing(version)).unwrap_or_default();
+        self.insist("/routing", &table).await;
+    }
+
+    /// Makes an operator's call until it is carried out.
+    async fn insist(&self, path: &str, body: &str) {
+        while !self.operate(path, body).await && !self.is_over() {
             sleep(OPERATOR_RETRY).await;
         }
     }
+
+    async fn set_evacuated(&self, zone: &str, is_evacuated: bool) {
+        if self.broken != Some(Broken::IgnoresEvacuations) {
+            let body = serde_json::json!([zone, is_evacuated]).to_string();
+            self.insist("/evacuate", &body).await;
+        }
+    }
 }
 
 /// Runs a soak.
@@ -144,22 +194,39 @@
 /// # Errors
 /// [`SoakError`] when it can't be made; broken promises are in the tally.
 pub async fn run(options: SoakOptions) -> Result<Tally, SoakError> {
-    let fleet = Fleet::start(options.program.clone(), &options.folder, options.size);
+    let regions = match options.broken {
+        _ if !options.has_regions => KnownRegions::None,
+        Some(Broken::ConfusesRegions) => KnownRegions::Wrong,
+        _ => KnownRegions::Right,
+    };
+    let fleet = Fleet::start(
+        options.program.clone(),
+        &options.folder,
+        options.size,
+        regions,
+    );
     let fleet = fleet.context(ProcessSnafu)?;
-    let world = Rc::new(world_of(&fleet));
+    let world = Rc::new(world_of(&fleet, &options));
+    if options.limits_warm_up {
+        let mut ledger = world.ledger.borrow_mut();
+        ledger.set_warm_up_limit(WARM_UP_LIMIT);
+    }
     let fleet = Rc::new(RefCell::new(fleet));
     let tending = actix_rt::spawn(tend(world.clone(), fleet.clone()));
     let mut run = Run {
         servers: Vec::new(),
         servers_started: 0,
         routing_version: 1,
+        evacuations: Vec::new(),
+        evacuating: Rc::default(),
         world: world.clone(),
-        fleet,
+        fleet: fleet.clone(),
         options,
     };
     run.prepare().await?;
     let callers = run.start_callers();
     run.bring_faults_about().await?;
+    run.wait_until_opened().await;
     run.wait_until_whole().await;
     run.check_that_all_serve().await;
     world.is_over.set(true);
@@ -169,11 +236,50 @@
         }
     }
     tending.abort();
-    let tally = world.ledger.borrow().judge();
-    Ok(tally)
+    let fleet = fleet.borrow();
+    let mut ledger = world.ledger.borrow_mut();
+    if world.has_regions {
+        for detail in stored_elsewhere(&fleet) {
+            ledger.note_violation(Promise::StoredRegion, detail);
+        }
+    }
+    ledger.note_absences(fleet.absences(), fleet.members(Role::Controller));
+    Ok(ledger.judge())
+}
+
+/// The stores whose files contain what is restricted to another region.
+fn stored_elsewhere(fleet: &Fleet) -> Vec<String> {
+    let stores = fleet.members(Role::Store).into_iter();
+    let found = stores.flat_map(|store| {
+        let (zone, folder) = fleet.place(store);
+        let regions = REGIONS.into_iter();
+        let others = regions.filter(move |region| *region != region_of(zone));
+        others.filter_map(move |region| {
+            let file = file_with(folder, marker(region).as_bytes())?;
+            Some(format!(
+                "{} of a store in zone {zone} holds a turn for {region} alone",
+                file.display()
+            ))
+        })
+    });
+    found.collect()
+}
+
+/// A file below a folder that contains some bytes.
+fn file_with(folder: &Path, wanted: &[u8]) -> Option<PathBuf> {
+    let entries = std::fs::read_dir(folder).ok()?;
+    let mut paths = entries.filter_map(|entry| Some(entry.ok()?.path()));
+    paths.find_map(|path| {
+        if path.is_dir() {
+            return file_with(&path, wanted);
+        }
+        let bytes = std::fs::read(&path).ok()?;
+        let mut windows = bytes.windows(wanted.len());
+        windows.any(|window| window == wanted).then_some(path)
+    })
 }
 
-fn world_of(fleet: &Fleet) -> World {
+fn world_of(fleet: &Fleet, options: &SoakOptions) -> World {
     let gateways = fleet.members(Role::Gateway);
     let addresses = gateways.iter();
     World {
@@ -185,6 +291,9 @@
         gateways,
         operators: fleet.operator_addresses(),
         next_operator: Cell::new(0),
+        has_regions: options.has_regions,
+        limits_warm_up: options.limits_warm_up,
+        broken: options.broken,
         is_over: Cell::new(false),
     }
 }
@@ -214,6 +323,9 @@
     servers: Vec<Rc<SoakServer>>,
     servers_started: u64,
     routing_version: u64,
+    evacuations: Vec<JoinHandle<()>>,
+    /// Zones that are evacuated, or were until recently.
+    evacuating: Rc<RefCell<BTreeSet<String>>>,
 }
 
 impl Run {
@@ -240,8 +352,13 @@
         self.servers_started += 1;
         let id = format!("server-{}", self.servers_started);
         let seed = self.options.seed.wrapping_add(self.servers_started);
-        let server = SoakServer::start(self.world.clone(), id, seed).await;
-        self.servers.push(server.context(ServerSnafu)?);
+        let zone = zone_at(self.servers_started as usize - 1);
+        let server = SoakServer::start(self.world.clone(), id, zone, seed).await;
+        let server = server.context(ServerSnafu)?;
+        if self.options.limits_warm_up {
+            server.cool();
+        }
+        self.servers.push(server);
         Ok(())
     }
 
@@ -256,14 +373,16 @@
     }
 
     async fn bring_faults_about(&mut self) -> Result<(), SoakError> {
-        let roles: Vec<Role> = {
-            let fleet = self.fleet.borrow();
-            let size = self.options.size;
-            let members = 0..size.controllers + size.stores + size.gateways;
-            members.map(|member| fleet.role(member)).collect()
-        };
         let began = Instant::now();
-        for Fault { at, kind } in plan(self.options.seed, self.options.how_long, &roles) {
+        let faults = self.options.faults.clone();
+        let SoakOptions {
+            seed,
+            how_long,
+            size,
+            ..
+        } = self.options;
+        let faults = faults.unwrap_or_else(|| plan(seed, how_long, &size.roles()));
+        for Fault { at, kind } in faults {
             tokio::time::sleep_until(began + at).await;
             log::info!("{at:?}: {kind:?}");
             self.bring_about(kind).await?;
@@ -292,7 +411,18 @@
                     self.kill(member, away);
                 }
             }
+            FaultKind::KillFleet { away } => {
+                for member in 0..self.options.size.roles().len() {
+                    self.kill(member, away);
+                }
+            }
             FaultKind::Pause { member, how_long } => self.pause(member, how_long),
+            FaultKind::Freeze { members, how_long } => {
+                for member in members {
+                    self.pause(member, how_long);
+                }
+            }
+            FaultKind::Evacuate { zone, how_long } => self.evacuate(zone, how_long),
             FaultKind::Reload { member } => self.fleet.borrow_mut().reload(member),
             FaultKind::Wipe { member } => {
                 self.disturb(member, AFTERMATH);
@@ -335,6 +465,50 @@
         });
     }
 
+    /// Evacuates a zone, unless it is or was so until recently.
+    fn evacuate(&mut self, zone: String, how_long: Duration) {
+        if !self.evacuating.borrow_mut().insert(zone.clone()) {
+            return;
+        }
+        let world = self.world.clone();
+        let evacuating = self.evacuating.clone();
+        let servers = self.servers.iter();
+        let servers: Vec<Rc<SoakServer>> = servers
+            .filter(|server| server.zone() == zone)
+            .cloned()
+            .collect();
+        let evacuation = async move {
+            world.set_evacuated(&zone, true).await;
+            world
+                .ledger
+                .borrow_mut()
+                .note_evacuated(&zone, Instant::now());
+            sleep(how_long).await;
+            if world.limits_warm_up {
+                for server in servers {
+                    server.cool();
+                }
+            }
+            world.ledger.borrow_mut().note_opened(&zone);
+            world.set_evacuated(&zone, false).await;
+            actix_rt::spawn(async move {
+                sleep(EVACUATION_PAUSE).await;
+                evacuating.borrow_mut().remove(&zone);
+            });
+        };
+        self.evacuations.push(actix_rt::spawn(evacuation));
+    }
+
+    /// Waits until no zone is evacuated any more.
+    async fn wait_until_opened(&mut self) {
+        for evacuation in std::mem::take(&mut self.evacuations) {
+            if evacuation.await.is_err() {
+                let detail = "an evacuation ended early".to_owned();
+                self.violation(Promise::ComesBack, detail);
+            }
+        }
+    }
+
     fn disturb(&self, member: usize, how_long: Duration) {
         disturb(&self.world, &self.fleet, member, how_long);
     }
@@ -394,9 +568,51 @@
     ledger.note_disturbed(what, now, now + how_long);
 }
 
-/// The routing table of the soak: a route for each kind of call.
-fn routing(version: u64) -> VersionedTable {
-    let route = |name: &str, kind, max_attempts, keeps_turns| Route {
+impl World {
+    /// The routing table of the soak: a route for each kind of call, and those that are restricted to a
+    /// region.
+    fn routing(&self, version: u64) -> VersionedTable {
+        let limits_warm_up = self.limits_warm_up && self.broken != Some(Broken::IgnoresWarmUpLimit);
+        let mut routes = vec![
+            route("once", CallKind::AtMostOnce, 2),
+            route("safe", CallKind::Repeatable, 3),
+            route("turn", CallKind::Stream, 2),
+        ];
+        for region in REGIONS.into_iter().filter(|_| self.has_regions) {
+            let restricted = [
+                route(&format!("{region}-safe"), CallKind::Repeatable, 3),
+                route(&format!("{region}-turn"), CallKind::Stream, 2),
+            ];
+            routes.extend(restricted.map(|route| Route {
+                allowed_regions: vec![region.to_owned()],
+                ..route
+            }));
+        }
+        VersionedTable {
+            version,
+            table: RoutingTable {
+                routes: routes.into_iter().map(Arc::new).collect(),
+                services: vec![Service {
+                    warm_up_rate_per_s: limits_warm_up.then_some(WARM_UP_RATE),
+                    name: SERVICE.to_owned(),
+                    connection_limit: 0,
+                    engine: Some(EngineLimits {
+                        slots: 16,
+                        tokens_per_event: TOKENS_PER_EVENT,
+                        memory_tokens: None,
+                    }),
+                }],
+                limits: CallLimits::default(),
+                tenants: None,
+            },
+        }
+    }
+}
+
+/// A route whose turns, if it has any, are stored.
+fn route(name: &str, kind: CallKind, max_attempts: u32) -> Route {
+    let keeps_turns = kind == CallKind::Stream;
+    Route {
         name: name.to_owned(),
         host: "soak.example".to_owned(),
         path_prefix: format!("/{name}/"),
@@ -415,29 +631,6 @@
         resumable: false,
         is_public: false,
         allowed_regions: Vec::new(),
-    };
-    let routes = [
-        route("once", CallKind::AtMostOnce, 2, false),
-        route("safe", CallKind::Repeatable, 3, false),
-        route("turn", CallKind::Stream, 2, true),
-    ];
-    VersionedTable {
-        version,
-        table: RoutingTable {
-            routes: routes.into_iter().map(Arc::new).collect(),
-            services: vec![Service {
-                warm_up_rate_per_s: None,
-                name: SERVICE.to_owned(),
-                connection_limit: 0,
-                engine: Some(EngineLimits {
-                    slots: 16,
-                    tokens_per_event: TOKENS_PER_EVENT,
-                    memory_tokens: None,
-                }),
-            }],
-            limits: CallLimits::default(),
-            tenants: None,
-        },
     }
 }
 
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -9,11 +9,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::http_text::{Message, TextConnection, event_chunk};
 use crate::ledger::Promise;
 use crate::run::World;
+use crate::zones::{REGIONS, region_of};
 
 /// The one service of the soak.
 pub const SERVICE: &str = "service";
@@ -22,6 +23,8 @@
 /// Time between two announcements.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(1000);
 const ANNOUNCEMENT_RETRY: Duration = Duration::from_millis(100);
+/// How long a server that has just started warms up.
+const WARM_UP_TIME: Duration = Duration::from_secs(4);
 /// How long a server that drains goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 /// Of a hundred requests, those that the server refuses as not run.
@@ -47,7 +50,10 @@
 /// A running server.
 pub struct SoakServer {
     id: String,
+    zone: &'static str,
     address: SocketAddr,
+    /// Until when it warms up.
+    warm_at: Cell<Instant>,
     state: Cell<ServerState>,
     has_left: Cell<bool>,
     random: RefCell<ChaCha8Rng>,
@@ -59,10 +65,17 @@
     ///
     /// # Errors
     /// What the system says when it can't listen.
-    pub async fn start(world: Rc<World>, id: String, seed: u64) -> std::io::Result<Rc<Self>> {
+    pub async fn start(
+        world: Rc<World>,
+        id: String,
+        zone: &'static str,
+        seed: u64,
+    ) -> std::io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let server = Rc::new(Self {
             id,
+            zone,
+            warm_at: Cell::new(Instant::now()),
             address: listener.local_addr()?,
             state: Cell::new(ServerState::Ready),
             has_left: Cell::new(false),
@@ -74,6 +87,17 @@
         Ok(server)
     }
 
+    /// Where it is.
+    #[must_use]
+    pub fn zone(&self) -> &'static str {
+        self.zone
+    }
+
+    /// Lets it warm up from now on. Until its next announcement nobody else knows.
+    pub fn cool(&self) {
+        self.warm_at.set(Instant::now() + WARM_UP_TIME);
+    }
+
     /// Drains and leaves, as a planned end.
     pub async fn leave(self: Rc<Self>) {
         self.state.set(ServerState::Draining);
@@ -102,10 +126,10 @@
                     id: self.id.clone(),
                     name: String::new(),
                     started_ms: None,
-                    warmup_remaining_ms: 0,
+                    warmup_remaining_ms: self.warm_up_left_ms(),
                     service: SERVICE.to_owned(),
                     address: self.address,
-                    zone: "a".to_owned(),
+                    zone: self.zone.to_owned(),
                     slots: SLOTS,
                     state: self.state.get(),
                 },
@@ -122,6 +146,11 @@
         }
     }
 
+    fn warm_up_left_ms(&self) -> u32 {
+        let left = self.warm_at.get().saturating_duration_since(Instant::now());
+        u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let mut connection = TextConnection::new(stream);
         while let Some(message) = connection.read().await {
@@ -136,7 +165,14 @@
         let id = message.head.header("x-call").unwrap_or("").to_owned();
         let is_meant = message.head.header("x-server") == Some(self.id.as_str());
         let draw = self.random.borrow_mut().random_range(0..100);
-        if !is_meant || draw < REFUSED_OF_100 {
+        if !is_meant {
+            let refusal = format!(
+                "HTTP/1.1 421 Misdirected\r\nx-call: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            );
+            return connection.write(&refusal).await.is_ok();
+        }
+        self.note_arrival(&id, message.head.path());
+        if draw < REFUSED_OF_100 {
             let refusal = format!(
                 "HTTP/1.1 503 Full\r\nx-call: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             );
@@ -149,7 +185,7 @@
             self.world.ledger.borrow_mut().note_dropped(&id);
             return false;
         }
-        if message.head.path().starts_with("/turn/") {
+        if message.head.path().contains("turn/") {
             self.check_history(&id, &message.body);
             return self.stream(connection, &id).await.is_ok();
         }
@@ -160,6 +196,20 @@
         connection.write(&answer).await.is_ok()
     }
 
+    /// Notes where and when a call came.
+    fn note_arrival(&self, id: &str, path: &str) {
+        let now = Instant::now();
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.note_arrival(id, self.zone, now);
+        if now < self.warm_at.get() {
+            ledger.note_cold_arrival(&self.id, now);
+        }
+        let mut regions = REGIONS.into_iter();
+        if let Some(region) = regions.find(|region| path[1..].starts_with(region)) {
+            ledger.note_restricted_run(id, region, region_of(self.zone));
+        }
+    }
+
     fn check_history(&self, id: &str, body: &str) {
         let histories = self.world.histories.borrow();
         if histories.get(id).is_some_and(|expected| expected != body) {
--- a/crates/courseshed-soak/tests/ledger.rs
+++ b/crates/courseshed-soak/tests/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use courseshed_soak::fleet::Absence;
 use courseshed_soak::ledger::{
     CallKind, CallSeen, Disturbed, Ledger, Outcome, ProgramBudget, Promise, TurnSeen,
 };
@@ -125,3 +126,74 @@
     let counted = (tally.calls, tally.answered, tally.refused, tally.failed);
     assert_eq!(counted, (4, 1, 1, 2));
 }
+
+const CONTROLLERS: [usize; 3] = [0, 1, 2];
+
+/// Whether an arrival `late_ms` after an evacuation is judged as late, given absences of members.
+#[parameterized(
+    at_once = { 2_900, &[], false },
+    later = { 3_100, &[], true },
+    frozen_all_the_time = { 8_000, &[(GATEWAY, 0, 9_000)], false },
+    soon_after_a_freeze = { 8_000, &[(GATEWAY, 0, 5_500)], false },
+    long_after_a_freeze = { 8_000, &[(GATEWAY, 0, 4_500)], true },
+    before_a_freeze = { 8_000, &[(GATEWAY, 3_500, 7_900)], true },
+    freezes_in_between = { 8_000, &[(GATEWAY, 2_000, 2_500), (GATEWAY, 5_000, 5_500)], false },
+    another_gateway = { 8_000, &[(3, 0, 9_000)], true },
+    one_controller = { 3_100, &[(1, 0, 9_000)], true },
+    two_controllers = { 8_000, &[(1, 0, 6_000), (2, 0, 9_000)], false },
+    back_long_ago = { 8_000, &[(1, 0, 4_000), (2, 0, 9_000)], true },
+    one_after_the_other = { 4_000, &[(0, 0, 1_500), (1, 1_400, 2_500), (2, 2_400, 4_000)], false },
+)]
+fn an_arrival_in_an_evacuated_zone_is_late_if_its_gateway_could_have_known(
+    late_ms: u64,
+    absences: &[(usize, u64, u64)],
+    is_late: bool,
+) {
+    let mut ledger = Ledger::default();
+    let evacuated = Instant::now();
+    let after = |ms| evacuated + Duration::from_millis(ms);
+    ledger.note_evacuated("a", evacuated);
+    ledger.note_arrival("c", "b", after(late_ms));
+    ledger.note_arrival("c", "a", after(late_ms));
+    ledger.note_opened("a");
+    ledger.note_arrival("c", "a", after(late_ms));
+    ledger.note_run("c");
+    ledger.note_call(
+        "c".to_owned(),
+        call(CallKind::Once, Outcome::Answered { status: 200 }),
+    );
+    let absences = absences.iter().map(|(member, from, to)| Absence {
+        member: *member,
+        from: after(*from),
+        to: after(*to),
+    });
+    ledger.note_absences(absences.collect(), CONTROLLERS.to_vec());
+    let expected = is_late.then_some(Promise::EvacuatedZone);
+    assert_eq!(promises(&ledger), Vec::from_iter(expected));
+}
+
+#[parameterized(
+    as_many_as_allowed = { &[0, 100, 999], None },
+    one_too_many = { &[0, 100, 500, 999], Some(Promise::WarmUpLimit) },
+    in_two_seconds = { &[0, 100, 999, 1_000], None },
+    across_a_second = { &[0, 900, 1_100, 1_200, 1_300], Some(Promise::WarmUpLimit) },
+)]
+fn a_server_that_warms_up_gets_its_limit_in_any_second(arrivals: &[u64], broken: Option<Promise>) {
+    let mut ledger = Ledger::default();
+    ledger.set_warm_up_limit(3);
+    let began = Instant::now();
+    for ms in arrivals {
+        ledger.note_cold_arrival("s", began + Duration::from_millis(*ms));
+        ledger.note_cold_arrival(&format!("one at {ms}"), began);
+    }
+    assert_eq!(promises(&ledger), Vec::from_iter(broken));
+}
+
+#[test]
+fn a_restricted_call_runs_in_its_region_alone() {
+    let mut ledger = Ledger::default();
+    ledger.note_restricted_run("c", "north", "north");
+    assert_eq!(promises(&ledger), []);
+    ledger.note_restricted_run("c", "north", "south");
+    assert_eq!(promises(&ledger), [Promise::AllowedRegion]);
+}
