Prefer programs under way while permits of gone processes count as out

After a restart the owner counts the permits of processes that are gone as out, and calls of new programs competed for the rest with calls of programs under way. Once all holders have reported, such permits count as in use beyond a tenth of the tenant's permits, so that new programs are refused first. The Retry-After of a call without a permit depends on its phase: calls of programs under way return earlier and over half of the time.

--- a/crates/courseshed-edge/src/gateway/quota.rs
+++ b/crates/courseshed-edge/src/gateway/quota.rs
@@ -100,15 +100,15 @@
         loop {
             match quotas.take(tenant, phase) {
                 Ok(()) => return Ok(Permit::new(core.clone(), tenant)),
-                Err(Shortage::ReservedForRunning) => return Err(quotas.over_quota(tenant)),
+                Err(Shortage::ReservedForRunning) => return Err(quotas.over_quota(tenant, phase)),
                 Err(Shortage::NoLocalPermit) => {}
             }
             if answered >= ANSWERS_BEFORE_REFUSAL && quotas.is_exhausted(tenant) {
-                return Err(quotas.over_quota(tenant));
+                return Err(quotas.over_quota(tenant, phase));
             }
             if Instant::now() >= wait_until {
                 return Err(if answered > 0 {
-                    quotas.over_quota(tenant)
+                    quotas.over_quota(tenant, phase)
                 } else {
                     Refusal::NoQuota
                 });
@@ -129,10 +129,10 @@
         self.holder.borrow().is_exhausted(tenant)
     }
 
-    fn over_quota(&self, tenant: &str) -> Refusal {
+    fn over_quota(&self, tenant: &str, phase: ProgramPhase) -> Refusal {
         let holder = self.holder.borrow();
         Refusal::OverQuota {
-            retry_after: holder.retry_after(tenant, rand::random()),
+            retry_after: holder.retry_after(tenant, phase, rand::random()),
         }
     }
 }
--- a/crates/courseshed-quota/src/holder.rs
+++ b/crates/courseshed-quota/src/holder.rs
@@ -16,7 +16,7 @@
 const OCCUPANCY_MAX_AGE: Duration = Duration::from_millis(500);
 /// Lower bound of the retry time of a refused call.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Jitter of retry times, relative to the occupancy time of a permit.
+/// Jitter of retry times of new programs, relative to the occupancy time of a permit.
 const RETRY_JITTER: f64 = 0.25;
 
 /// Whether a call starts a program or continues one.
@@ -212,16 +212,21 @@
     /// Retry time for a call that got no permit, with jitter from `spread` (0 to 1).
     ///
     /// Permits become free evenly over their occupancy time. The fraction of it that passes until
-    /// the use drops to what new programs may use equals the excess over that limit.
+    /// the use drops to what calls of this phase may use equals the excess over that limit. Calls of
+    /// programs under way return before those of new programs, and over half of the time.
     #[must_use]
-    pub fn retry_after(&self, tenant: &str, spread: f64) -> Duration {
+    pub fn retry_after(&self, tenant: &str, phase: ProgramPhase, spread: f64) -> Duration {
         let occupancy = self.terms.occupancy();
         let occupied = self
             .tenants
             .get(tenant)
             .map_or(0, |entry| entry.occupied_permille);
-        let excess = f64::from(occupied.saturating_sub(NEW_PROGRAM_LIMIT_PERMILLE)) / 1000.0;
-        MIN_RETRY_AFTER + occupancy.mul_f64(excess + RETRY_JITTER * spread)
+        let (limit, jitter) = match phase {
+            ProgramPhase::New => (NEW_PROGRAM_LIMIT_PERMILLE, RETRY_JITTER),
+            ProgramPhase::Running => (EXHAUSTED_PERMILLE, RETRY_JITTER / 2.0),
+        };
+        let excess = f64::from(occupied.saturating_sub(limit)) / 1000.0;
+        MIN_RETRY_AFTER + occupancy.mul_f64(excess + jitter * spread)
     }
 
     /// Returns the next report; none while one is in flight.
--- a/crates/courseshed-quota/src/owner.rs
+++ b/crates/courseshed-quota/src/owner.rs
@@ -26,6 +26,9 @@
 /// Divisor of a tenant's permits that limits its idle permits at all gateways. A new owner can't
 /// tell idle permits from permits that were just used, and grants neither until they have expired.
 const IDLE_DIVISOR: u32 = 8;
+/// Divisor of a tenant's permits that yields the permits of processes that are gone which don't hold
+/// new programs back. Without it, new programs lost more calls than it saved programs under way.
+const GONE_DIVISOR: u32 = 10;
 /// Number of steps of a ceiling. More steps leave a new owner more permits to grant at once; fewer
 /// steps need fewer commands.
 const CEILING_STEPS: u32 = 64;
@@ -356,6 +359,7 @@
         is_first: bool,
     ) -> (TenantGrant, Option<u32>) {
         let is_holder = self.holders.contains(&gateway);
+        let knows_holders = self.unreported_holders.is_empty();
         let tenant = self.tenants.entry(entry.tenant.clone()).or_default();
         let ledger = self.gateways.get_mut(&gateway);
         let charge = ledger.map(|ledger| ledger.charges.entry(entry.tenant.clone()).or_default());
@@ -401,7 +405,7 @@
         let grant = TenantGrant {
             tenant: entry.tenant.clone(),
             permits: granted,
-            occupied_permille: tenant.occupied_permille(permits),
+            occupied_permille: tenant.occupied_permille(permits, knows_holders),
             is_pending: raised_ceiling.is_some() || !is_holder,
         };
         (grant, raised_ceiling)
@@ -485,8 +489,14 @@
         self.in_use -= u64::from(charge.in_use);
     }
 
-    fn occupied_permille(&self, permits: u32) -> u16 {
-        let permille = self.in_use * 1000 / u64::from(permits.max(1));
+    /// Permits in use, in thousandths of the tenant's permits. Once all holders have reported, grants
+    /// of an earlier owner that nobody reported belonged to processes that are gone; those beyond
+    /// [`GONE_DIVISOR`] count too, so that programs under way have precedence for what is left.
+    fn occupied_permille(&self, permits: u32, knows_holders: bool) -> u16 {
+        let unreported = if knows_holders { self.unreported } else { 0 };
+        let gone = u64::from(unreported).saturating_sub(u64::from(permits / GONE_DIVISOR));
+        let occupied = self.in_use + gone;
+        let permille = occupied * 1000 / u64::from(permits.max(1));
         u16::try_from(permille).unwrap_or(u16::MAX)
     }
 }
--- a/crates/courseshed-quota/tests/owner.rs
+++ b/crates/courseshed-quota/tests/owner.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use courseshed_quota::{
-    Ceiling, OwnerBounds, QuotaAnswer, QuotaOwner, QuotaPolicy, QuotaReport, TenantUse,
+    Ceiling, OwnerBounds, ProgramPhase, QuotaAnswer, QuotaHolder, QuotaOwner, QuotaPolicy,
+    QuotaReport, Shortage, TenantUse,
 };
 use courseshed_types::NodeId;
 
@@ -81,3 +82,32 @@
     let ceilings = due.ceilings.iter().map(|ceiling| ceiling.permits);
     assert!(ceilings.min().is_none_or(|lowest| lowest >= high));
 }
+
+/// Guards against new programs that take the permits left after a restart of all processes, and
+/// against all refused calls returning at once.
+#[test]
+fn programs_under_way_come_first_after_a_restart() {
+    let mut owner = owner(PERMITS - 4);
+    // The gateways have restarted and hold nothing. The second report confirms the epoch, and the
+    // third gets what the ceiling then allows.
+    let mut second = report(1, EPOCH, 0, 0);
+    second.uptime_ms = 300;
+    send(&mut owner, SECOND, second);
+    let mut holder = QuotaHolder::new(QuotaPolicy::default(), 1, NOW);
+    holder.begin_waiting(TENANT);
+    for _ in 0..3 {
+        let report = holder.report(NOW).expect("none is in flight");
+        let sequence = report.sequence;
+        let (answer, bounds) = owner.on_report(NOW, FIRST, report, |_| Some(PERMITS));
+        owner.on_bounds(&bounds);
+        holder.on_answer(sequence, answer.expect("reports arrive in order"));
+    }
+    let outcomes =
+        [ProgramPhase::New, ProgramPhase::Running].map(|phase| holder.acquire(NOW, TENANT, phase));
+    assert_eq!(outcomes, [Err(Shortage::ReservedForRunning), Ok(())]);
+    for spread in [0.0, 0.5, 1.0] {
+        let running = holder.retry_after(TENANT, ProgramPhase::Running, spread);
+        let new = holder.retry_after(TENANT, ProgramPhase::New, spread);
+        assert!(running < new, "{running:?} {new:?}");
+    }
+}
