Count servers of a reopened zone as warming up until they report

Servers of a zone that was evacuated may be cold when it is taken back, while their last heartbeat said otherwise, and all gateways would send them their usual calls. The end of an evacuation now sets the warm-up time of the zone's servers to 3 s where their service limits it; the next heartbeat replaces it. Reports without any answer are retried after 20 to 320 ms, since a controller of an older build closes the connection on an unknown request.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -533,6 +533,10 @@
             return Err(UpstreamError::Silent);
         }
         let head = received?;
+        if let Some(remaining) = core.codec.read_answer(&head).warmup_remaining {
+            let mut servers = core.servers.borrow_mut();
+            servers.record_warmup(&chosen.id, remaining, core.clock.now());
+        }
         Ok((head, upstream, sent_at))
     }
 
--- a/crates/courseshed-edge/src/gateway/call.rs
+++ b/crates/courseshed-edge/src/gateway/call.rs
@@ -88,6 +88,8 @@
     pub request_id: Option<String>,
     /// Whether the server states that it did not execute the request.
     pub is_not_run: bool,
+    /// Remaining warm-up time of the server; `None` if not stated.
+    pub warmup_remaining: Option<Duration>,
 }
 
 /// A request that can't be decoded.
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -87,6 +87,8 @@
     reported_ids: Vec<String>,
     /// When servers that reported a cold start are expected to be warm.
     cold_until: BTreeMap<String, Duration>,
+    /// When servers should be warm according to their responses.
+    stated_until: BTreeMap<String, Duration>,
     /// Servers that are avoided or being probed.
     pub(super) avoided_ids: BTreeSet<String>,
     /// When the last report of the other gateways was received.
@@ -173,6 +175,7 @@
                     before,
                     now: server,
                 } => {
+                    self.stated_until.remove(&server.id);
                     self.update_cold_until(Some(&before), &server, now);
                     if let Some(stats) = self.stats.get_mut(&server.id) {
                         stats.server = server;
@@ -181,6 +184,7 @@
                 ListChange::Removed(server) => {
                     self.stats.remove(&server.id);
                     self.cold_until.remove(&server.id);
+                    self.stated_until.remove(&server.id);
                     self.avoided_ids.remove(&server.id);
                 }
             }
@@ -219,15 +223,37 @@
         server.state == ServerState::Ready && !self.serving.evacuated.zones.contains(&server.zone)
     }
 
+    /// Records the remaining warm-up time that a response of a server states, which is newer than
+    /// the last heartbeat. Only zero ends the warm-up earlier than the heartbeat said. A statement is
+    /// replaced by the next heartbeat that reports another state.
+    pub fn record_warmup(&mut self, id: &str, remaining: Duration, now: Duration) {
+        let Some(server) = self.directory.get(id) else {
+            return;
+        };
+        if !self.limits_warm_up(&server.service) {
+            return;
+        }
+        let reported = self.cold_until.get(id).copied().unwrap_or_default();
+        let until = if remaining.is_zero() {
+            now
+        } else {
+            reported.max(now + remaining)
+        };
+        self.stated_until.insert(id.to_owned(), until);
+    }
+
     /// Whether the server last reported a cold start in a service that limits cold servers. The
     /// limit applies to the calls of all gateways together, so such a server gets calls only with
     /// permits (see [`super::warmup`]).
     pub(super) fn is_cold(&self, server: &Server) -> bool {
-        server.warmup_remaining_ms > 0 && self.serving.cold_limited.contains(&server.service)
+        server.warmup_remaining_ms > 0 && self.limits_warm_up(&server.service)
     }
 
     /// Whether a server is warm, or its reported cold start should be over.
     pub(super) fn is_expected_warm(&self, server: &Server, now: Duration) -> bool {
+        if let Some(stated) = self.stated_until.get(&server.id) {
+            return now >= *stated || !self.limits_warm_up(&server.service);
+        }
         let until = self.cold_until.get(&server.id);
         !self.is_cold(server) || until.is_none_or(|until| now >= *until)
     }
@@ -247,8 +273,13 @@
 
     /// Names of the servers whose calls need a permit.
     pub(super) fn warming_names(&self, now: Duration) -> BTreeSet<String> {
-        let warming = self.cold_until.keys();
+        let warming: BTreeSet<&String> = self
+            .cold_until
+            .keys()
+            .chain(self.stated_until.keys())
+            .collect();
         warming
+            .into_iter()
             .filter_map(|id| self.directory.get(id))
             .filter(|server| !self.is_expected_warm(server, now))
             .map(|server| server.name().to_owned())
@@ -257,7 +288,8 @@
 
     /// Time until a server that is warming up should be warm.
     pub(super) fn warm_in(&self, id: &str, now: Duration) -> Option<Duration> {
-        let until = self.cold_until.get(id)?;
+        let stated = self.stated_until.get(id);
+        let until = stated.or_else(|| self.cold_until.get(id))?;
         Some(until.saturating_sub(now))
     }
 
--- a/crates/courseshed-edge/src/gateway/short_codec.rs
+++ b/crates/courseshed-edge/src/gateway/short_codec.rs
@@ -84,6 +84,9 @@
         ResponseMetadata {
             request_id: text(head.headers(), "x-call"),
             is_not_run: head.headers().contains_key("x-not-run"),
+            warmup_remaining: text(head.headers(), "x-warm-up-ms")
+                .and_then(|remaining| remaining.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/warmup.rs
+++ b/crates/courseshed-edge/src/gateway/warmup.rs
@@ -27,8 +27,11 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum interval between reports, in which calls of the gateway are collected.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(3);
-/// Interval between reports while no controller answers as the leader.
+/// Interval between reports while no controller answers as the leader, doubled with each report
+/// that gets no answer at all. A controller of an older build closes the connection, which is used
+/// for other requests as well.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(320);
 /// How long a server gets no further requests for permits after it had none free.
 const DENIED_PERIOD: Duration = Duration::from_millis(100);
 /// Longest wait of a call for permits if no other server is available: enough for a few exchanges,
@@ -242,6 +245,7 @@
     addresses: PeerAddresses,
 ) {
     let mut leader = None;
+    let mut retry_interval = RETRY_INTERVAL;
     loop {
         let permits = &core.warmup;
         let requested = permits.requested.notified();
@@ -274,6 +278,7 @@
         match answer {
             Some(PeerReply::Warmup(answer)) => {
                 leader = asked;
+                retry_interval = RETRY_INTERVAL;
                 permits.is_unanswered.set(false);
                 let is_granted = matches!(answer, WarmupAnswer::Granted { .. });
                 permits.holder.borrow_mut().on_answer(sequence, answer);
@@ -287,13 +292,19 @@
             }
             other => {
                 permits.holder.borrow_mut().abandon_report(sequence);
+                let has_answer = other.is_some();
                 let next = next_controller(&core, asked, other);
                 permits
                     .is_unanswered
                     .set(next.is_none() || leader.is_some());
                 permits.requested.notify_one();
                 leader = next;
-                sleep(RETRY_INTERVAL).await;
+                sleep(retry_interval).await;
+                retry_interval = if has_answer {
+                    RETRY_INTERVAL
+                } else {
+                    (retry_interval * 2).min(MAX_RETRY_INTERVAL)
+                };
             }
         }
     }
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use courseshed_edge::gateway::{
-    CallReport, Demand, EventSplitter, ServerTable, ServingConstraints,
+    CallReport, Demand, EventSplitter, PermitAccess, ServerChoice, ServerTable, ServingConstraints,
 };
 use courseshed_registry::{
     EvacuatedZones, LoadReport, Server, ServerList, ServerLoad, ServerState,
@@ -237,6 +237,86 @@
     assert_eq!(at(NOW + COLD), Some("a".to_owned()));
 }
 
+fn choose_with_permits(
+    table: &ServerTable,
+    excluded: &[&str],
+    access: impl Fn(&str) -> PermitAccess,
+) -> ServerChoice {
+    let excluded: Vec<String> = excluded.iter().map(|id| (*id).to_owned()).collect();
+    table.choose_with_permits(&demand(&[]), &excluded, NOW, 7, access)
+}
+
+/// A cold service would be refused entirely if its servers got no calls, and overloaded if they got
+/// calls without permits.
+#[test]
+fn server_that_warms_up_is_chosen_with_a_permit_if_no_other_is_available() {
+    let mut table = ServerTable::default();
+    table.set_serving(with_cold_limit());
+    table.replace(&[cold("a"), cold("b")].into_iter().collect(), NOW);
+    let held = |id: &str| match id {
+        "b" => PermitAccess::Free,
+        _ => PermitAccess::Requestable,
+    };
+    let choice = choose_with_permits(&table, &[], held);
+    assert_eq!(choice.server.map(|server| server.id), Some("b".to_owned()));
+    assert!(choice.needs_permit && !choice.has_warm);
+    let choice = choose_with_permits(&table, &["b"], held);
+    assert_eq!(choice.server.map(|server| server.id), Some("a".to_owned()));
+    let refused = choose_with_permits(&table, &[], |_| PermitAccess::Denied);
+    assert_eq!((refused.server, refused.warm_in), (None, Some(COLD)));
+    let none = choose_with_permits(&table, &["a", "b"], held);
+    assert_eq!((none.server, none.warm_in), (None, None));
+}
+
+/// Permits are scarce, and an idle warm server is as good; a crowded one is not.
+#[test]
+fn server_that_warms_up_is_chosen_if_the_warm_ones_are_crowded() {
+    let mut table = ServerTable::default();
+    table.set_serving(with_cold_limit());
+    let servers = [cold("a"), server("b", ServerState::Ready)];
+    table.replace(&servers.into_iter().collect(), NOW);
+    let requestable = |_: &str| PermitAccess::Requestable;
+    let idle = choose_with_permits(&table, &[], requestable);
+    assert_eq!(idle.server.map(|server| server.id), Some("b".to_owned()));
+    assert!(!idle.needs_permit && idle.has_warm);
+    for _ in 0..4 {
+        table.begin("b");
+    }
+    let crowded = choose_with_permits(&table, &[], requestable);
+    assert_eq!(crowded.server.map(|server| server.id), Some("a".to_owned()));
+    assert!(crowded.needs_permit && crowded.has_warm);
+    let denied = choose_with_permits(&table, &[], |_| PermitAccess::Denied);
+    assert_eq!(denied.server.map(|server| server.id), Some("b".to_owned()));
+    table.report("a", CallReport::Failed, NOW);
+    let failed = choose_with_permits(&table, &[], requestable);
+    assert_eq!(failed.server.map(|server| server.id), Some("b".to_owned()));
+}
+
+/// What a server's response states is newer than its last heartbeat.
+#[test]
+fn warm_up_stated_by_a_response_counts_until_the_next_report() {
+    let mut table = ServerTable::default();
+    table.set_serving(with_cold_limit());
+    let warm = || server("a", ServerState::Ready);
+    table.replace(&[warm()].into_iter().collect(), NOW);
+    table.record_warmup("a", COLD, NOW);
+    assert!(table.needs_permit("a", NOW));
+    assert_eq!(choose(&table, None, &[]), None);
+    assert!(!table.needs_permit("a", NOW + COLD));
+    table.record_warmup("a", Duration::ZERO, NOW);
+    assert!(!table.needs_permit("a", NOW));
+    table.replace(&[cold("a")].into_iter().collect(), NOW);
+    assert!(table.needs_permit("a", NOW));
+    table.record_warmup("a", Duration::from_millis(1), NOW);
+    assert!(table.needs_permit("a", NOW + COLD / 2));
+    table.record_warmup("a", Duration::ZERO, NOW);
+    assert!(!table.needs_permit("a", NOW));
+    // Without a limit it has no effect.
+    table.set_serving(ServingConstraints::default());
+    table.record_warmup("a", COLD, NOW);
+    assert!(!table.needs_permit("a", NOW));
+}
+
 #[test]
 fn cold_server_without_a_rate_limit_is_chosen() {
     let mut table = ServerTable::default();
--- a/crates/courseshed-edge/tests/warming_servers.rs
+++ b/crates/courseshed-edge/tests/warming_servers.rs
@@ -224,6 +224,29 @@
     assert_eq!((served(&responses), server.count()), (0, before));
 }
 
+/// Servers of a zone that was evacuated may be cold when it is taken back, though their last
+/// heartbeat said otherwise.
+#[actix_rt::test]
+async fn reopened_zone_is_limited_until_its_servers_report() {
+    let fleet = start_fleet(RATE).await;
+    let server = LimitedServer::start().await;
+    let warm = |sequence| Reported {
+        sequence,
+        warmup: Duration::ZERO,
+    };
+    server.register(&fleet, "one", 1_000, warm(1)).await;
+    wait_until(async || status(&call(fleet.caller_addr, "first", "", "").await) == 200).await;
+    wait_until(async || fleet.controller.evacuate("a", true).await.is_ok()).await;
+    wait_until(async || status(&call(fleet.caller_addr, "look", "", "").await) == 503).await;
+    server.arrivals.lock().clear();
+    wait_until(async || fleet.controller.evacuate("a", false).await.is_ok()).await;
+    wait_until(async || status(&call(fleet.caller_addr, "again", "", "").await) == 200).await;
+    calls(fleet.caller_addr, 40).await;
+    assert!(server.peak() <= PERMITS, "{} in a second", server.peak());
+    server.register(&fleet, "one", 1_000, warm(2)).await;
+    wait_until(async || served(&calls(fleet.caller_addr, 40).await) == 40).await;
+}
+
 /// Once a server has warmed up, its calls need no permits, and nothing is held back.
 #[actix_rt::test]
 async fn warm_server_is_not_limited() {
--- a/crates/courseshed-registry/src/server_list.rs
+++ b/crates/courseshed-registry/src/server_list.rs
@@ -120,6 +120,19 @@
         self.add_to_indexes(id, announced);
     }
 
+    /// Changes the remaining warm-up time of a registered server until its next registration.
+    pub(crate) fn set_warmup_remaining(&mut self, id: &str, warmup_remaining_ms: u32) {
+        let Some(announced) = self.by_id.get(id) else {
+            return;
+        };
+        let server = Server {
+            warmup_remaining_ms,
+            ..(*announced.server).clone()
+        };
+        let sequence = announced.sequence;
+        self.insert(Registration { server, sequence });
+    }
+
     fn add_to_indexes(&mut self, id: String, announced: AnnouncedServer) {
         let server = &announced.server;
         self.by_address.insert(server.address, id.clone());
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -22,6 +22,10 @@
 /// Number of departed or expired server ids to retain, so that late registrations are ignored.
 const MAX_RETAINED_IDS: usize = 4096;
 
+/// Warm-up time of a server whose state is unknown, in milliseconds: a little more than two intervals
+/// between heartbeats, the next of which reports the state.
+const UNVERIFIED_WARMUP_MS: u32 = 3_000;
+
 /// Number of quota ceilings above which those of deleted tenants are dropped.
 const MAX_RETAINED_CEILINGS: usize = 4096;
 
@@ -433,11 +437,28 @@
     fn evacuate(&mut self, zone: String, is_evacuated: bool) {
         let zones = &mut self.evacuated.zones;
         let is_new = if is_evacuated {
-            zones.insert(zone)
+            zones.insert(zone.clone())
         } else {
             zones.remove(&zone)
         };
         self.evacuated.revision += u64::from(is_new);
+        if is_new && !is_evacuated {
+            self.mark_unverified(&zone);
+        }
+    }
+
+    /// Marks the servers of a reopened zone as warming up where that limits their calls. They had
+    /// no calls during the evacuation, and may be cold before a heartbeat says so.
+    fn mark_unverified(&mut self, zone: &str) {
+        let servers = self.servers.iter();
+        let unverified: Vec<String> = servers
+            .filter(|server| server.zone == zone && self.limits_cold_servers(&server.service))
+            .filter(|server| server.warmup_remaining_ms < UNVERIFIED_WARMUP_MS)
+            .map(|server| server.id.clone())
+            .collect();
+        for id in unverified {
+            self.servers.set_warmup_remaining(&id, UNVERIFIED_WARMUP_MS);
+        }
     }
 
     fn expire(&mut self, server: String) {
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -316,6 +316,46 @@
     }
 }
 
+/// A server may have become cold during an evacuation before a heartbeat says so, so it counts as
+/// warming up from the end of the evacuation until its next heartbeat.
+#[parameterized(
+    limited = { Some(24.0), true },
+    unlimited = { None, false },
+)]
+fn servers_of_a_reopened_zone_are_unverified_until_they_report(
+    cold_per_s: Option<f64>,
+    is_marked: bool,
+) {
+    let mut state = FleetState::default();
+    apply(&mut state, route_to_s(cold_per_s));
+    apply(
+        &mut state,
+        Command::Announce(registration(ServerState::Ready, 1)),
+    );
+    let is_warming = |state: &FleetState| {
+        let mut servers = state.servers();
+        servers.any(|server| server.warmup_remaining_ms > 0)
+    };
+    let zone = registration(ServerState::Ready, 1).server.zone;
+    apply(&mut state, evacuate("elsewhere", true));
+    apply(&mut state, evacuate("elsewhere", false));
+    apply(&mut state, evacuate(&zone, true));
+    assert!(!is_warming(&state));
+    let known = state.update_for(FollowerRevisions::default()).known;
+    apply(&mut state, evacuate(&zone, false));
+    assert_eq!(is_warming(&state), is_marked);
+    assert_eq!(state.update_for(known).servers.is_some(), is_marked);
+    let late = registration(ServerState::Ready, 1);
+    assert!(
+        state.is_redundant(&late),
+        "sent before the evacuation ended"
+    );
+    let next = registration(ServerState::Ready, 2);
+    assert_eq!(!state.is_redundant(&next), is_marked);
+    apply(&mut state, Command::Announce(next));
+    assert!(!is_warming(&state));
+}
+
 #[test]
 fn evacuated_zones_are_persisted_and_sent_once() {
     let mut state = FleetState::default();
