Refuse no call while a server that warms up has permits left

The owner grants a gateway only a part of the free permits at once, and the gateway took the first answer without a permit as a refusal, so a burst at one gateway would have been refused while most permits were free. The owner now tells with each grant how many permits are left; waiting calls ask again until there are none. A grant takes half of the free permits instead of a quarter, so that a burst needs fewer exchanges.

--- a/crates/courseshed-edge/src/gateway/warmup.rs
+++ b/crates/courseshed-edge/src/gateway/warmup.rs
@@ -142,6 +142,17 @@
                 break Some(WarmupPermit::new(core.clone(), server, service));
             }
             if waiting.is_some() && *answered.borrow() >= first_report {
+                let is_exhausted = {
+                    let holder = permits.holder.borrow();
+                    first_report = holder.next_sequence();
+                    holder.is_exhausted(server)
+                };
+                // The owner had more permits than it granted at once.
+                if !is_exhausted && Instant::now() < wait_until {
+                    permits.requested.notify_one();
+                    let _ = timeout_at(wait_until, answered.changed()).await;
+                    continue;
+                }
                 let mut denied = permits.denied.borrow_mut();
                 denied.retain(|_, until| now < *until);
                 denied.insert(server.to_owned(), now + DENIED_PERIOD);
--- a/crates/courseshed-edge/tests/warming_servers.rs
+++ b/crates/courseshed-edge/tests/warming_servers.rs
@@ -169,6 +169,21 @@
     assert_refused_at_once(&all);
 }
 
+/// A gateway gets only a part of the free permits at once, so that others get some too. Calls that
+/// come together must not be refused while permits are left.
+#[actix_rt::test]
+async fn burst_at_one_gateway_uses_all_permits() {
+    let fleet = start_fleet(24.0).await;
+    let server = LimitedServer::start().await;
+    server.register(&fleet, "one", 1_000, COLD).await;
+    wait_until(async || status(&call(fleet.caller_addr, "first", "", "").await) == 200).await;
+    let responses = calls(fleet.caller_addr, 40).await;
+    assert_eq!(served(&responses), 40);
+    let refused = calls(fleet.caller_addr, 10).await;
+    assert_eq!(served(&refused), 0);
+    assert_refused_at_once(&refused);
+}
+
 /// The permits of the incarnation before the restart must not add to those after it: all requests
 /// reach the same address.
 #[actix_rt::test]
--- a/crates/courseshed-warmup/src/holder.rs
+++ b/crates/courseshed-warmup/src/holder.rs
@@ -15,7 +15,8 @@
     waiting: u32,
     /// Permits and use in the last report.
     reported: Option<(u32, u32)>,
-    occupied_permille: u16,
+    /// Permits that the owner had left at the last answer.
+    free: u32,
 }
 
 impl ServerPermits {
@@ -144,7 +145,7 @@
     /// report that contains the wait.
     pub fn begin_waiting(&mut self, server: &str) -> u64 {
         self.servers.entry(server.to_owned()).or_default().waiting += 1;
-        self.sequence + 1
+        self.next_sequence()
     }
 
     /// Records that a call stops waiting.
@@ -167,12 +168,17 @@
         held.sum()
     }
 
-    /// Permits of a server in use or waited for at all gateways, in thousandths, as of the last
-    /// answer.
+    /// Whether the owner had no permits of a server left at the last answer. If it had, it grants
+    /// more to the next report.
     #[must_use]
-    pub fn occupied_permille(&self, server: &str) -> u16 {
-        let entry = self.servers.get(server);
-        entry.map_or(0, |entry| entry.occupied_permille)
+    pub fn is_exhausted(&self, server: &str) -> bool {
+        self.servers.get(server).is_none_or(|entry| entry.free == 0)
+    }
+
+    /// Sequence number of the next report.
+    #[must_use]
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence + 1
     }
 
     /// Returns the next report; none while one is in flight.
@@ -241,7 +247,7 @@
     fn apply_grant(&mut self, grant: ServerGrant) {
         let entry = self.servers.entry(grant.server).or_default();
         entry.permits = grant.permits;
-        entry.occupied_permille = grant.occupied_permille;
+        entry.free = grant.free;
     }
 
     /// Abandons a report whose answer timed out. The next report is complete, as the owner may have
--- a/crates/courseshed-warmup/src/message.rs
+++ b/crates/courseshed-warmup/src/message.rs
@@ -37,8 +37,8 @@
     pub server: String,
     /// Number of permits; replaces the previous grant.
     pub permits: u32,
-    /// Permits in use or waited for at all gateways, in thousandths of the server's permits.
-    pub occupied_permille: u16,
+    /// Permits of the server that are left after this grant.
+    pub free: u32,
 }
 
 /// Answer to a report.
--- a/crates/courseshed-warmup/src/owner.rs
+++ b/crates/courseshed-warmup/src/owner.rs
@@ -17,7 +17,7 @@
 
 /// Divisor of the available permits that limits the new ones in one grant, so that some remain for
 /// other gateways.
-const GRANT_DIVISOR: u32 = 4;
+const GRANT_DIVISOR: u32 = 2;
 /// Divisor of a gateway's need that yields the permits beyond it, which the gateway can use without
 /// a round trip, and while there is no leader.
 const AHEAD_DIVISOR: u32 = 4;
@@ -94,7 +94,6 @@
     servers: BTreeMap<String, ServerLedger>,
     /// Gateways whose earlier permits have been subtracted from the unreported ones.
     adopted: BTreeSet<NodeId>,
-    granted: u64,
     fault: InjectedFault,
 }
 
@@ -117,7 +116,6 @@
                 .map(|(server, permits)| (server, ledger(permits)))
                 .collect(),
             adopted: BTreeSet::new(),
-            granted: 0,
             fault: InjectedFault::None,
         }
     }
@@ -177,12 +175,6 @@
         self.servers.values().map(ServerLedger::outstanding).sum()
     }
 
-    /// Permits granted since the owner started.
-    #[must_use]
-    pub fn granted(&self) -> u64 {
-        self.granted
-    }
-
     /// Whether a report is newer than all earlier ones of its gateway. A new incarnation of a
     /// gateway replaces the previous one, whose sends may still be within the window.
     fn is_in_order(&mut self, now: Duration, gateway: NodeId, report: &WarmupReport) -> bool {
@@ -232,7 +224,6 @@
             InjectedFault::LowersBeforeAck => granted,
             _ => granted.max(held),
         };
-        self.granted += u64::from(granted.saturating_sub(entry.held));
         let in_use = entry.used.saturating_add(entry.waiting);
         server.charged = server.charged + u64::from(charged) - u64::from(charge.permits);
         server.in_use = server.in_use + u64::from(in_use) - u64::from(charge.in_use);
@@ -241,14 +232,14 @@
             in_use,
         };
         let is_unused = charged == 0 && in_use == 0;
-        let occupied_permille = server.in_use * 1000 / u64::from(permits.max(1));
+        let free = u64::from(permits).saturating_sub(server.outstanding());
         if is_unused {
             charges.remove(&entry.server);
         }
         Some(ServerGrant {
             server: entry.server.clone(),
             permits: granted,
-            occupied_permille: u16::try_from(occupied_permille).unwrap_or(u16::MAX),
+            free: u32::try_from(free).unwrap_or(u32::MAX),
         })
     }
 
--- a/crates/courseshed-warmup/tests/simulation.rs
+++ b/crates/courseshed-warmup/tests/simulation.rs
@@ -394,6 +394,16 @@
                 node.waiting.push(call);
                 continue;
             }
+            if !is_served && !node.holder.is_exhausted(name) {
+                // The next report asks for the rest.
+                let first_report = node.holder.next_sequence();
+                node.next_report = self.now;
+                node.waiting.push(WaitingCall {
+                    first_report,
+                    ..call
+                });
+                continue;
+            }
             node.holder.end_waiting(name);
             if is_served {
                 self.waits.push(self.now - call.began);
