Let gateways refuse new programs while servers are short of capacity

Cause: the admission decision was not used by the gateway.

Change: a gateway that runs with the mechanism admission observes the load of each service with each answered exchange of load reports, and asks for a decision before the first attempt of a call that begins a program with a token budget; a refusal is Overloaded (503, not run). Refusals are counted in admission_refusals by service; admission_limited and admission_unlimited are logged with the load that led to them. A shortage from before a gap of 5 s in the reports no longer counts. Without load reports (--without shared-loads) nothing is refused.

--- a/crates/courseshed-edge/src/gateway/admission.rs
+++ b/crates/courseshed-edge/src/gateway/admission.rs
@@ -23,6 +23,9 @@
 /// Age at which an observation no longer causes refusals. Load reports of other gateways are valid
 /// for as long.
 const MAX_AGE: Duration = Duration::from_secs(1);
+/// Gap between load reports after which a shortage must last anew, for example after a freeze.
+/// Longer than the gaps while three of four reports are lost, or those would prevent refusals.
+const MAX_GAP: Duration = Duration::from_secs(5);
 /// Pressure added for each step of priority after the first, up to a limit.
 const PRESSURE_PER_PRIORITY: f64 = 0.05;
 const MAX_PRIORITY_STEPS: u32 = 4;
@@ -95,8 +98,11 @@
         let is_current = load.age < MAX_AGE;
         let is_short = pressure > MIN_PRESSURE && is_current;
         let before = self.services.get(service);
-        let since = before.and_then(|before| before.shortage);
-        let since = since.map_or(now, |(since, _)| since);
+        // A shortage from before a gap in the reports says nothing about how long this one lasts.
+        let since = before
+            .and_then(|before| before.shortage)
+            .filter(|(_, until)| now.saturating_sub(*until) < MAX_GAP)
+            .map_or(now, |(since, _)| since);
         let observed = ObservedService {
             pressure,
             call_ms: load.call_ms,
@@ -111,6 +117,13 @@
         self.services.retain(|service, _| exists(service));
     }
 
+    /// Whether new programs of a service may be refused.
+    #[must_use]
+    pub fn is_limiting(&self, service: &str) -> bool {
+        let observed = self.services.get(service);
+        observed.is_some_and(ObservedService::is_lasting_shortage)
+    }
+
     /// Decides on a call. `draw` is uniform in 0..1, and the same for all attempts of a program.
     #[must_use]
     pub fn decide(
@@ -144,10 +157,7 @@
 
 impl ObservedService {
     fn admitted_share(&self, request: &AdmissionRequest, now: Duration) -> f64 {
-        let has_lasted = self
-            .shortage
-            .is_some_and(|(since, until)| until.saturating_sub(since) >= MIN_SHORTAGE);
-        if !has_lasted {
+        if !self.is_lasting_shortage() {
             return 1.0;
         }
         let steps = request.priority.min(MAX_PRIORITY_STEPS);
@@ -162,6 +172,11 @@
             .clamp(MIN_SHARE, 1.0)
     }
 
+    fn is_lasting_shortage(&self) -> bool {
+        self.shortage
+            .is_some_and(|(since, until)| until.saturating_sub(since) >= MIN_SHORTAGE)
+    }
+
     fn would_be_late(&self, request: &AdmissionRequest) -> bool {
         let times = request.time_left.zip(request.budgeted_turns);
         times.is_some_and(|(time_left, turns)| {
--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -158,11 +158,10 @@
         let tenant = self.caller.tenant();
         let quota = tenant.and_then(|tenant| tenant.quota.as_ref());
         let rate = quota.map(|quota| quota.rate_per_s);
-        let own_rank = tenant.and_then(|tenant| tenant.priority);
         CallDemand {
             number: 0,
             route: name_key(&self.route.name),
-            rank: own_rank.unwrap_or(self.route.priority),
+            rank: self.priority(),
             tenant: tenant.map(|tenant| name_key(&tenant.name)),
             tenant_weight: rate.map_or(1.0, |rate| rate as f32),
             program: self.program_standing(),
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -16,9 +16,10 @@
 use courseshed_routing::{AllowedRegions, CallKind, Route};
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::access::Caller;
+use super::admission::{AdmissionDecision, AdmissionRequest};
 use super::assignment::Assignment;
 use super::call::{ForwardingContext, GatewayRequest};
 use super::call_log::CallLog;
@@ -27,6 +28,7 @@
 use super::memory_budget::BufferKind;
 use super::memory_tracker::RequestMemory;
 use super::policy::Mechanism;
+use super::program::program_key;
 use super::quota::{Permit, Quotas};
 use super::refusal::Refusal;
 use super::schedule::ScheduledCall;
@@ -34,9 +36,12 @@
 use super::server::MAX_ROUTING_WAIT;
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
+use crate::metrics::ServiceLabels;
 
 /// Prompt tokens attributed to a request that has only an affinity key.
 const AFFINITY_KEY_TOKENS: u32 = 2_000;
+/// Seed of the hash that decides which programs are admitted, so that it is independent of others.
+const ADMISSION_SEED: u64 = 0xad31;
 /// Minimum remaining time for another attempt.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 
@@ -95,6 +100,10 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+fn saturate(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
 /// Arrival time and deadline of a request.
 #[derive(Clone, Copy)]
 pub(super) struct CallTimes {
@@ -220,6 +229,7 @@
         &mut self,
         resume_after: Option<u64>,
     ) -> Result<OpenedResponse, Refusal> {
+        self.check_admission()?;
         loop {
             if self.time_left() < MIN_ATTEMPT_TIME {
                 return Err(self.deadline_refusal());
@@ -435,6 +445,46 @@
         recovered.await.map_err(refused)
     }
 
+    /// Checks that the program is admitted, if the call begins one.
+    fn check_admission(&self) -> Result<(), Refusal> {
+        // A stream that is resumed at another server was admitted before.
+        let is_first_attempt =
+            self.attempted_servers.is_empty() && self.excluded_servers.is_empty();
+        let is_checked = is_first_attempt && self.core.policy.uses(Mechanism::Admission);
+        let Some(claim) = self.call.program.as_ref().filter(|_| is_checked) else {
+            return Ok(());
+        };
+        let most = self.call.most_tokens.filter(|most| *most > 0);
+        let turns = claim.token_budget.zip(most);
+        let request = AdmissionRequest {
+            phase: self.phase,
+            priority: self.priority(),
+            time_left: claim
+                .time_left
+                .map(|left| left.saturating_sub(self.arrived.elapsed())),
+            budgeted_turns: turns.map(|(budget, most)| saturate(budget / u64::from(most))),
+        };
+        let key = program_key(self.caller.tenant_name(), &claim.program);
+        let draw = xxh3_64_with_seed(key.as_bytes(), ADMISSION_SEED) as f64 / u64::MAX as f64;
+        let now = self.core.clock.now();
+        let admission = self.core.admission.borrow();
+        match admission.decide(&self.service, &request, now, draw) {
+            AdmissionDecision::Admitted => Ok(()),
+            AdmissionDecision::Refused { retry_after } => {
+                let service = self.service.clone();
+                let refused = &self.core.metrics.admission_refusals;
+                refused.get_or_create(&ServiceLabels { service }).inc();
+                Err(Refusal::Overloaded { retry_after })
+            }
+        }
+    }
+
+    /// The priority of the tenant, or else of the route; lower values come first.
+    pub(super) fn priority(&self) -> u32 {
+        let own = self.caller.tenant().and_then(|tenant| tenant.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Takes a permit for the next attempt, if the tenant has a quota.
     async fn take_permit(&mut self) -> Result<(), Refusal> {
         let Some(tenant) = self.caller.tenant() else {
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::access::{AccessPolicy, TenantSettings};
+use super::admission::AdmissionControl;
 use super::call::CallCodec;
 use super::freeze::FreezeDetector;
 use super::memory_budget::MemoryLimits;
@@ -49,6 +50,7 @@
     pub memory_tracker: Rc<MemoryTracker>,
     pub servers: RefCell<ServerTable>,
     pub response_times: RefCell<ResponseTimes>,
+    pub admission: RefCell<AdmissionControl>,
     /// The zone of this gateway.
     pub zone: String,
     /// When a graceful shutdown terminates the process; `None` while not shutting down.
@@ -114,6 +116,7 @@
             access: access.unwrap_or_default(),
             quotas: Quotas::new(tenants.quota),
             response_times: RefCell::default(),
+            admission: RefCell::default(),
             zone,
             shutdown_at: Cell::new(None),
             in_flight_requests: Cell::new(0),
@@ -207,6 +210,26 @@
         self.log_changes(&mut servers);
     }
 
+    /// Records the load of all services for admission control.
+    pub(super) fn observe_load(&self, now: Duration) {
+        let loads = self.servers.borrow().service_loads(now);
+        let mut admission = self.admission.borrow_mut();
+        admission.retain(|service| loads.iter().any(|(listed, _)| listed == service));
+        for (service, load) in loads {
+            let was_limiting = admission.is_limiting(&service);
+            admission.observe(&service, &load, now);
+            let is_limiting = admission.is_limiting(&service);
+            if is_limiting != was_limiting {
+                let event = if is_limiting {
+                    "admission_limited"
+                } else {
+                    "admission_unlimited"
+                };
+                log::info!(event = event, service = service.as_str(), calls = load.calls, slots = load.slots, call_ms = load.call_ms, age_ms = load.age.as_millis() as u64; "admission of new programs changed");
+            }
+        }
+    }
+
     /// Re-evaluates which servers are avoided.
     pub(super) fn reevaluate_avoidance(&self) {
         let mut servers = self.servers.borrow_mut();
--- a/crates/courseshed-edge/src/gateway/directory.rs
+++ b/crates/courseshed-edge/src/gateway/directory.rs
@@ -126,6 +126,12 @@
         zones.map(|(_, zone)| zone.servers.len()).sum()
     }
 
+    /// The servers of a service.
+    pub(super) fn servers(&self, service: &str) -> impl Iterator<Item = &Arc<Server>> {
+        let zones = self.services.get(service).into_iter().flatten();
+        zones.flat_map(|(_, zone)| &zone.servers)
+    }
+
     /// The candidates for a call from a zone; `width` multiplies the initial number.
     pub(super) fn candidates(
         &self,
--- a/crates/courseshed-edge/src/gateway/load.rs
+++ b/crates/courseshed-edge/src/gateway/load.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::core::GatewayCore;
+use super::policy::Mechanism;
 use crate::peers::Peers;
 use crate::protocol::{PeerReply, PeerRequest};
 
@@ -54,11 +55,13 @@
     let request = PeerRequest::ShareLoad(own);
     let reply = peers.request(controller, request, EXCHANGE_TIMEOUT).await;
     let now = core.clock.now();
-    let mut servers = core.servers.borrow_mut();
     let Ok(PeerReply::OthersLoad(others)) = reply else {
-        servers.expire_load_report(now);
+        core.servers.borrow_mut().expire_load_report(now);
         return 0;
     };
-    servers.apply_load_report(&others, now);
+    core.servers.borrow_mut().apply_load_report(&others, now);
+    if core.policy.uses(Mechanism::Admission) {
+        core.observe_load(now);
+    }
     others.entry_count()
 }
--- a/crates/courseshed-edge/src/gateway/policy.rs
+++ b/crates/courseshed-edge/src/gateway/policy.rs
@@ -1,12 +1,12 @@
 //! The mechanisms that a gateway uses in its decisions. Each can be disabled, to measure its
-//! effect.
+//! effect; some are disabled unless asked for.
 
 use std::collections::BTreeSet;
 use std::str::FromStr;
 
 use snafu::Snafu;
 
-/// A mechanism that can be disabled.
+/// A mechanism that can be enabled or disabled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mechanism {
     /// Server selection considers which prompt segments servers have cached.
@@ -33,11 +33,13 @@
     PoolScheduler,
     /// Gateways share call outcomes and avoid servers that fail far more calls than others.
     SharedOutcomes,
+    /// New programs are refused while servers are short of capacity. Disabled by default.
+    Admission,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::PromptCache,
         Self::KeptTurnHints,
         Self::ProgramHints,
@@ -50,6 +52,7 @@
         Self::LearnedReading,
         Self::PoolScheduler,
         Self::SharedOutcomes,
+        Self::Admission,
     ];
 
     /// The name used in settings.
@@ -68,8 +71,14 @@
             Self::LearnedReading => "learned-reading",
             Self::PoolScheduler => "pool-scheduler",
             Self::SharedOutcomes => "shared-outcomes",
+            Self::Admission => "admission",
         }
     }
+
+    /// Whether the mechanism is enabled unless it is disabled.
+    fn is_default(self) -> bool {
+        self != Self::Admission
+    }
 }
 
 /// A name that matches no mechanism.
@@ -91,24 +100,34 @@
     }
 }
 
-/// The enabled mechanisms of a gateway; all by default.
+/// The enabled mechanisms of a gateway; by default all but [`Mechanism::Admission`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Policy {
     without: BTreeSet<Mechanism>,
+    with: BTreeSet<Mechanism>,
 }
 
 impl Policy {
-    /// A policy with all mechanisms except those given.
+    /// The default policy without the mechanisms given.
     #[must_use]
     pub fn without(mechanisms: impl IntoIterator<Item = Mechanism>) -> Self {
         Self {
             without: mechanisms.into_iter().collect(),
+            with: BTreeSet::new(),
         }
     }
 
+    /// The policy with mechanisms enabled that are disabled by default.
+    #[must_use]
+    pub fn with(mut self, mechanisms: impl IntoIterator<Item = Mechanism>) -> Self {
+        self.with.extend(mechanisms);
+        self
+    }
+
     /// Whether a mechanism is enabled.
     #[must_use]
     pub fn uses(&self, mechanism: Mechanism) -> bool {
-        !self.without.contains(&mechanism)
+        let is_enabled = mechanism.is_default() || self.with.contains(&mechanism);
+        is_enabled && !self.without.contains(&mechanism)
     }
 }
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -13,6 +13,7 @@
 };
 use courseshed_types::{CachedPrompt, Distance, PromptPart, ServerKey, ZoneMap};
 
+use super::admission::ServiceLoad;
 use super::cost::{LatencyEstimate, RegionLatency};
 use super::directory::Directory;
 use super::outcome_change::OutcomeChange;
@@ -334,6 +335,33 @@
         self.gateways = others.gateways + 1;
     }
 
+    /// The load of each service on its servers that may receive calls.
+    #[must_use]
+    pub fn service_loads(&self, now: Duration) -> Vec<(String, ServiceLoad)> {
+        let services = self.directory.services();
+        let loads = services.map(|service| (service.to_owned(), self.service_load(service, now)));
+        loads.collect()
+    }
+
+    fn service_load(&self, service: &str, now: Duration) -> ServiceLoad {
+        let usable = self
+            .directory
+            .servers(service)
+            .filter(|server| self.is_eligible(server) && self.is_expected_warm(server, now));
+        let estimate = self.latencies.get(service).copied().unwrap_or_default();
+        let mut load = ServiceLoad {
+            calls: 0,
+            slots: 0,
+            call_ms: estimate.latency().call_ms,
+            age: now.saturating_sub(self.load_reported_at),
+        };
+        for server in usable {
+            load.calls += self.stats.get(&server.id).map_or(0, ServerStats::calls);
+            load.slots += server.slots;
+        }
+        load
+    }
+
     /// This gateway's share of a limit that applies to all gateways together.
     #[must_use]
     pub fn share_of_limit(&self, limit: u32) -> u32 {
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -131,6 +131,8 @@
     pub held_limit: Gauge<i64, AtomicI64>,
     /// Calls refused because there was no memory for their bodies.
     pub held_refusals: Counter,
+    /// New programs refused by admission control, by service.
+    pub admission_refusals: Family<ServiceLabels, Counter>,
     /// Freezes of the event loop.
     pub freezes: Counter,
     /// Requests dropped after a freeze because their client was gone or their deadline had passed.
@@ -229,6 +231,7 @@
             held_peak: Gauge::default(),
             held_limit: Gauge::default(),
             held_refusals: Counter::default(),
+            admission_refusals: Family::default(),
             freezes: Counter::default(),
             dropped_after_freeze: Counter::default(),
             callers_cut_off: Family::default(),
@@ -373,6 +376,11 @@
             "Calls refused since there was no memory for their bodies",
             self.held_refusals.clone(),
         );
+        registry.register(
+            "admission_refusals",
+            "New programs refused since servers were short of capacity",
+            self.admission_refusals.clone(),
+        );
         registry.register(
             "freezes",
             "Times that the event loop of this process stood still",
--- a/crates/courseshed-edge/tests/overload.rs
+++ b/crates/courseshed-edge/tests/overload.rs
@@ -146,6 +146,11 @@
     assert_eq!(share(&admission, ms(1_450)), 1.0, "too old");
     admission.observe(SERVICE, &load(300, 1_000), ms(1_500));
     assert_eq!(share(&admission, ms(1_800)), 1.0, "late reports");
+    admission.observe(SERVICE, &load(300, 0), ms(2_000));
+    admission.observe(SERVICE, &load(300, 0), ms(2_200));
+    assert!(share(&admission, ms(2_200)) < 0.1);
+    admission.observe(SERVICE, &load(300, 0), ms(8_000));
+    assert_eq!(share(&admission, ms(8_000)), 1.0, "after a gap");
 }
 
 /// Guards against a single observation counting as lasting because no other one followed.
--- a/crates/courseshed-edge/tests/policy.rs
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -110,6 +110,26 @@
     assert!(shared == 0 || shared == 100, "{shared}");
 }
 
+/// Guards against admission control refusing programs where nobody asked for it.
+#[test]
+fn admission_control_is_disabled_by_default() {
+    assert!(!Policy::default().uses(Mechanism::Admission));
+    assert!(!Policy::without([Mechanism::PoolScheduler]).uses(Mechanism::Admission));
+    assert!(
+        Policy::default()
+            .with([Mechanism::Admission])
+            .uses(Mechanism::Admission)
+    );
+    let others = Mechanism::ALL
+        .into_iter()
+        .filter(|other| *other != Mechanism::Admission);
+    assert!(
+        others
+            .into_iter()
+            .all(|other| Policy::default().uses(other))
+    );
+}
+
 #[test]
 fn mechanisms_are_parsed_from_their_names() {
     for mechanism in Mechanism::ALL {
