Refuse restricted calls at once while their region can't be reached

A gateway that could not reach a region tried a connection to one server after another, each for 0.3 s, for every call that is restricted to that region, before it refused the call: 1.5 s with six silent servers.

--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -113,15 +113,17 @@
     /// the scheduler as running.
     fn choose_locally(&mut self, excluded: &[String]) -> Option<Assignment> {
         let chosen = {
-            let table = self.core.servers.borrow();
+            let now = self.core.clock.now();
+            let mut table = self.core.servers.borrow_mut();
+            let reachable = table.reachable(&self.allowed_regions, now);
             let demand = Demand {
                 service: &self.service,
                 zone: &self.core.zone,
                 parts: &self.parts,
                 max_in_flight: table.share_of_limit(self.connection_limit),
-                allowed_regions: &self.allowed_regions,
+                allowed_regions: &reachable,
             };
-            table.choose(&demand, excluded, self.core.clock.now(), rand::random())?
+            table.choose(&demand, excluded, now, rand::random())?
         };
         self.record_choice(BY_GATEWAY, DecisionInputs::default());
         let is_scheduled = self.is_pool && self.core.policy.uses(Mechanism::PoolScheduler);
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -592,7 +592,11 @@
 
     fn on_error(&mut self, chosen: &SelectedServer, error: &UpstreamError) -> Result<(), Refusal> {
         match error {
-            UpstreamError::NotSent { .. } => {
+            UpstreamError::NotSent { source } => {
+                let now = self.core.clock.now();
+                let mut servers = self.core.servers.borrow_mut();
+                servers.record_unconnected(&chosen.id, source.kind(), now);
+                drop(servers);
                 self.log.record_error(&chosen.id, error);
                 self.core.report(&chosen.id, CallReport::Failed);
                 // An unreachable server does not count as an attempt.
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -3,6 +3,7 @@
 //! [`super::outcomes`].
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use super::outcome_change::OutcomeChange;
 use super::policy::{Mechanism, Policy};
 use super::prompt_cache_index::PromptCacheIndex;
+use super::region_reach::RegionReach;
 use super::selected_server::SelectedServer;
 use crate::follower::FleetView;
 
@@ -102,6 +104,7 @@
     pub(super) zones: Arc<ZoneMap>,
     /// Network latency to servers of other regions.
     pub(super) region_latency: RegionLatency,
+    region_reach: RegionReach,
     serving: ServingConstraints,
 }
 
@@ -144,6 +147,32 @@
         if self.zones.distance(zone, &server.zone) == Distance::OtherRegion {
             self.region_latency.record(took);
         }
+        if let Some(region) = self.zones.region_of(&server.zone) {
+            self.region_reach.record_reached(region);
+        }
+    }
+
+    /// Records that a connection to a server failed. A refused one shows that its region can be
+    /// reached.
+    pub fn record_unconnected(&mut self, id: &str, error: ErrorKind, now: Duration) {
+        let server = self.directory.get(id);
+        let region = server.and_then(|server| self.zones.region_of(&server.zone));
+        match (region, error) {
+            (
+                Some(region),
+                ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable,
+            ) => self.region_reach.record_timeout(region, now),
+            (Some(region), ErrorKind::ConnectionRefused) => {
+                self.region_reach.record_reached(region);
+            }
+            _ => {}
+        }
+    }
+
+    /// The allowed regions of a restricted call that it may try to reach now.
+    pub fn reachable(&mut self, allowed_regions: &AllowedRegions, now: Duration) -> AllowedRegions {
+        let reach = &mut self.region_reach;
+        allowed_regions.filtered(|region| reach.may_try(region, now))
     }
 
     /// Applies a new view of the fleet.
--- a/crates/courseshed-edge/tests/regions.rs
+++ b/crates/courseshed-edge/tests/regions.rs
@@ -3,11 +3,12 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use courseshed_routing::{CallKind, Route};
+use socket2::{Domain, Socket, Type};
 use support::regions::{EAST, RegionFleet, WEST};
 use support::server::{Action, FINAL_CHUNK, MockServer, ReceivedRequest, event, stream_head};
 use support::{plain_route, post, status, stream_route, wait_until};
@@ -295,6 +296,80 @@
     assert!(!has_received(&west, "secret"));
 }
 
+/// An address at which connection attempts get no response, as over a link that is cut.
+struct SilentAddress {
+    address: SocketAddr,
+    _listener: Socket,
+    _queued: Vec<TcpStream>,
+}
+
+impl SilentAddress {
+    fn new() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        listener.bind(&any_port.into()).expect("a port");
+        listener.listen(0).expect("listening");
+        let address = listener.local_addr().expect("an address");
+        let address = address.as_socket().expect("an IP address");
+        // Connections that are never accepted fill the queue, and later ones are dropped.
+        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+        let queued = std::iter::from_fn(connect).take(16).collect();
+        Self {
+            address,
+            _listener: listener,
+            _queued: queued,
+        }
+    }
+}
+
+/// Guards against holding each restricted call for the timeouts of several connection attempts while
+/// its region can't be reached, and against refusing it for longer than that.
+#[actix_rt::test]
+async fn restricted_calls_are_refused_immediately_while_their_region_cannot_be_reached() {
+    const CALLS: usize = 12;
+    let fleet = RegionFleet::start().await;
+    let west = MockServer::start(answer).await;
+    let silent: Vec<SilentAddress> = (0..6).map(|_| SilentAddress::new()).collect();
+    let routes = vec![
+        plain_restricted_route(&["east"]),
+        Route {
+            stores_turns: false,
+            ..storing_route("/b/", &[])
+        },
+    ];
+    fleet.publish(1, routes, None).await;
+    for (number, silent) in silent.iter().enumerate() {
+        let id = format!("silent-{number}");
+        fleet.add_address(EAST, &id, silent.address).await;
+    }
+    fleet.add_server(WEST, &west).await;
+    let gateway = fleet.gateway(WEST);
+    wait_until(async || status(&post(gateway, UNRESTRICTED, "warm-up", "", "").await) == 200).await;
+    for number in 0..2 {
+        let id = format!("first-{number}");
+        assert_refused(gateway, RESTRICTED, &id, "secret").await;
+    }
+    let mut immediate = 0;
+    for number in 0..CALLS {
+        let id = format!("c{number}");
+        let took = assert_refused(gateway, RESTRICTED, &id, "secret").await;
+        immediate += usize::from(took < IMMEDIATE);
+        // A call that probes the region waits for one connection attempt, of 0.3 s.
+        assert!(took < 3 * IMMEDIATE, "{took:?}");
+    }
+    assert!(immediate >= CALLS - 2, "{immediate}");
+    let east = MockServer::start(answer).await;
+    fleet.add_server(EAST, &east).await;
+    let mut tries = 0;
+    wait_until(async || {
+        tries += 1;
+        let id = format!("back-{tries}");
+        status(&post(gateway, RESTRICTED, &id, "", "secret").await) == 200
+    })
+    .await;
+    assert!(!has_received(&west, "secret"));
+}
+
 /// Sends a call that its first server, in the east, rejects as not run after the restriction of the
 /// route has changed from `before` to `after`. Returns the response, and whether the server in the
 /// west has received the call.
--- a/crates/courseshed-edge/tests/support/regions.rs
+++ b/crates/courseshed-edge/tests/support/regions.rs
@@ -271,14 +271,20 @@
 
     /// Registers a mock server of a region.
     pub async fn add_server(&self, region: usize, server: &MockServer) {
+        let id = format!("server-{}", REGIONS[region]);
+        self.add_address(region, &id, server.address).await;
+    }
+
+    /// Registers a server of a region.
+    pub async fn add_address(&self, region: usize, id: &str, address: SocketAddr) {
         let registration = Registration {
             server: Server {
-                id: format!("server-{}", REGIONS[region]),
+                id: id.to_owned(),
                 name: String::new(),
                 started_ms: None,
                 warmup_remaining_ms: 0,
                 service: "s".to_owned(),
-                address: server.address,
+                address,
                 zone: zone(region),
                 slots: super::SLOTS,
                 state: ServerState::Ready,
--- a/crates/courseshed-routing/src/home.rs
+++ b/crates/courseshed-routing/src/home.rs
@@ -53,6 +53,17 @@
         Self { allowed }
     }
 
+    /// The same restriction without the regions that `keeps` rejects. Has no effect without a
+    /// restriction.
+    #[must_use]
+    pub fn filtered(&self, mut keeps: impl FnMut(&str) -> bool) -> Self {
+        let allowed = self.allowed.as_ref().map(|allowed| {
+            let kept = allowed.iter().filter(|region| keeps(region));
+            kept.cloned().collect()
+        });
+        Self { allowed }
+    }
+
     /// Whether the call is restricted to regions.
     #[must_use]
     pub fn is_restricted(&self) -> bool {
