--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -5,6 +5,7 @@
 //! the last server that received it is retried only if no other is available.
 
 use courseshed_pool::{CallDemand, DecisionInputs, NameHash, ProgramContext};
+use courseshed_routing::AllowedRegions;
 use courseshed_types::ServerKey;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -106,10 +107,14 @@
     /// Chooses a server by this gateway's own statistics. In a pool, the call is later reported to
     /// the scheduler as running.
     async fn choose_locally(&mut self, excluded: &[String]) -> Option<Assignment> {
+        let now = self.core.clock.now();
+        let mut servers = self.core.servers.borrow_mut();
+        let reachable = servers.reachable(&self.allowed_regions, now);
+        drop(servers);
         let mut warmup = None;
         let mut wait_until = None;
         let chosen = loop {
-            let choice = self.choose_server(excluded, wait_until);
+            let choice = self.choose_server(excluded, &reachable, wait_until);
             let Some(server) = choice.server else {
                 self.warm_in = choice.warm_in;
                 return None;
@@ -139,7 +144,12 @@
 
     /// Chooses a server by this gateway's own statistics. Once `wait_until` has passed, servers
     /// whose permits would have to be requested are not considered.
-    fn choose_server(&self, excluded: &[String], wait_until: Option<Instant>) -> ServerChoice {
+    fn choose_server(
+        &self,
+        excluded: &[String],
+        allowed_regions: &AllowedRegions,
+        wait_until: Option<Instant>,
+    ) -> ServerChoice {
         let permits = &self.core.warmup;
         let may_wait = wait_until.is_none_or(|until| Instant::now() < until);
         let access = |server: &str| match permits.access(server) {
@@ -152,7 +162,7 @@
             zone: &self.core.zone,
             parts: &self.parts,
             max_in_flight: table.share_of_limit(self.connection_limit),
-            allowed_regions: &self.allowed_regions,
+            allowed_regions,
         };
         let now = self.core.clock.now();
         table.choose_with_permits(&demand, excluded, now, rand::random(), access)
