Log the first call, the first grant of permits and partitions that answer

`courseshed timeline` had no lines for three milestones. A gateway now writes first_call_sent once, and quorum_answered for the first answer of a partition since its start or an outage; the owner of permits writes quota_first_grant once.

--- a/crates/courseshed-edge/src/controller/quotas.rs
+++ b/crates/courseshed-edge/src/controller/quotas.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use courseshed_quota::{OwnerBounds, QuotaOwner, QuotaReport};
+use courseshed_quota::{OwnerBounds, QuotaAnswer, QuotaOwner, QuotaReport};
 use courseshed_registry::{Command, Outcome};
 use courseshed_types::NodeId;
 use tokio::sync::oneshot;
@@ -26,6 +26,21 @@
     /// Version of the routing table for which ceilings were last checked.
     version: Option<u64>,
     next_check: Duration,
+    /// Whether a gateway has been granted permits.
+    has_granted: bool,
+}
+
+impl OwnedQuotas {
+    fn log_first_grant(&mut self, answer: &QuotaAnswer, gateway: NodeId) {
+        let QuotaAnswer::Granted { grants } = answer else {
+            return;
+        };
+        let permits: u64 = grants.iter().map(|grant| u64::from(grant.permits)).sum();
+        if permits > 0 && !self.has_granted {
+            self.has_granted = true;
+            log::info!(event = "quota_first_grant", gateway:% = gateway, permits, tenants = grants.len(); "the owner of tenants' permits granted some for the first time");
+        }
+    }
 }
 
 impl Worker {
@@ -53,6 +68,7 @@
         let (answer, bounds) = quotas.owner.on_report(now, gateway, report, permits_of);
         // An outdated report gets no answer; its gateway has sent a newer one.
         if let Some(answer) = answer {
+            quotas.log_first_grant(&answer, gateway);
             let _ = reply.send(PeerReply::Quota(answer));
         }
         self.propose_bounds(bounds);
@@ -131,6 +147,7 @@
                 owner,
                 version: None,
                 next_check: Duration::ZERO,
+                has_granted: false,
             });
         }
         true
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -477,6 +477,7 @@
         }
         let sent_at = Instant::now();
         let core = &self.core;
+        core.log_first_call(&self.call.request_id, &chosen.id, self.version);
         let request_id = &self.call.request_id;
         let is_ours = |head: &ResponseHead| {
             let received = core.codec.read_answer(head).request_id;
--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -51,6 +51,8 @@
     /// When a graceful shutdown terminates the process; `None` while not shutting down.
     pub shutdown_at: Cell<Option<Instant>>,
     pub in_flight_requests: Cell<usize>,
+    /// Whether a request has been sent to a server since the process started.
+    has_sent_call: Cell<bool>,
     splits: RefCell<HashMap<String, RouteSplit>>,
 }
 
@@ -112,6 +114,7 @@
             zone,
             shutdown_at: Cell::new(None),
             in_flight_requests: Cell::new(0),
+            has_sent_call: Cell::new(false),
             splits: RefCell::default(),
         })
     }
@@ -149,6 +152,13 @@
         self.response_times.borrow_mut().retain(exists);
     }
 
+    /// Logs the first request that this process sends to a server.
+    pub(super) fn log_first_call(&self, request: &str, server: &str, version: u64) {
+        if !self.has_sent_call.replace(true) {
+            log::info!(event = "first_call_sent", request, server, version; "sending the first request since the process started");
+        }
+    }
+
     pub(super) fn report(&self, server: &str, report: CallReport) {
         let now = self.clock.now();
         let mut servers = self.servers.borrow_mut();
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -143,7 +143,8 @@
         let policy = WaitPolicy::WhileEndExpected(deadline);
         self.run_rounds(partition, &operation, policy, |view| {
             let mut tally = ReservationTally::new(view, own.0, own.1, budget);
-            let mut spare_replicas = view.members.len() - view.quorum();
+            // A view that has not been received yet has no members.
+            let mut spare_replicas = view.members.len().saturating_sub(view.quorum());
             let mut cached_prompts: Vec<CachedPrompt> = Vec::new();
             move |node, reply| match reply {
                 RecordReply::Written { reserved, cached } => {
@@ -371,7 +372,7 @@
             let round = self.round(&records, partition, operation, decide);
             match timeout(limit, round).await {
                 Ok(Some(decided)) => {
-                    self.outages.lock().record_answer(partition);
+                    self.record_answer(partition);
                     return Ok(decided);
                 }
                 // A round cut short by the call's deadline is no evidence of an outage.
@@ -385,6 +386,14 @@
         }
     }
 
+    fn record_answer(&self, partition: PartitionId) {
+        if self.outages.lock().record_answer(partition) {
+            let records = self.follower.view().records;
+            let view = records.view(partition);
+            log::info!(event = "quorum_answered", partition = partition.0, epoch = view.epoch, members = view.members.len(), active = view.active().count(); "a quorum of the stores of a record partition answered, for the first time or after an outage");
+        }
+    }
+
     fn record_failure(&self, partition: PartitionId, began: Instant) {
         if self.outages.lock().record_failure(partition, began) {
             let records = self.follower.view().records;
--- a/crates/courseshed-edge/src/records/outages.rs
+++ b/crates/courseshed-edge/src/records/outages.rs
@@ -4,7 +4,7 @@
 //! least that, and is refused immediately otherwise, so that its client can retry. One call per interval is
 //! let through as a probe.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use courseshed_records::PartitionId;
@@ -34,12 +34,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outages {
     by_partition: BTreeMap<PartitionId, Outage>,
+    /// Partitions that have answered since the process started.
+    answered: BTreeSet<PartitionId>,
 }
 
 impl Outages {
-    /// Records that a quorum of a partition's stores answered.
-    pub fn record_answer(&mut self, partition: PartitionId) {
-        self.by_partition.remove(&partition);
+    /// Records that a quorum of a partition's stores answered; returns whether this is its first answer,
+    /// or the first after an outage.
+    pub fn record_answer(&mut self, partition: PartitionId) -> bool {
+        let was_out = self.by_partition.remove(&partition).is_some();
+        self.answered.insert(partition) || was_out
     }
 
     /// Records that a round which began at `began` got no quorum; returns whether an outage starts with it.
--- a/crates/courseshed-edge/tests/outages.rs
+++ b/crates/courseshed-edge/tests/outages.rs
@@ -58,7 +58,20 @@
     );
     let other = PartitionId(5);
     assert_eq!(outages.decide(other, now, now), OutageDecision::Wait);
-    outages.record_answer(PARTITION);
+    assert!(outages.record_answer(PARTITION));
     assert_eq!(outages.decide(PARTITION, now, now), OutageDecision::Wait);
     assert!(outages.record_failure(PARTITION, now));
 }
+
+/// Guards against a log line for each answer, and against none after an outage.
+#[test]
+fn first_answer_and_the_one_after_an_outage_are_told_apart_from_the_others() {
+    let now = Instant::now();
+    let mut outages = Outages::default();
+    assert!(outages.record_answer(PARTITION));
+    assert!(!outages.record_answer(PARTITION));
+    assert!(outages.record_answer(PartitionId(5)));
+    outages.record_failure(PARTITION, now);
+    assert!(outages.record_answer(PARTITION));
+    assert!(!outages.record_answer(PARTITION));
+}
