--- a/crates/courseshed-edge/src/gateway/core.rs
+++ b/crates/courseshed-edge/src/gateway/core.rs
@@ -60,6 +60,8 @@
     pub shutdown_at: Cell<Option<Instant>>,
     pub in_flight_requests: Cell<usize>,
     freezes: RefCell<FreezeDetector>,
+    /// Whether a request has been sent to a server since the process started.
+    has_sent_call: Cell<bool>,
     splits: RefCell<HashMap<String, RouteSplit>>,
 }
 
@@ -125,6 +127,7 @@
             shutdown_at: Cell::new(None),
             in_flight_requests: Cell::new(0),
             freezes: RefCell::new(FreezeDetector::new(clock.now())),
+            has_sent_call: Cell::new(false),
             splits: RefCell::default(),
         })
     }
@@ -206,6 +209,13 @@
         self.response_times.borrow_mut().retain(exists);
     }
 
+    /// Logs the first request that this process sends to a server.
+    pub(super) fn log_first_call(&self, request: &str, server: &str, version: u64) {
+        if !self.has_sent_call.replace(true) {
+            log::info!(event = "first_call_sent", request, server, version; "sending the first request since the process started");
+        }
+    }
+
     pub(super) fn report(&self, server: &str, report: CallReport) {
         let now = self.clock.now();
         let mut servers = self.servers.borrow_mut();
