Test that the regions of a route and of a tenant both apply

The intersection was tested as a function only. The new test checks which servers and stores receive the calls of a restricted tenant on a restricted route, at a gateway outside the region that both allow.

It passes on the present code. All tests of courseshed-edge passed in one run; `tests/regions.rs` passed 5 times in a row at a load of about 30 on 12 cores.

--- a/crates/courseshed-edge/tests/regions.rs
+++ b/crates/courseshed-edge/tests/regions.rs
@@ -9,9 +9,9 @@
 
 use courseshed_routing::{CallKind, Route};
 use socket2::{Domain, Socket, Type};
-use support::regions::{EAST, RegionFleet, WEST};
+use support::regions::{EAST, NORTH, RegionFleet, WEST};
 use support::server::{Action, FINAL_CHUNK, MockServer, ReceivedRequest, event, stream_head};
-use support::{plain_route, post, status, stream_route, wait_until};
+use support::{plain_route, post, status, stream_route, tenant, wait_until};
 use tokio::sync::watch;
 
 /// Longer than messages between regions take, in which a replica elsewhere would have been written.
@@ -145,6 +145,54 @@
     }
 }
 
+/// Guards against applying only one of the restrictions of a route and a tenant.
+#[actix_rt::test]
+async fn restrictions_of_route_and_tenant_both_apply() {
+    let fleet = RegionFleet::start().await;
+    let servers = [EAST, WEST, NORTH];
+    let mut received = Vec::new();
+    let routes = vec![storing_route("/a/", &["west", "east"])];
+    let mut restricted = tenant("restricted", "key-1", None);
+    restricted.allowed_regions = vec!["north".to_owned(), "east".to_owned()];
+    let open = tenant("open", "key-2", None);
+    fleet.publish(1, routes, Some(vec![restricted, open])).await;
+    for region in servers {
+        let server = MockServer::start(answer).await;
+        fleet.add_server(region, &server).await;
+        received.push(server);
+    }
+    let gateway = fleet.gateway(WEST);
+    let mut calls = 0;
+    // Until the gateway has listed the servers and has partitions for the route.
+    wait_until(async || {
+        calls += 1;
+        let id = format!("warm-up-{calls}");
+        post(gateway, RESTRICTED, &id, "x-auth: key-2\r\n", "warm-up").await;
+        has_received(&received[WEST], "warm-up")
+    })
+    .await;
+    for (key, text) in [("key-1", "secret"), ("key-2", "route-only")] {
+        wait_until(async || {
+            calls += 1;
+            let id = format!("{key}-{calls}");
+            let headers = format!("x-auth: {key}\r\n");
+            status(&post(gateway, RESTRICTED, &id, &headers, text).await) == 200
+        })
+        .await;
+    }
+    tokio::time::sleep(SETTLING_TIME).await;
+    let regions_of = |text: &str| -> Vec<usize> {
+        let having = servers
+            .into_iter()
+            .filter(|region| has_received(&received[*region], text));
+        having.collect()
+    };
+    assert_eq!(regions_of("secret"), [EAST]);
+    assert_eq!(fleet.regions_storing("secret"), ["east"]);
+    assert_eq!(regions_of("route-only"), [WEST], "the near one");
+    assert_eq!(fleet.regions_storing("route-only"), ["west"]);
+}
+
 /// Guards against sending a restricted turn to another region as the beginning of a call of a route
 /// without a restriction.
 #[actix_rt::test]
--- a/crates/courseshed-edge/tests/support/regions.rs
+++ b/crates/courseshed-edge/tests/support/regions.rs
@@ -252,6 +252,7 @@
         // Tells which version a gateway has.
         let mut marker = super::plain_route();
         marker.name = "marker".to_owned();
+        marker.is_public = true;
         marker.path_prefix = format!("/version-{version}/");
         marker.targets[0].service = "none".to_owned();
         let mut none = routing.table.services[0].clone();
