Test warm-up limits across a change of the owner

The controller of a real gateway loses its disk and leads again in another term; the server gets at most 11 requests in any second, and at least 22 in the 7 s afterwards.

--- a/crates/courseshed-edge/tests/warming_servers.rs
+++ b/crates/courseshed-edge/tests/warming_servers.rs
@@ -239,6 +239,30 @@
     assert_eq!((served(&responses), server.count()), (0, before));
 }
 
+/// A new owner must renew the permits that a gateway holds, so that the service goes on, and must
+/// not grant them once more. The simulation covers permits that are not reported.
+#[actix_rt::test]
+async fn limit_holds_across_a_change_of_the_owner() {
+    let fleet = start_fleet(RATE).await;
+    let server = LimitedServer::start().await;
+    server.register(&fleet, "one", 1_000, COLD).await;
+    wait_until(async || status(&call(fleet.caller_addr, "first", "", "").await) == 200).await;
+    calls(fleet.caller_addr, 20).await;
+    fleet.disk_faults.set(DiskFault::Full);
+    // The controller detects the disk fault at its next write, and leads again in another term.
+    assert!(fleet.controller.leave("other".to_owned()).await.is_err());
+    fleet.disk_faults.set(DiskFault::None);
+    let before = server.count();
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(7) {
+        assert_refused_at_once(&calls(fleet.caller_addr, 5).await);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    assert!(server.peak() <= PERMITS, "{} in a second", server.peak());
+    let after = server.count() - before;
+    assert!(after >= 2 * PERMITS, "{after} after the change");
+}
+
 /// Servers of a zone that was evacuated may be cold when it is taken back, though their last
 /// heartbeat said otherwise.
 #[actix_rt::test]
