Let the pool scheduler refuse new programs when slots are short

Cause: the scheduler queued all programs of a burst. They became late together, their later turns took the places of programs that began after the burst, and nothing was refused (0 refusals at 160 % of the capacity).

Change: a new program that finds no free slot is admitted with a share that falls with the calls per slot above 1, queued ones included. The draw depends on the program, so that a retry has no better chance. A tenant's load is weighed by its recent use of its share, so that the burst of one tenant is refused to that tenant first. Refused programs return after 1.3 s or later. Turns of programs in progress are not refused.

--- a/crates/courseshed-pool/src/cost.rs
+++ b/crates/courseshed-pool/src/cost.rs
@@ -77,10 +77,13 @@
 /// Pseudo-random tie-break between engines, as in rendezvous hashing: calls are spread over engines
 /// of equal cost, and calls with the same salt prefer the same engine.
 pub(crate) fn tie_break_ms(engine: ServerKey, salt: u64) -> f64 {
-    // The finalizer of SplitMix64, which maps neighbouring inputs to unrelated values.
-    let mut hash = salt.wrapping_add(u64::from(engine.0).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^= hash >> 31;
+    let hash = mix_bits(salt.wrapping_add(u64::from(engine.0).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
     MAX_TIE_BREAK_MS * (hash as f64 / u64::MAX as f64)
 }
+
+/// The finalizer of SplitMix64, which maps neighbouring inputs to unrelated values.
+pub(crate) fn mix_bits(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/crates/courseshed-pool/src/lib.rs
+++ b/crates/courseshed-pool/src/lib.rs
@@ -5,6 +5,7 @@
 //! does no I/O and is deterministic; the time is a parameter. Its state is soft: a new scheduler
 //! learns the running calls from the gateways and rebuilds its estimates from observations.
 
+mod admission;
 mod calls;
 mod cost;
 mod engines;
--- a/crates/courseshed-pool/src/programs.rs
+++ b/crates/courseshed-pool/src/programs.rs
@@ -73,6 +73,8 @@
 pub(crate) struct ProgramProgress {
     /// Whether this is the program's first turn.
     pub is_first: bool,
+    /// Whether no turn of the program was granted an engine yet.
+    pub is_new: bool,
     /// Target time for the program's end, if it has one.
     pub target_at: Option<Duration>,
     /// Estimated number of remaining turns, this one included.
@@ -86,6 +88,7 @@
     pub(crate) fn single_call() -> Self {
         Self {
             is_first: false,
+            is_new: false,
             target_at: None,
             turns_left: 1.0,
             turn_interval_ms: DEFAULT_INTERVAL_MS,
@@ -158,6 +161,7 @@
         let turns_done = f64::from(entry.turns - 1);
         ProgramProgress {
             is_first,
+            is_new: entry.turns == 1,
             // The latest target takes precedence, unless it has passed already.
             target_at: target_at
                 .filter(|_| left > Some(Duration::ZERO))
--- a/crates/courseshed-pool/src/scheduler.rs
+++ b/crates/courseshed-pool/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 use courseshed_types::{NodeId, ServerKey};
 
+use crate::admission;
 use crate::calls::{Calls, GrantedCall, PlannedWait, WaitingCall};
 use crate::cost::{self, CostInputs};
 use crate::engines::{Engine, Engines};
@@ -212,7 +213,7 @@
             self.grant(now, ticket, call, engine);
             return;
         }
-        if self.is_unservable(now, &call) {
+        if self.is_unservable(now, &call) || !self.admits(now, &call) {
             self.refuse(now, ticket, &call);
             return;
         }
@@ -222,6 +223,23 @@
         self.calls.waiting.insert(ticket, call);
     }
 
+    /// Whether a call is admitted to the queue. Turns of programs in progress always are; of new
+    /// programs, a share that falls with the load.
+    fn admits(&self, now: Duration, call: &WaitingCall) -> bool {
+        let program = call.demand.program.as_ref();
+        let Some(program) = program.filter(|_| call.progress.is_new) else {
+            return true;
+        };
+        let engines = self.engines.iter();
+        let usable = engines.filter(|engine| engine.accepts_calls(now));
+        let slots: u32 = usable.map(|engine| engine.listing.slots).sum();
+        let calls = self.calls.granted.len() + self.calls.waiting.len();
+        let load = calls as f64 / f64::from(slots.max(1));
+        let tenant = call.demand.tenant;
+        let usage = tenant.map_or(1.0, |tenant| self.shares.usage_ratio(tenant));
+        admission::admits(load, usage, program.program)
+    }
+
     fn has_engine_for(&self, call: &WaitingCall) -> bool {
         let mut engines = self.engines.iter();
         engines.any(|engine| engine.listing.is_ready && call.can_run_on(engine))
@@ -477,8 +495,13 @@
         let longest = longest.map(|call| now.saturating_sub(call.asked_at)).max();
         let wait_ms = longest.unwrap_or_default().as_secs_f64() * 1000.0;
         let step = (self.refusals % 16) as f64 / 16.0;
+        let min_ms = if call.progress.is_new {
+            admission::MIN_RETRY_AFTER_MS
+        } else {
+            MIN_RETRY_AFTER_MS
+        };
         let spread = 1.0 + RETRY_JITTER * (step - 0.5);
-        let retry_after_ms = (wait_ms.max(MIN_RETRY_AFTER_MS) * spread) as u32;
+        let retry_after_ms = (wait_ms.max(min_ms) * spread) as u32;
         let inputs = self.decision_inputs(now, call, None);
         self.decide(ticket, Verdict::Refused { retry_after_ms }, inputs);
     }
--- a/crates/courseshed-pool/src/shares.rs
+++ b/crates/courseshed-pool/src/shares.rs
@@ -57,13 +57,18 @@
 
     /// Queue delay of a tenant's calls, in milliseconds.
     pub(crate) fn delay_ms(&self, tenant: NameHash) -> f64 {
+        let excess = self.usage_ratio(tenant) - SHARE_TOLERANCE;
+        (excess * DELAY_PER_SHARE_MS).clamp(0.0, MAX_DELAY_MS)
+    }
+
+    /// Recent service of a tenant relative to its share; 0 without any.
+    pub(crate) fn usage_ratio(&self, tenant: NameHash) -> f64 {
         let Some(account) = self.accounts.get(&tenant) else {
             return 0.0;
         };
         let share =
             self.total_served_ms * account.weight / self.total_weight.max(f64::MIN_POSITIVE);
-        let excess = account.served_ms / share.max(f64::MIN_POSITIVE) - SHARE_TOLERANCE;
-        (excess * DELAY_PER_SHARE_MS).clamp(0.0, MAX_DELAY_MS)
+        account.served_ms / share.max(f64::MIN_POSITIVE)
     }
 
     /// Decays all accounts exponentially.
