Overlap freezes, kills and an evacuation in a soak of real processes

A plan with an evacuation, a frozen and a killed gateway, a killed and a paused controller is played; all promises must hold.

Soaks with two regions run six stores: partitions lie in one region, and with three stores in all they have two replicas, so that one store's end leaves no quorum.

The variant that ignores evacuations closes all zones: in one run the one server of a single zone got no calls after the bound, and the check had nothing to see.

--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -106,6 +106,8 @@
     pub name: String,
     /// How.
     pub status: ExitStatus,
+    /// The last error in its log.
+    pub reason: String,
 }
 
 /// The processes of one run. Dropping it kills those that still run.
@@ -311,8 +313,11 @@
                 .and_then(|child| child.try_wait().ok());
             if let Some(Some(status)) = exited {
                 if member.ending.is_none() {
-                    let name = member.name();
-                    ended.push(EndedByItself { name, status });
+                    ended.push(EndedByItself {
+                        name: member.name(),
+                        status,
+                        reason: member.last_error(),
+                    });
                 }
                 member.child = None;
                 member.ending = None;
@@ -343,10 +348,7 @@
             .collect();
         let member = &mut self.members[index];
         let is_first = member.lives == 0;
-        let log = member
-            .folder
-            .with_extension(format!("{}.log", member.lives));
-        let log = File::create(log).context(FleetSnafu {
+        let log = File::create(member.log(member.lives)).context(FleetSnafu {
             operation: "create a log",
         })?;
         let errors = log.try_clone().context(FleetSnafu {
@@ -403,6 +405,19 @@
         format!("{} {}", self.role.as_str(), self.ip)
     }
 
+    /// The log of one of its lives, counted from 0.
+    fn log(&self, life: u64) -> PathBuf {
+        self.folder.with_extension(format!("{life}.log"))
+    }
+
+    fn last_error(&self) -> String {
+        let log = std::fs::read_to_string(self.log(self.lives.saturating_sub(1)));
+        let log = log.unwrap_or_default();
+        let is_error =
+            |line: &&str| line.contains("\"level\":\"ERROR\"") || line.contains("panicked");
+        log.lines().rfind(is_error).unwrap_or("").to_owned()
+    }
+
     /// Sends a signal; false if the process doesn't run.
     fn signal(&mut self, signal: Signal) -> bool {
         let Some(child) = &self.child else {
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -307,7 +307,10 @@
         match tended {
             Ok(ended) => {
                 for ended in ended {
-                    let detail = format!("{} ended with {}", ended.name, ended.status);
+                    let detail = format!(
+                        "{} ended with {}: {}",
+                        ended.name, ended.status, ended.reason
+                    );
                     ledger.note_violation(Promise::StaysUp, detail);
                 }
             }
--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -7,6 +7,7 @@
 use courseshed_soak::fleet::FleetSize;
 use courseshed_soak::ledger::{Promise, Tally};
 use courseshed_soak::run::{Broken, SoakOptions, run, warnings};
+use courseshed_soak::zones::ZONES;
 use tempfile::TempDir;
 use yare::parameterized;
 
@@ -14,16 +15,18 @@
 const HOW_LONG: Duration = Duration::from_secs(8);
 
 fn options(seed: u64, folder: &Path) -> SoakOptions {
+    let has_regions = seed.is_multiple_of(2);
     SoakOptions {
         seed,
         how_long: HOW_LONG,
         faults: None,
-        has_regions: seed.is_multiple_of(2),
+        has_regions,
         limits_warm_up: false,
         broken: None,
         size: FleetSize {
             gateways: 2,
-            stores: 3,
+            // Partitions lie in one region, and three stores of it bear the loss of a disk.
+            stores: if has_regions { 6 } else { 3 },
             controllers: 3,
         },
         servers: 4,
@@ -53,6 +56,72 @@
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
 }
 
+/// Guards against gateways that act on an old list of evacuated zones after a freeze or a restart, or
+/// while the controller that they follow is gone.
+#[test]
+fn promises_hold_while_freezes_and_kills_overlap_with_an_evacuation() {
+    let folder = TempDir::new().expect("a folder");
+    let size = FleetSize {
+        gateways: 3,
+        stores: 6,
+        controllers: 3,
+    };
+    let gateways = size.controllers + size.stores;
+    let [frozen, killed] = [gateways, gateways + 1];
+    let milliseconds = Duration::from_millis;
+    let faults = [
+        (
+            1_000,
+            FaultKind::Evacuate {
+                zone: "a".to_owned(),
+                how_long: milliseconds(7_000),
+            },
+        ),
+        (
+            900,
+            FaultKind::Freeze {
+                members: vec![frozen],
+                how_long: milliseconds(2_500),
+            },
+        ),
+        (
+            1_200,
+            FaultKind::Kill {
+                member: killed,
+                away: milliseconds(500),
+            },
+        ),
+        (
+            1_500,
+            FaultKind::Kill {
+                member: 0,
+                away: milliseconds(1_000),
+            },
+        ),
+        (
+            4_500,
+            FaultKind::Pause {
+                member: 1,
+                how_long: milliseconds(2_000),
+            },
+        ),
+    ];
+    let mut faults = faults.map(|(at, kind)| Fault {
+        at: milliseconds(at),
+        kind,
+    });
+    faults.sort_by_key(|fault| fault.at);
+    let tally = soak(SoakOptions {
+        faults: Some(faults.to_vec()),
+        has_regions: true,
+        size,
+        ..options(1, folder.path())
+    });
+    let lines = warnings(folder.path()).expect("logs are read");
+    assert!(tally.restricted_runs > 0, "{tally:?}");
+    assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
+}
+
 /// Guards against checks that see nothing: each fault that is put in on purpose must be caught by its
 /// check, and by no other.
 #[parameterized(
@@ -62,15 +131,20 @@
 )]
 fn broken_variants_are_caught(broken: Broken, expected: &[Promise]) {
     let folder = TempDir::new().expect("a folder");
-    let evacuation = FaultKind::Evacuate {
-        zone: "a".to_owned(),
-        how_long: Duration::from_secs(5),
+    // A single server may rest for a time, since the servers fail calls on purpose.
+    let zones = match broken {
+        Broken::IgnoresEvacuations => &ZONES[..],
+        _ => &ZONES[..1],
     };
+    let faults = zones.iter().map(|zone| Fault {
+        at: Duration::from_secs(1),
+        kind: FaultKind::Evacuate {
+            zone: (*zone).to_owned(),
+            how_long: Duration::from_secs(5),
+        },
+    });
     let options = SoakOptions {
-        faults: Some(vec![Fault {
-            at: Duration::from_secs(1),
-            kind: evacuation,
-        }]),
+        faults: Some(faults.collect()),
         has_regions: true,
         limits_warm_up: broken == Broken::IgnoresWarmUpLimit,
         broken: Some(broken),
