Return idle permits, and let heartbeats after an evacuation replace its mark

Warm-up permits: gateways that used a server once kept a permit ahead of need, so that up to half of a server's permits lay idle; they now return it once few are free. A heartbeat that reported a shorter warm-up than the mark of a reopened zone counted as no change, and calls were unlimited after 3 s; it now replaces the mark. The command that ends an evacuation says whether it marks servers, so that a replay of earlier commands leads to the same state. A call that waited for a permit checks again that the server takes calls and has connections left. A gateway without need asks for no permits after a failed exchange.

--- a/crates/courseshed-consensus/src/message.rs
+++ b/crates/courseshed-consensus/src/message.rs
@@ -71,7 +71,8 @@
 /// `courseshed-node` encodes fields by position.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum MessageBody {
-    /// Asks whether the receiver would grant a vote in the next term. Doesn't change its state.
+    /// Asks whether the receiver would grant a vote in the next term. Doesn't change its state, unless
+    /// `after_restart` is set: then a receiver without a leader may enter the sender's term.
     PreVoteRequest {
         /// The end of the sender's log.
         log_end: LogEnd,
--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -316,6 +316,7 @@
         let command = Command::Evacuate {
             zone: zone.to_owned(),
             is_evacuated,
+            marks_unverified: true,
         };
         let result = self.submit(command).await;
         log::info!(event = "evacuation", zone, is_evacuated, committed = result.is_ok(); "an operator started or ended the evacuation of a zone");
--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -107,10 +107,7 @@
     /// Chooses a server by this gateway's own statistics. In a pool, the call is later reported to
     /// the scheduler as running.
     async fn choose_locally(&mut self, excluded: &[String]) -> Option<Assignment> {
-        let now = self.core.clock.now();
-        let mut servers = self.core.servers.borrow_mut();
-        let reachable = servers.reachable(&self.allowed_regions, now);
-        drop(servers);
+        let reachable = self.reachable_regions();
         let mut warmup = None;
         let mut wait_until = None;
         let chosen = loop {
@@ -128,9 +125,12 @@
             });
             let acquired = WarmupPermits::acquire(&self.core, &server.name, &self.service, limit);
             warmup = acquired.await;
-            if warmup.is_some() {
+            // Other calls may have taken the server's connections, and the server may have been
+            // withdrawn, while this one waited.
+            if warmup.is_some() && self.may_begin(&server.id) {
                 break server;
             }
+            warmup = None;
         };
         self.record_choice(BY_GATEWAY, DecisionInputs::default());
         let is_scheduled = self.is_pool && self.core.policy.uses(Mechanism::PoolScheduler);
@@ -142,6 +142,19 @@
         })
     }
 
+    /// The allowed regions, without those that can't be reached.
+    fn reachable_regions(&self) -> AllowedRegions {
+        let now = self.core.clock.now();
+        let mut servers = self.core.servers.borrow_mut();
+        servers.reachable(&self.allowed_regions, now)
+    }
+
+    fn may_begin(&self, server: &str) -> bool {
+        let servers = self.core.servers.borrow();
+        let max_in_flight = servers.share_of_limit(self.connection_limit);
+        servers.may_begin(server, max_in_flight, self.core.clock.now())
+    }
+
     /// Chooses a server by this gateway's own statistics. Once `wait_until` has passed, servers
     /// whose permits would have to be requested are not considered.
     fn choose_server(
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -470,7 +470,7 @@
     fn may_send_to(&self, chosen: &SelectedServer, warmup: Option<&mut WarmupPermit>) -> bool {
         let servers = self.core.servers.borrow();
         match warmup {
-            Some(permit) => servers.contains(&chosen.id) && permit.send(),
+            Some(permit) => servers.accepts_calls(&chosen.id) && permit.send(),
             // The server may have started to warm up since it was chosen.
             None => !servers.needs_permit(&chosen.id, self.core.clock.now()),
         }
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -302,6 +302,23 @@
         server.is_some_and(|server| !self.is_expected_warm(server, now))
     }
 
+    /// Whether a server is listed, and its state and its zone permit calls.
+    #[must_use]
+    pub fn accepts_calls(&self, id: &str) -> bool {
+        let server = self.directory.get(id);
+        server.is_some_and(|server| self.is_eligible(server))
+    }
+
+    /// Whether a call may begin at a server with at most `max_in_flight` calls of this gateway.
+    #[must_use]
+    pub fn may_begin(&self, id: &str, max_in_flight: u32, now: Duration) -> bool {
+        let has_room = self
+            .stats
+            .get(id)
+            .is_none_or(|stats| stats.in_flight < max_in_flight && stats.backoff_until <= now);
+        has_room && self.accepts_calls(id)
+    }
+
     /// Names of the servers whose calls need a permit.
     pub(super) fn warming_names(&self, now: Duration) -> BTreeSet<String> {
         let warming: BTreeSet<&String> = self
--- a/crates/courseshed-edge/src/gateway/warmup.rs
+++ b/crates/courseshed-edge/src/gateway/warmup.rs
@@ -308,7 +308,10 @@
                 permits
                     .is_unanswered
                     .set(next.is_none() || leader.is_some());
-                permits.requested.notify_one();
+                permits.update_metrics(&core);
+                if !permits.holder.borrow().is_idle() {
+                    permits.requested.notify_one();
+                }
                 leader = next;
                 sleep(retry_interval).await;
                 retry_interval = if has_answer {
--- a/crates/courseshed-quota/src/holder.rs
+++ b/crates/courseshed-quota/src/holder.rs
@@ -11,7 +11,7 @@
 const NEW_PROGRAM_LIMIT_PERMILLE: u16 = 850;
 /// Part of a tenant's permits in use, in thousandths, from which they count as exhausted. The rest
 /// is in transit between gateways or still charged to gateways that are gone.
-const EXHAUSTED_PERMILLE: u16 = 950;
+pub(crate) const EXHAUSTED_PERMILLE: u16 = 950;
 /// How long a reported occupancy is used: two report intervals.
 const OCCUPANCY_MAX_AGE: Duration = Duration::from_millis(500);
 /// Lower bound of the retry time of a refused call.
@@ -213,7 +213,8 @@
     ///
     /// Permits become free evenly over their occupancy time. The fraction of it that passes until
     /// the use drops to what calls of this phase may use equals the excess over that limit. Calls of
-    /// programs under way return before those of new programs, and over half of the time.
+    /// programs under way return earlier on average than those of new programs, and over half of the
+    /// time.
     #[must_use]
     pub fn retry_after(&self, tenant: &str, phase: ProgramPhase, spread: f64) -> Duration {
         let occupancy = self.terms.occupancy();
--- a/crates/courseshed-quota/src/owner.rs
+++ b/crates/courseshed-quota/src/owner.rs
@@ -12,6 +12,7 @@
 
 use courseshed_types::NodeId;
 
+use crate::holder::EXHAUSTED_PERMILLE;
 use crate::{
     Ceiling, LEASE, OwnerBounds, QuotaAnswer, QuotaPolicy, QuotaReport, TenantGrant, TenantUse,
 };
@@ -26,8 +27,8 @@
 /// Divisor of a tenant's permits that limits its idle permits at all gateways. A new owner can't
 /// tell idle permits from permits that were just used, and grants neither until they have expired.
 const IDLE_DIVISOR: u32 = 8;
-/// Divisor of a tenant's permits that yields the permits of processes that are gone which don't hold
-/// new programs back. Without it, new programs lost more calls than it saved programs under way.
+/// Permits of processes that are gone count as in use only beyond this fraction (as a divisor) of the
+/// tenant's permits. Without it, new programs lost more calls than it saved programs under way.
 const GONE_DIVISOR: u32 = 10;
 /// Number of steps of a ceiling. More steps leave a new owner more permits to grant at once; fewer
 /// steps need fewer commands.
@@ -265,6 +266,8 @@
         }
         if is_first {
             self.record_uptime(now, gateway, report.uptime_ms);
+            // This may have been the last holder, so that nothing is unreported any more.
+            self.expire_leases(now);
         }
         let mut grants = Vec::new();
         for entry in &report.uses {
@@ -382,7 +385,12 @@
         let other_in_use = tenant.in_use - u64::from(charge.in_use);
         let other_idle = u32::try_from(other_charged.saturating_sub(other_in_use));
         let idle_room = (permits / IDLE_DIVISOR).saturating_sub(other_idle.unwrap_or(u32::MAX));
-        let ahead = (MIN_AHEAD + need / AHEAD_DIVISOR).min(idle_room);
+        // A gateway without need returns its permits, or quiet gateways would hold all idle ones.
+        let ahead = if need == 0 {
+            0
+        } else {
+            (MIN_AHEAD + need / AHEAD_DIVISOR).min(idle_room)
+        };
         let uncapped_grant = grant_within(room_below(permits), need, ahead);
         let granted = if is_holder {
             grant_within(room, need, ahead).min(uncapped_grant)
@@ -491,13 +499,17 @@
 
     /// Permits in use, in thousandths of the tenant's permits. Once all holders have reported, grants
     /// of an earlier owner that nobody reported belonged to processes that are gone; those beyond
-    /// [`GONE_DIVISOR`] count too, so that programs under way have precedence for what is left.
+    /// [`GONE_DIVISOR`] count too, so that programs under way have precedence for what is left. They
+    /// never make the permits count as exhausted, since they become free within the occupancy time.
     fn occupied_permille(&self, permits: u32, knows_holders: bool) -> u16 {
+        let permille = |count: u64| {
+            let permille = count * 1000 / u64::from(permits.max(1));
+            u16::try_from(permille).unwrap_or(u16::MAX)
+        };
         let unreported = if knows_holders { self.unreported } else { 0 };
         let gone = u64::from(unreported).saturating_sub(u64::from(permits / GONE_DIVISOR));
-        let occupied = self.in_use + gone;
-        let permille = occupied * 1000 / u64::from(permits.max(1));
-        u16::try_from(permille).unwrap_or(u16::MAX)
+        let with_gone = permille(self.in_use + gone).min(EXHAUSTED_PERMILLE - 1);
+        permille(self.in_use).max(with_gone)
     }
 }
 
--- a/crates/courseshed-registry/src/command.rs
+++ b/crates/courseshed-registry/src/command.rs
@@ -59,6 +59,10 @@
         zone: String,
         /// Whether servers in the zone receive no further calls.
         is_evacuated: bool,
+        /// Whether the end of the evacuation marks the zone's servers as warming up until they
+        /// report. False in commands of earlier builds, whose replay must not change.
+        #[serde(default)]
+        marks_unverified: bool,
     },
     /// Changes the quota bounds that the owner of tenants' permits must observe.
     #[serde(rename = "BoundQuotas")]
--- a/crates/courseshed-registry/src/state.rs
+++ b/crates/courseshed-registry/src/state.rs
@@ -61,6 +61,9 @@
     retirements: BTreeMap<NodeId, Retirement>,
     #[serde(default)]
     evacuated: EvacuatedZones,
+    /// Servers of reopened zones that have not reported since.
+    #[serde(default)]
+    unverified: BTreeSet<String>,
     /// Maximum number of permits issued per tenant.
     #[serde(default)]
     quota_ceilings: BTreeMap<String, u32>,
@@ -256,8 +259,11 @@
             Some(known) => {
                 let later = &registration.server;
                 let warmup_matters = self.limits_cold_servers(&later.service);
-                registration.sequence <= known.sequence
-                    || known.server.is_unchanged_in(later, warmup_matters)
+                // The mark of a reopened zone gives way to what the server reports, also if that is
+                // a shorter warm-up.
+                let is_unverified = warmup_matters && self.unverified.contains(id);
+                let is_unchanged = known.server.is_unchanged_in(later, warmup_matters);
+                registration.sequence <= known.sequence || (is_unchanged && !is_unverified)
             }
             None => {
                 self.departed.contains(id)
@@ -360,7 +366,11 @@
             Command::ChangeRecordViews(changes) => self.change_views(changes),
             Command::Retire { name, needed } => return self.retire(&name, needed),
             Command::CompleteRetirement { node } => self.complete_retirement(node),
-            Command::Evacuate { zone, is_evacuated } => self.evacuate(zone, is_evacuated),
+            Command::Evacuate {
+                zone,
+                is_evacuated,
+                marks_unverified,
+            } => self.evacuate(zone, is_evacuated, marks_unverified),
             Command::SetQuotaBounds(bounds) => {
                 self.apply_quota_bounds(&bounds);
                 return Outcome::QuotaBoundsSet(bounds);
@@ -421,6 +431,7 @@
                 self.expire(incarnation);
             }
         }
+        self.unverified.remove(&registration.server.id);
         self.servers.insert(registration);
     }
 
@@ -430,11 +441,12 @@
             .newest_incarnation(server)
             .map(|incarnation| incarnation.id.clone());
         let incarnation = newest.as_deref().unwrap_or(server);
+        self.unverified.remove(incarnation);
         self.servers.remove(incarnation);
         push_bounded(&mut self.departed, incarnation);
     }
 
-    fn evacuate(&mut self, zone: String, is_evacuated: bool) {
+    fn evacuate(&mut self, zone: String, is_evacuated: bool, marks_unverified: bool) {
         let zones = &mut self.evacuated.zones;
         let is_new = if is_evacuated {
             zones.insert(zone.clone())
@@ -442,7 +454,7 @@
             zones.remove(&zone)
         };
         self.evacuated.revision += u64::from(is_new);
-        if is_new && !is_evacuated {
+        if is_new && !is_evacuated && marks_unverified {
             self.mark_unverified(&zone);
         }
     }
@@ -453,16 +465,17 @@
         let servers = self.servers.iter();
         let unverified: Vec<String> = servers
             .filter(|server| server.zone == zone && self.limits_cold_servers(&server.service))
-            .filter(|server| server.warmup_remaining_ms < UNVERIFIED_WARMUP_MS)
             .map(|server| server.id.clone())
             .collect();
         for id in unverified {
             self.servers.set_warmup_remaining(&id, UNVERIFIED_WARMUP_MS);
+            self.unverified.insert(id);
         }
     }
 
     fn expire(&mut self, server: String) {
         if self.servers.get(&server).is_some() {
+            self.unverified.remove(&server);
             self.servers.remove(&server);
             push_bounded(&mut self.expired, &server);
         }
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -313,9 +313,48 @@
     Command::Evacuate {
         zone: zone.to_owned(),
         is_evacuated,
+        marks_unverified: true,
     }
 }
 
+/// The first heartbeat after the end of an evacuation tells how long the warm-up lasts. If it counted
+/// as no change, because its time is shorter than that of the mark, calls would be unlimited too early.
+#[test]
+fn first_heartbeat_after_an_evacuation_replaces_the_mark() {
+    let mut state = FleetState::default();
+    apply(&mut state, route_to_s(Some(24.0)));
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let zone = registration(ServerState::Ready, 1).server.zone;
+    apply(&mut state, evacuate(&zone, true));
+    apply(&mut state, evacuate(&zone, false));
+    let cold = |sequence, remaining_ms| {
+        let mut registration = registration(ServerState::Ready, sequence);
+        registration.server.warmup_remaining_ms = remaining_ms;
+        registration
+    };
+    assert!(!state.is_redundant(&cold(2, 2_900)));
+    apply(&mut state, Command::Announce(cold(2, 2_900)));
+    assert!(state.is_redundant(&cold(3, 1_700)));
+}
+
+/// The replay of a command of an earlier build must lead to the state that it led to there.
+#[test]
+fn evacuation_of_an_earlier_build_marks_no_servers() {
+    let mut state = FleetState::default();
+    apply(&mut state, route_to_s(Some(24.0)));
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let zone = registration(ServerState::Ready, 1).server.zone;
+    apply(&mut state, evacuate(&zone, true));
+    let known = state.update_for(FollowerRevisions::default()).known;
+    let end = Command::Evacuate {
+        zone,
+        is_evacuated: false,
+        marks_unverified: false,
+    };
+    apply(&mut state, end);
+    assert!(state.update_for(known).servers.is_none());
+}
+
 /// A server may have become cold during an evacuation before a heartbeat says so, so it counts as
 /// warming up from the end of the evacuation until its next heartbeat.
 #[parameterized(
--- a/crates/courseshed-warmup/tests/owner.rs
+++ b/crates/courseshed-warmup/tests/owner.rs
@@ -121,6 +121,46 @@
     assert_eq!(grants.first().map(|grant| grant.permits), Some(0));
 }
 
+/// Gateways that used a server once keep a permit ahead of need. Idle at many of them, such permits
+/// would leave too few for a gateway that needs them.
+#[test]
+fn idle_permits_are_returned_once_few_are_free() {
+    let mut owner = WarmupOwner::new(EPOCH, Duration::ZERO, []);
+    let now = Duration::from_millis(10);
+    let mut held = 0;
+    for gateway in 1..=3 {
+        assert!(granted(&mut owner, now, gateway, &report(1, EPOCH, 0, 1)).is_some());
+        let mut idle = report(2, EPOCH, 2, 0);
+        idle.uses[0].used = 0;
+        held += granted(&mut owner, now, gateway, &idle).expect("a grant");
+    }
+    assert!(held > 0, "permits ahead of need");
+    // Another gateway takes what is free.
+    let mut busy = 0;
+    for sequence in 1..20 {
+        busy = granted(&mut owner, now, 9, &report(sequence, EPOCH, busy, 8)).expect("a grant");
+    }
+    assert!(busy < PERMITS);
+    for gateway in 1..=3 {
+        let unchanged = |sequence| WarmupReport {
+            is_complete: false,
+            uses: Vec::new(),
+            ..report(sequence, EPOCH, 0, 0)
+        };
+        let answer = owner.on_report(now, NodeId(gateway), &unchanged(3), |_| Some(PERMITS));
+        let Some(WarmupAnswer::Granted { grants }) = answer else {
+            panic!("no grant");
+        };
+        assert!(grants.iter().all(|grant| grant.permits == 0));
+        let acknowledged = report(4, EPOCH, 0, 0);
+        assert!(granted(&mut owner, now, gateway, &acknowledged).is_some());
+    }
+    for sequence in 20..40 {
+        busy = granted(&mut owner, now, 9, &report(sequence, EPOCH, busy, 8)).expect("a grant");
+    }
+    assert_eq!(busy, PERMITS);
+}
+
 /// A late report must not count as the state of a gateway whose lease has expired since: the
 /// gateway's next report lists only what changed after a newer one.
 #[test]
