Own the permits of servers that warm up from the start of a leader's lease

A new leader became the owner with its next round of housekeeping. Servers that registered before that counted as known to a predecessor, so that all their permits were held back for 3.5 s; since elections no longer take a timeout, a new fleet met this.

--- a/crates/courseshed-edge/src/controller/warmup.rs
+++ b/crates/courseshed-edge/src/controller/warmup.rs
@@ -45,8 +45,7 @@
         }
     }
 
-    /// Logs which servers are limited, and updates metrics. Also makes this controller the owner,
-    /// since the time until its predecessor's permits have expired starts with that.
+    /// Logs which servers are limited, and updates metrics.
     pub(super) fn update_warmup(&mut self) {
         if !self.ensure_warmup_owner() {
             return;
@@ -69,7 +68,7 @@
     }
 
     /// Whether this controller leads with a valid lease; if so, makes it the owner of permits.
-    fn ensure_warmup_owner(&mut self) -> bool {
+    pub(super) fn ensure_warmup_owner(&mut self) -> bool {
         let now = self.now();
         if !self.group.is_leader() || !self.group.lease_valid(now) {
             return false;
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -287,6 +287,8 @@
 
     fn run_housekeeping(&mut self) {
         let now = self.now();
+        // As soon as possible, since all permits of the servers listed by then count as granted.
+        self.ensure_warmup_owner();
         if now < self.next_housekeeping {
             return;
         }
--- a/crates/courseshed-warmup/tests/owner.rs
+++ b/crates/courseshed-warmup/tests/owner.rs
@@ -135,28 +135,31 @@
         held += granted(&mut owner, now, gateway, &idle).expect("a grant");
     }
     assert!(held > 0, "permits ahead of need");
-    // Another gateway takes what is free.
+    let mut idle = [1, 2, 3].map(|gateway| (gateway, 2, 1));
     let mut busy = 0;
-    for sequence in 1..20 {
-        busy = granted(&mut owner, now, 9, &report(sequence, EPOCH, busy, 8)).expect("a grant");
-    }
-    assert!(busy < PERMITS);
-    for gateway in 1..=3 {
-        let unchanged = |sequence| WarmupReport {
-            is_complete: false,
-            uses: Vec::new(),
-            ..report(sequence, EPOCH, 0, 0)
-        };
-        let answer = owner.on_report(now, NodeId(gateway), &unchanged(3), |_| Some(PERMITS));
-        let Some(WarmupAnswer::Granted { grants }) = answer else {
-            panic!("no grant");
-        };
-        assert!(grants.iter().all(|grant| grant.permits == 0));
-        let acknowledged = report(4, EPOCH, 0, 0);
-        assert!(granted(&mut owner, now, gateway, &acknowledged).is_some());
-    }
-    for sequence in 20..40 {
-        busy = granted(&mut owner, now, 9, &report(sequence, EPOCH, busy, 8)).expect("a grant");
+    for round in 1..40 {
+        busy = granted(&mut owner, now, 9, &report(round, EPOCH, busy, 8)).expect("a grant");
+        for (gateway, sequence, held) in &mut idle {
+            *sequence += 1;
+            // A holder lists only what has changed since its last report.
+            let unchanged = WarmupReport {
+                is_complete: false,
+                uses: Vec::new(),
+                ..report(*sequence, EPOCH, *held, 0)
+            };
+            let answer = owner.on_report(now, NodeId(*gateway), &unchanged, |_| Some(PERMITS));
+            let Some(WarmupAnswer::Granted { grants }) = answer else {
+                panic!("no grant");
+            };
+            if let Some(grant) = grants.first() {
+                *held = grant.permits;
+                *sequence += 1;
+                let mut acknowledged = report(*sequence, EPOCH, *held, 0);
+                acknowledged.uses[0].used = 0;
+                let kept = granted(&mut owner, now, *gateway, &acknowledged);
+                *held = kept.expect("a grant");
+            }
+        }
     }
     assert_eq!(busy, PERMITS);
 }
