--- a/crates/courseshed-consensus/tests/simulation.rs
+++ b/crates/courseshed-consensus/tests/simulation.rs
@@ -78,3 +78,11 @@
     let report = run(seed);
     assert!(report.violations.is_empty(), "{report:#?}");
 }
+
+/// Guards against a group that doesn't serve again after its faults ended. In this seed a member
+/// lost its memory just as it was promoted to a voter.
+#[test]
+fn group_serves_again_after_a_member_lost_its_memory_at_promotion() {
+    let report = run(4083);
+    assert!(report.violations.is_empty(), "{report:#?}");
+}
--- a/crates/courseshed-warmup/src/owner.rs
+++ b/crates/courseshed-warmup/src/owner.rs
@@ -243,9 +243,8 @@
         })
     }
 
-    /// The unreported uses of a gateway whose free permits are needed elsewhere: at servers whose
-    /// limit is exceeded, since it was lowered, or that have few free permits left. An idle holder
-    /// reports nothing that changed, and would keep its permits.
+    /// The unreported uses of a gateway at servers whose limit is exceeded, since it was lowered. An
+    /// idle holder reports nothing that changed, and would keep its permits.
     fn unlisted_excess(
         &self,
         gateway: NodeId,
@@ -253,18 +252,14 @@
         permits_of: impl Fn(&str) -> Option<u32>,
     ) -> Vec<ServerUse> {
         let charges = self.gateways.get(&gateway).map(|ledger| &ledger.charges);
-        let is_needed = |name: &str, charge: &Charge| {
+        let is_exceeded = |name: &str| {
             let outstanding = self.servers.get(name).map_or(0, ServerLedger::outstanding);
-            let permits = permits_of(name).unwrap_or(0);
-            let free = u64::from(permits).saturating_sub(outstanding);
-            let is_scarce = free <= u64::from(permits / RESERVE_DIVISOR);
-            let is_exceeded = outstanding > u64::from(permits);
-            is_exceeded || (is_scarce && charge.permits > charge.in_use)
+            outstanding > u64::from(permits_of(name).unwrap_or(0))
         };
         let is_listed = |name: &str| report.uses.iter().any(|entry| entry.server == name);
         let charges = charges.into_iter().flatten();
         charges
-            .filter(|(name, charge)| is_needed(name, charge) && !is_listed(name))
+            .filter(|(name, _)| is_exceeded(name) && !is_listed(name))
             .map(|(name, charge)| ServerUse {
                 server: name.clone(),
                 held: charge.permits,
