Log the software versions of servers at which streams begin and go on

Cause: lines of gateways told neither the software version of a server nor that a client resumed a stream, so the hypotheses on the incident could not be told apart without joining logs with the operators' records by hand. Change: heartbeats' versions are part of a server's registration (unknown where not stated), and the request that a client names as a stream's first is read. call_over has server_version, first_event_version, client_last_event and resumed_request; stream_resumed is a line for each resumption within a response; stream_resumptions counts them. No decision uses any of it.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -38,7 +38,7 @@
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
 use super::warmup::WarmupPermit;
-use crate::metrics::ServiceLabels;
+use crate::metrics::{ResumptionLabels, ServiceLabels};
 
 /// Prompt tokens attributed to a request that has only an affinity key.
 const AFFINITY_KEY_TOKENS: u32 = 2_000;
@@ -52,6 +52,8 @@
     pub head: ResponseHead,
     pub upstream: Upstream,
     pub server: String,
+    /// Software version of the server, if it reports one.
+    pub server_version: Option<String>,
     pub sent_at: Instant,
     /// Estimated number of prompt tokens that the server had to prefill.
     pub uncached_tokens: u32,
@@ -315,10 +317,12 @@
                     if !self.is_refused(&head, &chosen) {
                         self.permit = None;
                         self.log.server = chosen.id.clone();
+                        self.log.server_version = chosen.software_version.clone();
                         return Ok(OpenedResponse {
                             head,
                             upstream,
                             server: chosen.id,
+                            server_version: chosen.software_version,
                             sent_at,
                             uncached_tokens,
                             first_chunk_after: None,
@@ -422,6 +426,16 @@
         opened.end_call(opened.end_of_unstreamed());
     }
 
+    /// Counts a stream that was resumed by the client or the gateway.
+    pub(super) fn record_resumption(&self, by: &'static str, outcome: &'static str) {
+        let labels = ResumptionLabels {
+            service: self.service.clone(),
+            by,
+            outcome,
+        };
+        self.core.metrics.resumptions.get_or_create(&labels).inc();
+    }
+
     /// Records the duration of a non-streaming response, or of a wait that timed out.
     pub(super) fn record_response_time(&self, took: Duration) {
         let mut times = self.core.response_times.borrow_mut();
--- a/crates/courseshed-edge/src/gateway/call.rs
+++ b/crates/courseshed-edge/src/gateway/call.rs
@@ -54,6 +54,8 @@
     pub time_left: Option<Duration>,
     /// ID of the last event of this stream that the client has received.
     pub last_event: Option<u64>,
+    /// ID of the request that delivered the first event of this stream, if the client names one.
+    pub resumed_request: Option<String>,
     /// The program that the request belongs to.
     pub program: Option<ProgramHeaders>,
     /// Maximum number of tokens to generate.
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -16,6 +16,10 @@
 pub(super) struct CallLog {
     pub outcome: &'static str,
     pub server: String,
+    /// Software version of the server, if it reports one.
+    pub server_version: Option<String>,
+    /// Software version of the server that sent the first event forwarded for this request.
+    pub first_event_version: Option<String>,
     pub attempts: usize,
     pub refused_by: usize,
     /// The servers that refused the request, as `server:status`.
@@ -40,6 +44,10 @@
     /// The authenticated tenant; empty if the fleet requires no keys.
     pub tenant: String,
     request: String,
+    /// The last event that the client has of a stream that it resumes, and the request that it names
+    /// as the stream's first.
+    client_last_event: Option<u64>,
+    resumed_request: String,
     program: String,
     route: String,
     service: String,
@@ -59,6 +67,8 @@
         Self {
             outcome: "caller_left",
             server: String::new(),
+            server_version: None,
+            first_event_version: None,
             attempts: 0,
             refused_by: 0,
             refusals: Vec::new(),
@@ -74,6 +84,8 @@
             last_error: String::new(),
             tenant: String::new(),
             request: call.request_id.clone(),
+            client_last_event: call.last_event,
+            resumed_request: call.resumed_request.clone().unwrap_or_default(),
             program: program.unwrap_or_default(),
             route: route.name.clone(),
             service: service.to_owned(),
@@ -125,6 +137,10 @@
             outcome = self.outcome,
             status = self.status,
             server = self.server.as_str(),
+            server_version = self.server_version.as_deref(),
+            first_event_version = self.first_event_version.as_deref(),
+            client_last_event = self.client_last_event,
+            resumed_request = self.resumed_request.as_str(),
             attempts = self.attempts,
             refused_by = self.refused_by,
             refusals = self.refusals.join(" ").as_str(),
--- a/crates/courseshed-edge/src/gateway/selected_server.rs
+++ b/crates/courseshed-edge/src/gateway/selected_server.rs
@@ -13,6 +13,8 @@
     pub name: String,
     /// The address that it listens on.
     pub address: SocketAddr,
+    /// Version of its software, if it reports one.
+    pub software_version: Option<String>,
 }
 
 impl SelectedServer {
@@ -23,6 +25,7 @@
             id: server.id.clone(),
             name: server.name().to_owned(),
             address: server.address,
+            software_version: server.software_version.clone(),
         }
     }
 }
--- a/crates/courseshed-edge/src/gateway/short_codec.rs
+++ b/crates/courseshed-edge/src/gateway/short_codec.rs
@@ -14,8 +14,8 @@
 };
 
 /// The codec. Request headers: `x-call` (request ID), `x-program`, `x-budget` (token budget),
-/// `x-most` (maximum tokens), `x-time` (timeout in ms), `x-last` (last event ID), `x-key` (affinity
-/// key), `x-prompt` (prompt segments), `x-previous` (previous turn) and `x-auth` (API key). Servers
+/// `x-most` (maximum tokens), `x-time` (timeout in ms), `x-last` (last event ID),
+/// `x-resumes` (request that began the stream), `x-key` (affinity key), `x-prompt` (prompt segments), `x-previous` (previous turn) and `x-auth` (API key). Servers
 /// receive `x-tenant` and respond with `x-not-run` if they did not execute the request.
 #[derive(Clone, Copy, Debug)]
 pub struct ShortCodec;
@@ -45,6 +45,7 @@
             body: bytes::Bytes::new(),
             time_left: number("x-time").map(Duration::from_millis),
             last_event: number("x-last"),
+            resumed_request: text(headers, "x-resumes"),
             program,
             most_tokens: number("x-most").and_then(|most| u32::try_from(most).ok()),
             affinity_key: text(headers, "x-key"),
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -225,6 +225,12 @@
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
+            if self.attempts.log.events == 0 {
+                self.attempts.log.first_event_version = self
+                    .opened
+                    .as_ref()
+                    .and_then(|opened| opened.server_version.clone());
+            }
             self.attempts.log.events += 1;
             if let Some(reservation) = &mut self.reservation {
                 reservation.count_event();
@@ -310,6 +316,7 @@
         self.attempts.log.resumed += 1;
         match self.attempts.open(self.last_event).await {
             Ok(opened) if opened.head.status == StatusCode::OK => {
+                self.record_resumption(&opened);
                 self.opened = Some(opened);
                 self.last_arrival = None;
                 self.server_events = 0;
@@ -326,6 +333,21 @@
         }
     }
 
+    /// Records at which server, of which software version, the gateway resumed the stream.
+    fn record_resumption(&self, opened: &OpenedResponse) {
+        let began = self.attempts.log.first_event_version.as_deref();
+        let resumed = opened.server_version.as_deref();
+        let outcome = match (began, resumed) {
+            (Some(began), Some(resumed)) if began == resumed => "same_version",
+            (Some(_), Some(_)) => "other_version",
+            _ => "unknown_version",
+        };
+        self.attempts.record_resumption("gateway", outcome);
+        let request = self.attempts.call.request_id.as_str();
+        let server = opened.server.as_str();
+        log::info!(event = "stream_resumed", request, last_event = self.last_event, first_event_version = began, server, server_version = resumed, outcome; "resumed a stream at another server");
+    }
+
     /// Whether a failure, including a silent stream, counts against the server: not if the deadline
     /// has passed, or if the server may have aborted because the client did not read.
     fn is_server_fault(&self) -> bool {
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -64,6 +64,17 @@
     pub by: &'static str,
 }
 
+/// Labels of resumed streams.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResumptionLabels {
+    /// The service.
+    pub service: String,
+    /// Who resumed the stream: the client, with another request, or the gateway, within one response.
+    pub by: &'static str,
+    /// What came of it.
+    pub outcome: &'static str,
+}
+
 /// The service label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
@@ -101,6 +112,8 @@
     pub attempts: Counter,
     /// Streams resumed after a broken connection.
     pub resumed: Counter,
+    /// Resumed streams, by who resumed them and whether the software version stayed the same.
+    pub resumptions: Family<ResumptionLabels, Counter>,
     /// Age of the routing table's proof when a call with an API key is sent, in seconds.
     pub proof_age: Histogram,
     /// Calls refused because their tenant exceeded its quota.
@@ -223,6 +236,7 @@
             call_seconds: Histogram::new(DURATION_BUCKETS),
             attempts: Counter::default(),
             resumed: Counter::default(),
+            resumptions: Family::default(),
             proof_age: Histogram::new(DURATION_BUCKETS),
             over_quota: Family::default(),
             permit_wait: Histogram::new(DURATION_BUCKETS),
@@ -281,6 +295,11 @@
             "Streams taken up after a break",
             self.resumed.clone(),
         );
+        registry.register(
+            "stream_resumptions",
+            "Resumed streams, by who resumed them, the client or the gateway, and the outcome",
+            self.resumptions.clone(),
+        );
         registry.register(
             "proof_age_seconds",
             "Age of the proof that keys may be used, when a call was sent",
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -129,6 +129,7 @@
         id: id.to_owned(),
         name: String::new(),
         started_ms: None,
+        software_version: None,
         warmup_remaining_ms: 0,
         service: "s".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
--- a/crates/courseshed-edge/tests/failing_servers.rs
+++ b/crates/courseshed-edge/tests/failing_servers.rs
@@ -66,6 +66,7 @@
                 id: name(server),
                 name: String::new(),
                 started_ms: None,
+                software_version: None,
                 warmup_remaining_ms: 0,
                 service: "s".to_owned(),
                 address: ([127, 0, 0, 1], 80).into(),
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -97,6 +97,7 @@
         id: id.to_owned(),
         name: String::new(),
         started_ms: None,
+        software_version: None,
         warmup_remaining_ms: 0,
         service: "s".to_owned(),
         address: mock_server.address,
--- a/crates/courseshed-edge/tests/server_restarts.rs
+++ b/crates/courseshed-edge/tests/server_restarts.rs
@@ -30,6 +30,7 @@
             id: Server::incarnation_id("one", Some(started_ms)),
             name: "one".to_owned(),
             started_ms: Some(started_ms),
+            software_version: None,
             warmup_remaining_ms: 0,
             service: "s".to_owned(),
             address: mock_server.address,
--- a/crates/courseshed-edge/tests/support/large_fleet.rs
+++ b/crates/courseshed-edge/tests/support/large_fleet.rs
@@ -29,6 +29,7 @@
         id: format!("i-{number:08x}"),
         name: String::new(),
         started_ms: None,
+        software_version: None,
         service: "engines".to_owned(),
         address: SocketAddr::from(([10, 0, high, low], 80)),
         zone: format!("zone-{}", number % 5),
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -296,16 +296,28 @@
         slots: u32,
     ) {
         let server = Server {
-            id: id.to_owned(),
-            name: String::new(),
-            started_ms: None,
-            warmup_remaining_ms: 0,
-            service: "s".to_owned(),
-            address: mock_server.address,
-            zone: "a".to_owned(),
             slots,
-            state: ServerState::Ready,
+            ..ready_server(id, mock_server)
+        };
+        self.add_listed_server(server, mock_server).await;
+    }
+
+    /// Like `add_server`, for a server that reports its software version.
+    pub async fn add_server_with_version(
+        &self,
+        id: &str,
+        mock_server: &server::MockServer,
+        version: &str,
+    ) {
+        let server = Server {
+            software_version: Some(version.to_owned()),
+            ..ready_server(id, mock_server)
         };
+        self.add_listed_server(server, mock_server).await;
+    }
+
+    /// Registers a server and waits until the gateway routes calls to it.
+    async fn add_listed_server(&self, server: Server, mock_server: &server::MockServer) {
         let registration = Registration {
             server,
             sequence: 1,
@@ -346,6 +358,22 @@
     }
 }
 
+/// A ready server of service `s` that reports no software version.
+pub fn ready_server(id: &str, mock_server: &server::MockServer) -> Server {
+    Server {
+        id: id.to_owned(),
+        name: String::new(),
+        started_ms: None,
+        software_version: None,
+        warmup_remaining_ms: 0,
+        service: "s".to_owned(),
+        address: mock_server.address,
+        zone: "a".to_owned(),
+        slots: SLOTS,
+        state: ServerState::Ready,
+    }
+}
+
 /// A routing table with one engine service, `s`.
 pub fn table(version: u64, routes: Vec<Route>, tenants: Option<Vec<Tenant>>) -> VersionedTable {
     let service = Service {
--- a/crates/courseshed-edge/tests/support/regions.rs
+++ b/crates/courseshed-edge/tests/support/regions.rs
@@ -283,6 +283,7 @@
                 id: id.to_owned(),
                 name: String::new(),
                 started_ms: None,
+                software_version: None,
                 warmup_remaining_ms: 0,
                 service: "s".to_owned(),
                 address,
--- a/crates/courseshed-edge/tests/warming_servers.rs
+++ b/crates/courseshed-edge/tests/warming_servers.rs
@@ -69,6 +69,7 @@
             id: Server::incarnation_id(name, Some(started_ms)),
             name: name.to_owned(),
             started_ms: Some(started_ms),
+            software_version: None,
             warmup_remaining_ms: state.warmup.as_millis() as u32,
             service: "s".to_owned(),
             address: self.mock_server.address,
--- a/crates/courseshed-registry/src/server.rs
+++ b/crates/courseshed-registry/src/server.rs
@@ -25,6 +25,9 @@
     #[serde(default)]
     #[serde(rename = "born_ms")]
     pub started_ms: Option<u64>,
+    /// Version of the software that the incarnation runs; `None` if not reported.
+    #[serde(default)]
+    pub software_version: Option<String>,
     /// The service it belongs to.
     pub service: String,
     /// Listen address.
--- a/crates/courseshed-registry/tests/answer_size.rs
+++ b/crates/courseshed-registry/tests/answer_size.rs
@@ -20,6 +20,7 @@
             id: format!("i-{number:08x}/1764730000123"),
             name: format!("i-{number:08x}"),
             started_ms: Some(1_764_730_000_123),
+            software_version: None,
             service: "engines-of-a-service".to_owned(),
             address: SocketAddr::from(([10, 100, high, low], 8525)),
             zone: "zone-of-a-region-b".to_owned(),
--- a/crates/courseshed-registry/tests/growth.rs
+++ b/crates/courseshed-registry/tests/growth.rs
@@ -25,6 +25,7 @@
             id: Server::incarnation_id(&name, Some(sequence)),
             name,
             started_ms: Some(sequence),
+            software_version: None,
             service: "engines".to_owned(),
             address: SocketAddr::from(([10, 0, high, low], 80)),
             zone: format!("zone-{}", number % 5),
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -39,6 +39,7 @@
             id: "one".to_owned(),
             name: String::new(),
             started_ms: None,
+            software_version: None,
             warmup_remaining_ms: 0,
             service: "s".to_owned(),
             address: ([127, 0, 0, 1], 80).into(),
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -126,6 +126,7 @@
                     id: self.id.clone(),
                     name: String::new(),
                     started_ms: None,
+                    software_version: None,
                     warmup_remaining_ms: self.warm_up_left_ms(),
                     service: SERVICE.to_owned(),
                     address: self.address,
