--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -5,6 +5,10 @@
 //! that refused it or are unreachable; once a server failed while it had the request, the gateway
 //! never reports it as not executed.
 
+mod checks;
+mod opened_response;
+mod records;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,12 +19,11 @@
 use courseshed_quota::ProgramPhase;
 use courseshed_records::PartitionId;
 use courseshed_routing::{AllowedRegions, CallKind, Route};
-use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
+use courseshed_types::{CachedPrompt, PromptPart};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::access::Caller;
-use super::admission::{AdmissionDecision, AdmissionRequest};
 use super::assignment::Assignment;
 use super::call::{ForwardingContext, GatewayRequest};
 use super::call_log::CallLog;
@@ -29,85 +32,25 @@
 use super::memory_budget::BufferKind;
 use super::memory_tracker::RequestMemory;
 use super::policy::Mechanism;
-use super::program::program_key;
-use super::quota::{Permit, Quotas};
+use super::quota::Permit;
 use super::refusal::Refusal;
 use super::schedule::ScheduledCall;
 use super::selected_server::SelectedServer;
-use super::server::MAX_ROUTING_WAIT;
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
-use super::warmup::WarmupPermit;
-use crate::metrics::{ResumptionLabels, ServiceLabels};
 
 /// Prompt tokens attributed to a request that has only an affinity key.
 const AFFINITY_KEY_TOKENS: u32 = 2_000;
-/// Seed of the hash that decides which programs are admitted, so that it is independent of others.
-const ADMISSION_SEED: u64 = 0xad31;
+pub(super) use opened_response::OpenedResponse;
+
 /// Minimum remaining time for another attempt.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 
-/// A response whose head has been received.
-pub(super) struct OpenedResponse {
-    pub head: ResponseHead,
-    pub upstream: Upstream,
-    pub server: String,
-    /// Software version of the server, if it reports one.
-    pub server_version: Option<String>,
-    pub sent_at: Instant,
-    /// Estimated number of prompt tokens that the server had to prefill.
-    pub uncached_tokens: u32,
-    /// Time from sending the request to the first chunk of the response, once received.
-    pub first_chunk_after: Option<Duration>,
-    /// Tokens in the first chunk.
-    pub first_tokens: u32,
-    /// The call's registration at the pool scheduler.
-    pub call: Option<ScheduledCall>,
-    /// Counts the request as in flight at the server.
-    pub _in_flight: InFlightGuard,
-}
-
-impl OpenedResponse {
-    /// Reports the end of the call to the pool scheduler.
-    pub(super) fn end_call(&mut self, end: CallEnd) {
-        if let Some(call) = self.call.take() {
-            call.end(end);
-        }
-    }
-
-    /// How a response that is not a complete stream ends the call: as a server failure or without
-    /// information.
-    pub(super) fn end_of_unstreamed(&self) -> CallEnd {
-        if self.head.status.is_server_error() {
-            CallEnd::Failed
-        } else {
-            CallEnd::Abandoned
-        }
-    }
-
-    /// How a complete response ends the call.
-    fn end_of_answer(&self, generated: u32, took: Duration) -> CallEnd {
-        if !self.head.status.is_success() {
-            return self.end_of_unstreamed();
-        }
-        CallEnd::Completed {
-            generated,
-            first_tokens: self.first_tokens,
-            first_part_ms: milliseconds(self.first_chunk_after.unwrap_or(took)),
-            took_ms: milliseconds(took),
-        }
-    }
-}
-
 /// Whole milliseconds, saturating after 49 days.
 pub(super) fn milliseconds(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn saturate(number: u64) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
-
 /// Arrival time and deadline of a request.
 #[derive(Clone, Copy)]
 pub(super) struct CallTimes {
@@ -389,182 +332,10 @@
         self.memory.set(BufferKind::Request, self.call.body.len());
     }
 
-    /// Records a complete response with the given number of generated tokens. Returns the prompt
-    /// segments that the server now has cached.
-    pub(super) fn record_finished(
-        &self,
-        opened: &mut OpenedResponse,
-        generated: u32,
-    ) -> CachedPrompt {
-        let took = opened.sent_at.elapsed();
-        let cached = self.record_processed(opened, generated, took);
-        opened.end_call(opened.end_of_answer(generated, took));
-        cached
-    }
-
-    /// Records that a server has processed the call, without ending it at the pool scheduler.
-    /// Returns the prompt segments that the server now has cached.
-    pub(super) fn record_processed(
-        &self,
-        opened: &OpenedResponse,
-        generated: u32,
-        took: Duration,
-    ) -> CachedPrompt {
-        let now = self.core.clock.now();
-        let key = ServerKey::of(&opened.server);
-        let cached = CachedPrompt::after_answer(key, &self.parts, generated);
-        let mut servers = self.core.servers.borrow_mut();
-        servers.record_finished(&opened.server, &cached, took, now);
-        cached
-    }
-
-    /// Reports the outcome of a complete response to the other gateways and, if not yet done, the
-    /// end of the call to the pool scheduler.
-    pub(super) fn record_outcome(&self, opened: &mut OpenedResponse) {
-        let report = CallReport::of_answer(opened.head.status);
-        self.core.report(&opened.server, report);
-        opened.end_call(opened.end_of_unstreamed());
-    }
-
-    /// Counts a stream that was resumed by the client or the gateway.
-    pub(super) fn record_resumption(&self, by: &'static str, outcome: &'static str) {
-        let labels = ResumptionLabels {
-            service: self.service.clone(),
-            by,
-            outcome,
-        };
-        self.core.metrics.resumptions.get_or_create(&labels).inc();
-    }
-
-    /// Records the duration of a non-streaming response, or of a wait that timed out.
-    pub(super) fn record_response_time(&self, took: Duration) {
-        let mut times = self.core.response_times.borrow_mut();
-        times.record(&self.route.name, took);
-    }
-
-    /// Records the arrival of the first chunk of a response.
-    pub(super) fn record_first_chunk(&mut self, opened: &mut OpenedResponse) {
-        self.log.record_first_chunk();
-        let now = self.core.clock.now();
-        let took = opened.sent_at.elapsed();
-        opened.first_chunk_after.get_or_insert(took);
-        let unread = opened.uncached_tokens;
-        let mut servers = self.core.servers.borrow_mut();
-        servers.record_first_chunk(&opened.server, &self.parts, unread, took, now);
-    }
-
     pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    pub(super) fn deadline_refusal(&self) -> Refusal {
-        if self.may_have_run {
-            Refusal::TimedOut
-        } else {
-            Refusal::TooLate
-        }
-    }
-
-    fn no_server_refusal(&self) -> Refusal {
-        if self.may_have_run {
-            return Refusal::Broken;
-        }
-        if self.warm_in.is_none() {
-            return Refusal::NoServer;
-        }
-        let refusals = &self.core.metrics.warmup_refusals;
-        let service = self.service.clone();
-        refusals.get_or_create(&ServiceLabels { service }).inc();
-        let retry_after = self.core.warmup.retry_after(self.warm_in, rand::random());
-        Refusal::WarmingUp { retry_after }
-    }
-
-    /// Whether the request may be sent to a server that may be warming up. The permit counts as
-    /// used if so.
-    fn may_send_to(&self, chosen: &SelectedServer, warmup: Option<&mut WarmupPermit>) -> bool {
-        let servers = self.core.servers.borrow();
-        match warmup {
-            Some(permit) => servers.accepts_calls(&chosen.id) && permit.send(),
-            // The server may have started to warm up since it was chosen.
-            None => !servers.needs_permit(&chosen.id, self.core.clock.now()),
-        }
-    }
-
-    /// Records that a server failed after it received the request.
-    pub(super) fn record_failure(&mut self, server: &str, error: &UpstreamError) {
-        self.record_truncated(server, error);
-        self.core.report(server, CallReport::Failed);
-    }
-
-    /// Records that the response was truncated through no fault of the server.
-    pub(super) fn record_truncated(&mut self, server: &str, error: &UpstreamError) {
-        self.may_have_run = true;
-        self.log.record_error(server, error);
-    }
-
-    /// After a freeze, checks that the call can still be served. Returns the number of freezes.
-    async fn recover_from_freeze(&self) -> Result<u64, Refusal> {
-        let limit = MAX_ROUTING_WAIT.min(self.time_left() / 4);
-        let recovered =
-            self.core
-                .recover_from_freeze(&self.memory, self.arrived, Some(self.deadline), limit);
-        let refused = |refusal| self.final_refusal(refusal);
-        recovered.await.map_err(refused)
-    }
-
-    /// Checks that the program is admitted, if the call begins one.
-    fn check_admission(&self) -> Result<(), Refusal> {
-        // A stream that is resumed at another server was admitted before.
-        let is_first_attempt =
-            self.attempted_servers.is_empty() && self.excluded_servers.is_empty();
-        let is_checked = is_first_attempt && self.core.policy.uses(Mechanism::Admission);
-        let Some(claim) = self.call.program.as_ref().filter(|_| is_checked) else {
-            return Ok(());
-        };
-        let most = self.call.most_tokens.filter(|most| *most > 0);
-        let turns = claim.token_budget.zip(most);
-        let request = AdmissionRequest {
-            phase: self.phase,
-            priority: self.priority(),
-            time_left: claim
-                .time_left
-                .map(|left| left.saturating_sub(self.arrived.elapsed())),
-            budgeted_turns: turns.map(|(budget, most)| saturate(budget / u64::from(most))),
-        };
-        let key = program_key(self.caller.tenant_name(), &claim.program);
-        let draw = xxh3_64_with_seed(key.as_bytes(), ADMISSION_SEED) as f64 / u64::MAX as f64;
-        let now = self.core.clock.now();
-        let admission = self.core.admission.borrow();
-        match admission.decide(&self.service, &request, now, draw) {
-            AdmissionDecision::Admitted => Ok(()),
-            AdmissionDecision::Refused { retry_after } => {
-                let service = self.service.clone();
-                let refused = &self.core.metrics.admission_refusals;
-                refused.get_or_create(&ServiceLabels { service }).inc();
-                Err(Refusal::Overloaded { retry_after })
-            }
-        }
-    }
-
-    /// The priority of the tenant, or else of the route; lower values come first.
-    pub(super) fn priority(&self) -> u32 {
-        let own = self.caller.tenant().and_then(|tenant| tenant.priority);
-        own.unwrap_or(self.route.priority)
-    }
-
-    /// Takes a permit for the next attempt, if the tenant has a quota.
-    async fn take_permit(&mut self) -> Result<(), Refusal> {
-        let Some(tenant) = self.caller.tenant() else {
-            return Ok(());
-        };
-        if self.permit.is_some() || tenant.quota.is_none() {
-            return Ok(());
-        }
-        let permit = Quotas::acquire(&self.core, &tenant.name, self.phase, self.deadline);
-        self.permit = Some(permit.await?);
-        Ok(())
-    }
-
     async fn connect(&self, chosen: &SelectedServer) -> Result<Upstream, UpstreamError> {
         let pool = self.core.pool.clone();
         let connected = pool.connect(&chosen.id, chosen.address, self.body.len());
@@ -576,58 +347,6 @@
         Ok(upstream)
     }
 
-    /// Checks that the caller is still authorized.
-    fn check_access(&self) -> Result<(), Refusal> {
-        let view = self.core.follower.view();
-        let routing = view.routing.as_ref().ok_or(Refusal::NotStarted)?;
-        let proof_age = self.core.follower.proof_age();
-        if self.caller.identity.is_some() {
-            self.core.metrics.observe_proof_age(proof_age);
-        }
-        self.core
-            .access
-            .recheck(&self.caller, self.version, routing, proof_age)
-    }
-
-    /// Applies the region restrictions of the routing table in force, in addition to those under
-    /// which the call was accepted.
-    fn apply_restrictions(&mut self) -> Result<(), Refusal> {
-        let view = self.core.follower.view();
-        let Some(routing) = &view.routing else {
-            return Ok(());
-        };
-        if routing.version != self.restrictions_version {
-            self.restrictions_version = routing.version;
-            let tenant = self.caller.tenant_name();
-            let table = &routing.table;
-            let in_force = table.allowed_regions(&self.call.host, &self.call.path, tenant);
-            self.allowed_regions = self.allowed_regions.and(&in_force);
-        }
-        let records = &self.core.records;
-        let may_store = self
-            .partition
-            .is_none_or(|partition| records.may_store_in(partition, &self.allowed_regions));
-        if !may_store {
-            log::info!(event = "no_home", request = self.call.request_id.as_str(), version = routing.version; "the turn's partition is no longer in an allowed region");
-            return Err(Refusal::NoRecords);
-        }
-        Ok(())
-    }
-
-    fn may_serve(&self, chosen: &SelectedServer) -> bool {
-        let servers = self.core.servers.borrow();
-        servers.is_allowed(&chosen.id, &self.allowed_regions)
-    }
-
-    /// The refusal returned if no further attempt is made.
-    pub(super) fn final_refusal(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run {
-            Refusal::Broken
-        } else {
-            refusal
-        }
-    }
-
     async fn send(
         &mut self,
         mut upstream: Upstream,
