Compile the overload test again

Cause: a field of server registrations was also added to a literal of another type in its support code. Change: the line is removed.

--- a/crates/courseshed-edge/tests/support/overload.rs
+++ b/crates/courseshed-edge/tests/support/overload.rs
@@ -167,7 +167,6 @@
         Self {
             route,
             started_ms: now,
-            software_version: None,
             draw: random.random(),
             target_ms: (ROUTES[route].factor * idle_ms) as u64 + 200,
             parts: vec![
