Continue streams only at the software version that began them

Callers saw one answer of two parts that two versions of the software wrote. Cause: the version of a server took part in no decision. A stream that broke went on at any server of its service, within a response as well as for a client that came back at another gateway, which could not know where the stream had begun. Change: the server of the first event that is forwarded binds the stream (VersionRequirement); every later choice, retry, grant of a scheduler and the last check before a send obey it. The gateway records the version beside the first event at all replicas of a partition of the record stores, in memory; a gateway at which a client resumes reads it there. If no store knows it, or no server of the version is left, the request is refused at once and says why. Older stores ignore the new part of a request and answer that they know nothing.

--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -92,7 +92,10 @@
                 .servers
                 .borrow()
                 .available_by_key(&self.service, key);
-            match found.filter(|_| !excluded.contains(&key)) {
+            let may_run = |chosen: &SelectedServer| {
+                !excluded.contains(&key) && self.satisfies_version(&chosen.id)
+            };
+            match found.filter(may_run) {
                 Some(chosen) => {
                     self.record_choice(BY_SCHEDULER, inputs);
                     let assigned = Assignment::new(chosen, Some(call));
@@ -176,6 +179,7 @@
             parts: &self.parts,
             max_in_flight: table.share_of_limit(self.connection_limit),
             allowed_regions,
+            version: &self.version_requirement,
         };
         let now = self.core.clock.now();
         table.choose_with_permits(&demand, excluded, now, rand::random(), access)
@@ -193,13 +197,19 @@
         Some(Assignment::new(chosen, None))
     }
 
-    /// A server, if it is listed, accepts calls and lies in an allowed region.
+    /// A server, if it is listed, accepts calls, lies in an allowed region and runs a software version
+    /// that may serve the request.
     fn available(&self, id: &str) -> Option<SelectedServer> {
         let servers = self.core.servers.borrow();
         let chosen = servers.available(id)?;
-        servers
-            .is_allowed(id, &self.allowed_regions)
-            .then_some(chosen)
+        let is_allowed = servers.is_allowed(id, &self.allowed_regions)
+            && servers.satisfies(id, &self.version_requirement);
+        is_allowed.then_some(chosen)
+    }
+
+    fn satisfies_version(&self, id: &str) -> bool {
+        let servers = self.core.servers.borrow();
+        servers.satisfies(id, &self.version_requirement)
     }
 
     fn record_choice(&mut self, by: &'static str, inputs: DecisionInputs) {
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod opened_response;
 mod records;
+mod resumption;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 use super::selected_server::SelectedServer;
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
+use super::version_requirement::VersionRequirement;
 
 /// Prompt tokens attributed to a request that has only an affinity key.
 const AFFINITY_KEY_TOKENS: u32 = 2_000;
@@ -111,6 +113,8 @@
     pub allowed_regions: AllowedRegions,
     /// Version of the routing table whose region restrictions were last applied.
     restrictions_version: u64,
+    /// Which servers may receive the next attempt, by their software version.
+    pub version_requirement: VersionRequirement,
     /// The partition that stores the turn, if it is stored.
     pub partition: Option<PartitionId>,
     /// Whether the request is the first of a program.
@@ -157,6 +161,7 @@
             parts: affinity_segments(&call, &route),
             allowed_regions: AllowedRegions::of(&route, caller.tenant().map(|tenant| &**tenant)),
             restrictions_version: version,
+            version_requirement: VersionRequirement::Any,
             partition: None,
             caller,
             phase: ProgramPhase::Running,
--- a/crates/courseshed-edge/src/gateway/attempts/checks.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/checks.rs
@@ -29,9 +29,10 @@
 
     /// Checks that the program is admitted, if the call begins one.
     pub(super) fn check_admission(&self) -> Result<(), Refusal> {
-        // A stream that is resumed at another server was admitted before.
-        let is_first_attempt =
-            self.attempted_servers.is_empty() && self.excluded_servers.is_empty();
+        // A stream that is resumed, by the gateway or by the client, was admitted before.
+        let is_first_attempt = self.attempted_servers.is_empty()
+            && self.excluded_servers.is_empty()
+            && !self.version_requirement.is_restricted();
         let is_checked = is_first_attempt && self.core.policy.uses(Mechanism::Admission);
         let Some(claim) = self.call.program.as_ref().filter(|_| is_checked) else {
             return Ok(());
@@ -121,6 +122,7 @@
     pub(super) fn may_serve(&self, chosen: &SelectedServer) -> bool {
         let servers = self.core.servers.borrow();
         servers.is_allowed(&chosen.id, &self.allowed_regions)
+            && servers.satisfies(&chosen.id, &self.version_requirement)
     }
 
     /// Whether the request may be sent to a server that may be warming up. The permit counts as
@@ -142,6 +144,13 @@
         if self.may_have_run {
             return Refusal::Broken;
         }
+        let servers = self.core.servers.borrow();
+        if !servers.lists_version(&self.service, &self.version_requirement)
+            && self.version_requirement.is_restricted()
+        {
+            return Refusal::StreamVersionGone;
+        }
+        drop(servers);
         if self.warm_in.is_none() {
             return Refusal::NoServer;
         }
--- a/crates/courseshed-edge/src/gateway/attempts/records.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/records.rs
@@ -7,7 +7,6 @@
 use super::super::servers::CallReport;
 use super::super::upstream::UpstreamError;
 use super::{Attempts, OpenedResponse};
-use crate::metrics::ResumptionLabels;
 
 impl Attempts {
     /// Records a complete response with the given number of generated tokens. Returns the prompt
@@ -47,16 +46,6 @@
         opened.end_call(opened.end_of_unstreamed());
     }
 
-    /// Counts a stream that was resumed by the client or the gateway.
-    pub(in super::super) fn record_resumption(&self, by: &'static str, outcome: &'static str) {
-        let labels = ResumptionLabels {
-            service: self.service.clone(),
-            by,
-            outcome,
-        };
-        self.core.metrics.resumptions.get_or_create(&labels).inc();
-    }
-
     /// Records the duration of a non-streaming response, or of a wait that timed out.
     pub(in super::super) fn record_response_time(&self, took: Duration) {
         let mut times = self.core.response_times.borrow_mut();
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -20,6 +20,9 @@
     pub server_version: Option<String>,
     /// Software version of the server that sent the first event forwarded for this request.
     pub first_event_version: Option<String>,
+    /// Software version that the servers of further attempts must have, and where it was learned.
+    pub required_version: Option<String>,
+    pub version_source: &'static str,
     pub attempts: usize,
     pub refused_by: usize,
     /// The servers that refused the request, as `server:status`.
@@ -69,6 +72,8 @@
             server: String::new(),
             server_version: None,
             first_event_version: None,
+            required_version: None,
+            version_source: "",
             attempts: 0,
             refused_by: 0,
             refusals: Vec::new(),
@@ -139,6 +144,8 @@
             server = self.server.as_str(),
             server_version = self.server_version.as_deref(),
             first_event_version = self.first_event_version.as_deref(),
+            required_version = self.required_version.as_deref(),
+            version_source = self.version_source,
             client_last_event = self.client_last_event,
             resumed_request = self.resumed_request.as_str(),
             attempts = self.attempts,
--- a/crates/courseshed-edge/src/gateway/choice.rs
+++ b/crates/courseshed-edge/src/gateway/choice.rs
@@ -22,6 +22,7 @@
 use super::policy::Mechanism;
 use super::selected_server::SelectedServer;
 use super::servers::{ServerStats, ServerTable};
+use super::version_requirement::VersionRequirement;
 use super::warmup::PermitAccess;
 
 /// Maximum cost, in milliseconds, by which the shared preference order ranks servers.
@@ -50,6 +51,8 @@
     pub max_in_flight: u32,
     /// The regions in which the call may be served.
     pub allowed_regions: &'a AllowedRegions,
+    /// Which servers may continue the stream, if the call resumes one.
+    pub version: &'a VersionRequirement,
 }
 
 /// The inputs of a server selection, for the access log.
@@ -176,6 +179,7 @@
         let region = self.zones.region_of(&stats.server.zone);
         self.is_eligible(&stats.server)
             && demand.allowed_regions.allows(region)
+            && demand.version.allows_server(&stats.server)
             && !excluded.contains(&stats.server.id)
             && stats.in_flight < demand.max_in_flight
     }
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod short_codec;
 mod stream;
 mod upstream;
+mod version_requirement;
 mod warmup;
 
 pub use access::{AccessPolicy, Caller, Identity, TenantSettings};
@@ -61,4 +62,5 @@
 pub use server::{GatewayError, GatewaySettings, run};
 pub use servers::{CallReport, ServerTable, ServingConstraints};
 pub use short_codec::ShortCodec;
+pub use version_requirement::{StreamOrigin, VersionRequirement};
 pub use warmup::PermitAccess;
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -59,6 +59,11 @@
     BudgetSpent,
     /// The previous turn was never stored, or has expired.
     UnknownTurn,
+    /// The software version at which the stream began is not known, so that no server can be trusted to
+    /// continue it.
+    UnknownStreamVersion,
+    /// No server of the software version at which the stream began is left.
+    StreamVersionGone,
     /// The request was sent to a server, which did not return a complete response.
     Broken,
     /// The deadline passed while no server had the request.
@@ -114,6 +119,8 @@
             Self::StoresFull => "no_room",
             Self::BudgetSpent => "budget_spent",
             Self::UnknownTurn => "unknown_turn",
+            Self::UnknownStreamVersion => "unknown_stream_version",
+            Self::StreamVersionGone => "stream_version_gone",
             Self::Broken => "broken",
             Self::TooLate => "too_late",
             Self::TimedOut => "timed_out",
@@ -138,6 +145,8 @@
             | Self::Leaving
             | Self::NoRecords
             | Self::StoresFull
+            | Self::UnknownStreamVersion
+            | Self::StreamVersionGone
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::Broken => StatusCode::BAD_GATEWAY,
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -22,6 +22,7 @@
 use super::prompt_cache_index::PromptCacheIndex;
 use super::region_reach::RegionReach;
 use super::selected_server::SelectedServer;
+use super::version_requirement::VersionRequirement;
 use crate::follower::FleetView;
 
 pub use stats::CallReport;
@@ -227,6 +228,20 @@
                 .is_some_and(|server| allowed_regions.allows(self.zones.region_of(&server.zone)))
     }
 
+    /// Whether a listed server may continue a stream.
+    #[must_use]
+    pub fn satisfies(&self, id: &str, requirement: &VersionRequirement) -> bool {
+        let server = self.directory.get(id);
+        server.is_some_and(|server| requirement.allows_server(server))
+    }
+
+    /// Whether any listed server of a service, in whatever state, may continue a stream.
+    #[must_use]
+    pub fn lists_version(&self, service: &str, requirement: &VersionRequirement) -> bool {
+        let mut servers = self.directory.servers(service);
+        servers.any(|server| requirement.allows_server(server))
+    }
+
     /// Returns a server of a service by its key, if it is listed and accepts new calls.
     #[must_use]
     pub fn available_by_key(&self, service: &str, key: ServerKey) -> Option<SelectedServer> {
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -1,7 +1,8 @@
 //! Forwards streaming calls, whose responses are server-sent events.
 //!
 //! Invariants: only complete events are forwarded, each once and in order; a stream is resumed at
-//! another server only if its route allows it and after the previous connection was closed; the end
+//! another server only if its route allows it, at the software version at which it began, and after
+//! the previous connection was closed; the end
 //! of a stored turn is forwarded only after the turn was stored.
 
 use std::time::Duration;
@@ -67,11 +68,16 @@
             attempts.deadline,
             &attempts.memory
         ),
+        attempts.find_stream_version(),
     );
-    let (mut reservation, composed) = match prepared {
-        (Ok(reservation), Ok(composed)) => (reservation, composed),
-        (_, Err(refusal)) | (Err(refusal), _) => return refuse(attempts, refusal),
+    let (mut reservation, composed, requirement) = match prepared {
+        (Ok(reservation), Ok(composed), Ok(requirement)) => (reservation, composed, requirement),
+        (_, _, Err(refusal)) | (_, Err(refusal), _) | (Err(refusal), ..) => {
+            attempts.record_client_resumption(refusal.as_str());
+            return refuse(attempts, refusal);
+        }
     };
+    attempts.require_version(requirement);
     attempts.body = composed.body;
     attempts.allowed_regions = attempts.allowed_regions.and(&composed.allowed_regions);
     if attempts.route.stores_turns {
@@ -87,8 +93,12 @@
     let last_event = attempts.call.last_event;
     let opened = match attempts.open(last_event).await {
         Ok(opened) => opened,
-        Err(refusal) => return refuse(attempts, refusal),
+        Err(refusal) => {
+            attempts.record_client_resumption(refusal.as_str());
+            return refuse(attempts, refusal);
+        }
     };
+    attempts.record_client_resumption("resumed");
     attempts.log.status = opened.head.status.as_u16();
     if opened.head.status != StatusCode::OK {
         return forward_unstreamed(attempts, opened).await;
@@ -225,11 +235,10 @@
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
-            if self.attempts.log.events == 0 {
-                self.attempts.log.first_event_version = self
-                    .opened
-                    .as_ref()
-                    .and_then(|opened| opened.server_version.clone());
+            if self.attempts.log.events == 0
+                && let Some(opened) = &self.opened
+            {
+                self.attempts.bind_stream(opened);
             }
             self.attempts.log.events += 1;
             if let Some(reservation) = &mut self.reservation {
@@ -316,7 +325,7 @@
         self.attempts.log.resumed += 1;
         match self.attempts.open(self.last_event).await {
             Ok(opened) if opened.head.status == StatusCode::OK => {
-                self.record_resumption(&opened);
+                self.attempts.record_resumed(&opened);
                 self.opened = Some(opened);
                 self.last_arrival = None;
                 self.server_events = 0;
@@ -329,25 +338,13 @@
                 opened.end_call(opened.end_of_unstreamed());
                 self.abort()
             }
-            Err(_) => self.abort(),
+            Err(_) => {
+                self.attempts.record_not_resumed();
+                self.abort()
+            }
         }
     }
 
-    /// Records at which server, of which software version, the gateway resumed the stream.
-    fn record_resumption(&self, opened: &OpenedResponse) {
-        let began = self.attempts.log.first_event_version.as_deref();
-        let resumed = opened.server_version.as_deref();
-        let outcome = match (began, resumed) {
-            (Some(began), Some(resumed)) if began == resumed => "same_version",
-            (Some(_), Some(_)) => "other_version",
-            _ => "unknown_version",
-        };
-        self.attempts.record_resumption("gateway", outcome);
-        let request = self.attempts.call.request_id.as_str();
-        let server = opened.server.as_str();
-        log::info!(event = "stream_resumed", request, last_event = self.last_event, first_event_version = began, server, server_version = resumed, outcome; "resumed a stream at another server");
-    }
-
     /// Whether a failure, including a silent stream, counts against the server: not if the deadline
     /// has passed, or if the server may have aborted because the client did not read.
     fn is_server_fault(&self) -> bool {
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -75,6 +75,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of records written to stores.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WriteLabels {
+    /// Whether any store took it.
+    pub outcome: &'static str,
+}
+
 /// The service label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
@@ -165,6 +172,12 @@
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the record partitions known to this node.
     pub record_revision: Gauge<i64, AtomicI64>,
+    /// Software versions of streams that this store holds.
+    pub stream_versions: Gauge<i64, AtomicI64>,
+    /// Software versions of streams that this gateway recorded at stores, by outcome.
+    pub stream_version_writes: Family<WriteLabels, Counter>,
+    /// Time to look up the software version of a stream, in seconds.
+    pub stream_version_lookup: Histogram,
     /// Gauges of a store; zero in other roles.
     records: Vec<(StoreGauge, Gauge<i64, AtomicI64>)>,
     log_lines_dropped: Counter<u64, AtomicU64>,
@@ -265,6 +278,9 @@
             callers_cut_off: Family::default(),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
+            stream_versions: Gauge::default(),
+            stream_version_writes: Family::default(),
+            stream_version_lookup: Histogram::new(DURATION_BUCKETS),
             records: STORE_GAUGES
                 .map(|figure| (figure, Gauge::default()))
                 .to_vec(),
@@ -273,6 +289,7 @@
         metrics.register();
         metrics.register_scheduling();
         metrics.register_warmup();
+        metrics.register_streams();
         metrics
     }
 
@@ -295,11 +312,6 @@
             "Streams taken up after a break",
             self.resumed.clone(),
         );
-        registry.register(
-            "stream_resumptions",
-            "Resumed streams, by who resumed them, the client or the gateway, and the outcome",
-            self.resumptions.clone(),
-        );
         registry.register(
             "proof_age_seconds",
             "Age of the proof that keys may be used, when a call was sent",
@@ -418,6 +430,30 @@
         );
     }
 
+    fn register_streams(&self) {
+        let mut registry = self.registry.lock();
+        registry.register(
+            "stream_resumptions",
+            "Resumed streams, by who resumed them, the client or the gateway, and the outcome",
+            self.resumptions.clone(),
+        );
+        registry.register(
+            "stream_versions",
+            "Software versions of streams that the store holds",
+            self.stream_versions.clone(),
+        );
+        registry.register(
+            "stream_version_writes",
+            "Software versions of streams that the gateway recorded at stores, by outcome",
+            self.stream_version_writes.clone(),
+        );
+        registry.register(
+            "stream_version_lookup_seconds",
+            "How long the gateway took to look up the software version of a stream",
+            self.stream_version_lookup.clone(),
+        );
+    }
+
     fn register_held(&self, registry: &mut Registry) {
         registry.register(
             "held_bytes",
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -152,6 +152,39 @@
     pub epoch: u64,
     /// The operation.
     pub operation: RecordOperation,
+    /// An operation on the software versions of streams, which takes the place of `operation`.
+    /// Stores that don't know it ignore it.
+    #[serde(default)]
+    pub stream: Option<StreamOperation>,
+}
+
+/// An operation on the software versions at which streams began. Stores hold them in memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamOperation {
+    /// Records the version at which a stream began.
+    Record {
+        /// The stream.
+        stream: String,
+        /// The software version.
+        version: String,
+        /// How long it is kept, in milliseconds.
+        keep_ms: u64,
+    },
+    /// Reads the version at which a stream began.
+    Read {
+        /// The stream.
+        stream: String,
+    },
+}
+
+impl StreamOperation {
+    /// The stream that the operation is about.
+    #[must_use]
+    pub fn stream(&self) -> &str {
+        match self {
+            Self::Record { stream, .. } | Self::Read { stream } => stream,
+        }
+    }
 }
 
 /// An operation of a record store.
@@ -200,6 +233,9 @@
     Unavailable,
     /// The store accepts no new programs; nothing was written.
     Full,
+    /// The software version at which a stream began, after the operation; `None` if this store
+    /// doesn't know it.
+    StreamVersion(Option<String>),
 }
 
 /// Replies.
--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -96,6 +96,7 @@
                 partition,
                 epoch,
                 operation: RecordOperation::Export { cursor },
+                stream: None,
             };
             let request = PeerRequest::Records(request);
             let reply = self.peers.request(source.node, request, PAGE_TIMEOUT).await;
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -499,24 +499,37 @@
         member: &RecordMember,
         operation: RecordOperation,
     ) -> (NodeId, Option<RecordReply>) {
-        let address = self.addresses.of(member.node, PeerPort::Store);
-        self.peers.set_address(member.node, address);
         let request = RecordRequest {
             incarnation: member.incarnation,
             partition,
             epoch: view.epoch,
             operation,
+            stream: None,
         };
+        let reply = self.send(member.node, request, ROUND_TIMEOUT).await;
+        (member.node, reply)
+    }
+
+    /// Sends a request to a store; `None` if it does not answer in time.
+    pub(super) async fn send(
+        &self,
+        node: NodeId,
+        request: RecordRequest,
+        limit: Duration,
+    ) -> Option<RecordReply> {
+        let address = self.addresses.of(node, PeerPort::Store);
+        self.peers.set_address(node, address);
         let request = PeerRequest::Records(request);
-        let reply = self
-            .peers
-            .request(member.node, request, ROUND_TIMEOUT)
-            .await;
-        match reply {
-            Ok(PeerReply::Records(reply)) => (member.node, Some(reply)),
-            _ => (member.node, None),
+        match self.peers.request(node, request, limit).await {
+            Ok(PeerReply::Records(reply)) => Some(reply),
+            _ => None,
         }
     }
+
+    /// The current views of the partitions.
+    pub(super) fn partitions(&self) -> Arc<PartitionMap> {
+        self.follower.view().records
+    }
 }
 
 /// A reservation of tokens for one call.
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -6,9 +6,11 @@
 mod outages;
 mod query_order;
 mod store;
+mod stream_versions;
 
 pub use client::{ChainLookup, RecordClient, RecordsUnavailable, Reservation, Settlement};
 pub use courseshed_records::StoreLimits;
 pub use outages::{OutageDecision, Outages};
 pub use query_order::{QueryOrder, order_of_sources};
 pub use store::{StoreError, StoreSettings, start};
+pub use stream_versions::StreamVersionLookup;
--- a/crates/courseshed-edge/src/records/store.rs
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -14,12 +14,15 @@
 
 use super::catch_up;
 use super::disk::Disk;
+use super::stream_versions::StreamVersionTable;
 use crate::clock::unix_time_ms;
 use crate::control_client::ControlClient;
 use crate::follower::{FleetFollower, FollowerKind};
 use crate::metrics::Metrics;
 use crate::peers::{PeersError, start_peers};
-use crate::protocol::{FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerRequest};
+use crate::protocol::{
+    FleetProtocol, PeerAddresses, PeerMessage, PeerPort, PeerReply, PeerRequest, RecordReply,
+};
 
 /// How often a store that holds no replica registers again.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(3);
@@ -72,14 +75,23 @@
 
 struct StorePeers {
     disk: Disk,
+    streams: StreamVersionTable,
 }
 
 impl Handler<FleetProtocol> for StorePeers {
     fn on_message(&self, _: PeerIdentity, _: PeerMessage) {}
 
     fn on_request(&self, _: PeerIdentity, request: PeerRequest, reply: ReplySender<FleetProtocol>) {
-        if let PeerRequest::Records(request) = request {
-            self.disk.answer(request, reply);
+        let PeerRequest::Records(mut request) = request else {
+            return;
+        };
+        match request.stream.take() {
+            // Never waits for the disk.
+            Some(operation) => {
+                let version = self.streams.answer(operation);
+                reply.send(PeerReply::Records(RecordReply::StreamVersion(version)));
+            }
+            None => self.disk.answer(request, reply),
         }
     }
 }
@@ -97,8 +109,13 @@
     let incarnation = store.incarnation();
     let figures = store.stats();
     log::info!(event = "store_opened", incarnation, turns = figures.turns, reservations = figures.reservations, partitions = figures.partitions, segments = figures.segments, file_bytes = figures.file_bytes, live_bytes = figures.live_bytes, took_ms = started.elapsed().as_millis() as u64; "the store is open");
+    let streams = StreamVersionTable::new(settings.metrics.clone());
+    tokio::spawn(streams.clone().drop_expired());
     let disk = Disk::start(store, settings.metrics).context(ThreadSnafu)?;
-    let handler = Arc::new(StorePeers { disk: disk.clone() });
+    let handler = Arc::new(StorePeers {
+        disk: disk.clone(),
+        streams,
+    });
     let started = start_peers(settings.node, settings.addresses, PeerPort::Store, handler);
     let peers = Arc::new(started.context(PeersSnafu)?);
     let follower = FleetFollower::new(
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -7,6 +7,7 @@
 
 use courseshed_edge::gateway::{
     CallReport, Demand, EventSplitter, PermitAccess, ServerChoice, ServerTable, ServingConstraints,
+    VersionRequirement,
 };
 use courseshed_registry::{
     EvacuatedZones, LoadReport, Server, ServerList, ServerLoad, ServerState,
@@ -49,6 +50,7 @@
         parts,
         max_in_flight: u32::MAX,
         allowed_regions: &AllowedRegions::ANY,
+        version: &VersionRequirement::Any,
     }
 }
 
--- a/crates/courseshed-edge/tests/cost.rs
+++ b/crates/courseshed-edge/tests/cost.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use courseshed_edge::gateway::{
-    CostInputs, Demand, LatencyEstimate, ServerTable, ServiceLatency, expected_cost_ms,
+    CostInputs, Demand, LatencyEstimate, ServerTable, ServiceLatency, VersionRequirement,
+    expected_cost_ms,
 };
 use courseshed_registry::{Server, ServerList, ServerState};
 use courseshed_routing::AllowedRegions;
@@ -146,6 +147,7 @@
         parts,
         max_in_flight,
         allowed_regions: &AllowedRegions::ANY,
+        version: &VersionRequirement::Any,
     };
     table.choose(&demand, &[], NOW, 7).map(|chosen| chosen.id)
 }
--- a/crates/courseshed-edge/tests/failing_servers.rs
+++ b/crates/courseshed-edge/tests/failing_servers.rs
@@ -5,7 +5,9 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-use courseshed_edge::gateway::{CallReport, Demand, Mechanism, Policy, ServerTable};
+use courseshed_edge::gateway::{
+    CallReport, Demand, Mechanism, Policy, ServerTable, VersionRequirement,
+};
 use courseshed_registry::{
     AvoidanceChange, LoadAggregator, Server, ServerList, ServerState, report_interval,
 };
@@ -152,6 +154,7 @@
                 parts: &[],
                 max_in_flight: 100,
                 allowed_regions: &AllowedRegions::ANY,
+                version: &VersionRequirement::Any,
             };
             let now = Duration::from_millis(at);
             let table = &mut self.gateways[gateway];
--- a/crates/courseshed-edge/tests/policy.rs
+++ b/crates/courseshed-edge/tests/policy.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use courseshed_edge::gateway::{CallReport, Demand, Mechanism, Policy, ServerTable};
+use courseshed_edge::gateway::{
+    CallReport, Demand, Mechanism, Policy, ServerTable, VersionRequirement,
+};
 use courseshed_registry::{Server, ServerList, ServerState};
 use courseshed_routing::AllowedRegions;
 use courseshed_types::{CachedPrompt, PromptPart, ServerKey};
@@ -47,6 +49,7 @@
         parts: &PROMPT,
         max_in_flight: u32::MAX,
         allowed_regions: &AllowedRegions::ANY,
+        version: &VersionRequirement::Any,
     };
     (0..100)
         .filter_map(|tie| table.choose(&demand, &[], NOW, tie))
--- a/crates/courseshed-edge/tests/support/large_fleet.rs
+++ b/crates/courseshed-edge/tests/support/large_fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_edge::gateway::{Demand, ServerTable};
+use courseshed_edge::gateway::{Demand, ServerTable, VersionRequirement};
 use courseshed_registry::{Server, ServerList, ServerState};
 use courseshed_routing::AllowedRegions;
 use courseshed_types::PromptPart;
@@ -55,6 +55,7 @@
         parts: prompt,
         max_in_flight: u32::MAX,
         allowed_regions: &AllowedRegions::ANY,
+        version: &VersionRequirement::Any,
     };
     table.choose(&demand, &[], NOW, tie).map(|chosen| chosen.id)
 }
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -23,6 +23,7 @@
 mod segments;
 pub mod simulation;
 mod store;
+mod stream_versions;
 mod tally;
 mod turn_cache;
 mod view;
@@ -41,5 +42,6 @@
 };
 pub use segments::JournalError;
 pub use store::{ReadError, RecordStore, StoreLimits, StoreStats};
+pub use stream_versions::StreamVersions;
 pub use tally::{MissTally, ReservationDecision, ReservationTally, WriteTally};
 pub use view::{RecordMember, RecordView};
