--- a/crates/courseshed-edge/tests/software_versions.rs
+++ b/crates/courseshed-edge/tests/software_versions.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use courseshed_edge::protocol::{RecordOperation, RecordRequest, StreamOperation};
+use courseshed_records::PartitionId;
 use courseshed_routing::Route;
 use support::server::{Action, FINAL_CHUNK, MockServer, ReceivedRequest, chunk, response};
 use support::{Fleet, Gateway, call, status, stream_route, wait_until};
@@ -306,3 +308,50 @@
     let resumed = resume(fleet.caller_addr, "c1", "first").await;
     assert_eq!(status(&resumed), 500, "{resumed}");
 }
+
+/// A request as a store of an earlier release reads it.
+#[derive(serde::Deserialize)]
+struct EarlierRequest {
+    partition: PartitionId,
+    operation: RecordOperation,
+}
+
+/// Guards against a rolling upgrade in which earlier stores close the connection of every gateway
+/// that asks them for the version of a stream.
+#[test]
+fn store_of_an_earlier_release_reads_a_stream_operation_as_a_harmless_one() {
+    let request = RecordRequest {
+        incarnation: 1,
+        partition: PartitionId(3),
+        epoch: 2,
+        operation: RecordOperation::Chain { id: String::new() },
+        stream: Some(StreamOperation::Read {
+            stream: "first".to_owned(),
+        }),
+    };
+    let bytes = rmp_serde::to_vec_named(&request).expect("encodable");
+    let read: EarlierRequest = rmp_serde::from_slice(&bytes).expect("readable");
+    assert_eq!(read.partition, PartitionId(3));
+    assert!(matches!(read.operation, RecordOperation::Chain { id } if id.is_empty()));
+}
+
+/// Guards against stores that refuse requests of gateways of an earlier release.
+#[test]
+fn request_of_an_earlier_release_holds_no_stream_operation() {
+    let request = RecordRequest {
+        incarnation: 1,
+        partition: PartitionId(3),
+        epoch: 2,
+        operation: RecordOperation::Chain {
+            id: "turn".to_owned(),
+        },
+        stream: None,
+    };
+    let mut value = serde_json::to_value(&request).expect("encodable");
+    value
+        .as_object_mut()
+        .expect("an object")
+        .shift_remove("stream");
+    let read: RecordRequest = serde_json::from_value(value).expect("readable");
+    assert_eq!(read.stream, None);
+}
--- a/crates/courseshed-registry/src/server.rs
+++ b/crates/courseshed-registry/src/server.rs
@@ -66,6 +66,19 @@
         }
     }
 
+    /// Keeps the known software version if this registration of the same incarnation states none. A
+    /// controller of an earlier release passes registrations on without it.
+    #[must_use]
+    pub(crate) fn with_version_of(self, known: &Self) -> Self {
+        let software_version = self
+            .software_version
+            .or_else(|| known.software_version.clone());
+        Self {
+            software_version,
+            ..self
+        }
+    }
+
     /// Whether a later registration of the same incarnation contains no relevant change. A
     /// decreasing warm-up time is no change, nor is any warm-up time of a service without warm-up
     /// limits.
@@ -74,11 +87,11 @@
         let is_warming_as_before = (self.warmup_remaining_ms == 0)
             == (later.warmup_remaining_ms == 0)
             && later.warmup_remaining_ms <= self.warmup_remaining_ms;
-        let with_previous_warmup = Self {
+        let later = Self {
             warmup_remaining_ms: self.warmup_remaining_ms,
-            ..later.clone()
+            ..later.clone().with_version_of(self)
         };
-        *self == with_previous_warmup && (is_warming_as_before || !warmup_matters)
+        *self == later && (is_warming_as_before || !warmup_matters)
     }
 }
 
--- a/crates/courseshed-registry/src/server_list.rs
+++ b/crates/courseshed-registry/src/server_list.rs
@@ -111,9 +111,13 @@
     pub(crate) fn insert(&mut self, registration: Registration) {
         self.revision += 1;
         let id = registration.server.id.clone();
-        self.remove_from_indexes(&id);
+        let known = self.remove_from_indexes(&id);
+        let server = match known {
+            Some(known) => registration.server.with_version_of(&known.server),
+            None => registration.server,
+        };
         let announced = AnnouncedServer {
-            server: Arc::new(registration.server),
+            server: Arc::new(server),
             sequence: registration.sequence,
             revision: self.revision,
         };
--- a/crates/courseshed-registry/tests/state.rs
+++ b/crates/courseshed-registry/tests/state.rs
@@ -732,3 +732,55 @@
     apply(&mut state, view_with(1, &[2, 3]));
     assert!(state.records().has_member(NodeId(2)));
 }
+
+fn announce_version(sequence: u64, version: Option<&str>) -> Command {
+    let registration = registration(ServerState::Ready, sequence);
+    Command::Announce(Registration {
+        server: Server {
+            software_version: version.map(str::to_owned),
+            ..registration.server
+        },
+        sequence,
+    })
+}
+
+fn version_of(state: &FleetState) -> Option<String> {
+    state
+        .server_named("one")
+        .and_then(|server| server.software_version.clone())
+}
+
+/// Guards against controllers of an earlier release, which pass registrations on without the version.
+#[test]
+fn registration_without_a_version_does_not_erase_the_known_one() {
+    let mut state = FleetState::default();
+    apply(&mut state, announce_version(1, Some("v1")));
+    let unversioned = registration(ServerState::Ready, 2);
+    assert!(state.is_redundant(&unversioned));
+    apply(&mut state, announce(ServerState::Draining, 3));
+    assert_eq!(version_of(&state).as_deref(), Some("v1"));
+}
+
+#[test]
+fn registration_that_states_a_version_replaces_an_unknown_one() {
+    let mut state = FleetState::default();
+    apply(&mut state, announce(ServerState::Ready, 1));
+    let Command::Announce(versioned) = announce_version(2, Some("v1")) else {
+        panic!("an announcement");
+    };
+    assert!(!state.is_redundant(&versioned));
+    apply(&mut state, Command::Announce(versioned));
+    assert_eq!(version_of(&state).as_deref(), Some("v1"));
+}
+
+/// Guards against a rolling upgrade that takes servers of an unknown version for equal ones.
+#[test]
+fn version_of_a_server_stored_by_an_earlier_release_is_unknown() {
+    let server = registration(ServerState::Ready, 1).server;
+    let mut stored = serde_json::to_value(&server).expect("encodable");
+    let fields = stored.as_object_mut().expect("an object");
+    assert!(fields.shift_remove("software_version").is_some());
+    let read: Server = serde_json::from_value(stored).expect("readable");
+    assert_eq!(read, server);
+    assert_eq!(read.software_version, None);
+}
