Grant calls that resume a stream only engines of its software version

Cause: a pool's scheduler does not know versions; a gateway refused its grant twice and then chose an engine by itself, past the queue. Change: demands name the required version, engines are listed with theirs. Schedulers of an earlier release ignore it; the gateway still checks each grant.

--- a/crates/courseshed-edge/src/controller/pools.rs
+++ b/crates/courseshed-edge/src/controller/pools.rs
@@ -163,7 +163,7 @@
 fn listing(server: &Server, limits: &EngineLimits) -> EngineListing {
     EngineListing {
         key: ServerKey::of(&server.id),
-        zone: NameHash(xxh3_64(server.zone.as_bytes())),
+        zone: name_hash(&server.zone),
         slots: if server.slots == 0 {
             limits.slots
         } else {
@@ -171,5 +171,10 @@
         },
         memory_tokens: limits.memory_tokens,
         is_ready: server.state == ServerState::Ready,
+        version: server.software_version.as_deref().map(name_hash),
     }
 }
+
+fn name_hash(name: &str) -> NameHash {
+    NameHash(xxh3_64(name.as_bytes()))
+}
--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -237,6 +237,7 @@
             waited_ms: 0,
             time_left_ms: 0,
             excluded,
+            version: self.version_requirement.required_version().map(name_key),
             held: self.cached_prompts.clone(),
         }
     }
--- a/crates/courseshed-edge/tests/pool_scheduling.rs
+++ b/crates/courseshed-edge/tests/pool_scheduling.rs
@@ -576,6 +576,7 @@
         waited_ms: 0,
         time_left_ms: 60_000,
         excluded: Vec::new(),
+        version: None,
         held: Vec::new(),
     }
 }
--- a/crates/courseshed-pool/src/message.rs
+++ b/crates/courseshed-pool/src/message.rs
@@ -12,7 +12,7 @@
     pub number: u64,
 }
 
-/// Hash of the name of a program, route, tenant or zone.
+/// Hash of the name of a program, route, tenant, zone or software version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NameHash(pub u64);
 
@@ -56,6 +56,9 @@
     pub time_left_ms: u32,
     /// Engines that must not be granted, for example because an earlier attempt failed there.
     pub excluded: Vec<ServerKey>,
+    /// Software version that the engine must run, since the call resumes a stream that began there.
+    #[serde(default)]
+    pub version: Option<NameHash>,
     /// Cached copies of the prompt that the gateway knows of; used by a scheduler that has just
     /// started.
     pub held: Vec<CachedPrompt>,
@@ -140,6 +143,8 @@
     pub memory_tokens: Option<u64>,
     /// Whether it accepts new calls.
     pub is_ready: bool,
+    /// Version of its software; none if it reports none.
+    pub version: Option<NameHash>,
 }
 
 /// A decision on a call.
--- a/crates/courseshed-pool/src/scheduler.rs
+++ b/crates/courseshed-pool/src/scheduler.rs
@@ -591,6 +591,8 @@
 
 impl WaitingCall {
     fn can_run_on(&self, engine: &Engine) -> bool {
-        !self.demand.excluded.contains(&engine.listing.key)
+        let is_version =
+            self.demand.version.is_none() || self.demand.version == engine.listing.version;
+        is_version && !self.demand.excluded.contains(&engine.listing.key)
     }
 }
--- a/crates/courseshed-pool/tests/invariants.rs
+++ b/crates/courseshed-pool/tests/invariants.rs
@@ -112,6 +112,7 @@
                     slots: self.random_below(5) as u32,
                     memory_tokens: (self.random_below(3) > 0).then_some(50_000),
                     is_ready: self.random_below(5) > 0,
+                    version: None,
                 };
                 self.engines.push(engine);
             } else if !self.keeps_calls {
@@ -160,6 +161,7 @@
             excluded: (0..self.random_below(3))
                 .map(|_| self.random_engine())
                 .collect(),
+            version: None,
         }
     }
 
--- a/crates/courseshed-pool/tests/support/mod.rs
+++ b/crates/courseshed-pool/tests/support/mod.rs
@@ -126,6 +126,7 @@
             slots: engine.slots as u32,
             memory_tokens: Some(engine.memory_tokens),
             is_ready: !not_ready.contains(&index),
+            version: None,
         };
         let listings: Vec<_> = self.engines.iter().enumerate().map(listing).collect();
         self.scheduler.set_engines(self.clock(), &listings);
--- a/crates/courseshed-pool/tests/support/program.rs
+++ b/crates/courseshed-pool/tests/support/program.rs
@@ -143,6 +143,7 @@
             waited_ms: 0,
             time_left_ms: 0,
             excluded: self.excluded.clone(),
+            version: None,
             held: self.cached.clone(),
         }
     }
