--- a/crates/courseshed-soak/src/caller.rs
+++ b/crates/courseshed-soak/src/caller.rs
@@ -12,8 +12,8 @@
 
 use crate::http_text::{Message, TextConnection, event_data};
 use crate::ledger::{CallKind, CallSeen, Outcome, ProgramBudget, Promise, TurnSeen};
-use crate::run::World;
 use crate::server::{events_of, plain_answer};
+use crate::world::World;
 use crate::zones::{REGIONS, marker};
 
 /// How long a caller waits for an answer.
--- a/crates/courseshed-soak/src/lib.rs
+++ b/crates/courseshed-soak/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod http_text;
 pub mod ledger;
 pub mod node;
+pub mod routing;
 pub mod run;
 pub mod server;
+pub mod world;
 pub mod zones;
--- /dev/null
+++ b/crates/courseshed-soak/src/routing.rs
@@ -0,0 +1,87 @@
+//! The routing table of the soak.
+
+use std::sync::Arc;
+
+use courseshed_routing::{
+    CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
+};
+
+use crate::ledger::TOKENS_PER_EVENT;
+use crate::server::SERVICE;
+use crate::zones::REGIONS;
+
+/// Calls per second that a server bears while it warms up.
+const WARM_UP_RATE: f64 = 4.0;
+
+/// What the routing table of a run contains.
+#[derive(Clone, Copy, Debug)]
+pub struct TableContents {
+    /// Routes that are restricted to a region.
+    pub has_regions: bool,
+    /// A limit on calls to servers that warm up.
+    pub limits_warm_up: bool,
+}
+
+/// The routing table of the soak: a route for each kind of call, and those that are restricted to a
+/// region.
+#[must_use]
+pub fn routing_table(version: u64, contents: TableContents) -> VersionedTable {
+    let mut routes = vec![
+        route("once", CallKind::AtMostOnce, 2),
+        route("safe", CallKind::Repeatable, 3),
+        route("turn", CallKind::Stream, 2),
+    ];
+    for region in REGIONS.into_iter().filter(|_| contents.has_regions) {
+        let restricted = [
+            route(&format!("{region}-safe"), CallKind::Repeatable, 3),
+            route(&format!("{region}-turn"), CallKind::Stream, 2),
+        ];
+        routes.extend(restricted.map(|route| Route {
+            allowed_regions: vec![region.to_owned()],
+            ..route
+        }));
+    }
+    VersionedTable {
+        version,
+        table: RoutingTable {
+            routes: routes.into_iter().map(Arc::new).collect(),
+            services: vec![Service {
+                warm_up_rate_per_s: contents.limits_warm_up.then_some(WARM_UP_RATE),
+                name: SERVICE.to_owned(),
+                connection_limit: 0,
+                engine: Some(EngineLimits {
+                    slots: 16,
+                    tokens_per_event: TOKENS_PER_EVENT,
+                    memory_tokens: None,
+                }),
+            }],
+            limits: CallLimits::default(),
+            tenants: None,
+        },
+    }
+}
+
+/// A route whose turns, if it has any, are stored.
+fn route(name: &str, kind: CallKind, max_attempts: u32) -> Route {
+    let keeps_turns = kind == CallKind::Stream;
+    Route {
+        name: name.to_owned(),
+        host: "soak.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 5_000,
+        latency_target_ms: 200,
+        priority: 0,
+        targets: vec![Target {
+            service: SERVICE.to_owned(),
+            weight: 1.0,
+        }],
+        max_attempts,
+        stores_turns: keeps_turns,
+        retention_ms: 60_000,
+        affinity: keeps_turns,
+        resumable: false,
+        is_public: false,
+        allowed_regions: Vec::new(),
+    }
+}
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -1,35 +1,26 @@
 //! One run: the fleet, its servers and callers, the faults, and what it comes to.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_routing::{
-    CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
-};
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::caller::Caller;
 use crate::faults::{Fault, FaultKind, plan};
 use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions};
-use crate::http_text::TextConnection;
-use crate::ledger::{Disturbed, Ledger, Promise, TOKENS_PER_EVENT, Tally};
+use crate::ledger::{Disturbed, Promise, Tally};
 use crate::node::Role;
-use crate::server::{SERVICE, SoakServer};
+use crate::server::SoakServer;
+use crate::world::{Broken, World};
 use crate::zones::{REGIONS, marker, region_of, zone_at};
 
 /// How often processes are looked at.
 const TEND_INTERVAL: Duration = Duration::from_millis(20);
-/// How long an operator's call may take, and the pause before it is tried again.
-const OPERATOR_PATIENCE: Duration = Duration::from_secs(3);
-const OPERATOR_RETRY: Duration = Duration::from_millis(100);
 /// How long everything may take to serve, at the start and after the faults: many times what it takes,
 /// since the machine may be busy.
 const SERVING_PATIENCE: Duration = Duration::from_secs(90);
@@ -41,22 +32,9 @@
 /// How long a zone is left alone after its evacuation: an operator's call that timed out may still be
 /// carried out by a controller that was paused.
 const EVACUATION_PAUSE: Duration = Duration::from_secs(5);
-/// Calls per second that a server bears while it warms up.
-const WARM_UP_RATE: f64 = 4.0;
 /// Calls that may reach it in a second: one and a half times the rate and 5.
 const WARM_UP_LIMIT: usize = 11;
 
-/// A fault of the fleet that is put in on purpose, to see that a check catches it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Broken {
-    /// Evacuations that operators are told to be committed never reach the controllers.
-    IgnoresEvacuations,
-    /// Processes take each zone for one of the other region.
-    ConfusesRegions,
-    /// The routing table that reaches the controllers has no warm-up limit.
-    IgnoresWarmUpLimit,
-}
-
 /// What is to be run.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -104,91 +82,6 @@
     NeverServed,
 }
 
-/// What the tasks of a run share.
-pub struct World {
-    /// What was seen.
-    pub ledger: RefCell<Ledger>,
-    /// What servers are to get for each turn.
-    pub histories: RefCell<BTreeMap<String, String>>,
-    gateways: Vec<usize>,
-    addresses: BTreeMap<usize, SocketAddr>,
-    operators: Vec<SocketAddr>,
-    next_operator: Cell<usize>,
-    has_regions: bool,
-    limits_warm_up: bool,
-    broken: Option<Broken>,
-    is_over: Cell<bool>,
-}
-
-impl World {
-    /// The places of the gateways in the fleet.
-    #[must_use]
-    pub fn gateways(&self) -> &[usize] {
-        &self.gateways
-    }
-
-    /// Where callers connect to a gateway.
-    #[must_use]
-    pub fn callers_address(&self, gateway: usize) -> SocketAddr {
-        self.addresses[&gateway]
-    }
-
-    /// Whether callers and servers are to end.
-    #[must_use]
-    pub fn is_over(&self) -> bool {
-        self.is_over.get()
-    }
-
-    /// Whether some calls are restricted to a region.
-    #[must_use]
-    pub fn has_regions(&self) -> bool {
-        self.has_regions
-    }
-
-    /// Notes what a server is to get for a turn.
-    pub fn expect_history(&self, turn: &str, body: &str) {
-        let mut histories = self.histories.borrow_mut();
-        histories.insert(turn.to_owned(), body.to_owned());
-    }
-
-    /// Makes an operator's call at the next controller; whether it was carried out.
-    pub async fn operate(&self, path: &str, body: &str) -> bool {
-        let turn = self.next_operator.get();
-        self.next_operator.set(turn + 1);
-        let address = self.operators[turn % self.operators.len()];
-        let length = body.len();
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nhost: soak.example\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
-        );
-        let call = async {
-            let stream = TcpStream::connect(address).await.ok()?;
-            let mut connection = TextConnection::new(stream);
-            connection.write(&request).await.ok()?;
-            connection.read().await?.head.status()
-        };
-        timeout(OPERATOR_PATIENCE, call).await.ok().flatten() == Some(200)
-    }
-
-    async fn put_routing_in_force(&self, version: u64) {
-        let table = serde_json::to_string(&self.routing(version)).unwrap_or_default();
-        self.insist("/routing", &table).await;
-    }
-
-    /// Makes an operator's call until it is carried out.
-    async fn insist(&self, path: &str, body: &str) {
-        while !self.operate(path, body).await && !self.is_over() {
-            sleep(OPERATOR_RETRY).await;
-        }
-    }
-
-    async fn set_evacuated(&self, zone: &str, is_evacuated: bool) {
-        if self.broken != Some(Broken::IgnoresEvacuations) {
-            let body = serde_json::json!([zone, is_evacuated]).to_string();
-            self.insist("/evacuate", &body).await;
-        }
-    }
-}
-
 /// Runs a soak.
 ///
 /// # Errors
@@ -206,7 +99,7 @@
         regions,
     );
     let fleet = fleet.context(ProcessSnafu)?;
-    let world = Rc::new(world_of(&fleet, &options));
+    let world = Rc::new(World::new(&fleet, &options));
     if options.limits_warm_up {
         let mut ledger = world.ledger.borrow_mut();
         ledger.set_warm_up_limit(WARM_UP_LIMIT);
@@ -229,7 +122,7 @@
     run.wait_until_opened().await;
     run.wait_until_whole().await;
     run.check_that_all_serve().await;
-    world.is_over.set(true);
+    world.end();
     for caller in callers {
         if caller.await.is_err() {
             log::error!("a caller ended early");
@@ -238,7 +131,7 @@
     tending.abort();
     let fleet = fleet.borrow();
     let mut ledger = world.ledger.borrow_mut();
-    if world.has_regions {
+    if world.has_regions() {
         for detail in stored_elsewhere(&fleet) {
             ledger.note_violation(Promise::StoredRegion, detail);
         }
@@ -279,25 +172,6 @@
     })
 }
 
-fn world_of(fleet: &Fleet, options: &SoakOptions) -> World {
-    let gateways = fleet.members(Role::Gateway);
-    let addresses = gateways.iter();
-    World {
-        ledger: RefCell::default(),
-        histories: RefCell::default(),
-        addresses: addresses
-            .map(|gateway| (*gateway, fleet.callers_address(*gateway)))
-            .collect(),
-        gateways,
-        operators: fleet.operator_addresses(),
-        next_operator: Cell::new(0),
-        has_regions: options.has_regions,
-        limits_warm_up: options.limits_warm_up,
-        broken: options.broken,
-        is_over: Cell::new(false),
-    }
-}
-
 /// Starts processes again that ended, and notes those that did so by themselves.
 async fn tend(world: Rc<World>, fleet: Rc<RefCell<Fleet>>) {
     loop {
@@ -487,7 +361,7 @@
                 .borrow_mut()
                 .note_evacuated(&zone, Instant::now());
             sleep(how_long).await;
-            if world.limits_warm_up {
+            if world.limits_warm_up() {
                 for server in servers {
                     server.cool();
                 }
@@ -571,72 +445,6 @@
     ledger.note_disturbed(what, now, now + how_long);
 }
 
-impl World {
-    /// The routing table of the soak: a route for each kind of call, and those that are restricted to a
-    /// region.
-    fn routing(&self, version: u64) -> VersionedTable {
-        let limits_warm_up = self.limits_warm_up && self.broken != Some(Broken::IgnoresWarmUpLimit);
-        let mut routes = vec![
-            route("once", CallKind::AtMostOnce, 2),
-            route("safe", CallKind::Repeatable, 3),
-            route("turn", CallKind::Stream, 2),
-        ];
-        for region in REGIONS.into_iter().filter(|_| self.has_regions) {
-            let restricted = [
-                route(&format!("{region}-safe"), CallKind::Repeatable, 3),
-                route(&format!("{region}-turn"), CallKind::Stream, 2),
-            ];
-            routes.extend(restricted.map(|route| Route {
-                allowed_regions: vec![region.to_owned()],
-                ..route
-            }));
-        }
-        VersionedTable {
-            version,
-            table: RoutingTable {
-                routes: routes.into_iter().map(Arc::new).collect(),
-                services: vec![Service {
-                    warm_up_rate_per_s: limits_warm_up.then_some(WARM_UP_RATE),
-                    name: SERVICE.to_owned(),
-                    connection_limit: 0,
-                    engine: Some(EngineLimits {
-                        slots: 16,
-                        tokens_per_event: TOKENS_PER_EVENT,
-                        memory_tokens: None,
-                    }),
-                }],
-                limits: CallLimits::default(),
-                tenants: None,
-            },
-        }
-    }
-}
-
-/// A route whose turns, if it has any, are stored.
-fn route(name: &str, kind: CallKind, max_attempts: u32) -> Route {
-    let keeps_turns = kind == CallKind::Stream;
-    Route {
-        name: name.to_owned(),
-        host: "soak.example".to_owned(),
-        path_prefix: format!("/{name}/"),
-        kind,
-        timeout_ms: 5_000,
-        latency_target_ms: 200,
-        priority: 0,
-        targets: vec![Target {
-            service: SERVICE.to_owned(),
-            weight: 1.0,
-        }],
-        max_attempts,
-        stores_turns: keeps_turns,
-        retention_ms: 60_000,
-        affinity: keeps_turns,
-        resumable: false,
-        is_public: false,
-        allowed_regions: Vec::new(),
-    }
-}
-
 /// The logs of a run's processes that say something worse than usual, for a report.
 ///
 /// # Errors
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -13,7 +13,7 @@
 
 use crate::http_text::{Message, TextConnection, event_chunk};
 use crate::ledger::Promise;
-use crate::run::World;
+use crate::world::World;
 use crate::zones::{REGIONS, region_of};
 
 /// The one service of the soak.
