Play releases in the soak, with servers that check the version of what they are given

Callers cut and resume streams at any gateway; their events must name one version, and a server checks that a stream which goes on there began at its version. A variant in which servers report one version for all is caught by these checks.

--- a/crates/courseshed-edge/src/gateway/short_codec.rs
+++ b/crates/courseshed-edge/src/gateway/short_codec.rs
@@ -16,7 +16,7 @@
 /// The codec. Request headers: `x-call` (request ID), `x-program`, `x-budget` (token budget),
 /// `x-most` (maximum tokens), `x-time` (timeout in ms), `x-last` (last event ID),
 /// `x-resumes` (request that began the stream), `x-key` (affinity key), `x-prompt` (prompt segments), `x-previous` (previous turn) and `x-auth` (API key). Servers
-/// receive `x-tenant` and respond with `x-not-run` if they did not execute the request.
+/// receive `x-resumes` and `x-tenant` and respond with `x-not-run` if they did not execute the request.
 #[derive(Clone, Copy, Debug)]
 pub struct ShortCodec;
 
@@ -75,6 +75,9 @@
         if let Some(event) = terms.resume_after {
             out.put_slice(format!("x-last: {event}\r\n").as_bytes());
         }
+        if let Some(first) = &call.resumed_request {
+            out.put_slice(format!("x-resumes: {first}\r\n").as_bytes());
+        }
         if let Some(tenant) = &terms.tenant {
             out.put_slice(format!("x-tenant: {tenant}\r\n").as_bytes());
         }
--- a/crates/courseshed-soak/src/caller.rs
+++ b/crates/courseshed-soak/src/caller.rs
@@ -17,9 +17,9 @@
 use crate::zones::{REGIONS, marker};
 
 /// How long a caller waits for an answer.
-const PATIENCE: Duration = Duration::from_secs(6);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(6);
 /// What it tells the gateway of that, in milliseconds.
-const TIME_TOLD_MS: u64 = 5_000;
+pub(crate) const TIME_TOLD_MS: u64 = 5_000;
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 /// The most that a turn may generate, in tokens: five events and one more.
 const MOST_OF_TURN: u64 = 60;
@@ -38,7 +38,7 @@
 
 /// One caller. It uses one connection to each gateway for as long as that is open.
 pub struct Caller {
-    world: Rc<World>,
+    pub(crate) world: Rc<World>,
     name: String,
     random: ChaCha8Rng,
     calls: u64,
@@ -91,6 +91,9 @@
             match self.random.random_range(0..10) {
                 0..3 => self.plain(CallKind::Once).await,
                 3..6 => self.plain(CallKind::Repeatable).await,
+                _ if self.world.has_releases() && self.random.random_range(0..2) == 0 => {
+                    self.resumable_stream().await;
+                }
                 _ => self.program().await,
             }
         }
@@ -262,22 +265,37 @@
         ended
     }
 
+    /// A connection to a gateway: the open one, if there is one.
+    pub(crate) async fn take_connection(&mut self, gateway: usize) -> Option<TextConnection> {
+        match self.connections.remove(&gateway) {
+            Some(connection) => Some(connection),
+            None => self.connect(gateway).await,
+        }
+    }
+
+    /// Keeps a connection for the next call.
+    pub(crate) fn keep_connection(&mut self, gateway: usize, connection: TextConnection) {
+        self.connections.insert(gateway, connection);
+    }
+
+    /// Draws a number below a bound.
+    pub(crate) fn draw(&mut self, bound: u64) -> u64 {
+        self.random.random_range(0..bound)
+    }
+
     async fn exchange(&mut self, gateway: usize, call: &Call<'_>) -> Ended {
         let nothing = |outcome| Ended {
             outcome,
             answer: None,
         };
-        let mut connection = match self.connections.remove(&gateway) {
-            Some(connection) => connection,
-            None => match self.connect(gateway).await {
-                Some(connection) => connection,
-                None => return nothing(Outcome::NotConnected),
-            },
+        let Some(mut connection) = self.take_connection(gateway).await else {
+            return nothing(Outcome::NotConnected);
         };
         let name = match call.kind {
             CallKind::Once => "once",
             CallKind::Repeatable => "safe",
             CallKind::Turn => "turn",
+            CallKind::Stream => "stream",
         };
         let path = match call.region {
             Some(region) => format!("/{region}-{name}/x"),
@@ -323,17 +341,17 @@
         Some(TextConnection::new(stream))
     }
 
-    fn choose_gateway(&mut self) -> usize {
+    pub(crate) fn choose_gateway(&mut self) -> usize {
         let gateways = self.world.gateways();
         gateways.choose(&mut self.random).copied().unwrap_or(0)
     }
 
-    fn next_id(&mut self) -> String {
+    pub(crate) fn next_id(&mut self) -> String {
         self.calls += 1;
         format!("{}-{}", self.name, self.calls)
     }
 
-    fn violation(&self, promise: Promise, detail: String) {
+    pub(crate) fn violation(&self, promise: Promise, detail: String) {
         let mut ledger = self.world.ledger.borrow_mut();
         ledger.note_violation(promise, detail);
     }
--- a/crates/courseshed-soak/src/faults.rs
+++ b/crates/courseshed-soak/src/faults.rs
@@ -93,6 +93,11 @@
     ChangeRouting,
     /// A server is replaced by a new one.
     ReplaceServer,
+    /// A server is replaced by one that runs a software version.
+    UpgradeServer {
+        /// Which version.
+        version: u32,
+    },
 }
 
 /// A fault at its time.
--- a/crates/courseshed-soak/src/http_text.rs
+++ b/crates/courseshed-soak/src/http_text.rs
@@ -117,6 +117,49 @@
         })
     }
 
+    /// Reads a stream of events until a number of them came, or it ended.
+    pub async fn read_events(&mut self, most: usize) -> Option<Message> {
+        let head = self.read_head().await?;
+        if !head.is_chunked() {
+            let length = head.content_length();
+            let is_whole = self.fill_to(length).await;
+            let body = self.take(length);
+            return Some(Message {
+                head,
+                body,
+                is_whole,
+            });
+        }
+        let mut body = String::new();
+        let mut is_whole = false;
+        while event_data(&body).len() < most {
+            match self.read_chunk().await {
+                Some(chunk) if chunk.is_empty() => {
+                    is_whole = true;
+                    break;
+                }
+                Some(chunk) => body.push_str(&chunk),
+                None => break,
+            }
+        }
+        Some(Message {
+            head,
+            body,
+            is_whole,
+        })
+    }
+
+    /// The content of the next chunk, empty for the last one; none if it did not come whole.
+    async fn read_chunk(&mut self) -> Option<String> {
+        let line = self.read_line().await?;
+        let size = usize::from_str_radix(line.trim(), 16).ok()?;
+        if !self.fill_to(size + 2).await {
+            return None;
+        }
+        let chunk = self.take(size + 2);
+        Some(chunk[..size].to_owned())
+    }
+
     async fn read_head(&mut self) -> Option<Head> {
         loop {
             let end = self.buffer.windows(4).position(|four| four == b"\r\n\r\n");
@@ -134,20 +177,11 @@
     async fn read_chunks(&mut self) -> (String, bool) {
         let mut body = String::new();
         loop {
-            let Some(line) = self.read_line().await else {
-                return (body, false);
-            };
-            let Ok(size) = usize::from_str_radix(line.trim(), 16) else {
-                return (body, false);
-            };
-            if !self.fill_to(size + 2).await {
-                return (body, false);
-            }
-            let chunk = self.take(size + 2);
-            if size == 0 {
-                return (body, true);
+            match self.read_chunk().await {
+                Some(chunk) if chunk.is_empty() => return (body, true),
+                Some(chunk) => body.push_str(&chunk),
+                None => return (body, false),
             }
-            body.push_str(&chunk[..size]);
         }
     }
 
--- a/crates/courseshed-soak/src/ledger.rs
+++ b/crates/courseshed-soak/src/ledger.rs
@@ -28,6 +28,8 @@
     Budget,
     /// Nothing that was passed on is cut off, neither by a planned stop nor without any.
     NotCutOff,
+    /// All events of a stream come from servers of one software version, whoever resumes it.
+    StreamVersion,
     /// No call reaches a server of an evacuated zone once its gateway must know of the evacuation.
     EvacuatedZone,
     /// A call that is restricted to a region reaches no server of another one.
@@ -66,6 +68,8 @@
     Repeatable,
     /// A turn of a program.
     Turn,
+    /// A stream that may be resumed.
+    Stream,
 }
 
 /// How a call ended for its caller.
@@ -153,6 +157,31 @@
 /// The span in which arrivals at a server that is warming up are counted.
 const WARM_UP_WINDOW: Duration = Duration::from_secs(1);
 
+/// Requests of callers that resume a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Resumptions {
+    /// Those that went on with the stream.
+    pub continued: usize,
+    /// Those that were refused as not run.
+    pub refused: usize,
+    /// Those that ended otherwise.
+    pub failed: usize,
+}
+
+impl fmt::Display for Resumptions {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            continued,
+            refused,
+            failed,
+        } = self;
+        write!(
+            formatter,
+            "of streams that callers resumed {continued} went on, {refused} were refused, {failed} failed"
+        )
+    }
+}
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -168,6 +197,7 @@
     runs: BTreeMap<String, u64>,
     dropped: BTreeMap<String, u64>,
     budgets: BTreeMap<String, ProgramBudget>,
+    resumptions: Resumptions,
     disturbances: Vec<Disturbance>,
     seen: Vec<Violation>,
 }
@@ -189,6 +219,8 @@
     pub evacuated_arrivals: usize,
     /// Calls that reached servers that were warming up.
     pub cold_arrivals: usize,
+    /// Requests of callers that resume a stream.
+    pub resumptions: Resumptions,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -204,6 +236,17 @@
         *self.dropped.entry(call.to_owned()).or_default() += 1;
     }
 
+    /// Notes how a request ended that resumes a stream, and whether any event came.
+    pub fn note_resumption(&mut self, outcome: &Outcome, has_events: bool) {
+        let resumptions = &mut self.resumptions;
+        match outcome {
+            Outcome::Answered { status } if is_not_run(*status) => resumptions.refused += 1,
+            Outcome::Answered { status: 200 } => resumptions.continued += 1,
+            _ if has_events => resumptions.continued += 1,
+            _ => resumptions.failed += 1,
+        }
+    }
+
     /// Notes what a program may spend.
     pub fn note_budget(&mut self, program: &str, budget: ProgramBudget) {
         self.budgets.insert(program.to_owned(), budget);
@@ -279,6 +322,7 @@
             calls: self.calls.len(),
             violations: self.seen.clone(),
             restricted_runs: self.restricted_runs,
+            resumptions: self.resumptions,
             evacuated_arrivals: self.late_arrivals.len(),
             cold_arrivals: self.cold_arrivals.values().map(Vec::len).sum(),
             ..Tally::default()
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -9,6 +9,7 @@
 use courseshed_soak::fleet::FleetSize;
 use courseshed_soak::ledger::Tally;
 use courseshed_soak::node::{self, NodeArguments};
+use courseshed_soak::releases::plan_with_releases;
 use courseshed_soak::run::{SoakOptions, run, warnings};
 
 const EXIT_CANNOT_RUN: u8 = 2;
@@ -58,6 +59,9 @@
     /// limit calls to servers that warm up, and check it
     #[argh(switch)]
     limit_warm_up: bool,
+    /// replace servers by ones of other software versions, and resume streams
+    #[argh(switch)]
+    releases: bool,
     /// a file with the faults, as a failed run leaves one (those of the seed)
     #[argh(option)]
     plan: Option<PathBuf>,
@@ -110,6 +114,7 @@
     };
     let faults = match &arguments.plan {
         Some(file) => serde_json::from_slice(&std::fs::read(file)?)?,
+        None if arguments.releases => plan_with_releases(seed, how_long, &size.roles()),
         None => plan(seed, how_long, &size.roles()),
     };
     let options = SoakOptions {
@@ -118,6 +123,7 @@
         faults: Some(faults.clone()),
         has_regions: seed.is_multiple_of(2),
         limits_warm_up: arguments.limit_warm_up,
+        has_releases: arguments.releases,
         broken: None,
         size,
         servers: arguments.servers,
@@ -149,11 +155,12 @@
         restricted_runs,
         evacuated_arrivals,
         cold_arrivals,
+        resumptions,
         violations,
     } = tally;
     let broken = violations.len();
     println!(
-        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {broken} promises broken"
+        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {resumptions}; {broken} promises broken"
     );
     for violation in violations {
         println!("  {violation}");
--- a/crates/courseshed-soak/src/routing.rs
+++ b/crates/courseshed-soak/src/routing.rs
@@ -20,6 +20,8 @@
     pub has_regions: bool,
     /// A limit on calls to servers that warm up.
     pub limits_warm_up: bool,
+    /// A route of streams that may be resumed.
+    pub has_streams: bool,
 }
 
 /// The routing table of the soak: a route for each kind of call, and those that are restricted to a
@@ -31,6 +33,13 @@
         route("safe", CallKind::Repeatable, 3),
         route("turn", CallKind::Stream, 2),
     ];
+    if contents.has_streams {
+        routes.push(Route {
+            stores_turns: false,
+            resumable: true,
+            ..route("stream", CallKind::Stream, 3)
+        });
+    }
     for region in REGIONS.into_iter().filter(|_| contents.has_regions) {
         let restricted = [
             route(&format!("{region}-safe"), CallKind::Repeatable, 3),
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions};
 use crate::ledger::{Disturbed, Promise, Tally};
 use crate::node::Role;
+use crate::releases::{FIRST_VERSION, plan_with_releases};
 use crate::server::SoakServer;
 use crate::world::{Broken, World};
 use crate::zones::{REGIONS, marker, region_of, zone_at};
@@ -48,6 +49,8 @@
     pub has_regions: bool,
     /// Whether the service limits calls to servers that warm up.
     pub limits_warm_up: bool,
+    /// Whether servers are replaced by ones of other software versions, and callers resume streams.
+    pub has_releases: bool,
     /// A fault put in on purpose.
     pub broken: Option<Broken>,
     /// Processes.
@@ -209,7 +212,7 @@
     async fn prepare(&mut self) -> Result<(), SoakError> {
         self.world.put_routing_in_force(self.routing_version).await;
         for _ in 0..self.options.servers {
-            self.start_server().await?;
+            self.start_server(FIRST_VERSION).await?;
         }
         let seed = self.options.seed;
         let mut probe = Caller::new(self.world.clone(), usize::MAX, seed);
@@ -225,12 +228,12 @@
         Ok(())
     }
 
-    async fn start_server(&mut self) -> Result<(), SoakError> {
+    async fn start_server(&mut self, version: u32) -> Result<(), SoakError> {
         self.servers_started += 1;
         let id = format!("server-{}", self.servers_started);
         let seed = self.options.seed.wrapping_add(self.servers_started);
         let zone = zone_at(self.servers_started as usize - 1);
-        let server = SoakServer::start(self.world.clone(), id, zone, seed).await;
+        let server = SoakServer::start(self.world.clone(), id, version, zone, seed).await;
         let server = server.context(ServerSnafu)?;
         if self.options.limits_warm_up {
             server.cool();
@@ -256,9 +259,17 @@
             seed,
             how_long,
             size,
+            has_releases,
             ..
         } = self.options;
-        let faults = faults.unwrap_or_else(|| plan(seed, how_long, &size.roles()));
+        let faults = faults.unwrap_or_else(|| {
+            let roles = size.roles();
+            if has_releases {
+                plan_with_releases(seed, how_long, &roles)
+            } else {
+                plan(seed, how_long, &roles)
+            }
+        });
         for Fault { at, kind } in faults {
             tokio::time::sleep_until(began + at).await;
             log::info!("{at:?}: {kind:?}");
@@ -312,14 +323,22 @@
                 actix_rt::spawn(async move { world.put_routing_in_force(version).await });
             }
             FaultKind::ReplaceServer => {
-                self.start_server().await?;
-                let oldest = self.servers.remove(0);
-                actix_rt::spawn(oldest.leave());
+                let version = self.servers[0].version();
+                self.replace_server(version).await?;
             }
+            FaultKind::UpgradeServer { version } => self.replace_server(version).await?,
         }
         Ok(())
     }
 
+    /// Starts a server of a software version, and lets the oldest one leave.
+    async fn replace_server(&mut self, version: u32) -> Result<(), SoakError> {
+        self.start_server(version).await?;
+        let oldest = self.servers.remove(0);
+        actix_rt::spawn(oldest.leave());
+        Ok(())
+    }
+
     fn stop(&self, member: usize, away: Duration) {
         stop(&self.world, &self.fleet, member, away);
     }
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -11,8 +11,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
-use crate::http_text::{Message, TextConnection, event_chunk};
+use crate::http_text::{Head, Message, TextConnection, event_chunk};
 use crate::ledger::Promise;
+use crate::streams::{STREAM_EVENTS, versioned_event};
 use crate::world::World;
 use crate::zones::{REGIONS, region_of};
 
@@ -32,6 +33,9 @@
 /// Of a hundred requests, those whose connection it closes after it ran them.
 const DROPPED_OF_100: u32 = 1;
 
+/// A stream breaks off after the event that a draw below this names, if it has one of that number.
+const BREAKS_OFF_OF: u64 = 24;
+
 /// Events of the stream that answers a turn: 2 to 5, from its id alone, so that its caller knows too.
 #[must_use]
 pub fn events_of(id: &str) -> Vec<String> {
@@ -50,6 +54,8 @@
 /// A running server.
 pub struct SoakServer {
     id: String,
+    /// The software version that it runs.
+    version: u32,
     zone: &'static str,
     address: SocketAddr,
     /// Until when it warms up.
@@ -68,12 +74,14 @@
     pub async fn start(
         world: Rc<World>,
         id: String,
+        version: u32,
         zone: &'static str,
         seed: u64,
     ) -> std::io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let server = Rc::new(Self {
             id,
+            version,
             zone,
             warm_at: Cell::new(Instant::now()),
             address: listener.local_addr()?,
@@ -87,6 +95,12 @@
         Ok(server)
     }
 
+    /// The software version that it runs.
+    #[must_use]
+    pub fn version(&self) -> u32 {
+        self.version
+    }
+
     /// Where it is.
     #[must_use]
     pub fn zone(&self) -> &'static str {
@@ -126,7 +140,7 @@
                     id: self.id.clone(),
                     name: String::new(),
                     started_ms: None,
-                    software_version: None,
+                    software_version: Some(self.world.reported_version(self.version)),
                     warmup_remaining_ms: self.warm_up_left_ms(),
                     service: SERVICE.to_owned(),
                     address: self.address,
@@ -186,6 +200,9 @@
             self.world.ledger.borrow_mut().note_dropped(&id);
             return false;
         }
+        if message.head.path().contains("stream/") {
+            return self.resumable_stream(connection, &id, &message.head).await;
+        }
         if message.head.path().contains("turn/") {
             self.check_history(&id, &message.body);
             return self.stream(connection, &id).await.is_ok();
@@ -220,6 +237,55 @@
         }
     }
 
+    /// Sends the events of a stream that the caller lacks, or breaks off within it; false when the
+    /// connection is to be closed.
+    async fn resumable_stream(
+        &self,
+        connection: &mut TextConnection,
+        id: &str,
+        head: &Head,
+    ) -> bool {
+        let last = head.header("x-last").and_then(|last| last.parse().ok());
+        self.check_stream_version(id, head, last);
+        let breaks_after = self.random.borrow_mut().random_range(0..BREAKS_OFF_OF);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        if connection.write(&answer).await.is_err() {
+            return false;
+        }
+        for number in last.unwrap_or(0) + 1..=STREAM_EVENTS {
+            if number > breaks_after && breaks_after > 0 && breaks_after < STREAM_EVENTS {
+                self.world.ledger.borrow_mut().note_dropped(id);
+                return false;
+            }
+            let event = event_chunk(number, &versioned_event(self.version, number));
+            if connection.write(&event).await.is_err() {
+                return false;
+            }
+            let pause = self.random.borrow_mut().random_range(1..25);
+            sleep(Duration::from_millis(pause)).await;
+        }
+        connection.write("0\r\n\r\n").await.is_ok()
+    }
+
+    /// Checks that a stream which goes on here began at this server's software version.
+    fn check_stream_version(&self, id: &str, head: &Head, last: Option<u64>) {
+        let mut versions = self.world.stream_versions.borrow_mut();
+        if last.is_none() {
+            versions.insert(id.to_owned(), self.version);
+            return;
+        }
+        let first = head.header("x-resumes").unwrap_or(id);
+        let began = versions.get(first).copied();
+        if began != Some(self.version) {
+            let own = self.version;
+            let detail = format!("{first} began at version {began:?} and goes on at {own} as {id}");
+            let mut ledger = self.world.ledger.borrow_mut();
+            ledger.note_violation(Promise::StreamVersion, detail);
+        }
+    }
+
     async fn stream(&self, connection: &mut TextConnection, id: &str) -> std::io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/crates/courseshed-soak/src/world.rs
+++ b/crates/courseshed-soak/src/world.rs
@@ -28,6 +28,8 @@
     ConfusesRegions,
     /// The routing table that reaches the controllers has no warm-up limit.
     IgnoresWarmUpLimit,
+    /// Servers report one software version, whichever they run.
+    ReportsOneVersion,
 }
 
 /// What the tasks of a run share.
@@ -36,12 +38,15 @@
     pub ledger: RefCell<Ledger>,
     /// What servers are to get for each turn.
     pub histories: RefCell<BTreeMap<String, String>>,
+    /// Software version of the server at which each stream last began, by request.
+    pub stream_versions: RefCell<BTreeMap<String, u32>>,
     gateways: Vec<usize>,
     addresses: BTreeMap<usize, SocketAddr>,
     operators: Vec<SocketAddr>,
     next_operator: Cell<usize>,
     has_regions: bool,
     limits_warm_up: bool,
+    has_releases: bool,
     broken: Option<Broken>,
     is_over: Cell<bool>,
 }
@@ -55,6 +60,7 @@
         Self {
             ledger: RefCell::default(),
             histories: RefCell::default(),
+            stream_versions: RefCell::default(),
             addresses: addresses
                 .map(|gateway| (*gateway, fleet.callers_address(*gateway)))
                 .collect(),
@@ -63,6 +69,7 @@
             next_operator: Cell::new(0),
             has_regions: options.has_regions,
             limits_warm_up: options.limits_warm_up,
+            has_releases: options.has_releases,
             broken: options.broken,
             is_over: Cell::new(false),
         }
@@ -79,6 +86,21 @@
         self.limits_warm_up
     }
 
+    /// Whether servers are replaced by ones of other software versions, and callers resume streams.
+    #[must_use]
+    pub fn has_releases(&self) -> bool {
+        self.has_releases
+    }
+
+    /// The software version that a server reports.
+    #[must_use]
+    pub fn reported_version(&self, version: u32) -> String {
+        match self.broken {
+            Some(Broken::ReportsOneVersion) => "v1".to_owned(),
+            _ => format!("v{version}"),
+        }
+    }
+
     /// The places of the gateways in the fleet.
     #[must_use]
     pub fn gateways(&self) -> &[usize] {
@@ -132,6 +154,7 @@
         let contents = TableContents {
             has_regions: self.has_regions,
             limits_warm_up: self.limits_warm_up && self.broken != Some(Broken::IgnoresWarmUpLimit),
+            has_streams: self.has_releases,
         };
         let table = serde_json::to_string(&routing_table(version, contents)).unwrap_or_default();
         self.insist("/routing", &table).await;
--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -23,6 +23,7 @@
         faults: None,
         has_regions,
         limits_warm_up: false,
+        has_releases: false,
         broken: None,
         size: FleetSize {
             gateways: 2,
@@ -135,12 +136,30 @@
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
 }
 
+/// Guards against streams that go on at another software version while three of them serve, forward and
+/// back, and gateways are killed, paused and cut off by their callers.
+#[parameterized(
+    first = { 46 },
+    second = { 47 },
+)]
+fn streams_keep_their_software_version_while_releases_overlap_with_faults(seed: u64) {
+    let folder = TempDir::new().expect("a folder");
+    let mut options = options(seed, folder.path());
+    options.has_releases = true;
+    options.size.gateways = 4;
+    let tally = soak(options);
+    let lines = warnings(folder.path()).expect("logs are read");
+    assert!(tally.resumptions.continued > 0, "{tally:?}");
+    assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
+}
+
 /// Guards against checks that see nothing: each fault that is put in on purpose must be caught by its
 /// check, and by no other.
 #[parameterized(
     evacuations = { Broken::IgnoresEvacuations, &[Promise::EvacuatedZone] },
     regions = { Broken::ConfusesRegions, &[Promise::AllowedRegion, Promise::StoredRegion] },
     warm_up = { Broken::IgnoresWarmUpLimit, &[Promise::WarmUpLimit] },
+    versions = { Broken::ReportsOneVersion, &[Promise::StreamVersion] },
 )]
 fn broken_variants_are_caught(broken: Broken, expected: &[Promise]) {
     let folder = TempDir::new().expect("a folder");
@@ -149,6 +168,12 @@
         Broken::IgnoresEvacuations => &ZONES[..],
         _ => &ZONES[..1],
     };
+    let release = Fault {
+        at: Duration::from_millis(500),
+        kind: FaultKind::UpgradeServer { version: 2 },
+    };
+    let releases = [release.clone(), release].into_iter();
+    let releases = releases.filter(|_| broken == Broken::ReportsOneVersion);
     let faults = zones.iter().map(|zone| Fault {
         at: Duration::from_secs(1),
         kind: FaultKind::Evacuate {
@@ -157,9 +182,10 @@
         },
     });
     let options = SoakOptions {
-        faults: Some(faults.collect()),
+        faults: Some(releases.chain(faults).collect()),
         has_regions: true,
         limits_warm_up: broken == Broken::IgnoresWarmUpLimit,
+        has_releases: broken == Broken::ReportsOneVersion,
         broken: Some(broken),
         callers: 12,
         ..options(1, folder.path())
