Resume streams of clients that don't name the first request where only one version can have begun them

Cause: without the request no record can be found. Change: where the service has run a single version for twice the time that streams last, and a controller answered lately, that version is required; otherwise the request is refused as before.

--- a/crates/courseshed-edge/src/gateway/attempts/resumption.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/resumption.rs
@@ -14,19 +14,24 @@
 /// How long the version of a stream is kept at most.
 const MAX_KEEP: Duration = Duration::from_secs(600);
 
+/// How long a service must have run a single version before a stream is taken for one of it; more than
+/// twice the time that streams last.
+const SOLE_VERSION_PERIOD: Duration = Duration::from_secs(10);
+
 /// Who resumes a stream, as a metric label.
 const BY_CLIENT: &str = "client";
 const BY_GATEWAY: &str = "gateway";
 /// Where the version of a stream was learned, in the log.
 const FROM_STORES: &str = "stores";
+const FROM_LIST: &str = "server_list";
 const FROM_RESPONSE: &str = "response";
 
 impl Attempts {
     /// Looks up the version at which the stream began, if the client resumes one.
     ///
     /// # Errors
-    /// [`Refusal::UnknownStreamVersion`] if no store knows the version, or the client doesn't name the
-    /// request that began the stream; [`Refusal::NoRecords`] if too few stores answered.
+    /// [`Refusal::UnknownStreamVersion`] if no store knows the version, or if the client doesn't name the
+    /// request that began the stream and several versions may have; [`Refusal::NoRecords`] if too few stores answered.
     pub(in super::super) async fn find_stream_version(
         &self,
     ) -> Result<VersionRequirement, Refusal> {
@@ -34,7 +39,7 @@
             return Ok(VersionRequirement::Any);
         }
         let Some(first) = &self.call.resumed_request else {
-            return Err(Refusal::UnknownStreamVersion);
+            return self.sole_version().ok_or(Refusal::UnknownStreamVersion);
         };
         let began = self.core.clock.now();
         let stream = self.stream_key(first);
@@ -53,13 +58,29 @@
         }
     }
 
+    /// The version of a stream whose client doesn't name the request that began it: the only one that
+    /// can have begun it, judged by a list that is up to date.
+    fn sole_version(&self) -> Option<VersionRequirement> {
+        if !self.core.follower.has_controller_contact() {
+            return None;
+        }
+        let route_timeout = Duration::from_millis(self.route.timeout_ms);
+        let period = SOLE_VERSION_PERIOD.max(2 * route_timeout);
+        let servers = self.core.servers.borrow();
+        let version = servers.sole_version(&self.service, self.core.clock.now(), period)?;
+        Some(VersionRequirement::version(version.to_owned()))
+    }
+
     /// Sets the version at which a stream that the client resumes has to continue.
     pub(in super::super) fn require_version(&mut self, requirement: VersionRequirement) {
         if !requirement.is_restricted() {
             return;
         }
         self.log.required_version = requirement.required_version().map(str::to_owned);
-        self.log.version_source = FROM_STORES;
+        self.log.version_source = match self.call.resumed_request {
+            Some(_) => FROM_STORES,
+            None => FROM_LIST,
+        };
         self.version_requirement = requirement;
     }
 
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod selected_server;
 mod server;
 mod servers;
+mod service_versions;
 mod short_codec;
 mod stream;
 mod upstream;
--- a/crates/courseshed-edge/tests/choice.rs
+++ b/crates/courseshed-edge/tests/choice.rs
@@ -395,3 +395,41 @@
     assert_eq!(chosen(&["north"], &["home".to_owned()]), None);
     assert_eq!(chosen(&["east"], &[]), None);
 }
+
+/// Guards against a guess among several versions, of which one has just come or gone. Lists come at
+/// the given seconds.
+#[parameterized(
+    alone = { &[(0, &[Some("v1"), Some("v1")])], 10, Some("v1") },
+    not_for_long = { &[(0, &[Some("v1")])], 9, None },
+    another_server_of_it = { &[(0, &[Some("v1")]), (9, &[Some("v1"), Some("v1")])], 10, Some("v1") },
+    two_versions = { &[(0, &[Some("v1"), Some("v2")])], 60, None },
+    one_unknown = { &[(0, &[Some("v1"), None])], 60, None },
+    none_known = { &[(0, &[None])], 60, None },
+    other_version_left = { &[(0, &[Some("v1"), Some("v2")]), (5, &[Some("v1")])], 14, None },
+    other_version_left_long_ago = { &[(0, &[Some("v1"), Some("v2")]), (5, &[Some("v1")])], 15, Some("v1") },
+    replaced = { &[(0, &[Some("v1")]), (5, &[Some("v2")])], 14, None },
+    replaced_long_ago = { &[(0, &[Some("v1")]), (5, &[Some("v2")])], 15, Some("v2") },
+    reported_late = { &[(0, &[None]), (5, &[Some("v1")])], 14, None },
+    no_servers = { &[(0, &[])], 60, None },
+)]
+fn sole_version_is_one_that_no_other_was_seen_beside(
+    lists: &[(u64, &[Option<&str>])],
+    at: u64,
+    expected: Option<&str>,
+) {
+    const PERIOD: Duration = Duration::from_secs(10);
+    let start = Duration::from_secs(100);
+    let mut table = ServerTable::default();
+    for (second, versions) in lists {
+        let servers = (0..).zip(*versions);
+        let servers: ServerList = servers
+            .map(|(number, version): (u32, _)| Server {
+                software_version: version.map(str::to_owned),
+                ..server(&format!("server-{number}"), ServerState::Ready)
+            })
+            .collect();
+        table.replace(&servers, start + Duration::from_secs(*second));
+    }
+    let now = start + Duration::from_secs(at);
+    assert_eq!(table.sole_version("s", now, PERIOD), expected);
+}
