--- a/crates/courseshed-edge/tests/software_versions.rs
+++ b/crates/courseshed-edge/tests/software_versions.rs
@@ -360,3 +360,23 @@
     let read: RecordRequest = serde_json::from_value(value).expect("readable");
     assert_eq!(read.stream, None);
 }
+
+/// Guards against records that weigh on links: a stream is recorded at each replica of a partition.
+#[test]
+fn recording_the_version_of_a_stream_takes_few_bytes() {
+    const MAX_BYTES: usize = 256;
+    let request = RecordRequest {
+        incarnation: u64::MAX,
+        partition: PartitionId(23),
+        epoch: 1_000,
+        operation: RecordOperation::Chain { id: String::new() },
+        stream: Some(StreamOperation::Record {
+            stream: "e5b2907c14da6f38".to_owned(),
+            version: "v1.2".to_owned(),
+            keep_ms: 4_000,
+        }),
+    };
+    let bytes = rmp_serde::to_vec_named(&request).expect("encodable").len();
+    println!("{bytes} bytes to record the version of a stream");
+    assert!(bytes <= MAX_BYTES, "{bytes}");
+}
