Judge servers that left the list as before for requests that resume nothing

Cause: the check of versions refused a server that was removed between choice and send, also to requests that may go anywhere; and a resumption that was answered with an error counted as one that went on. Change: only requests bound to a version need the server to be listed; the counter has an outcome of its own for other responses.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -44,6 +44,7 @@
 /// Prompt tokens attributed to a request that has only an affinity key.
 const AFFINITY_KEY_TOKENS: u32 = 2_000;
 pub(super) use opened_response::OpenedResponse;
+pub(super) use resumption::RESUMED;
 
 /// Minimum remaining time for another attempt.
 pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
--- a/crates/courseshed-edge/src/gateway/attempts/checks.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/checks.rs
@@ -144,13 +144,9 @@
         if self.may_have_run {
             return Refusal::Broken;
         }
-        let servers = self.core.servers.borrow();
-        if !servers.lists_version(&self.service, &self.version_requirement)
-            && self.version_requirement.is_restricted()
-        {
+        if self.is_version_gone() {
             return Refusal::StreamVersionGone;
         }
-        drop(servers);
         if self.warm_in.is_none() {
             return Refusal::NoServer;
         }
--- a/crates/courseshed-edge/src/gateway/attempts/resumption.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/resumption.rs
@@ -21,6 +21,8 @@
 /// Who resumes a stream, as a metric label.
 const BY_CLIENT: &str = "client";
 const BY_GATEWAY: &str = "gateway";
+/// Outcome of a stream that went on, as a metric label.
+pub(in super::super) const RESUMED: &str = "resumed";
 /// Where the version of a stream was learned, in the log.
 const FROM_STORES: &str = "stores";
 const FROM_LIST: &str = "server_list";
@@ -140,21 +142,26 @@
 
     /// Records at which server this gateway resumed the stream.
     pub(in super::super) fn record_resumed(&self, opened: &OpenedResponse) {
-        self.record_resumption(BY_GATEWAY, "resumed");
+        self.record_resumption(BY_GATEWAY, RESUMED);
         let request = self.call.request_id.as_str();
         let server = opened.server.as_str();
         log::info!(event = "stream_resumed", request, server, server_version = opened.server_version.as_deref(), required_version = self.log.required_version.as_deref(), version_source = self.log.version_source; "resumed a stream at another server");
     }
 
+    /// Whether no listed server, in whatever state, may continue the stream.
+    pub(super) fn is_version_gone(&self) -> bool {
+        let requirement = &self.version_requirement;
+        let servers = self.core.servers.borrow();
+        requirement.is_restricted() && !servers.lists_version(&self.service, requirement)
+    }
+
     /// Records that this gateway did not resume the stream.
     pub(in super::super) fn record_not_resumed(&self) {
-        let servers = self.core.servers.borrow();
-        let outcome = if servers.lists_version(&self.service, &self.version_requirement) {
-            "no_server"
-        } else {
+        let outcome = if self.is_version_gone() {
             Refusal::StreamVersionGone.as_str()
+        } else {
+            Refusal::NoServer.as_str()
         };
-        drop(servers);
         self.record_resumption(BY_GATEWAY, outcome);
         let request = self.call.request_id.as_str();
         log::info!(event = "stream_not_resumed", request, outcome, required_version = self.log.required_version.as_deref(), version_source = self.log.version_source; "a broken stream was not resumed");
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -231,11 +231,13 @@
                 .is_some_and(|server| allowed_regions.allows(self.zones.region_of(&server.zone)))
     }
 
-    /// Whether a listed server may continue a stream.
+    /// Whether a server may receive the next attempt of a request; one that is no longer listed may not
+    /// continue a stream.
     #[must_use]
     pub fn satisfies(&self, id: &str, requirement: &VersionRequirement) -> bool {
         let server = self.directory.get(id);
-        server.is_some_and(|server| requirement.allows_server(server))
+        !requirement.is_restricted()
+            || server.is_some_and(|server| requirement.allows_server(server))
     }
 
     /// Whether any listed server of a service, in whatever state, may continue a stream.
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -17,7 +17,7 @@
 use snafu::Snafu;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempts::{Attempts, MIN_ATTEMPT_TIME, OpenedResponse};
+use super::attempts::{Attempts, MIN_ATTEMPT_TIME, OpenedResponse, RESUMED};
 use super::events::{Event, EventSplitter};
 use super::memory_budget::BufferKind;
 use super::plain::{forward, read_up_to_limit, refuse, respond, response_head};
@@ -98,11 +98,12 @@
             return refuse(attempts, refusal);
         }
     };
-    attempts.record_client_resumption("resumed");
     attempts.log.status = opened.head.status.as_u16();
     if opened.head.status != StatusCode::OK {
+        attempts.record_client_resumption("other_response");
         return forward_unstreamed(attempts, opened).await;
     }
+    attempts.record_client_resumption(RESUMED);
     attempts.release_body();
     let response = response_head(&opened.head);
     let relay = EventRelay {
