Log and count how the bodies of servers' responses end

Cause: of a stream logged as answered nobody could tell whether its server had framed it by a length, by chunks or by neither, and whether it ended by its framing, by a close or by a reset. Two of the three hypotheses about broken answers that looked whole predict the same lines. Reading a body yields its bytes or a typed end (BodyEnd), and one function (judge_end) records it: response_framing, response_ending, response_position, response_verdict, bytes and partial_event_bytes in call_over, a line response_ended for each body that does not end by its framing, and the counter response_ends.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -373,11 +373,14 @@
             let received = core.codec.read_answer(head).request_id;
             received.is_none_or(|id| id == *request_id)
         };
+        let is_head_request = self.call.method == "HEAD";
         let usual_timeout = self.response_timeout();
         let retry_timeout =
             usual_timeout.filter(|usual_timeout| sent_at + *usual_timeout < self.deadline);
         let limit = retry_timeout.map_or(self.deadline, |retry_timeout| sent_at + retry_timeout);
-        let received = upstream.exchange(request, limit, is_ours).await;
+        let received = upstream
+            .exchange(request, is_head_request, limit, is_ours)
+            .await;
         if let (Err(UpstreamError::TimedOut), Some(retry_timeout)) = (&received, retry_timeout) {
             self.record_response_time(retry_timeout);
             return Err(UpstreamError::Silent);
--- a/crates/courseshed-edge/src/gateway/attempts/records.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/records.rs
@@ -4,11 +4,47 @@
 
 use courseshed_types::{CachedPrompt, ServerKey};
 
+use super::super::body_end::{BodyEnd, BodyProgress, Ending};
+use super::super::call_log::ResponseEnd;
 use super::super::servers::CallReport;
 use super::super::upstream::UpstreamError;
 use super::{Attempts, OpenedResponse};
+use crate::metrics::ResponseEndLabels;
 
 impl Attempts {
+    /// Decides whether the body of a response that ended is complete, and records how it ended.
+    ///
+    /// # Errors
+    /// [`UpstreamError`] if the body is not complete.
+    pub(in super::super) fn judge_end(
+        &mut self,
+        server: &str,
+        end: BodyEnd,
+        progress: BodyProgress,
+    ) -> Result<(), UpstreamError> {
+        let is_complete = end.ending == Ending::Framing && progress.partial_event_bytes == 0;
+        let verdict = if is_complete { "complete" } else { "truncated" };
+        let labels = ResponseEndLabels {
+            service: self.service.clone(),
+            framing: end.framing.as_str(),
+            ending: end.ending.as_str(),
+            verdict,
+        };
+        let ends = &self.core.metrics.response_ends;
+        ends.get_or_create(&labels).inc();
+        if end.ending != Ending::Framing || !is_complete {
+            let request = self.call.request_id.as_str();
+            log::info!(event = "response_ended", request, server, framing = end.framing.as_str(), ending = end.ending.as_str(), position = progress.position().as_str(), verdict, events = progress.events, bytes = progress.bytes, partial_event_bytes = progress.partial_event_bytes, detail = end.detail.as_str(); "a response body did not end as its framing says, or within an event");
+        }
+        let error = error_of(&end, &progress);
+        self.log.response_end = Some(ResponseEnd {
+            end,
+            progress,
+            verdict,
+        });
+        if is_complete { Ok(()) } else { Err(error) }
+    }
+
     /// Records a complete response with the given number of generated tokens. Returns the prompt
     /// segments that the server now has cached.
     pub(in super::super) fn record_finished(
@@ -75,3 +111,18 @@
         self.log.record_error(server, error);
     }
 }
+
+/// The error of an incomplete body.
+fn error_of(end: &BodyEnd, progress: &BodyProgress) -> UpstreamError {
+    if end.ending == Ending::Silent {
+        return UpstreamError::TimedOut;
+    }
+    let [framing, ending] = [end.framing.as_str(), end.ending.as_str()];
+    let position = progress.position().as_str();
+    let mut reason = format!("response truncated: {ending} at {position}, framing {framing}");
+    if !end.detail.is_empty() {
+        reason.push_str(": ");
+        reason.push_str(&end.detail);
+    }
+    UpstreamError::Broken { reason }
+}
--- /dev/null
+++ b/crates/courseshed-edge/src/gateway/body_end.rs
@@ -0,0 +1,158 @@
+//! How a server's response delimits its body, and what ended the reading of it. No I/O.
+
+use actix_http::header::{self, HeaderMap};
+use actix_http::{ResponseHead, StatusCode};
+
+/// How a response delimits its body (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The status or the request's method rules out a body.
+    Empty,
+    /// The length is declared.
+    Length,
+    /// The body comes in chunks, of which the last is empty.
+    Chunked,
+    /// Neither: the body ends with the connection.
+    UntilClose,
+}
+
+impl Framing {
+    /// The framing that the head of a response declares.
+    #[must_use]
+    pub fn of(head: &ResponseHead, is_head_request: bool) -> Self {
+        let status = head.status;
+        let is_bodiless = status.is_informational()
+            || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if is_head_request || is_bodiless {
+            Self::Empty
+        } else if is_chunked(head.headers()) {
+            Self::Chunked
+        } else if head.headers().contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::UntilClose
+        }
+    }
+
+    /// The name used in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let encoding = headers.get(header::TRANSFER_ENCODING);
+    let encoding = encoding.and_then(|value| value.to_str().ok());
+    encoding.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// What ended the reading of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The end that the framing marks.
+    Framing,
+    /// The server closed the connection in order.
+    Closed,
+    /// The connection was reset, or failed otherwise.
+    Reset,
+    /// Bytes that violate the framing.
+    Invalid,
+    /// No bytes came within the time limit.
+    Silent,
+}
+
+impl Ending {
+    /// The name used in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Framing => "framing",
+            Self::Closed => "closed",
+            Self::Reset => "reset",
+            Self::Invalid => "invalid",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// The end of a body, as its connection shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BodyEnd {
+    /// How the response delimits its body.
+    pub framing: Framing,
+    /// What ended the reading.
+    pub ending: Ending,
+    /// The error of the connection or of the decoder; empty if there is none.
+    pub detail: String,
+}
+
+/// What a body consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// Bytes without a structure that the gateway knows.
+    Plain {
+        /// Whether the status of the response is a success.
+        is_success: bool,
+    },
+    /// Server-sent events.
+    Events,
+}
+
+/// What had been received of a body when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// What the body consists of.
+    pub content: Content,
+    /// Bytes received.
+    pub bytes: u64,
+    /// Complete events that continue what the client has; 0 in a plain body.
+    pub events: u64,
+    /// Bytes of an event that is not complete; 0 in a plain body.
+    pub partial_event_bytes: usize,
+}
+
+/// Where in a body its end lies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Position {
+    /// Nothing, or no event, came before it.
+    Start,
+    /// After some bytes of a plain body.
+    WithinBody,
+    /// After a complete event.
+    BetweenEvents,
+    /// Within an event, its empty line included.
+    WithinEvent,
+}
+
+impl BodyProgress {
+    /// Where the end lies.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        match self.content {
+            Content::Plain { .. } if self.bytes == 0 => Position::Start,
+            Content::Plain { .. } => Position::WithinBody,
+            Content::Events if self.partial_event_bytes > 0 => Position::WithinEvent,
+            Content::Events if self.events == 0 => Position::Start,
+            Content::Events => Position::BetweenEvents,
+        }
+    }
+}
+
+impl Position {
+    /// The name used in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::WithinBody => "within_body",
+            Self::BetweenEvents => "between_events",
+            Self::WithinEvent => "within_event",
+        }
+    }
+}
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -7,11 +7,19 @@
 use courseshed_routing::Route;
 use tokio::time::Instant;
 
+use super::body_end::{BodyEnd, BodyProgress};
 use super::call::GatewayRequest;
 use super::choice::ChoiceInputs;
 use super::upstream::UpstreamError;
 use crate::metrics::{CallLabels, Metrics};
 
+/// How the body of a server's response ended.
+pub(super) struct ResponseEnd {
+    pub end: BodyEnd,
+    pub progress: BodyProgress,
+    pub verdict: &'static str,
+}
+
 /// The access log entry of a request; written, together with the metrics, on drop.
 pub(super) struct CallLog {
     pub outcome: &'static str,
@@ -28,8 +36,12 @@
     /// The servers that refused the request, as `server:status`.
     refusals: Vec<String>,
     pub events: u64,
+    /// Bytes of the body that were passed on to the client.
+    pub bytes: u64,
     pub resumed: usize,
     pub status: u16,
+    /// The end of the last response whose body ended.
+    pub response_end: Option<ResponseEnd>,
     /// Time from the arrival of the request to the first chunk of the response.
     first_chunk_after: Option<Duration>,
     /// Time left to the program when the request arrived.
@@ -78,8 +90,10 @@
             refused_by: 0,
             refusals: Vec::new(),
             events: 0,
+            bytes: 0,
             resumed: 0,
             status: 0,
+            response_end: None,
             first_chunk_after: None,
             program_time_left: call.program.as_ref().and_then(|claim| claim.time_left),
             choice: ChoiceInputs::default(),
@@ -122,6 +136,7 @@
 
 impl Drop for CallLog {
     fn drop(&mut self) {
+        let end = self.response_end.as_ref();
         let labels = CallLabels {
             service: self.service.clone(),
             outcome: self.outcome,
@@ -152,6 +167,12 @@
             refused_by = self.refused_by,
             refusals = self.refusals.join(" ").as_str(),
             events = self.events,
+            bytes = self.bytes,
+            response_framing = end.map(|ended| ended.end.framing.as_str()),
+            response_ending = end.map(|ended| ended.end.ending.as_str()),
+            response_position = end.map(|ended| ended.progress.position().as_str()),
+            response_verdict = end.map(|ended| ended.verdict),
+            partial_event_bytes = end.map(|ended| ended.progress.partial_event_bytes),
             resumed = self.resumed,
             version = self.version,
             calls_there = self.choice.calls,
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod assign;
 mod assignment;
 mod attempts;
+mod body_end;
 mod call;
 mod call_log;
 mod call_tracker;
@@ -41,6 +42,7 @@
 
 pub use access::{AccessPolicy, Caller, Identity, TenantSettings};
 pub use admission::{AdmissionControl, AdmissionDecision, AdmissionRequest, ServiceLoad};
+pub use body_end::{BodyEnd, BodyProgress, Content, Ending, Framing, Position};
 pub use call::{
     CallCodec, Credential, ForwardingContext, GatewayRequest, InvalidRequest, ProgramHeaders,
     ResponseMetadata,
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -11,14 +11,15 @@
 use courseshed_pool::CallEnd;
 use futures_util::stream;
 use snafu::Snafu;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use super::attempts::{Attempts, OpenedResponse};
+use super::body_end::{BodyEnd, BodyProgress, Content, Ending};
 use super::memory_budget::BufferKind;
 use super::memory_tracker::RequestMemory;
 use super::refusal::Refusal;
 use super::servers::CallReport;
-use super::upstream::UpstreamError;
+use super::upstream::{BodyRead, Upstream, UpstreamError};
 use crate::http::is_hop_by_hop_header;
 
 /// Longest response that is buffered completely, in bytes.
@@ -35,7 +36,7 @@
             Err(refusal) => return refuse(attempts, refusal),
         };
         attempts.release_body();
-        match read_body(&mut opened, &attempts).await {
+        match read_body(&mut opened, &mut attempts).await {
             Ok(read) => return respond(attempts, opened, read),
             Err(UpstreamError::TimedOut) => return refuse(attempts, Refusal::TimedOut),
             Err(error) => {
@@ -67,7 +68,7 @@
 
 async fn read_body(
     opened: &mut OpenedResponse,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
 ) -> Result<BufferedResponse, UpstreamError> {
     let read = read_up_to_limit(opened, attempts).await?;
     // Server errors don't represent the latency of calls.
@@ -89,24 +90,48 @@
 /// Reads a response body up to the buffer limit.
 pub(super) async fn read_up_to_limit(
     opened: &mut OpenedResponse,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
 ) -> Result<BufferedResponse, UpstreamError> {
-    let upstream = &mut opened.upstream;
-    let memory = &attempts.memory;
-    let read = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = upstream.next_chunk().await? {
-            body.extend_from_slice(&chunk);
-            memory.set(BufferKind::Response, body.capacity() + upstream.buffered());
-            if body.len() > MAX_BUFFERED_BYTES || !memory.has_room() {
-                return Ok(BufferedResponse::Partial(body.freeze()));
-            }
+    let mut body = BytesMut::new();
+    let end = loop {
+        match read_until(attempts.deadline, &mut opened.upstream).await {
+            BodyRead::Bytes(chunk) => body.extend_from_slice(&chunk),
+            BodyRead::End(end) => break end,
+        }
+        let memory = &attempts.memory;
+        let held = body.capacity() + opened.upstream.buffered();
+        memory.set(BufferKind::Response, held);
+        if body.len() > MAX_BUFFERED_BYTES || !memory.has_room() {
+            return Ok(BufferedResponse::Partial(body.freeze()));
         }
-        Ok(BufferedResponse::Complete(body.freeze()))
     };
-    timeout_at(attempts.deadline, read)
-        .await
-        .unwrap_or(Err(UpstreamError::TimedOut))
+    judge_plain(attempts, opened, end, body.len() as u64)?;
+    Ok(BufferedResponse::Complete(body.freeze()))
+}
+
+/// The next bytes of a body, or its end; silence until the deadline is an end.
+async fn read_until(deadline: Instant, upstream: &mut Upstream) -> BodyRead {
+    match timeout_at(deadline, upstream.read_body()).await {
+        Ok(read) => read,
+        Err(_) => BodyRead::End(upstream.end(Ending::Silent, "")),
+    }
+}
+
+/// Decides whether a plain body of which `bytes` were received is complete.
+fn judge_plain(
+    attempts: &mut Attempts,
+    opened: &OpenedResponse,
+    end: BodyEnd,
+    bytes: u64,
+) -> Result<(), UpstreamError> {
+    let is_success = opened.head.status.is_success();
+    let progress = BodyProgress {
+        content: Content::Plain { is_success },
+        bytes,
+        events: 0,
+        partial_event_bytes: 0,
+    };
+    attempts.judge_end(&opened.server, end, progress)
 }
 
 /// Responds with the buffered part, followed by the rest of the body.
@@ -120,6 +145,7 @@
     match read {
         BufferedResponse::Complete(body) => {
             attempts.log.outcome = "answered";
+            attempts.log.bytes = body.len() as u64;
             attempts.record_outcome(&mut opened);
             opened.upstream.release();
             response.set_body(BoxBody::new(BufferedBody {
@@ -129,6 +155,7 @@
         }
         BufferedResponse::Partial(ready) => {
             let body = StreamedBody {
+                received: ready.len() as u64,
                 attempts,
                 opened,
                 ready,
@@ -171,6 +198,8 @@
     attempts: Attempts,
     opened: OpenedResponse,
     ready: Bytes,
+    /// Bytes of the body received from the server.
+    received: u64,
 }
 
 impl StreamedBody {
@@ -178,7 +207,10 @@
         stream::unfold(Some(self), |body| async {
             let mut body = body?;
             match body.next().await {
-                Ok(Some(chunk)) => Some((Ok(chunk), Some(body))),
+                Ok(Some(chunk)) => {
+                    body.attempts.log.bytes += chunk.len() as u64;
+                    Some((Ok(chunk), Some(body)))
+                }
                 Ok(None) => {
                     body.attempts.log.outcome = "answered";
                     body.attempts.record_outcome(&mut body.opened);
@@ -214,11 +246,19 @@
             return Ok(Some(self.ready.split_to(length)));
         }
         self.ready = Bytes::new();
-        let upstream = &mut self.opened.upstream;
-        let next = timeout_at(self.attempts.deadline, upstream.next_chunk()).await;
-        let buffered = upstream.buffered();
+        let read = read_until(self.attempts.deadline, &mut self.opened.upstream).await;
+        let buffered = self.opened.upstream.buffered();
         self.attempts.memory.set(BufferKind::Response, buffered);
-        next.unwrap_or(Err(UpstreamError::TimedOut))
+        match read {
+            BodyRead::Bytes(chunk) => {
+                self.received += chunk.len() as u64;
+                Ok(Some(chunk))
+            }
+            BodyRead::End(end) => {
+                judge_plain(&mut self.attempts, &self.opened, end, self.received)?;
+                Ok(None)
+            }
+        }
     }
 }
 
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -18,13 +18,14 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempts::{Attempts, MIN_ATTEMPT_TIME, OpenedResponse, RESUMED};
+use super::body_end::{BodyEnd, BodyProgress, Content, Ending, Framing};
 use super::events::{Event, EventSplitter};
 use super::memory_budget::BufferKind;
 use super::plain::{forward, read_up_to_limit, refuse, respond, response_head};
 use super::program::{TokenReservation, build_turn, compose_body, keep_ms, reserve};
 use super::refusal::Refusal;
 use super::servers::CallReport;
-use super::upstream::UpstreamError;
+use super::upstream::{BodyRead, UpstreamError};
 
 /// How long a resumable stream may be silent before it is resumed at another server.
 const MAX_SILENCE: Duration = Duration::from_millis(1200);
@@ -118,6 +119,8 @@
         tokens_per_event,
         last_arrival: None,
         server_events: 0,
+        server_bytes: 0,
+        server_new_events: 0,
         delivered_at: None,
         is_client_stalled: false,
     };
@@ -142,7 +145,7 @@
     mut opened: OpenedResponse,
 ) -> Response<BoxBody> {
     attempts.release_body();
-    match read_up_to_limit(&mut opened, &attempts).await {
+    match read_up_to_limit(&mut opened, &mut attempts).await {
         Ok(read) => respond(attempts, opened, read),
         Err(UpstreamError::TimedOut) => refuse(attempts, Refusal::TimedOut),
         Err(error) => {
@@ -168,6 +171,9 @@
     /// When the current server last sent events, and how many it has sent.
     last_arrival: Option<Instant>,
     server_events: u32,
+    /// Bytes that the current server has sent, and how many of its events were passed on.
+    server_bytes: u64,
+    server_new_events: u64,
     /// When data was last passed to the client's connection.
     delivered_at: Option<Instant>,
     /// Whether the server may have been blocked by the slow client.
@@ -186,24 +192,35 @@
                 return Ok(Some(ready));
             }
             match self.read().await {
-                Ok(Some(chunk)) => self.push(&chunk)?,
-                Ok(None) if !self.splitter.has_partial() => {
-                    self.finish().await?;
-                    return Ok(None);
-                }
-                Ok(None) => {
-                    let error = UpstreamError::Broken {
-                        reason: "stream ended within an event".to_owned(),
-                    };
-                    self.resume(&error).await?;
-                }
-                Err(error) => self.resume(&error).await?,
+                BodyRead::Bytes(chunk) => self.push(&chunk)?,
+                BodyRead::End(end) => match self.judge(end) {
+                    Ok(()) => {
+                        self.finish().await?;
+                        return Ok(None);
+                    }
+                    Err(error) => self.resume(&error).await?,
+                },
             }
         }
     }
 
+    /// Decides whether the stream that the current server sent is complete.
+    fn judge(&mut self, end: BodyEnd) -> Result<(), UpstreamError> {
+        let Some(opened) = &self.opened else {
+            return Err(UpstreamError::TimedOut);
+        };
+        let progress = BodyProgress {
+            content: Content::Events,
+            bytes: self.server_bytes,
+            events: self.server_new_events,
+            partial_event_bytes: self.splitter.partial_len(),
+        };
+        self.attempts.judge_end(&opened.server, end, progress)
+    }
+
     /// Adds received bytes. Aborts the stream if an event exceeds the size limit.
     fn push(&mut self, chunk: &[u8]) -> Result<(), Truncated> {
+        self.server_bytes += chunk.len() as u64;
         self.splitter.push(chunk);
         self.update_memory();
         if self.splitter.partial_len() > MAX_EVENT_BYTES {
@@ -242,6 +259,7 @@
                 self.attempts.bind_stream(opened);
             }
             self.attempts.log.events += 1;
+            self.server_new_events += 1;
             if let Some(reservation) = &mut self.reservation {
                 reservation.count_event();
             }
@@ -254,6 +272,7 @@
             ready.extend_from_slice(&event.bytes);
         }
         self.record_arrived(arrived);
+        self.attempts.log.bytes += ready.len() as u64;
         ready.freeze()
     }
 
@@ -290,22 +309,26 @@
         }
     }
 
-    async fn read(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+    async fn read(&mut self) -> BodyRead {
         let Some(opened) = &mut self.opened else {
-            return Err(UpstreamError::TimedOut);
+            return BodyRead::End(BodyEnd {
+                framing: Framing::Empty,
+                ending: Ending::Silent,
+                detail: "no server".to_owned(),
+            });
         };
         let mut limit = self.attempts.deadline;
         if self.attempts.route.resumable && !self.is_first {
             limit = limit.min(Instant::now() + MAX_SILENCE);
         }
         let began = Instant::now();
-        let chunk = timeout_at(limit, opened.upstream.next_chunk()).await;
+        let read = timeout_at(limit, opened.upstream.read_body()).await;
         if began.elapsed() > CAUGHT_UP_READ_TIME {
             self.is_client_stalled = false;
         }
-        let chunk = chunk.unwrap_or(Err(UpstreamError::TimedOut))?;
-        self.is_first = false;
-        Ok(chunk)
+        let read = read.unwrap_or_else(|_| BodyRead::End(opened.upstream.end(Ending::Silent, "")));
+        self.is_first &= !matches!(read, BodyRead::Bytes(_));
+        read
     }
 
     /// Resumes the stream at another server after the last forwarded event.
@@ -330,6 +353,8 @@
                 self.opened = Some(opened);
                 self.last_arrival = None;
                 self.server_events = 0;
+                self.server_bytes = 0;
+                self.server_new_events = 0;
                 self.is_client_stalled = false;
                 Ok(())
             }
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::error::{ParseError, PayloadError};
+use actix_http::error::ParseError;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::{self, HeaderValue};
 use actix_http::{ResponseHead, ServiceConfig};
@@ -21,6 +21,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
+use super::body_end::{BodyEnd, Ending, Framing};
 use crate::sockets;
 
 /// Timeout for establishing a connection.
@@ -64,6 +65,14 @@
     TimedOut,
 }
 
+/// What reading a response body brought.
+pub enum BodyRead {
+    /// The next bytes.
+    Bytes(Bytes),
+    /// The end, which may be premature.
+    End(BodyEnd),
+}
+
 fn broken(reason: impl ToString) -> UpstreamError {
     UpstreamError::Broken {
         reason: reason.to_string(),
@@ -123,6 +132,7 @@
             address,
             stream,
             buffer: BytesMut::new(),
+            framing: Framing::Empty,
             payload: None,
             ends_with_connection: false,
             is_reusable: false,
@@ -205,6 +215,8 @@
     address: SocketAddr,
     stream: TcpStream,
     buffer: BytesMut,
+    /// Framing of the response.
+    framing: Framing,
     payload: Option<ClientPayloadCodec>,
     ends_with_connection: bool,
     is_reusable: bool,
@@ -216,14 +228,15 @@
 }
 
 impl Upstream {
-    /// Sends a request and reads the head of its response. `is_ours` recognizes responses to other
-    /// requests.
+    /// Sends a request and reads the head of its response. `is_head_request` tells whether its
+    /// method is HEAD; `is_ours` recognizes responses to other requests.
     ///
     /// # Errors
     /// [`UpstreamError`]; the request may have been executed.
     pub async fn exchange(
         &mut self,
         request: impl Buf,
+        is_head_request: bool,
         deadline: Instant,
         is_ours: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ResponseHead, UpstreamError> {
@@ -231,7 +244,7 @@
             let was_fully_sent = self.send_until_answered(request).await?;
             self.is_reusable = was_fully_sent;
             loop {
-                let head = self.read_head().await?;
+                let head = self.read_head(is_head_request).await?;
                 if head.status.is_informational() {
                     continue;
                 }
@@ -244,7 +257,7 @@
                         "connection closed after a response to another request",
                     ));
                 }
-                while self.next_chunk().await?.is_some() {}
+                self.skip_body().await?;
             }
         };
         timeout_at(deadline, exchange)
@@ -275,18 +288,32 @@
         }
     }
 
-    async fn read_head(&mut self) -> Result<ResponseHead, UpstreamError> {
+    /// Reads the body of a response to another request to its end.
+    async fn skip_body(&mut self) -> Result<(), UpstreamError> {
+        loop {
+            match self.read_body().await {
+                BodyRead::Bytes(_) => {}
+                BodyRead::End(end) if end.ending == Ending::Framing => return Ok(()),
+                BodyRead::End(_) => {
+                    return Err(broken("connection closed within another response"));
+                }
+            }
+        }
+    }
+
+    async fn read_head(&mut self, is_head_request: bool) -> Result<ResponseHead, UpstreamError> {
         let mut codec = ClientCodec::new(self.pool.config.clone());
         loop {
             let decoded = codec.decode(&mut self.buffer);
             if let Some(head) = decoded.map_err(|error: ParseError| broken(error))? {
+                self.framing = Framing::of(&head, is_head_request);
                 self.apply_head(&head, codec);
                 return Ok(head);
             }
             if self.buffer.len() > MAX_RESPONSE_HEAD {
                 return Err(broken("response head too large"));
             }
-            if self.fill().await? == 0 {
+            if self.fill().await.map_err(broken)? == 0 {
                 return Err(broken("connection closed without a response"));
             }
         }
@@ -306,34 +333,39 @@
         };
     }
 
-    /// The next bytes of the body; `None` at its end.
-    ///
-    /// # Errors
-    /// [`UpstreamError::Broken`] if the connection closes before the end of the body.
-    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+    /// The next bytes of the body, or its end.
+    pub async fn read_body(&mut self) -> BodyRead {
         loop {
             let Some(payload) = &mut self.payload else {
-                return Ok(None);
+                return BodyRead::End(self.end(Ending::Framing, ""));
             };
-            let decoded = payload.decode(&mut self.buffer);
-            match decoded.map_err(|error: PayloadError| broken(error))? {
-                Some(Some(chunk)) => return Ok(Some(chunk)),
-                Some(None) => {
+            match payload.decode(&mut self.buffer) {
+                Ok(Some(Some(chunk))) => return BodyRead::Bytes(chunk),
+                Ok(Some(None)) => {
                     self.payload = None;
-                    return Ok(None);
+                    continue;
                 }
-                None => {}
+                Ok(None) => {}
+                Err(error) => return BodyRead::End(self.end(Ending::Invalid, error)),
             }
-            if self.fill().await? == 0 {
-                if !self.ends_with_connection {
-                    return Err(broken("connection closed within the response body"));
-                }
-                self.payload = None;
-                return Ok(None);
+            match self.fill().await {
+                Ok(0) => return BodyRead::End(self.end(Ending::Closed, "")),
+                Ok(_) => {}
+                Err(error) => return BodyRead::End(self.end(Ending::Reset, error)),
             }
         }
     }
 
+    /// The end of the body that `ending` brought.
+    #[must_use]
+    pub fn end(&self, ending: Ending, detail: impl ToString) -> BodyEnd {
+        BodyEnd {
+            framing: self.framing,
+            ending,
+            detail: detail.to_string(),
+        }
+    }
+
     /// Connection setup time; `None` for a reused connection.
     #[must_use]
     pub fn connect_time(&self) -> Option<Duration> {
@@ -360,9 +392,9 @@
         }
     }
 
-    async fn fill(&mut self) -> Result<usize, UpstreamError> {
+    async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await.map_err(broken)
+        self.stream.read_buf(&mut self.buffer).await
     }
 }
 
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -75,6 +75,19 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the ends of response bodies.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResponseEndLabels {
+    /// The service.
+    pub service: String,
+    /// How the response delimits its body.
+    pub framing: &'static str,
+    /// What ended it.
+    pub ending: &'static str,
+    /// Whether it is complete.
+    pub verdict: &'static str,
+}
+
 /// Labels of records written to stores.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct WriteLabels {
@@ -121,6 +134,8 @@
     pub resumed: Counter,
     /// Resumed streams, by who resumed them and whether the software version stayed the same.
     pub resumptions: Family<ResumptionLabels, Counter>,
+    /// Ends of the response bodies of servers.
+    pub response_ends: Family<ResponseEndLabels, Counter>,
     /// Age of the routing table's proof when a call with an API key is sent, in seconds.
     pub proof_age: Histogram,
     /// Calls refused because their tenant exceeded its quota.
@@ -250,6 +265,7 @@
             attempts: Counter::default(),
             resumed: Counter::default(),
             resumptions: Family::default(),
+            response_ends: Family::default(),
             proof_age: Histogram::new(DURATION_BUCKETS),
             over_quota: Family::default(),
             permit_wait: Histogram::new(DURATION_BUCKETS),
@@ -437,6 +453,11 @@
             "Resumed streams, by who resumed them, the client or the gateway, and the outcome",
             self.resumptions.clone(),
         );
+        registry.register(
+            "response_ends",
+            "Ends of the response bodies of servers, by framing, what ended the body, and whether it is complete",
+            self.response_ends.clone(),
+        );
         registry.register(
             "stream_versions",
             "Software versions of streams that the store holds",
