Reproduce responses that end early and look complete to their client

Callers saw 200, the server's seal and a short body, framed as complete. Change: tests with mock servers that use a length, chunks, neither over HTTP/1.1 and neither over HTTP/1.0, whole and broken off at every place by a close or a reset, for plain, streamed, resumable and stored responses, and clients of HTTP/1.1 and 1.0 that judge by the framing alone.

--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod client;
 pub mod regions;
 pub mod scheduler;
 pub mod server;
@@ -450,7 +451,7 @@
     exchange(address, &request).await
 }
 
-async fn exchange(address: SocketAddr, request: &str) -> String {
+pub async fn exchange(address: SocketAddr, request: &str) -> String {
     let Ok(mut stream) = TcpStream::connect(address).await else {
         return String::new();
     };
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -15,6 +16,9 @@
 /// Prefix of the ids of calls whose body the server never reads.
 pub const UNREAD_CALL_PREFIX: &str = "unread";
 
+/// How long a peer has to read what was written before the connection is reset.
+const TIME_BEFORE_RESET: Duration = Duration::from_millis(50);
+
 /// A request as received by the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -38,6 +42,8 @@
     Write(String),
     /// Writes these bytes and closes the connection.
     WriteAndClose(String),
+    /// Writes these bytes, gives the peer time to read them, and resets the connection.
+    WriteAndReset(String),
     /// Writes a head and then the same chunk `times` times, as fast as the peer reads.
     Repeat {
         head: String,
@@ -138,6 +144,13 @@
                     let _ = stream.write_all(text.as_bytes()).await;
                     return;
                 }
+                Action::WriteAndReset(text) => {
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    tokio::time::sleep(TIME_BEFORE_RESET).await;
+                    let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    reset.expect("a socket option");
+                    return;
+                }
                 Action::Repeat { head, chunk, times } => {
                     if write_repeated(&mut stream, &head, &chunk, times)
                         .await
@@ -254,3 +267,47 @@
 
 /// The chunk that terminates a chunked body.
 pub const FINAL_CHUNK: &str = "0\r\n\r\n";
+
+/// How a response delimits its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framed {
+    Length,
+    Chunked,
+    UntilClose,
+    UntilCloseOld,
+}
+
+/// The head of a response whose body, of `length` bytes when it is whole, is delimited like this.
+pub fn framed_head(
+    request: &ReceivedRequest,
+    framed: Framed,
+    media_type: &str,
+    length: usize,
+) -> String {
+    let id = request.header("x-call").unwrap_or("");
+    let (version, framing) = match framed {
+        Framed::Length => ("1.1", format!("content-length: {length}\r\n")),
+        Framed::Chunked => ("1.1", "transfer-encoding: chunked\r\n".to_owned()),
+        Framed::UntilClose => ("1.1", String::new()),
+        Framed::UntilCloseOld => ("1.0", String::new()),
+    };
+    format!("HTTP/{version} 200 OK\r\nx-call: {id}\r\ncontent-type: {media_type}\r\n{framing}\r\n")
+}
+
+/// A body that is broken off after `kept` bytes, delimited like this.
+pub fn framed_part(framed: Framed, body: &str, kept: usize) -> String {
+    match framed {
+        Framed::Chunked if kept > 0 => chunk(&body[..kept]),
+        Framed::Chunked => String::new(),
+        _ => body[..kept].to_owned(),
+    }
+}
+
+/// A whole body, delimited like this.
+pub fn framed_body(framed: Framed, body: &str) -> String {
+    let part = framed_part(framed, body, body.len());
+    match framed {
+        Framed::Chunked => format!("{part}{FINAL_CHUNK}"),
+        _ => part,
+    }
+}
