Judge whether a response is complete in one place, from its framing, its end and its place

Callers saw 200 with the server's seal and a short or empty body, framed as complete; turns broken off this way were stored. Cause: the HTTP library takes an HTTP/1.1 response with neither a length nor chunks for one without a body, and the gateway inferred the end of a body from "no more bytes". So the body was never read, and whatever ended it, a close, a reset or a crash, the response counted as complete. Over HTTP/1.0 whole bodies counted as broken, and after HEAD, 304 and an empty HTTP/1.0 response the gateway waited for a body. Change: the gateway reads the framing from the head itself, and one pure function decides from framing, ending, position and content whether a body is complete (docs/design/response-ends.md). A head that an orderly close follows is unknown, and treated as truncated.

--- a/crates/courseshed-edge/src/gateway/attempts/records.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/records.rs
@@ -4,7 +4,7 @@
 
 use courseshed_types::{CachedPrompt, ServerKey};
 
-use super::super::body_end::{BodyEnd, BodyProgress, Ending};
+use super::super::body_end::{BodyEnd, BodyProgress, Ending, judge};
 use super::super::call_log::ResponseEnd;
 use super::super::servers::CallReport;
 use super::super::upstream::UpstreamError;
@@ -22,19 +22,19 @@
         end: BodyEnd,
         progress: BodyProgress,
     ) -> Result<(), UpstreamError> {
-        let is_complete = end.ending == Ending::Framing && progress.partial_event_bytes == 0;
-        let verdict = if is_complete { "complete" } else { "truncated" };
+        let verdict = judge(end.framing, end.ending, &progress);
+        let completeness = verdict.completeness.as_str();
         let labels = ResponseEndLabels {
             service: self.service.clone(),
             framing: end.framing.as_str(),
             ending: end.ending.as_str(),
-            verdict,
+            verdict: completeness,
         };
         let ends = &self.core.metrics.response_ends;
         ends.get_or_create(&labels).inc();
-        if end.ending != Ending::Framing || !is_complete {
+        if end.ending != Ending::Framing || !verdict.is_complete() {
             let request = self.call.request_id.as_str();
-            log::info!(event = "response_ended", request, server, framing = end.framing.as_str(), ending = end.ending.as_str(), position = progress.position().as_str(), verdict, events = progress.events, bytes = progress.bytes, partial_event_bytes = progress.partial_event_bytes, detail = end.detail.as_str(); "a response body did not end as its framing says, or within an event");
+            log::info!(event = "response_ended", request, server, framing = end.framing.as_str(), ending = end.ending.as_str(), position = progress.position().as_str(), verdict = completeness, reason = verdict.reason.as_str(), events = progress.events, bytes = progress.bytes, partial_event_bytes = progress.partial_event_bytes, detail = end.detail.as_str(); "a response body did not end as its framing says, or within an event");
         }
         let error = error_of(&end, &progress);
         self.log.response_end = Some(ResponseEnd {
@@ -42,7 +42,11 @@
             progress,
             verdict,
         });
-        if is_complete { Ok(()) } else { Err(error) }
+        if verdict.is_complete() {
+            Ok(())
+        } else {
+            Err(error)
+        }
     }
 
     /// Records a complete response with the given number of generated tokens. Returns the prompt
--- a/crates/courseshed-edge/src/gateway/body_end.rs
+++ b/crates/courseshed-edge/src/gateway/body_end.rs
@@ -1,7 +1,10 @@
-//! How a server's response delimits its body, and what ended the reading of it. No I/O.
+//! Decides whether the body of a server's response is complete. No I/O.
+//!
+//! Invariant: only [`judge`] decides this, from the framing, what ended the reading, and where in the
+//! body that was. The end of the received bytes alone proves nothing.
 
 use actix_http::header::{self, HeaderMap};
-use actix_http::{ResponseHead, StatusCode};
+use actix_http::{ResponseHead, StatusCode, Version};
 
 /// How a response delimits its body (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,7 +28,7 @@
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         if is_head_request || is_bodiless {
             Self::Empty
-        } else if is_chunked(head.headers()) {
+        } else if head.version >= Version::HTTP_11 && is_chunked(head.headers()) {
             Self::Chunked
         } else if head.headers().contains_key(header::CONTENT_LENGTH) {
             Self::Length
@@ -156,3 +159,130 @@
         }
     }
 }
+
+/// Whether a body is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completeness {
+    /// All of it was received.
+    Complete,
+    /// Some of it is missing.
+    Truncated,
+    /// The connection doesn't show which; the body is treated as truncated.
+    Unknown,
+}
+
+impl Completeness {
+    /// The name used in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Truncated => "truncated",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What decided whether a body is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The framing marked the end.
+    FramedEnd,
+    /// The connection, whose end is the end of the body, was closed in order.
+    OrderlyClose,
+    /// An error response whose status says all that the client needs.
+    ErrorWithoutBody,
+    /// The end lies within an event.
+    PartialEvent,
+    /// The connection was closed before the end that the framing marks.
+    ClosedWithinFraming,
+    /// The connection was reset.
+    Reset,
+    /// Bytes that violate the framing.
+    InvalidFraming,
+    /// No bytes came within the time limit.
+    Silence,
+    /// The connection was closed after the head, which an empty body and a failed server have in common.
+    ClosedAfterHead,
+}
+
+impl Reason {
+    /// The name used in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FramedEnd => "framed_end",
+            Self::OrderlyClose => "orderly_close",
+            Self::ErrorWithoutBody => "error_without_body",
+            Self::PartialEvent => "partial_event",
+            Self::ClosedWithinFraming => "closed_within_framing",
+            Self::Reset => "reset",
+            Self::InvalidFraming => "invalid_framing",
+            Self::Silence => "silence",
+            Self::ClosedAfterHead => "closed_after_head",
+        }
+    }
+}
+
+/// The verdict on a body that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyVerdict {
+    /// Whether the body is complete.
+    pub completeness: Completeness,
+    /// What decided it.
+    pub reason: Reason,
+}
+
+impl BodyVerdict {
+    const fn complete(reason: Reason) -> Self {
+        Self {
+            completeness: Completeness::Complete,
+            reason,
+        }
+    }
+
+    const fn truncated(reason: Reason) -> Self {
+        Self {
+            completeness: Completeness::Truncated,
+            reason,
+        }
+    }
+
+    /// Whether the body may be passed on as complete.
+    #[must_use]
+    pub fn is_complete(self) -> bool {
+        self.completeness == Completeness::Complete
+    }
+}
+
+/// Decides whether a body is complete; `docs/design/response-ends.md` gives the reason of each case.
+#[must_use]
+pub fn judge(framing: Framing, ending: Ending, progress: &BodyProgress) -> BodyVerdict {
+    let position = progress.position();
+    match (ending, framing) {
+        (Ending::Reset, _) => BodyVerdict::truncated(Reason::Reset),
+        (Ending::Invalid, _) => BodyVerdict::truncated(Reason::InvalidFraming),
+        (Ending::Silent, _) => BodyVerdict::truncated(Reason::Silence),
+        (Ending::Framing | Ending::Closed, _) if position == Position::WithinEvent => {
+            BodyVerdict::truncated(Reason::PartialEvent)
+        }
+        (Ending::Framing, Framing::UntilClose) => BodyVerdict::truncated(Reason::InvalidFraming),
+        (Ending::Framing, _) => BodyVerdict::complete(Reason::FramedEnd),
+        (Ending::Closed, Framing::UntilClose) => judge_orderly_close(position, progress.content),
+        (Ending::Closed, _) => BodyVerdict::truncated(Reason::ClosedWithinFraming),
+    }
+}
+
+/// Decides whether a body that its connection delimits is complete.
+fn judge_orderly_close(position: Position, content: Content) -> BodyVerdict {
+    if position != Position::Start {
+        return BodyVerdict::complete(Reason::OrderlyClose);
+    }
+    match content {
+        Content::Plain { is_success: false } => BodyVerdict::complete(Reason::ErrorWithoutBody),
+        Content::Plain { .. } | Content::Events => BodyVerdict {
+            completeness: Completeness::Unknown,
+            reason: Reason::ClosedAfterHead,
+        },
+    }
+}
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -7,7 +7,7 @@
 use courseshed_routing::Route;
 use tokio::time::Instant;
 
-use super::body_end::{BodyEnd, BodyProgress};
+use super::body_end::{BodyEnd, BodyProgress, BodyVerdict};
 use super::call::GatewayRequest;
 use super::choice::ChoiceInputs;
 use super::upstream::UpstreamError;
@@ -17,7 +17,7 @@
 pub(super) struct ResponseEnd {
     pub end: BodyEnd,
     pub progress: BodyProgress,
-    pub verdict: &'static str,
+    pub verdict: BodyVerdict,
 }
 
 /// The access log entry of a request; written, together with the metrics, on drop.
@@ -171,7 +171,8 @@
             response_framing = end.map(|ended| ended.end.framing.as_str()),
             response_ending = end.map(|ended| ended.end.ending.as_str()),
             response_position = end.map(|ended| ended.progress.position().as_str()),
-            response_verdict = end.map(|ended| ended.verdict),
+            response_verdict = end.map(|ended| ended.verdict.completeness.as_str()),
+            response_reason = end.map(|ended| ended.verdict.reason.as_str()),
             partial_event_bytes = end.map(|ended| ended.progress.partial_event_bytes),
             resumed = self.resumed,
             version = self.version,
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -42,7 +42,10 @@
 
 pub use access::{AccessPolicy, Caller, Identity, TenantSettings};
 pub use admission::{AdmissionControl, AdmissionDecision, AdmissionRequest, ServiceLoad};
-pub use body_end::{BodyEnd, BodyProgress, Content, Ending, Framing, Position};
+pub use body_end::{
+    BodyEnd, BodyProgress, BodyVerdict, Completeness, Content, Ending, Framing, Position, Reason,
+    judge,
+};
 pub use call::{
     CallCodec, Credential, ForwardingContext, GatewayRequest, InvalidRequest, ProgramHeaders,
     ResponseMetadata,
--- a/crates/courseshed-edge/src/gateway/plain.rs
+++ b/crates/courseshed-edge/src/gateway/plain.rs
@@ -148,6 +148,10 @@
             attempts.log.bytes = body.len() as u64;
             attempts.record_outcome(&mut opened);
             opened.upstream.release();
+            // The length of the body that a GET would bring is not known here.
+            if attempts.call.method == "HEAD" {
+                return response.set_body(BoxBody::new(actix_http::body::None::new()));
+            }
             response.set_body(BoxBody::new(BufferedBody {
                 rest: body,
                 _memory: attempts.memory,
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use actix_http::error::ParseError;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec};
 use actix_http::header::{self, HeaderValue};
-use actix_http::{ResponseHead, ServiceConfig};
+use actix_http::{ResponseHead, ServiceConfig, Version};
 use bytes::{Buf, Bytes, BytesMut};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -73,6 +73,16 @@
     End(BodyEnd),
 }
 
+/// How the rest of a response body is read.
+enum BodySource {
+    /// Nothing is left, by the framing.
+    Ended,
+    /// By its length or its chunks.
+    Framed(ClientPayloadCodec),
+    /// Until the connection ends.
+    UntilClose,
+}
+
 fn broken(reason: impl ToString) -> UpstreamError {
     UpstreamError::Broken {
         reason: reason.to_string(),
@@ -133,8 +143,7 @@
             stream,
             buffer: BytesMut::new(),
             framing: Framing::Empty,
-            payload: None,
-            ends_with_connection: false,
+            body: BodySource::Ended,
             is_reusable: false,
             tolerates_slow_reads,
             connect_time: is_new.then(|| began.elapsed()),
@@ -217,8 +226,7 @@
     buffer: BytesMut,
     /// Framing of the response.
     framing: Framing,
-    payload: Option<ClientPayloadCodec>,
-    ends_with_connection: bool,
+    body: BodySource,
     is_reusable: bool,
     /// Whether the connection tolerates a server that reads slowly.
     tolerates_slow_reads: bool,
@@ -252,7 +260,7 @@
                     return Ok(head);
                 }
                 log::warn!(event = "stray_answer", server = self.server.as_str(); "dropped a response to another request");
-                if self.ends_with_connection {
+                if self.framing == Framing::UntilClose {
                     return Err(broken(
                         "connection closed after a response to another request",
                     ));
@@ -306,6 +314,11 @@
         loop {
             let decoded = codec.decode(&mut self.buffer);
             if let Some(head) = decoded.map_err(|error: ParseError| broken(error))? {
+                if head.version < Version::HTTP_11
+                    && head.headers().contains_key(header::TRANSFER_ENCODING)
+                {
+                    return Err(broken("HTTP/1.0 response with a transfer encoding"));
+                }
                 self.framing = Framing::of(&head, is_head_request);
                 self.apply_head(&head, codec);
                 return Ok(head);
@@ -320,33 +333,36 @@
     }
 
     fn apply_head(&mut self, head: &ResponseHead, codec: ClientCodec) {
-        let closes = header_has(head.headers().get(header::CONNECTION), "close");
-        let message = codec.message_type();
-        self.ends_with_connection = message == MessageType::Stream;
-        self.is_reusable &= !closes && !self.ends_with_connection;
+        self.is_reusable &= stays_open(head) && self.framing != Framing::UntilClose;
         if let Some(keep_alive) = keep_alive_of(head) {
             self.keep_alive = keep_alive;
         }
-        self.payload = match message {
-            MessageType::None => None,
-            MessageType::Payload | MessageType::Stream => Some(codec.into_payload_codec()),
+        // The codec takes a response with neither a length nor chunks for one without a body, and
+        // doesn't know of HEAD.
+        self.body = match self.framing {
+            Framing::Empty => BodySource::Ended,
+            Framing::Length if declares_no_bytes(head) => BodySource::Ended,
+            Framing::Length | Framing::Chunked => BodySource::Framed(codec.into_payload_codec()),
+            Framing::UntilClose => BodySource::UntilClose,
         };
     }
 
     /// The next bytes of the body, or its end.
     pub async fn read_body(&mut self) -> BodyRead {
         loop {
-            let Some(payload) = &mut self.payload else {
-                return BodyRead::End(self.end(Ending::Framing, ""));
-            };
-            match payload.decode(&mut self.buffer) {
-                Ok(Some(Some(chunk))) => return BodyRead::Bytes(chunk),
-                Ok(Some(None)) => {
-                    self.payload = None;
-                    continue;
-                }
-                Ok(None) => {}
-                Err(error) => return BodyRead::End(self.end(Ending::Invalid, error)),
+            match &mut self.body {
+                BodySource::Ended => return BodyRead::End(self.end(Ending::Framing, "")),
+                BodySource::UntilClose if self.buffer.is_empty() => {}
+                BodySource::UntilClose => return BodyRead::Bytes(self.buffer.split().freeze()),
+                BodySource::Framed(codec) => match codec.decode(&mut self.buffer) {
+                    Ok(Some(Some(chunk))) => return BodyRead::Bytes(chunk),
+                    Ok(Some(None)) => {
+                        self.body = BodySource::Ended;
+                        continue;
+                    }
+                    Ok(None) => {}
+                    Err(error) => return BodyRead::End(self.end(Ending::Invalid, error)),
+                },
             }
             match self.fill().await {
                 Ok(0) => return BodyRead::End(self.end(Ending::Closed, "")),
@@ -380,7 +396,8 @@
 
     /// Returns the connection to the pool if the response was complete and nothing is left to read.
     pub fn release(self) {
-        if self.is_reusable && self.payload.is_none() && self.buffer.is_empty() {
+        let has_ended = matches!(self.body, BodySource::Ended);
+        if self.is_reusable && has_ended && self.buffer.is_empty() {
             if self.tolerates_slow_reads
                 && let Err(error) = sockets::prepare(&self.stream)
             {
@@ -408,6 +425,20 @@
     Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
+/// Whether the server keeps the connection open after a response.
+fn stays_open(head: &ResponseHead) -> bool {
+    let connection = head.headers().get(header::CONNECTION);
+    let is_kept = head.version >= Version::HTTP_11 || header_has(connection, "keep-alive");
+    is_kept && !header_has(connection, "close")
+}
+
+/// Whether a response declares a length of zero.
+fn declares_no_bytes(head: &ResponseHead) -> bool {
+    let length = head.headers().get(header::CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok());
+    length.and_then(|length| length.trim().parse::<u64>().ok()) == Some(0)
+}
+
 fn header_has(value: Option<&HeaderValue>, token: &str) -> bool {
     let text = value.and_then(|value| value.to_str().ok()).unwrap_or("");
     text.split(',')
