Send clients of HTTP/1.0 no chunks, and reset their connection when a response breaks off

Callers of HTTP/1.0 got the size lines of chunks within the body of a stream. Cause: the HTTP library sends chunks to any client unless told otherwise. Told so, the body ends with the connection, and an orderly close after a broken body would look complete. Change: a body of unknown length to such a client has no chunks, and its connection is set to be reset on any close, also by the end of the process, until the body is complete.

--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -27,6 +27,7 @@
 use super::schedule::{SchedulerClient, resend_running_calls, send_notes};
 use super::stream::forward_by_kind;
 use super::warmup::exchange_warmup_permits;
+use crate::close_delimited::delimit_body;
 use crate::follower::{FleetFollower, FollowerKind};
 use crate::http::{BodyError, HttpTiming, connection_of, listen, serve};
 use crate::metrics::Metrics;
@@ -260,6 +261,8 @@
     core.in_flight_requests
         .set(core.in_flight_requests.get() + 1);
     let counted = RequestGuard(core.clone());
+    let version = request.version();
+    let connection = connection_of(&request);
     let mut response = match admit(&core, request).await {
         Ok((attempts, tokens_per_event)) => forward_by_kind(attempts, tokens_per_event).await,
         Err(refusal) => refusal.response(),
@@ -269,6 +272,7 @@
             .head_mut()
             .set_connection_type(ConnectionType::Close);
     }
+    let response = delimit_body(response, version, connection);
     response.map_body(|_, body| BoxBody::new(counted.guard(body)))
 }
 
--- a/crates/courseshed-edge/src/lib.rs
+++ b/crates/courseshed-edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! See `docs/design/platform.md`.
 
 pub mod clock;
+mod close_delimited;
 mod control_client;
 pub mod controller;
 mod followed_controllers;
--- a/crates/courseshed-edge/src/watched.rs
+++ b/crates/courseshed-edge/src/watched.rs
@@ -83,6 +83,18 @@
         }
     }
 
+    /// Sets whether the connection is reset when it is closed, also by the end of the process.
+    pub fn set_reset_on_close(&self, resets: bool) {
+        let socket = self.socket.borrow();
+        let Some(socket) = &*socket else {
+            return;
+        };
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(socket).set_linger(linger) {
+            log::warn!(event = "not_reset"; "cannot set whether a client connection is reset: {error}");
+        }
+    }
+
     fn set_waker(&self, waker: &Waker) {
         self.waker.replace(Some(waker.clone()));
     }
