Pass the head of a stream on with its first event

Callers got 200 and a broken body when a server failed between its head and its first event. Cause: the head was passed on before anything showed that a stream follows. Change: the gateway waits for the first event; until then a failure is answered with 502 or 504, and a stream that is resumed before its first event has the head of the server that answers it.

--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use courseshed_pool::CallEnd;
 use courseshed_quota::ProgramPhase;
 use courseshed_records::PartitionId;
-use futures_util::stream;
+use futures_util::{Stream, StreamExt, stream};
 use snafu::Snafu;
 use tokio::time::{Instant, timeout_at};
 
@@ -106,10 +106,11 @@
     }
     attempts.record_client_resumption(RESUMED);
     attempts.release_body();
-    let response = response_head(&opened.head);
-    let relay = EventRelay {
+    let mut relay = EventRelay {
         attempts,
+        response: Some(response_head(&opened.head)),
         opened: Some(opened),
+        refusal: Refusal::Broken,
         reservation,
         partition: composed.partition,
         splitter: EventSplitter::default(),
@@ -124,7 +125,20 @@
         delivered_at: None,
         is_client_stalled: false,
     };
-    let events = stream::unfold(Some(relay), |relay| async {
+    // Until the first event, a stream that fails can be answered with an error.
+    let first = match relay.next().await {
+        Ok(first) => first,
+        Err(Truncated) => return refuse(relay.attempts, relay.refusal),
+    };
+    let response = relay.response.take().unwrap_or_else(Response::ok);
+    let rest = first.is_some().then_some(relay);
+    let events = stream::iter(first.map(Ok)).chain(events_of(rest));
+    response.set_body(BoxBody::new(BodyStream::new(Box::pin(events))))
+}
+
+/// The events of a relay until its stream ends.
+fn events_of(relay: Option<EventRelay>) -> impl Stream<Item = Result<Bytes, Truncated>> {
+    stream::unfold(relay, |relay| async {
         let mut relay = relay?;
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
@@ -135,8 +149,7 @@
                 Some((Err(truncated), None))
             }
         }
-    });
-    response.set_body(BoxBody::new(BodyStream::new(Box::pin(events))))
+    })
 }
 
 /// Forwards a non-streaming response, such as an error.
@@ -159,6 +172,10 @@
 /// A stream that is relayed from a server to a client.
 struct EventRelay {
     attempts: Attempts,
+    /// The response without its body, until the first event; then the client has it.
+    response: Option<Response<BoxBody>>,
+    /// How the request is refused if it fails before the first event.
+    refusal: Refusal,
     opened: Option<OpenedResponse>,
     reservation: Option<TokenReservation>,
     /// The partition that stores the turn.
@@ -344,12 +361,18 @@
             }
         }
         if !self.attempts.may_retry() {
+            if matches!(error, UpstreamError::TimedOut) {
+                self.refusal = Refusal::TimedOut;
+            }
             return self.abort();
         }
         self.attempts.log.resumed += 1;
         match self.attempts.open(self.last_event).await {
             Ok(opened) if opened.head.status == StatusCode::OK => {
                 self.attempts.record_resumed(&opened);
+                if let Some(response) = &mut self.response {
+                    *response = response_head(&opened.head);
+                }
                 self.opened = Some(opened);
                 self.last_arrival = None;
                 self.server_events = 0;
@@ -364,7 +387,8 @@
                 opened.end_call(opened.end_of_unstreamed());
                 self.abort()
             }
-            Err(_) => {
+            Err(refusal) => {
+                self.refusal = refusal;
                 self.attempts.record_not_resumed();
                 self.abort()
             }
