Let the soak's servers use every framing and break responses off at every place

Cause: no stand-in sent a body without a length or chunks, and none broke a response off but between events, so no test could see one that looked whole. Callers check that streams that end as whole have all events; a whole response that is reported as broken breaks the promise WholeAccepted.

--- a/crates/courseshed-soak/src/http_text.rs
+++ b/crates/courseshed-soak/src/http_text.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 as text, as much of it as the soak's callers and servers need.
 
 use std::io;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -96,6 +98,14 @@
         self.stream.write_all(text.as_bytes()).await
     }
 
+    /// Lets the connection be reset when it is closed.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// The next message; none if the connection ended before its head.
     pub async fn read(&mut self) -> Option<Message> {
         let head = self.read_head().await?;
@@ -223,10 +233,16 @@
     }
 }
 
+/// One event of a stream.
+#[must_use]
+pub fn event_text(number: u64, data: &str) -> String {
+    format!("id: {number}\ndata: {data}\n\n")
+}
+
 /// One event of a stream as a chunk.
 #[must_use]
 pub fn event_chunk(number: u64, data: &str) -> String {
-    let event = format!("id: {number}\ndata: {data}\n\n");
+    let event = event_text(number, data);
     format!("{:x}\r\n{event}\r\n", event.len())
 }
 
--- a/crates/courseshed-soak/src/ledger.rs
+++ b/crates/courseshed-soak/src/ledger.rs
@@ -26,6 +26,8 @@
     History,
     /// A program is given no more tokens than its budget and one turn.
     Budget,
+    /// A response that a server sent whole is not reported as broken.
+    WholeAccepted,
     /// Nothing that was passed on is cut off, neither by a planned stop nor without any.
     NotCutOff,
     /// All events of a stream come from servers of one software version, whoever resumes it.
@@ -198,6 +200,7 @@
     dropped: BTreeMap<String, u64>,
     budgets: BTreeMap<String, ProgramBudget>,
     resumptions: Resumptions,
+    broken_off: usize,
     disturbances: Vec<Disturbance>,
     seen: Vec<Violation>,
 }
@@ -221,6 +224,8 @@
     pub cold_arrivals: usize,
     /// Requests of callers that resume a stream.
     pub resumptions: Resumptions,
+    /// Responses that servers broke off on purpose.
+    pub broken_off_by_servers: usize,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -236,6 +241,11 @@
         *self.dropped.entry(call.to_owned()).or_default() += 1;
     }
 
+    /// Notes that a server breaks a response off within it.
+    pub fn note_broken_off(&mut self) {
+        self.broken_off += 1;
+    }
+
     /// Notes how a request ended that resumes a stream, and whether any event came.
     pub fn note_resumption(&mut self, outcome: &Outcome, has_events: bool) {
         let resumptions = &mut self.resumptions;
@@ -323,6 +333,7 @@
             violations: self.seen.clone(),
             restricted_runs: self.restricted_runs,
             resumptions: self.resumptions,
+            broken_off_by_servers: self.broken_off,
             evacuated_arrivals: self.late_arrivals.len(),
             cold_arrivals: self.cold_arrivals.values().map(Vec::len).sum(),
             ..Tally::default()
@@ -352,6 +363,10 @@
                 Promise::NotRun,
                 format!("{id} was refused with {status} and ran {runs} times"),
             ),
+            Outcome::Answered { status: 502 } if self.is_cut_off(id, call) => violation(
+                Promise::WholeAccepted,
+                format!("{id} at gateway {}", call.gateway),
+            ),
             Outcome::NoAnswer | Outcome::BrokenOff if self.is_cut_off(id, call) => violation(
                 Promise::NotCutOff,
                 format!("{id} at gateway {}: {:?}", call.gateway, call.outcome),
--- a/crates/courseshed-soak/src/lib.rs
+++ b/crates/courseshed-soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod faults;
 pub mod fleet;
+pub mod framing;
 pub mod http_text;
 pub mod ledger;
 pub mod node;
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -62,6 +62,9 @@
     /// replace servers by ones of other software versions, and resume streams
     #[argh(switch)]
     releases: bool,
+    /// let servers use every framing, and break responses off at every place
+    #[argh(switch)]
+    framings: bool,
     /// a file with the faults, as a failed run leaves one (those of the seed)
     #[argh(option)]
     plan: Option<PathBuf>,
@@ -124,6 +127,7 @@
         has_regions: seed.is_multiple_of(2),
         limits_warm_up: arguments.limit_warm_up,
         has_releases: arguments.releases,
+        varies_framing: arguments.framings,
         broken: None,
         size,
         servers: arguments.servers,
@@ -156,11 +160,12 @@
         evacuated_arrivals,
         cold_arrivals,
         resumptions,
+        broken_off_by_servers,
         violations,
     } = tally;
     let broken = violations.len();
     println!(
-        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {resumptions}; {broken} promises broken"
+        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {resumptions}; servers broke {broken_off_by_servers} off; {broken} promises broken"
     );
     for violation in violations {
         println!("  {violation}");
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -51,6 +51,8 @@
     pub limits_warm_up: bool,
     /// Whether servers are replaced by ones of other software versions, and callers resume streams.
     pub has_releases: bool,
+    /// Whether servers use every framing, and break responses off at every place.
+    pub varies_framing: bool,
     /// A fault put in on purpose.
     pub broken: Option<Broken>,
     /// Processes.
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -11,7 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
-use crate::http_text::{Head, Message, TextConnection, event_chunk};
+use crate::framing::FramedResponse;
+use crate::http_text::{Head, Message, TextConnection, event_chunk, event_text};
 use crate::ledger::Promise;
 use crate::streams::{STREAM_EVENTS, versioned_event};
 use crate::world::World;
@@ -63,6 +64,8 @@
     state: Cell<ServerState>,
     has_left: Cell<bool>,
     random: RefCell<ChaCha8Rng>,
+    /// Decides framings and breaks; apart, so that the faults of a seed don't depend on them.
+    framings: RefCell<ChaCha8Rng>,
     world: Rc<World>,
 }
 
@@ -88,6 +91,7 @@
             state: Cell::new(ServerState::Ready),
             has_left: Cell::new(false),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            framings: RefCell::new(ChaCha8Rng::seed_from_u64(!seed)),
             world,
         });
         actix_rt::spawn(server.clone().accept(listener));
@@ -200,6 +204,9 @@
             self.world.ledger.borrow_mut().note_dropped(&id);
             return false;
         }
+        if self.world.varies_framing() {
+            return self.varied_answer(connection, &id, message).await;
+        }
         if message.head.path().contains("stream/") {
             return self.resumable_stream(connection, &id, &message.head).await;
         }
@@ -214,6 +221,69 @@
         connection.write(&answer).await.is_ok()
     }
 
+    /// Answers a call with any framing, or breaks the answer off; false when the connection is to be
+    /// closed.
+    async fn varied_answer(
+        &self,
+        connection: &mut TextConnection,
+        id: &str,
+        message: &Message,
+    ) -> bool {
+        let path = message.head.path();
+        let (media_type, parts) = if path.contains("stream/") {
+            let last = message.head.header("x-last");
+            let last = last.and_then(|last| last.parse().ok());
+            self.check_stream_version(id, &message.head, last);
+            let missing = last.unwrap_or(0) + 1..=STREAM_EVENTS;
+            let event = |number| event_text(number, &versioned_event(self.version, number));
+            ("text/event-stream", missing.map(event).collect())
+        } else if path.contains("turn/") {
+            self.check_history(id, &message.body);
+            let events = (1..).zip(events_of(id));
+            let event = |(number, data): (u64, String)| event_text(number, &data);
+            ("text/event-stream", events.map(event).collect())
+        } else {
+            ("text/plain", vec![plain_answer(id)])
+        };
+        let mut framings = self.framings.borrow_mut();
+        let response = FramedResponse::draw(&mut framings, id, media_type, &parts);
+        drop(framings);
+        self.send(connection, id, &response).await
+    }
+
+    /// Sends a response piece by piece, up to its break if there is one; false when the connection is
+    /// to be closed.
+    async fn send(
+        &self,
+        connection: &mut TextConnection,
+        id: &str,
+        response: &FramedResponse,
+    ) -> bool {
+        let mut left = response.breaks.map_or(usize::MAX, |breaks| breaks.after);
+        if let Some(breaks) = response.breaks {
+            let mut ledger = self.world.ledger.borrow_mut();
+            ledger.note_dropped(id);
+            ledger.note_broken_off();
+            drop(ledger);
+            if breaks.resets && connection.reset_on_close().is_err() {
+                return false;
+            }
+        }
+        for piece in &response.pieces {
+            let kept = piece.len().min(left);
+            left -= kept;
+            if connection.write(&piece[..kept]).await.is_err() {
+                return false;
+            }
+            let pause = self.random.borrow_mut().random_range(1..25);
+            sleep(Duration::from_millis(pause)).await;
+            if kept < piece.len() {
+                return false;
+            }
+        }
+        response.breaks.is_none() && !response.framing.ends_with_connection()
+    }
+
     /// Notes where and when a call came.
     fn note_arrival(&self, id: &str, path: &str) {
         let now = Instant::now();
--- a/crates/courseshed-soak/src/streams.rs
+++ b/crates/courseshed-soak/src/streams.rs
@@ -63,6 +63,11 @@
             Err(_) => (Outcome::GaveUp, None),
         };
         let events = events.unwrap_or_default();
+        let count = (received.events.len() + events.len()) as u64;
+        if outcome == (Outcome::Answered { status: 200 }) && count < STREAM_EVENTS {
+            let detail = format!("{id} ended as whole with {count} events at gateway {gateway}");
+            self.violation(Promise::WholeAnswer, detail);
+        }
         if received.first.is_some() {
             let mut ledger = self.world.ledger.borrow_mut();
             ledger.note_resumption(&outcome, !events.is_empty());
--- a/crates/courseshed-soak/src/world.rs
+++ b/crates/courseshed-soak/src/world.rs
@@ -47,6 +47,7 @@
     has_regions: bool,
     limits_warm_up: bool,
     has_releases: bool,
+    varies_framing: bool,
     broken: Option<Broken>,
     is_over: Cell<bool>,
 }
@@ -70,6 +71,7 @@
             has_regions: options.has_regions,
             limits_warm_up: options.limits_warm_up,
             has_releases: options.has_releases,
+            varies_framing: options.varies_framing,
             broken: options.broken,
             is_over: Cell::new(false),
         }
@@ -92,6 +94,12 @@
         self.has_releases
     }
 
+    /// Whether servers use every framing, and break responses off at every place.
+    #[must_use]
+    pub fn varies_framing(&self) -> bool {
+        self.varies_framing
+    }
+
     /// The software version that a server reports.
     #[must_use]
     pub fn reported_version(&self, version: u32) -> String {
--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -24,6 +24,7 @@
         has_regions,
         limits_warm_up: false,
         has_releases: false,
+        varies_framing: false,
         broken: None,
         size: FleetSize {
             gateways: 2,
@@ -153,6 +154,24 @@
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
 }
 
+/// Guards against responses that end early and look whole, or are whole and reported as broken, while
+/// gateways are stopped, killed and paused, and streams are resumed.
+#[parameterized(
+    first = { 61 },
+    second = { 62 },
+)]
+fn responses_of_every_framing_are_whole_or_look_broken_off(seed: u64) {
+    let folder = TempDir::new().expect("a folder");
+    let mut options = options(seed, folder.path());
+    options.has_releases = true;
+    options.varies_framing = true;
+    options.size.gateways = 3;
+    let tally = soak(options);
+    let lines = warnings(folder.path()).expect("logs are read");
+    assert!(tally.broken_off_by_servers > 0, "{tally:?}");
+    assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
+}
+
 /// Guards against checks that see nothing: each fault that is put in on purpose must be caught by its
 /// check, and by no other.
 #[parameterized(
--- a/crates/courseshed-soak/tests/timeline.rs
+++ b/crates/courseshed-soak/tests/timeline.rs
@@ -36,6 +36,7 @@
         has_regions: false,
         limits_warm_up: false,
         has_releases: false,
+        varies_framing: false,
         broken: None,
         size: FleetSize {
             gateways: GATEWAYS,
