Test long responses, slow clients, and closes that a reset follows

Cause: the order of bytes, close and reset, responses longer than the gateway's buffer, and a resumed stream without a rest had no test. Change: tests for them, with clients of both versions of HTTP.

--- a/crates/courseshed-edge/tests/support/client.rs
+++ b/crates/courseshed-edge/tests/support/client.rs
@@ -1,10 +1,13 @@
 //! A client that tells from the framing of a response alone whether it is complete.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+const PAUSE_OF_SLOW_CLIENT: Duration = Duration::from_millis(300);
+
 /// A response as its client sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ClientResponse {
@@ -23,19 +26,44 @@
     id: &str,
     headers: &str,
 ) -> ClientResponse {
+    let mut stream = send(address, version, path, id, headers).await;
+    let mut received = Vec::new();
+    let read = stream.read_to_end(&mut received).await;
+    interpret(received, read.is_err())
+}
+
+/// Like `request`, but begins to read only after all buffers on the way are full.
+pub async fn request_slowly(
+    address: SocketAddr,
+    version: &str,
+    path: &str,
+    id: &str,
+) -> ClientResponse {
+    let mut stream = send(address, version, path, id, "").await;
+    tokio::time::sleep(PAUSE_OF_SLOW_CLIENT).await;
+    let mut received = Vec::new();
+    let read = stream.read_to_end(&mut received).await;
+    interpret(received, read.is_err())
+}
+
+async fn send(
+    address: SocketAddr,
+    version: &str,
+    path: &str,
+    id: &str,
+    headers: &str,
+) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.expect("connected");
     let text = format!(
         "POST {path} HTTP/{version}\r\nhost: a.example\r\nx-call: {id}\r\n{headers}content-length: 0\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(text.as_bytes()).await.expect("sent");
-    let mut received = Vec::new();
-    let read = stream.read_to_end(&mut received).await;
-    let received = String::from_utf8(received).expect("text");
-    interpret(&received, read.is_err())
+    stream
 }
 
 /// Interprets the bytes of a connection that then was reset, or closed in order.
-fn interpret(received: &str, is_reset: bool) -> ClientResponse {
+fn interpret(received: Vec<u8>, is_reset: bool) -> ClientResponse {
+    let received = String::from_utf8(received).expect("text");
     let Some((head, rest)) = received.split_once("\r\n\r\n") else {
         return ClientResponse::default();
     };
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -44,6 +44,8 @@
     WriteAndClose(String),
     /// Writes these bytes, gives the peer time to read them, and resets the connection.
     WriteAndReset(String),
+    /// Writes these bytes, closes the connection in order, and then resets it.
+    WriteCloseAndReset(String),
     /// Writes a head and then the same chunk `times` times, as fast as the peer reads.
     Repeat {
         head: String,
@@ -151,6 +153,14 @@
                     reset.expect("a socket option");
                     return;
                 }
+                Action::WriteCloseAndReset(text) => {
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    let _ = stream.shutdown().await;
+                    tokio::time::sleep(TIME_BEFORE_RESET).await;
+                    let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    reset.expect("a socket option");
+                    return;
+                }
                 Action::Repeat { head, chunk, times } => {
                     if write_repeated(&mut stream, &head, &chunk, times)
                         .await
--- a/crates/courseshed-edge/tests/truncated_responses.rs
+++ b/crates/courseshed-edge/tests/truncated_responses.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use courseshed_routing::{CallKind, Route};
-use support::client::{ClientResponse, request};
+use support::client::{ClientResponse, request, request_slowly};
 use support::server::{
     Action, Framed, MockServer, ReceivedRequest, framed_body, framed_head, framed_part,
 };
@@ -18,6 +18,8 @@
 const EVENTS: &str = "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\n";
 /// Length of one of the events.
 const EVENT_BYTES: usize = EVENTS.len() / 3;
+/// Lines of 16 bytes of a body three times as long as the gateway's buffer.
+const LONG_BODY_LINES: usize = 3 * 64 * 1024;
 const STREAM_TYPE: &str = "text/event-stream";
 
 /// How a connection ends after a body that was broken off.
@@ -222,6 +224,29 @@
     }
 }
 
+/// Guards against a stream that is resumed after its last event, and whose rest is empty: only the
+/// framing tells that from a server that failed after its head.
+#[actix_rt::test]
+async fn empty_rest_of_a_resumed_stream_is_complete_only_if_its_framing_says_so() {
+    for framed in FRAMINGS {
+        let script = move |request: &ReceivedRequest| match request.header("x-last") {
+            None => broken(request, Framed::Chunked, EVENTS, EVENTS.len(), End::Closed),
+            Some(_) => {
+                let head = framed_head(request, framed, STREAM_TYPE, 0);
+                Action::WriteAndClose(format!("{head}{}", framed_body(framed, "")))
+            }
+        };
+        let (fleet, _server) = start(resumable_route(), script).await;
+        let response = call(&fleet, "c1").await;
+        assert_eq!(response.body, EVENTS, "{framed:?}");
+        assert_eq!(
+            response.is_complete,
+            !UNDELIMITED.contains(&framed),
+            "{framed:?}"
+        );
+    }
+}
+
 /// Guards against a client of HTTP/1.0 that can't read chunks, and that takes any end of its
 /// connection for the end of the response.
 #[actix_rt::test]
@@ -251,6 +276,61 @@
     }
 }
 
+/// Guards against a verdict that depends on whether a reset comes before or after the last read.
+#[parameterized(
+    plain = { plain_route(), PLAIN_BODY },
+    stream = { stream_route(), EVENTS },
+)]
+#[test_macro(actix_rt::test)]
+async fn reset_after_an_orderly_close_changes_nothing(route: Route, body: &'static str) {
+    for framed in FRAMINGS {
+        let script = move |request: &ReceivedRequest| {
+            let head = framed_head(request, framed, media_type(body), body.len());
+            Action::WriteCloseAndReset(format!("{head}{}", framed_body(framed, body)))
+        };
+        let (fleet, _server) = start(route.clone(), script).await;
+        let response = call(&fleet, "c1").await;
+        assert_eq!(response.body, body, "{framed:?}");
+        assert!(response.is_complete, "{framed:?}");
+    }
+}
+
+/// Guards against a response longer than the gateway's buffer that ends early, or after its client
+/// was slow, and looks complete.
+#[actix_rt::test]
+async fn long_response_is_complete_only_with_all_of_its_bytes() {
+    let body: &'static str = "0123456789abcde\n".repeat(LONG_BODY_LINES).leak();
+    let kept = body.len() - 5;
+    for framed in FRAMINGS {
+        for version in ["1.1", "1.0"] {
+            let script = move |request: &ReceivedRequest| {
+                let head = framed_head(request, framed, "text/plain", body.len());
+                match request.header("x-call") {
+                    Some("whole") => whole(request, framed, body),
+                    Some("closed") => {
+                        Action::WriteCloseAndReset(format!("{head}{}", framed_body(framed, body)))
+                    }
+                    _ => broken(request, framed, body, kept, End::Reset),
+                }
+            };
+            let (fleet, _server) = start(plain_route(), script).await;
+            let address = fleet.caller_addr;
+            let response = request_slowly(address, version, "/a/x", "whole").await;
+            assert!(response.is_complete, "{framed:?} {version}");
+            assert_eq!(response.body.len(), body.len(), "{framed:?} {version}");
+            for id in ["closed", "reset"] {
+                let response = request_slowly(address, version, "/a/x", id).await;
+                let is_short = response.body.len() < body.len();
+                assert!(
+                    !(is_short && response.is_complete),
+                    "{framed:?} {version} {id}"
+                );
+                assert!(id == "closed" || is_short, "{framed:?} {version} {id}");
+            }
+        }
+    }
+}
+
 /// Guards against waiting for a body that a response can't have.
 #[parameterized(
     no_content = { "POST", "HTTP/1.1 204 No Content\r\nx-call: c1\r\n\r\n", 204 },
