--- a/crates/courseshed-edge/src/gateway/attempts/records.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/records.rs
@@ -36,17 +36,17 @@
             let request = self.call.request_id.as_str();
             log::info!(event = "response_ended", request, server, framing = end.framing.as_str(), ending = end.ending.as_str(), position = progress.position().as_str(), verdict = completeness, reason = verdict.reason.as_str(), events = progress.events, bytes = progress.bytes, partial_event_bytes = progress.partial_event_bytes, detail = end.detail.as_str(); "a response body did not end as its framing says, or within an event");
         }
-        let error = error_of(&end, &progress);
+        let judged = if verdict.is_complete() {
+            Ok(())
+        } else {
+            Err(error_of(&end, &progress))
+        };
         self.log.response_end = Some(ResponseEnd {
             end,
             progress,
             verdict,
         });
-        if verdict.is_complete() {
-            Ok(())
-        } else {
-            Err(error)
-        }
+        judged
     }
 
     /// Records a complete response with the given number of generated tokens. Returns the prompt
