--- a/crates/courseshed-soak/src/framing.rs
+++ b/crates/courseshed-soak/src/framing.rs
@@ -130,7 +130,7 @@
         Break { after, resets }
     }
 
-    /// Whether an orderly close after so many bytes can't be told from the end of a whole body.
+    /// Whether an orderly close after this number of bytes can't be told from the end of a whole body.
     #[must_use]
     pub fn looks_whole_after(&self, after: usize) -> bool {
         let head = self.pieces[0].len();
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -245,12 +245,22 @@
         } else {
             ("text/plain", vec![plain_answer(id)])
         };
-        let mut framings = self.framings.borrow_mut();
-        let response = FramedResponse::draw(&mut framings, id, media_type, &parts);
-        drop(framings);
+        let response = self.draw_response(id, media_type, &parts);
         self.send(connection, id, &response).await
     }
 
+    fn draw_response(&self, id: &str, media_type: &str, parts: &[String]) -> FramedResponse {
+        let mut framings = self.framings.borrow_mut();
+        FramedResponse::draw(&mut framings, id, media_type, parts)
+    }
+
+    /// Notes that a server breaks a response off on purpose.
+    fn note_break(&self, id: &str) {
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.note_dropped(id);
+        ledger.note_broken_off();
+    }
+
     /// Sends a response piece by piece, up to its break if there is one; false when the connection is
     /// to be closed.
     async fn send(
@@ -261,10 +271,7 @@
     ) -> bool {
         let mut left = response.breaks.map_or(usize::MAX, |breaks| breaks.after);
         if let Some(breaks) = response.breaks {
-            let mut ledger = self.world.ledger.borrow_mut();
-            ledger.note_dropped(id);
-            ledger.note_broken_off();
-            drop(ledger);
+            self.note_break(id);
             if breaks.resets && connection.reset_on_close().is_err() {
                 return false;
             }
