Reserve the addresses of a soak's fleet for as long as it runs

What was seen: two fleets of soaks could get the same addresses and ports. Neither's processes notice at first; then those of one can't listen and end with exit status 1, and callers of one reach the other's gateways.

Cause: a fleet took its part of the loopback range from its process id and a counter, modulo 200 and 250, and its ports by trying whether they were free. Process ids that are 200 apart with counters one apart meet, as do the 1st and 251st fleet of a process, and ports count as free until the first process listens. A fleet of more than 255 processes gave the last ones one address.

Change: a fleet holds a listening socket on one host of its subnet, and takes the next subnet if that is held. The system frees it with the process. A fleet with more processes than addresses is refused.

--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -2,23 +2,21 @@
 
 use std::fs::File;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 use snafu::{ResultExt, Snafu};
 use tokio::time::Instant;
 
+use crate::loopback::{Subnet, free_ports};
 use crate::node::{CALLERS_PORT, OPERATOR_PORT, Role};
 use crate::zones::zone_at;
 
 /// How long a process that was asked to stop may take before it is killed: its grace and a little.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
-/// Ports of a machine that the fleet uses.
-const PORTS: u16 = 16;
 
 /// How many processes there are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,6 +111,8 @@
 /// The processes of one run. Dropping it kills those that still run.
 pub struct Fleet {
     program: PathBuf,
+    /// Held for as long as the fleet runs.
+    _subnet: Subnet,
     first_port: u16,
     regions: KnownRegions,
     members: Vec<Member>,
@@ -125,12 +125,14 @@
     /// # Errors
     /// [`FleetError`] when a process can't be started.
     pub fn start(
-        program: PathBuf,
+        program: &Path,
         folder: &Path,
         size: FleetSize,
         regions: KnownRegions,
     ) -> Result<Self, FleetError> {
-        let [subnet_high, subnet_low] = subnet();
+        let subnet = Subnet::reserve().context(FleetSnafu {
+            operation: "reserve addresses",
+        })?;
         let mut members = Vec::new();
         let roles = [
             (Role::Controller, size.controllers),
@@ -139,8 +141,9 @@
         ];
         for (role, count) in roles {
             for place in 0..count {
-                let host = u8::try_from(members.len() + 1).unwrap_or(u8::MAX);
-                let ip = Ipv4Addr::new(127, subnet_high, subnet_low, host);
+                let ip = subnet.host(members.len()).context(FleetSnafu {
+                    operation: "find an address for each process",
+                })?;
                 members.push(Member {
                     role,
                     ip,
@@ -156,9 +159,11 @@
                 });
             }
         }
+        let hosts: Vec<Ipv4Addr> = members.iter().map(|member| member.ip).collect();
         let mut fleet = Self {
-            program,
-            first_port: free_ports(&members).context(FleetSnafu {
+            program: program.to_owned(),
+            _subnet: subnet,
+            first_port: free_ports(&hosts).context(FleetSnafu {
                 operation: "find free ports",
             })?,
             regions,
@@ -435,30 +440,3 @@
         }
     }
 }
-
-/// Fleets that this process started.
-static FLEETS: AtomicU32 = AtomicU32::new(0);
-
-/// A part of the loopback range for one fleet of this process, so that runs beside each other don't meet.
-fn subnet() -> [u8; 2] {
-    let id = std::process::id();
-    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
-    let [_, _, _, high] = (id % 200 + 30).to_be_bytes();
-    let [_, _, _, low] = ((id / 200).wrapping_add(fleet) % 250).to_be_bytes();
-    [high, low]
-}
-
-/// The first of a row of ports that are free on all machines.
-fn free_ports(members: &[Member]) -> io::Result<u16> {
-    const FIRST: u16 = 12_000;
-    const LAST: u16 = 30_000;
-    let is_free = |first: u16| {
-        members.iter().all(|member| {
-            let mut ports = first..first + PORTS;
-            ports.all(|port| TcpListener::bind((member.ip, port)).is_ok())
-        })
-    };
-    let mut candidates = (FIRST..LAST).step_by(usize::from(PORTS));
-    let found = candidates.find(|first| is_free(*first));
-    found.ok_or_else(|| io::ErrorKind::AddrInUse.into())
-}
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -97,12 +97,7 @@
         Some(Broken::ConfusesRegions) => KnownRegions::Wrong,
         _ => KnownRegions::Right,
     };
-    let fleet = Fleet::start(
-        options.program.clone(),
-        &options.folder,
-        options.size,
-        regions,
-    );
+    let fleet = Fleet::start(&options.program, &options.folder, options.size, regions);
     let fleet = fleet.context(ProcessSnafu)?;
     let world = Rc::new(World::new(&fleet, &options));
     if options.limits_warm_up {
