Run one program in all lives of a soak's processes

What was seen: a killed process of a soak started again as whatever the program's file had become meanwhile. The sighting kept no log, so this stays a suspicion.

Cause: each start looked the program up by its path.

Change: a fleet links the program into its folder at its start, or copies it if that lies on another file system, and starts that.

--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -120,7 +120,8 @@
 }
 
 impl Fleet {
-    /// Starts a fleet of a program's processes, with their files in a folder.
+    /// Starts a fleet of a program's processes, with their files in a folder. All of them run the program
+    /// as it is now, in their later lives too.
     ///
     /// # Errors
     /// [`FleetError`] when a process can't be started.
@@ -161,7 +162,9 @@
         }
         let hosts: Vec<Ipv4Addr> = members.iter().map(|member| member.ip).collect();
         let mut fleet = Self {
-            program: program.to_owned(),
+            program: keep_program(program, folder).context(FleetSnafu {
+                operation: "keep the program",
+            })?,
             _subnet: subnet,
             first_port: free_ports(&hosts).context(FleetSnafu {
                 operation: "find free ports",
@@ -440,3 +443,17 @@
         }
     }
 }
+
+/// Links a program into a fleet's folder, so that a build which replaces the file meanwhile doesn't change
+/// what is started next.
+fn keep_program(program: &Path, folder: &Path) -> io::Result<PathBuf> {
+    let program = program.canonicalize()?;
+    let kept = folder.join("program");
+    match std::fs::hard_link(&program, &kept) {
+        Err(error) if error.kind() == io::ErrorKind::CrossesDevices => {
+            std::fs::copy(&program, &kept)?;
+        }
+        linked => linked?,
+    }
+    Ok(kept)
+}
