Report the last lines of a process that ended before it logged

What was seen: a soak's report of a process that ended by itself had an empty reason if its log held no line of level ERROR, and of a panic only the place.

Cause: the reason was the last line with that level or the word of a panic. What the argument parser or the runtime writes to standard error has neither level nor form, and a panic's message follows on the next line.

Change: without an error the last three lines, with a panic its message too; a log that can't be read says so.

Evidence: the test starts a program that refuses its arguments.

--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -17,6 +17,8 @@
 
 /// How long a process that was asked to stop may take before it is killed: its grace and a little.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
+/// Lines that tell why a process ended whose log contains no error.
+const LAST_LINES: usize = 3;
 
 /// How many processes there are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,7 +106,7 @@
     pub name: String,
     /// How.
     pub status: ExitStatus,
-    /// The last error in its log.
+    /// The last error in its log, or its last lines if there is none.
     pub reason: String,
 }
 
@@ -419,11 +421,10 @@
     }
 
     fn last_error(&self) -> String {
-        let log = std::fs::read_to_string(self.log(self.lives.saturating_sub(1)));
-        let log = log.unwrap_or_default();
-        let is_error =
-            |line: &&str| line.contains("\"level\":\"ERROR\"") || line.contains("panicked");
-        log.lines().rfind(is_error).unwrap_or("").to_owned()
+        match std::fs::read_to_string(self.log(self.lives.saturating_sub(1))) {
+            Ok(log) => last_error_of(&log),
+            Err(error) => format!("its log can't be read: {error}"),
+        }
     }
 
     /// Sends a signal; false if the process doesn't run.
@@ -444,6 +445,23 @@
     }
 }
 
+/// The last error in a log: an `ERROR` line, or a panic with its message on the next line. Without one the
+/// last lines, since what a process writes before it logs has no level.
+fn last_error_of(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().filter(|line| !line.is_empty()).collect();
+    let is_panic = |line: &str| line.contains("panicked");
+    let is_error = |line: &&str| line.contains("\"level\":\"ERROR\"") || is_panic(line);
+    let Some(place) = lines.iter().rposition(is_error) else {
+        return lines[lines.len().saturating_sub(LAST_LINES)..].join(" ");
+    };
+    let end = if is_panic(lines[place]) {
+        place + 2
+    } else {
+        place + 1
+    };
+    lines[place..end.min(lines.len())].join(" ")
+}
+
 /// Links a program into a fleet's folder, so that a build which replaces the file meanwhile doesn't change
 /// what is started next.
 fn keep_program(program: &Path, folder: &Path) -> io::Result<PathBuf> {
--- a/crates/courseshed-soak/tests/fleet.rs
+++ b/crates/courseshed-soak/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! What a fleet's processes are started with.
+//! What a fleet's processes are started with, and what is told of one that ended by itself.
 
 use std::os::unix::fs::symlink;
 use std::path::Path;
@@ -11,6 +11,8 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_courseshed-soak");
 /// Ends at once with exit status 1, without a word.
 const FAILING_PROGRAM: &str = "/bin/false";
+/// Refuses the arguments of a node on its standard error.
+const REFUSING_PROGRAM: &str = "/bin/ls";
 /// Fleets that one process may start before it must use addresses again.
 const MANY_FLEETS: usize = 260;
 
@@ -79,6 +81,15 @@
     assert!(fleet.is_whole());
 }
 
+/// Guards against a process that ends before it logs and leaves no reason in the report.
+#[test]
+fn process_that_ends_before_it_logs_is_reported_with_its_last_lines() {
+    let folder = TempDir::new().expect("a folder");
+    let mut fleet = start(REFUSING_PROGRAM, folder.path(), ONE_GATEWAY);
+    let ended = tend_for(&mut fleet, Duration::from_secs(30)).expect("it ends by itself");
+    assert!(ended.reason.contains("--role"), "{ended:?}");
+}
+
 #[test]
 fn fleet_without_an_address_for_each_process_is_refused() {
     let folder = TempDir::new().expect("a folder");
