End a process's log with how it ended, and wait until that is written

What operators saw: a gateway, store or controller that couldn't start wrote the error, then an ordinary line "exiting", then exited 10 ms later. A line that the log's thread hadn't written by then was lost, the error too.

Cause: the thread that writes the log ends with the process, and the process waited for it by a fixed sleep.

The count of lines left out goes before the batch, so that the outcome stays last.

The tests of a gateway whose port for peers, callers or readiness is taken, or that lacks descriptors, failed before: the last line was not the error.

--- a/crates/courseshed-edge/src/logging.rs
+++ b/crates/courseshed-edge/src/logging.rs
@@ -1,11 +1,13 @@
 //! Structured logging: one JSON object per line on standard output, without blocking the caller.
 //!
 //! Lines go through a bounded queue to a writer thread. Lines that exceed the queue or the rate limit
-//! are dropped and counted; the writer reports the count with the next batch.
+//! are dropped and counted; the writer reports the count with the next batch. A process flushes the
+//! queue before it exits, since the writer ends with the process.
 
 use std::io::Write;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,8 +24,21 @@
 const LINES_PER_SECOND: f64 = 400.0;
 /// Burst size of the rate limit.
 const BURST_LINES: f64 = 2000.0;
+/// Maximum time that an exiting process waits for its log. Shorter than the margin that a stopping
+/// gateway leaves before the end of its grace period.
+const EXIT_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval of the attempts to add to a full queue.
+const FULL_QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+static QUEUE: OnceLock<SyncSender<Entry>> = OnceLock::new();
+
+/// An entry of the queue to the writer thread.
+enum Entry {
+    Line(String),
+    /// Acknowledged once all entries before it are written.
+    Flush(SyncSender<()>),
+}
 
 /// Number of lines dropped since the process started.
 #[must_use]
@@ -40,6 +55,7 @@
     if spawned.is_err() {
         return;
     }
+    let _ = QUEUE.set(sender.clone());
     let limiter = Mutex::new(TokenBucket::new());
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Info)
@@ -55,8 +71,44 @@
     let _ = dispatch.apply();
 }
 
-fn send(sender: &SyncSender<String>, line: String) {
-    if sender.try_send(line).is_err() {
+/// Logs how a process ended as its last line, and waits until the log is written.
+pub fn log_exit(result: &Result<(), String>) {
+    match result {
+        Ok(()) => log::info!(event = "stop"; "exiting"),
+        Err(error) => log::error!(event = "failed"; "{error}"),
+    }
+    if !flush(EXIT_FLUSH_TIMEOUT) {
+        eprintln!(
+            "the log could not be written within {EXIT_FLUSH_TIMEOUT:?}; its last lines are lost"
+        );
+    }
+}
+
+/// Waits until all lines logged so far are written. Returns whether they were within the timeout.
+#[must_use]
+pub fn flush(timeout: Duration) -> bool {
+    let Some(queue) = QUEUE.get() else {
+        return true;
+    };
+    let deadline = Instant::now() + timeout;
+    let (written, acknowledged) = sync_channel(1);
+    let mut entry = Entry::Flush(written);
+    while let Err(refused) = queue.try_send(entry) {
+        let TrySendError::Full(returned) = refused else {
+            return false;
+        };
+        if Instant::now() >= deadline {
+            return false;
+        }
+        entry = returned;
+        thread::sleep(FULL_QUEUE_POLL_INTERVAL);
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    acknowledged.recv_timeout(left).is_ok()
+}
+
+fn send(sender: &SyncSender<Entry>, line: String) {
+    if sender.try_send(Entry::Line(line)).is_err() {
         DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -72,22 +124,31 @@
     serde_json::Value::Object(line).to_string()
 }
 
-fn write_lines(lines: &Receiver<String>) {
+fn write_lines(entries: &Receiver<Entry>) {
     let mut reported = 0;
-    while let Ok(first) = lines.recv() {
-        let mut text = first;
-        text.push('\n');
-        for line in lines.try_iter().take(QUEUE_CAPACITY) {
-            text.push_str(&line);
-            text.push('\n');
+    while let Ok(first) = entries.recv() {
+        let mut text = String::new();
+        let mut flushes = Vec::new();
+        let batch = std::iter::once(first).chain(entries.try_iter().take(QUEUE_CAPACITY));
+        for entry in batch {
+            match entry {
+                Entry::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                Entry::Flush(written) => flushes.push(written),
+            }
         }
         let dropped_lines = dropped_lines();
         if dropped_lines > reported {
             let line = json!({"at_ms": unix_time_ms(), "level": "WARN", "event": "lines_left_out", "count": dropped_lines - reported});
-            text.push_str(&format!("{line}\n"));
+            text.insert_str(0, &format!("{line}\n"));
             reported = dropped_lines;
         }
         let _ = std::io::stdout().lock().write_all(text.as_bytes());
+        for written in flushes {
+            let _ = written.send(());
+        }
     }
 }
 
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -78,10 +78,8 @@
     match arguments.command {
         Command::Node(arguments) => match node::run(arguments) {
             Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("{error}");
-                ExitCode::FAILURE
-            }
+            // The last line of its log says why.
+            Err(_) => ExitCode::FAILURE,
         },
         Command::Run(arguments) => soak(&arguments),
     }
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -152,12 +152,7 @@
     logging::init(arguments.name(), arguments.role.as_str());
     log::info!(event = "start"; "the process starts");
     let result = actix_rt::System::new().block_on(run_role(arguments));
-    if let Err(error) = &result {
-        log::error!(event = "failed"; "{error}");
-    }
-    log::info!(event = "stop"; "the process ends");
-    // The log's thread writes what is left.
-    std::thread::sleep(Duration::from_millis(10));
+    logging::log_exit(&result);
     result
 }
 
