Name the address of a transport that can't start

What operators saw: if the system refused to watch the socket for peers, the error said "cannot listen for peers" without an address.

Change: PeersError::Start has the address. Before, the error had no place for an address.

--- a/crates/courseshed-edge/src/peers.rs
+++ b/crates/courseshed-edge/src/peers.rs
@@ -1,7 +1,7 @@
 //! The transport between the nodes of the fleet.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,13 +37,15 @@
     #[snafu(display("cannot listen for peers on {address}: {source}"))]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// The cause.
         source: io::Error,
     },
     /// The transport failed to start.
-    #[snafu(display("{source}"))]
+    #[snafu(display("cannot start the peer transport on {address}: {source}"))]
     Start {
+        /// The address.
+        address: SocketAddr,
         /// The cause.
         source: StartError,
     },
@@ -61,6 +63,19 @@
 ) -> Result<Peers, PeersError> {
     let address = addresses.of(node, port);
     let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
+    start_peers_on(listener, address, node, handler)
+}
+
+/// Starts the transport of a node on a socket that listens on `address`.
+///
+/// # Errors
+/// Returns [`PeersError::Start`] if the transport can't use the socket.
+pub fn start_peers_on(
+    listener: TcpListener,
+    address: SocketAddr,
+    node: NodeId,
+    handler: Arc<dyn Handler<FleetProtocol>>,
+) -> Result<Peers, PeersError> {
     let settings = TransportSettings {
         identity: PeerIdentity {
             node,
@@ -70,5 +85,6 @@
         seed: unix_time_ms() ^ u64::from(node.0),
         timing: TIMING,
     };
-    Transport::start(settings, listener, handler, &Handle::current()).context(StartSnafu)
+    let started = Transport::start(settings, listener, handler, &Handle::current());
+    started.context(StartSnafu { address })
 }
