Log every server to which a request was sent, and tie the attempts of a client together

call_over named the last server and the last error alone, so the logs couldn't tell whether a server counted, or which attempts belong to one request. It now lists each send with its end (sends) and has a key that the client's attempts share (request_key). No decision changes.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -35,8 +35,10 @@
 use super::policy::Mechanism;
 use super::quota::Permit;
 use super::refusal::Refusal;
+use super::request_key::request_key;
 use super::schedule::ScheduledCall;
 use super::selected_server::SelectedServer;
+use super::send_ledger::{SendEnd, SendLedger};
 use super::servers::CallReport;
 use super::upstream::{Upstream, UpstreamError};
 use super::version_requirement::VersionRequirement;
@@ -128,6 +130,8 @@
     pub attempted_servers: Vec<String>,
     pub excluded_servers: Vec<String>,
     pub same_server_retries: usize,
+    /// The servers to which the request was sent.
+    ledger: SendLedger,
     /// A selected server to which nothing was sent because the permit expired or the event loop
     /// stood still.
     pub reserved: Option<Assignment>,
@@ -157,6 +161,7 @@
         } = service;
         let mut log = CallLog::new(&call, &route, &service, version, core.metrics.clone());
         log.tenant = caller.tenant_name().unwrap_or_default().to_owned();
+        log.request_key = request_key(&call, caller.tenant_name());
         Self {
             body: call.body.clone(),
             parts: affinity_segments(&call, &route),
@@ -182,6 +187,7 @@
             attempted_servers: Vec::new(),
             excluded_servers: Vec::new(),
             same_server_retries: 0,
+            ledger: SendLedger::default(),
             reserved: None,
             warm_in: None,
             may_have_run: false,
@@ -282,6 +288,7 @@
                     }
                     end_call(call, CallEnd::Refused);
                     self.log.record_refusal(&chosen.id, head.status.as_u16());
+                    self.end_send(SendEnd::Refused(head.status.as_u16()));
                     self.exclude(&chosen.id);
                     upstream.release();
                     // Only requests for another incarnation don't count at a server.
@@ -362,6 +369,7 @@
         let head = self.write_head(chosen, resume_after);
         let request = head.chain(self.body.clone());
         self.log.attempts += 1;
+        self.ledger.begin(&chosen.id);
         if !self.attempted_servers.contains(&chosen.id) {
             self.attempted_servers.push(chosen.id.clone());
         }
@@ -436,6 +444,12 @@
         true
     }
 
+    /// Records how the last send ended.
+    pub(super) fn end_send(&mut self, end: SendEnd) {
+        self.ledger.end(end);
+        self.log.sends = self.ledger.to_string();
+    }
+
     fn exclude(&mut self, server: &str) {
         self.attempted_servers.retain(|sent| sent != server);
         self.excluded_servers.push(server.to_owned());
@@ -449,6 +463,8 @@
                 let mut servers = self.core.servers.borrow_mut();
                 servers.record_unconnected(&chosen.id, source.kind(), now);
                 drop(servers);
+                self.ledger.record_unreachable(&chosen.id);
+                self.log.sends = self.ledger.to_string();
                 self.log.record_error(&chosen.id, error);
                 self.core.report(&chosen.id, CallReport::Failed);
                 // An unreachable server does not count as an attempt.
@@ -463,6 +479,7 @@
                 Err(Refusal::Broken)
             }
             UpstreamError::TimedOut => {
+                self.end_send(SendEnd::TimedOut);
                 self.log.record_error(&chosen.id, error);
                 Err(Refusal::TimedOut)
             }
--- a/crates/courseshed-edge/src/gateway/attempts/records.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/records.rs
@@ -6,6 +6,7 @@
 
 use super::super::body_end::{BodyEnd, BodyProgress, Ending, judge};
 use super::super::call_log::ResponseEnd;
+use super::super::send_ledger::SendEnd;
 use super::super::servers::CallReport;
 use super::super::upstream::UpstreamError;
 use super::{Attempts, OpenedResponse};
@@ -52,10 +53,11 @@
     /// Records a complete response with the given number of generated tokens. Returns the prompt
     /// segments that the server now has cached.
     pub(in super::super) fn record_finished(
-        &self,
+        &mut self,
         opened: &mut OpenedResponse,
         generated: u32,
     ) -> CachedPrompt {
+        self.end_send(SendEnd::Answered);
         let took = opened.sent_at.elapsed();
         let cached = self.record_processed(opened, generated, took);
         opened.end_call(opened.end_of_answer(generated, took));
@@ -80,7 +82,8 @@
 
     /// Reports the outcome of a complete response to the other gateways and, if not yet done, the
     /// end of the call to the pool scheduler.
-    pub(in super::super) fn record_outcome(&self, opened: &mut OpenedResponse) {
+    pub(in super::super) fn record_outcome(&mut self, opened: &mut OpenedResponse) {
+        self.end_send(SendEnd::Answered);
         let report = CallReport::of_answer(opened.head.status);
         self.core.report(&opened.server, report);
         opened.end_call(opened.end_of_unstreamed());
@@ -112,6 +115,7 @@
     /// Records that the response was truncated through no fault of the server.
     pub(in super::super) fn record_truncated(&mut self, server: &str, error: &UpstreamError) {
         self.may_have_run = true;
+        self.end_send(SendEnd::of_error(error));
         self.log.record_error(server, error);
     }
 }
--- a/crates/courseshed-edge/src/gateway/call_log.rs
+++ b/crates/courseshed-edge/src/gateway/call_log.rs
@@ -5,6 +5,7 @@
 
 use courseshed_pool::DecisionInputs;
 use courseshed_routing::Route;
+use courseshed_types::RequestKey;
 use tokio::time::Instant;
 
 use super::body_end::{BodyEnd, BodyProgress, BodyVerdict};
@@ -35,6 +36,10 @@
     pub refused_by: usize,
     /// The servers that refused the request, as `server:status`.
     refusals: Vec<String>,
+    /// The servers to which the request was sent, each with how that ended.
+    pub sends: String,
+    /// The same in all attempts of the client.
+    pub request_key: RequestKey,
     pub events: u64,
     /// Bytes of the body that were passed on to the client.
     pub bytes: u64,
@@ -89,6 +94,8 @@
             attempts: 0,
             refused_by: 0,
             refusals: Vec::new(),
+            sends: String::new(),
+            request_key: RequestKey::default(),
             events: 0,
             bytes: 0,
             resumed: 0,
@@ -166,6 +173,8 @@
             attempts = self.attempts,
             refused_by = self.refused_by,
             refusals = self.refusals.join(" ").as_str(),
+            sends = self.sends.as_str(),
+            request_key:% = self.request_key,
             events = self.events,
             bytes = self.bytes,
             response_framing = end.map(|ended| ended.end.framing.as_str()),
--- a/crates/courseshed-types/src/lib.rs
+++ b/crates/courseshed-types/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod policy;
 pub mod program;
 pub mod prompt;
+pub mod request_key;
 pub mod shard;
 pub mod time;
 pub mod tokens;
@@ -35,6 +36,7 @@
 pub use model_report::{BrokenVariant, Counterexample, ModelReport};
 pub use policy::{BranchPolicy, PolicySnapshot};
 pub use prompt::{CachedPrompt, PromptPart, ServerKey};
+pub use request_key::RequestKey;
 pub use time::Timestamp;
 pub use tokens::Tokens;
 pub use verdict::Verdict;
