--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -63,6 +63,8 @@
     Reject { when: watch::Receiver<bool> },
     /// Sends no response, stops accepting connections and closes this one.
     Shutdown,
+    /// Writes these bytes, gives the peer time to read them, and does as `Shutdown`.
+    WriteAndShutdown(String),
 }
 
 type Script = Box<dyn FnMut(&ReceivedRequest) -> Action + Send>;
@@ -128,6 +130,12 @@
         *self.stalled_writes.lock()
     }
 
+    async fn stop_listening(&self) {
+        self.shutdown.send_replace(true);
+        let mut is_closed = self.is_closed.subscribe();
+        let _ = is_closed.wait_for(|closed| *closed).await;
+    }
+
     async fn serve(self, mut stream: TcpStream, script: Arc<Mutex<Script>>) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
@@ -190,9 +198,13 @@
                     let _ = stream.write_all(text.as_bytes()).await;
                 }
                 Action::Shutdown => {
-                    self.shutdown.send_replace(true);
-                    let mut is_closed = self.is_closed.subscribe();
-                    let _ = is_closed.wait_for(|closed| *closed).await;
+                    self.stop_listening().await;
+                    return;
+                }
+                Action::WriteAndShutdown(text) => {
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    tokio::time::sleep(TIME_BEFORE_RESET).await;
+                    self.stop_listening().await;
                     return;
                 }
             }
