Count a server that ran a request also after it refuses a later send

Callers saw: a request ran at more servers than the max_attempts of its route.

Cause: Attempts kept two lists, and exclude() moved a server from those that received the request to those that refused it. A server that ran the request, failed, and then refused its retry (or whose port was closed by then) was no longer counted, so another one fitted under max_attempts. Each server that ended made room for the next.

The ledger of sends takes the place of both lists and of a flag. It only grows, and each limit is asked of it: who may have run the request, how many refused, who may be tried again. A server that refused since it had the request is not asked again.

--- a/crates/courseshed-edge/src/gateway/assign.rs
+++ b/crates/courseshed-edge/src/gateway/assign.rs
@@ -40,12 +40,11 @@
         {
             return Ok(Some(reserved));
         }
-        if self.excluded_servers.len() > MAX_REFUSALS {
+        if self.ledger.refusals() > MAX_REFUSALS {
             return Ok(None);
         }
-        if self.attempted_servers.len() < self.route.max_attempts as usize {
-            let mut excluded = self.excluded_servers.clone();
-            excluded.extend(self.attempted_servers.iter().cloned());
+        if self.ledger.receivers().count() < self.route.max_attempts as usize {
+            let excluded = self.ledger.servers();
             let other = match self.schedule(&excluded).await? {
                 Some(assigned) => Some(assigned),
                 None => self.choose_locally(&excluded).await,
@@ -191,8 +190,7 @@
             return None;
         }
         self.same_server_retries += 1;
-        let last = self.attempted_servers.last()?;
-        let chosen = self.available(last)?;
+        let chosen = self.available(self.ledger.retryable_server()?)?;
         self.record_choice(BY_GATEWAY, DecisionInputs::default());
         Some(Assignment::new(chosen, None))
     }
--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants: a non-idempotent request is sent again only after a server stated that it did not
 //! execute it; a request is sent to at most as many servers as its route allows, not counting those
-//! that refused it or are unreachable; once a server failed while it had the request, the gateway
+//! that only refused it or were unreachable; once a server failed while it had the request, the gateway
 //! never reports it as not executed.
 
 mod checks;
@@ -127,19 +127,15 @@
     permit: Option<Permit>,
     version: u64,
     pub connection_limit: u32,
-    pub attempted_servers: Vec<String>,
-    pub excluded_servers: Vec<String>,
     pub same_server_retries: usize,
     /// The servers to which the request was sent.
-    ledger: SendLedger,
+    pub ledger: SendLedger,
     /// A selected server to which nothing was sent because the permit expired or the event loop
     /// stood still.
     pub reserved: Option<Assignment>,
     /// Time until the first of the servers that are warming up should be warm, if the last choice
     /// found no other servers.
     pub warm_in: Option<Duration>,
-    /// Whether a server failed after it received the request, even if that server is gone by now.
-    may_have_run: bool,
 }
 
 impl Attempts {
@@ -184,13 +180,10 @@
             is_pool,
             cached_prompts: Vec::new(),
             log,
-            attempted_servers: Vec::new(),
-            excluded_servers: Vec::new(),
             same_server_retries: 0,
             ledger: SendLedger::default(),
             reserved: None,
             warm_in: None,
-            may_have_run: false,
         }
     }
 
@@ -289,7 +282,7 @@
                     end_call(call, CallEnd::Refused);
                     self.log.record_refusal(&chosen.id, head.status.as_u16());
                     self.end_send(SendEnd::Refused(head.status.as_u16()));
-                    self.exclude(&chosen.id);
+                    self.log.refused_by += 1;
                     upstream.release();
                     // Only requests for another incarnation don't count at a server.
                     if head.status == StatusCode::MISDIRECTED_REQUEST
@@ -370,9 +363,6 @@
         let request = head.chain(self.body.clone());
         self.log.attempts += 1;
         self.ledger.begin(&chosen.id);
-        if !self.attempted_servers.contains(&chosen.id) {
-            self.attempted_servers.push(chosen.id.clone());
-        }
         let sent_at = Instant::now();
         let core = &self.core;
         core.log_first_call(&self.call.request_id, &chosen.id, self.version);
@@ -404,7 +394,7 @@
     /// How long to wait for a response before another server is tried; `None` if the call can't be
     /// retried.
     fn response_timeout(&self) -> Option<Duration> {
-        let has_attempts_left = self.attempted_servers.len() < self.route.max_attempts as usize;
+        let has_attempts_left = self.ledger.receivers().count() < self.route.max_attempts as usize;
         let is_limited = self.core.policy.uses(Mechanism::SilenceLimit);
         if self.route.kind != CallKind::Repeatable || !has_attempts_left || !is_limited {
             return None;
@@ -450,12 +440,6 @@
         self.log.sends = self.ledger.to_string();
     }
 
-    fn exclude(&mut self, server: &str) {
-        self.attempted_servers.retain(|sent| sent != server);
-        self.excluded_servers.push(server.to_owned());
-        self.log.refused_by += 1;
-    }
-
     fn on_error(&mut self, chosen: &SelectedServer, error: &UpstreamError) -> Result<(), Refusal> {
         match error {
             UpstreamError::NotSent { source } => {
@@ -467,8 +451,7 @@
                 self.log.sends = self.ledger.to_string();
                 self.log.record_error(&chosen.id, error);
                 self.core.report(&chosen.id, CallReport::Failed);
-                // An unreachable server does not count as an attempt.
-                self.exclude(&chosen.id);
+                self.log.refused_by += 1;
                 Ok(())
             }
             UpstreamError::Broken { .. } | UpstreamError::Silent => {
--- a/crates/courseshed-edge/src/gateway/attempts/checks.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/checks.rs
@@ -30,9 +30,7 @@
     /// Checks that the program is admitted, if the call begins one.
     pub(super) fn check_admission(&self) -> Result<(), Refusal> {
         // A stream that is resumed, by the gateway or by the client, was admitted before.
-        let is_first_attempt = self.attempted_servers.is_empty()
-            && self.excluded_servers.is_empty()
-            && !self.version_requirement.is_restricted();
+        let is_first_attempt = self.ledger.is_empty() && !self.version_requirement.is_restricted();
         let is_checked = is_first_attempt && self.core.policy.uses(Mechanism::Admission);
         let Some(claim) = self.call.program.as_ref().filter(|_| is_checked) else {
             return Ok(());
@@ -141,7 +139,7 @@
     }
 
     pub(super) fn no_server_refusal(&self) -> Refusal {
-        if self.may_have_run {
+        if self.ledger.may_have_run() {
             return Refusal::Broken;
         }
         if self.is_version_gone() {
@@ -158,7 +156,7 @@
     }
 
     pub(in super::super) fn deadline_refusal(&self) -> Refusal {
-        if self.may_have_run {
+        if self.ledger.may_have_run() {
             Refusal::TimedOut
         } else {
             Refusal::TooLate
@@ -167,7 +165,7 @@
 
     /// The refusal returned if no further attempt is made.
     pub(in super::super) fn final_refusal(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run {
+        if self.ledger.may_have_run() {
             Refusal::Broken
         } else {
             refusal
--- a/crates/courseshed-edge/src/gateway/attempts/records.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/records.rs
@@ -114,7 +114,6 @@
 
     /// Records that the response was truncated through no fault of the server.
     pub(in super::super) fn record_truncated(&mut self, server: &str, error: &UpstreamError) {
-        self.may_have_run = true;
         self.end_send(SendEnd::of_error(error));
         self.log.record_error(server, error);
     }
--- a/crates/courseshed-edge/src/gateway/send_ledger.rs
+++ b/crates/courseshed-edge/src/gateway/send_ledger.rs
@@ -4,6 +4,8 @@
 
 use std::fmt;
 
+use itertools::Itertools;
+
 use super::upstream::UpstreamError;
 
 /// How a send ended.
@@ -38,6 +40,13 @@
     }
 }
 
+impl SendEnd {
+    /// Whether the server may have executed the request.
+    fn may_have_run(self) -> bool {
+        !matches!(self, Self::Refused(_) | Self::Unreachable)
+    }
+}
+
 impl fmt::Display for SendEnd {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -75,6 +84,52 @@
         self.record(server, SendEnd::Unreachable);
     }
 
+    /// Whether the request was never sent, nor tried to be.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.sends.is_empty()
+    }
+
+    /// All servers, including those that refused the request or could not be reached.
+    #[must_use]
+    pub fn servers(&self) -> Vec<String> {
+        let servers = self.sends.iter().map(|send| &send.server);
+        servers.unique().cloned().collect()
+    }
+
+    /// The servers that received the request and may have executed it, also if they refused a later
+    /// send or could not be reached then.
+    pub fn receivers(&self) -> impl Iterator<Item = &str> {
+        let may_have_run = self.sends.iter().filter(|send| send.end.may_have_run());
+        may_have_run.map(|send| send.server.as_str()).unique()
+    }
+
+    /// How many sends were refused or did not reach their server.
+    #[must_use]
+    pub fn refusals(&self) -> usize {
+        let is_refused = |send: &&Send| !send.end.may_have_run();
+        self.sends.iter().filter(is_refused).count()
+    }
+
+    /// Whether a server failed after it received the request.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        let mut sends = self.sends.iter();
+        sends.any(|send| {
+            let end = send.end;
+            end.may_have_run() && !matches!(end, SendEnd::Open | SendEnd::Answered)
+        })
+    }
+
+    /// The last server to receive the request, unless it refused the request since then.
+    #[must_use]
+    pub fn retryable_server(&self) -> Option<&str> {
+        let last = self.receivers().last()?;
+        let mut latest = self.sends.iter().rev();
+        let latest = latest.find(|send| send.server == last)?;
+        latest.end.may_have_run().then_some(last)
+    }
+
     /// Records how the last send ended; the first end counts.
     pub fn end(&mut self, end: SendEnd) {
         if let Some(last) = self.sends.last_mut()
