--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -220,13 +220,19 @@
     /// Records reports of a gateway and passes them on to the other controllers. Returns what is known of the last
     /// one.
     pub(super) fn record_suspects(&self, reports: &[SuspectReport]) -> Option<SuspectVerdict> {
-        let (verdict, granted) = self.suspects.record(reports);
+        let (verdict, permitted) = self.suspects.record(reports);
+        self.relay_suspects(&permitted);
+        verdict
+    }
+
+    /// Passes reports on suspect requests to the other controllers.
+    pub(super) fn relay_suspects(&self, reports: &[SuspectReport]) {
         let others = self.published().controllers.into_keys();
         for controller in others.filter(|node| *node != self.node) {
             let message = PeerMessage::Heartbeats {
                 servers: Vec::new(),
                 nodes: Vec::new(),
-                suspects: granted.clone(),
+                suspects: reports.to_vec(),
             };
             if let Some(peers) = self.peers()
                 && let Err(error) = peers.send(controller, message)
@@ -234,7 +240,6 @@
                 log::info!(event = "suspects_not_relayed", controller:% = controller; "reports on suspect requests were not passed on: {error}");
             }
         }
-        verdict
     }
 
     pub(crate) fn publish(&self, published: Published, has_changes: bool) {
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -131,7 +131,7 @@
     tokio::spawn(pools::run_pools(pools));
     tokio::spawn(relay::relay_heartbeats(shared.clone()));
     tokio::spawn(relay::confirm_routing(shared.clone(), settings.addresses));
-    tokio::spawn(suspects::expire_suspects(shared.clone()));
+    tokio::spawn(suspects::tend_suspects(shared.clone()));
     tokio::spawn(relay::relay_load(shared));
     Ok(handle)
 }
--- a/crates/courseshed-edge/src/controller/suspects.rs
+++ b/crates/courseshed-edge/src/controller/suspects.rs
@@ -1,5 +1,6 @@
 //! The suspect requests known to a controller, and the notification of its followers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use courseshed_registry::{
@@ -9,10 +10,12 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use super::handle::Shared;
 use crate::clock::Clock;
 
-/// How often suspects that have not changed for some time are forgotten.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+/// How often the other controllers are told again what changed within the period.
+const RESEND_INTERVAL: Duration = Duration::from_millis(200);
+const RESEND_PERIOD: Duration = Duration::from_secs(1);
 
 /// The suspect requests known to a controller.
 pub(crate) struct SuspectBoard {
@@ -56,7 +59,12 @@
             });
             last = Some(verdict);
         }
-        self.revision.send_replace(requests.revision());
+        let revision = requests.revision();
+        self.revision.send_if_modified(|known| {
+            let has_changed = *known != revision;
+            *known = revision;
+            has_changed
+        });
         (last, permitted)
     }
 
@@ -82,15 +90,26 @@
         (revision, changes)
     }
 
+    /// Reports on what has changed lately, for the other controllers.
+    fn recent_reports(&self) -> Vec<SuspectReport> {
+        let requests = self.requests.lock();
+        requests.reports(self.clock.now(), RESEND_PERIOD)
+    }
+
     fn expire(&self) {
         self.requests.lock().expire(self.clock.now());
     }
 }
 
-/// Forgets old suspects until the process exits.
-pub(super) async fn expire_suspects(shared: std::sync::Arc<super::handle::Shared>) {
+/// Forgets old suspects, and tells the other controllers of recent ones again: messages may be lost, and a controller
+/// that has just started knows none.
+pub(super) async fn tend_suspects(shared: Arc<Shared>) {
     loop {
-        sleep(EXPIRY_INTERVAL).await;
+        sleep(RESEND_INTERVAL).await;
         shared.suspects().expire();
+        let reports = shared.suspects().recent_reports();
+        if !reports.is_empty() {
+            shared.relay_suspects(&reports);
+        }
     }
 }
--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -246,7 +246,7 @@
         let before = std::mem::replace(&mut followed.revision, received);
         let is_new_source = before.map(|before| before.source) != received.map(|now| now.source);
         if is_new_source && received.is_some() && !followed.requests.is_empty() {
-            let reports = followed.requests.reports(now);
+            let reports = followed.requests.reports(now, Duration::MAX);
             let peers = self.peers.clone();
             tokio::spawn(async move {
                 let request = PeerRequest::Suspects(reports);
--- a/crates/courseshed-edge/src/gateway/suspect_guard.rs
+++ b/crates/courseshed-edge/src/gateway/suspect_guard.rs
@@ -8,7 +8,7 @@
 
 use std::rc::Rc;
 
-use courseshed_registry::{EndedServer, SuspectReport, SuspectState};
+use courseshed_registry::{EndedServer, SuspectReport, SuspectState, may_send_suspect};
 use courseshed_types::{RequestKey, ServerKey};
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -17,10 +17,6 @@
 use super::selected_server::SelectedServer;
 use crate::metrics::ServiceLabels;
 
-/// The most servers that may end under a request while no controller confirms what other gateways know. Below the
-/// limit for all attempts, since another attempt may be under way.
-const MAX_ENDED_UNCONFIRMED: usize = 2;
-
 /// A server that has the request.
 struct Receiver {
     server: SelectedServer,
@@ -110,10 +106,7 @@
         self.attempt.report.next = Some(ServerKey::of(&server.id));
         let AttemptReport { core, report, .. } = self.attempt.clone();
         let (own, confirmed) = core.suspects.report(report).await;
-        let may_send = match &confirmed {
-            Some(verdict) => verdict.may_send && own.may_send,
-            None => own.may_send && own.state.ended.len() < MAX_ENDED_UNCONFIRMED,
-        };
+        let may_send = may_send_suspect(&own, confirmed.as_ref());
         self.is_announced = may_send;
         let request = self.attempt.request_id.as_str();
         let request_key = self.attempt.report.request;
--- a/crates/courseshed-edge/tests/servers_ending.rs
+++ b/crates/courseshed-edge/tests/servers_ending.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use courseshed_edge::gateway::{Mechanism, Policy};
 use courseshed_routing::{CallKind, Route};
 use support::server::{Action, MockServer, event, rejection, response, stream_head};
 use support::{Fleet, Gateway, call, plain_route, status, stream_route, wait_until};
@@ -137,22 +138,97 @@
     );
 }
 
-/// Guards against attempts that start at zero because another gateway receives them.
-#[actix_rt::test]
-async fn request_ends_at_most_three_servers_at_several_gateways() {
-    let fleet = Fleet::start(GRACE).await;
+/// Sends a lethal request to two gateways in turn. Returns the number of servers that ended.
+async fn send_lethal_to_two_gateways(fleet: &Fleet) -> usize {
     fleet.set_routes(vec![repeatable_route()]).await;
-    let servers = start_fragile_servers(&fleet, EndsAt::BeforeHead).await;
+    let servers = start_fragile_servers(fleet, EndsAt::BeforeHead).await;
     let second = fleet.start_second_gateway().await;
     let all_listed = async || {
         call(second.caller_addr, "ordinary", "", "").await;
         servers.iter().all(|server| !server.requests().is_empty())
     };
     wait_until(all_listed).await;
-    send_lethal(&[&second], &fleet, 6, "x-program: p\r\n").await;
+    send_lethal(&[&second], fleet, 6, "x-program: p\r\n").await;
+    ended(&servers)
+}
+
+/// Guards against attempts that start at zero because another gateway receives them.
+#[actix_rt::test]
+async fn request_ends_at_most_three_servers_at_several_gateways() {
+    let fleet = Fleet::start(GRACE).await;
+    let ended = send_lethal_to_two_gateways(&fleet).await;
+    assert!(ended <= MAX_ENDED_SERVERS, "{ended} ended");
+}
+
+/// Guards against a test that passes whether or not gateways tell each other.
+#[actix_rt::test]
+async fn gateway_that_tells_nobody_lets_a_request_end_more_servers() {
+    let policy = Policy::without([Mechanism::SharedSuspects]);
+    let fleet = Fleet::start_with(GRACE, policy).await;
+    let ended = send_lethal_to_two_gateways(&fleet).await;
+    assert!(ended > MAX_ENDED_SERVERS, "{ended} ended");
+}
+
+/// Guards against a request that is sent on, or held, although it can't be served any more.
+#[actix_rt::test]
+async fn request_that_is_given_up_is_refused_without_a_time_to_come_back() {
+    let fleet = Fleet::start(GRACE).await;
+    fleet.set_routes(vec![repeatable_route()]).await;
+    let servers = start_fragile_servers(&fleet, EndsAt::BeforeHead).await;
+    send_lethal(&[], &fleet, 2, "").await;
+    let response = call(fleet.caller_addr, "again", "", LETHAL).await;
+    assert_eq!(status(&response), 502, "{response}");
+    assert!(response.ends_with("servers_ended"), "{response}");
+    assert!(!response.contains("retry-after"), "{response}");
+    assert_eq!(ended(&servers), MAX_ENDED_SERVERS);
+    let figures = fleet.metrics.text();
     assert!(
-        ended(&servers) <= MAX_ENDED_SERVERS,
-        "{} ended",
-        ended(&servers)
+        figures.contains("courseshed_requests_given_up_total{service=\"s\"}"),
+        "{figures}"
     );
+    let ordinary = call(fleet.caller_addr, "ordinary", "", "").await;
+    assert_eq!(status(&ordinary), 200, "{ordinary}");
+}
+
+/// Guards against requests that are given up because half of the servers ended at once.
+#[actix_rt::test]
+async fn requests_survive_the_end_of_half_of_the_servers() {
+    let fleet = Fleet::start(GRACE).await;
+    fleet.set_routes(vec![repeatable_route()]).await;
+    for number in 0..12 {
+        let server = MockServer::start(move |request| {
+            if number % 2 == 0 {
+                return Action::Shutdown;
+            }
+            Action::Write(response(request, "served"))
+        })
+        .await;
+        fleet.add_server(&format!("server-{number}"), &server).await;
+    }
+    let calls = (0..24).map(|number| {
+        let address = fleet.caller_addr;
+        async move {
+            let id = format!("call-{number}");
+            let headers = format!("x-program: {id}\r\n");
+            status(&call(address, &id, &headers, "").await)
+        }
+    });
+    let statuses = futures_util::future::join_all(calls).await;
+    assert_eq!(statuses, vec![200; 24]);
+}
+
+/// Guards against blaming a request for failures of servers that go on running.
+#[actix_rt::test]
+async fn server_that_fails_and_lives_on_is_not_taken_for_one_that_ended() {
+    let fleet = Fleet::start(GRACE).await;
+    fleet.set_routes(vec![repeatable_route()]).await;
+    for number in 0..8 {
+        let server = MockServer::start(|_| Action::WriteAndReset(String::new())).await;
+        fleet.add_server(&format!("server-{number}"), &server).await;
+    }
+    for attempt in 0..4 {
+        let id = format!("c{attempt}");
+        let response = call(fleet.caller_addr, &id, "x-program: p\r\n", "").await;
+        assert!(response.ends_with("broken"), "{response}");
+    }
 }
--- a/crates/courseshed-registry/src/lib.rs
+++ b/crates/courseshed-registry/src/lib.rs
@@ -38,5 +38,5 @@
 };
 pub use suspects::{
     EndedServer, MAX_ENDED_SERVERS, SuspectChanges, SuspectReport, SuspectRequests, SuspectState,
-    SuspectVerdict,
+    SuspectVerdict, may_send_suspect,
 };
--- a/crates/courseshed-registry/src/suspects.rs
+++ b/crates/courseshed-registry/src/suspects.rs
@@ -16,6 +16,9 @@
 
 /// The most servers that may end under one request.
 pub const MAX_ENDED_SERVERS: usize = 3;
+/// The most servers that may end under a request while no controller confirms what other gateways know. Below the
+/// limit for all attempts, since another attempt may be under way.
+const MAX_ENDED_UNCONFIRMED: usize = 2;
 /// Maximum number of suspects; they take some 1 MB.
 const MAX_SUSPECTS: usize = 4096;
 /// How long a suspect is remembered after its last change: longer than clients go on trying.
@@ -93,6 +96,16 @@
     pub may_send: bool,
 }
 
+/// Whether a suspect may be sent: by what its gateway knows, and by the verdict of a controller, if there is one.
+#[must_use]
+pub fn may_send_suspect(own: &SuspectVerdict, confirmed: Option<&SuspectVerdict>) -> bool {
+    let is_confirmed = confirmed.map_or_else(
+        || own.state.ended.len() < MAX_ENDED_UNCONFIRMED,
+        |verdict| verdict.may_send,
+    );
+    own.may_send && is_confirmed
+}
+
 /// Changes of suspects, for a follower.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectChanges {
@@ -130,6 +143,16 @@
         }
     }
 
+    fn says_same(&self, other: &Self) -> bool {
+        let servers = |suspect: &Self| -> Vec<(u64, ServerKey)> {
+            let running = suspect.running.iter();
+            running
+                .map(|(attempt, run)| (*attempt, run.server))
+                .collect()
+        };
+        self.ended == other.ended && servers(self) == servers(other)
+    }
+
     fn record_ended(&mut self, ended: EndedServer, is_shared: bool) {
         let is_concurrent = is_shared && (ended.known_before as usize) < self.ended.len();
         if !self.ended.contains(&ended.server) && !is_concurrent {
@@ -158,26 +181,24 @@
                 may_send: true,
             };
         }
-        let mut suspect = self.take(report.request).unwrap_or_default();
+        let known = self.suspects.get(&report.request);
+        let mut suspect = known.cloned().unwrap_or_default();
         for ended in &report.ended {
             suspect.record_ended(*ended, report.is_shared);
         }
-        let state = suspect.state(now);
         let next = report.next;
+        let state = suspect.state(now);
         let may_send = next.is_none_or(|server| state.allows(report.attempt, server));
         suspect.running.remove(&report.attempt);
         if let Some(server) = next.filter(|_| may_send) {
-            let reported_at = now;
             let run = Run {
                 server,
-                reported_at,
+                reported_at: now,
             };
             suspect.running.insert(report.attempt, run);
         }
         let state = suspect.state(now);
-        if !suspect.ended.is_empty() {
-            self.put(report.request, suspect, now);
-        }
+        self.update(report.request, suspect, now);
         SuspectVerdict { state, may_send }
     }
 
@@ -227,31 +248,37 @@
             self.clear(request);
         }
         for (request, state) in changes.changed {
-            let mut suspect = self.take(request).unwrap_or_default();
+            let known = self.suspects.get(&request);
+            let mut suspect = known.cloned().unwrap_or_default();
             for server in state.ended {
                 if !suspect.ended.contains(&server) {
                     suspect.ended.push(server);
                 }
             }
-            let reported_at = now;
             let running = state.running.into_iter();
             let running = running.map(|(attempt, server)| {
                 let run = Run {
                     server,
-                    reported_at,
+                    reported_at: now,
                 };
                 (attempt, run)
             });
             suspect.running = running.collect();
-            self.put(request, suspect, now);
+            self.update(request, suspect, now);
         }
     }
 
-    /// Reports that tell another controller what is known here.
+    /// Reports that tell a controller what is known here and changed less than `max_age` ago, newest first and
+    /// limited in number.
     #[must_use]
-    pub fn reports(&self, now: Duration) -> Vec<SuspectReport> {
+    pub fn reports(&self, now: Duration, max_age: Duration) -> Vec<SuspectReport> {
         let newest = self.order.values().rev().take(MAX_CHANGES);
+        let is_recent = |request: &&RequestKey| {
+            let suspect = self.suspects.get(request);
+            suspect.is_some_and(|suspect| now.saturating_sub(suspect.changed_at) < max_age)
+        };
         newest
+            .take_while(is_recent)
             .filter_map(|request| {
                 let state = self.state(now, *request)?;
                 let ended = (0..).zip(state.ended);
@@ -320,7 +347,20 @@
         Some(suspect)
     }
 
-    fn put(&mut self, request: RequestKey, mut suspect: Suspect, now: Duration) {
+    /// Replaces an entry. One that says nothing new keeps its revision and its age, so that controllers that tell
+    /// each other the same come to rest.
+    fn update(&mut self, request: RequestKey, mut suspect: Suspect, now: Duration) {
+        if suspect.ended.is_empty() {
+            return;
+        }
+        let known = self.suspects.get_mut(&request);
+        if let Some(known) = known
+            && known.says_same(&suspect)
+        {
+            known.running = suspect.running;
+            return;
+        }
+        self.take(request);
         if self.suspects.len() >= MAX_SUSPECTS {
             self.evict();
         }
