Recognize a server that ends while its last socket still accepts

Their logs say is_listening true right after the break: a process closes its connections before its listening socket, and a new connection in between was taken for a sign of life, so that the end was not counted.

The gateway now keeps the new connection for 10 ms and looks whether it is still open; a server that closes it (also one that has too many connections) is asked once more. A server that seems to go on running is looked at again a second later, by when one that started again at its address has registered, and its end is reported then.

--- a/crates/courseshed-edge/src/gateway/suspect_guard.rs
+++ b/crates/courseshed-edge/src/gateway/suspect_guard.rs
@@ -7,16 +7,22 @@
 //! enough; each server that ended under an attempt is reported, also if the client is gone by then.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use courseshed_registry::{EndedServer, SuspectReport, SuspectState, may_send_suspect};
 use courseshed_types::{RequestKey, ServerKey};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::sleep;
 
 use super::call::GatewayRequest;
 use super::core::GatewayCore;
 use super::selected_server::SelectedServer;
 use crate::metrics::ServiceLabels;
 
+/// When a server that failed and seems to go on running is looked at again: by then one that started again has
+/// registered.
+const RECHECK_DELAY: Duration = Duration::from_secs(1);
+
 /// A server that has the request.
 struct Receiver {
     server: SelectedServer,
@@ -142,10 +148,12 @@
             return false;
         };
         let has_ended = self.attempt.judge(&failed).await;
+        let core = &self.attempt.core;
         if has_ended {
             // What this gateway knows counts at once; controllers learn it with the next report.
-            let AttemptReport { core, report, .. } = &self.attempt;
-            core.suspects.record(report);
+            core.suspects.record(&self.attempt.report);
+        } else {
+            core.suspects.queue(self.attempt.later_check(failed));
         }
         has_ended
     }
@@ -160,16 +168,17 @@
             self.queue_report(None);
         }
     }
-}
 
-impl SuspectGuard {
     /// Leaves the report to a task, since this may be the end of the request.
     fn queue_report(&self, failed: Option<Receiver>) {
         let attempt = self.attempt.clone();
-        self.attempt
-            .core
-            .suspects
-            .queue(PendingReport { attempt, failed });
+        let delay = Duration::ZERO;
+        let report = PendingReport {
+            attempt,
+            failed,
+            delay,
+        };
+        self.attempt.core.suspects.queue(report);
     }
 }
 
@@ -189,6 +198,8 @@
     attempt: AttemptReport,
     /// A server that failed, if it is not known yet whether it ended.
     failed: Option<Receiver>,
+    /// How long to wait before that is found out.
+    delay: Duration,
 }
 
 /// Sends the reports that no request waits for, until the gateway exits.
@@ -200,8 +211,16 @@
 
 impl PendingReport {
     async fn send(mut self) {
-        if let Some(failed) = &self.failed {
-            self.attempt.judge(failed).await;
+        sleep(self.delay).await;
+        if let Some(failed) = self.failed.take() {
+            let has_ended = self.attempt.judge(&failed).await;
+            if !has_ended && !self.delay.is_zero() {
+                return;
+            }
+            if !has_ended {
+                let core = &self.attempt.core;
+                core.suspects.queue(self.attempt.later_check(failed));
+            }
         }
         let AttemptReport { core, report, .. } = self.attempt;
         if report.is_answered
@@ -215,17 +234,34 @@
 }
 
 impl AttemptReport {
+    /// A check of a server that failed and seems to go on running, by a report of its own: the attempt may be at
+    /// another server then.
+    fn later_check(&self, failed: Receiver) -> PendingReport {
+        let mut attempt = self.clone();
+        attempt.report = SuspectReport {
+            attempt: rand::random(),
+            ended: Vec::new(),
+            next: None,
+            ..attempt.report
+        };
+        PendingReport {
+            attempt,
+            failed: Some(failed),
+            delay: RECHECK_DELAY,
+        }
+    }
+
     /// Finds out whether a server that failed has ended, and adds it to the report if so.
     async fn judge(&mut self, failed: &Receiver) -> bool {
         let SelectedServer { id, address, .. } = &failed.server;
         let core = &self.core;
         let is_listed = core.servers.borrow().contains(id);
-        let is_listening = is_listed && core.pool.is_listening(id, *address).await;
+        let is_running = is_listed && core.pool.is_running(id, *address).await;
         // It may have started again meanwhile, at the same address.
-        let has_ended = !is_listening || !core.servers.borrow().contains(id);
+        let has_ended = !is_running || !core.servers.borrow().contains(id);
         let request = self.request_id.as_str();
         let request_key = self.report.request;
-        log::info!(event = "server_failed", request, request_key:% = request_key, server = id.as_str(), service = self.service.as_str(), is_listed, is_listening, has_ended, known_before = failed.known_before; "a server failed while it had a request");
+        log::info!(event = "server_failed", request, request_key:% = request_key, server = id.as_str(), service = self.service.as_str(), is_listed, is_running, has_ended, known_before = failed.known_before; "a server failed while it had a request");
         if has_ended {
             let service = self.service.clone();
             let ended = &core.metrics.servers_ended;
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -18,7 +18,7 @@
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
 use super::body_end::{BodyEnd, Ending, Framing};
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for finding out whether a server accepts connections: above the round-trip time between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long a process that ends takes from closing its first connection to closing its last socket.
+const EXIT_TIME: Duration = Duration::from_millis(10);
 /// Default keep-alive time if the server does not state one.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// How much earlier than the server's keep-alive timeout a connection is dropped.
@@ -153,11 +155,18 @@
         })
     }
 
-    /// Whether a server accepts connections. The connection is kept for later requests.
-    pub async fn is_listening(&self, server: &str, address: SocketAddr) -> bool {
-        let Ok(Ok(stream)) = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await else {
+    /// Whether a server goes on running, as far as connections to it tell. The connection is kept for later
+    /// requests.
+    pub async fn is_running(&self, server: &str, address: SocketAddr) -> bool {
+        let Some(stream) = probe(address).await else {
             return false;
         };
+        // A process that ends may accept connections until its last socket is closed.
+        sleep(EXIT_TIME).await;
+        if !is_open_and_drained(&stream) {
+            // A server that has too many connections closes further ones, too.
+            return probe(address).await.is_some();
+        }
         match sockets::prepare(&stream) {
             Ok(()) => self.return_idle(server, address, stream, DEFAULT_KEEP_ALIVE),
             Err(error) => {
@@ -221,6 +230,12 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// A new connection that nothing was sent on; none if the address refuses it or is silent.
+async fn probe(address: SocketAddr) -> Option<TcpStream> {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    connected.ok()?.ok()
+}
+
 async fn connect_to(address: SocketAddr, tolerates_slow_reads: bool) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
--- a/crates/courseshed-soak/src/caller.rs
+++ b/crates/courseshed-soak/src/caller.rs
@@ -46,17 +46,17 @@
 }
 
 /// What a call needs.
-struct Call<'a> {
-    id: &'a str,
-    kind: CallKind,
+pub(crate) struct Call<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) kind: CallKind,
     /// The region to which it is restricted.
-    region: Option<&'static str>,
-    headers: String,
-    body: &'a str,
+    pub(crate) region: Option<&'static str>,
+    pub(crate) headers: String,
+    pub(crate) body: &'a str,
 }
 
 /// How a call ended, with its answer if there was one.
-struct Ended {
+pub(crate) struct Ended {
     outcome: Outcome,
     answer: Option<Message>,
 }
@@ -88,6 +88,7 @@
         while !self.world.is_over() {
             let pause = self.random.random_range(0..LONGEST_PAUSE_MS);
             sleep(Duration::from_millis(pause)).await;
+            self.maybe_lethal().await;
             match self.random.random_range(0..10) {
                 0..3 => self.plain(CallKind::Once).await,
                 3..6 => self.plain(CallKind::Repeatable).await,
@@ -240,7 +241,7 @@
     }
 
     /// Makes a call at a gateway, on the open connection if there is one, and notes how it ended.
-    async fn call_at(&mut self, gateway: usize, call: &Call<'_>) -> Ended {
+    pub(crate) async fn call_at(&mut self, gateway: usize, call: &Call<'_>) -> Ended {
         let sent = Instant::now();
         let ended = self.exchange(gateway, call).await;
         let over = Instant::now();
--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -110,13 +110,22 @@
     pub reason: String,
 }
 
+/// What the processes know of each other and of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeKnowledge {
+    /// The regions of the zones.
+    pub regions: KnownRegions,
+    /// Whether gateways tell each other under which requests servers ended.
+    pub shares_suspects: bool,
+}
+
 /// The processes of one run. Dropping it kills those that still run.
 pub struct Fleet {
     program: PathBuf,
     /// Held for as long as the fleet runs.
     _subnet: Subnet,
     first_port: u16,
-    regions: KnownRegions,
+    knowledge: NodeKnowledge,
     members: Vec<Member>,
     absences: Vec<Absence>,
 }
@@ -131,7 +140,7 @@
         program: &Path,
         folder: &Path,
         size: FleetSize,
-        regions: KnownRegions,
+        knowledge: NodeKnowledge,
     ) -> Result<Self, FleetError> {
         let subnet = Subnet::reserve().context(FleetSnafu {
             operation: "reserve addresses",
@@ -171,7 +180,7 @@
             first_port: free_ports(&hosts).context(FleetSnafu {
                 operation: "find free ports",
             })?,
-            regions,
+            knowledge,
             members,
             absences: Vec::new(),
         };
@@ -379,7 +388,10 @@
         if is_first {
             command.arg("--first-start");
         }
-        match self.regions {
+        if !self.knowledge.shares_suspects {
+            command.arg("--keeps-suspects");
+        }
+        match self.knowledge.regions {
             KnownRegions::None => {}
             KnownRegions::Right => {
                 command.args(["--regions", "right"]);
--- a/crates/courseshed-soak/src/ledger.rs
+++ b/crates/courseshed-soak/src/ledger.rs
@@ -1,9 +1,10 @@
 //! What callers and servers saw, and the promises judged from it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
+use courseshed_registry::MAX_ENDED_SERVERS;
 use tokio::time::Instant;
 
 use crate::fleet::Absence;
@@ -40,6 +41,8 @@
     StoredRegion,
     /// A server that is warming up gets no more calls in a second than its limit.
     WarmUpLimit,
+    /// No more servers end under a request than may, over all attempts of its caller.
+    EndedServers,
     /// No process ends by itself.
     StaysUp,
     /// Once the faults are over, everything serves again.
@@ -201,6 +204,8 @@
     budgets: BTreeMap<String, ProgramBudget>,
     resumptions: Resumptions,
     broken_off: usize,
+    /// The servers that ended under each request that ends them.
+    lethal_ends: BTreeMap<String, BTreeSet<String>>,
     disturbances: Vec<Disturbance>,
     seen: Vec<Violation>,
 }
@@ -226,6 +231,10 @@
     pub resumptions: Resumptions,
     /// Responses that servers broke off on purpose.
     pub broken_off_by_servers: usize,
+    /// Requests under which servers ended.
+    pub lethal_requests: usize,
+    /// Servers that ended under requests.
+    pub ended_servers: usize,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -246,6 +255,12 @@
         self.broken_off += 1;
     }
 
+    /// Notes that a server ended under a request.
+    pub fn note_lethal_end(&mut self, request: &str, server: &str) {
+        let servers = self.lethal_ends.entry(request.to_owned()).or_default();
+        servers.insert(server.to_owned());
+    }
+
     /// Notes how a request ended that resumes a stream, and whether any event came.
     pub fn note_resumption(&mut self, outcome: &Outcome, has_events: bool) {
         let resumptions = &mut self.resumptions;
@@ -335,6 +350,8 @@
             resumptions: self.resumptions,
             broken_off_by_servers: self.broken_off,
             evacuated_arrivals: self.late_arrivals.len(),
+            lethal_requests: self.lethal_ends.len(),
+            ended_servers: self.lethal_ends.values().map(BTreeSet::len).sum(),
             cold_arrivals: self.cold_arrivals.values().map(Vec::len).sum(),
             ..Tally::default()
         };
@@ -349,6 +366,7 @@
         tally.violations.extend(self.judge_budgets());
         tally.violations.extend(self.judge_evacuations());
         tally.violations.extend(self.judge_warm_up());
+        tally.violations.extend(self.judge_lethal_requests());
         tally
     }
 
@@ -440,6 +458,16 @@
         servers.collect()
     }
 
+    fn judge_lethal_requests(&self) -> Vec<Violation> {
+        let requests = self.lethal_ends.iter();
+        let over = requests.filter(|(_, servers)| servers.len() > MAX_ENDED_SERVERS);
+        over.map(|(request, servers)| Violation {
+            promise: Promise::EndedServers,
+            detail: format!("{request} ended {servers:?}"),
+        })
+        .collect()
+    }
+
     fn judge_budgets(&self) -> Vec<Violation> {
         let mut given: BTreeMap<&str, u64> = BTreeMap::new();
         for turn in self.calls.values().filter_map(|call| call.turn.as_ref()) {
--- a/crates/courseshed-soak/src/lib.rs
+++ b/crates/courseshed-soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod framing;
 pub mod http_text;
 pub mod ledger;
+pub mod lethal;
 pub mod loopback;
 pub mod node;
 pub mod releases;
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -65,6 +65,9 @@
     /// let servers use every framing, and break responses off at every place
     #[argh(switch)]
     framings: bool,
+    /// make requests that end the servers that run them
+    #[argh(switch)]
+    lethal: bool,
     /// a file with the faults, as a failed run leaves one (those of the seed)
     #[argh(option)]
     plan: Option<PathBuf>,
@@ -126,6 +129,7 @@
         limits_warm_up: arguments.limit_warm_up,
         has_releases: arguments.releases,
         varies_framing: arguments.framings,
+        has_lethal_requests: arguments.lethal,
         broken: None,
         size,
         servers: arguments.servers,
@@ -159,11 +163,13 @@
         cold_arrivals,
         resumptions,
         broken_off_by_servers,
+        lethal_requests,
+        ended_servers,
         violations,
     } = tally;
     let broken = violations.len();
     println!(
-        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {resumptions}; servers broke {broken_off_by_servers} off; {broken} promises broken"
+        "seed {seed}: {calls} calls, {answered} answered, {refused} refused, {failed} failed; {restricted_runs} ran in their region, {evacuated_arrivals} came during evacuations, {cold_arrivals} to cold servers; {resumptions}; servers broke {broken_off_by_servers} off; {ended_servers} ended under {lethal_requests} requests; {broken} promises broken"
     );
     for violation in violations {
         println!("  {violation}");
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use courseshed_edge::controller::{self, ControllerHandle, ControllerSettings, LossTerms};
 use courseshed_edge::gateway::{
-    self, GatewaySettings, MemoryLimits, Policy, ShortCodec, TenantSettings,
+    self, GatewaySettings, Mechanism, MemoryLimits, Policy, ShortCodec, TenantSettings,
 };
 use courseshed_edge::http::{HttpTiming, listen, read_body, serve};
 use courseshed_edge::metrics::Metrics;
@@ -110,6 +110,9 @@
     /// the regions that it knows: none, right or wrong ones (none)
     #[argh(option, default = "String::from(\"none\")")]
     regions: String,
+    /// whether a gateway tells no other under which requests servers ended
+    #[argh(switch)]
+    keeps_suspects: bool,
 }
 
 impl NodeArguments {
@@ -169,6 +172,8 @@
 
 async fn run_gateway(arguments: NodeArguments) -> Result<(), String> {
     let seeds = arguments.seeds()?;
+    let keeps_suspects = arguments.keeps_suspects;
+    let hidden = keeps_suspects.then_some(Mechanism::SharedSuspects);
     let settings = GatewaySettings {
         node: node_at(arguments.ip),
         zone: arguments.zone.clone(),
@@ -179,7 +184,7 @@
         addresses: arguments.addresses(),
         metrics: Arc::new(Metrics::new()),
         codec: Box::new(ShortCodec),
-        policy: Policy::default(),
+        policy: Policy::without(hidden),
         tenants: TenantSettings::default(),
         memory: MemoryLimits::for_machine(GATEWAY_MEMORY),
     };
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::Caller;
 use crate::faults::{Fault, FaultKind, plan};
-use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions};
+use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions, NodeKnowledge};
 use crate::ledger::{Disturbed, Promise, Tally};
 use crate::node::Role;
 use crate::releases::{FIRST_VERSION, plan_with_releases};
@@ -53,6 +53,8 @@
     pub has_releases: bool,
     /// Whether servers use every framing, and break responses off at every place.
     pub varies_framing: bool,
+    /// Whether some requests end the servers that run them.
+    pub has_lethal_requests: bool,
     /// A fault put in on purpose.
     pub broken: Option<Broken>,
     /// Processes.
@@ -97,7 +99,11 @@
         Some(Broken::ConfusesRegions) => KnownRegions::Wrong,
         _ => KnownRegions::Right,
     };
-    let fleet = Fleet::start(&options.program, &options.folder, options.size, regions);
+    let knowledge = NodeKnowledge {
+        regions,
+        shares_suspects: options.broken != Some(Broken::KeepsSuspectsToItself),
+    };
+    let fleet = Fleet::start(&options.program, &options.folder, options.size, knowledge);
     let fleet = fleet.context(ProcessSnafu)?;
     let world = Rc::new(World::new(&fleet, &options));
     if options.limits_warm_up {
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -1,6 +1,7 @@
 //! The servers of the soak: they note what they run, and misbehave now and then.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,11 +10,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use crate::framing::FramedResponse;
 use crate::http_text::{Head, Message, TextConnection, event_chunk, event_text};
 use crate::ledger::Promise;
+use crate::lethal::lethal_request;
 use crate::streams::{STREAM_EVENTS, versioned_event};
 use crate::world::World;
 use crate::zones::{REGIONS, region_of};
@@ -27,6 +30,8 @@
 const ANNOUNCEMENT_RETRY: Duration = Duration::from_millis(100);
 /// How long a server that has just started warms up.
 const WARM_UP_TIME: Duration = Duration::from_secs(4);
+/// How long a server that ended is away.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 /// How long a server that drains goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 /// Of a hundred requests, those that the server refuses as not run.
@@ -52,6 +57,42 @@
     format!("answer to {id}")
 }
 
+/// A server that is to start in place of one that ended.
+struct NextLife {
+    world: Rc<World>,
+    id: String,
+    version: u32,
+    zone: &'static str,
+    /// Where the last one listened.
+    address: SocketAddr,
+    seed: u64,
+}
+
+impl NextLife {
+    async fn start(self) {
+        sleep(RESTART_TIME).await;
+        let is_elsewhere = self.seed.is_multiple_of(4);
+        let same = TcpListener::bind(self.address).await;
+        let listener = match same {
+            Ok(listener) if !is_elsewhere => Ok(listener),
+            _ => TcpListener::bind("127.0.0.1:0").await,
+        };
+        let Self {
+            world,
+            id,
+            version,
+            zone,
+            seed,
+            ..
+        } = self;
+        let started = listener
+            .and_then(|listener| SoakServer::start_on(listener, world, id, version, zone, seed));
+        if let Err(error) = started {
+            log::error!("a server did not start again: {error}");
+        }
+    }
+}
+
 /// A running server.
 pub struct SoakServer {
     id: String,
@@ -63,6 +104,10 @@
     warm_at: Cell<Instant>,
     state: Cell<ServerState>,
     has_left: Cell<bool>,
+    /// Whether its process has ended, as far as others can tell.
+    has_ended: watch::Sender<bool>,
+    /// The calls that it runs.
+    running: RefCell<BTreeSet<String>>,
     random: RefCell<ChaCha8Rng>,
     /// Decides framings and breaks; apart, so that the faults of a seed don't depend on them.
     framings: RefCell<ChaCha8Rng>,
@@ -82,6 +127,17 @@
         seed: u64,
     ) -> std::io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_on(listener, world, id, version, zone, seed)
+    }
+
+    fn start_on(
+        listener: TcpListener,
+        world: Rc<World>,
+        id: String,
+        version: u32,
+        zone: &'static str,
+        seed: u64,
+    ) -> std::io::Result<Rc<Self>> {
         let server = Rc::new(Self {
             id,
             version,
@@ -90,6 +146,8 @@
             address: listener.local_addr()?,
             state: Cell::new(ServerState::Ready),
             has_left: Cell::new(false),
+            has_ended: watch::channel(false).0,
+            running: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             framings: RefCell::new(ChaCha8Rng::seed_from_u64(!seed)),
             world,
@@ -128,16 +186,43 @@
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut has_ended = self.has_ended.subscribe();
         while !self.has_left.get() {
-            if let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(self.clone().serve(stream));
+            tokio::select! {
+                _ = has_ended.wait_for(|has_ended| *has_ended) => return,
+                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                    actix_rt::spawn(self.clone().serve(stream));
+                }
             }
         }
     }
 
+    /// Ends as a process does that a request ends: everything that it has is cut off. It is back after a while,
+    /// often at the same address.
+    fn end(&self, request: &str) {
+        if self.has_ended.send_replace(true) {
+            return;
+        }
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.note_lethal_end(request, &self.id);
+        for call in self.running.borrow().iter() {
+            ledger.note_dropped(call);
+        }
+        let draw = self.random.borrow_mut().random();
+        let next = NextLife {
+            world: self.world.clone(),
+            id: format!("{}+", self.id),
+            version: self.version,
+            zone: self.zone,
+            address: self.address,
+            seed: draw,
+        };
+        actix_rt::spawn(next.start());
+    }
+
     async fn keep_announced(self: Rc<Self>) {
         let mut sequence = 0;
-        while !self.has_left.get() && !self.world.is_over() {
+        while !self.has_left.get() && !*self.has_ended.borrow() && !self.world.is_over() {
             sequence += 1;
             let registration = Registration {
                 server: Server {
@@ -172,16 +257,44 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let mut connection = TextConnection::new(stream);
-        while let Some(message) = connection.read().await {
-            if !message.is_whole || !self.answer(&mut connection, &message).await {
-                return;
+        let mut has_ended = self.has_ended.subscribe();
+        let served = async {
+            while let Some(message) = connection.read().await {
+                if !message.is_whole || !self.answer(&mut connection, &message).await {
+                    return;
+                }
             }
+        };
+        tokio::select! {
+            _ = has_ended.wait_for(|has_ended| *has_ended) => {}
+            () = served => {}
         }
     }
 
     /// Answers a request; false when the connection is to be closed.
     async fn answer(&self, connection: &mut TextConnection, message: &Message) -> bool {
         let id = message.head.header("x-call").unwrap_or("").to_owned();
+        let goes_on = self.run(connection, message, &id).await;
+        self.running.borrow_mut().remove(&id);
+        goes_on
+    }
+
+    /// Runs a request that ends this server, at some place of its answer.
+    async fn run_lethal(&self, connection: &mut TextConnection, id: &str, request: &str) {
+        if self.random.borrow_mut().random() {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{}",
+                event_chunk(1, "begun")
+            );
+            if let Err(error) = connection.write(&head).await {
+                log::info!("{id} was left before its server ended: {error}");
+            }
+        }
+        self.end(request);
+    }
+
+    /// Runs a request; false when the connection is to be closed.
+    async fn run(&self, connection: &mut TextConnection, message: &Message, id: &str) -> bool {
         let is_meant = message.head.header("x-server") == Some(self.id.as_str());
         let draw = self.random.borrow_mut().random_range(0..100);
         if !is_meant {
@@ -190,31 +303,36 @@
             );
             return connection.write(&refusal).await.is_ok();
         }
-        self.note_arrival(&id, message.head.path());
+        self.note_arrival(id, message.head.path());
         if draw < REFUSED_OF_100 {
             let refusal = format!(
                 "HTTP/1.1 503 Full\r\nx-call: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             );
             return connection.write(&refusal).await.is_ok();
         }
-        self.world.ledger.borrow_mut().note_run(&id);
+        self.world.ledger.borrow_mut().note_run(id);
+        self.running.borrow_mut().insert(id.to_owned());
         let work = self.random.borrow_mut().random_range(2..40);
         sleep(Duration::from_millis(work)).await;
+        if let Some(request) = lethal_request(&message.body) {
+            self.run_lethal(connection, id, request).await;
+            return false;
+        }
         if draw < REFUSED_OF_100 + DROPPED_OF_100 {
-            self.world.ledger.borrow_mut().note_dropped(&id);
+            self.world.ledger.borrow_mut().note_dropped(id);
             return false;
         }
         if self.world.varies_framing() {
-            return self.varied_answer(connection, &id, message).await;
+            return self.varied_answer(connection, id, message).await;
         }
         if message.head.path().contains("stream/") {
-            return self.resumable_stream(connection, &id, &message.head).await;
+            return self.resumable_stream(connection, id, &message.head).await;
         }
         if message.head.path().contains("turn/") {
-            self.check_history(&id, &message.body);
-            return self.stream(connection, &id).await.is_ok();
+            self.check_history(id, &message.body);
+            return self.stream(connection, id).await.is_ok();
         }
-        let body = plain_answer(&id);
+        let body = plain_answer(id);
         let length = body.len();
         let answer =
             format!("HTTP/1.1 200 OK\r\nx-call: {id}\r\ncontent-length: {length}\r\n\r\n{body}");
--- a/crates/courseshed-soak/src/world.rs
+++ b/crates/courseshed-soak/src/world.rs
@@ -30,6 +30,8 @@
     IgnoresWarmUpLimit,
     /// Servers report one software version, whichever they run.
     ReportsOneVersion,
+    /// Gateways don't tell each other under which requests servers ended.
+    KeepsSuspectsToItself,
 }
 
 /// What the tasks of a run share.
@@ -48,6 +50,7 @@
     limits_warm_up: bool,
     has_releases: bool,
     varies_framing: bool,
+    has_lethal_requests: bool,
     broken: Option<Broken>,
     is_over: Cell<bool>,
 }
@@ -72,6 +75,7 @@
             limits_warm_up: options.limits_warm_up,
             has_releases: options.has_releases,
             varies_framing: options.varies_framing,
+            has_lethal_requests: options.has_lethal_requests,
             broken: options.broken,
             is_over: Cell::new(false),
         }
@@ -100,6 +104,12 @@
         self.varies_framing
     }
 
+    /// Whether some requests end the servers that run them.
+    #[must_use]
+    pub fn has_lethal_requests(&self) -> bool {
+        self.has_lethal_requests
+    }
+
     /// The software version that a server reports.
     #[must_use]
     pub fn reported_version(&self, version: u32) -> String {
--- a/crates/courseshed-soak/tests/fleet.rs
+++ b/crates/courseshed-soak/tests/fleet.rs
@@ -4,10 +4,14 @@
 use std::path::Path;
 use std::time::Duration;
 
-use courseshed_soak::fleet::{EndedByItself, Fleet, FleetSize, KnownRegions};
+use courseshed_soak::fleet::{EndedByItself, Fleet, FleetSize, KnownRegions, NodeKnowledge};
 use courseshed_soak::node::Role;
 use tempfile::TempDir;
 
+const KNOWLEDGE: NodeKnowledge = NodeKnowledge {
+    regions: KnownRegions::None,
+    shares_suspects: true,
+};
 const PROGRAM: &str = env!("CARGO_BIN_EXE_courseshed-soak");
 /// Ends at once with exit status 1, without a word.
 const FAILING_PROGRAM: &str = "/bin/false";
@@ -31,7 +35,7 @@
 };
 
 fn start(program: &str, folder: &Path, size: FleetSize) -> Fleet {
-    let fleet = Fleet::start(Path::new(program), folder, size, KnownRegions::None);
+    let fleet = Fleet::start(Path::new(program), folder, size, KNOWLEDGE);
     fleet.expect("a fleet")
 }
 
@@ -97,12 +101,7 @@
         gateways: 300,
         ..NONE
     };
-    let started = Fleet::start(
-        Path::new(FAILING_PROGRAM),
-        folder.path(),
-        size,
-        KnownRegions::None,
-    );
+    let started = Fleet::start(Path::new(FAILING_PROGRAM), folder.path(), size, KNOWLEDGE);
     let error = started.err().expect("too many processes").to_string();
     assert!(
         error.contains("find an address for each process"),
--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -25,6 +25,7 @@
         limits_warm_up: false,
         has_releases: false,
         varies_framing: false,
+        has_lethal_requests: false,
         broken: None,
         size: FleetSize {
             gateways: 2,
@@ -172,6 +173,24 @@
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
 }
 
+/// Guards against requests that end server after server, at whatever gateways, while gateways and controllers are
+/// killed and stores lose their disks, and against requests beside them that are lost for it.
+#[parameterized(
+    first = { 71 },
+    second = { 72 },
+)]
+fn lethal_requests_end_few_servers_while_processes_fail(seed: u64) {
+    let folder = TempDir::new().expect("a folder");
+    let mut options = options(seed, folder.path());
+    options.has_lethal_requests = true;
+    options.size.gateways = 4;
+    options.servers = 20;
+    let tally = soak(options);
+    let lines = warnings(folder.path()).expect("logs are read");
+    assert!(tally.ended_servers > 0, "{tally:?}");
+    assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
+}
+
 /// Guards against checks that see nothing: each fault that is put in on purpose must be caught by its
 /// check, and by no other.
 #[parameterized(
@@ -179,6 +198,7 @@
     regions = { Broken::ConfusesRegions, &[Promise::AllowedRegion, Promise::StoredRegion] },
     warm_up = { Broken::IgnoresWarmUpLimit, &[Promise::WarmUpLimit] },
     versions = { Broken::ReportsOneVersion, &[Promise::StreamVersion] },
+    suspects = { Broken::KeepsSuspectsToItself, &[Promise::EndedServers] },
 )]
 fn broken_variants_are_caught(broken: Broken, expected: &[Promise]) {
     let folder = TempDir::new().expect("a folder");
@@ -200,7 +220,10 @@
             how_long: Duration::from_secs(5),
         },
     });
+    let has_lethal_requests = broken == Broken::KeepsSuspectsToItself;
     let options = SoakOptions {
+        has_lethal_requests,
+        servers: if has_lethal_requests { 20 } else { 4 },
         faults: Some(releases.chain(faults).collect()),
         has_regions: true,
         limits_warm_up: broken == Broken::IgnoresWarmUpLimit,
--- a/crates/courseshed-soak/tests/timeline.rs
+++ b/crates/courseshed-soak/tests/timeline.rs
@@ -37,6 +37,7 @@
         limits_warm_up: false,
         has_releases: false,
         varies_framing: false,
+        has_lethal_requests: false,
         broken: None,
         size: FleetSize {
             gateways: GATEWAYS,
