--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariants: a non-idempotent request is sent again only after a server stated that it did not
 //! execute it; a request is sent to at most as many servers as its route allows, not counting those
-//! that only refused it, were unreachable or ended while they had it; once a server failed while it had the request, the gateway
-//! never reports it as not executed.
+//! that only refused it, were unreachable or ended while they had it; once a server failed while it
+//! had the request, the gateway never reports it as not executed.
 
 mod checks;
 mod opened_response;
