--- a/crates/courseshed-registry/tests/suspect_simulation.rs
+++ b/crates/courseshed-registry/tests/suspect_simulation.rs
@@ -724,7 +724,7 @@
 fn simulation_notices_what_is_left_out() {
     let not_shared = simulate(0..SEEDS / 20, Variant::NotShared, FEW_LETHAL);
     assert!(not_shared.most_ended > MAX_ENDED_SERVERS, "{not_shared:?}");
-    let not_announced = simulate(0..SEEDS / 3, Variant::NotAnnounced, FEW_LETHAL);
+    let not_announced = simulate(0..SEEDS, Variant::NotAnnounced, FEW_LETHAL);
     assert!(
         not_announced.most_ended > MAX_ENDED_SERVERS,
         "{not_announced:?}"
