--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,25 @@
+//! The cases. Each returns whether its rule was broken.
+
+mod chain;
+mod extra_bytes;
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+
+use crate::util::Record;
+
+pub type Ran = Arc<Mutex<BTreeSet<String>>>;
+
+pub fn run(case: &str, folder: &str, trouble: bool) -> Result<bool, String> {
+    let record = Record::create(folder)?;
+    record.line(format!("case {case}, trouble={trouble}"));
+    let broken = match case {
+        "chain" => chain::run(&record, trouble)?,
+        "extra-bytes" => extra_bytes::run(&record, trouble)?,
+        _ => return Err(format!("no case {case}")),
+    };
+    let verdict = if broken { "the rule was broken" } else { "the rule held" };
+    record.line(verdict);
+    println!("{verdict}");
+    Ok(broken)
+}
