--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,20 +2,19 @@
 
 mod chain;
 mod extra_bytes;
-
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex};
+mod resumed_turn;
+mod slow_reader;
 
 use crate::util::Record;
 
-pub type Ran = Arc<Mutex<BTreeSet<String>>>;
-
 pub fn run(case: &str, folder: &str, trouble: bool) -> Result<bool, String> {
     let record = Record::create(folder)?;
     record.line(format!("case {case}, trouble={trouble}"));
     let broken = match case {
         "chain" => chain::run(&record, trouble)?,
         "extra-bytes" => extra_bytes::run(&record, trouble)?,
+        "resumed-turn" => resumed_turn::run(&record, trouble)?,
+        "slow-reader" => slow_reader::run(&record, trouble)?,
         _ => return Err(format!("no case {case}")),
     };
     let verdict = if broken { "the rule was broken" } else { "the rule held" };
--- a/review/standin/cases/chain.rs
+++ b/review/standin/cases/chain.rs
@@ -7,10 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::Ran;
 use crate::fleet::{Fleet, HOST, SLM_DISPATCH};
 use crate::http::{header, send, Answer, Request};
-use crate::server::{Kind, Server};
+use crate::server::{Ran, Kind, Server};
 use crate::util::{sleep_ms, Record, SIGTERM};
 
 const CONVERSATIONS: usize = 24;
@@ -216,7 +215,7 @@
                     let aim_at = conversation.began + conversation.aim;
                     let (id, _) =
                         world.try_turn(conversation.number, &turn, Some(&previous), aim_at);
-                    if ran.lock().unwrap().contains(&id) {
+                    if ran.lock().unwrap().contains_key(&id) {
                         break;
                     }
                     let is_in_time = answered.elapsed() < Duration::from_secs(60)
@@ -245,7 +244,7 @@
     let mut reached = 0;
     for first_turn in first_turns {
         let id = first_turn.join().map_err(|_| "a client failed")?;
-        reached += usize::from(ran.lock().unwrap().contains(&id));
+        reached += usize::from(ran.lock().unwrap().contains_key(&id));
     }
     record.line(format!(
         "{lost} of {judged} conversations lost; {reached} of 20 first turns reached a server"
--- a/review/standin/cases/extra_bytes.rs
+++ b/review/standin/cases/extra_bytes.rs
@@ -5,10 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::Ran;
 use crate::fleet::{Fleet, HOST, SLM_DISPATCH};
 use crate::http::{header, send, Request};
-use crate::server::{Extra, Kind, Server};
+use crate::server::{Ran, Extra, Kind, Server};
 use crate::util::{sleep_ms, Record};
 
 /// Of the site's `garble`: one of three servers (`share` 0.35), one answer of fifty (`x` 0.02), for
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -35,6 +35,9 @@
     disk_mb: [0, 128, 340],
 };
 
+/// The same with all of its frontends.
+pub const SLM_DISPATCH_WHOLE: Site = Site { frontends: 8, ..SLM_DISPATCH };
+
 pub struct Node {
     pub name: String,
     pub ip: String,
@@ -117,7 +120,7 @@
     }
 
     fn are_ports_free(&self) -> bool {
-        let last_octets = [10, 11, 12, 30, 31, 32, 33, 34, 50, 51, 52, 53];
+        let last_octets: Vec<i32> = (10..18).chain(30..35).chain(50..54).collect();
         let is_free = |octet: &i32, port| TcpListener::bind((format!("{}.{octet}", self.prefix), port)).is_ok();
         (self.port..self.port + 20).all(|port| last_octets.iter().all(|octet| is_free(octet, port)))
     }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -1,6 +1,6 @@
 //! Servers of a service: sound ones, but for what a case names.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,6 +11,17 @@
 use crate::http::{header, read_head, send, Headers, Request};
 use crate::util::{sleep_ms, Record};
 
+/// The bodies of the requests that ran, by their ids.
+pub type Ran = Arc<Mutex<BTreeMap<String, Vec<u8>>>>;
+
+/// The data of an event: what a model says depends on what it read.
+pub fn event_data(body: &[u8], event: u32) -> String {
+    let hash = body.iter().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    format!("{hash:016x}-{event}")
+}
+
 /// How the servers of a service answer.
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
@@ -27,8 +38,8 @@
     pub address: SocketAddr,
     kind: Kind,
     record: Record,
-    /// Ids of the requests that ran.
-    pub ran: Arc<Mutex<BTreeSet<String>>>,
+    /// The requests that ran: their bodies by their ids.
+    pub ran: Ran,
     /// Bytes that follow some of the whole answers.
     pub extra: Mutex<Option<Extra>>,
     answers: AtomicUsize,
@@ -57,7 +68,7 @@
         ip: &str,
         kind: Kind,
         record: &Record,
-        ran: &Arc<Mutex<BTreeSet<String>>>,
+        ran: &Ran,
     ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind((ip, 0)).map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
@@ -144,7 +155,7 @@
             let head = format!("HTTP/1.1 421 Misdirected Request\r\nCourseshed-Request-Id: {id}\r\nCourseshed-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return out.write_all(head.as_bytes());
         }
-        self.ran.lock().unwrap().insert(id.clone());
+        self.ran.lock().unwrap().insert(id.clone(), request.body.clone());
         self.record.line(format!(
             "server {} runs {id}: {} with {} bytes",
             self.id,
@@ -161,9 +172,12 @@
                     "{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 );
                 out.write_all(head.as_bytes())?;
-                for event in 1..=events {
+                let last = header(&request.headers, "Last-Event-Id");
+                let last: u32 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
+                for event in last + 1..=events {
                     sleep_ms(gap_ms);
-                    let text = format!("id: {event}\ndata: {id}-{event}\n\n");
+                    let data = event_data(&request.body, event);
+                    let text = format!("id: {event}\ndata: {data}\n\n");
                     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                     out.write_all(chunk.as_bytes())?;
                 }
