--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,6 +2,7 @@
 
 mod chain;
 mod extra_bytes;
+mod long_ids;
 mod resumed_turn;
 mod slow_reader;
 
@@ -13,6 +14,7 @@
     let broken = match case {
         "chain" => chain::run(&record, trouble)?,
         "extra-bytes" => extra_bytes::run(&record, trouble)?,
+        "long-ids" => long_ids::run(&record, trouble)?,
         "resumed-turn" => resumed_turn::run(&record, trouble)?,
         "slow-reader" => slow_reader::run(&record, trouble)?,
         _ => return Err(format!("no case {case}")),
--- a/review/standin/cases/chain.rs
+++ b/review/standin/cases/chain.rs
@@ -122,7 +122,7 @@
     let ran = Ran::default();
     let mut fleet = Fleet::start(&SLM_DISPATCH, record)?;
     let controllers = fleet.controllers();
-    let kind = Kind::Stream { events: 11, gap_ms: 100 };
+    let kind = Kind::Stream { events: 11, gap_ms: 100, has_long_ids: false };
     for number in 0..6 {
         let (zone, ip) = (fleet.zone(number), fleet.server_ip(number));
         let server = Server::start(format!("i-{number}"), "agent", zone, &ip, kind, record, &ran)?;
--- a/review/standin/cases/resumed_turn.rs
+++ b/review/standin/cases/resumed_turn.rs
@@ -130,7 +130,7 @@
 pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
     let ran = Ran::default();
     let mut fleet = Fleet::start(&SLM_DISPATCH_WHOLE, record)?;
-    let kind = Kind::Stream { events: EVENTS, gap_ms: 100 };
+    let kind = Kind::Stream { events: EVENTS, gap_ms: 100, has_long_ids: false };
     for number in 0..6 {
         let (zone, ip) = (fleet.zone(number), fleet.server_ip(number));
         let server = Server::start(format!("i-{number}"), "agent", zone, &ip, kind, record, &ran)?;
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -22,11 +22,21 @@
     format!("{hash:016x}-{event}")
 }
 
+/// What the ids of a stream's events are counted from.
+pub fn first_id(body: &[u8], has_long_ids: bool) -> u64 {
+    if !has_long_ids {
+        return 0;
+    }
+    let hash = event_data(body, 0);
+    let number = u64::from_str_radix(&hash[..16], 16).unwrap_or(0);
+    (1 << 60) | (number >> 4)
+}
+
 /// How the servers of a service answer.
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
-    /// A stream of events.
-    Stream { events: u32, gap_ms: u64 },
+    /// A stream of events, numbered from 1 or, with `has_long_ids`, from a number of 61 bits.
+    Stream { events: u32, gap_ms: u64, has_long_ids: bool },
     /// A plain answer of some bytes after some work.
     Plain { bytes: usize, work_ms: u64 },
 }
@@ -157,27 +167,33 @@
         }
         self.ran.lock().unwrap().insert(id.clone(), request.body.clone());
         self.record.line(format!(
-            "server {} runs {id}: {} with {} bytes",
+            "server {} runs {id}: {} with {} bytes, last_event={:?}",
             self.id,
             request.first,
-            request.body.len()
+            request.body.len(),
+            header(&request.headers, "Last-Event-Id")
         ));
         let seal = format!("seal-{id}");
         let common = format!(
             "HTTP/1.1 200 OK\r\nCourseshed-Request-Id: {id}\r\nCourseshed-Response-Seal: {seal}\r\nKeep-Alive: 15\r\n"
         );
         match self.kind {
-            Kind::Stream { events, gap_ms } => {
+            Kind::Stream { events, gap_ms, has_long_ids } => {
                 let head = format!(
                     "{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 );
                 out.write_all(head.as_bytes())?;
                 let last = header(&request.headers, "Last-Event-Id");
-                let last: u32 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
-                for event in last + 1..=events {
+                let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
+                let first = first_id(&request.body, has_long_ids);
+                for event in 1..=events {
+                    let number = first + u64::from(event);
+                    if number <= last {
+                        continue;
+                    }
                     sleep_ms(gap_ms);
                     let data = event_data(&request.body, event);
-                    let text = format!("id: {event}\ndata: {data}\n\n");
+                    let text = format!("id: {number}\ndata: {data}\n\n");
                     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                     out.write_all(chunk.as_bytes())?;
                 }
