--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -211,7 +212,12 @@
             .map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let (program, arguments) = deploy_command(self.nodes[index].role)?;
-        let started = Command::new(&program)
+        let mut command = Command::new(&program);
+        // SAFETY: a system call alone, between fork and exec.
+        unsafe {
+            command.pre_exec(util::end_with_parent);
+        }
+        let started = command
             .args(arguments)
             .env_clear()
             .envs(std::env::vars().filter(|(name, _)| matches!(name.as_str(), "PATH" | "HOME" | "LANG")))
--- a/review/standin/util.rs
+++ b/review/standin/util.rs
@@ -8,6 +8,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 pub const SIGKILL: i32 = 9;
@@ -43,6 +44,16 @@
     }
 }
 
+/// Ends this process, a child, when the one that started it ends.
+pub fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: a plain system call without memory arguments.
+    unsafe {
+        prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+    }
+    Ok(())
+}
+
 pub fn kill_all() {
     let pids = match STARTED.lock() {
         Ok(pids) => pids.clone(),
