--- a/review/standin/cases/extra_bytes.rs
+++ b/review/standin/cases/extra_bytes.rs
@@ -19,6 +19,8 @@
 const AFTER_MS: u64 = 15;
 const CLIENTS: usize = 12;
 const EXTRA: &str = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\nbytes of no one's order";
+/// Sent instead with EXTRA=refusal, to see what else follows from the same cause.
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nCourseshed-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
     let ran = Ran::default();
@@ -36,11 +38,13 @@
     )?;
     fleet.wait_ready()?;
     sleep_ms(3500);
+    let is_refusal = std::env::var("EXTRA").is_ok_and(|kind| kind == "refusal");
+    let extra = if is_refusal { REFUSAL } else { EXTRA };
     if trouble {
         *servers[0].extra.lock().unwrap() = Some(Extra {
             every: EVERY,
             after_ms: AFTER_MS,
-            bytes: EXTRA.as_bytes().to_vec(),
+            bytes: extra.as_bytes().to_vec(),
         });
     }
     let answered = Arc::new(AtomicUsize::new(0));
