--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standin.new review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin.new review/standin.rs
 mv target/review/standin.new target/review/standin
--- a/review/standin/main.rs
+++ b/review/standin.rs
@@ -4,10 +4,15 @@
 //! addresses, plays clients, servers and the operator, and writes `record.txt` in FOLDER.
 //! Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 
+#[path = "standin_cases.rs"]
 mod cases;
+#[path = "standin_fleet.rs"]
 mod fleet;
+#[path = "standin_http.rs"]
 mod http;
+#[path = "standin_server.rs"]
 mod server;
+#[path = "standin_util.rs"]
 mod util;
 
 fn main() {
--- a/review/standin/cases.rs
+++ b/review/standin_cases.rs
@@ -1,9 +1,14 @@
 //! The cases. Each returns whether its rule was broken.
 
+#[path = "standin_case_chain.rs"]
 mod chain;
+#[path = "standin_case_extra_bytes.rs"]
 mod extra_bytes;
+#[path = "standin_case_long_ids.rs"]
 mod long_ids;
+#[path = "standin_case_resumed_turn.rs"]
 mod resumed_turn;
+#[path = "standin_case_slow_reader.rs"]
 mod slow_reader;
 
 use crate::util::Record;
