Log what each replica lacks of a turn whose chain is not found

Callers of review/1 get 503 for good after the stores were stopped in turn. Cause: not shown by any log; a gateway only says that a call was refused for want of a quorum. Change: `chain_undecided` names the turn, the partition and what each replica lacks.

All stores answer, and each lacks another turn of the chain, as in "turn":"c12t9-d0", Broken c12t1-19, Broken c12t5-79, Missing c12t9-d0.

--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -3,6 +3,7 @@
 //! The records of a program are in the program's partition. A turn that continues a turn of another
 //! program is stored in the partition of that turn, so that a chain is always in a single partition.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -352,17 +353,26 @@
             }
         }
         let policy = WaitPolicy::WhileEndExpected(deadline);
-        self.run_rounds(partition, &operation, policy, |view| {
+        let missing_by_replica: Mutex<BTreeMap<NodeId, ChainError>> = Mutex::default();
+        let lookup = self.run_rounds(partition, &operation, policy, |view| {
             let mut misses = MissTally::new(view);
+            let missing_by_replica = &missing_by_replica;
             move |node, reply| match reply {
                 RecordReply::Chain(turns) => Some(kept(turns)),
-                RecordReply::IncompleteChain(ChainError::Missing { .. }) => {
-                    misses.on_missing(node).then_some(ChainLookup::Unknown)
+                RecordReply::IncompleteChain(error) => {
+                    let is_absent = matches!(error, ChainError::Missing { .. });
+                    missing_by_replica.lock().insert(node, error);
+                    (is_absent && misses.on_missing(node)).then_some(ChainLookup::Unknown)
                 }
                 _ => None,
             }
-        })
-        .await
+        });
+        let lookup = lookup.await;
+        if lookup.is_err() {
+            let missing = missing_by_replica.lock();
+            log::warn!(event = "chain_undecided", turn = id, partition = partition.0, missing:? = *missing; "the replicas' answers did not decide whether a turn is stored with its ancestors");
+        }
+        lookup
     }
 
     /// The active replica of the own zone, else one of those at the smallest distance, selected by a hash of the
