Read a chain from several replicas when none has all of it

Cause: a turn is accepted once a quorum has it, but a chain was accepted only from one replica that has it whole. After the roll each replica lacks another turn, "Broken" was no vote, and no later round differed. Why this fix works: any quorum has each accepted turn, so its replicas have the chain together. `ChainAssembly` puts it together from the newest parts that replicas have and asks those that have answered on for the turn that is wanted next. A chain without a gap is read as before, with the same bytes. An ancestor that all active replicas lack is answered as unknown, at once.

Its test failed before: conversations_go_on_after_each_store_was_away_in_turn, "program-0-4 is not found: Err(NoQuorum)".

--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -237,10 +237,7 @@
         let now = core.clock.now();
         core.servers.borrow_mut().record_cached(cached, now);
     }
-    let size = chain
-        .iter()
-        .map(|turn| turn.input.len() + turn.output.len())
-        .sum::<usize>();
+    let size: usize = chain.iter().map(Turn::content_bytes).sum();
     memory.check_budget(size + call.body.len())?;
     memory.set(BufferKind::Request, size + 2 * call.body.len());
     let mut body = BytesMut::with_capacity(size + call.body.len());
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -132,6 +132,7 @@
         settings.addresses,
         settings.zone.clone(),
         settings.zones.clone(),
+        settings.metrics.clone(),
     );
     let schedulers =
         SchedulerClient::new(peers.clone(), follower.clone(), settings.metrics.clone());
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -115,6 +115,10 @@
     pub routing_version: Gauge<i64, AtomicI64>,
     /// Revision of the record partitions known to this node.
     pub record_revision: Gauge<i64, AtomicI64>,
+    /// Chains of turns that this gateway read although replicas lacked turns of them.
+    pub chains_assembled: Counter,
+    /// Lookups of this gateway of a chain that no replica has an ancestor of.
+    pub chains_lost: Counter,
     /// Software versions of streams that this store holds.
     pub stream_versions: Gauge<i64, AtomicI64>,
     /// Software versions of streams that this gateway recorded at stores, by outcome.
@@ -225,6 +229,8 @@
             callers_cut_off: Family::default(),
             routing_version: Gauge::default(),
             record_revision: Gauge::default(),
+            chains_assembled: Counter::default(),
+            chains_lost: Counter::default(),
             stream_versions: Gauge::default(),
             stream_version_writes: Family::default(),
             stream_version_lookup: Histogram::new(DURATION_BUCKETS),
@@ -304,6 +310,16 @@
             "Revision of the partitions of the records",
             self.record_revision.clone(),
         );
+        registry.register(
+            "chains_assembled",
+            "Chains of turns that the gateway read although replicas lacked turns of them",
+            self.chains_assembled.clone(),
+        );
+        registry.register(
+            "chains_lost",
+            "Lookups of chains of turns that no replica has an ancestor of",
+            self.chains_lost.clone(),
+        );
         for (figure, gauge) in &self.records {
             registry.register(figure.name, figure.help, gauge.clone());
         }
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -6,7 +6,7 @@
 use courseshed_pool::{CallDemand, CallEndReport, DecisionInputs, RunningCall, Verdict};
 use courseshed_quota::{QuotaAnswer, QuotaReport};
 use courseshed_records::{
-    ChainError, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
+    ChainError, ChainPart, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
 };
 use courseshed_registry::{
     ActiveRouting, Command, FleetUpdate, FollowerRevisions, LoadReport, Outcome, RoutingProof,
@@ -208,6 +208,9 @@
     Chain {
         /// Id of the turn.
         id: String,
+        /// What to return if the chain is incomplete. Older versions ignore it.
+        #[serde(default, skip_serializing_if = "ChainReading::is_whole")]
+        reading: ChainReading,
     },
     /// Reads a page of all records of the partition.
     Export {
@@ -216,6 +219,22 @@
     },
 }
 
+/// How a store replies to a request for a chain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChainReading {
+    /// With the whole chain, or an error if it is incomplete.
+    #[default]
+    Whole,
+    /// With the newest part of the chain that it stores.
+    Part,
+}
+
+impl ChainReading {
+    fn is_whole(&self) -> bool {
+        *self == Self::Whole
+    }
+}
+
 /// A reply of a record store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum RecordReply {
@@ -228,6 +247,8 @@
     },
     /// The chain, oldest first.
     Chain(Vec<Turn>),
+    /// The newest part of the chain that this store has. Only for requests that ask for a part.
+    ChainPart(ChainPart),
     /// The chain is incomplete on this store.
     #[serde(rename = "NoChain")]
     IncompleteChain(ChainError),
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -3,38 +3,35 @@
 //! The records of a program are in the program's partition. A turn that continues a turn of another
 //! program is stored in the partition of that turn, so that a chain is always in a single partition.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use courseshed_records::{
-    ChainError, MissTally, PartitionId, PartitionMap, Record, RecordMember, RecordView,
-    ReservationDecision, ReservationTally, Turn, WriteTally,
+    MissTally, PartitionId, PartitionMap, Record, RecordMember, RecordView, ReservationDecision,
+    ReservationTally, Turn, WriteTally,
 };
 use courseshed_routing::AllowedRegions;
-use courseshed_types::{CachedPrompt, Distance, NodeId, ZoneMap};
+use courseshed_types::{CachedPrompt, NodeId, ZoneMap};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
 use snafu::Snafu;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::outages::{OutageDecision, Outages};
 use super::query_order::QueryOrder;
 use crate::follower::FleetFollower;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::protocol::{
-    PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply, RecordRequest,
+    ChainReading, PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply,
+    RecordRequest,
 };
 
 /// Timeout of one round of queries.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay before another round, in which a newer view may arrive.
 const ROUND_DELAY: Duration = Duration::from_millis(40);
-/// Timeout for reading a chain from the nearest replica, after which all replicas are queried: many times what
-/// a response takes (1 to 5 ms between zones), and a small part of the time that a turn has.
-const NEAREST_REPLICA_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long replicas of the own region are waited for before those of other regions are queried: above the
 /// round-trip time within a region (1 to 10 ms), and at most the one between regions (60 ms), so that querying
 /// the others late costs a call no more than querying them costs anyway.
@@ -51,38 +48,37 @@
     StoresFull,
 }
 
-/// The result of looking up a turn.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ChainLookup {
-    /// The turn and its predecessors.
-    Kept(StoredChain),
-    /// The turn was never stored, or has expired.
-    Unknown,
-}
-
-/// A turn with its predecessors.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredChain {
-    /// The partition of the chain, in which turns that continue it must be stored.
-    pub partition: PartitionId,
-    /// The turns, oldest first.
-    pub turns: Vec<Turn>,
-}
-
 /// Client of the stores of the current partition views.
 #[derive(Clone)]
 pub struct RecordClient {
     peers: Arc<Peers>,
     follower: Arc<FleetFollower>,
     addresses: PeerAddresses,
-    zone: String,
-    zones: Arc<ZoneMap>,
+    pub(super) zone: String,
+    pub(super) zones: Arc<ZoneMap>,
     outages: Arc<Mutex<Outages>>,
+    pub(super) metrics: Arc<Metrics>,
+}
+
+/// What follows from a reply of a replica.
+pub(super) enum Step<T> {
+    /// The replies so far decide.
+    Decided(T),
+    /// More replies are needed.
+    Wait,
+    /// Some replicas must be asked further.
+    Ask(Vec<NodeId>, RecordOperation),
+}
+
+impl<T> From<Option<T>> for Step<T> {
+    fn from(decided: Option<T>) -> Self {
+        decided.map_or(Self::Wait, Self::Decided)
+    }
 }
 
 /// How long to wait for a partition without a quorum.
 #[derive(Clone, Copy, Debug)]
-enum WaitPolicy {
+pub(super) enum WaitPolicy {
     /// Until the deadline: the record describes completed work.
     UntilDeadline(Instant),
     /// While the outage is expected to end before the deadline: no work was done yet, and a client that
@@ -103,7 +99,7 @@
 }
 
 impl RecordClient {
-    /// Creates a client for a node in a zone.
+    /// Creates a client for a node in a zone, which counts in the metrics of its process.
     #[must_use]
     pub fn new(
         peers: Arc<Peers>,
@@ -111,6 +107,7 @@
         addresses: PeerAddresses,
         zone: String,
         zones: Arc<ZoneMap>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             peers,
@@ -119,6 +116,7 @@
             zone,
             zones,
             outages: Arc::default(),
+            metrics,
         }
     }
 
@@ -207,7 +205,7 @@
     /// The partition for the first turn of a program received by this node: the program's own partition if it is
     /// local, else a local one. Turns that continue it stay in that partition.
     #[must_use]
-    fn home_of(&self, program: &str) -> PartitionId {
+    pub(super) fn home_of(&self, program: &str) -> PartitionId {
         let records = self.follower.view().records;
         records.home_partition(program, |view| self.is_local(view))
     }
@@ -282,7 +280,10 @@
         partition: PartitionId,
         deadline: Instant,
     ) -> Result<(), RecordsUnavailable> {
-        let operation = RecordOperation::Chain { id: String::new() };
+        let operation = RecordOperation::Chain {
+            id: String::new(),
+            reading: ChainReading::Whole,
+        };
         let policy = WaitPolicy::OneRound(deadline);
         self.run_rounds(partition, &operation, policy, |view| {
             let mut answers = MissTally::new(view);
@@ -296,101 +297,6 @@
         .await
     }
 
-    /// Reads a turn with its chain. Tries the partition first that the program's first turn is stored in, then all
-    /// others, since the turn may belong to another program or have been received in another region.
-    ///
-    /// # Errors
-    /// Returns [`RecordsUnavailable`] if the turn was not found, but a partition had no quorum to confirm its
-    /// absence.
-    pub async fn chain(
-        &self,
-        program: &str,
-        id: &str,
-        allowed_regions: &AllowedRegions,
-        deadline: Instant,
-    ) -> Result<ChainLookup, RecordsUnavailable> {
-        let home = self
-            .partition_for_new_program(program, allowed_regions)
-            .unwrap_or_else(|| self.home_of(program));
-        let home_lookup = self.chain_in(home, id, deadline).await?;
-        if matches!(home_lookup, ChainLookup::Kept(_)) {
-            return Ok(home_lookup);
-        }
-        let records = self.follower.view().records;
-        let partitions = records.views().map(|(partition, _)| partition);
-        let mut lookups: FuturesUnordered<_> = partitions
-            .filter(|partition| *partition != home)
-            .map(|partition| self.chain_in(partition, id, deadline))
-            .collect();
-        let mut result = Ok(ChainLookup::Unknown);
-        while let Some(lookup) = lookups.next().await {
-            match lookup {
-                Ok(ChainLookup::Kept(chain)) => return Ok(ChainLookup::Kept(chain)),
-                Ok(ChainLookup::Unknown) => {}
-                Err(unavailable) => result = Err(unavailable),
-            }
-        }
-        result
-    }
-
-    /// Reads a chain from a partition: from the nearest replica, or from all if it is not complete there.
-    async fn chain_in(
-        &self,
-        partition: PartitionId,
-        id: &str,
-        deadline: Instant,
-    ) -> Result<ChainLookup, RecordsUnavailable> {
-        let operation = RecordOperation::Chain { id: id.to_owned() };
-        let kept = |turns| ChainLookup::Kept(StoredChain { partition, turns });
-        let records = self.follower.view().records;
-        let view = records.view(partition);
-        if let Some(nearest) = self.nearest(view, id) {
-            let asked = self.query(partition, view, nearest, operation.clone());
-            if let Ok((_, Some(RecordReply::Chain(turns)))) =
-                timeout(NEAREST_REPLICA_TIMEOUT, asked).await
-            {
-                return Ok(kept(turns));
-            }
-        }
-        let policy = WaitPolicy::WhileEndExpected(deadline);
-        let missing_by_replica: Mutex<BTreeMap<NodeId, ChainError>> = Mutex::default();
-        let lookup = self.run_rounds(partition, &operation, policy, |view| {
-            let mut misses = MissTally::new(view);
-            let missing_by_replica = &missing_by_replica;
-            move |node, reply| match reply {
-                RecordReply::Chain(turns) => Some(kept(turns)),
-                RecordReply::IncompleteChain(error) => {
-                    let is_absent = matches!(error, ChainError::Missing { .. });
-                    missing_by_replica.lock().insert(node, error);
-                    (is_absent && misses.on_missing(node)).then_some(ChainLookup::Unknown)
-                }
-                _ => None,
-            }
-        });
-        let lookup = lookup.await;
-        if lookup.is_err() {
-            let missing = missing_by_replica.lock();
-            log::warn!(event = "chain_undecided", turn = id, partition = partition.0, missing:? = *missing; "the replicas' answers did not decide whether a turn is stored with its ancestors");
-        }
-        lookup
-    }
-
-    /// The active replica of the own zone, else one of those at the smallest distance, selected by a hash of the
-    /// turn's id to spread reads.
-    fn nearest<'a>(&self, view: &'a RecordView, id: &str) -> Option<&'a RecordMember> {
-        let distance = |member: &RecordMember| self.zones.distance(&self.zone, &member.zone);
-        let nearest = view.active().map(distance).min()?;
-        if nearest == Distance::SameZone {
-            return view.active().find(|member| member.zone == self.zone);
-        }
-        let near: Vec<_> = view
-            .active()
-            .filter(|member| distance(member) == nearest)
-            .collect();
-        let index = xxh3_64(id.as_bytes()) as usize % near.len();
-        near.get(index).copied()
-    }
-
     async fn write(
         &self,
         partition: PartitionId,
@@ -411,7 +317,7 @@
     }
 
     /// Queries the stores of a partition in rounds, each with its newest view, until their answers decide.
-    async fn run_rounds<T, D>(
+    pub(super) async fn run_rounds<T, D, S>(
         &self,
         partition: PartitionId,
         operation: &RecordOperation,
@@ -419,7 +325,8 @@
         decide_for: impl Fn(&RecordView) -> D,
     ) -> Result<T, RecordsUnavailable>
     where
-        D: FnMut(NodeId, RecordReply) -> Option<T>,
+        D: FnMut(NodeId, RecordReply) -> S,
+        S: Into<Step<T>>,
     {
         let deadline = policy.deadline();
         loop {
@@ -472,17 +379,25 @@
         }
     }
 
-    async fn round<T>(
+    async fn round<T, S>(
         &self,
         records: &PartitionMap,
         partition: PartitionId,
         operation: &RecordOperation,
-        mut decide: impl FnMut(NodeId, RecordReply) -> Option<T>,
-    ) -> Option<T> {
+        mut decide: impl FnMut(NodeId, RecordReply) -> S,
+    ) -> Option<T>
+    where
+        S: Into<Step<T>>,
+    {
         let view = records.view(partition);
         let QueryOrder { first, mut later } = QueryOrder::new(view, &self.zones, &self.zone);
-        let query = |member| self.query(partition, view, member, operation.clone());
-        let mut answers: FuturesUnordered<_> = first.into_iter().map(query).collect();
+        let query = |member, operation: &RecordOperation| {
+            self.query(partition, view, member, operation.clone())
+        };
+        let mut answers: FuturesUnordered<_> = first
+            .into_iter()
+            .map(|member| query(member, operation))
+            .collect();
         let query_others_at = Instant::now() + LOCAL_REPLICAS_TIMEOUT;
         loop {
             let is_waiting = !later.is_empty();
@@ -491,18 +406,24 @@
                 () = sleep_until(query_others_at), if is_waiting => None,
             };
             match answer {
-                Some((node, reply)) => {
-                    if let Some(decided) = reply.and_then(|reply| decide(node, reply)) {
-                        return Some(decided);
+                Some((_, None)) => {}
+                Some((node, Some(reply))) => match decide(node, reply).into() {
+                    Step::Decided(decided) => return Some(decided),
+                    Step::Wait => {}
+                    Step::Ask(nodes, operation) => {
+                        let members = nodes.iter().filter_map(|node| view.member(*node));
+                        answers.extend(members.map(|member| query(member, &operation)));
                     }
+                },
+                None if is_waiting => {
+                    answers.extend(later.drain(..).map(|member| query(member, operation)));
                 }
-                None if is_waiting => answers.extend(later.drain(..).map(query)),
                 None => return None,
             }
         }
     }
 
-    async fn query(
+    pub(super) async fn query(
         &self,
         partition: PartitionId,
         view: &RecordView,
--- a/crates/courseshed-edge/src/records/disk.rs
+++ b/crates/courseshed-edge/src/records/disk.rs
@@ -15,7 +15,9 @@
 
 use crate::clock::unix_time_ms;
 use crate::metrics::Metrics;
-use crate::protocol::{FleetProtocol, PeerReply, RecordOperation, RecordReply, RecordRequest};
+use crate::protocol::{
+    ChainReading, FleetProtocol, PeerReply, RecordOperation, RecordReply, RecordRequest,
+};
 
 /// Maximum number of queued requests added to a batch, which is flushed once.
 const MAX_BATCH: usize = 512;
@@ -194,14 +196,7 @@
             RecordOperation::Write { record, cached } => {
                 self.reply_to_write(now, partition, record, cached)
             }
-            RecordOperation::Chain { id } => match self.store.chain(partition, &id) {
-                Ok(chain) => RecordReply::Chain(chain),
-                Err(ReadError::Chain { source }) => RecordReply::IncompleteChain(source),
-                Err(ReadError::File { source }) => {
-                    log::error!(event = "read_failed", turn = id.as_str(), partition = partition.0; "{source}");
-                    RecordReply::Unavailable
-                }
-            },
+            RecordOperation::Chain { id, reading } => self.read_chain(partition, &id, reading),
             RecordOperation::Export { cursor } => {
                 let page = self
                     .store
@@ -217,6 +212,25 @@
         }
     }
 
+    fn read_chain(
+        &mut self,
+        partition: PartitionId,
+        id: &str,
+        reading: ChainReading,
+    ) -> RecordReply {
+        if reading == ChainReading::Part {
+            return RecordReply::ChainPart(self.store.chain_part(partition, id));
+        }
+        match self.store.chain(partition, id) {
+            Ok(chain) => RecordReply::Chain(chain),
+            Err(ReadError::Chain { source }) => RecordReply::IncompleteChain(source),
+            Err(ReadError::File { source }) => {
+                log::error!(event = "read_failed", turn = id, partition = partition.0; "{source}");
+                RecordReply::Unavailable
+            }
+        }
+    }
+
     fn reply_to_write(
         &mut self,
         now: u64,
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -1,6 +1,7 @@
 //! Records of programs: the store, and the client that reads and writes a quorum of stores.
 
 mod catch_up;
+mod chains;
 mod client;
 mod disk;
 mod outages;
@@ -8,7 +9,8 @@
 mod store;
 mod stream_versions;
 
-pub use client::{ChainLookup, RecordClient, RecordsUnavailable, Reservation, Settlement};
+pub use chains::{ChainLookup, StoredChain};
+pub use client::{RecordClient, RecordsUnavailable, Reservation, Settlement};
 pub use courseshed_records::StoreLimits;
 pub use outages::{OutageDecision, Outages};
 pub use query_order::{QueryOrder, order_of_sources};
--- a/crates/courseshed-edge/src/records/stream_versions.rs
+++ b/crates/courseshed-edge/src/records/stream_versions.rs
@@ -16,7 +16,7 @@
 use super::client::RecordClient;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::protocol::{RecordOperation, RecordReply, RecordRequest, StreamOperation};
+use crate::protocol::{ChainReading, RecordOperation, RecordReply, RecordRequest, StreamOperation};
 
 /// Timeout of a request: above the round-trip time between regions (60 ms), and a small part of the
 /// time that a client waits.
@@ -113,7 +113,10 @@
         partition,
         epoch: view.epoch,
         // What a store does that doesn't know the operations on streams: reads a turn that doesn't exist.
-        operation: RecordOperation::Chain { id: String::new() },
+        operation: RecordOperation::Chain {
+            id: String::new(),
+            reading: ChainReading::Whole,
+        },
         stream: Some(operation),
     }
 }
--- a/crates/courseshed-edge/tests/software_versions.rs
+++ b/crates/courseshed-edge/tests/software_versions.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use courseshed_edge::protocol::{RecordOperation, RecordRequest, StreamOperation};
+use courseshed_edge::protocol::{ChainReading, RecordOperation, RecordRequest, StreamOperation};
 use courseshed_records::PartitionId;
 use courseshed_routing::Route;
 use support::server::{Action, FINAL_CHUNK, MockServer, ReceivedRequest, chunk, response};
@@ -329,7 +329,10 @@
         incarnation: 1,
         partition: PartitionId(3),
         epoch: 2,
-        operation: RecordOperation::Chain { id: String::new() },
+        operation: RecordOperation::Chain {
+            id: String::new(),
+            reading: ChainReading::Whole,
+        },
         stream: Some(StreamOperation::Read {
             stream: "first".to_owned(),
         }),
@@ -337,7 +340,7 @@
     let bytes = rmp_serde::to_vec_named(&request).expect("encodable");
     let read: EarlierRequest = rmp_serde::from_slice(&bytes).expect("readable");
     assert_eq!(read.partition, PartitionId(3));
-    assert!(matches!(read.operation, RecordOperation::Chain { id } if id.is_empty()));
+    assert!(matches!(read.operation, RecordOperation::Chain { id, .. } if id.is_empty()));
 }
 
 /// Guards against stores that refuse requests of gateways of an earlier release.
@@ -349,6 +352,7 @@
         epoch: 2,
         operation: RecordOperation::Chain {
             id: "turn".to_owned(),
+            reading: ChainReading::Whole,
         },
         stream: None,
     };
@@ -369,7 +373,10 @@
         incarnation: u64::MAX,
         partition: PartitionId(23),
         epoch: 1_000,
-        operation: RecordOperation::Chain { id: String::new() },
+        operation: RecordOperation::Chain {
+            id: String::new(),
+            reading: ChainReading::Whole,
+        },
         stream: Some(StreamOperation::Record {
             stream: "e5b2907c14da6f38".to_owned(),
             version: "v1.2".to_owned(),
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod regions;
 pub mod scheduler;
 pub mod server;
+pub mod stores;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
--- a/crates/courseshed-edge/tests/support/regions.rs
+++ b/crates/courseshed-edge/tests/support/regions.rs
@@ -52,7 +52,7 @@
 }
 
 impl Process {
-    fn start<F: Future<Output = ()>>(run: impl FnOnce() -> F + Send + 'static) -> Self {
+    pub fn start<F: Future<Output = ()>>(run: impl FnOnce() -> F + Send + 'static) -> Self {
         let (stop, stopped) = oneshot::channel();
         let thread = thread::spawn(move || {
             System::new().block_on(async {
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -14,6 +14,7 @@
 //!   enough other replicas.
 //! - The tokens reserved for a program plus the tokens it has used never exceed its budget.
 
+mod chain;
 mod partition;
 mod plan;
 mod prompt_hints;
@@ -28,6 +29,7 @@
 mod turn_cache;
 mod view;
 
+pub use chain::{ChainAssembly, ChainPart, ChainProgress, ChainRest};
 pub use partition::{
     PARTITION_COUNT, PartitionId, PartitionMap, PartitionRecord, PartitionTables, ViewChange,
 };
--- a/crates/courseshed-records/src/record.rs
+++ b/crates/courseshed-records/src/record.rs
@@ -27,6 +27,14 @@
     pub allowed_regions: Vec<String>,
 }
 
+impl Turn {
+    /// Size of the input and output in bytes.
+    #[must_use]
+    pub fn content_bytes(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+}
+
 /// An entry of a replica's journal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
--- a/crates/courseshed-records/src/replica.rs
+++ b/crates/courseshed-records/src/replica.rs
@@ -10,11 +10,12 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::chain::ChainRest;
 use crate::record::ReservationRecord;
 use crate::{ExportCursor, Record, Reserved};
 
 /// Maximum number of turns followed in a chain. Guards against cycles from damaged records.
-const MAX_CHAIN_LENGTH: usize = 4096;
+pub(crate) const MAX_CHAIN_LENGTH: usize = 4096;
 /// A repeated record is not written again if it extends the expiry by at most this much. Imports
 /// from several replicas see clock skew and transfer delays as small extensions, which retention
 /// periods leave ample margin for.
@@ -214,25 +215,35 @@
     /// # Errors
     /// [`ChainError`] if one of them is not stored.
     pub fn chain(&self, id: &str) -> Result<Vec<Location>, ChainError> {
-        let mut chain = Vec::new();
+        let (mut chain, rest) = self.chain_part(id);
+        match rest {
+            ChainRest::End => {
+                chain.reverse();
+                Ok(chain)
+            }
+            ChainRest::Missing(id) | ChainRest::Omitted(id) if chain.is_empty() => {
+                Err(ChainError::Missing { id })
+            }
+            ChainRest::Missing(id) | ChainRest::Omitted(id) => Err(ChainError::Broken { id }),
+        }
+    }
+
+    /// Locations of a turn and its ancestors, the newest first, up to the first one that is not stored.
+    #[must_use]
+    pub fn chain_part(&self, id: &str) -> (Vec<Location>, ChainRest) {
+        let mut part = Vec::new();
         let mut next = Some(id.to_owned());
         while let Some(id) = next {
-            let Some(stored) = self
-                .turns
-                .get(&id)
-                .filter(|_| chain.len() < MAX_CHAIN_LENGTH)
-            else {
-                return Err(if chain.is_empty() {
-                    ChainError::Missing { id }
-                } else {
-                    ChainError::Broken { id }
-                });
+            let Some(stored) = self.turns.get(&id) else {
+                return (part, ChainRest::Missing(id));
             };
+            if part.len() >= MAX_CHAIN_LENGTH {
+                return (part, ChainRest::Omitted(id));
+            }
             next = stored.previous.clone();
-            chain.push(stored.location);
+            part.push(stored.location);
         }
-        chain.reverse();
-        Ok(chain)
+        (part, ChainRest::End)
     }
 
     /// Removes expired programs and turns.
--- a/crates/courseshed-records/src/store.rs
+++ b/crates/courseshed-records/src/store.rs
@@ -15,8 +15,8 @@
 use crate::segments::{JournalError, Segments};
 use crate::turn_cache::TurnCache;
 use crate::{
-    ChainError, EntryKey, ExportCursor, ExportPage, Location, PartitionId, PartitionRecord,
-    PartitionTables, Record, Reserved, SegmentNumber, StoredEntry, Turn,
+    ChainError, ChainPart, ChainRest, EntryKey, ExportCursor, ExportPage, Location, PartitionId,
+    PartitionRecord, PartitionTables, Record, Reserved, SegmentNumber, StoredEntry, Turn,
 };
 
 /// Minimum segment size.
@@ -253,6 +253,31 @@
         Ok(turns.collect::<Result<_, _>>()?)
     }
 
+    /// Reads a turn and its ancestors, the newest first, up to the first one that is not stored or cannot be read.
+    pub fn chain_part(&mut self, partition: PartitionId, id: &str) -> ChainPart {
+        let Some(replica) = self.tables.replica(partition) else {
+            return ChainPart {
+                turns: Vec::new(),
+                rest: ChainRest::Missing(id.to_owned()),
+            };
+        };
+        let (locations, rest) = replica.chain_part(id);
+        let mut turns: Vec<Turn> = Vec::with_capacity(locations.len());
+        for location in locations {
+            match self.read_turn(location) {
+                Ok(turn) => turns.push(turn),
+                Err(error) => {
+                    let previous = turns.last().and_then(|turn| turn.previous.clone());
+                    let unread = previous.unwrap_or_else(|| id.to_owned());
+                    log::error!(event = "read_failed", turn = unread.as_str(), partition = partition.0; "{error}");
+                    let rest = ChainRest::Omitted(unread);
+                    return ChainPart { turns, rest };
+                }
+            }
+        }
+        ChainPart { turns, rest }
+    }
+
     /// Reads a page of about `limit_bytes` of a partition, for catch-up of a joining replica.
     ///
     /// # Errors
--- a/crates/courseshed-records/src/turn_cache.rs
+++ b/crates/courseshed-records/src/turn_cache.rs
@@ -61,5 +61,5 @@
 }
 
 fn entry_bytes(turn: &Turn) -> usize {
-    turn.input.len() + turn.output.len() + ENTRY_OVERHEAD_BYTES
+    turn.content_bytes() + ENTRY_OVERHEAD_BYTES
 }
