Retain ancestors beyond a gap, and fetch the ones that a replica lacks

Callers saw: conversations that went on past the retention time after each store had been away once were answered 404, also with chains read from all replicas. Cause: a replica extends the ancestors of a turn up to the first one that it lacks. What lies behind the gap expires on it, and with another gap on each replica on all of them. An ancestor that arrives after its descendant, by a catch-up or a compaction, was not extended at all, and no replica ever got what it lacked. Why this fix works: a gap is known by the missing turn and lasts as long as a stored descendant, so whenever the turn arrives, it and all behind it last as long. Nothing is sent or scheduled while a replica has no gap.

--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -119,6 +119,10 @@
     pub chains_assembled: Counter,
     /// Lookups of this gateway of a chain that no replica has an ancestor of.
     pub chains_lost: Counter,
+    /// Missing ancestors of its turns that this store fetched from other replicas.
+    pub turns_repaired: Counter,
+    /// Size of their inputs and outputs in bytes.
+    pub repaired_bytes: Counter,
     /// Software versions of streams that this store holds.
     pub stream_versions: Gauge<i64, AtomicI64>,
     /// Software versions of streams that this gateway recorded at stores, by outcome.
@@ -138,7 +142,7 @@
     read: fn(&StoreStats) -> u64,
 }
 
-const STORE_GAUGES: [StoreGauge; 9] = [
+const STORE_GAUGES: [StoreGauge; 10] = [
     StoreGauge {
         name: "record_turns",
         help: "Turns that the store keeps",
@@ -169,6 +173,11 @@
         help: "Memory of the store's index, estimated",
         read: |figures| figures.index_bytes,
     },
+    StoreGauge {
+        name: "record_gaps",
+        help: "Missing ancestors of turns that the store keeps",
+        read: |figures| figures.gaps,
+    },
     StoreGauge {
         name: "record_cache_bytes",
         help: "Memory of the store's cache of turns",
@@ -231,6 +240,8 @@
             record_revision: Gauge::default(),
             chains_assembled: Counter::default(),
             chains_lost: Counter::default(),
+            turns_repaired: Counter::default(),
+            repaired_bytes: Counter::default(),
             stream_versions: Gauge::default(),
             stream_version_writes: Family::default(),
             stream_version_lookup: Histogram::new(DURATION_BUCKETS),
@@ -320,6 +331,16 @@
             "Lookups of chains of turns that no replica has an ancestor of",
             self.chains_lost.clone(),
         );
+        registry.register(
+            "record_turns_repaired",
+            "Missing ancestors of its turns that the store fetched from other replicas",
+            self.turns_repaired.clone(),
+        );
+        registry.register(
+            "record_repaired_bytes",
+            "Size of the missing ancestors that the store fetched",
+            self.repaired_bytes.clone(),
+        );
         for (figure, gauge) in &self.records {
             registry.register(figure.name, figure.help, gauge.clone());
         }
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -225,8 +225,13 @@
     /// With the whole chain, or an error if it is incomplete.
     #[default]
     Whole,
-    /// With the newest part of the chain that it stores.
+    /// With the newest part of the chain that it stores, for a call that waits.
     Part,
+    /// With the newest part of the chain that it stores, for another store that lacks it.
+    Repair {
+        /// Maximum number of turns.
+        max_turns: u32,
+    },
 }
 
 impl ChainReading {
@@ -337,7 +342,11 @@
     fn request_class(request: &PeerRequest) -> TrafficClass {
         match request {
             PeerRequest::Records(request) => match request.operation {
-                RecordOperation::Export { .. } => TrafficClass::Bulk,
+                RecordOperation::Export { .. }
+                | RecordOperation::Chain {
+                    reading: ChainReading::Repair { .. },
+                    ..
+                } => TrafficClass::Bulk,
                 _ => TrafficClass::Data,
             },
             PeerRequest::ReadRouting => TrafficClass::Bulk,
--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -3,39 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_records::{ExportCursor, PartitionId, PartitionMap, RecordMember, RecordView};
-use courseshed_types::{NodeId, ZoneMap};
+use courseshed_records::{PartitionId, PartitionMap, RecordView};
 use tokio::time::{sleep, timeout};
 
-use super::disk::Disk;
 use super::query_order::order_of_sources;
+use super::replica_client::ReplicaClient;
 use crate::control_client::ControlClient;
-use crate::follower::FleetFollower;
-use crate::peers::Peers;
-use crate::protocol::{
-    PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply, RecordRequest,
-};
 
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What a joining store needs.
 pub(super) struct CatchUp {
-    pub node: NodeId,
-    /// The zone of this store.
-    pub zone: String,
-    /// The region of each zone.
-    pub zones: Arc<ZoneMap>,
-    pub incarnation: u64,
-    pub peers: Arc<Peers>,
-    pub addresses: PeerAddresses,
-    pub follower: Arc<FleetFollower>,
+    pub client: Arc<ReplicaClient>,
     pub control: ControlClient,
-    pub disk: Disk,
 }
 
 /// Catches up on each partition that lists this store as joining.
 pub(super) async fn run(catch_up: CatchUp) {
-    let mut watch = catch_up.follower.watch();
+    let mut watch = catch_up.client.follower.watch();
     loop {
         let records = watch.borrow_and_update().records.clone();
         let joining = catch_up.joining(&records);
@@ -55,7 +40,7 @@
             log::info!(event = "caught_up", partitions:? = caught_up, revision = records.revision(); "the store has caught up on partitions that it joins");
             let control = &catch_up.control;
             control
-                .report_caught_up(catch_up.incarnation, &caught_up)
+                .report_caught_up(catch_up.client.incarnation, &caught_up)
                 .await;
         }
         let _ = timeout(RETRY_DELAY, watch.changed()).await;
@@ -65,9 +50,10 @@
 impl CatchUp {
     /// The partitions of which this store is an inactive member.
     fn joining(&self, records: &PartitionMap) -> Vec<PartitionId> {
+        let client = &self.client;
         let is_joining = |view: &RecordView| {
-            view.member(self.node)
-                .is_some_and(|member| !member.active && member.incarnation == self.incarnation)
+            view.member(client.node)
+                .is_some_and(|member| !member.active && member.incarnation == client.incarnation)
         };
         let joining = records.views().filter(|(_, view)| is_joining(view));
         joining.map(|(partition, _)| partition).collect()
@@ -75,41 +61,15 @@
 
     async fn read_from_sources(&self, partition: PartitionId, records: &PartitionMap) -> bool {
         let view = records.view(partition);
+        let client = &self.client;
         let mut remaining = view.sources_needed();
-        for source in order_of_sources(view, &self.zones, &self.zone) {
-            if remaining > 0 && self.read_from(partition, view.epoch, source).await {
+        for source in order_of_sources(view, &client.zones, &client.zone) {
+            if remaining > 0 && client.copy_from(partition, view.epoch, source).await {
                 remaining -= 1;
             }
         }
         // A newer view may require other sources, so the catch-up must be repeated.
-        let newest = self.follower.view().records;
+        let newest = client.follower.view().records;
         remaining == 0 && newest.view(partition).epoch == view.epoch
     }
-
-    async fn read_from(&self, partition: PartitionId, epoch: u64, source: &RecordMember) -> bool {
-        let address = self.addresses.of(source.node, PeerPort::Store);
-        self.peers.set_address(source.node, address);
-        let mut cursor = ExportCursor::default();
-        loop {
-            let request = RecordRequest {
-                incarnation: source.incarnation,
-                partition,
-                epoch,
-                operation: RecordOperation::Export { cursor },
-                stream: None,
-            };
-            let request = PeerRequest::Records(request);
-            let reply = self.peers.request(source.node, request, PAGE_TIMEOUT).await;
-            let Ok(PeerReply::Records(RecordReply::Page(page))) = reply else {
-                return false;
-            };
-            if !self.disk.import(partition, page.records).await {
-                return false;
-            }
-            match page.next {
-                Some(next) => cursor = next,
-                None => return true,
-            }
-        }
-    }
 }
--- a/crates/courseshed-edge/src/records/disk.rs
+++ b/crates/courseshed-edge/src/records/disk.rs
@@ -2,16 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use courseshed_records::{
-    PartitionId, PartitionRecord, PromptHints, ReadError, Record, RecordStore,
+    MissingTurn, PartitionId, PartitionRecord, PromptHints, ReadError, Record, RecordStore,
 };
 use courseshed_transport::ReplySender;
 use courseshed_types::CachedPrompt;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::clock::unix_time_ms;
 use crate::metrics::Metrics;
@@ -26,6 +27,8 @@
 const QUEUE_CAPACITY: usize = 4096;
 /// Size of an export page in bytes.
 const EXPORT_PAGE_BYTES: usize = 256 * 1024;
+/// Size in bytes above which a part of a chain that another store lacks ends.
+const REPAIR_PART_BYTES: usize = 64 * 1024;
 /// How often expired entries are dropped and usage is computed. Each run scans all entries.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Delay between two steps of compaction, so that requests take precedence.
@@ -38,13 +41,45 @@
     /// A request of a peer.
     Peer(Box<RecordRequest>, ReplySender<FleetProtocol>),
     /// Records of a partition that were read from another store.
-    Import(PartitionId, Vec<Record>, oneshot::Sender<bool>),
+    Import {
+        partition: PartitionId,
+        records: Vec<Record>,
+        reason: ImportReason,
+        done: oneshot::Sender<bool>,
+    },
+    /// Starts attempts to fetch missing ancestors of stored turns, at most so many.
+    StartRepairs(usize, oneshot::Sender<Vec<(PartitionId, MissingTurn)>>),
+}
+
+/// Why records of another store are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ImportReason {
+    /// The store lacks whatever it was not there for. Refused while the store is full.
+    CatchUp,
+    /// The store lacks ancestors of its turns. They belong to turns in progress, for which space is reserved.
+    Repair,
+}
+
+/// The number of missing ancestors of stored turns, as published by the disk thread.
+#[derive(Debug, Default)]
+struct GapCount {
+    gaps: AtomicUsize,
+    increased: Notify,
+}
+
+impl GapCount {
+    fn set(&self, gaps: usize) {
+        if self.gaps.swap(gaps, Ordering::Relaxed) < gaps {
+            self.increased.notify_one();
+        }
+    }
 }
 
 /// Handle to the disk thread; never blocks.
 #[derive(Clone)]
 pub(super) struct Disk {
     requests: SyncSender<DiskRequest>,
+    gaps: Arc<GapCount>,
 }
 
 impl Disk {
@@ -52,8 +87,11 @@
     pub(super) fn start(store: RecordStore, metrics: Arc<Metrics>) -> std::io::Result<Self> {
         let (requests, received) = sync_channel(QUEUE_CAPACITY);
         let now = Instant::now();
+        let gaps = Arc::new(GapCount::default());
+        gaps.set(store.gaps());
         let mut worker = DiskWorker {
             store,
+            gaps: gaps.clone(),
             hints: PromptHints::default(),
             metrics,
             expired_at: now,
@@ -63,7 +101,7 @@
         thread::Builder::new()
             .name("records".to_owned())
             .spawn(move || worker.run(&received))?;
-        Ok(Self { requests })
+        Ok(Self { requests, gaps })
     }
 
     /// Enqueues a request of a peer; replies `Unavailable` immediately if the queue is full.
@@ -80,10 +118,54 @@
         }
     }
 
+    /// Number of missing ancestors of stored turns.
+    pub(super) fn gaps(&self) -> usize {
+        self.gaps.gaps.load(Ordering::Relaxed)
+    }
+
+    /// Waits until ancestors of stored turns are missing.
+    pub(super) async fn wait_for_gaps(&self) {
+        while self.gaps() == 0 {
+            self.gaps.increased.notified().await;
+        }
+    }
+
+    /// Starts attempts to fetch missing ancestors of stored turns, and returns those that are due.
+    pub(super) async fn start_repairs(&self, limit: usize) -> Vec<(PartitionId, MissingTurn)> {
+        let (done, started) = oneshot::channel();
+        let request = DiskRequest::StartRepairs(limit, done);
+        if self.requests.try_send(request).is_err() {
+            // The queue is full, and requests take precedence.
+            return Vec::new();
+        }
+        started.await.unwrap_or_default()
+    }
+
     /// Writes records copied from another store; returns whether they were written.
     pub(super) async fn import(&self, partition: PartitionId, records: Vec<Record>) -> bool {
+        self.write_copies(partition, records, ImportReason::CatchUp)
+            .await
+    }
+
+    /// Writes missing ancestors of stored turns; returns whether they were written.
+    pub(super) async fn repair(&self, partition: PartitionId, records: Vec<Record>) -> bool {
+        self.write_copies(partition, records, ImportReason::Repair)
+            .await
+    }
+
+    async fn write_copies(
+        &self,
+        partition: PartitionId,
+        records: Vec<Record>,
+        reason: ImportReason,
+    ) -> bool {
         let (done, written) = oneshot::channel();
-        let request = DiskRequest::Import(partition, records, done);
+        let request = DiskRequest::Import {
+            partition,
+            records,
+            reason,
+            done,
+        };
         if let Err(error) = self.requests.try_send(request) {
             log::warn!(event = "import_put_off", partition = partition.0; "cannot enqueue imported records: {error}");
             return false;
@@ -94,6 +176,7 @@
 
 struct DiskWorker {
     store: RecordStore,
+    gaps: Arc<GapCount>,
     hints: PromptHints,
     metrics: Arc<Metrics>,
     expired_at: Instant,
@@ -156,10 +239,21 @@
                     }
                     answers.push((request, reply));
                 }
-                DiskRequest::Import(partition, imported, done) => {
+                DiskRequest::StartRepairs(limit, done) => {
+                    if done.send(self.store.start_repairs(now, limit)).is_err() {
+                        log::warn!(event = "repair_abandoned"; "missing turns were requested, but nobody waits for them");
+                    }
+                }
+                DiskRequest::Import {
+                    partition,
+                    records: imported,
+                    reason,
+                    done,
+                } => {
+                    let is_refused = is_full && reason == ImportReason::CatchUp;
                     let imported = imported.into_iter();
                     let entries = imported.map(|record| PartitionRecord { partition, record });
-                    let is_written = !is_full && self.write(now, entries.collect());
+                    let is_written = !is_refused && self.write(now, entries.collect());
                     if done.send(is_written).is_err() {
                         log::warn!(event = "import_abandoned", partition = partition.0; "the import was abandoned before its result was returned");
                     }
@@ -167,6 +261,7 @@
             }
         }
         let is_written = self.write(now, records);
+        self.gaps.set(self.store.gaps());
         for (request, reply) in answers {
             let answer = if is_written {
                 self.answer(now, *request)
@@ -218,9 +313,16 @@
         id: &str,
         reading: ChainReading,
     ) -> RecordReply {
-        if reading == ChainReading::Part {
-            return RecordReply::ChainPart(self.store.chain_part(partition, id));
-        }
+        let (max_turns, max_bytes) = match reading {
+            ChainReading::Whole => return self.read_whole_chain(partition, id),
+            ChainReading::Part => (usize::MAX, usize::MAX),
+            ChainReading::Repair { max_turns } => (max_turns as usize, REPAIR_PART_BYTES),
+        };
+        let store = &mut self.store;
+        RecordReply::ChainPart(store.chain_part(partition, id, max_turns, max_bytes))
+    }
+
+    fn read_whole_chain(&mut self, partition: PartitionId, id: &str) -> RecordReply {
         match self.store.chain(partition, id) {
             Ok(chain) => RecordReply::Chain(chain),
             Err(ReadError::Chain { source }) => RecordReply::IncompleteChain(source),
@@ -264,6 +366,7 @@
         if is_due {
             self.expired_at = Instant::now();
             self.store.expire(now);
+            self.gaps.set(self.store.gaps());
             self.hints.expire(now);
             self.log_capacity_change();
             self.metrics.set_records(&self.store.stats());
@@ -293,6 +396,6 @@
         }
         self.reported_at = Instant::now();
         let figures = self.store.stats();
-        log::info!(event = "records_kept", turns = figures.turns, reservations = figures.reservations, partitions = figures.partitions, segments = figures.segments, file_bytes = figures.file_bytes, live_bytes = figures.live_bytes, index_bytes = figures.index_bytes, cache_bytes = figures.cache_bytes, cache_hits = figures.cache_hits, cache_misses = figures.cache_misses, carried_bytes = figures.compacted_bytes; "contents of the store");
+        log::info!(event = "records_kept", turns = figures.turns, reservations = figures.reservations, partitions = figures.partitions, segments = figures.segments, file_bytes = figures.file_bytes, live_bytes = figures.live_bytes, index_bytes = figures.index_bytes, cache_bytes = figures.cache_bytes, cache_hits = figures.cache_hits, cache_misses = figures.cache_misses, gaps = figures.gaps, carried_bytes = figures.compacted_bytes; "contents of the store");
     }
 }
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -6,6 +6,8 @@
 mod disk;
 mod outages;
 mod query_order;
+mod repair;
+mod replica_client;
 mod store;
 mod stream_versions;
 
--- /dev/null
+++ b/crates/courseshed-edge/src/records/replica_client.rs
@@ -0,0 +1,82 @@
+//! What a store needs to read from the other replicas of its partitions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use courseshed_records::{ExportCursor, PartitionId, RecordMember};
+use courseshed_types::{NodeId, ZoneMap};
+
+use super::disk::Disk;
+use crate::follower::FleetFollower;
+use crate::peers::Peers;
+use crate::protocol::{
+    PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply, RecordRequest,
+};
+
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A store as a client of other stores.
+pub(super) struct ReplicaClient {
+    pub node: NodeId,
+    /// The zone of this store.
+    pub zone: String,
+    /// The region of each zone.
+    pub zones: Arc<ZoneMap>,
+    pub incarnation: u64,
+    pub peers: Arc<Peers>,
+    pub addresses: PeerAddresses,
+    pub follower: Arc<FleetFollower>,
+    pub disk: Disk,
+}
+
+impl ReplicaClient {
+    /// Sends a request to another replica; `None` without an answer in time.
+    pub(super) async fn request(
+        &self,
+        partition: PartitionId,
+        epoch: u64,
+        replica: &RecordMember,
+        operation: RecordOperation,
+        limit: Duration,
+    ) -> Option<RecordReply> {
+        let address = self.addresses.of(replica.node, PeerPort::Store);
+        self.peers.set_address(replica.node, address);
+        let request = PeerRequest::Records(RecordRequest {
+            incarnation: replica.incarnation,
+            partition,
+            epoch,
+            operation,
+            stream: None,
+        });
+        match self.peers.request(replica.node, request, limit).await {
+            Ok(PeerReply::Records(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    /// Copies all records of a partition from another replica; returns whether all were copied.
+    pub(super) async fn copy_from(
+        &self,
+        partition: PartitionId,
+        epoch: u64,
+        source: &RecordMember,
+    ) -> bool {
+        let mut cursor = ExportCursor::default();
+        loop {
+            let operation = RecordOperation::Export { cursor };
+            let reply = self
+                .request(partition, epoch, source, operation, PAGE_TIMEOUT)
+                .await;
+            let Some(RecordReply::Page(page)) = reply else {
+                return false;
+            };
+            if !self.disk.import(partition, page.records).await {
+                return false;
+            }
+            match page.next {
+                Some(next) => cursor = next,
+                None => return true,
+            }
+        }
+    }
+}
--- a/crates/courseshed-edge/src/records/store.rs
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -12,9 +12,10 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::sleep;
 
-use super::catch_up;
 use super::disk::Disk;
+use super::replica_client::ReplicaClient;
 use super::stream_versions::StreamVersionTable;
+use super::{catch_up, repair};
 use crate::clock::unix_time_ms;
 use crate::control_client::ControlClient;
 use crate::follower::{FleetFollower, FollowerKind};
@@ -111,7 +112,7 @@
     log::info!(event = "store_opened", incarnation, turns = figures.turns, reservations = figures.reservations, partitions = figures.partitions, segments = figures.segments, file_bytes = figures.file_bytes, live_bytes = figures.live_bytes, took_ms = started.elapsed().as_millis() as u64; "the store is open");
     let streams = StreamVersionTable::new(settings.metrics.clone());
     tokio::spawn(streams.clone().drop_expired());
-    let disk = Disk::start(store, settings.metrics).context(ThreadSnafu)?;
+    let disk = Disk::start(store, settings.metrics.clone()).context(ThreadSnafu)?;
     let handler = Arc::new(StorePeers {
         disk: disk.clone(),
         streams,
@@ -137,7 +138,7 @@
         settings.node,
         store,
     ));
-    tokio::spawn(catch_up::run(catch_up::CatchUp {
+    let client = Arc::new(ReplicaClient {
         node: settings.node,
         zone: settings.zone,
         zones: settings.zones,
@@ -145,9 +146,10 @@
         peers,
         addresses: settings.addresses,
         follower,
-        control,
         disk,
-    }));
+    });
+    tokio::spawn(repair::run(client.clone(), settings.metrics));
+    tokio::spawn(catch_up::run(catch_up::CatchUp { client, control }));
     Ok(())
 }
 
--- a/crates/courseshed-edge/tests/stores_away.rs
+++ b/crates/courseshed-edge/tests/stores_away.rs
@@ -122,3 +122,30 @@
         fleet.restart(store, &clients[1]).await;
     }
 }
+
+/// Guards against ancestors that expire while their conversation goes on, since a replica with a gap extends only
+/// what is newer than the gap.
+#[actix_rt::test]
+async fn conversation_outlives_the_retention_time_after_each_store_was_away() {
+    const KEEP: Duration = Duration::from_secs(6);
+    const PAUSE: Duration = Duration::from_millis(500);
+    let mut fleet = StoreFleet::start().await;
+    let client = fleet.add_client(0).await;
+    let mut conversations: Vec<Conversation> = (0..CONVERSATIONS)
+        .map(|number| Conversation::start(number, &client, KEEP))
+        .collect();
+    go_on_with_all(&mut conversations, &client).await;
+    roll_stores(&mut fleet, &client, &mut conversations).await;
+    let rolled = Instant::now();
+    while rolled.elapsed() < 2 * KEEP {
+        sleep(PAUSE).await;
+        go_on_with_all(&mut conversations, &client).await;
+    }
+    for store in 0..STORES {
+        fleet.stop(store).await;
+        for conversation in &conversations {
+            conversation.read(&client).await;
+        }
+        fleet.restart(store, &client).await;
+    }
+}
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -15,6 +15,7 @@
 //! - The tokens reserved for a program plus the tokens it has used never exceed its budget.
 
 mod chain;
+mod gaps;
 mod partition;
 mod plan;
 mod prompt_hints;
@@ -30,6 +31,7 @@
 mod view;
 
 pub use chain::{ChainAssembly, ChainPart, ChainProgress, ChainRest};
+pub use gaps::{GAP_REPAIR_DELAY_MS, MissingTurn};
 pub use partition::{
     PARTITION_COUNT, PartitionId, PartitionMap, PartitionRecord, PartitionTables, ViewChange,
 };
--- a/crates/courseshed-records/src/partition.rs
+++ b/crates/courseshed-records/src/partition.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{Location, Record, RecordMember, RecordReplica, RecordView};
+use crate::{Location, MissingTurn, Record, RecordMember, RecordReplica, RecordView};
 
 /// Number of default partitions. Must not change, since it determines the default partition of a
 /// program. Ids from here on belong to regional partitions.
@@ -272,6 +272,22 @@
         replica.apply(at_ms, &entry.record, location);
     }
 
+    /// Number of missing turns whose descendants are stored, in all partitions.
+    #[must_use]
+    pub fn gaps(&self) -> usize {
+        self.replicas.values().map(RecordReplica::gaps).sum()
+    }
+
+    /// Starts attempts to fetch missing turns, see [`RecordReplica::start_repairs`].
+    pub fn start_repairs(&mut self, now_ms: u64, limit: usize) -> Vec<(PartitionId, MissingTurn)> {
+        let mut started = Vec::new();
+        for (partition, replica) in &mut self.replicas {
+            let missing = replica.start_repairs(now_ms, limit - started.len());
+            started.extend(missing.into_iter().map(|missing| (*partition, missing)));
+        }
+        started
+    }
+
     /// Removes expired programs and turns.
     pub fn expire(&mut self, now_ms: u64) {
         for replica in self.replicas.values_mut() {
--- a/crates/courseshed-records/src/replica.rs
+++ b/crates/courseshed-records/src/replica.rs
@@ -11,6 +11,7 @@
 use snafu::Snafu;
 
 use crate::chain::ChainRest;
+use crate::gaps::{Gaps, MissingTurn};
 use crate::record::ReservationRecord;
 use crate::{ExportCursor, Record, Reserved};
 
@@ -120,6 +121,7 @@
     epoch: u64,
     programs: BTreeMap<String, Program>,
     turns: BTreeMap<String, StoredTurn>,
+    gaps: Gaps,
 }
 
 impl RecordReplica {
@@ -164,7 +166,12 @@
         }
         match record {
             Record::StoreTurn { turn, keep_ms } => {
-                self.store_turn(&turn.id, turn.previous.clone(), location, at_ms + keep_ms);
+                let stored = StoredTurn {
+                    previous: turn.previous.clone(),
+                    location,
+                    expires_ms: at_ms + keep_ms,
+                };
+                self.store_turn(&turn.id, at_ms, stored);
             }
             Record::Epoch(epoch) => self.epoch = self.epoch.max(*epoch),
             Record::Reserve { .. } | Record::Settle { .. } => {}
@@ -215,7 +222,7 @@
     /// # Errors
     /// [`ChainError`] if one of them is not stored.
     pub fn chain(&self, id: &str) -> Result<Vec<Location>, ChainError> {
-        let (mut chain, rest) = self.chain_part(id);
+        let (mut chain, rest) = self.chain_part(id, MAX_CHAIN_LENGTH);
         match rest {
             ChainRest::End => {
                 chain.reverse();
@@ -228,16 +235,18 @@
         }
     }
 
-    /// Locations of a turn and its ancestors, the newest first, up to the first one that is not stored.
+    /// Locations of a turn and its ancestors, the newest first, up to the first one that is not stored,
+    /// at most `max_turns`.
     #[must_use]
-    pub fn chain_part(&self, id: &str) -> (Vec<Location>, ChainRest) {
+    pub fn chain_part(&self, id: &str, max_turns: usize) -> (Vec<Location>, ChainRest) {
+        let max_turns = max_turns.min(MAX_CHAIN_LENGTH);
         let mut part = Vec::new();
         let mut next = Some(id.to_owned());
         while let Some(id) = next {
             let Some(stored) = self.turns.get(&id) else {
                 return (part, ChainRest::Missing(id));
             };
-            if part.len() >= MAX_CHAIN_LENGTH {
+            if part.len() >= max_turns {
                 return (part, ChainRest::Omitted(id));
             }
             next = stored.previous.clone();
@@ -246,11 +255,23 @@
         (part, ChainRest::End)
     }
 
+    /// Number of missing turns whose descendants are stored.
+    #[must_use]
+    pub fn gaps(&self) -> usize {
+        self.gaps.len()
+    }
+
+    /// Starts an attempt to fetch missing turns whose descendants are stored, and returns those that are due.
+    pub fn start_repairs(&mut self, now_ms: u64, limit: usize) -> Vec<MissingTurn> {
+        self.gaps.start_repairs(now_ms, limit)
+    }
+
     /// Removes expired programs and turns.
     pub fn expire(&mut self, now_ms: u64) {
         self.programs
             .retain(|_, program| program.expires_ms > now_ms);
         self.turns.retain(|_, stored| stored.expires_ms > now_ms);
+        self.gaps.expire(now_ms);
     }
 
     /// A page of about `limit_bytes` of the stored entries, for catch-up of a joining replica.
@@ -382,25 +403,26 @@
 
     /// Records a turn and extends the retention of its ancestors. Of repeated turns the record with
     /// the latest expiry is the live one, since it must not be lost.
-    fn store_turn(
-        &mut self,
-        id: &str,
-        previous: Option<String>,
-        location: Location,
-        expires_ms: u64,
-    ) {
-        let mut ancestor = previous.clone();
-        let stored = self.turns.entry(id.to_owned()).or_insert(StoredTurn {
-            previous,
-            location,
-            expires_ms,
-        });
+    fn store_turn(&mut self, id: &str, at_ms: u64, new: StoredTurn) {
+        let (expires_ms, location) = (new.expires_ms, new.location);
+        let mut ancestor = new.previous.clone();
+        let stored = self.turns.entry(id.to_owned()).or_insert(new);
         if expires_ms > stored.expires_ms {
             stored.expires_ms = expires_ms;
             stored.location = location;
         }
+        // Descendants that were stored before the turn need it as long as they last.
+        let closed = self.gaps.close(id);
+        if let Some(closed) = closed {
+            stored.expires_ms = stored.expires_ms.max(closed.expires_ms);
+        }
+        let expires_ms = stored.expires_ms;
         while let Some(id) = ancestor {
             let Some(stored) = self.turns.get_mut(&id) else {
+                match closed {
+                    Some(closed) => self.gaps.reopen(&id, at_ms, expires_ms, closed),
+                    None => self.gaps.open(&id, at_ms, expires_ms),
+                }
                 return;
             };
             if stored.expires_ms >= expires_ms {
--- a/crates/courseshed-records/src/store.rs
+++ b/crates/courseshed-records/src/store.rs
@@ -15,8 +15,9 @@
 use crate::segments::{JournalError, Segments};
 use crate::turn_cache::TurnCache;
 use crate::{
-    ChainError, ChainPart, ChainRest, EntryKey, ExportCursor, ExportPage, Location, PartitionId,
-    PartitionRecord, PartitionTables, Record, Reserved, SegmentNumber, StoredEntry, Turn,
+    ChainError, ChainPart, ChainRest, EntryKey, ExportCursor, ExportPage, Location, MissingTurn,
+    PartitionId, PartitionRecord, PartitionTables, Record, Reserved, SegmentNumber, StoredEntry,
+    Turn,
 };
 
 /// Minimum segment size.
@@ -35,6 +36,8 @@
 const FULL_USAGE_PERCENT: u64 = 85;
 /// Estimated index memory per turn.
 const INDEX_BYTES_PER_TURN: u64 = 320;
+/// Estimated index memory per missing turn.
+const INDEX_BYTES_PER_GAP: u64 = 160;
 /// Estimated index memory per reservation, including its share of the program.
 const INDEX_BYTES_PER_RESERVATION: u64 = 160;
 /// The cache may use one part in this many of the memory.
@@ -97,6 +100,8 @@
     pub file_bytes: u64,
     /// Bytes of live records as of the last expiry run.
     pub live_bytes: u64,
+    /// Missing turns whose descendants are stored.
+    pub gaps: u64,
     /// Estimated memory of the index in bytes.
     pub index_bytes: u64,
     /// Memory of the cache in bytes.
@@ -253,31 +258,52 @@
         Ok(turns.collect::<Result<_, _>>()?)
     }
 
-    /// Reads a turn and its ancestors, the newest first, up to the first one that is not stored or cannot be read.
-    pub fn chain_part(&mut self, partition: PartitionId, id: &str) -> ChainPart {
+    /// Reads a turn and its ancestors, the newest first, up to the first one that is not stored or cannot be read,
+    /// or until the part has `max_turns` turns or at least `max_bytes`.
+    pub fn chain_part(
+        &mut self,
+        partition: PartitionId,
+        id: &str,
+        max_turns: usize,
+        max_bytes: usize,
+    ) -> ChainPart {
         let Some(replica) = self.tables.replica(partition) else {
             return ChainPart {
                 turns: Vec::new(),
                 rest: ChainRest::Missing(id.to_owned()),
             };
         };
-        let (locations, rest) = replica.chain_part(id);
+        let (locations, rest) = replica.chain_part(id, max_turns);
         let mut turns: Vec<Turn> = Vec::with_capacity(locations.len());
+        let mut next = id.to_owned();
+        let mut bytes = 0;
         for location in locations {
-            match self.read_turn(location) {
-                Ok(turn) => turns.push(turn),
-                Err(error) => {
-                    let previous = turns.last().and_then(|turn| turn.previous.clone());
-                    let unread = previous.unwrap_or_else(|| id.to_owned());
-                    log::error!(event = "read_failed", turn = unread.as_str(), partition = partition.0; "{error}");
-                    let rest = ChainRest::Omitted(unread);
-                    return ChainPart { turns, rest };
+            let read = (bytes < max_bytes).then(|| self.read_turn(location));
+            let Some(Ok(turn)) = read else {
+                if let Some(Err(error)) = read {
+                    log::error!(event = "read_failed", turn = next.as_str(), partition = partition.0; "{error}");
                 }
-            }
+                let rest = ChainRest::Omitted(next);
+                return ChainPart { turns, rest };
+            };
+            bytes += location.length as usize;
+            next = turn.previous.clone().unwrap_or_default();
+            turns.push(turn);
         }
         ChainPart { turns, rest }
     }
 
+    /// Number of missing turns whose descendants are stored.
+    #[must_use]
+    pub fn gaps(&self) -> usize {
+        self.tables.gaps()
+    }
+
+    /// Starts attempts to fetch missing turns whose descendants are stored, and returns those that are due.
+    pub fn start_repairs(&mut self, now_ms: u64, limit: usize) -> Vec<(PartitionId, MissingTurn)> {
+        self.tables.start_repairs(now_ms, limit)
+    }
+
     /// Reads a page of about `limit_bytes` of a partition, for catch-up of a joining replica.
     ///
     /// # Errors
@@ -313,6 +339,7 @@
             reservations: 0,
             partitions: 0,
             live_bytes: 0,
+            gaps: 0,
             ..self.stats
         };
         for (_, replica) in self.tables.replicas() {
@@ -322,10 +349,12 @@
             });
             figures.partitions += 1;
             figures.turns += replica.turns() as u64;
+            figures.gaps += replica.gaps() as u64;
             figures.reservations += replica.reservations() as u64;
         }
         figures.index_bytes = figures.turns * INDEX_BYTES_PER_TURN
-            + figures.reservations * INDEX_BYTES_PER_RESERVATION;
+            + figures.reservations * INDEX_BYTES_PER_RESERVATION
+            + figures.gaps * INDEX_BYTES_PER_GAP;
         self.stats = figures;
     }
 
