Don't take an undecided chain for an outage of its partition

Callers saw: while one conversation's chain could not be decided, other calls whose programs are in the same partition were refused at once (`no_records`), though a quorum of its stores answered. Cause: a round of queries without a decision counted as a round without a quorum, and opened the partition's circuit breaker. Evidence and test: undecided_chain_is_no_outage_of_its_partition fails without the change, "Err(NoQuorum) although a quorum answers": with a silent replica the round lasts 700 ms, and calls with 500 ms left are refused. Why this fix works: a quorum that answered which turns of a chain it has shows that the partition has a quorum, whatever the round decided.

--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -271,6 +271,16 @@
     StreamVersion(Option<String>),
 }
 
+impl RecordReply {
+    /// Whether the reply says which turns of a chain the store has.
+    pub(crate) fn tells_of_chain(&self) -> bool {
+        matches!(
+            self,
+            Self::Chain(_) | Self::ChainPart(_) | Self::IncompleteChain(_)
+        )
+    }
+}
+
 /// Replies.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum PeerReply {
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -343,13 +343,22 @@
             }
             let records = self.follower.view().records;
             let limit = ROUND_TIMEOUT.min(deadline.saturating_duration_since(began));
-            let decide = decide_for(records.view(partition));
-            let round = self.round(&records, partition, operation, decide);
+            let view = records.view(partition);
+            let answered = Mutex::new(WriteTally::new(view));
+            let mut decide = decide_for(view);
+            let round = self.round(&records, partition, operation, |node, reply| {
+                if reply.tells_of_chain() {
+                    answered.lock().on_stored(node);
+                }
+                decide(node, reply)
+            });
             match timeout(limit, round).await {
                 Ok(Some(decided)) => {
                     self.record_answer(partition);
                     return Ok(decided);
                 }
+                // A quorum is there, but lacks an ancestor that another replica may have.
+                _ if answered.lock().is_decided() => self.record_answer(partition),
                 // A round cut short by the call's deadline is no evidence of an outage.
                 Err(_) if limit < ROUND_TIMEOUT => {}
                 Ok(None) | Err(_) => self.record_failure(partition, began),
--- a/crates/courseshed-edge/tests/stores_away.rs
+++ b/crates/courseshed-edge/tests/stores_away.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use courseshed_edge::records::ChainLookup;
+use courseshed_edge::records::{ChainLookup, RecordsUnavailable, Reservation};
 use courseshed_records::{PartitionId, Turn};
 use courseshed_routing::AllowedRegions;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use support::stores::{Client, STORES, StoreFleet};
 use tokio::time::{Instant, sleep};
 
@@ -49,6 +51,11 @@
         if !self.turns.is_empty() {
             self.read(client).await;
         }
+        self.append(client).await;
+    }
+
+    /// Stores another turn.
+    async fn append(&mut self, client: &Client) {
         let id = format!("{}-{}", self.program, self.turns.len());
         let turn = Turn {
             id: id.clone(),
@@ -149,3 +156,56 @@
         fleet.restart(store, &client).await;
     }
 }
+
+/// Guards against calls that are refused for want of a quorum because another call's chain can't be read while a
+/// replica is silent.
+#[actix_rt::test]
+async fn undecided_chain_is_no_outage_of_its_partition() {
+    const SHORT: Duration = Duration::from_millis(500);
+    const PAUSE: Duration = Duration::from_millis(10);
+    const CONCURRENT: u64 = 8;
+    let mut fleet = StoreFleet::start().await;
+    let client = fleet.add_client(0).await;
+    let mut sound = Conversation::start(0, &client, LONG);
+    sound.go_on(&client).await;
+    let mut broken = Conversation::start(0, &client, LONG);
+    broken.turns.push("never-stored".to_owned());
+    broken.append(&client).await;
+    let _silent = fleet.silence(0).await;
+    let deadline = Instant::now() + TURN_TIMEOUT;
+    let lookup = client.records.chain(
+        &broken.program,
+        broken.last(),
+        &AllowedRegions::ANY,
+        deadline,
+    );
+    let others = async {
+        let mut next_id = 0;
+        while Instant::now() + PAUSE < deadline {
+            let reservations = (next_id..next_id + CONCURRENT).map(|id| {
+                let reservation = Reservation {
+                    program: sound.program.clone(),
+                    id,
+                    most: 1,
+                };
+                let deadline = Instant::now() + SHORT;
+                client
+                    .records
+                    .reserve(reservation, 1_000_000, 60_000, deadline)
+            });
+            let began = Instant::now();
+            let mut reservations: FuturesUnordered<_> = reservations.collect();
+            while let Some(reserved) = reservations.next().await {
+                let is_refused_at_once = reserved.is_err() && began.elapsed() < SHORT / 2;
+                assert!(
+                    !is_refused_at_once,
+                    "{reserved:?} although a quorum answers"
+                );
+            }
+            next_id += CONCURRENT;
+            sleep(PAUSE).await;
+        }
+    };
+    let (lookup, ()) = tokio::join!(lookup, others);
+    assert_eq!(lookup, Err(RecordsUnavailable::NoQuorum));
+}
--- a/crates/courseshed-edge/tests/support/stores.rs
+++ b/crates/courseshed-edge/tests/support/stores.rs
@@ -1,6 +1,6 @@
 //! Test harness: three stores that can be stopped and started, and clients of their records.
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,6 +112,13 @@
         tokio::time::sleep(DISK_SHUTDOWN).await;
     }
 
+    /// Ends a store and leaves its address accept connections without an answer, as a frozen machine does.
+    pub async fn silence(&mut self, store: usize) -> TcpListener {
+        self.stop(store).await;
+        let address = self.addresses.of(self.store_node(store), PeerPort::Store);
+        TcpListener::bind(address).expect("the store's address")
+    }
+
     /// Starts a stopped store on its disk and waits until a client reaches it.
     pub async fn restart(&mut self, store: usize, client: &Client) {
         self.stores[store] = Some(self.start_store(store));
