Copy to a store what others received while it was away

Seen: a turn that was accepted while a store was stopped stayed on two of three disks until it expired, and the next fault counted double. Cause: each write goes to the replicas once, and a store that comes back with its disk stays active, so nothing ever copies to it what it missed. Gaps are found only when a later turn of the conversation arrives. Ages instead of times, so clocks need not agree. An older store ignores the age and sends everything.

--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -17,6 +17,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -112,6 +113,30 @@
     }
 }
 
+/// A time without a response of a controller, in which this node may have been stopped or cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    began_before_notice: Duration,
+    noticed_at: Instant,
+}
+
+impl Absence {
+    /// An absence that is noticed now, after a time since its begin.
+    #[must_use]
+    pub fn noticed_after(time: Duration) -> Self {
+        Self {
+            began_before_notice: time,
+            noticed_at: Instant::now(),
+        }
+    }
+
+    /// Time since its begin.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.began_before_notice + self.noticed_at.elapsed()
+    }
+}
+
 /// The response of a controller.
 struct ControllerResponse {
     update: FleetUpdate,
@@ -140,6 +165,8 @@
     refreshes: watch::Sender<()>,
     /// Time of the last response of any controller.
     answered_at: Mutex<Option<Instant>>,
+    /// Receives absences that are over; none if nobody waits for them.
+    absences: Mutex<Option<UnboundedSender<Absence>>>,
     suspects: Mutex<FollowedSuspects>,
 }
 
@@ -175,6 +202,7 @@
             refresh_request: Notify::new(),
             refreshes: watch::channel(()).0,
             answered_at: Mutex::new(None),
+            absences: Mutex::new(None),
             suspects: Mutex::default(),
         })
     }
@@ -268,6 +296,31 @@
         answered_at.is_some_and(|at| at.elapsed() < CONTACT_WINDOW)
     }
 
+    /// The absences of this node from now on, each once it is over.
+    #[must_use]
+    pub fn absences(&self) -> UnboundedReceiver<Absence> {
+        let (sender, receiver) = unbounded_channel();
+        *self.absences.lock() = Some(sender);
+        receiver
+    }
+
+    /// Records a response, which ends an absence if the one before was long ago.
+    fn record_response(&self) {
+        let before = self.answered_at.lock().replace(Instant::now());
+        let Some(silence) = before
+            .map(|at| at.elapsed())
+            .filter(|it| *it >= CONTACT_WINDOW)
+        else {
+            return;
+        };
+        if let Some(absences) = &*self.absences.lock() {
+            let absence = Absence::noticed_after(silence);
+            if let Err(error) = absences.send(absence) {
+                log::warn!(event = "absence_ignored"; "nobody waits for absences any more: {error}");
+            }
+        }
+    }
+
     /// Returns the current view.
     #[must_use]
     pub fn view(&self) -> FleetView {
@@ -451,7 +504,7 @@
         else {
             return None;
         };
-        *self.answered_at.lock() = Some(Instant::now());
+        self.record_response();
         if known.suspects.is_some() {
             self.follow_suspects(controller, &mut update);
         }
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -123,6 +123,8 @@
     pub turns_repaired: Counter,
     /// Size of their inputs and outputs in bytes.
     pub repaired_bytes: Counter,
+    /// Records that this store copied from other replicas after an absence.
+    pub records_copied: Counter,
     /// Software versions of streams that this store holds.
     pub stream_versions: Gauge<i64, AtomicI64>,
     /// Software versions of streams that this gateway recorded at stores, by outcome.
@@ -242,6 +244,7 @@
             chains_lost: Counter::default(),
             turns_repaired: Counter::default(),
             repaired_bytes: Counter::default(),
+            records_copied: Counter::default(),
             stream_versions: Gauge::default(),
             stream_version_writes: Family::default(),
             stream_version_lookup: Histogram::new(DURATION_BUCKETS),
@@ -341,6 +344,11 @@
             "Size of the missing ancestors that the store fetched",
             self.repaired_bytes.clone(),
         );
+        registry.register(
+            "records_copied",
+            "Records that the store copied from other replicas after an absence",
+            self.records_copied.clone(),
+        );
         for (figure, gauge) in &self.records {
             registry.register(figure.name, figure.help, gauge.clone());
         }
--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -64,7 +64,11 @@
         let client = &self.client;
         let mut remaining = view.sources_needed();
         for source in order_of_sources(view, &client.zones, &client.zone) {
-            if remaining > 0 && client.copy_from(partition, view.epoch, source).await {
+            if remaining == 0 {
+                break;
+            }
+            let copied = client.copy_from(partition, view.epoch, source, Duration::ZERO, || None);
+            if copied.await.is_some() {
                 remaining -= 1;
             }
         }
--- a/crates/courseshed-edge/src/records/replica_client.rs
+++ b/crates/courseshed-edge/src/records/replica_client.rs
@@ -5,6 +5,7 @@
 
 use courseshed_records::{ExportCursor, PartitionId, RecordMember};
 use courseshed_types::{NodeId, ZoneMap};
+use tokio::time::sleep;
 
 use super::disk::Disk;
 use crate::follower::FleetFollower;
@@ -54,29 +55,38 @@
         }
     }
 
-    /// Copies all records of a partition from another replica; returns whether all were copied.
+    /// Copies the records of a partition from another replica, in pages with a delay between them. `max_age` is
+    /// called for each page, and limits it to records received within that time. Returns the number of records, or
+    /// `None` if not all pages were copied.
     pub(super) async fn copy_from(
         &self,
         partition: PartitionId,
         epoch: u64,
         source: &RecordMember,
-    ) -> bool {
+        page_delay: Duration,
+        max_age: impl Fn() -> Option<Duration>,
+    ) -> Option<usize> {
         let mut cursor = ExportCursor::default();
+        let mut copied = 0;
         loop {
+            let age_ms = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            cursor.max_age_ms = max_age().map(age_ms);
             let operation = RecordOperation::Export { cursor };
             let reply = self
                 .request(partition, epoch, source, operation, PAGE_TIMEOUT)
                 .await;
             let Some(RecordReply::Page(page)) = reply else {
-                return false;
+                return None;
             };
-            if !self.disk.import(partition, page.records).await {
-                return false;
+            copied += page.records.len();
+            if !page.records.is_empty() && !self.disk.import(partition, page.records).await {
+                return None;
             }
             match page.next {
                 Some(next) => cursor = next,
-                None => return true,
+                None => return Some(copied),
             }
+            sleep(page_delay).await;
         }
     }
 }
--- a/crates/courseshed-edge/src/records/store.rs
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -15,7 +15,7 @@
 use super::disk::Disk;
 use super::replica_client::ReplicaClient;
 use super::stream_versions::StreamVersionTable;
-use super::{catch_up, repair};
+use super::{catch_up, repair, resync};
 use crate::clock::unix_time_ms;
 use crate::control_client::ControlClient;
 use crate::follower::{FleetFollower, FollowerKind};
@@ -108,6 +108,7 @@
     let opened = RecordStore::open(&settings.folder, incarnation_if_new, settings.limits, now);
     let store = opened.context(JournalSnafu)?;
     let incarnation = store.incarnation();
+    let newest_record_ms = store.newest_record_ms();
     let figures = store.stats();
     log::info!(event = "store_opened", incarnation, turns = figures.turns, reservations = figures.reservations, partitions = figures.partitions, segments = figures.segments, file_bytes = figures.file_bytes, live_bytes = figures.live_bytes, took_ms = started.elapsed().as_millis() as u64; "the store is open");
     let streams = StreamVersionTable::new(settings.metrics.clone());
@@ -148,7 +149,9 @@
         follower,
         disk,
     });
-    tokio::spawn(repair::run(client.clone(), settings.metrics));
+    let metrics = settings.metrics;
+    tokio::spawn(repair::run(client.clone(), metrics.clone()));
+    tokio::spawn(resync::run(client.clone(), metrics, newest_record_ms));
     tokio::spawn(catch_up::run(catch_up::CatchUp { client, control }));
     Ok(())
 }
--- a/crates/courseshed-edge/tests/stores_away.rs
+++ b/crates/courseshed-edge/tests/stores_away.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use support::stores::{Client, STORES, StoreFleet};
+use support::wait_until;
 use tokio::time::{Instant, sleep};
 
 /// Time that a turn has.
@@ -209,3 +210,26 @@
     let (lookup, ()) = tokio::join!(lookup, others);
     assert_eq!(lookup, Err(RecordsUnavailable::NoQuorum));
 }
+
+/// Guards against turns that stay on two of three disks after a store was away, whether or not their conversation
+/// goes on.
+#[actix_rt::test]
+async fn store_gets_back_the_turns_that_it_missed() {
+    let mut fleet = StoreFleet::start().await;
+    let client = fleet.add_client(0).await;
+    let mut conversations: Vec<Conversation> = (0..CONVERSATIONS)
+        .map(|number| Conversation::start(number, &client, LONG))
+        .collect();
+    go_on_with_all(&mut conversations, &client).await;
+    for store in 0..STORES {
+        fleet.stop(store).await;
+        go_on_with_all(&mut conversations, &client).await;
+        sleep(AWAY).await;
+        fleet.restart(store, &client).await;
+        for conversation in &conversations {
+            let Conversation { partition, .. } = *conversation;
+            let last = conversation.last();
+            wait_until(async || fleet.has_whole_chain(&client, store, partition, last).await).await;
+        }
+    }
+}
--- a/crates/courseshed-edge/tests/support/stores.rs
+++ b/crates/courseshed-edge/tests/support/stores.rs
@@ -65,7 +65,7 @@
 impl StoreFleet {
     /// Starts a fleet that tolerates the loss of one disk.
     pub async fn start() -> Self {
-        let folder = TempDir::new().expect("a folder");
+        let folder = folder_in_memory();
         let subnet = new_subnet();
         let addresses = PeerAddresses {
             first_port: free_port(host(subnet, 1)),
@@ -231,6 +231,13 @@
     }
 }
 
+/// A folder in memory where there is one: a disk that other work uses stalls for seconds, which is longer than the
+/// tests keep records.
+fn folder_in_memory() -> TempDir {
+    let in_memory = TempDir::new_in("/dev/shm");
+    in_memory.or_else(|_| TempDir::new()).expect("a folder")
+}
+
 fn host(subnet: Ipv4Addr, host: u8) -> Ipv4Addr {
     let [a, b, c, _] = subnet.octets();
     Ipv4Addr::new(a, b, c, host)
--- a/crates/courseshed-records/src/gaps.rs
+++ b/crates/courseshed-records/src/gaps.rs
@@ -87,7 +87,8 @@
     /// went on last come first.
     pub(crate) fn start_repairs(&mut self, now_ms: u64, limit: usize) -> Vec<MissingTurn> {
         let gaps = self.by_missing_turn.iter_mut();
-        let mut due: Vec<_> = gaps.filter(|(_, gap)| gap.due_ms <= now_ms).collect();
+        let is_due = |gap: &Gap| gap.due_ms <= now_ms && gap.expires_ms > now_ms;
+        let mut due: Vec<_> = gaps.filter(|(_, gap)| is_due(gap)).collect();
         due.sort_by_key(|(_, gap)| Reverse(gap.expires_ms));
         due.truncate(limit);
         let started = due.into_iter().map(|(id, gap)| {
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -15,6 +15,7 @@
 //! - The tokens reserved for a program plus the tokens it has used never exceed its budget.
 
 mod chain;
+pub mod chain_simulation;
 mod gaps;
 mod partition;
 mod plan;
--- a/crates/courseshed-records/src/record.rs
+++ b/crates/courseshed-records/src/record.rs
@@ -127,6 +127,10 @@
     pub program: Option<String>,
     /// The last exported turn. If set, all programs have been exported.
     pub turn: Option<String>,
+    /// Age in milliseconds of the oldest records to export; of a program that was updated since, all
+    /// reservations are exported. `None` for all records. Ignored by older versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_age_ms: Option<u64>,
 }
 
 /// A page of an export.
--- a/crates/courseshed-records/src/replica.rs
+++ b/crates/courseshed-records/src/replica.rs
@@ -106,6 +106,8 @@
 struct Program {
     reservations: BTreeMap<u64, Reservation>,
     expires_ms: u64,
+    /// When its newest record was received.
+    received_ms: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,6 +115,8 @@
     previous: Option<String>,
     location: Location,
     expires_ms: u64,
+    /// When its newest record was received.
+    received_ms: u64,
 }
 
 /// In-memory index of the records of one replica.
@@ -170,8 +174,9 @@
                     previous: turn.previous.clone(),
                     location,
                     expires_ms: at_ms + keep_ms,
+                    received_ms: at_ms,
                 };
-                self.store_turn(&turn.id, at_ms, stored);
+                self.store_turn(&turn.id, stored);
             }
             Record::Epoch(epoch) => self.epoch = self.epoch.max(*epoch),
             Record::Reserve { .. } | Record::Settle { .. } => {}
@@ -266,6 +271,11 @@
         self.gaps.start_repairs(now_ms, limit)
     }
 
+    /// Forgets the gaps, which the simulation injects as a defect.
+    pub(crate) fn forget_gaps(&mut self) {
+        self.gaps = Gaps::default();
+    }
+
     /// Removes expired programs and turns.
     pub fn expire(&mut self, now_ms: u64) {
         self.programs
@@ -274,18 +284,20 @@
         self.gaps.expire(now_ms);
     }
 
-    /// A page of about `limit_bytes` of the stored entries, for catch-up of a joining replica.
+    /// A page of about `limit_bytes` of the stored entries, for another replica that lacks some of them.
     #[must_use]
     pub fn export(&self, now_ms: u64, cursor: &ExportCursor, limit_bytes: usize) -> EntryPage {
         let mut entries = Vec::new();
         let mut size = 0;
         let mut position = cursor.clone();
+        let since_ms = now_ms.saturating_sub(cursor.max_age_ms.unwrap_or(now_ms));
         if cursor.turn.is_none() {
             let after = cursor
                 .program
                 .clone()
                 .map_or(Bound::Unbounded, Bound::Excluded);
-            for (id, program) in self.programs.range::<String, _>((after, Bound::Unbounded)) {
+            let programs = self.programs.range::<String, _>((after, Bound::Unbounded));
+            for (id, program) in programs.filter(|(_, program)| program.received_ms >= since_ms) {
                 if size >= limit_bytes {
                     return EntryPage {
                         entries,
@@ -304,7 +316,8 @@
             .turn
             .clone()
             .map_or(Bound::Unbounded, Bound::Excluded);
-        for (id, stored) in self.turns.range::<String, _>((after, Bound::Unbounded)) {
+        let turns = self.turns.range::<String, _>((after, Bound::Unbounded));
+        for (id, stored) in turns.filter(|(_, stored)| stored.received_ms >= since_ms) {
             if size >= limit_bytes {
                 position.turn.get_or_insert_default();
                 return EntryPage {
@@ -403,14 +416,16 @@
 
     /// Records a turn and extends the retention of its ancestors. Of repeated turns the record with
     /// the latest expiry is the live one, since it must not be lost.
-    fn store_turn(&mut self, id: &str, at_ms: u64, new: StoredTurn) {
+    fn store_turn(&mut self, id: &str, new: StoredTurn) {
         let (expires_ms, location) = (new.expires_ms, new.location);
+        let at_ms = new.received_ms;
         let mut ancestor = new.previous.clone();
         let stored = self.turns.entry(id.to_owned()).or_insert(new);
         if expires_ms > stored.expires_ms {
             stored.expires_ms = expires_ms;
             stored.location = location;
         }
+        stored.received_ms = stored.received_ms.max(at_ms);
         // Descendants that were stored before the turn need it as long as they last.
         let closed = self.gaps.close(id);
         if let Some(closed) = closed {
@@ -446,6 +461,7 @@
         let lasts_long_enough = lasts_until(expires_ms, self.expires_ms);
         let extends_expiry = !lasts_until(self.expires_ms, expires_ms);
         self.expires_ms = self.expires_ms.max(expires_ms);
+        self.received_ms = self.received_ms.max(at_ms);
         let tokens = update.tokens;
         let stored = self
             .reservations
--- a/crates/courseshed-records/src/store.rs
+++ b/crates/courseshed-records/src/store.rs
@@ -133,6 +133,8 @@
     live_bytes_by_segment: BTreeMap<SegmentNumber, u64>,
     /// Segments whose compaction failed because a record is unreadable.
     unreadable_segments: Vec<SegmentNumber>,
+    /// When the newest record in the files was written, as of the start.
+    newest_record_ms: Option<u64>,
     stats: StoreStats,
 }
 
@@ -148,11 +150,15 @@
         now_ms: u64,
     ) -> Result<Self, JournalError> {
         let mut tables = PartitionTables::default();
+        let mut newest_record_ms = None;
         let segments = Segments::open(
             dir.into(),
             new_incarnation,
             limits.segment_bytes,
-            |timestamped, location| tables.apply(timestamped.at_ms, &timestamped.entry, location),
+            |timestamped, location| {
+                newest_record_ms = newest_record_ms.max(Some(timestamped.at_ms));
+                tables.apply(timestamped.at_ms, &timestamped.entry, location);
+            },
         )?;
         let cache_bytes = limits.memory_bytes / CACHE_MEMORY_DIVISOR;
         let mut store = Self {
@@ -163,6 +169,7 @@
             compaction: None,
             live_bytes_by_segment: BTreeMap::new(),
             unreadable_segments: Vec::new(),
+            newest_record_ms,
             stats: StoreStats::default(),
         };
         store.expire(now_ms);
@@ -175,6 +182,13 @@
         self.segments.incarnation()
     }
 
+    /// When the newest record that was on disk at the start was written, in Unix milliseconds; `None` if there was
+    /// none. Other stores may have received more since then.
+    #[must_use]
+    pub fn newest_record_ms(&self) -> Option<u64> {
+        self.newest_record_ms
+    }
+
     /// The newest epoch that this store has adopted for a partition.
     #[must_use]
     pub fn epoch(&self, partition: PartitionId) -> u64 {
@@ -304,7 +318,7 @@
         self.tables.start_repairs(now_ms, limit)
     }
 
-    /// Reads a page of about `limit_bytes` of a partition, for catch-up of a joining replica.
+    /// Reads a page of about `limit_bytes` of a partition, for another replica that lacks some of it.
     ///
     /// # Errors
     /// [`JournalError`] if a turn cannot be read.
