Write reservations to the replicas of a quorum that lack them

What could happen: a program is granted more than its budget. A reservation is on replicas A and B; C misses it in one slow round. A is away for longer than records are kept, while the program goes on, and drops the program at its return. The reservation is on B alone then, and A and C together don't know it. Cause: as for chains: a quorum has each record, and the retention of a replica is extended only by what it receives itself. Why this fix works: the gateway merges the replies of the deciding quorum anyway, and now writes to each replica of it what only others knew. So after each decision the whole quorum knows all accepted reservations of the program, with the newest retention. Nothing is sent when all know the same.

--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -125,6 +125,8 @@
     pub repaired_bytes: Counter,
     /// Records that this store copied from other replicas after an absence.
     pub records_copied: Counter,
+    /// Reservations that this gateway wrote to replicas that lacked them.
+    pub reservations_repaired: Counter,
     /// Software versions of streams that this store holds.
     pub stream_versions: Gauge<i64, AtomicI64>,
     /// Software versions of streams that this gateway recorded at stores, by outcome.
@@ -244,6 +246,7 @@
             chains_lost: Counter::default(),
             turns_repaired: Counter::default(),
             repaired_bytes: Counter::default(),
+            reservations_repaired: Counter::default(),
             records_copied: Counter::default(),
             stream_versions: Gauge::default(),
             stream_version_writes: Family::default(),
@@ -349,6 +352,11 @@
             "Records that the store copied from other replicas after an absence",
             self.records_copied.clone(),
         );
+        registry.register(
+            "reservations_repaired",
+            "Reservations that the gateway wrote to replicas that lacked them",
+            self.reservations_repaired.clone(),
+        );
         for (figure, gauge) in &self.records {
             registry.register(figure.name, figure.help, gauge.clone());
         }
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -8,7 +8,7 @@
 
 use courseshed_records::{
     MissTally, PartitionId, PartitionMap, Record, RecordMember, RecordView, ReservationDecision,
-    ReservationTally, Turn, WriteTally,
+    ReservationTally, Reserved, Turn, WriteTally,
 };
 use courseshed_routing::AllowedRegions;
 use courseshed_types::{CachedPrompt, NodeId, ZoneMap};
@@ -37,6 +37,9 @@
 /// the others late costs a call no more than querying them costs anyway.
 const LOCAL_REPLICAS_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Maximum number of reservations written to one replica that lacks them, per reservation of the program.
+const MAX_RESERVATIONS_REPAIRED: usize = 16;
+
 /// Errors from reading or writing records. A failed write may have taken effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum RecordsUnavailable {
@@ -134,6 +137,7 @@
         deadline: Instant,
     ) -> Result<(ReservationDecision, Vec<CachedPrompt>), RecordsUnavailable> {
         let partition = PartitionId::of_program(&reservation.program);
+        let program = reservation.program.clone();
         let record = Record::Reserve {
             program: reservation.program,
             reservation: reservation.id,
@@ -146,7 +150,7 @@
         };
         let own = (reservation.id, reservation.most);
         let policy = WaitPolicy::WhileEndExpected(deadline);
-        self.run_rounds(partition, &operation, policy, |view| {
+        let decided = self.run_rounds(partition, &operation, policy, |view| {
             let mut tally = ReservationTally::new(view, own.0, own.1, budget);
             // A view that has not been received yet has no members.
             let mut spare_replicas = view.members.len().saturating_sub(view.quorum());
@@ -157,7 +161,8 @@
                         cached_prompts = cached;
                     }
                     let decision = tally.on_reserved(node, &reserved)?;
-                    Some(Ok((decision, std::mem::take(&mut cached_prompts))))
+                    let missing = tally.missing_reservations();
+                    Some(Ok((decision, std::mem::take(&mut cached_prompts), missing)))
                 }
                 RecordReply::Full if spare_replicas == 0 => {
                     Some(Err(RecordsUnavailable::StoresFull))
@@ -168,8 +173,54 @@
                 }
                 _ => None,
             }
-        })
-        .await?
+        });
+        let (decision, cached_prompts, missing) = decided.await??;
+        if !missing.is_empty() {
+            let client = self.clone();
+            let repair = async move {
+                client
+                    .write_missing(partition, program, missing, keep_ms)
+                    .await;
+            };
+            tokio::spawn(repair);
+        }
+        Ok((decision, cached_prompts))
+    }
+
+    /// Writes reservations to replicas that lack them, a few at a time. The next reservation of the program finds those
+    /// that still lack some.
+    async fn write_missing(
+        &self,
+        partition: PartitionId,
+        program: String,
+        missing: Vec<(NodeId, Vec<Reserved>)>,
+        keep_ms: u64,
+    ) {
+        let records = self.partitions();
+        let view = records.view(partition);
+        let (mut lacking, mut written) = (0, 0);
+        for (node, reservations) in &missing {
+            lacking += reservations.len();
+            let Some(member) = view.member(*node) else {
+                continue;
+            };
+            for reserved in reservations.iter().take(MAX_RESERVATIONS_REPAIRED) {
+                let record = Record::Reserve {
+                    program: program.clone(),
+                    reservation: reserved.reservation,
+                    most: reserved.tokens,
+                    keep_ms,
+                };
+                let operation = RecordOperation::Write {
+                    record,
+                    cached: None,
+                };
+                let (_, reply) = self.query(partition, view, member, operation).await;
+                written += usize::from(matches!(reply, Some(RecordReply::Written { .. })));
+            }
+        }
+        self.metrics.reservations_repaired.inc_by(written as u64);
+        log::info!(event = "reservations_repaired", program = program.as_str(), partition = partition.0, replicas = missing.len(), lacking, written; "replicas lacked reservations of a program that others have");
     }
 
     /// Records the tokens that a call used, in the background. If this is lost, the reservation counts in full.
--- a/crates/courseshed-records/src/chain_simulation.rs
+++ b/crates/courseshed-records/src/chain_simulation.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     ChainAssembly, ChainPart, ChainProgress, ExportCursor, Location, Record, RecordReplica,
-    RecordView, StoreMachine, StoredEntry, Turn, ViewPlan, WriteTally, plan_view,
+    RecordView, ReservationTally, StoreMachine, StoredEntry, Turn, ViewPlan, WriteTally, plan_view,
 };
 
 const STEPS: usize = 700;
@@ -48,6 +48,8 @@
     NoRepair,
     /// Replicas do not copy what they missed while they were away.
     NoCopyAfterAbsence,
+    /// Reservations are not written to replicas that lack them.
+    NoRepairOfReservations,
 }
 
 /// Result of one seed.
@@ -71,6 +73,8 @@
     pub views: u64,
     /// Accepted turns that could not be read, with details.
     pub unreadable: Vec<String>,
+    /// Accepted reservations that a quorum did not know, with details.
+    pub uncounted: Vec<String>,
     /// Accepted turns that a replica lacked although it had had time to get them back.
     pub not_replicated: Vec<String>,
 }
@@ -89,6 +93,8 @@
 struct Conversation {
     turns: Vec<u64>,
     accepted_at: u64,
+    /// Accepted reservations of its program.
+    reservations: BTreeSet<u64>,
 }
 
 struct Simulation {
@@ -112,7 +118,7 @@
     let mut simulation = Simulation::new(seed, variant);
     for _ in 0..STEPS {
         simulation.step();
-        if !simulation.report.unreadable.is_empty() {
+        if !simulation.report.unreadable.is_empty() || !simulation.report.uncounted.is_empty() {
             return simulation.report;
         }
     }
@@ -124,6 +130,11 @@
     format!("t{number}")
 }
 
+/// The program of a conversation.
+fn program(conversation: usize) -> String {
+    format!("p{conversation}")
+}
+
 impl Simulation {
     fn new(seed: u64, variant: ChainVariant) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -215,6 +226,7 @@
         self.conversations.push(Conversation {
             turns: Vec::new(),
             accepted_at: self.now,
+            reservations: BTreeSet::new(),
         });
         let index = self.conversations.len() - 1;
         self.add_turn(index);
@@ -236,9 +248,20 @@
         }
     }
 
-    /// Writes a turn to all running replicas; it is accepted if a quorum stores it.
+    /// Reserves tokens for a turn and writes it.
     fn add_turn(&mut self, conversation: usize) {
         let number = self.turns.len() as u64;
+        let reservation = Record::Reserve {
+            program: program(conversation),
+            reservation: number,
+            most: 1,
+            keep_ms: KEEP_MS,
+        };
+        if !self.write(&reservation, Location::default()) {
+            return;
+        }
+        self.conversations[conversation].reservations.insert(number);
+        self.repair_reservations(conversation, number);
         let previous = self.conversations[conversation].turns.last().copied();
         let turn = Turn {
             id: id(number),
@@ -254,6 +277,46 @@
             turn,
             keep_ms: KEEP_MS,
         };
+        if self.write(&record, location_of(number)) {
+            self.report.accepted += 1;
+            let conversation = &mut self.conversations[conversation];
+            conversation.turns.push(number);
+            conversation.accepted_at = self.now;
+        }
+    }
+
+    /// Writes reservations of a program to the replicas of a quorum that lack them.
+    fn repair_reservations(&mut self, conversation: usize, reservation: u64) {
+        if self.variant == ChainVariant::NoRepairOfReservations {
+            return;
+        }
+        let program = program(conversation);
+        let mut tally = ReservationTally::new(&self.view, reservation, 1, u64::MAX);
+        let active: Vec<NodeId> = self.view.active().map(|member| member.node).collect();
+        for node in active {
+            let reserved = self.stores[&node].replica.reserved(&program);
+            let has_replied = reserved.iter().any(|it| it.reservation == reservation);
+            if has_replied && tally.on_reserved(node, &reserved).is_some() {
+                break;
+            }
+        }
+        for (node, lacking) in tally.missing_reservations() {
+            for reserved in lacking {
+                let record = Record::Reserve {
+                    program: program.clone(),
+                    reservation: reserved.reservation,
+                    most: reserved.tokens,
+                    keep_ms: KEEP_MS,
+                };
+                if !self.is_message_lost() {
+                    self.apply(node, &record, Location::default());
+                }
+            }
+        }
+    }
+
+    /// Writes a record to all running replicas; it is accepted if a quorum stores it.
+    fn write(&mut self, record: &Record, location: Location) -> bool {
         let mut tally = WriteTally::new(&self.view);
         let members: Vec<NodeId> = self.view.members.iter().map(|member| member.node).collect();
         for node in members {
@@ -261,18 +324,15 @@
                 continue;
             }
             if self.is_message_lost() {
-                self.missed_unnoticed.insert((node, number));
+                if matches!(record, Record::StoreTurn { .. }) {
+                    self.missed_unnoticed.insert((node, location.offset));
+                }
                 continue;
             }
-            self.apply(node, &record, location_of(number));
+            self.apply(node, record, location);
             tally.on_stored(node);
         }
-        if tally.is_decided() {
-            self.report.accepted += 1;
-            let conversation = &mut self.conversations[conversation];
-            conversation.turns.push(number);
-            conversation.accepted_at = self.now;
-        }
+        tally.is_decided()
     }
 
     fn apply(&mut self, node: NodeId, record: &Record, location: Location) {
@@ -450,9 +510,12 @@
         let page = replica.export(self.now, &cursor, usize::MAX);
         let count = page.entries.len();
         for entry in page.entries {
-            if let StoredEntry::Turn { location, keep_ms } = entry {
-                let turn = self.turns[location.offset as usize].clone();
-                self.apply(to, &Record::StoreTurn { turn, keep_ms }, location);
+            match entry {
+                StoredEntry::Turn { location, keep_ms } => {
+                    let turn = self.turns[location.offset as usize].clone();
+                    self.apply(to, &Record::StoreTurn { turn, keep_ms }, location);
+                }
+                StoredEntry::Reservation(record) => self.apply(to, &record, Location::default()),
             }
         }
         count
@@ -546,11 +609,11 @@
             return;
         }
         let now = self.now;
-        let open = self.conversations.iter().filter(|conversation| {
-            conversation.accepted_at + RETENTION_MS > now && !conversation.turns.is_empty()
-        });
-        let open: Vec<&Conversation> = open.collect();
-        let Some(conversation) = open.choose(&mut self.rng) else {
+        let conversations = self.conversations.iter().enumerate();
+        let open: Vec<(usize, &Conversation)> = conversations
+            .filter(|(_, it)| it.accepted_at + RETENTION_MS > now && !it.turns.is_empty())
+            .collect();
+        let Some((number, conversation)) = open.choose(&mut self.rng).copied() else {
             return;
         };
         let expected: Vec<String> = conversation.turns.iter().copied().map(id).collect();
@@ -565,6 +628,16 @@
         }
         running.shuffle(&mut self.rng);
         running.truncate(self.view.quorum());
+        let replicas = running.iter().map(|node| &self.stores[node].replica);
+        let known: BTreeSet<u64> = replicas
+            .flat_map(|replica| replica.reserved(&program(number)))
+            .map(|reserved| reserved.reservation)
+            .collect();
+        if !conversation.reservations.is_subset(&known) {
+            let unknown = conversation.reservations.difference(&known);
+            let detail = format!("{:?} at {running:?} at {now}", unknown.collect::<Vec<_>>());
+            self.report.uncounted.push(detail);
+        }
         let newest = expected.last().cloned().unwrap_or_default();
         let is_whole_at_one = running
             .iter()
--- a/crates/courseshed-records/src/tally.rs
+++ b/crates/courseshed-records/src/tally.rs
@@ -66,6 +66,8 @@
     max_tokens: u64,
     budget: u64,
     tokens_by_reservation: BTreeMap<u64, u32>,
+    /// The reservations that each active replica knows.
+    known_at: Vec<(NodeId, Vec<u64>)>,
 }
 
 impl ReservationTally {
@@ -78,6 +80,7 @@
             max_tokens: u64::from(max_tokens),
             budget,
             tokens_by_reservation: BTreeMap::new(),
+            known_at: Vec::new(),
         }
     }
 
@@ -94,9 +97,31 @@
                 .or_insert(entry.tokens);
             *tokens = (*tokens).min(entry.tokens);
         }
+        if self.writes.active.contains(&node) {
+            let known = reserved.iter().map(|entry| entry.reservation);
+            self.known_at.push((node, known.collect()));
+        }
         self.writes.on_stored(node).then(|| self.decide())
     }
 
+    /// The reservations that some of the replicas that have replied lack, by replica. Once they have them, all
+    /// replicas of the quorum know all accepted reservations of the program, as long as it is retained.
+    #[must_use]
+    pub fn missing_reservations(&self) -> Vec<(NodeId, Vec<Reserved>)> {
+        let all = self.tokens_by_reservation.len();
+        let incomplete = self.known_at.iter().filter(|(_, known)| known.len() < all);
+        let missing = incomplete.map(|(node, known)| {
+            let reservations = self.tokens_by_reservation.iter();
+            let lacking = reservations.filter(|(reservation, _)| !known.contains(reservation));
+            let lacking = lacking.map(|(reservation, tokens)| Reserved {
+                reservation: *reservation,
+                tokens: *tokens,
+            });
+            (*node, lacking.collect())
+        });
+        missing.collect()
+    }
+
     fn decide(&self) -> ReservationDecision {
         let others = self
             .tokens_by_reservation
--- a/crates/courseshed-records/tests/chain_simulation.rs
+++ b/crates/courseshed-records/tests/chain_simulation.rs
@@ -6,11 +6,19 @@
 const SEEDS: u64 = 1500;
 
 fn is_violated(report: &ChainReport) -> bool {
-    !report.unreadable.is_empty() || !report.not_replicated.is_empty()
+    let ChainReport {
+        unreadable,
+        uncounted,
+        not_replicated,
+        ..
+    } = report;
+    [unreadable, uncounted, not_replicated]
+        .iter()
+        .any(|violations| !violations.is_empty())
 }
 
-/// Guards against conversations that can't go on at some quorum of stores, and against replicas that don't get back
-/// what they missed.
+/// Guards against conversations that can't go on at some quorum of stores, against programs that are granted more than
+/// their budget, and against replicas that don't get back what they missed.
 #[parameterized(
     first = { 0 },
     second = { 1 },
@@ -32,6 +40,7 @@
     no_extension_over_gaps = { ChainVariant::NoExtensionOverGaps },
     no_repair = { ChainVariant::NoRepair },
     no_copy_after_absence = { ChainVariant::NoCopyAfterAbsence },
+    no_repair_of_reservations = { ChainVariant::NoRepairOfReservations },
 )]
 fn injected_defects_are_detected(variant: ChainVariant) {
     let is_detected = |seed: &u64| is_violated(&run_seed(*seed, variant));
--- a/crates/courseshed-records/tests/views.rs
+++ b/crates/courseshed-records/tests/views.rs
@@ -164,3 +164,20 @@
     let decision = tally.on_reserved(NodeId(2), &[entry(1, 5), entry(2, 6), entry(9, 20)]);
     assert_eq!(decision, Some(expected));
 }
+
+/// Guards against reservations that are on a quorum only together with a replica that is away and drops them.
+#[test]
+fn replicas_of_the_quorum_that_lack_reservations_are_named() {
+    let view = view(vec![member(1, true), member(2, true), member(3, false)]);
+    let mut tally = ReservationTally::new(&view, 9, 20, 100);
+    let entry = |reservation, tokens| Reserved {
+        reservation,
+        tokens,
+    };
+    tally.on_reserved(NodeId(1), &[entry(1, 5), entry(2, 6), entry(9, 20)]);
+    assert_eq!(tally.missing_reservations(), []);
+    tally.on_reserved(NodeId(3), &[entry(9, 20)]);
+    tally.on_reserved(NodeId(2), &[entry(2, 6), entry(9, 20)]);
+    let missing = vec![(NodeId(2), vec![entry(1, 5)])];
+    assert_eq!(tally.missing_reservations(), missing);
+}
