--- a/crates/courseshed-edge/src/records/chains.rs
+++ b/crates/courseshed-edge/src/records/chains.rs
@@ -189,7 +189,7 @@
         ChainProgress::AncestorLost(id) => Step::Decided(AssembledChain::AncestorLost(id)),
         ChainProgress::Incomplete => {
             let nodes = assembly.next_requests();
-            Step::Ask(nodes, part_of_chain(assembly.wanted()))
+            Step::Ask(nodes, Box::new(part_of_chain(assembly.wanted())))
         }
     }
 }
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -70,7 +70,7 @@
     /// More replies are needed.
     Wait,
     /// Some replicas must be asked further.
-    Ask(Vec<NodeId>, RecordOperation),
+    Ask(Vec<NodeId>, Box<RecordOperation>),
 }
 
 impl<T> From<Option<T>> for Step<T> {
