--- a/crates/courseshed-soak/src/caller.rs
+++ b/crates/courseshed-soak/src/caller.rs
@@ -12,6 +12,7 @@
 
 use crate::http_text::{Message, TextConnection, event_data};
 use crate::ledger::{CallKind, CallSeen, Outcome, ProgramBudget, Promise, TurnSeen};
+use crate::routing::RETENTION;
 use crate::server::{events_of, plain_answer};
 use crate::world::World;
 use crate::zones::{REGIONS, marker};
@@ -31,6 +32,12 @@
 const TURNS_OF_SPENDER: u32 = 12;
 /// Tries of a turn, each with an id of its own.
 const TRIES_OF_TURN: u32 = 3;
+/// What a conversation that lasts as long as the run may spend, in tokens.
+const BUDGET_OF_LONG_CONVERSATION: u64 = 1_000_000;
+/// Pause between two turns of such a conversation, in milliseconds.
+const PAUSE_OF_LONG_CONVERSATION_MS: std::ops::Range<u64> = 50..400;
+/// Pause before a turn of such a conversation is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between two calls, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 120;
 /// Of ten calls or programs, those that are restricted to a region.
@@ -62,12 +69,22 @@
 }
 
 /// A line of turns, as its caller knows it.
-struct Conversation {
+pub(crate) struct Conversation {
     program: String,
     budget: u64,
     region: Option<&'static str>,
     previous: Option<String>,
     history: String,
+    /// When the last turn was answered whole.
+    answered: Option<Instant>,
+}
+
+impl Conversation {
+    /// The last turn that was answered whole, if the gateways must still know it.
+    pub(crate) fn last_kept_turn(&self) -> Option<&str> {
+        let is_kept = self.answered.is_some_and(|at| at.elapsed() < RETENTION);
+        self.previous.as_deref().filter(|_| is_kept)
+    }
 }
 
 impl Caller {
@@ -116,6 +133,35 @@
         plain_served && self.turn(&mut conversation, Some(gateway)).await == Some(200)
     }
 
+    /// Holds one conversation until the run is over, whatever happens meanwhile, and returns it.
+    pub(crate) async fn converse(mut self) -> (Self, Conversation) {
+        let mut conversation = self.conversation(BUDGET_OF_LONG_CONVERSATION, None);
+        while !self.world.is_over() {
+            let pause = self.random.random_range(PAUSE_OF_LONG_CONVERSATION_MS);
+            sleep(Duration::from_millis(pause)).await;
+            if self.turn(&mut conversation, None).await != Some(200) {
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+        (self, conversation)
+    }
+
+    /// Whether a conversation goes on within a time, at whatever gateway.
+    pub(crate) async fn goes_on(
+        &mut self,
+        conversation: &mut Conversation,
+        limit: Duration,
+    ) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < limit {
+            if self.turn(conversation, None).await == Some(200) {
+                return true;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        false
+    }
+
     async fn plain(&mut self, kind: CallKind) {
         let id = self.next_id();
         let region = self.draw_region().filter(|_| kind == CallKind::Repeatable);
@@ -184,6 +230,7 @@
             region,
             previous: None,
             history: String::new(),
+            answered: None,
         }
     }
 
@@ -236,6 +283,7 @@
                 conversation.history.push('\n');
             }
             conversation.previous = Some(id);
+            conversation.answered = Some(Instant::now());
         }
         Some(status)
     }
--- a/crates/courseshed-soak/src/ledger.rs
+++ b/crates/courseshed-soak/src/ledger.rs
@@ -43,6 +43,8 @@
     WarmUpLimit,
     /// No more servers end under a request than may, over all attempts of its caller.
     EndedServers,
+    /// A conversation whose last turn was answered goes on within a bounded time once everything serves again.
+    GoesOn,
     /// No process ends by itself.
     StaysUp,
     /// Once the faults are over, everything serves again.
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -68,6 +68,9 @@
     /// make requests that end the servers that run them
     #[argh(switch)]
     lethal: bool,
+    /// conversations that last as long as the run (0)
+    #[argh(option, default = "0")]
+    conversations: usize,
     /// a file with the faults, as a failed run leaves one (those of the seed)
     #[argh(option)]
     plan: Option<PathBuf>,
@@ -130,6 +133,7 @@
         has_releases: arguments.releases,
         varies_framing: arguments.framings,
         has_lethal_requests: arguments.lethal,
+        long_conversations: arguments.conversations,
         broken: None,
         size,
         servers: arguments.servers,
--- a/crates/courseshed-soak/src/routing.rs
+++ b/crates/courseshed-soak/src/routing.rs
@@ -1,6 +1,7 @@
 //! The routing table of the soak.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use courseshed_routing::{
     CallKind, CallLimits, EngineLimits, Route, RoutingTable, Service, Target, VersionedTable,
@@ -10,6 +11,9 @@
 use crate::server::SERVICE;
 use crate::zones::REGIONS;
 
+/// How long a turn may be continued.
+pub(crate) const RETENTION: Duration = Duration::from_secs(60);
+
 /// Calls per second that a server bears while it warms up.
 const WARM_UP_RATE: f64 = 4.0;
 
@@ -87,7 +91,7 @@
         }],
         max_attempts,
         stores_turns: keeps_turns,
-        retention_ms: 60_000,
+        retention_ms: RETENTION.as_millis() as u64,
         affinity: keeps_turns,
         resumable: false,
         is_public: false,
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
-use crate::caller::Caller;
+use crate::caller::{Caller, Conversation};
 use crate::faults::{Fault, FaultKind, plan};
 use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions, NodeKnowledge};
 use crate::ledger::{Disturbed, Promise, Tally};
@@ -25,6 +25,8 @@
 /// How long everything may take to serve, at the start and after the faults: many times what it takes,
 /// since the machine may be busy.
 const SERVING_PATIENCE: Duration = Duration::from_secs(90);
+/// How long a conversation may take to go on once everything serves: several times what a turn may take.
+const GOES_ON_PATIENCE: Duration = Duration::from_secs(20);
 const SERVING_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a fault may still be the cause of what is cut off: a killed store's places are taken by
 /// others, and a gateway that stood still works off what came meanwhile.
@@ -55,6 +57,8 @@
     pub varies_framing: bool,
     /// Whether some requests end the servers that run them.
     pub has_lethal_requests: bool,
+    /// Conversations that last as long as the run.
+    pub long_conversations: usize,
     /// A fault put in on purpose.
     pub broken: Option<Broken>,
     /// Processes.
@@ -124,6 +128,7 @@
     };
     run.prepare().await?;
     let callers = run.start_callers();
+    let conversations = run.start_conversations();
     run.bring_faults_about().await?;
     run.wait_until_opened().await;
     run.wait_until_whole().await;
@@ -134,6 +139,12 @@
             log::error!("a caller ended early");
         }
     }
+    for conversation in conversations {
+        match conversation.await {
+            Ok((caller, conversation)) => run.check_that_it_goes_on(caller, conversation).await,
+            Err(_) => log::error!("a conversation ended early"),
+        }
+    }
     tending.abort();
     let fleet = fleet.borrow();
     let mut ledger = world.ledger.borrow_mut();
@@ -255,6 +266,22 @@
             .collect()
     }
 
+    fn start_conversations(&self) -> Vec<actix_rt::task::JoinHandle<(Caller, Conversation)>> {
+        let SoakOptions {
+            callers,
+            long_conversations,
+            seed,
+            ..
+        } = self.options;
+        let numbers = callers..callers + long_conversations;
+        numbers
+            .map(|number| {
+                let caller = Caller::new(self.world.clone(), number, seed);
+                actix_rt::spawn(caller.converse())
+            })
+            .collect()
+    }
+
     async fn bring_faults_about(&mut self) -> Result<(), SoakError> {
         let began = Instant::now();
         let faults = self.options.faults.clone();
@@ -439,6 +466,18 @@
         }
     }
 
+    /// Checks that a conversation goes on, if its last turn must still be known.
+    async fn check_that_it_goes_on(&self, mut caller: Caller, mut conversation: Conversation) {
+        let Some(last) = conversation.last_kept_turn().map(str::to_owned) else {
+            return;
+        };
+        if !caller.goes_on(&mut conversation, GOES_ON_PATIENCE).await {
+            let detail =
+                format!("no turn that continues {last} was answered in {GOES_ON_PATIENCE:?}");
+            self.violation(Promise::GoesOn, detail);
+        }
+    }
+
     fn violation(&self, promise: Promise, detail: String) {
         self.world
             .ledger
--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -6,6 +6,7 @@
 use courseshed_soak::faults::{Fault, FaultKind};
 use courseshed_soak::fleet::FleetSize;
 use courseshed_soak::ledger::{Promise, Tally};
+use courseshed_soak::node::Role;
 use courseshed_soak::run::{SoakOptions, run, warnings};
 use courseshed_soak::world::Broken;
 use courseshed_soak::zones::ZONES;
@@ -26,6 +27,7 @@
         has_releases: false,
         varies_framing: false,
         has_lethal_requests: false,
+        long_conversations: 0,
         broken: None,
         size: FleetSize {
             gateways: 2,
@@ -173,6 +175,70 @@
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
 }
 
+/// Guards against conversations that can't go on once all processes are back: each store was stopped in turn while they
+/// were held, other processes were killed and paused, and the stores then all at once.
+#[parameterized(
+    first = { 91 },
+    second = { 92 },
+)]
+fn conversations_go_on_after_stores_were_stopped_in_turn(seed: u64) {
+    const STORES: usize = 3;
+    let folder = TempDir::new().expect("a folder");
+    let mut options = options(seed, folder.path());
+    options.has_regions = false;
+    options.size.stores = STORES;
+    options.size.gateways = 3;
+    options.long_conversations = 8;
+    let milliseconds = Duration::from_millis;
+    let first_store = options.size.controllers;
+    let first_gateway = first_store + STORES;
+    let roll = (0..STORES).map(|store| {
+        let kind = FaultKind::Stop {
+            member: first_store + store,
+            away: milliseconds(1_300),
+        };
+        (500 + 3_000 * store as u64, kind)
+    });
+    let others = [
+        (
+            2_500,
+            FaultKind::Kill {
+                member: first_gateway,
+                away: milliseconds(700),
+            },
+        ),
+        (
+            5_000,
+            FaultKind::Pause {
+                member: first_gateway + 1,
+                how_long: milliseconds(900),
+            },
+        ),
+        (
+            9_200,
+            FaultKind::Pause {
+                member: first_store,
+                how_long: milliseconds(1_800),
+            },
+        ),
+        (
+            12_500,
+            FaultKind::KillAll {
+                role: Role::Store,
+                away: milliseconds(400),
+            },
+        ),
+    ];
+    let faults = roll.chain(others).map(|(at, kind)| Fault {
+        at: milliseconds(at),
+        kind,
+    });
+    options.faults = Some(faults.collect());
+    let tally = soak(options);
+    let lines = warnings(folder.path()).expect("logs are read");
+    assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
+}
+
 /// Guards against requests that end server after server, at whatever gateways, while gateways and controllers are
 /// killed and stores lose their disks, and against requests beside them that are lost for it.
 #[parameterized(
