--- a/crates/courseshed-edge/src/follower.rs
+++ b/crates/courseshed-edge/src/follower.rs
@@ -165,7 +165,7 @@
     refreshes: watch::Sender<()>,
     /// Time of the last response of any controller.
     answered_at: Mutex<Option<Instant>>,
-    /// Receives absences that are over; none if nobody waits for them.
+    /// Where absences are sent once they are over; none without a receiver.
     absences: Mutex<Option<UnboundedSender<Absence>>>,
     suspects: Mutex<FollowedSuspects>,
 }
--- a/crates/courseshed-edge/src/records/disk.rs
+++ b/crates/courseshed-edge/src/records/disk.rs
@@ -47,7 +47,7 @@
         reason: ImportReason,
         done: oneshot::Sender<bool>,
     },
-    /// Starts attempts to fetch missing ancestors of stored turns, at most so many.
+    /// Starts attempts to fetch missing ancestors of stored turns, at most the given number.
     StartRepairs(usize, oneshot::Sender<Vec<(PartitionId, MissingTurn)>>),
 }
 
@@ -134,11 +134,14 @@
     pub(super) async fn start_repairs(&self, limit: usize) -> Vec<(PartitionId, MissingTurn)> {
         let (done, started) = oneshot::channel();
         let request = DiskRequest::StartRepairs(limit, done);
-        if self.requests.try_send(request).is_err() {
-            // The queue is full, and requests take precedence.
+        if let Err(error) = self.requests.try_send(request) {
+            log::warn!(event = "repair_put_off"; "cannot enqueue a request for missing turns: {error}");
             return Vec::new();
         }
-        started.await.unwrap_or_default()
+        started.await.unwrap_or_else(|_| {
+            log::warn!(event = "repair_put_off"; "the disk thread ended before it named missing turns");
+            Vec::new()
+        })
     }
 
     /// Writes records copied from another store; returns whether they were written.
--- a/crates/courseshed-records/src/chain_simulation.rs
+++ b/crates/courseshed-records/src/chain_simulation.rs
@@ -31,7 +31,7 @@
 const MAX_AWAY_MS: u64 = 90_000;
 /// Added to the time of an absence when missed records are copied.
 const ABSENCE_MARGIN_MS: u64 = 2_000;
-/// One message in so many is lost.
+/// One in this number of messages is lost.
 const MESSAGES_PER_LOSS: u32 = 12;
 const REPAIRS_PER_STEP: usize = 16;
 
