Let catch-up, resync and repair share how they read from other replicas

Cause: three modules had the loop over the other replicas, two of them with the count of sources that must answer. Change: `ReplicaClient::sources` and `copy_from_sources` serve all three. Behaviour is the same: a store never answered itself under an older incarnation.

--- a/crates/courseshed-edge/src/records/catch_up.rs
+++ b/crates/courseshed-edge/src/records/catch_up.rs
@@ -6,7 +6,6 @@
 use courseshed_records::{PartitionId, PartitionMap, RecordView};
 use tokio::time::{sleep, timeout};
 
-use super::query_order::order_of_sources;
 use super::replica_client::ReplicaClient;
 use crate::control_client::ControlClient;
 
@@ -62,18 +61,11 @@
     async fn read_from_sources(&self, partition: PartitionId, records: &PartitionMap) -> bool {
         let view = records.view(partition);
         let client = &self.client;
-        let mut remaining = view.sources_needed();
-        for source in order_of_sources(view, &client.zones, &client.zone) {
-            if remaining == 0 {
-                break;
-            }
-            let copied = client.copy_from(partition, view.epoch, source, Duration::ZERO, || None);
-            if copied.await.is_some() {
-                remaining -= 1;
-            }
-        }
+        let needed = view.sources_needed();
+        let copied = client.copy_from_sources(partition, view, needed, Duration::ZERO, || None);
+        let is_copied = copied.await.is_some();
         // A newer view may require other sources, so the catch-up must be repeated.
         let newest = client.follower.view().records;
-        remaining == 0 && newest.view(partition).epoch == view.epoch
+        is_copied && newest.view(partition).epoch == view.epoch
     }
 }
--- a/crates/courseshed-edge/src/records/repair.rs
+++ b/crates/courseshed-edge/src/records/repair.rs
@@ -10,7 +10,6 @@
 use tokio::time::{Instant, sleep};
 
 use super::chains::part_of;
-use super::query_order::order_of_sources;
 use super::replica_client::ReplicaClient;
 use crate::clock::unix_time_ms;
 use crate::metrics::Metrics;
@@ -94,10 +93,7 @@
             max_turns: missing.repaired_turns.saturating_add(1),
         },
     };
-    for source in order_of_sources(view, &client.zones, &client.zone) {
-        if source.node == client.node {
-            continue;
-        }
+    for source in client.sources(view) {
         let turns = fetch(client, partition, view.epoch, source, operation.clone()).await;
         if turns.is_empty() {
             continue;
--- a/crates/courseshed-edge/src/records/replica_client.rs
+++ b/crates/courseshed-edge/src/records/replica_client.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_records::{ExportCursor, PartitionId, RecordMember};
+use courseshed_records::{ExportCursor, PartitionId, RecordMember, RecordView};
 use courseshed_types::{NodeId, ZoneMap};
 use tokio::time::sleep;
 
 use super::disk::Disk;
+use super::query_order::order_of_sources;
 use crate::follower::FleetFollower;
 use crate::peers::Peers;
 use crate::protocol::{
@@ -55,10 +56,45 @@
         }
     }
 
+    /// The other replicas that this store may read from, in the order of preference.
+    pub(super) fn sources<'a>(
+        &self,
+        view: &'a RecordView,
+    ) -> impl Iterator<Item = &'a RecordMember> {
+        let node = self.node;
+        let sources = order_of_sources(view, &self.zones, &self.zone).into_iter();
+        sources.filter(move |source| source.node != node)
+    }
+
+    /// Copies the records of a partition from as many other replicas as are needed, see [`Self::copy_from`]. Returns
+    /// the number of records, or `None` if too few replicas answered.
+    pub(super) async fn copy_from_sources(
+        &self,
+        partition: PartitionId,
+        view: &RecordView,
+        needed: usize,
+        page_delay: Duration,
+        max_age: impl Fn() -> Option<Duration>,
+    ) -> Option<usize> {
+        let mut remaining = needed;
+        let mut copied = 0;
+        for source in self.sources(view) {
+            if remaining == 0 {
+                break;
+            }
+            let records = self.copy_from(partition, view.epoch, source, page_delay, &max_age);
+            if let Some(records) = records.await {
+                copied += records;
+                remaining -= 1;
+            }
+        }
+        (remaining == 0).then_some(copied)
+    }
+
     /// Copies the records of a partition from another replica, in pages with a delay between them. `max_age` is
     /// called for each page, and limits it to records received within that time. Returns the number of records, or
     /// `None` if not all pages were copied.
-    pub(super) async fn copy_from(
+    async fn copy_from(
         &self,
         partition: PartitionId,
         epoch: u64,
--- a/crates/courseshed-edge/src/records/resync.rs
+++ b/crates/courseshed-edge/src/records/resync.rs
@@ -6,7 +6,6 @@
 use courseshed_records::PartitionId;
 use tokio::time::{Instant, sleep};
 
-use super::query_order::order_of_sources;
 use super::replica_client::ReplicaClient;
 use crate::clock::unix_time_ms;
 use crate::follower::Absence;
@@ -92,21 +91,9 @@
         // A joining replica reads everything from others.
         return Some(0);
     }
-    let mut needed = view.sources_needed() - 1;
-    let mut copied = 0;
-    for source in order_of_sources(view, &client.zones, &client.zone) {
-        if needed == 0 {
-            break;
-        }
-        if source.node == client.node {
-            continue;
-        }
-        let max_age = || Some(absence.age() + MARGIN);
-        let records = client.copy_from(partition, view.epoch, source, PAGE_DELAY, max_age);
-        if let Some(records) = records.await {
-            copied += records;
-            needed -= 1;
-        }
-    }
-    (needed == 0).then_some(copied)
+    let needed = view.sources_needed() - 1;
+    let max_age = || Some(absence.age() + MARGIN);
+    client
+        .copy_from_sources(partition, view, needed, PAGE_DELAY, max_age)
+        .await
 }
