Send requests to stores by one function

Cause: the client of gateways and that of stores had the same lines: set the address, send, take the reply of records or none. Change: `send_to_store`. Behaviour is the same.

--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -20,13 +20,11 @@
 
 use super::outages::{OutageDecision, Outages};
 use super::query_order::QueryOrder;
+use super::requests::send_to_store;
 use crate::follower::FleetFollower;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::protocol::{
-    ChainReading, PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply,
-    RecordRequest,
-};
+use crate::protocol::{ChainReading, PeerAddresses, RecordOperation, RecordReply, RecordRequest};
 
 /// Timeout of one round of queries.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(700);
@@ -508,13 +506,7 @@
         request: RecordRequest,
         limit: Duration,
     ) -> Option<RecordReply> {
-        let address = self.addresses.of(node, PeerPort::Store);
-        self.peers.set_address(node, address);
-        let request = PeerRequest::Records(request);
-        match self.peers.request(node, request, limit).await {
-            Ok(PeerReply::Records(reply)) => Some(reply),
-            _ => None,
-        }
+        send_to_store(&self.peers, self.addresses, node, request, limit).await
     }
 
     /// The current views of the partitions.
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -8,6 +8,7 @@
 mod query_order;
 mod repair;
 mod replica_client;
+mod requests;
 mod resync;
 mod store;
 mod stream_versions;
--- a/crates/courseshed-edge/src/records/replica_client.rs
+++ b/crates/courseshed-edge/src/records/replica_client.rs
@@ -9,11 +9,10 @@
 
 use super::disk::Disk;
 use super::query_order::order_of_sources;
+use super::requests::send_to_store;
 use crate::follower::FleetFollower;
 use crate::peers::Peers;
-use crate::protocol::{
-    PeerAddresses, PeerPort, PeerReply, PeerRequest, RecordOperation, RecordReply, RecordRequest,
-};
+use crate::protocol::{PeerAddresses, RecordOperation, RecordReply, RecordRequest};
 
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,19 +40,14 @@
         operation: RecordOperation,
         limit: Duration,
     ) -> Option<RecordReply> {
-        let address = self.addresses.of(replica.node, PeerPort::Store);
-        self.peers.set_address(replica.node, address);
-        let request = PeerRequest::Records(RecordRequest {
+        let request = RecordRequest {
             incarnation: replica.incarnation,
             partition,
             epoch,
             operation,
             stream: None,
-        });
-        match self.peers.request(replica.node, request, limit).await {
-            Ok(PeerReply::Records(reply)) => Some(reply),
-            _ => None,
-        }
+        };
+        send_to_store(&self.peers, self.addresses, replica.node, request, limit).await
     }
 
     /// The other replicas that this store may read from, in the order of preference.
