Return the outcome of a chain as one type, or nothing yet

Cause: `AssembledChain` of the gateway was `ChainProgress` without its last case, and one was translated into the other. Change: `ChainAssembly::on_part` returns an optional `ChainOutcome`, which the gateway uses as it is. The tests compare the same results; `Incomplete` is `None`. A field of the test harness that nothing read is gone, and one comment is plainer.

--- a/crates/courseshed-edge/src/records/chains.rs
+++ b/crates/courseshed-edge/src/records/chains.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use courseshed_records::{
-    ChainAssembly, ChainError, ChainPart, ChainProgress, ChainRest, PartitionId, RecordMember,
+    ChainAssembly, ChainError, ChainOutcome, ChainPart, ChainRest, PartitionId, RecordMember,
     RecordView, Turn,
 };
 use courseshed_routing::AllowedRegions;
@@ -39,13 +39,6 @@
     pub turns: Vec<Turn>,
 }
 
-/// How the lookup of a chain in all replicas of a partition ended.
-enum AssembledChain {
-    Found(Vec<Turn>),
-    Unknown,
-    AncestorLost(String),
-}
-
 impl RecordClient {
     /// Reads a turn with its chain. Tries the partition first that the program's first turn is stored in, then all
     /// others, since the turn may belong to another program or have been received in another region.
@@ -107,8 +100,8 @@
             }
         }
         Ok(match self.assemble_chain(partition, id, deadline).await? {
-            AssembledChain::Found(turns) => kept(turns),
-            AssembledChain::Unknown | AssembledChain::AncestorLost(_) => ChainLookup::Unknown,
+            ChainOutcome::Complete(turns) => kept(turns),
+            ChainOutcome::Unknown | ChainOutcome::AncestorLost(_) => ChainLookup::Unknown,
         })
     }
 
@@ -118,7 +111,7 @@
         partition: PartitionId,
         id: &str,
         deadline: Instant,
-    ) -> Result<AssembledChain, RecordsUnavailable> {
+    ) -> Result<ChainOutcome, RecordsUnavailable> {
         let began = Instant::now();
         let assembly = Mutex::new(ChainAssembly::new(id));
         let operation = part_of_chain(id);
@@ -133,13 +126,13 @@
         let replies = assembly.replies();
         let missing = assembly.missing_at();
         match &assembled {
-            Ok(AssembledChain::Found(turns)) if !missing.is_empty() => {
+            Ok(ChainOutcome::Complete(turns)) if !missing.is_empty() => {
                 self.metrics.chains_assembled.inc();
                 let bytes: usize = turns.iter().map(Turn::content_bytes).sum();
                 log::info!(event = "chain_assembled", turn = id, partition = partition.0, turns = turns.len(), bytes, replies, took_ms, missing:? = *missing; "a chain was read although replicas lack turns of it");
             }
-            Ok(AssembledChain::Found(_) | AssembledChain::Unknown) => {}
-            Ok(AssembledChain::AncestorLost(ancestor)) => {
+            Ok(ChainOutcome::Complete(_) | ChainOutcome::Unknown) => {}
+            Ok(ChainOutcome::AncestorLost(ancestor)) => {
                 self.metrics.chains_lost.inc();
                 log::error!(event = "chain_lost", turn = id, ancestor = ancestor.as_str(), partition = partition.0, replies, took_ms, missing:? = *missing; "all replicas lack an ancestor of a stored turn");
             }
@@ -175,19 +168,13 @@
 }
 
 /// Adds a reply to a chain, and asks further replicas for what it lacks.
-fn next_step(
-    assembly: &mut ChainAssembly,
-    node: NodeId,
-    reply: RecordReply,
-) -> Step<AssembledChain> {
+fn next_step(assembly: &mut ChainAssembly, node: NodeId, reply: RecordReply) -> Step<ChainOutcome> {
     let Some(part) = part_of(reply) else {
         return Step::Wait;
     };
     match assembly.on_part(node, part) {
-        ChainProgress::Complete(turns) => Step::Decided(AssembledChain::Found(turns)),
-        ChainProgress::Unknown => Step::Decided(AssembledChain::Unknown),
-        ChainProgress::AncestorLost(id) => Step::Decided(AssembledChain::AncestorLost(id)),
-        ChainProgress::Incomplete => {
+        Some(outcome) => Step::Decided(outcome),
+        None => {
             let nodes = assembly.next_requests();
             Step::Ask(nodes, Box::new(part_of_chain(assembly.wanted())))
         }
--- a/crates/courseshed-edge/tests/support/stores.rs
+++ b/crates/courseshed-edge/tests/support/stores.rs
@@ -46,7 +46,6 @@
 /// A node that reads and writes records, as a gateway does.
 pub struct Client {
     pub records: RecordClient,
-    pub metrics: Arc<Metrics>,
     peers: Arc<Peers>,
     follower: Arc<FleetFollower>,
 }
@@ -149,7 +148,6 @@
         );
         actix_rt::spawn(follower.clone().run());
         wait_until(async || follower.view().records.is_fully_active()).await;
-        let metrics = Arc::new(Metrics::new());
         Client {
             records: RecordClient::new(
                 peers.clone(),
@@ -157,9 +155,8 @@
                 self.addresses,
                 zone(store),
                 Arc::new(ZoneMap::default()),
-                metrics.clone(),
+                Arc::new(Metrics::new()),
             ),
-            metrics,
             peers,
             follower,
         }
--- a/crates/courseshed-records/src/chain.rs
+++ b/crates/courseshed-records/src/chain.rs
@@ -31,17 +31,15 @@
     pub rest: ChainRest,
 }
 
-/// What the parts received so far amount to.
+/// What the parts of a chain amount to once they decide.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ChainProgress {
+pub enum ChainOutcome {
     /// The whole chain, oldest first.
     Complete(Vec<Turn>),
     /// A quorum lacks the requested turn, so that it was never accepted or has expired.
     Unknown,
     /// All replicas lack an ancestor, so that the chain is lost.
     AncestorLost(String),
-    /// More parts are needed.
-    Incomplete,
 }
 
 /// A chain that is being put together.
@@ -113,8 +111,8 @@
         &self.missing_at
     }
 
-    /// Adds the part that a replica returned.
-    pub fn on_part(&mut self, node: NodeId, part: ChainPart) -> ChainProgress {
+    /// Adds the part that a replica returned. Returns the outcome, or `None` if more parts are needed.
+    pub fn on_part(&mut self, node: NodeId, part: ChainPart) -> Option<ChainOutcome> {
         self.replies += 1;
         self.idle.insert(node);
         if let ChainRest::Missing(id) = part.rest {
@@ -126,23 +124,17 @@
         self.advance();
         let Some(wanted) = &self.wanted else {
             let newest_first = std::mem::take(&mut self.chain);
-            return ChainProgress::Complete(newest_first.into_iter().rev().collect());
+            let turns = newest_first.into_iter().rev().collect();
+            return Some(ChainOutcome::Complete(turns));
         };
         let missing = self.missing_at.get(wanted);
         let lacking = missing.map_or(0, |nodes| nodes.intersection(&self.active).count());
         if self.chain.is_empty() {
-            return if lacking >= self.quorum && self.quorum > 0 {
-                ChainProgress::Unknown
-            } else {
-                ChainProgress::Incomplete
-            };
+            let is_unknown = lacking >= self.quorum && self.quorum > 0;
+            return is_unknown.then_some(ChainOutcome::Unknown);
         }
         let is_lost = lacking == self.active.len() || self.chain.len() >= MAX_CHAIN_LENGTH;
-        if is_lost {
-            ChainProgress::AncestorLost(wanted.clone())
-        } else {
-            ChainProgress::Incomplete
-        }
+        is_lost.then(|| ChainOutcome::AncestorLost(wanted.clone()))
     }
 
     /// The replicas to ask for the wanted turn now: those that have answered, unless they lack it or were asked
--- a/crates/courseshed-records/src/chain_simulation.rs
+++ b/crates/courseshed-records/src/chain_simulation.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    ChainAssembly, ChainPart, ChainProgress, ExportCursor, Location, Record, RecordReplica,
+    ChainAssembly, ChainOutcome, ChainPart, ExportCursor, Location, Record, RecordReplica,
     RecordView, ReservationTally, StoreMachine, StoredEntry, Turn, ViewPlan, WriteTally, plan_view,
 };
 
@@ -644,23 +644,23 @@
             .any(|node| self.stores[node].replica.chain(&newest).is_ok());
         self.report.read += 1;
         self.report.assembled += u64::from(!is_whole_at_one);
-        let progress = if self.variant == ChainVariant::NoAssembly && !is_whole_at_one {
-            ChainProgress::Incomplete
+        let outcome = if self.variant == ChainVariant::NoAssembly && !is_whole_at_one {
+            None
         } else {
             self.assemble(&newest, &running)
         };
-        let is_readable = match &progress {
-            ChainProgress::Complete(turns) => turns.iter().map(|turn| &turn.id).eq(&expected),
+        let is_readable = match &outcome {
+            Some(ChainOutcome::Complete(turns)) => turns.iter().map(|turn| &turn.id).eq(&expected),
             _ => false,
         };
         if !is_readable {
-            let detail = format!("{newest} from {running:?} at {now}: {progress:?}");
+            let detail = format!("{newest} from {running:?} at {now}: {outcome:?}");
             self.report.unreadable.push(detail);
         }
     }
 
     /// Asks some replicas for a chain, as a gateway does while the others are silent.
-    fn assemble(&self, newest: &str, replicas: &[NodeId]) -> ChainProgress {
+    fn assemble(&self, newest: &str, replicas: &[NodeId]) -> Option<ChainOutcome> {
         let mut assembly = ChainAssembly::new(newest);
         assembly.start_round(&self.view);
         let mut asked: Vec<(NodeId, String)> = replicas
@@ -670,19 +670,19 @@
         while !asked.is_empty() {
             let (node, wanted) = asked.remove(0);
             let part = self.part_of_chain(node, &wanted, usize::MAX);
-            let progress = assembly.on_part(node, part);
-            if progress != ChainProgress::Incomplete {
-                return progress;
+            let outcome = assembly.on_part(node, part);
+            if outcome.is_some() {
+                return outcome;
             }
             let wanted = assembly.wanted().to_owned();
             let next = assembly.next_requests().into_iter();
             asked.extend(next.map(|node| (node, wanted.clone())));
         }
-        ChainProgress::Incomplete
+        None
     }
 
-    /// Lets all stores run for a while and checks that each active replica has what it missed in an absence, with all
-    /// ancestors.
+    /// Lets all stores run until they have caught up, and checks that each active replica has the turns that it missed
+    /// in absences, with their ancestors.
     fn check_replication(&mut self) {
         for store in self.stores.values_mut() {
             store.back_at = self.now;
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -31,7 +31,7 @@
 mod turn_cache;
 mod view;
 
-pub use chain::{ChainAssembly, ChainPart, ChainProgress, ChainRest};
+pub use chain::{ChainAssembly, ChainOutcome, ChainPart, ChainRest};
 pub use gaps::{GAP_REPAIR_DELAY_MS, MissingTurn};
 pub use partition::{
     PARTITION_COUNT, PartitionId, PartitionMap, PartitionRecord, PartitionTables, ViewChange,
--- a/crates/courseshed-records/tests/chain.rs
+++ b/crates/courseshed-records/tests/chain.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use courseshed_records::{
-    ChainAssembly, ChainPart, ChainProgress, ChainRest, RecordMember, RecordView, Turn,
+    ChainAssembly, ChainOutcome, ChainPart, ChainRest, RecordMember, RecordView, Turn,
 };
 use courseshed_types::NodeId;
 use yare::parameterized;
@@ -57,7 +57,7 @@
 
 /// Asks replicas for the chain of a turn until nothing more can be asked. Returns the result and the number of
 /// replies. A replica without a list of turns is silent.
-fn assemble(newest: u32, stored: [Option<&[u32]>; 3]) -> (ChainProgress, usize) {
+fn assemble(newest: u32, stored: [Option<&[u32]>; 3]) -> (Option<ChainOutcome>, usize) {
     let mut assembly = ChainAssembly::new(&id(newest));
     assembly.start_round(&view());
     let mut asked: Vec<(usize, String)> = (0..NODES.len()).map(|node| (node, id(newest))).collect();
@@ -66,20 +66,20 @@
         let Some(turns) = stored[node] else {
             continue;
         };
-        let progress = assembly.on_part(NODES[node], part_of(turns, &wanted));
-        if progress != ChainProgress::Incomplete {
-            return (progress, assembly.replies());
+        let outcome = assembly.on_part(NODES[node], part_of(turns, &wanted));
+        if outcome.is_some() {
+            return (outcome, assembly.replies());
         }
         for next in assembly.next_requests() {
             let node = NODES.iter().position(|node| *node == next);
             asked.push((node.expect("a member"), assembly.wanted().to_owned()));
         }
     }
-    (ChainProgress::Incomplete, assembly.replies())
+    (None, assembly.replies())
 }
 
-fn whole(newest: u32) -> ChainProgress {
-    ChainProgress::Complete((0..=newest).map(turn).collect())
+fn whole(newest: u32) -> Option<ChainOutcome> {
+    Some(ChainOutcome::Complete((0..=newest).map(turn).collect()))
 }
 
 /// Guards against chains that are taken for lost because each replica lacks another turn.
@@ -101,20 +101,20 @@
         let turns = 0..=TURNS;
         turns.filter(|turn| turn % 3 != replica).collect()
     });
-    let (progress, replies) = assemble(TURNS, [0, 1, 2].map(|index| Some(&stored[index][..])));
-    assert_eq!(progress, whole(TURNS));
+    let (outcome, replies) = assemble(TURNS, [0, 1, 2].map(|index| Some(&stored[index][..])));
+    assert_eq!(outcome, whole(TURNS));
     assert!(replies <= 2 * TURNS as usize, "{replies} replies");
 }
 
 #[parameterized(
-    quorum_lacks_the_turn = { [Some(&[0, 1]), Some(&[0, 1]), None], ChainProgress::Unknown },
-    one_lacks_the_turn = { [Some(&[0, 1]), None, None], ChainProgress::Incomplete },
-    all_lack_an_ancestor = { [Some(&[0, 2]), Some(&[0, 2]), Some(&[2])], ChainProgress::AncestorLost("t1".to_owned()) },
-    quorum_lacks_an_ancestor = { [Some(&[0, 2]), Some(&[0, 2]), None], ChainProgress::Incomplete },
+    quorum_lacks_the_turn = { [Some(&[0, 1]), Some(&[0, 1]), None], Some(ChainOutcome::Unknown) },
+    one_lacks_the_turn = { [Some(&[0, 1]), None, None], None },
+    all_lack_an_ancestor = { [Some(&[0, 2]), Some(&[0, 2]), Some(&[2])], Some(ChainOutcome::AncestorLost("t1".to_owned())) },
+    quorum_lacks_an_ancestor = { [Some(&[0, 2]), Some(&[0, 2]), None], None },
 )]
 fn absence_is_decided_by_a_quorum_and_a_lost_ancestor_by_all(
     stored: [Option<&[u32]>; 3],
-    expected: ChainProgress,
+    expected: Option<ChainOutcome>,
 ) {
     assert_eq!(assemble(2, stored).0, expected);
 }
@@ -125,10 +125,10 @@
     let mut assembly = ChainAssembly::new("t1");
     assembly.start_round(&view());
     let lacking = assembly.on_part(NODES[0], part_of(&[0], "t1"));
-    assert_eq!(lacking, ChainProgress::Incomplete);
+    assert_eq!(lacking, None);
     assembly.start_round(&view());
     let lacking = assembly.on_part(NODES[1], part_of(&[0], "t1"));
-    assert_eq!(lacking, ChainProgress::Incomplete);
+    assert_eq!(lacking, None);
 }
 
 /// Guards against taking a record that cannot be read for one that is not stored.
@@ -139,7 +139,7 @@
     for node in NODES {
         let rest = ChainRest::Omitted("t0".to_owned());
         let turns = vec![turn(1)];
-        let progress = assembly.on_part(node, ChainPart { turns, rest });
-        assert_eq!(progress, ChainProgress::Incomplete);
+        let outcome = assembly.on_part(node, ChainPart { turns, rest });
+        assert_eq!(outcome, None);
     }
 }
