--- a/crates/courseshed-records/src/chain_simulation.rs
+++ b/crates/courseshed-records/src/chain_simulation.rs
@@ -12,9 +12,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::simulation::next_view;
 use crate::{
     ChainAssembly, ChainOutcome, ChainPart, ExportCursor, Location, Record, RecordReplica,
-    RecordView, ReservationTally, StoreMachine, StoredEntry, Turn, ViewPlan, WriteTally, plan_view,
+    RecordView, ReservationTally, StoreMachine, StoredEntry, Turn, WriteTally,
 };
 
 const STEPS: usize = 700;
@@ -424,16 +425,8 @@
             .filter(|(_, store)| is_silent(store))
             .map(|(node, _)| *node)
             .collect();
-        let plan = ViewPlan {
-            view: &self.view,
-            stores: &self.machines,
-            silent: &silent,
-            retiring: &BTreeSet::new(),
-            replication_factor: 2 * self.max_lost + 1,
-            replicas: &BTreeMap::new(),
-            home: None,
-        };
-        if let Some(next) = plan_view(&plan) {
+        let next = next_view(&self.view, &self.machines, &silent, self.max_lost);
+        if let Some(next) = next {
             self.adopt(next);
         }
     }
--- a/crates/courseshed-records/src/simulation.rs
+++ b/crates/courseshed-records/src/simulation.rs
@@ -194,6 +194,24 @@
     }
 }
 
+/// Plans the next view of simulated stores, none of which is retiring; `None` if there is nothing to change.
+pub(crate) fn next_view(
+    view: &RecordView,
+    stores: &BTreeMap<NodeId, StoreMachine>,
+    silent: &BTreeSet<NodeId>,
+    max_lost_disks: usize,
+) -> Option<RecordView> {
+    plan_view(&ViewPlan {
+        view,
+        stores,
+        silent,
+        retiring: &BTreeSet::new(),
+        replication_factor: 2 * max_lost_disks + 1,
+        replicas: &BTreeMap::new(),
+        home: None,
+    })
+}
+
 /// Loads an exported entry. The location of a turn determines its content.
 fn load_entry(entry: StoredEntry) -> (Record, Location) {
     match entry {
@@ -435,16 +453,8 @@
             .filter(|(_, store)| !store.is_reachable)
             .map(|(node, _)| *node)
             .collect();
-        let plan = ViewPlan {
-            view: &self.view,
-            stores: &self.machines,
-            silent: &silent,
-            retiring: &BTreeSet::new(),
-            replication_factor: 2 * self.max_lost_disks + 1,
-            replicas: &BTreeMap::new(),
-            home: None,
-        };
-        if let Some(next) = plan_view(&plan) {
+        let next = next_view(&self.view, &self.machines, &silent, self.max_lost_disks);
+        if let Some(next) = next {
             self.adopt(next);
         }
     }
