Log what the list and a connection showed of a server that failed

The line server_failed said whether a server was held for ended, but neither whether a connection to it timed out, was refused or failed for a reason of the gateway's own, nor how long that took. It now has listing, probe and probe_ms. The probe moves to a module of its own; no decision changes.

--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod outcomes;
 mod plain;
 mod policy;
+mod probe;
 mod program;
 mod prompt_cache_index;
 mod quota;
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -2,6 +2,7 @@
 //! the current time is passed in. Server selection is in [`super::choice`], outlier detection in
 //! [`super::outcomes`].
 
+mod listing;
 mod loads;
 mod stats;
 mod warm_up;
@@ -26,6 +27,7 @@
 use super::version_requirement::VersionRequirement;
 use crate::follower::FleetView;
 
+pub use listing::Listing;
 pub use stats::CallReport;
 pub(super) use stats::ServerStats;
 
@@ -187,6 +189,16 @@
         self.stats.get_mut(id)
     }
 
+    /// What the list says of a server.
+    #[must_use]
+    pub fn listing(&self, id: &str) -> Listing {
+        match self.directory.get(id).map(|server| server.state) {
+            Some(ServerState::Ready) => Listing::Ready,
+            Some(ServerState::Draining) => Listing::Draining,
+            None => Listing::NotListed,
+        }
+    }
+
     /// Whether a server is listed, in any state.
     #[must_use]
     pub fn contains(&self, id: &str) -> bool {
--- a/crates/courseshed-edge/src/gateway/suspect_guard.rs
+++ b/crates/courseshed-edge/src/gateway/suspect_guard.rs
@@ -12,11 +12,14 @@
 use courseshed_registry::{EndedServer, SuspectReport, SuspectState, may_send_suspect};
 use courseshed_types::{RequestKey, ServerKey};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+use super::attempts::milliseconds;
 use super::call::GatewayRequest;
 use super::core::GatewayCore;
+use super::probe::ProbeResult;
 use super::selected_server::SelectedServer;
+use super::servers::Listing;
 use crate::metrics::ServiceLabels;
 
 /// When a server that failed and seems to go on running is looked at again: by then one that started again has
@@ -255,13 +258,22 @@
     async fn judge(&mut self, failed: &Receiver) -> bool {
         let SelectedServer { id, address, .. } = &failed.server;
         let core = &self.core;
-        let is_listed = core.servers.borrow().contains(id);
-        let is_running = is_listed && core.pool.is_running(id, *address).await;
+        let listing = core.servers.borrow().listing(id);
+        let is_listed = listing != Listing::NotListed;
+        let began = Instant::now();
+        let probe = if is_listed {
+            Some(core.pool.probe(id, *address).await)
+        } else {
+            None
+        };
+        let probe_ms = milliseconds(began.elapsed());
+        let is_running = probe.is_some_and(ProbeResult::accepts);
         // It may have started again meanwhile, at the same address.
         let has_ended = !is_running || !core.servers.borrow().contains(id);
+        let probe = probe.map(|probe| probe.to_string());
         let request = self.request_id.as_str();
         let request_key = self.report.request;
-        log::info!(event = "server_failed", request, request_key:% = request_key, server = id.as_str(), service = self.service.as_str(), is_listed, is_running, has_ended, known_before = failed.known_before; "a server failed while it had a request");
+        log::info!(event = "server_failed", request, request_key:% = request_key, server = id.as_str(), service = self.service.as_str(), listing:% = listing, probe = probe.as_deref(), probe_ms, is_listed, is_running, has_ended, known_before = failed.known_before; "a server failed while it had a request");
         if has_ended {
             let service = self.service.clone();
             let ended = &core.metrics.servers_ended;
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -22,14 +22,11 @@
 use tokio_util::codec::Decoder;
 
 use super::body_end::{BodyEnd, Ending, Framing};
+use super::probe::{EXIT_TIME, ProbeResult, connect_probe};
 use crate::sockets;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for finding out whether a server accepts connections: above the round-trip time between zones.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
-/// How long a process that ends takes from closing its first connection to closing its last socket.
-const EXIT_TIME: Duration = Duration::from_millis(10);
 /// Default keep-alive time if the server does not state one.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// How much earlier than the server's keep-alive timeout a connection is dropped.
@@ -155,17 +152,20 @@
         })
     }
 
-    /// Whether a server goes on running, as far as connections to it tell. The connection is kept for later
-    /// requests.
-    pub async fn is_running(&self, server: &str, address: SocketAddr) -> bool {
-        let Some(stream) = probe(address).await else {
-            return false;
+    /// Connects to a server to find out whether it goes on running. The connection is kept for later requests.
+    pub async fn probe(&self, server: &str, address: SocketAddr) -> ProbeResult {
+        let stream = match connect_probe(address).await {
+            Ok(stream) => stream,
+            Err(result) => return result,
         };
         // A process that ends may accept connections until its last socket is closed.
         sleep(EXIT_TIME).await;
         if !is_open_and_drained(&stream) {
             // A server that has too many connections closes further ones, too.
-            return probe(address).await.is_some();
+            return match connect_probe(address).await {
+                Ok(_) => ProbeResult::Closed,
+                Err(result) => result,
+            };
         }
         match sockets::prepare(&stream) {
             Ok(()) => self.return_idle(server, address, stream, DEFAULT_KEEP_ALIVE),
@@ -173,7 +173,7 @@
                 log::info!(event = "not_kept", server; "connection not returned to the pool: {error}");
             }
         }
-        true
+        ProbeResult::Open
     }
 
     /// Closes idle connections to servers that are no longer listed, and those past their
@@ -230,12 +230,6 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
-/// A new connection that nothing was sent on; none if the address refuses it or is silent.
-async fn probe(address: SocketAddr) -> Option<TcpStream> {
-    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    connected.ok()?.ok()
-}
-
 async fn connect_to(address: SocketAddr, tolerates_slow_reads: bool) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
