--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 /// Call id of probes that check whether the gateway routes here; they bypass the script.
@@ -19,6 +19,12 @@
 /// How long a peer has to read what was written before the connection is reset.
 const TIME_BEFORE_RESET: Duration = Duration::from_millis(50);
 
+/// Connections that wait to be accepted by servers with a small backlog.
+const SMALL_BACKLOG: u32 = 4;
+
+/// A connection attempt that takes longer is taken for one that nothing answers.
+const SILENCE: Duration = Duration::from_millis(200);
+
 /// A request as received by the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -44,6 +50,11 @@
     WriteAndClose(String),
     /// Writes these bytes, gives the peer time to read them, and resets the connection.
     WriteAndReset(String),
+    /// Writes these bytes, and resets the connection once told to.
+    WriteAndResetWhen {
+        text: String,
+        when: watch::Receiver<bool>,
+    },
     /// Writes these bytes, closes the connection in order, and then resets it.
     WriteCloseAndReset(String),
     /// Writes a head and then the same chunk `times` times, as fast as the peer reads.
@@ -79,11 +90,40 @@
     stalled_writes: Arc<Mutex<usize>>,
     shutdown: Arc<watch::Sender<bool>>,
     is_closed: Arc<watch::Sender<bool>>,
+    new_connections: Arc<watch::Sender<NewConnections>>,
+    /// Connections that fill the backlog.
+    fillers: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+/// What the server does with new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewConnections {
+    Served,
+    Closed,
+    /// They stay in the backlog.
+    Left,
 }
 
 impl MockServer {
     pub async fn start(script: impl FnMut(&ReceivedRequest) -> Action + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::serve_from(listener, script)
+    }
+
+    /// A server whose backlog [`Self::stop_answering_connections`] can fill.
+    pub async fn start_with_small_backlog(
+        script: impl FnMut(&ReceivedRequest) -> Action + Send + 'static,
+    ) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(any_port).expect("a port");
+        Self::serve_from(socket.listen(SMALL_BACKLOG).expect("a listener"), script)
+    }
+
+    fn serve_from(
+        listener: TcpListener,
+        script: impl FnMut(&ReceivedRequest) -> Action + Send + 'static,
+    ) -> Self {
         let server = Self {
             address: listener.local_addr().expect("an address"),
             requests: Arc::default(),
@@ -92,13 +132,28 @@
             stalled_writes: Arc::default(),
             shutdown: Arc::new(watch::channel(false).0),
             is_closed: Arc::new(watch::channel(false).0),
+            new_connections: Arc::new(watch::channel(NewConnections::Served).0),
+            fillers: Arc::default(),
         };
         let script: Arc<Mutex<Script>> = Arc::new(Mutex::new(Box::new(script)));
         let serving = server.clone();
         let mut shutdown = server.shutdown.subscribe();
         tokio::spawn(async move {
+            let mut new_connections = serving.new_connections.subscribe();
             let accept = async {
-                while let Ok((stream, _)) = listener.accept().await {
+                loop {
+                    let is_accepting = |new: &NewConnections| *new != NewConnections::Left;
+                    let _ = new_connections.wait_for(is_accepting).await;
+                    let accepted = tokio::select! {
+                        accepted = listener.accept() => accepted,
+                        _ = new_connections.changed() => continue,
+                    };
+                    let Ok((stream, _)) = accepted else {
+                        return;
+                    };
+                    if *serving.new_connections.borrow() == NewConnections::Closed {
+                        continue;
+                    }
                     *serving.connections.lock() += 1;
                     tokio::spawn(serving.clone().serve(stream, script.clone()));
                 }
@@ -130,7 +185,26 @@
         *self.stalled_writes.lock()
     }
 
-    async fn stop_listening(&self) {
+    /// Closes connections as soon as they are accepted.
+    pub fn close_new_connections(&self) {
+        self.new_connections.send_replace(NewConnections::Closed);
+    }
+
+    /// Fills the backlog, so that nothing answers further connection attempts.
+    pub async fn stop_answering_connections(&self) {
+        self.new_connections.send_replace(NewConnections::Left);
+        loop {
+            let connect = TcpStream::connect(self.address);
+            match tokio::time::timeout(SILENCE, connect).await {
+                Ok(Ok(stream)) => self.fillers.lock().push(stream),
+                Ok(Err(error)) => panic!("filling the backlog: {error}"),
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Refuses connections, and goes on serving those that are open.
+    pub async fn stop_listening(&self) {
         self.shutdown.send_replace(true);
         let mut is_closed = self.is_closed.subscribe();
         let _ = is_closed.wait_for(|closed| *closed).await;
@@ -161,6 +235,13 @@
                     reset.expect("a socket option");
                     return;
                 }
+                Action::WriteAndResetWhen { text, mut when } => {
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    let _ = when.wait_for(|is_due| *is_due).await;
+                    let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    reset.expect("a socket option");
+                    return;
+                }
                 Action::WriteCloseAndReset(text) => {
                     let _ = stream.write_all(text.as_bytes()).await;
                     let _ = stream.shutdown().await;
