Count a failed server towards the attempts until it is known to have ended

Callers saw a request run on more servers than its route allows (two of one): a server broke off a stream, went on running, and the gateway sent the request to the next.

Cause: a server that was not listed, or to which no connection was made within 50 ms, was taken for ended, and ended servers don't count towards max_attempts. A round trip between regions takes 60 ms on that site, so that every server of the other region that broke off a response was.

The fate of a failed server has three values now, decided by one function from what the list says and what a connection showed. One that may have ended counts towards max_attempts and towards the three servers that may end under a request, so that each limit errs on its safe side. Connecting waits as long as the path to the zone needs, and servers that are not listed are asked too.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants: a non-idempotent request is sent again only after a server stated that it did not
 //! execute it; a request is sent to at most as many servers as its route allows, not counting those
-//! that only refused it, were unreachable or ended while they had it; once a server failed while it
+//! that only refused it, were unreachable or are known to have ended; once a server failed while it
 //! had the request, the gateway never reports it as not executed.
 
 mod checks;
@@ -455,9 +455,10 @@
         self.ledger.counted_receivers() < self.route.max_attempts as usize
     }
 
-    /// Finds out whether the server that failed last has ended.
+    /// Finds out what became of the server that failed last.
     async fn settle_failure(&mut self) {
-        if self.guard.settle().await {
+        let fate = self.guard.settle().await;
+        if fate.is_some_and(|fate| !fate.counts_as_receiver()) {
             self.ledger.record_server_ended();
             self.log.sends = self.ledger.to_string();
         }
--- a/crates/courseshed-edge/src/gateway/probe.rs
+++ b/crates/courseshed-edge/src/gateway/probe.rs
@@ -8,8 +8,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Timeout for finding out whether a server accepts connections: above the round-trip time between zones.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Connection attempts before a server counts as silent: a lost SYN is sent again only after a second.
+const ATTEMPTS: usize = 2;
 /// How long a process that ends takes from closing its first connection to closing its last socket.
 pub(super) const EXIT_TIME: Duration = Duration::from_millis(10);
 
@@ -29,12 +29,6 @@
 }
 
 impl ProbeResult {
-    /// Whether something accepts connections at the address.
-    #[must_use]
-    pub fn accepts(self) -> bool {
-        matches!(self, Self::Open | Self::Closed)
-    }
-
     fn of_error(error: &io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::ConnectionRefused => Self::Refused,
@@ -56,11 +50,17 @@
     }
 }
 
-/// A new connection on which nothing was sent, or what its failure shows.
-pub(super) async fn connect_probe(address: SocketAddr) -> Result<TcpStream, ProbeResult> {
-    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(error)) => Err(ProbeResult::of_error(&error)),
-        Err(_) => Err(ProbeResult::TimedOut),
+/// A new connection on which nothing was sent, or what its failure shows. `limit` applies to each attempt.
+pub(super) async fn connect_probe(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<TcpStream, ProbeResult> {
+    for _ in 0..ATTEMPTS {
+        match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => return Ok(stream),
+            Ok(Err(error)) => return Err(ProbeResult::of_error(&error)),
+            Err(_) => {}
+        }
     }
+    Err(ProbeResult::TimedOut)
 }
--- a/crates/courseshed-edge/src/gateway/selected_server.rs
+++ b/crates/courseshed-edge/src/gateway/selected_server.rs
@@ -13,6 +13,10 @@
     pub name: String,
     /// The address that it listens on.
     pub address: SocketAddr,
+    /// The zone that it is in.
+    pub zone: String,
+    /// Start time in Unix milliseconds of the server's clock, if it reports one.
+    pub started_ms: Option<u64>,
     /// Version of its software, if it reports one.
     pub software_version: Option<String>,
 }
@@ -25,6 +29,8 @@
             id: server.id.clone(),
             name: server.name().to_owned(),
             address: server.address,
+            zone: server.zone.clone(),
+            started_ms: server.started_ms,
             software_version: server.software_version.clone(),
         }
     }
--- a/crates/courseshed-edge/src/gateway/send_ledger.rs
+++ b/crates/courseshed-edge/src/gateway/send_ledger.rs
@@ -108,7 +108,7 @@
     }
 
     /// The receivers that count towards the most servers that an attempt may be sent to: those that
-    /// have not ended.
+    /// are not known to have ended.
     pub fn counted_receivers(&self) -> usize {
         let ended: Vec<&Send> = self
             .sends
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -22,6 +22,7 @@
 use super::policy::{Mechanism, Policy};
 use super::prompt_cache_index::PromptCacheIndex;
 use super::region_reach::RegionReach;
+use super::round_trip::RoundTrips;
 use super::selected_server::SelectedServer;
 use super::service_versions::ServiceVersions;
 use super::version_requirement::VersionRequirement;
@@ -63,6 +64,8 @@
     /// Network latency to servers of other regions.
     pub(super) region_latency: RegionLatency,
     region_reach: RegionReach,
+    /// Round-trip times to servers, by their zone.
+    round_trips: RoundTrips<String>,
     versions: ServiceVersions,
     serving: ServingConstraints,
 }
@@ -109,6 +112,7 @@
         if let Some(region) = self.zones.region_of(&server.zone) {
             self.region_reach.record_reached(region);
         }
+        self.round_trips.record(server.zone.clone(), took);
     }
 
     /// Records that a connection to a server failed. A refused one shows that its region can be
@@ -189,16 +193,35 @@
         self.stats.get_mut(id)
     }
 
-    /// What the list says of a server.
+    /// What the list says of a server of a service; `is_confirmed` tells whether a controller confirmed it lately.
     #[must_use]
-    pub fn listing(&self, id: &str) -> Listing {
-        match self.directory.get(id).map(|server| server.state) {
-            Some(ServerState::Ready) => Listing::Ready,
+    pub fn listing(&self, service: &str, server: &SelectedServer, is_confirmed: bool) -> Listing {
+        match self.directory.get(&server.id).map(|server| server.state) {
+            Some(ServerState::Ready) if is_confirmed => Listing::Ready,
+            Some(ServerState::Ready) => Listing::Unconfirmed,
             Some(ServerState::Draining) => Listing::Draining,
+            None if self.is_replaced(service, server) => Listing::Replaced,
             None => Listing::NotListed,
         }
     }
 
+    /// Whether another process that started later is listed at the address of a server.
+    fn is_replaced(&self, service: &str, server: &SelectedServer) -> bool {
+        let mut others = self.directory.servers(service);
+        others.any(|other| {
+            other.id != server.id
+                && other.address == server.address
+                && server.started_ms.is_some()
+                && other.started_ms > server.started_ms
+        })
+    }
+
+    /// How long to wait for a connection to a zone.
+    #[must_use]
+    pub fn connect_timeout(&self, zone: &str) -> Duration {
+        self.round_trips.timeout(zone)
+    }
+
     /// Whether a server is listed, in any state.
     #[must_use]
     pub fn contains(&self, id: &str) -> bool {
--- a/crates/courseshed-edge/src/gateway/suspect_guard.rs
+++ b/crates/courseshed-edge/src/gateway/suspect_guard.rs
@@ -17,9 +17,8 @@
 use super::attempts::milliseconds;
 use super::call::GatewayRequest;
 use super::core::GatewayCore;
-use super::probe::ProbeResult;
 use super::selected_server::SelectedServer;
-use super::servers::Listing;
+use super::server_fate::ServerFate;
 use crate::metrics::ServiceLabels;
 
 /// When a server that failed and seems to go on running is looked at again: by then one that started again has
@@ -145,20 +144,18 @@
         self.receiver = None;
     }
 
-    /// Finds out whether the server that failed has ended.
-    pub(super) async fn settle(&mut self) -> bool {
-        let Some(failed) = self.failed.take() else {
-            return false;
-        };
-        let has_ended = self.attempt.judge(&failed).await;
+    /// Finds out what became of the server that failed last, if that isn't known yet.
+    pub(super) async fn settle(&mut self) -> Option<ServerFate> {
+        let failed = self.failed.take()?;
+        let fate = self.attempt.judge(&failed).await;
         let core = &self.attempt.core;
-        if has_ended {
+        if fate.counts_as_ended() {
             // What this gateway knows counts at once; controllers learn it with the next report.
             core.suspects.record(&self.attempt.report);
         } else {
             core.suspects.queue(self.attempt.later_check(failed));
         }
-        has_ended
+        Some(fate)
     }
 
     /// Records that the request was answered, which clears it.
@@ -216,11 +213,11 @@
     async fn send(mut self) {
         sleep(self.delay).await;
         if let Some(failed) = self.failed.take() {
-            let has_ended = self.attempt.judge(&failed).await;
-            if !has_ended && !self.delay.is_zero() {
+            let may_have_ended = self.attempt.judge(&failed).await.counts_as_ended();
+            if !may_have_ended && !self.delay.is_zero() {
                 return;
             }
-            if !has_ended {
+            if !may_have_ended {
                 let core = &self.attempt.core;
                 core.suspects.queue(self.attempt.later_check(failed));
             }
@@ -254,27 +251,25 @@
         }
     }
 
-    /// Finds out whether a server that failed has ended, and adds it to the report if so.
-    async fn judge(&mut self, failed: &Receiver) -> bool {
-        let SelectedServer { id, address, .. } = &failed.server;
+    /// Finds out what became of a server that failed, and adds it to the report if it may have ended.
+    async fn judge(&mut self, failed: &Receiver) -> ServerFate {
+        let server = &failed.server;
+        let id = server.id.as_str();
         let core = &self.core;
-        let listing = core.servers.borrow().listing(id);
-        let is_listed = listing != Listing::NotListed;
+        let limit = core.servers.borrow().connect_timeout(&server.zone);
         let began = Instant::now();
-        let probe = if is_listed {
-            Some(core.pool.probe(id, *address).await)
-        } else {
-            None
-        };
+        let probe = core.pool.probe(id, server.address, limit).await;
         let probe_ms = milliseconds(began.elapsed());
-        let is_running = probe.is_some_and(ProbeResult::accepts);
-        // It may have started again meanwhile, at the same address.
-        let has_ended = !is_running || !core.servers.borrow().contains(id);
-        let probe = probe.map(|probe| probe.to_string());
+        let is_confirmed = core.follower.has_controller_contact();
+        let servers = core.servers.borrow();
+        let listing = servers.listing(&self.service, server, is_confirmed);
+        drop(servers);
+        let fate = ServerFate::of(listing, probe);
         let request = self.request_id.as_str();
         let request_key = self.report.request;
-        log::info!(event = "server_failed", request, request_key:% = request_key, server = id.as_str(), service = self.service.as_str(), listing:% = listing, probe = probe.as_deref(), probe_ms, is_listed, is_running, has_ended, known_before = failed.known_before; "a server failed while it had a request");
-        if has_ended {
+        let limit_ms = milliseconds(limit);
+        log::info!(event = "server_failed", request, request_key:% = request_key, server = id, service = self.service.as_str(), listing:% = listing, probe:% = probe, probe_ms, limit_ms, fate:% = fate, known_before = failed.known_before; "a server failed while it had a request");
+        if fate.counts_as_ended() {
             let service = self.service.clone();
             let ended = &core.metrics.servers_ended;
             ended.get_or_create(&ServiceLabels { service }).inc();
@@ -283,6 +278,6 @@
                 known_before: failed.known_before,
             });
         }
-        has_ended
+        fate
     }
 }
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -152,9 +152,10 @@
         })
     }
 
-    /// Connects to a server to find out whether it goes on running. The connection is kept for later requests.
-    pub async fn probe(&self, server: &str, address: SocketAddr) -> ProbeResult {
-        let stream = match connect_probe(address).await {
+    /// Connects to a server to find out whether it goes on running; `limit` applies to each connection attempt. The
+    /// connection is kept for later requests.
+    pub async fn probe(&self, server: &str, address: SocketAddr, limit: Duration) -> ProbeResult {
+        let stream = match connect_probe(address, limit).await {
             Ok(stream) => stream,
             Err(result) => return result,
         };
@@ -162,7 +163,7 @@
         sleep(EXIT_TIME).await;
         if !is_open_and_drained(&stream) {
             // A server that has too many connections closes further ones, too.
-            return match connect_probe(address).await {
+            return match connect_probe(address, limit).await {
                 Ok(_) => ProbeResult::Closed,
                 Err(result) => result,
             };
