Bound what is read from a server that sends no response without end

Callers waited until their deadline while a server sent bytes that are no part of a response: the gateway read up to 47 GB in 30 s of a response to another request, and up to 3 GB of informational responses, chunk sizes, chunk extensions or trailers.

Only the response head had a limit in bytes. Now at most 1 MiB is read between two parts of the response; then the connection is closed and the response counts as broken off, or invalid within a body, at once and never as a success.

10 of the 14 cases of endless_bytes_that_are_no_response_end_the_connection failed before; all pass.

--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -42,6 +42,9 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Maximum size of a response head, in bytes.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// Maximum number of bytes read between two parts of the response that are none of it: informational responses,
+/// responses to other requests, chunk sizes and extensions, trailers.
+const MAX_FOREIGN_BYTES: usize = 1024 * 1024;
 
 /// Why no response was received.
 #[derive(Debug, Snafu)]
@@ -149,6 +152,7 @@
             tolerates_slow_reads,
             connect_time: is_new.then(|| began.elapsed()),
             keep_alive: DEFAULT_KEEP_ALIVE,
+            foreign_bytes: 0,
         })
     }
 
@@ -259,6 +263,8 @@
     /// Connection setup time; `None` for a reused connection.
     connect_time: Option<Duration>,
     keep_alive: Duration,
+    /// Bytes read since the last part of the response.
+    foreign_bytes: usize,
 }
 
 impl Upstream {
@@ -283,6 +289,7 @@
                     continue;
                 }
                 if is_ours(&head) {
+                    self.foreign_bytes = 0;
                     return Ok(head);
                 }
                 log::warn!(event = "stray_answer", server = self.server.as_str(); "dropped a response to another request");
@@ -325,7 +332,7 @@
     /// Reads the body of a response to another request to its end.
     async fn skip_body(&mut self) -> Result<(), UpstreamError> {
         loop {
-            match self.read_body().await {
+            match self.read_any_body().await {
                 BodyRead::Bytes(_) => {}
                 BodyRead::End(end) if end.ending == Ending::Framing => return Ok(()),
                 BodyRead::End(_) => {
@@ -375,6 +382,13 @@
 
     /// The next bytes of the body, or its end.
     pub async fn read_body(&mut self) -> BodyRead {
+        let read = self.read_any_body().await;
+        self.foreign_bytes = 0;
+        read
+    }
+
+    /// The next bytes of the body of whatever response is being read, or its end.
+    async fn read_any_body(&mut self) -> BodyRead {
         loop {
             match &mut self.body {
                 BodySource::Ended => return BodyRead::End(self.end(Ending::Framing, "")),
@@ -393,6 +407,9 @@
             match self.fill().await {
                 Ok(0) => return BodyRead::End(self.end(Ending::Closed, "")),
                 Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                    return BodyRead::End(self.end(Ending::Invalid, error));
+                }
                 Err(error) => return BodyRead::End(self.end(Ending::Reset, error)),
             }
         }
@@ -436,8 +453,14 @@
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
+        if self.foreign_bytes > MAX_FOREIGN_BYTES {
+            let error = "too many bytes that are no part of the response";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, error));
+        }
         self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await?;
+        self.foreign_bytes += read;
+        Ok(read)
     }
 }
 
--- a/crates/courseshed-edge/tests/support/server.rs
+++ b/crates/courseshed-edge/tests/support/server.rs
@@ -70,6 +70,8 @@
         times: usize,
         write_timeout: Duration,
     },
+    /// Writes a head and then the same chunk until the peer closes the connection.
+    RepeatWithoutEnd { head: String, chunk: Arc<str> },
     /// Responds that the call was not run, once told to.
     Reject { when: watch::Receiver<bool> },
     /// Sends no response, stops accepting connections and closes this one.
@@ -88,6 +90,7 @@
     connections: Arc<Mutex<usize>>,
     probes: Arc<Mutex<usize>>,
     stalled_writes: Arc<Mutex<usize>>,
+    endless_writes: Arc<Mutex<EndlessWrites>>,
     shutdown: Arc<watch::Sender<bool>>,
     is_closed: Arc<watch::Sender<bool>>,
     new_connections: Arc<watch::Sender<NewConnections>>,
@@ -95,6 +98,15 @@
     fillers: Arc<Mutex<Vec<TcpStream>>>,
 }
 
+/// What the server wrote without end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EndlessWrites {
+    /// Responses that the peer stopped by closing the connection.
+    pub stopped: usize,
+    /// Bytes written on all connections.
+    pub bytes: usize,
+}
+
 /// What the server does with new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NewConnections {
@@ -130,6 +142,7 @@
             connections: Arc::default(),
             probes: Arc::default(),
             stalled_writes: Arc::default(),
+            endless_writes: Arc::default(),
             shutdown: Arc::new(watch::channel(false).0),
             is_closed: Arc::new(watch::channel(false).0),
             new_connections: Arc::new(watch::channel(NewConnections::Served).0),
@@ -210,6 +223,10 @@
         let _ = is_closed.wait_for(|closed| *closed).await;
     }
 
+    pub fn endless_writes(&self) -> EndlessWrites {
+        *self.endless_writes.lock()
+    }
+
     async fn serve(self, mut stream: TcpStream, script: Arc<Mutex<Script>>) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
@@ -273,6 +290,14 @@
                         }
                     }
                 }
+                Action::RepeatWithoutEnd { head, chunk } => {
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    while stream.write_all(chunk.as_bytes()).await.is_ok() {
+                        self.endless_writes.lock().bytes += chunk.len();
+                    }
+                    self.endless_writes.lock().stopped += 1;
+                    return;
+                }
                 Action::Reject { mut when } => {
                     let text = rejection(self.requests.lock().last().expect("pushed above"));
                     let _ = when.wait_for(|released| *released).await;
