Soak: check on how many servers each attempt runs, and let servers fall silent

The soak counted runs only of calls that may run once, so that a repeatable call or a resumed stream could run on any number of servers unseen. Each attempt is now held against the limit of its route, not counting servers that ended.

--- a/crates/courseshed-soak/src/ledger.rs
+++ b/crates/courseshed-soak/src/ledger.rs
@@ -43,6 +43,8 @@
     WarmUpLimit,
     /// No more servers end under a request than may, over all attempts of its caller.
     EndedServers,
+    /// No attempt runs on more servers than its route allows, not counting those that ended.
+    Attempts,
     /// A conversation whose last turn was answered goes on within a bounded time once everything serves again.
     GoesOn,
     /// No process ends by itself.
@@ -189,6 +191,13 @@
     }
 }
 
+/// The servers that ran a call.
+#[derive(Debug, Default)]
+struct Runners {
+    servers: BTreeSet<String>,
+    most: u32,
+}
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -208,6 +217,8 @@
     broken_off: usize,
     /// The servers that ended under each request that ends them.
     lethal_ends: BTreeMap<String, BTreeSet<String>>,
+    /// The servers that ran each call, and how many may.
+    runners: BTreeMap<String, Runners>,
     disturbances: Vec<Disturbance>,
     seen: Vec<Violation>,
 }
@@ -247,6 +258,13 @@
         *self.runs.entry(call.to_owned()).or_default() += 1;
     }
 
+    /// Notes which server runs a call, and how many may.
+    pub fn note_runner(&mut self, call: &str, server: &str, most: u32) {
+        let runners = self.runners.entry(call.to_owned()).or_default();
+        runners.servers.insert(server.to_owned());
+        runners.most = most;
+    }
+
     /// Notes that a server broke a call off on purpose.
     pub fn note_dropped(&mut self, call: &str) {
         *self.dropped.entry(call.to_owned()).or_default() += 1;
@@ -369,6 +387,7 @@
         tally.violations.extend(self.judge_evacuations());
         tally.violations.extend(self.judge_warm_up());
         tally.violations.extend(self.judge_lethal_requests());
+        tally.violations.extend(self.judge_attempts());
         tally
     }
 
@@ -470,6 +489,19 @@
         .collect()
     }
 
+    fn judge_attempts(&self) -> Vec<Violation> {
+        let ended: BTreeSet<&String> = self.lethal_ends.values().flatten().collect();
+        let over = self.runners.iter().filter_map(|(call, runners)| {
+            let servers = runners.servers.iter();
+            let alive: Vec<_> = servers.filter(|server| !ended.contains(server)).collect();
+            (alive.len() > runners.most as usize).then(|| Violation {
+                promise: Promise::Attempts,
+                detail: format!("{call} ran on {alive:?}, {} are allowed", runners.most),
+            })
+        });
+        over.collect()
+    }
+
     fn judge_budgets(&self) -> Vec<Violation> {
         let mut given: BTreeMap<&str, u64> = BTreeMap::new();
         for turn in self.calls.values().filter_map(|call| call.turn.as_ref()) {
--- a/crates/courseshed-soak/src/lib.rs
+++ b/crates/courseshed-soak/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod routing;
 pub mod run;
 pub mod server;
+pub mod silence;
 pub mod streams;
 pub mod world;
 pub mod zones;
--- a/crates/courseshed-soak/src/main.rs
+++ b/crates/courseshed-soak/src/main.rs
@@ -68,6 +68,9 @@
     /// make requests that end the servers that run them
     #[argh(switch)]
     lethal: bool,
+    /// let servers that fail answer no connection attempts for a time
+    #[argh(switch)]
+    silences: bool,
     /// conversations that last as long as the run (0)
     #[argh(option, default = "0")]
     conversations: usize,
@@ -133,6 +136,7 @@
         has_releases: arguments.releases,
         varies_framing: arguments.framings,
         has_lethal_requests: arguments.lethal,
+        has_silent_servers: arguments.silences,
         long_conversations: arguments.conversations,
         broken: None,
         size,
--- a/crates/courseshed-soak/src/routing.rs
+++ b/crates/courseshed-soak/src/routing.rs
@@ -28,26 +28,38 @@
     pub has_streams: bool,
 }
 
+const MAX_ATTEMPTS: [(&str, u32); 4] = [("once", 2), ("safe", 3), ("turn", 2), ("stream", 3)];
+
+/// Servers to which an attempt may be sent, by the path of its route, which may begin with a region.
+#[must_use]
+pub fn max_attempts(path: &str) -> u32 {
+    let route = path.split('/').nth(1).unwrap_or("");
+    let kind = route.rsplit('-').next().unwrap_or("");
+    let mut known = MAX_ATTEMPTS.into_iter();
+    let found = known.find(|(name, _)| *name == kind);
+    found.map_or(1, |(_, most)| most)
+}
+
 /// The routing table of the soak: a route for each kind of call, and those that are restricted to a
 /// region.
 #[must_use]
 pub fn routing_table(version: u64, contents: TableContents) -> VersionedTable {
     let mut routes = vec![
-        route("once", CallKind::AtMostOnce, 2),
-        route("safe", CallKind::Repeatable, 3),
-        route("turn", CallKind::Stream, 2),
+        route("once", CallKind::AtMostOnce),
+        route("safe", CallKind::Repeatable),
+        route("turn", CallKind::Stream),
     ];
     if contents.has_streams {
         routes.push(Route {
             stores_turns: false,
             resumable: true,
-            ..route("stream", CallKind::Stream, 3)
+            ..route("stream", CallKind::Stream)
         });
     }
     for region in REGIONS.into_iter().filter(|_| contents.has_regions) {
         let restricted = [
-            route(&format!("{region}-safe"), CallKind::Repeatable, 3),
-            route(&format!("{region}-turn"), CallKind::Stream, 2),
+            route(&format!("{region}-safe"), CallKind::Repeatable),
+            route(&format!("{region}-turn"), CallKind::Stream),
         ];
         routes.extend(restricted.map(|route| Route {
             allowed_regions: vec![region.to_owned()],
@@ -75,12 +87,14 @@
 }
 
 /// A route whose turns, if it has any, are stored.
-fn route(name: &str, kind: CallKind, max_attempts: u32) -> Route {
+fn route(name: &str, kind: CallKind) -> Route {
+    let path_prefix = format!("/{name}/");
+    let max_attempts = max_attempts(&path_prefix);
     let keeps_turns = kind == CallKind::Stream;
     Route {
         name: name.to_owned(),
         host: "soak.example".to_owned(),
-        path_prefix: format!("/{name}/"),
+        path_prefix,
         kind,
         timeout_ms: 5_000,
         latency_target_ms: 200,
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -57,6 +57,8 @@
     pub varies_framing: bool,
     /// Whether some requests end the servers that run them.
     pub has_lethal_requests: bool,
+    /// Whether servers that fail answer no connection attempts for a time.
+    pub has_silent_servers: bool,
     /// Conversations that last as long as the run.
     pub long_conversations: usize,
     /// A fault put in on purpose.
--- a/crates/courseshed-soak/src/server.rs
+++ b/crates/courseshed-soak/src/server.rs
@@ -17,6 +17,8 @@
 use crate::http_text::{Head, Message, TextConnection, event_chunk, event_text};
 use crate::ledger::Promise;
 use crate::lethal::lethal_request;
+use crate::routing::max_attempts;
+use crate::silence::{SILENCE_MS, fill_backlog, listen_with_small_backlog};
 use crate::streams::{STREAM_EVENTS, versioned_event};
 use crate::world::World;
 use crate::zones::{REGIONS, region_of};
@@ -57,6 +59,17 @@
     format!("answer to {id}")
 }
 
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn listen(world: &World, address: SocketAddr) -> std::io::Result<TcpListener> {
+    if world.has_silent_servers() {
+        return listen_with_small_backlog(address);
+    }
+    TcpListener::bind(address).await
+}
+
 /// A server that is to start in place of one that ended.
 struct NextLife {
     world: Rc<World>,
@@ -72,10 +85,10 @@
     async fn start(self) {
         sleep(RESTART_TIME).await;
         let is_elsewhere = self.seed.is_multiple_of(4);
-        let same = TcpListener::bind(self.address).await;
+        let same = listen(&self.world, self.address).await;
         let listener = match same {
             Ok(listener) if !is_elsewhere => Ok(listener),
-            _ => TcpListener::bind("127.0.0.1:0").await,
+            _ => listen(&self.world, any_port()).await,
         };
         let Self {
             world,
@@ -106,6 +119,8 @@
     has_left: Cell<bool>,
     /// Whether its process has ended, as far as others can tell.
     has_ended: watch::Sender<bool>,
+    /// Whether it accepts connections.
+    is_accepting: watch::Sender<bool>,
     /// The calls that it runs.
     running: RefCell<BTreeSet<String>>,
     random: RefCell<ChaCha8Rng>,
@@ -126,7 +141,7 @@
         zone: &'static str,
         seed: u64,
     ) -> std::io::Result<Rc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = listen(&world, any_port()).await?;
         Self::start_on(listener, world, id, version, zone, seed)
     }
 
@@ -147,6 +162,7 @@
             state: Cell::new(ServerState::Ready),
             has_left: Cell::new(false),
             has_ended: watch::channel(false).0,
+            is_accepting: watch::channel(true).0,
             running: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             framings: RefCell::new(ChaCha8Rng::seed_from_u64(!seed)),
@@ -187,16 +203,34 @@
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut has_ended = self.has_ended.subscribe();
+        let mut is_accepting = self.is_accepting.subscribe();
         while !self.has_left.get() {
+            let accepts = *is_accepting.borrow_and_update();
             tokio::select! {
                 _ = has_ended.wait_for(|has_ended| *has_ended) => return,
-                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                _ = is_accepting.changed() => {}
+                accepted = listener.accept(), if accepts => if let Ok((stream, _)) = accepted {
                     actix_rt::spawn(self.clone().serve(stream));
                 }
             }
         }
     }
 
+    /// Answers no connection attempts for a time, if the run has servers that do so.
+    async fn fall_silent(&self) {
+        if !self.world.has_silent_servers() || !self.is_accepting.send_replace(false) {
+            return;
+        }
+        let milliseconds = self.framings.borrow_mut().random_range(SILENCE_MS);
+        let connections = fill_backlog(self.address).await;
+        let is_accepting = self.is_accepting.clone();
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(milliseconds)).await;
+            drop(connections);
+            is_accepting.send_replace(true);
+        });
+    }
+
     /// Ends as a process does that a request ends: everything that it has is cut off. It is back after a while,
     /// often at the same address.
     fn end(&self, request: &str) {
@@ -310,7 +344,7 @@
             );
             return connection.write(&refusal).await.is_ok();
         }
-        self.world.ledger.borrow_mut().note_run(id);
+        self.note_run(id, message.head.path());
         self.running.borrow_mut().insert(id.to_owned());
         let work = self.random.borrow_mut().random_range(2..40);
         sleep(Duration::from_millis(work)).await;
@@ -320,6 +354,7 @@
         }
         if draw < REFUSED_OF_100 + DROPPED_OF_100 {
             self.world.ledger.borrow_mut().note_dropped(id);
+            self.fall_silent().await;
             return false;
         }
         if self.world.varies_framing() {
@@ -409,6 +444,12 @@
         response.breaks.is_none() && !response.framing.ends_with_connection()
     }
 
+    fn note_run(&self, id: &str, path: &str) {
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.note_run(id);
+        ledger.note_runner(id, &self.id, max_attempts(path));
+    }
+
     /// Notes where and when a call came.
     fn note_arrival(&self, id: &str, path: &str) {
         let now = Instant::now();
@@ -452,6 +493,7 @@
         for number in last.unwrap_or(0) + 1..=STREAM_EVENTS {
             if number > breaks_after && breaks_after > 0 && breaks_after < STREAM_EVENTS {
                 self.world.ledger.borrow_mut().note_dropped(id);
+                self.fall_silent().await;
                 return false;
             }
             let event = event_chunk(number, &versioned_event(self.version, number));
--- a/crates/courseshed-soak/src/world.rs
+++ b/crates/courseshed-soak/src/world.rs
@@ -51,6 +51,7 @@
     has_releases: bool,
     varies_framing: bool,
     has_lethal_requests: bool,
+    has_silent_servers: bool,
     broken: Option<Broken>,
     is_over: Cell<bool>,
 }
@@ -76,6 +77,7 @@
             has_releases: options.has_releases,
             varies_framing: options.varies_framing,
             has_lethal_requests: options.has_lethal_requests,
+            has_silent_servers: options.has_silent_servers,
             broken: options.broken,
             is_over: Cell::new(false),
         }
@@ -110,6 +112,12 @@
         self.has_lethal_requests
     }
 
+    /// Whether servers that fail answer no connection attempts for a time.
+    #[must_use]
+    pub fn has_silent_servers(&self) -> bool {
+        self.has_silent_servers
+    }
+
     /// The software version that a server reports.
     #[must_use]
     pub fn reported_version(&self, version: u32) -> String {
--- a/crates/courseshed-soak/tests/ledger.rs
+++ b/crates/courseshed-soak/tests/ledger.rs
@@ -198,3 +198,19 @@
     ledger.note_restricted_run("c", "north", "south");
     assert_eq!(promises(&ledger), [Promise::AllowedRegion]);
 }
+
+/// Guards against a check that counts servers which ended, or that misses one too many.
+#[test]
+fn attempt_may_run_on_as_many_servers_as_its_route_allows_beside_those_that_ended() {
+    let mut ledger = Ledger::default();
+    for server in ["a", "b", "c"] {
+        ledger.note_runner("c", server, 2);
+    }
+    assert_eq!(promises(&ledger), [Promise::Attempts]);
+    let mut ledger = Ledger::default();
+    for server in ["a", "b", "c"] {
+        ledger.note_runner("c", server, 2);
+    }
+    ledger.note_lethal_end("lethal", "b");
+    assert_eq!(promises(&ledger), []);
+}
--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -27,6 +27,7 @@
         has_releases: false,
         varies_framing: false,
         has_lethal_requests: false,
+        has_silent_servers: false,
         long_conversations: 0,
         broken: None,
         size: FleetSize {
@@ -257,6 +258,24 @@
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
 }
 
+/// Guards against servers that fail and then answer no connection attempts being taken for ended, so that a call
+/// runs on more of them than its route allows.
+#[parameterized(
+    first = { 81 },
+    second = { 82 },
+)]
+fn silent_servers_count_towards_the_attempts(seed: u64) {
+    let folder = TempDir::new().expect("a folder");
+    let mut options = options(seed, folder.path());
+    options.has_silent_servers = true;
+    options.has_releases = true;
+    options.servers = 12;
+    options.faults = Some(Vec::new());
+    let tally = soak(options);
+    let lines = warnings(folder.path()).expect("logs are read");
+    assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
+}
+
 /// Guards against checks that see nothing: each fault that is put in on purpose must be caught by its
 /// check, and by no other.
 #[parameterized(
--- a/crates/courseshed-soak/tests/timeline.rs
+++ b/crates/courseshed-soak/tests/timeline.rs
@@ -38,6 +38,7 @@
         has_releases: false,
         varies_framing: false,
         has_lethal_requests: false,
+        has_silent_servers: false,
         long_conversations: 0,
         broken: None,
         size: FleetSize {
