--- a/crates/courseshed-soak/tests/soak.rs
+++ b/crates/courseshed-soak/tests/soak.rs
@@ -270,7 +270,10 @@
     options.has_silent_servers = true;
     options.has_releases = true;
     options.servers = 12;
-    options.faults = Some(Vec::new());
+    options.faults = Some(vec![Fault {
+        at: HOW_LONG,
+        kind: FaultKind::ChangeRouting,
+    }]);
     let tally = soak(options);
     let lines = warnings(folder.path()).expect("logs are read");
     assert!(tally.violations.is_empty(), "{tally:?}\n{lines:#?}");
