Take a server that isn't listed for one that may have ended, whatever accepts at its address

A server that a request ended is often back at the same address under another id. A connection there shows only that something listens; the look called such a server running, so that it did not count towards the three that may end. It counts towards both limits now. send_limits draws it.

--- a/crates/courseshed-edge/src/gateway/server_fate.rs
+++ b/crates/courseshed-edge/src/gateway/server_fate.rs
@@ -25,13 +25,12 @@
     pub fn of(listing: Listing, probe: ProbeResult) -> Self {
         match (listing, probe) {
             (Listing::Replaced, _) => Self::Ended,
+            // Another process may have its address.
+            (Listing::NotListed, _) => Self::MayHaveEnded,
             (_, ProbeResult::Open | ProbeResult::Closed) => Self::Running,
             (Listing::Ready, ProbeResult::Refused) => Self::Ended,
             // A server may close its listening socket before it has completed its calls.
-            (
-                Listing::Unconfirmed | Listing::Draining | Listing::NotListed,
-                ProbeResult::Refused,
-            ) => Self::MayHaveEnded,
+            (Listing::Unconfirmed | Listing::Draining, ProbeResult::Refused) => Self::MayHaveEnded,
             (_, ProbeResult::TimedOut | ProbeResult::Failed(_)) => Self::MayHaveEnded,
         }
     }
--- a/crates/courseshed-edge/tests/send_limits.rs
+++ b/crates/courseshed-edge/tests/send_limits.rs
@@ -122,7 +122,13 @@
         }
         let goes_on = matches!(truth, Truth::Runs | Truth::Drains | Truth::CutOff);
         running += usize::from(goes_on);
-        let is_missed = matches!(truth, Truth::Ended | Truth::HostEnded) && !fate.counts_as_ended();
+        let is_known_to_have_ended = match truth {
+            Truth::Ended | Truth::HostEnded => true,
+            // As long as it is listed, its successor can't be told from it.
+            Truth::Restarted => matches!(listing, Listing::NotListed | Listing::Replaced),
+            Truth::Runs | Truth::Drains | Truth::CutOff => false,
+        };
+        let is_missed = is_known_to_have_ended && !fate.counts_as_ended();
         if is_missed {
             return false;
         }
--- a/crates/courseshed-edge/tests/server_fate.rs
+++ b/crates/courseshed-edge/tests/server_fate.rs
@@ -31,7 +31,7 @@
         [RUNS, RUNS, ENDED, MAY, MAY, MAY],
         [RUNS, RUNS, MAY, MAY, MAY, MAY],
         [RUNS, RUNS, MAY, MAY, MAY, MAY],
-        [RUNS, RUNS, MAY, MAY, MAY, MAY],
+        [MAY, MAY, MAY, MAY, MAY, MAY],
         [ENDED, ENDED, ENDED, ENDED, ENDED, ENDED],
     ];
     for (listing, row) in LISTINGS.into_iter().zip(expected) {
