--- a/crates/courseshed-edge/tests/failed_servers.rs
+++ b/crates/courseshed-edge/tests/failed_servers.rs
@@ -129,14 +129,7 @@
         },
         sequence: 2,
     };
-    wait_until(async || {
-        fleet
-            .controller
-            .announce(registration.clone())
-            .await
-            .is_ok()
-    })
-    .await;
+    fleet.announce(&registration).await;
     tokio::time::sleep(LIST_DELAY).await;
 }
 
--- a/crates/courseshed-edge/tests/server_restarts.rs
+++ b/crates/courseshed-edge/tests/server_restarts.rs
@@ -42,17 +42,6 @@
     }
 }
 
-async fn register(fleet: &Fleet, registration: &Registration) {
-    wait_until(async || {
-        fleet
-            .controller
-            .announce(registration.clone())
-            .await
-            .is_ok()
-    })
-    .await;
-}
-
 /// Makes `CALLS` calls and returns how many of them the server received.
 async fn calls_served_by(fleet: &Fleet, mock_server: &MockServer) -> usize {
     let before = mock_server.requests().len();
@@ -69,17 +58,17 @@
     let first = MockServer::start(respond).await;
     let second = MockServer::start(respond).await;
     fleet.set_routes(vec![plain_route()]).await;
-    register(&fleet, &registration(1_000, 70, "a", &first)).await;
+    fleet.announce(&registration(1_000, 70, "a", &first)).await;
     wait_until(async || status(&call(fleet.caller_addr, "first", "", "").await) == 200).await;
     assert_eq!(first.requests()[0].header("x-server"), Some("one"));
-    register(&fleet, &registration(2_000, 1, "a", &second)).await;
+    fleet.announce(&registration(2_000, 1, "a", &second)).await;
     wait_until(async || {
         let received = second.requests().len();
         call(fleet.caller_addr, "look", "", "").await;
         second.requests().len() > received
     })
     .await;
-    register(&fleet, &registration(1_000, 71, "a", &first)).await;
+    fleet.announce(&registration(1_000, 71, "a", &first)).await;
     assert_eq!(calls_served_by(&fleet, &second).await, CALLS as usize);
 }
 
@@ -88,7 +77,7 @@
     let fleet = Fleet::start(GRACE).await;
     let only = MockServer::start(respond).await;
     fleet.set_routes(vec![plain_route()]).await;
-    register(&fleet, &registration(1_000, 1, "a", &only)).await;
+    fleet.announce(&registration(1_000, 1, "a", &only)).await;
     wait_until(async || status(&call(fleet.caller_addr, "first", "", "").await) == 200).await;
     wait_until(async || fleet.controller.evacuate("a", true).await.is_ok()).await;
     wait_until(async || status(&call(fleet.caller_addr, "look", "", "").await) == 503).await;
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -324,7 +324,7 @@
             server,
             sequence: 1,
         };
-        wait_until(async || self.controller.announce(registration.clone()).await.is_ok()).await;
+        self.announce(&registration).await;
         wait_until(async || {
             call(self.caller_addr, server::PROBE_CALL_ID, "", "").await;
             mock_server.probes() > 0
@@ -332,6 +332,12 @@
         .await;
     }
 
+    /// Registers a server, or a change of one, once the controller can commit it.
+    pub async fn announce(&self, registration: &Registration) {
+        let controller = &self.controller;
+        wait_until(async || controller.announce(registration.clone()).await.is_ok()).await;
+    }
+
     /// Starts a second gateway and waits until it is ready.
     pub async fn start_second_gateway(&self) -> Gateway {
         let [a, b, c, _] = self.subnet.octets();
--- a/crates/courseshed-edge/tests/warming_servers.rs
+++ b/crates/courseshed-edge/tests/warming_servers.rs
@@ -81,11 +81,7 @@
             server,
             sequence: state.sequence,
         };
-        wait_until(async || {
-            let done = fleet.controller.announce(registration.clone());
-            done.await.is_ok()
-        })
-        .await;
+        fleet.announce(&registration).await;
     }
 }
 
