Simplify the round-trip times, the search for a successor and the judging of a server

Cause: RoundTrips was generic over its key for a single user, is_replaced compared IDs that can't be equal there and tested the failed server's start once for each listed one, and judge held a borrow that it dropped by hand. Change: RoundTrips is keyed by zone; the test comes first and the comparison is gone; the borrow lasts for one expression. A constant of the soak says what it is. Behaviour stays.

--- a/crates/courseshed-edge/src/gateway/round_trip.rs
+++ b/crates/courseshed-edge/src/gateway/round_trip.rs
@@ -1,10 +1,10 @@
-//! Round-trip times of paths, estimated from samples as for the retransmission timeout of TCP (RFC 6298), and the
+//! Round-trip times by zone, estimated from samples as for the retransmission timeout of TCP (RFC 6298), and the
 //! time to wait for a reply on a path. No I/O.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Timeout on a path without samples; above the round trip of a path that takes 100 ms one way.
+/// Timeout for a zone without samples; above the round trip of a path that takes 100 ms one way.
 const DEFAULT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Least time allowed beyond the smoothed round trip: for delays in this process.
 const MIN_MARGIN: Duration = Duration::from_millis(50);
@@ -39,37 +39,25 @@
     (known * (samples - 1) + sample) / samples
 }
 
-/// Round-trip times by path.
-#[derive(Clone, Debug)]
-pub struct RoundTrips<Path> {
-    paths: BTreeMap<Path, RoundTrip>,
+/// Round-trip times by zone.
+#[derive(Clone, Debug, Default)]
+pub struct RoundTrips {
+    zones: BTreeMap<String, RoundTrip>,
 }
 
-impl<Path> Default for RoundTrips<Path> {
-    fn default() -> Self {
-        Self {
-            paths: BTreeMap::new(),
-        }
-    }
-}
-
-impl<Path: Ord> RoundTrips<Path> {
+impl RoundTrips {
     /// Records a sample.
-    pub fn record(&mut self, path: Path, sample: Duration) {
-        self.paths
-            .entry(path)
+    pub fn record(&mut self, zone: String, sample: Duration) {
+        self.zones
+            .entry(zone)
             .and_modify(|known| known.record(sample))
             .or_insert_with(|| RoundTrip::first(sample));
     }
 
-    /// How long to wait for a reply.
+    /// How long to wait for a reply from a zone.
     #[must_use]
-    pub fn timeout<Key>(&self, path: &Key) -> Duration
-    where
-        Path: std::borrow::Borrow<Key>,
-        Key: Ord + ?Sized,
-    {
-        let known = self.paths.get(path);
+    pub fn timeout(&self, zone: &str) -> Duration {
+        let known = self.zones.get(zone);
         known.map_or(DEFAULT_TIMEOUT, |known| {
             let margin = (known.variation * VARIATION_FACTOR).max(MIN_MARGIN);
             (known.smoothed + margin).min(DEFAULT_TIMEOUT)
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -65,7 +65,7 @@
     pub(super) region_latency: RegionLatency,
     region_reach: RegionReach,
     /// Round-trip times to servers, by their zone.
-    round_trips: RoundTrips<String>,
+    round_trips: RoundTrips,
     versions: ServiceVersions,
     serving: ServingConstraints,
 }
@@ -205,15 +205,13 @@
         }
     }
 
-    /// Whether another process that started later is listed at the address of a server.
+    /// Whether a process that started later is listed at the address of a server that isn't listed.
     fn is_replaced(&self, service: &str, server: &SelectedServer) -> bool {
-        let mut others = self.directory.servers(service);
-        others.any(|other| {
-            other.id != server.id
-                && other.address == server.address
-                && server.started_ms.is_some()
-                && other.started_ms > server.started_ms
-        })
+        let mut listed = self.directory.servers(service);
+        server.started_ms.is_some()
+            && listed.any(|other| {
+                other.address == server.address && other.started_ms > server.started_ms
+            })
     }
 
     /// How long to wait for a connection to a zone.
--- a/crates/courseshed-edge/src/gateway/suspect_guard.rs
+++ b/crates/courseshed-edge/src/gateway/suspect_guard.rs
@@ -261,9 +261,10 @@
         let probe = core.pool.probe(id, server.address, limit).await;
         let probe_ms = milliseconds(began.elapsed());
         let is_confirmed = core.follower.has_controller_contact();
-        let servers = core.servers.borrow();
-        let listing = servers.listing(&self.service, server, is_confirmed);
-        drop(servers);
+        let listing = core
+            .servers
+            .borrow()
+            .listing(&self.service, server, is_confirmed);
         let fate = ServerFate::of(listing, probe);
         let request = self.request_id.as_str();
         let request_key = self.report.request;
--- a/crates/courseshed-edge/tests/server_fate.rs
+++ b/crates/courseshed-edge/tests/server_fate.rs
@@ -1,4 +1,5 @@
-//! What becomes of a server that failed, by what the list says and what connecting to it showed, and which limits it counts towards.
+//! What becomes of a server that failed, by what the list says and what connecting to it showed, and which limits it
+//! counts towards.
 
 use std::io::ErrorKind;
 
--- a/crates/courseshed-soak/src/routing.rs
+++ b/crates/courseshed-soak/src/routing.rs
@@ -28,6 +28,7 @@
     pub has_streams: bool,
 }
 
+/// Servers to which an attempt may be sent, by the kind of its route.
 const MAX_ATTEMPTS: [(&str, u32); 4] = [("once", 2), ("safe", 3), ("turn", 2), ("stream", 2)];
 
 /// Servers to which an attempt may be sent, by the path of its route, which may begin with a region.
