--- a/review/standin-2/drain.rs
+++ b/review/standin-2/drain.rs
@@ -26,6 +26,8 @@
         frontend_mb: 96,
         storage_mb: 130,
         disk_mb: 420,
+        machines: 2,
+        gateway_link_mbps: None,
     }
 }
 
@@ -51,7 +53,7 @@
 }
 
 pub fn run(record: Record, trouble: bool) -> Verdict {
-    let fleet = Fleet::start(terms(), (3, 3, GATEWAYS), record.clone());
+    let fleet = Fleet::start(terms(), (3, 5, GATEWAYS), record.clone());
     let runs = Arc::new(AtomicUsize::new(0));
     let (counted, log) = (runs.clone(), record.clone());
     let handler: Handler = Arc::new(move |request, stream| {
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::call;
+use crate::link::Link;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Role {
@@ -37,6 +38,10 @@
     pub frontend_mb: u64,
     pub storage_mb: u64,
     pub disk_mb: u64,
+    /// The disks that may be lost at one time.
+    pub machines: u64,
+    /// Bandwidth of a gateway's own link to the nodes with disks; none for that of the loopback interface.
+    pub gateway_link_mbps: Option<f64>,
 }
 
 pub struct Node {
@@ -122,6 +127,17 @@
             controllers: counts.0,
             record,
         };
+        if let Some(mbps) = fleet.terms.gateway_link_mbps {
+            for gateway in 0..counts.2 {
+                let link = Link::new(mbps);
+                let (real, own) = (fleet.base, fleet.gateway_base(gateway));
+                let nodes = (0..counts.0).map(|index| (fleet.ip(10 + index as u8), 0));
+                let nodes = nodes.chain((0..counts.1).map(|index| (fleet.ip(30 + index as u8), 1)));
+                for (ip, port) in nodes {
+                    link.carry(SocketAddr::from((ip, own + port)), SocketAddr::from((ip, real + port)));
+                }
+            }
+        }
         for (role, count) in [(Role::Controller, counts.0), (Role::Store, counts.1), (Role::Gateway, counts.2)] {
             for index in 0..count {
                 fleet.add(role, index);
@@ -146,6 +162,15 @@
         self.launch(last);
     }
 
+    /// First port of a gateway's internal range. Behind a link of its own a gateway has ports of its own, on which
+    /// the link takes its connections to the other nodes.
+    fn gateway_base(&self, index: usize) -> u16 {
+        match self.terms.gateway_link_mbps {
+            Some(_) => self.base + 100 + 20 * index as u16,
+            None => self.base,
+        }
+    }
+
     pub fn ip(&self, last: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.net.0, self.net.1, last)
     }
@@ -199,17 +224,22 @@
         if node.role != Role::Gateway {
             fs::create_dir_all(self.data_directory(node)).unwrap();
         }
+        let first_port = match node.role {
+            Role::Gateway => self.gateway_base(node.index),
+            _ => self.base,
+        };
         let text = format!(
-            r#"{{"node": "{}", "role": "{}", "machine_class": "{class}", "serves": ["{serves}"], "ip_address": "{}", "zone": "{zone}", "region": "{}", "zones": {{{}}}, "listen_addresses": {{{listen}}}, "internal_port_range": [{}, {}], "seed_nodes": [{}], "bootstrap": {bootstrap}, "fault_counted": {}, "limits": {{"processor_share": 0.25, "cores": 1, "memory_mb": {memory}, "file_descriptors": 4100, "link_mbps": 1000.0, "disk_mb": {disk}}}, "data_directory": {data}, "discovery": "registration", "entry": "virtual_ip", "heartbeat_interval_ms": 1200, "contracts": ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine"], "fault_tolerance": {{"machines": 1, "zones": 0, "regions": 0}}, "bounds": {{{}}}, "configuration_mode": "highest"}}"#,
+            r#"{{"node": "{}", "role": "{}", "machine_class": "{class}", "serves": ["{serves}"], "ip_address": "{}", "zone": "{zone}", "region": "{}", "zones": {{{}}}, "listen_addresses": {{{listen}}}, "internal_port_range": [{}, {}], "seed_nodes": [{}], "bootstrap": {bootstrap}, "fault_counted": {}, "limits": {{"processor_share": 0.25, "cores": 1, "memory_mb": {memory}, "file_descriptors": 4100, "link_mbps": 1000.0, "disk_mb": {disk}}}, "data_directory": {data}, "discovery": "registration", "entry": "virtual_ip", "heartbeat_interval_ms": 1200, "contracts": ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine"], "fault_tolerance": {{"machines": {}, "zones": 0, "regions": 0}}, "bounds": {{{}}}, "configuration_mode": "highest"}}"#,
             node.name,
             node.role.run_key(),
             node.ip,
             self.terms.region,
             zones.join(", "),
-            self.base,
-            self.base + 15,
+            first_port,
+            first_port + 15,
             seeds.join(", "),
             node.role != Role::Gateway,
+            self.terms.machines,
             self.terms.bounds,
         );
         fs::write(&node.settings, text).unwrap();
@@ -346,9 +376,9 @@
     for _ in 0..100 {
         let draw = unique();
         let net = (1 + (draw % 254) as u8, 1 + ((draw >> 8) % 254) as u8);
-        let base = 15_000 + ((draw >> 16) % 150) as u16 * 100;
+        let base = 15_000 + ((draw >> 16) % 37) as u16 * 400;
         let is_free = |port: u16| TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, 10), port)).is_ok();
-        if (base..base + 31).all(is_free) {
+        if (base..base + 200).all(is_free) {
             return (net, base);
         }
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,8 @@
 mod drain;
 mod fleet;
 mod http;
+mod link;
+mod narrow;
 
 use std::path::Path;
 
@@ -24,6 +26,7 @@
     let record = fleet::Record::new(&Path::new(folder).join("record.txt"));
     let verdict = match name.as_str() {
         "drain" => drain::run(record.clone(), trouble),
+        "narrow" => narrow::run(record.clone(), trouble),
         _ => Verdict::NotRun(format!("no case {name}")),
     };
     let (code, text) = match verdict {
