--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod link;
 mod narrow;
+mod resumed;
 
 use std::path::Path;
 
@@ -27,6 +28,7 @@
     let verdict = match name.as_str() {
         "drain" => drain::run(record.clone(), trouble),
         "narrow" => narrow::run(record.clone(), trouble),
+        "resumed" => resumed::run(record.clone(), trouble),
         _ => Verdict::NotRun(format!("no case {name}")),
     };
     let (code, text) = match verdict {
