--- a/review/standin-2/drain.rs
+++ b/review/standin-2/drain.rs
@@ -7,8 +7,8 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -57,14 +57,25 @@
     let runs = Arc::new(AtomicUsize::new(0));
     let (counted, log) = (runs.clone(), record.clone());
     let handler: Handler = Arc::new(move |request, stream| {
-        let size = request.head.path().strip_prefix("/hold/report/").and_then(|size| size.parse().ok());
+        let size = request
+            .head
+            .path()
+            .strip_prefix("/hold/report/")
+            .and_then(|size| size.parse().ok());
         let length = size.unwrap_or(800);
         let body: Vec<u8> = (0..length).map(|at| b'a' + (at % 23) as u8).collect();
         let head = answer_text(request, "200 OK", "", length);
-        let sent = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body));
+        let sent = stream
+            .write_all(head.as_bytes())
+            .and_then(|()| stream.write_all(&body));
         if size.is_some() {
             counted.fetch_add(1, Ordering::Relaxed);
-            log.line(format!("server {}: ran {}, whole answer of {length} bytes handed over: {}", request.server, request.id(), sent.is_ok()));
+            log.line(format!(
+                "server {}: ran {}, whole answer of {length} bytes handed over: {}",
+                request.server,
+                request.id(),
+                sent.is_ok()
+            ));
         }
         sent.is_ok()
     });
@@ -74,7 +85,14 @@
     let controllers = fleet.control_addresses();
     for index in 0..3 {
         let zone = terms().zones[index];
-        let server = Server::start(&format!("i-{}", id()), "coldchain-app", zone, 6, fleet.server_address(index), handler.clone());
+        let server = Server::start(
+            &format!("i-{}", id()),
+            "coldchain-app",
+            zone,
+            6,
+            fleet.server_address(index),
+            handler.clone(),
+        );
         if !server.announce(&controllers, Duration::from_secs(5)) {
             return Verdict::NotRun("a server was not acknowledged".into());
         }
@@ -102,10 +120,22 @@
         }
     }
     let ran = runs.load(Ordering::Relaxed);
-    let whole = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Whole(took) if *took < DEADLINE)).count();
-    let refused = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Refused(_))).count();
-    let lost = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Cut(after) if *after < DEADLINE)).count();
-    let text = format!("{} orders were sent and {ran} run; {whole} answers came whole in time, {refused} were refused, {lost} connections closed within the answer before the deadline", outcomes.len());
+    let whole = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Outcome::Whole(took) if *took < DEADLINE))
+        .count();
+    let refused = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Outcome::Refused(_)))
+        .count();
+    let lost = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Outcome::Cut(after) if *after < DEADLINE))
+        .count();
+    let text = format!(
+        "{} orders were sent and {ran} run; {whole} answers came whole in time, {refused} were refused, {lost} connections closed within the answer before the deadline",
+        outcomes.len()
+    );
     if lost > 0 {
         return Verdict::Broken(text);
     }
@@ -116,17 +146,28 @@
 }
 
 /// Stops a gateway as planned while its clients read, and starts it again once it has ended.
-fn roll(fleet: &Mutex<Fleet>, index: usize, stop_at: Instant, trouble: bool, record: &Record) -> Result<Vec<Outcome>, String> {
+fn roll(
+    fleet: &Mutex<Fleet>,
+    index: usize,
+    stop_at: Instant,
+    trouble: bool,
+    record: &Record,
+) -> Result<Vec<Outcome>, String> {
     thread::sleep((stop_at - Duration::from_secs(1)).saturating_duration_since(Instant::now()));
     let gateway = fleet.lock().unwrap().frontend(index);
     let mut clients = Vec::new();
     for _ in 0..CLIENTS_OF_A_GATEWAY {
-        let mut wire = Wire::connect(gateway, Duration::from_secs(6)).map_err(|error| error.to_string())?;
+        let mut wire =
+            Wire::connect(gateway, Duration::from_secs(6)).map_err(|error| error.to_string())?;
         wire.set_small_window(16 * 1024);
-        wire.send("POST", "/hold/small", &headers(&id(), "3000"), b"{}").map_err(|error| error.to_string())?;
+        wire.send("POST", "/hold/small", &headers(&id(), "3000"), b"{}")
+            .map_err(|error| error.to_string())?;
         let answer = wire.read_answer().map_err(|error| error.to_string())?;
         if answer.status != 200 {
-            return Err(format!("the first request of a client was answered {}", answer.status));
+            return Err(format!(
+                "the first request of a client was answered {}",
+                answer.status
+            ));
         }
         clients.push(wire);
     }
@@ -146,7 +187,10 @@
             })
         })
         .collect();
-    let outcomes = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    let outcomes = threads
+        .into_iter()
+        .map(|thread| thread.join().unwrap())
+        .collect();
     let until = stop_at + Duration::from_secs(8);
     while trouble && Instant::now() < until {
         let mut fleet = fleet.lock().unwrap();
@@ -161,7 +205,11 @@
 }
 
 fn headers<'a>(request: &'a str, left: &'a str) -> [(&'a str, &'a str); 3] {
-    [("Host", "zim.example"), ("Courseshed-Request-Id", request), ("Courseshed-Time-Remaining", left)]
+    [
+        ("Host", "zim.example"),
+        ("Courseshed-Request-Id", request),
+        ("Courseshed-Time-Remaining", left),
+    ]
 }
 
 /// Sends an order and reads its answer at a steady rate.
@@ -169,8 +217,16 @@
     let request = id();
     let began = Instant::now();
     let since = |at: Instant| at.saturating_duration_since(stopped_at).as_millis();
-    record.line(format!("client: sends {request}, {} ms after the stop began", since(began)));
-    if let Err(error) = wire.send("POST", &format!("/hold/report/{size}"), &headers(&request, "3000"), b"{\"batch\":1}") {
+    record.line(format!(
+        "client: sends {request}, {} ms after the stop began",
+        since(began)
+    ));
+    if let Err(error) = wire.send(
+        "POST",
+        &format!("/hold/report/{size}"),
+        &headers(&request, "3000"),
+        b"{\"batch\":1}",
+    ) {
         record.line(format!("client: {request} not sent: {error}"));
         return Outcome::Refused(503);
     }
@@ -185,7 +241,10 @@
         record.line(format!("client: {request} was answered {}", head.status()));
         return Outcome::Refused(head.status());
     }
-    let length: usize = head.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let length: usize = head
+        .get("content-length")
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
     let mut read = wire.buffer.len();
     let mut chunk = vec![0; 4096];
     while read < length {
@@ -205,6 +264,9 @@
         }
     }
     let took = began.elapsed();
-    record.line(format!("client: {request} has the whole answer {} ms after it was sent", took.as_millis()));
+    record.line(format!(
+        "client: {request} has the whole answer {} ms after it was sent",
+        took.as_millis()
+    ));
     Outcome::Whole(took)
 }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -74,7 +74,10 @@
 impl Record {
     pub fn new(path: &Path) -> Self {
         let file = Arc::new(Mutex::new(File::create(path).expect("create record.txt")));
-        Record { file, began: Instant::now() }
+        Record {
+            file,
+            began: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -89,8 +92,12 @@
 
 /// A number that differs between calls and runs.
 pub fn unique() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
-    let mut state = now ^ (u64::from(std::process::id()) << 32) ^ COUNTER.fetch_add(1, Ordering::Relaxed);
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_nanos() as u64;
+    let mut state =
+        now ^ (u64::from(std::process::id()) << 32) ^ COUNTER.fetch_add(1, Ordering::Relaxed);
     state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
     state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -106,7 +113,10 @@
     let text = fs::read_to_string(root.join("deploy/system.toml")).expect("read the deploy file");
     let section = format!("[roles.{}]", role.run_key());
     let rest = &text[text.find(&section).expect("role in the deploy file")..];
-    let line = rest.lines().find(|line| line.starts_with("run = ")).expect("run of the role");
+    let line = rest
+        .lines()
+        .find(|line| line.starts_with("run = "))
+        .expect("run of the role");
     let words = line.trim_start_matches("run = ").trim().trim_matches('"');
     words.split(' ').map(str::to_owned).collect()
 }
@@ -134,11 +144,18 @@
                 let nodes = (0..counts.0).map(|index| (fleet.ip(10 + index as u8), 0));
                 let nodes = nodes.chain((0..counts.1).map(|index| (fleet.ip(30 + index as u8), 1)));
                 for (ip, port) in nodes {
-                    link.carry(SocketAddr::from((ip, own + port)), SocketAddr::from((ip, real + port)));
+                    link.carry(
+                        SocketAddr::from((ip, own + port)),
+                        SocketAddr::from((ip, real + port)),
+                    );
                 }
             }
         }
-        for (role, count) in [(Role::Controller, counts.0), (Role::Store, counts.1), (Role::Gateway, counts.2)] {
+        for (role, count) in [
+            (Role::Controller, counts.0),
+            (Role::Store, counts.1),
+            (Role::Gateway, counts.2),
+        ] {
             for index in 0..count {
                 fleet.add(role, index);
             }
@@ -146,7 +163,17 @@
         fleet
     }
 
+    /// Starts an empty machine at an address that nobody had before.
+    pub fn add_empty(&mut self, role: Role, index: usize) -> usize {
+        self.add_with(role, index, false);
+        self.nodes.len() - 1
+    }
+
     fn add(&mut self, role: Role, index: usize) {
+        self.add_with(role, index, true);
+    }
+
+    fn add_with(&mut self, role: Role, index: usize, bootstrap: bool) {
         let first = match role {
             Role::Controller => 10,
             Role::Store => 30,
@@ -155,8 +182,15 @@
         let ip = self.ip(first + index as u8);
         let name = format!("{}-{}", role.run_key(), index + 1);
         let settings = self.folder.join(format!("{name}.json"));
-        let node = Node { role, index, name, ip, settings, child: None };
-        self.write_settings(&node, true);
+        let node = Node {
+            role,
+            index,
+            name,
+            ip,
+            settings,
+            child: None,
+        };
+        self.write_settings(&node, bootstrap);
         self.nodes.push(node);
         let last = self.nodes.len() - 1;
         self.launch(last);
@@ -184,12 +218,20 @@
     }
 
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
-        let nodes = self.nodes.iter().filter(|node| node.role == Role::Controller);
-        nodes.map(|node| SocketAddr::from((node.ip, self.control_port()))).collect()
+        let nodes = self
+            .nodes
+            .iter()
+            .filter(|node| node.role == Role::Controller);
+        nodes
+            .map(|node| SocketAddr::from((node.ip, self.control_port())))
+            .collect()
     }
 
     pub fn frontend(&self, index: usize) -> SocketAddr {
-        let node = self.nodes.iter().find(|node| node.role == Role::Gateway && node.index == index);
+        let node = self
+            .nodes
+            .iter()
+            .find(|node| node.role == Role::Gateway && node.index == index);
         SocketAddr::from((node.unwrap().ip, self.base + 21))
     }
 
@@ -203,16 +245,38 @@
         let seeds: Vec<String> = (0..self.controllers.min(3))
             .map(|index| format!("\"{}:{}\"", self.ip(10 + index as u8), self.control_port()))
             .collect();
-        let zones: Vec<String> =
-            self.terms.zones.iter().map(|zone| format!("\"{zone}\": \"{}\"", self.terms.region)).collect();
+        let zones: Vec<String> = self
+            .terms
+            .zones
+            .iter()
+            .map(|zone| format!("\"{zone}\": \"{}\"", self.terms.region))
+            .collect();
         let zone = self.terms.zones[node.index % self.terms.zones.len()];
         let (class, serves, listen, memory, disk) = match node.role {
-            Role::Controller => ("core", "control_plane", format!("\"control_plane\": \"{}:{}\"", node.ip, self.control_port()), 256, 128),
-            Role::Store => ("storage", "storage", String::new(), self.terms.storage_mb, self.terms.disk_mb),
+            Role::Controller => (
+                "core",
+                "control_plane",
+                format!("\"control_plane\": \"{}:{}\"", node.ip, self.control_port()),
+                256,
+                128,
+            ),
+            Role::Store => (
+                "storage",
+                "storage",
+                String::new(),
+                self.terms.storage_mb,
+                self.terms.disk_mb,
+            ),
             Role::Gateway => (
                 "frontend",
                 "frontend",
-                format!("\"frontend\": \"{}:{}\", \"ready\": \"{}:{}\"", node.ip, self.base + 21, node.ip, self.base + 22),
+                format!(
+                    "\"frontend\": \"{}:{}\", \"ready\": \"{}:{}\"",
+                    node.ip,
+                    self.base + 21,
+                    node.ip,
+                    self.base + 22
+                ),
                 self.terms.frontend_mb,
                 0,
             ),
@@ -254,7 +318,11 @@
         let words = run_words(&self.root, node.role);
         let log = |suffix: &str| {
             let path = self.folder.join(format!("{}.{suffix}", node.name));
-            File::options().create(true).append(true).open(path).unwrap()
+            File::options()
+                .create(true)
+                .append(true)
+                .open(path)
+                .unwrap()
         };
         let child = Command::new(&words[0])
             .args(&words[1..])
@@ -268,21 +336,35 @@
             .stderr(log("err"))
             .spawn()
             .expect("start a process of the deploy file");
-        self.record.line(format!("platform: started {} as process {}", node.name, child.id()));
+        self.record.line(format!(
+            "platform: started {} as process {}",
+            node.name,
+            child.id()
+        ));
         self.nodes[at].child = Some(child);
     }
 
     pub fn find(&self, role: Role, index: usize) -> usize {
-        self.nodes.iter().position(|node| node.role == role && node.index == index).unwrap()
+        self.nodes
+            .iter()
+            .position(|node| node.role == role && node.index == index)
+            .unwrap()
     }
 
     /// Sends a signal to a process that this fleet started.
     pub fn signal(&self, at: usize, signal: &str) {
         let node = &self.nodes[at];
         if let Some(child) = &node.child {
-            self.record.line(format!("platform: {signal} to {}", node.name));
-            let sent = Command::new("/bin/kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-            assert!(sent.is_ok_and(|status| status.success()), "kill -{signal} failed");
+            self.record
+                .line(format!("platform: {signal} to {}", node.name));
+            let sent = Command::new("/bin/kill")
+                .arg(format!("-{signal}"))
+                .arg(child.id().to_string())
+                .status();
+            assert!(
+                sent.is_ok_and(|status| status.success()),
+                "kill -{signal} failed"
+            );
         }
     }
 
@@ -293,7 +375,8 @@
 
     /// Kills a process at once.
     pub fn kill(&mut self, at: usize) {
-        self.record.line(format!("platform: KILL to {}", self.nodes[at].name));
+        self.record
+            .line(format!("platform: KILL to {}", self.nodes[at].name));
         if let Some(mut child) = self.nodes[at].child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -312,20 +395,36 @@
 
     pub fn wipe(&mut self, at: usize) {
         let folder = self.data_directory(&self.nodes[at]);
-        self.record.line(format!("platform: the disk of {} is lost", self.nodes[at].name));
+        self.record.line(format!(
+            "platform: the disk of {} is lost",
+            self.nodes[at].name
+        ));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
     }
 
     /// Sends an operator's order to the controllers until one answers clearly. Returns status and body.
-    pub fn order(&self, method: &str, path: &str, body: &[u8], limit: Duration) -> Option<(u16, Vec<u8>)> {
+    pub fn order(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> Option<(u16, Vec<u8>)> {
         let until = Instant::now() + limit;
         let addresses = self.control_addresses();
         let mut turn = unique() as usize;
         while Instant::now() < until {
             turn += 1;
             let address = addresses[turn % addresses.len()];
-            if let Ok(answer) = call(address, method, path, &[("Content-Type", "application/json")], body, Duration::from_secs(1)) {
+            if let Ok(answer) = call(
+                address,
+                method,
+                path,
+                &[("Content-Type", "application/json")],
+                body,
+                Duration::from_secs(1),
+            ) {
                 if answer.status < 500 && answer.status != 408 && answer.status != 429 {
                     return Some((answer.status, answer.body));
                 }
@@ -338,14 +437,25 @@
     /// Sends a configuration until it is acknowledged.
     pub fn configure(&self, document: &str, limit: Duration) -> bool {
         let answer = self.order("POST", "/configuration/replace", document.as_bytes(), limit);
-        self.record.line(format!("operator: configuration of {} bytes: {:?}", document.len(), answer.as_ref().map(|(status, _)| status)));
+        self.record.line(format!(
+            "operator: configuration of {} bytes: {:?}",
+            document.len(),
+            answer.as_ref().map(|(status, _)| status)
+        ));
         answer.is_some_and(|(status, _)| status == 200)
     }
 
     pub fn wait_ready(&self, index: usize, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while Instant::now() < until {
-            let answer = call(self.ready(index), "GET", "/readiness", &[], b"", Duration::from_secs(1));
+            let answer = call(
+                self.ready(index),
+                "GET",
+                "/readiness",
+                &[],
+                b"",
+                Duration::from_secs(1),
+            );
             if answer.is_ok_and(|answer| answer.status == 200) {
                 return true;
             }
@@ -377,7 +487,8 @@
         let draw = unique();
         let net = (1 + (draw % 254) as u8, 1 + ((draw >> 8) % 254) as u8);
         let base = 15_000 + ((draw >> 16) % 37) as u16 * 400;
-        let is_free = |port: u16| TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, 10), port)).is_ok();
+        let is_free =
+            |port: u16| TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, 10), port)).is_ok();
         if (base..base + 200).all(is_free) {
             return (net, base);
         }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -15,12 +15,19 @@
 
 impl Head {
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn method(&self) -> &str {
@@ -52,7 +59,10 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Wire { stream, buffer: Vec::new() }
+        Wire {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -65,12 +75,19 @@
     pub fn set_small_window(&self, bytes: i32) {
         use std::os::fd::AsRawFd;
         unsafe extern "C" {
-            fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+            fn setsockopt(
+                socket: i32,
+                level: i32,
+                name: i32,
+                value: *const i32,
+                length: u32,
+            ) -> i32;
         }
         const SOL_SOCKET: i32 = 1;
         const SO_RCVBUF: i32 = 8;
         // SAFETY: the descriptor is open and the value is an int that lives through the call.
-        let result = unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+        let result =
+            unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
         assert_eq!(result, 0, "setsockopt failed");
     }
 
@@ -84,7 +101,11 @@
     /// The next head; none if the connection ended before it began.
     pub fn read_head(&mut self) -> io::Result<Option<Head>> {
         loop {
-            if let Some(end) = self.buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            if let Some(end) = self
+                .buffer
+                .windows(4)
+                .position(|window| window == b"\r\n\r\n")
+            {
                 let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
                 self.buffer.drain(..end + 4);
                 let mut lines = text.split("\r\n");
@@ -96,7 +117,11 @@
                 return Ok(Some(Head { first, headers }));
             }
             if self.fill()? == 0 {
-                return if self.buffer.is_empty() { Ok(None) } else { Err(ended("within a head")) };
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(ended("within a head"))
+                };
             }
         }
     }
@@ -117,7 +142,10 @@
     pub fn read_exact(&mut self, length: usize) -> io::Result<Vec<u8>> {
         while self.buffer.len() < length {
             if self.fill()? == 0 {
-                return Err(ended(&format!("after {} of {length} bytes", self.buffer.len())));
+                return Err(ended(&format!(
+                    "after {} of {length} bytes",
+                    self.buffer.len()
+                )));
             }
         }
         Ok(self.buffer.drain(..length).collect())
@@ -127,14 +155,19 @@
     pub fn read_chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
         let line = self.read_line()?;
         let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
-        let size = size.map_err(|_| io::Error::new(io::ErrorKind::InvalidData, format!("chunk size {line:?}")))?;
+        let size = size.map_err(|_| {
+            io::Error::new(io::ErrorKind::InvalidData, format!("chunk size {line:?}"))
+        })?;
         let data = self.read_exact(size)?;
         self.read_line()?;
         Ok((size > 0).then_some(data))
     }
 
     pub fn read_body(&mut self, head: &Head, is_answer: bool) -> io::Result<Vec<u8>> {
-        if head.get("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
+        if head
+            .get("transfer-encoding")
+            .is_some_and(|value| value.contains("chunked"))
+        {
             let mut body = Vec::new();
             while let Some(chunk) = self.read_chunk()? {
                 body.extend_from_slice(&chunk);
@@ -151,12 +184,21 @@
         Ok(Vec::new())
     }
 
-    pub fn send(&mut self, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut text = format!("{method} {path} HTTP/1.1\r\n");
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
-        if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+        if !headers
+            .iter()
+            .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+        {
             text.push_str("Host: control\r\n");
         }
         if method != "GET" || !body.is_empty() {
@@ -171,12 +213,23 @@
     pub fn read_answer(&mut self) -> io::Result<Answer> {
         let head = self.read_head()?.ok_or_else(|| ended("no answer"))?;
         let body = self.read_body(&head, true)?;
-        Ok(Answer { status: head.status(), head, body })
+        Ok(Answer {
+            status: head.status(),
+            head,
+            body,
+        })
     }
 }
 
 /// One call on a new connection.
-pub fn call(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8], limit: Duration) -> io::Result<Answer> {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+) -> io::Result<Answer> {
     let mut wire = Wire::connect(address, limit)?;
     wire.send(method, path, headers, body)?;
     wire.read_answer()
@@ -213,7 +266,14 @@
 }
 
 impl Server {
-    pub fn start(id: &str, service: &str, zone: &str, slots: u32, address: SocketAddr, handler: Handler) -> Server {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        slots: u32,
+        address: SocketAddr,
+        handler: Handler,
+    ) -> Server {
         let server = Server {
             id: id.to_owned(),
             address,
@@ -243,17 +303,25 @@
     fn serve(&self, stream: TcpStream, handler: &Handler) {
         let mut wire = Wire::new(stream);
         while let Ok(Some(head)) = wire.read_head() {
-            let Ok(body) = wire.read_body(&head, false) else { return };
+            let Ok(body) = wire.read_body(&head, false) else {
+                return;
+            };
             let expected = head.get("courseshed-expected-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let request_id = head.get("courseshed-request-id").unwrap_or("").to_owned();
-                let text = format!("HTTP/1.1 421 Misdirected Request\r\nCourseshed-Not-Executed: 1\r\nCourseshed-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n");
+                let text = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nCourseshed-Not-Executed: 1\r\nCourseshed-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n"
+                );
                 if wire.stream.write_all(text.as_bytes()).is_err() {
                     return;
                 }
                 continue;
             }
-            let request = Request { head, body, server: self.id.clone() };
+            let request = Request {
+                head,
+                body,
+                server: self.id.clone(),
+            };
             if !handler(&request, &mut wire.stream) {
                 return;
             }
@@ -277,7 +345,14 @@
             let state = *self.state.lock().unwrap();
             let path = format!("/instances/{}/heartbeat", self.id);
             let headers = [("Content-Type", "application/json")];
-            let answer = call(controllers[turn % controllers.len()], "POST", &path, &headers, self.beat(sequence, state).as_bytes(), Duration::from_secs(1));
+            let answer = call(
+                controllers[turn % controllers.len()],
+                "POST",
+                &path,
+                &headers,
+                self.beat(sequence, state).as_bytes(),
+                Duration::from_secs(1),
+            );
             if answer.is_ok_and(|answer| answer.status / 100 == 2) {
                 return true;
             }
--- a/review/standin-2/link.rs
+++ b/review/standin-2/link.rs
@@ -36,8 +36,14 @@
 
 impl Link {
     pub fn new(mbps: f64) -> Link {
-        let lane = || Lane { bytes_per_s: mbps * 1e6 / 8.0, free_at: Arc::new(Mutex::new(Instant::now())) };
-        Link { up: lane(), down: lane() }
+        let lane = || Lane {
+            bytes_per_s: mbps * 1e6 / 8.0,
+            free_at: Arc::new(Mutex::new(Instant::now())),
+        };
+        Link {
+            up: lane(),
+            down: lane(),
+        }
     }
 
     /// Carries connections to `listen` over the link to `target`.
@@ -49,9 +55,14 @@
                 let Ok(near) = near else { continue };
                 let link = link.clone();
                 thread::spawn(move || {
-                    let Ok(far) = TcpStream::connect(target) else { return };
+                    let Ok(far) = TcpStream::connect(target) else {
+                        return;
+                    };
                     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-                    let (Ok(near_reader), Ok(far_reader)) = (near.try_clone(), far.try_clone()) else { return };
+                    let (Ok(near_reader), Ok(far_reader)) = (near.try_clone(), far.try_clone())
+                    else {
+                        return;
+                    };
                     thread::spawn(move || pump(near_reader, far, &link.up));
                     pump(far_reader, near, &link.down);
                 });
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod link;
 mod narrow;
+mod replaced;
 mod resumed;
 
 use std::path::Path;
@@ -28,6 +29,7 @@
     let verdict = match name.as_str() {
         "drain" => drain::run(record.clone(), trouble),
         "narrow" => narrow::run(record.clone(), trouble),
+        "replaced" => replaced::run(record.clone(), trouble),
         "resumed" => resumed::run(record.clone(), trouble),
         _ => Verdict::NotRun(format!("no case {name}")),
     };
--- a/review/standin-2/narrow.rs
+++ b/review/standin-2/narrow.rs
@@ -67,7 +67,14 @@
     let controllers = fleet.control_addresses();
     for index in 0..SERVERS {
         let zone = terms(trouble).zones[index % 3];
-        let server = Server::start(&format!("i-{}", id()), "agent-llm", zone, 12, fleet.server_address(index), handler.clone());
+        let server = Server::start(
+            &format!("i-{}", id()),
+            "agent-llm",
+            zone,
+            12,
+            fleet.server_address(index),
+            handler.clone(),
+        );
         if !server.announce(&controllers, Duration::from_secs(5)) {
             return Verdict::NotRun("a server was not acknowledged".into());
         }
@@ -84,12 +91,23 @@
     let over = Arc::new(AtomicBool::new(false));
     let (firsts, reached) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let others = {
-        let (over, gateways, firsts, reached) = (over.clone(), gateways.clone(), firsts.clone(), reached.clone());
+        let (over, gateways, firsts, reached) = (
+            over.clone(),
+            gateways.clone(),
+            firsts.clone(),
+            reached.clone(),
+        );
         thread::spawn(move || {
             let mut turn = 0;
             while !over.load(Ordering::Relaxed) {
                 let program = id();
-                let try_ = attempt(gateways[turn % GATEWAYS], &program, &input(5_100, &program), None, 4_000);
+                let try_ = attempt(
+                    gateways[turn % GATEWAYS],
+                    &program,
+                    &input(5_100, &program),
+                    None,
+                    4_000,
+                );
                 firsts.fetch_add(1, Ordering::Relaxed);
                 reached.fetch_add(usize::from(try_.status == 200), Ordering::Relaxed);
                 turn += 1;
@@ -115,7 +133,13 @@
                     break;
                 }
                 let gateway = gateways[(turn + resend + retry) % OWN_GATEWAYS];
-                let result = attempt(gateway, &program, &body, previous.as_deref(), left.as_millis() as u64);
+                let result = attempt(
+                    gateway,
+                    &program,
+                    &body,
+                    previous.as_deref(),
+                    left.as_millis() as u64,
+                );
                 let at = began.elapsed();
                 record.line(format!("client: turn {turn} ({size} bytes of chain), try {} at {gateway}: {} after {} ms{}", tries.len() + 1, result.text, result.took.as_millis(), if at < AIM { "" } else { ", after the aim" }));
                 let status = result.status;
@@ -143,15 +167,22 @@
     }
     over.store(true, Ordering::Relaxed);
     let _ = others.join();
-    let (firsts, reached) = (firsts.load(Ordering::Relaxed), reached.load(Ordering::Relaxed));
+    let (firsts, reached) = (
+        firsts.load(Ordering::Relaxed),
+        reached.load(Ordering::Relaxed),
+    );
     let text = format!("{reached} of {firsts} first turns of other programs were answered");
     drop(fleet);
     match verdict {
         None => Verdict::Held(format!("all {TURNS} turns were answered; {text}")),
         Some((turn, tries, in_aim, 0)) if in_aim >= 5 && reached * 10 >= firsts * 9 => {
-            Verdict::Broken(format!("turn {turn}, which goes on from {size} bytes, reached no server in {tries} tries, {in_aim} of them before the program's aim; {text}"))
+            Verdict::Broken(format!(
+                "turn {turn}, which goes on from {size} bytes, reached no server in {tries} tries, {in_aim} of them before the program's aim; {text}"
+            ))
         }
-        Some((turn, tries, in_aim, reached_by)) => Verdict::Held(format!("turn {turn}, which goes on from {size} bytes, failed in {tries} tries, {in_aim} before the aim, of which {reached_by} reached a server; {text}")),
+        Some((turn, tries, in_aim, reached_by)) => Verdict::Held(format!(
+            "turn {turn}, which goes on from {size} bytes, failed in {tries} tries, {in_aim} before the aim, of which {reached_by} reached a server; {text}"
+        )),
     }
 }
 
@@ -159,13 +190,19 @@
 fn engine(seen: Arc<Mutex<Seen>>) -> Handler {
     Arc::new(move |request, stream| {
         seen.lock().unwrap().ids.push(request.id().to_owned());
-        let head = format!("HTTP/1.1 200 OK\r\nCourseshed-Request-Id: {}\r\nCourseshed-Response-Seal: seal-{}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.id(), request.id());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nCourseshed-Request-Id: {}\r\nCourseshed-Response-Seal: seal-{}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            request.id(),
+            request.id()
+        );
         let mut sent = stream.write_all(head.as_bytes());
         thread::sleep(FIRST_TIME);
         for event in 1..=EVENTS {
             thread::sleep(EVENT_TIME);
             let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
-            sent = sent.and_then(|()| stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()));
+            sent = sent.and_then(|()| {
+                stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+            });
         }
         sent.and_then(|()| stream.write_all(b"0\r\n\r\n")).is_ok()
     })
@@ -184,7 +221,13 @@
 }
 
 /// One try of a turn, on a new connection.
-fn attempt(gateway: SocketAddr, program: &str, body: &[u8], previous: Option<&str>, left_ms: u64) -> Try {
+fn attempt(
+    gateway: SocketAddr,
+    program: &str,
+    body: &[u8],
+    previous: Option<&str>,
+    left_ms: u64,
+) -> Try {
     let id = id();
     let began = Instant::now();
     let (left, prompt) = (left_ms.to_string(), format!("{:x}:2560,{}:514", 77, id));
@@ -203,21 +246,42 @@
     if let Some(previous) = previous {
         headers.push(("Courseshed-Previous-Turn", previous));
     }
-    let answer = Wire::connect(gateway, Duration::from_millis(left_ms + 500)).and_then(|mut wire| {
-        wire.send("POST", "/chat/go", &headers, body)?;
-        wire.read_answer()
-    });
+    let answer =
+        Wire::connect(gateway, Duration::from_millis(left_ms + 500)).and_then(|mut wire| {
+            wire.send("POST", "/chat/go", &headers, body)?;
+            wire.read_answer()
+        });
     let took = began.elapsed();
     match answer {
         Ok(answer) => {
-            let after = answer.head.get("retry-after").and_then(|value| value.parse::<f64>().ok()).unwrap_or(0.0);
-            let is_whole = answer.status == 200 && answer.body.iter().filter(|byte| **byte == b'd').count() >= EVENTS;
+            let after = answer
+                .head
+                .get("retry-after")
+                .and_then(|value| value.parse::<f64>().ok())
+                .unwrap_or(0.0);
+            let is_whole = answer.status == 200
+                && answer.body.iter().filter(|byte| **byte == b'd').count() >= EVENTS;
             let text = match answer.status {
                 200 if is_whole => "200, whole".to_owned(),
-                status => format!("{status} {}", String::from_utf8_lossy(&answer.body[..answer.body.len().min(40)])),
+                status => format!(
+                    "{status} {}",
+                    String::from_utf8_lossy(&answer.body[..answer.body.len().min(40)])
+                ),
             };
-            Try { id, status: answer.status, text, took, retry_after: Duration::from_secs_f64(after) }
+            Try {
+                id,
+                status: answer.status,
+                text,
+                took,
+                retry_after: Duration::from_secs_f64(after),
+            }
         }
-        Err(error) => Try { id, status: 0, text: format!("no answer: {error}"), took, retry_after: Duration::ZERO },
+        Err(error) => Try {
+            id,
+            status: 0,
+            text: format!("no answer: {error}"),
+            took,
+            retry_after: Duration::ZERO,
+        },
     }
 }
--- a/review/standin-2/resumed.rs
+++ b/review/standin-2/resumed.rs
@@ -47,15 +47,31 @@
 
 fn engine(ran: Ran) -> Handler {
     Arc::new(move |request, stream| {
-        ran.lock().unwrap().push((request.id().to_owned(), request.body.clone()));
-        let conversation = request.head.get("courseshed-session-id").unwrap_or("").to_owned();
-        let last: usize = request.head.get("last-event-id").and_then(|value| value.parse().ok()).unwrap_or(0);
-        let head = format!("HTTP/1.1 200 OK\r\nCourseshed-Request-Id: {}\r\nCourseshed-Response-Seal: seal-{}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.id(), request.id());
+        ran.lock()
+            .unwrap()
+            .push((request.id().to_owned(), request.body.clone()));
+        let conversation = request
+            .head
+            .get("courseshed-session-id")
+            .unwrap_or("")
+            .to_owned();
+        let last: usize = request
+            .head
+            .get("last-event-id")
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nCourseshed-Request-Id: {}\r\nCourseshed-Response-Seal: seal-{}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            request.id(),
+            request.id()
+        );
         let mut sent = stream.write_all(head.as_bytes());
         for event in last + 1..=EVENTS {
             thread::sleep(EVENT_TIME);
             let text = format!("id: {event}\ndata: {}\n\n", data(&conversation, event));
-            sent = sent.and_then(|()| stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()));
+            sent = sent.and_then(|()| {
+                stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+            });
         }
         sent.and_then(|()| stream.write_all(b"0\r\n\r\n")).is_ok()
     })
@@ -69,7 +85,14 @@
     }
     let controllers = fleet.control_addresses();
     for index in 0..3 {
-        let server = Server::start(&format!("i-{}", id()), "agent-llm", terms().zones[index], 64, fleet.server_address(index), engine(ran.clone()));
+        let server = Server::start(
+            &format!("i-{}", id()),
+            "agent-llm",
+            terms().zones[index],
+            64,
+            fleet.server_address(index),
+            engine(ran.clone()),
+        );
         if !server.announce(&controllers, Duration::from_secs(5)) {
             return Verdict::NotRun("a server was not acknowledged".into());
         }
@@ -83,17 +106,30 @@
     // The gateways have known the servers and their one version for some time.
     thread::sleep(Duration::from_secs(14));
     let fleet = Arc::new(Mutex::new(fleet));
-    let gateways: Vec<SocketAddr> = (0..GATEWAYS).map(|index| fleet.lock().unwrap().frontend(index)).collect();
+    let gateways: Vec<SocketAddr> = (0..GATEWAYS)
+        .map(|index| fleet.lock().unwrap().frontend(index))
+        .collect();
     let progress = Arc::new(Mutex::new(vec![0; CONVERSATIONS]));
     let threads: Vec<_> = (0..CONVERSATIONS)
         .map(|index| {
-            let (gateways, record, progress, ran) = (gateways.clone(), record.clone(), progress.clone(), ran.clone());
+            let (gateways, record, progress, ran) = (
+                gateways.clone(),
+                record.clone(),
+                progress.clone(),
+                ran.clone(),
+            );
             thread::spawn(move || converse(index, &gateways, &record, &progress, &ran))
         })
         .collect();
     if trouble {
         let until = Instant::now() + Duration::from_secs(5);
-        while progress.lock().unwrap().iter().any(|events| *events < BEFORE_KILL) && Instant::now() < until {
+        while progress
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|events| *events < BEFORE_KILL)
+            && Instant::now() < until
+        {
             thread::sleep(Duration::from_millis(5));
         }
         let mut fleet = fleet.lock().unwrap();
@@ -101,11 +137,26 @@
         fleet.kill(at);
         fleet.restart(at);
     }
-    let results: Vec<Result<bool, String>> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
-    let wrong = results.iter().filter(|result| matches!(result, Ok(false))).count();
-    let right = results.iter().filter(|result| matches!(result, Ok(true))).count();
-    let failed: Vec<&String> = results.iter().filter_map(|result| result.as_ref().err()).collect();
-    let text = format!("of {CONVERSATIONS} second turns, {right} reached their server with the whole conversation, {wrong} without the beginning of the first turn's answer, {} did not run {failed:?}", failed.len());
+    let results: Vec<Result<bool, String>> = threads
+        .into_iter()
+        .map(|thread| thread.join().unwrap())
+        .collect();
+    let wrong = results
+        .iter()
+        .filter(|result| matches!(result, Ok(false)))
+        .count();
+    let right = results
+        .iter()
+        .filter(|result| matches!(result, Ok(true)))
+        .count();
+    let failed: Vec<&String> = results
+        .iter()
+        .filter_map(|result| result.as_ref().err())
+        .collect();
+    let text = format!(
+        "of {CONVERSATIONS} second turns, {right} reached their server with the whole conversation, {wrong} without the beginning of the first turn's answer, {} did not run {failed:?}",
+        failed.len()
+    );
     if wrong > 0 {
         return Verdict::Broken(text);
     }
@@ -116,43 +167,103 @@
 }
 
 /// Two turns; whether the second one's body was right.
-fn converse(index: usize, gateways: &[SocketAddr], record: &Record, progress: &Mutex<Vec<usize>>, ran: &Ran) -> Result<bool, String> {
+fn converse(
+    index: usize,
+    gateways: &[SocketAddr],
+    record: &Record,
+    progress: &Mutex<Vec<usize>>,
+    ran: &Ran,
+) -> Result<bool, String> {
     let conversation = id();
     let input = format!("[first input of {conversation}]");
     let first = id();
-    let mut events = turn(gateways[0], &conversation, &first, &input, None, None, |count| progress.lock().unwrap()[index] = count);
+    let mut events = turn(
+        gateways[0],
+        &conversation,
+        &first,
+        &input,
+        None,
+        None,
+        |count| progress.lock().unwrap()[index] = count,
+    );
     let mut named = first.clone();
-    record.line(format!("client {index}: turn 1, {first}: {} events, whole: {}", events.0.len(), events.1));
+    record.line(format!(
+        "client {index}: turn 1, {first}: {} events, whole: {}",
+        events.0.len(),
+        events.1
+    ));
     let mut tries = 0;
     while !events.1 && tries < 3 {
         tries += 1;
         let last = events.0.len();
         named = id();
-        let rest = turn(gateways[1 + (index + tries) % (GATEWAYS - 1)], &conversation, &named, &input, None, (last > 0).then_some(last), |_| {});
+        let rest = turn(
+            gateways[1 + (index + tries) % (GATEWAYS - 1)],
+            &conversation,
+            &named,
+            &input,
+            None,
+            (last > 0).then_some(last),
+            |_| {},
+        );
         record.line(format!("client {index}: turn 1 taken up after event {last}, {named}: {} events more, whole: {}", rest.0.len(), rest.1));
         events.0.extend(rest.0);
         events.1 = rest.1;
         thread::sleep(Duration::from_millis(200));
     }
-    let expected: Vec<String> = (1..=EVENTS).map(|event| data(&conversation, event)).collect();
+    let expected: Vec<String> = (1..=EVENTS)
+        .map(|event| data(&conversation, event))
+        .collect();
     if !events.1 || events.0 != expected {
-        return Err(format!("client {index} has {} events of turn 1", events.0.len()));
+        return Err(format!(
+            "client {index} has {} events of turn 1",
+            events.0.len()
+        ));
     }
     let next = format!("[second input of {conversation}]");
     let second = id();
-    let answer = turn(gateways[1 + (index + 3) % (GATEWAYS - 1)], &conversation, &second, &next, Some(&named), None, |_| {});
+    let answer = turn(
+        gateways[1 + (index + 3) % (GATEWAYS - 1)],
+        &conversation,
+        &second,
+        &next,
+        Some(&named),
+        None,
+        |_| {},
+    );
     let bodies = ran.lock().unwrap();
     let Some((_, body)) = bodies.iter().find(|(id, _)| *id == second) else {
-        return Err(format!("client {index}: turn 2 reached no server; {} events", answer.0.len()));
+        return Err(format!(
+            "client {index}: turn 2 reached no server; {} events",
+            answer.0.len()
+        ));
     };
-    let whole = format!("{input}{}{next}", expected.iter().map(|piece| format!("{piece}\n")).collect::<String>());
+    let whole = format!(
+        "{input}{}{next}",
+        expected
+            .iter()
+            .map(|piece| format!("{piece}\n"))
+            .collect::<String>()
+    );
     let is_right = body == whole.as_bytes();
-    record.line(format!("client {index}: turn 2, {second}, goes on from {named}; its server got {:?}{}", String::from_utf8_lossy(body), if is_right { "" } else { " UNASKED" }));
+    record.line(format!(
+        "client {index}: turn 2, {second}, goes on from {named}; its server got {:?}{}",
+        String::from_utf8_lossy(body),
+        if is_right { "" } else { " UNASKED" }
+    ));
     Ok(is_right)
 }
 
 /// One try of a turn: the data of its whole events, and whether the answer was whole.
-fn turn(gateway: SocketAddr, conversation: &str, id: &str, input: &str, previous: Option<&str>, last: Option<usize>, mut told: impl FnMut(usize)) -> (Vec<String>, bool) {
+fn turn(
+    gateway: SocketAddr,
+    conversation: &str,
+    id: &str,
+    input: &str,
+    previous: Option<&str>,
+    last: Option<usize>,
+    mut told: impl FnMut(usize),
+) -> (Vec<String>, bool) {
     let last = last.map(|last| last.to_string());
     let mut headers = vec![
         ("Host", "rider.example"),
@@ -180,7 +291,12 @@
             text.push_str(&String::from_utf8_lossy(&chunk));
             while let Some(end) = text.find("\n\n") {
                 let event: String = text.drain(..end + 2).collect();
-                events.extend(event.lines().find_map(|line| line.strip_prefix("data: ")).map(str::to_owned));
+                events.extend(
+                    event
+                        .lines()
+                        .find_map(|line| line.strip_prefix("data: "))
+                        .map(str::to_owned),
+                );
                 told(events.len());
             }
         }
