--- a/review/standin-2/main.rs
+++ b/review/standin2.rs
@@ -1,12 +1,19 @@
 //! Stand-ins for the clients, servers and platform of the review's cases: `cases-2 NAME FOLDER`.
 //! Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
+#[path = "standin2_drain.rs"]
 mod drain;
+#[path = "standin2_fleet.rs"]
 mod fleet;
+#[path = "standin2_http.rs"]
 mod http;
+#[path = "standin2_link.rs"]
 mod link;
+#[path = "standin2_narrow.rs"]
 mod narrow;
+#[path = "standin2_replaced.rs"]
 mod replaced;
+#[path = "standin2_resumed.rs"]
 mod resumed;
 
 use std::path::Path;
