Log and measure which voters of the controllers answer, and how many losses are left

Three causes fit what the logs showed: a dead voter that stays beside its successor, a successor that never becomes a voter, and disks that are readmitted too late. None of them could be told apart, since no line names the voters or who of them answers.

The leader now logs voters, silent voters, members without a vote and the losses that can still be borne whenever one of them changes, and has a gauge for each.

--- a/crates/courseshed-consensus/src/peer/leader.rs
+++ b/crates/courseshed-consensus/src/peer/leader.rs
@@ -68,6 +68,7 @@
             replica: *id,
             matched: progress.matched,
             snapshotting: matches!(progress.state, ReplicationState::Snapshotting(_)),
+            last_contact: progress.last_contact,
         };
         self.followers.iter().map(status).collect()
     }
--- a/crates/courseshed-consensus/src/status.rs
+++ b/crates/courseshed-consensus/src/status.rs
@@ -1,5 +1,7 @@
 //! Status of a peer for operators and metrics.
 
+use std::time::Duration;
+
 use crate::{Configuration, LogIndex, ReplicaAddress, ReplicaId, RoleName, Term};
 
 /// The status of a peer.
@@ -40,4 +42,6 @@
     pub matched: LogIndex,
     /// Whether it is receiving a snapshot.
     pub snapshotting: bool,
+    /// When it last replied, by the leader's clock; at first the time of the election or of its admission.
+    pub last_contact: Duration,
 }
--- a/crates/courseshed-edge/src/controller/mod.rs
+++ b/crates/courseshed-edge/src/controller/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod bootstrap;
+mod group_health;
 mod handle;
 mod housekeeping;
 mod peers;
--- a/crates/courseshed-edge/src/controller/replica.rs
+++ b/crates/courseshed-edge/src/controller/replica.rs
@@ -26,6 +26,10 @@
 const GROUP: GroupId = GroupId(1);
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without an answer after which the leader takes a voter for lost. A successor should have its place before the
+/// next loss, which may come 4 s after the successor's start, and an election may come in between. Many round trips
+/// between regions (60 ms).
+pub(super) const VOTER_SILENCE: Duration = ELECTION_TIMEOUT.saturating_mul(2);
 const RETAINED_ENTRIES: u64 = 256;
 /// Delay before a replica is reopened after a failed disk write.
 const REOPEN_DELAY: Duration = Duration::from_millis(700);
--- a/crates/courseshed-edge/src/controller/worker.rs
+++ b/crates/courseshed-edge/src/controller/worker.rs
@@ -16,6 +16,7 @@
 use courseshed_types::NodeId;
 use tokio::sync::oneshot;
 
+use super::group_health::GroupHealth;
 use super::handle::{Input, MAX_STATE_AGE, Published, ReadKind, Shared};
 use super::housekeeping::{HOUSEKEEPING_INTERVAL, Housekeeper, replicas_wanted};
 use super::quotas::OwnedQuotas;
@@ -58,6 +59,8 @@
     pub(super) quota: Option<OwnedQuotas>,
     /// The owner of the permits of servers that are warming up, while this controller leads.
     pub(super) warmup: Option<OwnedWarmup>,
+    /// The members of the group as last logged; empty unless this controller leads.
+    pub(super) group_health: GroupHealth,
     next_housekeeping: Duration,
     freshness: CommitFreshness,
     /// Since when this replica lacks committed entries, once this was logged.
@@ -86,6 +89,7 @@
             housekeeper: None,
             quota: None,
             warmup: None,
+            group_health: GroupHealth::default(),
             next_housekeeping: Duration::ZERO,
             freshness: CommitFreshness::default(),
             behind_since: None,
@@ -293,6 +297,7 @@
             return;
         }
         self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+        self.update_group_health();
         if !self.group.is_established() {
             return;
         }
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a process in the Prometheus text format.
 
+mod group_health;
 mod labels;
 
 use std::collections::BTreeMap;
@@ -21,6 +22,7 @@
 use crate::http::{HttpTiming, listen, serve};
 use crate::logging;
 
+pub use group_health::GroupHealthGauges;
 pub use labels::{
     CallLabels, ChoiceLabels, DecisionLabels, DisconnectLabels, PoolLabels, ResponseEndLabels,
     ResumptionLabels, ServiceLabels, TenantLabels, WriteLabels,
@@ -113,6 +115,8 @@
     pub callers_cut_off: Family<DisconnectLabels, Counter>,
     /// Version of the routing table in force on this node.
     pub routing_version: Gauge<i64, AtomicI64>,
+    /// The group of controllers, as the leader sees it; zero at the others.
+    pub group_health: GroupHealthGauges,
     /// Revision of the record partitions known to this node.
     pub record_revision: Gauge<i64, AtomicI64>,
     /// Chains of turns that this gateway read although replicas lacked turns of them.
@@ -241,6 +245,7 @@
             dropped_after_freeze: Counter::default(),
             callers_cut_off: Family::default(),
             routing_version: Gauge::default(),
+            group_health: GroupHealthGauges::default(),
             record_revision: Gauge::default(),
             chains_assembled: Counter::default(),
             chains_lost: Counter::default(),
@@ -260,6 +265,7 @@
         metrics.register_scheduling();
         metrics.register_warmup();
         metrics.register_streams();
+        metrics.group_health.register(&mut metrics.registry.lock());
         metrics
     }
 
