Let a machine that joins the controllers take the place of a silent voter

Cause: a successor asks to join before its predecessor counts as silent, is added beside it, and nobody asks again. The group keeps six voters, one of them dead, and needs four. Whoever joined can't be known at that moment: a further machine, or a successor.

Change: a machine joins as a learner, and the leader decides from evidence. A voter that doesn't answer gives way to a learner that has caught up, in one change of the configuration, so every later leader knows that the learner takes the place and the number of voters doesn't shrink. A learner is added to the voters only once each of them has answered a probe sent after it joined, so that it can be nobody's successor. While more voters are silent than learners wait, the leader waits longer: some of them may only be cut off. Members without a vote that are silent are removed.

--- a/crates/courseshed-consensus/src/configuration.rs
+++ b/crates/courseshed-consensus/src/configuration.rs
@@ -19,7 +19,8 @@
     Voter,
     /// Receives the log; the leader promotes it to voter once it has caught up.
     Joining,
-    /// Receives the log; becomes a voter only by explicit promotion.
+    /// Receives the log; becomes a voter only by explicit promotion, or as decided by a leader with
+    /// [`crate::PeerConfig::voter_silence`].
     Learner,
 }
 
@@ -43,6 +44,14 @@
     PromoteLearner(ReplicaId),
     /// Removes a member.
     Remove(ReplicaId),
+    /// Removes a voter in favor of a learner, which the leader promotes to voter once it has caught
+    /// up. Both are one change, so that every later leader knows that the learner takes the place.
+    Replace {
+        /// The voter that is removed.
+        voter: ReplicaId,
+        /// The learner that takes its place.
+        successor: ReplicaId,
+    },
     /// Replaces a member with a later incarnation, which doesn't vote until promoted.
     Readmit(ReplicaAddress),
 }
@@ -167,6 +176,7 @@
             MembershipChange::AddVoter(address) => next.add(address, MemberRole::Joining)?,
             MembershipChange::PromoteLearner(replica) => next.promote(replica)?,
             MembershipChange::Remove(replica) => next.remove(replica)?,
+            MembershipChange::Replace { voter, successor } => next.replace(voter, successor)?,
             MembershipChange::Readmit(address) => next.readmit(address)?,
         }
         Ok(next)
@@ -206,6 +216,20 @@
         Ok(())
     }
 
+    fn replace(&mut self, voter: ReplicaId, successor: ReplicaId) -> Result<(), MembershipError> {
+        let replica = successor;
+        let member = self
+            .members
+            .get_mut(&replica)
+            .context(UnknownMemberSnafu { replica })?;
+        ensure!(
+            member.role != MemberRole::Voter,
+            AlreadyVoterSnafu { replica }
+        );
+        member.role = MemberRole::Joining;
+        self.remove(voter)
+    }
+
     fn readmit(&mut self, address: ReplicaAddress) -> Result<(), MembershipError> {
         let replica = address.replica;
         let member = self
--- a/crates/courseshed-consensus/src/group.rs
+++ b/crates/courseshed-consensus/src/group.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     ChangeError, Entry, EntryPayload, LogIndex, LogStorage, MembershipChange, Message, Peer,
-    PeerConfig, PeerStatus, ProposalId, ProposeError, ReadId, ReadReady, Ready, ReplicaId,
-    RoleChange, SettingsError, Snapshot, StorageError, Term, TransferError,
+    PeerConfig, PeerStatus, ProposalId, ProposeError, ReadId, ReadReady, Ready, ReplicaAddress,
+    ReplicaId, RoleChange, SettingsError, Snapshot, StorageError, Term, TransferError,
 };
 
 /// A deterministic state machine: the same entries in the same order give the same state.
@@ -215,6 +215,20 @@
         self.peer.propose_membership(change)
     }
 
+    /// Admits a replica that asks to join. See [`Peer::admit`].
+    ///
+    /// # Errors
+    /// [`ChangeError`]: nothing was written.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        address: ReplicaAddress,
+    ) -> Result<Option<MembershipChange>, ChangeError> {
+        self.check_storage()?;
+        self.peer.observe(now);
+        self.peer.admit(address)
+    }
+
     /// Transfers leadership. See [`Peer::transfer_leadership`].
     ///
     /// # Errors
--- a/crates/courseshed-consensus/src/peer/defect.rs
+++ b/crates/courseshed-consensus/src/peer/defect.rs
@@ -26,4 +26,8 @@
     CandidatesLeaderless,
     /// A replica states that it is leaderless in another term than its own.
     LeaderlessInAnyTerm,
+    /// A learner becomes a voter as soon as it has caught up, whoever is silent.
+    AddsBesideSilentVoters,
+    /// A silent voter is removed although nobody takes its place.
+    RemovesWithoutSuccessor,
 }
--- a/crates/courseshed-consensus/src/peer/membership.rs
+++ b/crates/courseshed-consensus/src/peer/membership.rs
@@ -34,6 +34,28 @@
         Ok(id)
     }
 
+    /// Admits a replica that asks to join, and returns the change that was proposed; none if it is a
+    /// member already. A new one joins as a learner if the leader decides when learners become voters.
+    ///
+    /// # Errors
+    /// [`ChangeError`]: nothing was written.
+    pub fn admit(
+        &mut self,
+        address: ReplicaAddress,
+    ) -> Result<Option<MembershipChange>, ChangeError> {
+        let change = match self.configuration().member(address.replica) {
+            Some(member) if member.incarnation >= address.incarnation => {
+                self.check_can_propose()?;
+                return Ok(None);
+            }
+            Some(_) => MembershipChange::Readmit(address),
+            None if self.config.voter_silence.is_some() => MembershipChange::AddLearner(address),
+            None => MembershipChange::AddVoter(address),
+        };
+        self.propose_membership(change)?;
+        Ok(Some(change))
+    }
+
     /// Index of the uncommitted entry that blocks membership changes, if any.
     fn pending_change(&self) -> Option<LogIndex> {
         if self.defect == Defect::ChangesAtOnce {
@@ -60,7 +82,7 @@
         Err(ChangeError::InsufficientActiveVoters { active, required })
     }
 
-    fn check_caught_up(&self, replica: ReplicaId) -> Result<(), ChangeError> {
+    pub(super) fn check_caught_up(&self, replica: ReplicaId) -> Result<(), ChangeError> {
         let last = self.log.last_index();
         let follower = self
             .leader_state()
@@ -116,7 +138,11 @@
         if self.check_can_propose().is_err() || self.pending_change().is_some() {
             return;
         }
-        if let Some(change) = self.next_readmission().or_else(|| self.next_promotion()) {
+        let change = self
+            .next_readmission()
+            .or_else(|| self.next_promotion())
+            .or_else(|| self.next_replacement());
+        if let Some(change) = change {
             let refused = self.propose_membership(change).is_err();
             if refused && let MembershipChange::Readmit(address) = change {
                 self.remove_returned(address.replica);
--- a/crates/courseshed-consensus/src/peer/mod.rs
+++ b/crates/courseshed-consensus/src/peer/mod.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod output;
 mod reads;
+mod replacement;
 mod replication;
 mod restart_election;
 
--- a/crates/courseshed-consensus/src/progress.rs
+++ b/crates/courseshed-consensus/src/progress.rs
@@ -43,6 +43,8 @@
     pub(crate) state: ReplicationState,
     /// Latest commit index sent to the follower.
     pub(crate) sent_commit: LogIndex,
+    /// When this leader began to replicate to the follower, by its own clock.
+    pub(crate) since: Duration,
     /// When the follower last replied, by the leader's clock.
     pub(crate) last_contact: Duration,
     /// The latest probe that the follower has echoed.
@@ -56,6 +58,7 @@
             next: last_index.next(),
             state: ReplicationState::Probing { waiting: false },
             sent_commit: LogIndex(0),
+            since: now,
             last_contact: now,
             acknowledged: None,
         }
--- a/crates/courseshed-consensus/src/settings.rs
+++ b/crates/courseshed-consensus/src/settings.rs
@@ -61,6 +61,9 @@
     pub check_quorum: bool,
     /// Whether the leader automatically readmits members that return in a later incarnation.
     pub readmit: bool,
+    /// Time without an answer after which a voter may be replaced by a learner. The leader then
+    /// decides on its own when learners become voters; `None` if only explicit requests do.
+    pub voter_silence: Option<Duration>,
     /// Maximum number of missing entries for a member to be promoted to voter.
     pub promotion_lag: u64,
     /// Whether commit index updates are sent immediately instead of with the next append.
@@ -124,6 +127,7 @@
             restart_election: false,
             check_quorum: true,
             readmit: true,
+            voter_silence: None,
             promotion_lag: DEFAULT_PROMOTION_LAG,
             eager_commit: true,
             snapshot_chunk_bytes: DEFAULT_SNAPSHOT_CHUNK_BYTES,
--- a/crates/courseshed-consensus/src/simulation/cluster.rs
+++ b/crates/courseshed-consensus/src/simulation/cluster.rs
@@ -11,8 +11,9 @@
 use super::events::{Event, Events};
 use super::network::Network;
 use super::observer::Observer;
-use super::options::{SimulationOptions, Variant};
+use super::options::{Scenario, SimulationOptions, Variant};
 use super::process::{Clock, Input, Process};
+use super::replacements::{self, Losses};
 use super::report::{Fault, Promise, SimulationReport};
 use crate::{Configuration, GroupError, GroupId, PeerConfig, ReplicaAddress, ReplicaId, RoleName};
 
@@ -58,6 +59,7 @@
     pub(super) observer: Observer,
     pub(super) operations: u64,
     pub(super) served_since_healed: bool,
+    pub(super) losses: Losses,
 }
 
 impl Cluster {
@@ -85,10 +87,23 @@
             observer: Observer::default(),
             operations: 0,
             served_since_healed: false,
+            losses: Losses::default(),
         };
-        cluster.add_processes(voters + SPARES);
-        cluster.add_clients();
-        cluster.schedule_fault();
+        match options.scenario {
+            Scenario::Faults => {
+                cluster.add_processes(voters + SPARES);
+                cluster.add_clients();
+                cluster.schedule_fault();
+            }
+            Scenario::Replacements => {
+                for id in 1..=voters {
+                    cluster.add_process(ReplicaId(id), false);
+                    cluster.start(ReplicaId(id));
+                }
+                cluster.add_clients();
+                cluster.begin_replacements(voters);
+            }
+        }
         cluster
     }
 
@@ -97,22 +112,26 @@
         let with_disk_percent = [100, 0, 50][self.random.random_range(0..3)];
         for id in 1..=count {
             let forgets = self.random.random_range(0..100) >= with_disk_percent;
-            let lies = self.options.variant == Variant::AcknowledgesBeforeFlush;
-            let address = ReplicaAddress::new(ReplicaId(id), FIRST_INCARNATION);
-            let process = Process {
-                address,
-                clock: self.draw_clock(),
-                disk: SimulatedDisk::new(lies, forgets),
-                life: 0,
-                running: None,
-                last_configuration: Configuration::default(),
-                hides_loss: self.options.variant == Variant::ReturnsUnderOldIncarnation,
-            };
-            self.processes.insert(address.replica, process);
-            self.start(address.replica);
+            self.add_process(ReplicaId(id), forgets);
+            self.start(ReplicaId(id));
         }
     }
 
+    pub(super) fn add_process(&mut self, replica: ReplicaId, forgets: bool) {
+        let lies = self.options.variant == Variant::AcknowledgesBeforeFlush;
+        let process = Process {
+            address: ReplicaAddress::new(replica, FIRST_INCARNATION),
+            clock: self.draw_clock(),
+            disk: SimulatedDisk::new(lies, forgets),
+            life: 0,
+            running: None,
+            last_configuration: Configuration::default(),
+            is_gone: false,
+            hides_loss: self.options.variant == Variant::ReturnsUnderOldIncarnation,
+        };
+        self.processes.insert(replica, process);
+    }
+
     /// A clock whose rate differs from any other's by at most what the settings allow.
     fn draw_clock(&mut self) -> Clock {
         let drift = PeerConfig::new(
@@ -156,6 +175,9 @@
         config.snapshot_chunk_bytes = 64;
         config.snapshot_after_entries = 40;
         config.retained_entries = 8;
+        if self.options.scenario == Scenario::Replacements {
+            replacements::configure(&mut config);
+        }
         config
     }
 
@@ -192,7 +214,11 @@
                 self.resume(replica);
             }
             Event::MendDisk(replica) => self.processes[&replica].disk.set_fate(WriteFate::Succeeds),
-            Event::Start { .. } | Event::Resume { .. } => {}
+            Event::Loss => self.inject_loss(),
+            Event::Remove(replica) if self.phase == Phase::Faulty => self.remove_machine(replica),
+            Event::Join(replica) => self.ask_to_join(replica),
+            Event::Heal => self.network.heal(),
+            Event::Start { .. } | Event::Resume { .. } | Event::Remove(_) => {}
         }
     }
 
@@ -201,7 +227,7 @@
         let now = self.now;
         let defect = self.options.variant.defect();
         let process = self.process(replica);
-        if process.running.is_some() {
+        if process.running.is_some() || process.is_gone {
             return;
         }
         if process.start(now, config, defect).is_err() {
@@ -276,10 +302,17 @@
         self.schedule_flush(replica);
     }
 
+    fn slow_write_millis(&self) -> std::ops::Range<u64> {
+        match self.options.scenario {
+            Scenario::Faults => SLOW_WRITE_MILLIS,
+            Scenario::Replacements => replacements::SLOW_WRITE_MILLIS,
+        }
+    }
+
     pub(super) fn schedule_flush(&mut self, replica: ReplicaId) {
         let is_slow = self.random.random_range(0..SLOW_WRITE_ONE_IN) == 0;
         let duration = match is_slow {
-            true => Duration::from_millis(self.random.random_range(SLOW_WRITE_MILLIS)),
+            true => Duration::from_millis(self.random.random_range(self.slow_write_millis())),
             false => Duration::from_micros(self.random.random_range(USUAL_WRITE_MICROS)),
         };
         let at = self.now + duration;
--- a/crates/courseshed-consensus/src/simulation/events.rs
+++ b/crates/courseshed-consensus/src/simulation/events.rs
@@ -38,6 +38,14 @@
     Start { replica: ReplicaId, life: u64 },
     /// A frozen process goes on.
     Resume { replica: ReplicaId, life: u64 },
+    /// Machines are lost.
+    Loss,
+    /// A machine is gone for good.
+    Remove(ReplicaId),
+    /// A machine looks whether it is a voter, and asks to be admitted if not.
+    Join(ReplicaId),
+    /// All links work again.
+    Heal,
     /// A disk works again.
     MendDisk(ReplicaId),
 }
--- a/crates/courseshed-consensus/src/simulation/faults.rs
+++ b/crates/courseshed-consensus/src/simulation/faults.rs
@@ -29,7 +29,7 @@
         self.events.schedule(at, Event::Fault);
     }
 
-    fn draw_millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+    pub(super) fn draw_millis(&mut self, range: std::ops::Range<u64>) -> Duration {
         Duration::from_millis(self.random.random_range(range))
     }
 
@@ -57,7 +57,7 @@
     }
 
     /// Leaders are the most interesting to harm.
-    fn draw_target(&mut self) -> ReplicaId {
+    pub(super) fn draw_target(&mut self) -> ReplicaId {
         match self.random.random_range(0..2) {
             0 => self.some_leader().unwrap_or(ReplicaId(1)),
             _ => self.any_replica(),
@@ -215,7 +215,7 @@
         self.count(Fault::ReplicaIsolated);
     }
 
-    fn split(&mut self) {
+    pub(super) fn split(&mut self) {
         let replicas = self.replicas();
         let border = self.random.random_range(1..replicas.len());
         let (left, right) = replicas.split_at(border);
--- a/crates/courseshed-consensus/src/simulation/mod.rs
+++ b/crates/courseshed-consensus/src/simulation/mod.rs
@@ -20,12 +20,13 @@
 mod observer;
 mod options;
 mod process;
+mod replacements;
 mod report;
 mod settling;
 
 use std::time::Duration;
 
-pub use options::{SimulationOptions, Variant};
+pub use options::{Scenario, SimulationOptions, Variant};
 pub use report::{Fault, Promise, SimulationReport, Violation};
 
 use cluster::Cluster;
--- a/crates/courseshed-consensus/src/simulation/network.rs
+++ b/crates/courseshed-consensus/src/simulation/network.rs
@@ -59,6 +59,11 @@
         self.cut.insert((from, to));
     }
 
+    /// Whether messages pass between two replicas in both directions.
+    pub(super) fn connects(&self, one: ReplicaId, other: ReplicaId) -> bool {
+        !self.cut.contains(&(one, other)) && !self.cut.contains(&(other, one))
+    }
+
     /// The times at which copies of a message sent now arrive; none if it is lost.
     pub(super) fn arrivals(
         &mut self,
--- a/crates/courseshed-consensus/src/simulation/options.rs
+++ b/crates/courseshed-consensus/src/simulation/options.rs
@@ -13,6 +13,17 @@
     pub duration: Duration,
     /// The protocol as it is, or broken on purpose.
     pub variant: Variant,
+    /// Which faults come.
+    pub scenario: Scenario,
+}
+
+/// Which faults come in a simulation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scenario {
+    /// Faults of all kinds, of the network and of disks as well.
+    Faults,
+    /// Machines that are replaced or lost for a time, up to as many at one time as the group has to bear.
+    Replacements,
 }
 
 impl Default for SimulationOptions {
@@ -20,6 +31,7 @@
         Self {
             duration: DEFAULT_DURATION,
             variant: Variant::Faithful,
+            scenario: Scenario::Faults,
         }
     }
 }
@@ -45,10 +57,14 @@
     IgnoresIncarnations,
     /// An election after a restart needs the statements of a quorum instead of all voters.
     RestartElectionByQuorum,
+    /// A machine that joins becomes a voter beside those that are silent.
+    AddsBesideSilentVoters,
+    /// A silent voter is removed although nobody takes its place.
+    RemovesWithoutSuccessor,
 }
 
 impl Variant {
-    /// All variants that must be caught.
+    /// The variants that must be caught by [`Scenario::Faults`].
     pub const BROKEN: [Self; 8] = [
         Self::AcknowledgesBeforeFlush,
         Self::ReturnsUnderOldIncarnation,
@@ -60,6 +76,10 @@
         Self::RestartElectionByQuorum,
     ];
 
+    /// The variants that must be caught by [`Scenario::Replacements`].
+    pub const BROKEN_REPLACEMENTS: [Self; 2] =
+        [Self::AddsBesideSilentVoters, Self::RemovesWithoutSuccessor];
+
     /// A name for people.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -75,6 +95,8 @@
             Self::IgnoresLogEnds => "votes are given to candidates with shorter logs",
             Self::IgnoresIncarnations => "votes count whichever incarnation gave them",
             Self::RestartElectionByQuorum => "a quorum is enough for an election after a restart",
+            Self::AddsBesideSilentVoters => "a machine that joins votes beside silent voters",
+            Self::RemovesWithoutSuccessor => "a silent voter is removed without a successor",
         }
     }
 
@@ -84,6 +106,8 @@
             Self::IgnoresLogEnds => Defect::IgnoresLogEnds,
             Self::IgnoresIncarnations => Defect::IgnoresIncarnations,
             Self::RestartElectionByQuorum => Defect::RestartElectionByQuorum,
+            Self::AddsBesideSilentVoters => Defect::AddsBesideSilentVoters,
+            Self::RemovesWithoutSuccessor => Defect::RemovesWithoutSuccessor,
             _ => Defect::None,
         }
     }
--- a/crates/courseshed-consensus/src/simulation/process.rs
+++ b/crates/courseshed-consensus/src/simulation/process.rs
@@ -81,6 +81,8 @@
     pub(super) running: Option<Running>,
     /// The members in force here when it last ran.
     pub(super) last_configuration: Configuration,
+    /// The machine doesn't come back.
+    pub(super) is_gone: bool,
     /// Broken on purpose: it comes back without its state under its old incarnation.
     pub(super) hides_loss: bool,
 }
@@ -140,6 +142,12 @@
         })
     }
 
+    /// The latest term that the process has seen; zero if it isn't running.
+    pub(super) fn term(&self) -> Term {
+        let running = self.running.as_ref();
+        running.map_or(Term(0), |running| running.group.term())
+    }
+
     /// Whether the process leads, as far as it knows.
     pub(super) fn leads(&self) -> bool {
         self.running
--- a/crates/courseshed-consensus/src/simulation/report.rs
+++ b/crates/courseshed-consensus/src/simulation/report.rs
@@ -37,10 +37,12 @@
     HandOver,
     /// An operator asked for a change of the members.
     MembershipChange,
+    /// A machine was replaced by an empty one under another name.
+    Replaced,
 }
 
 impl Fault {
-    /// All kinds of fault.
+    /// The kinds of fault of [`super::Scenario::Faults`].
     pub const ALL: [Self; 16] = [
         Self::MessageLost,
         Self::MessageRepeated,
@@ -80,6 +82,7 @@
             Self::DiskFailing => "disk failing",
             Self::HandOver => "leadership handed over",
             Self::MembershipChange => "membership change",
+            Self::Replaced => "machine replaced",
         }
     }
 }
--- a/crates/courseshed-consensus/tests/simulation.rs
+++ b/crates/courseshed-consensus/tests/simulation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use courseshed_consensus::simulation::{
-    Fault, SimulationOptions, SimulationReport, Variant, run_seed,
+    Fault, Scenario, SimulationOptions, SimulationReport, Variant, run_seed,
 };
 use yare::parameterized;
 
@@ -86,3 +86,43 @@
     let report = run(4083);
     assert!(report.violations.is_empty(), "{report:#?}");
 }
+
+fn replacements(seed: u64, variant: Variant) -> SimulationReport {
+    let options = SimulationOptions {
+        variant,
+        scenario: Scenario::Replacements,
+        ..SimulationOptions::default()
+    };
+    run_seed(seed, &options)
+}
+
+/// Guards against a group that keeps a machine as a voter after its successor has joined: the next losses, as many as
+/// it has to bear, then leave it without a leader for good.
+#[parameterized(
+    first = { 0 }, second = { 1 }, third = { 2 }, fourth = { 3 },
+)]
+fn group_survives_replacements_and_losses_in_series(part: u64) {
+    const SEEDS: u64 = 100;
+    let seeds = part * SEEDS..(part + 1) * SEEDS;
+    let reports: Vec<_> = seeds
+        .map(|seed| replacements(seed, Variant::Faithful))
+        .collect();
+    let broken = reports.iter().find(|report| !report.violations.is_empty());
+    assert!(broken.is_none(), "{broken:#?}");
+    let replaced = reports
+        .iter()
+        .filter_map(|report| report.faults.get(&Fault::Replaced));
+    let replaced: u64 = replaced.sum();
+    assert!(replaced > SEEDS, "{replaced} machines were replaced");
+}
+
+#[parameterized(
+    beside = { Variant::AddsBesideSilentVoters },
+    without_successor = { Variant::RemovesWithoutSuccessor },
+)]
+fn broken_replacement_is_caught(variant: Variant) {
+    let caught =
+        (0..SEEDS_PER_VARIANT).find(|seed| !replacements(*seed, variant).violations.is_empty());
+    println!("{}: caught by seed {caught:?}", variant.name());
+    assert!(caught.is_some(), "{} was not caught", variant.name());
+}
--- a/crates/courseshed-edge/src/controller/handle.rs
+++ b/crates/courseshed-edge/src/controller/handle.rs
@@ -423,6 +423,12 @@
         self.shared.is_fresh()
     }
 
+    /// Whether this controller leads the group, as far as it knows.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        self.shared.published().is_leader
+    }
+
     /// Transfers leadership to another controller, before a shutdown.
     pub fn hand_over(&self) {
         self.shared.send_input(Input::TransferLeadership);
--- a/crates/courseshed-edge/src/controller/replica.rs
+++ b/crates/courseshed-edge/src/controller/replica.rs
@@ -105,6 +105,7 @@
     config.heartbeat_interval = HEARTBEAT_INTERVAL;
     config.retained_entries = RETAINED_ENTRIES;
     config.restart_election = true;
+    config.voter_silence = Some(VOTER_SILENCE);
     config.seed = address.replica.0 ^ address.incarnation;
     let now = shared.clock().now();
     let storage = FaultyLog::new(storage, options.disk_faults.clone());
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod controllers;
 pub mod regions;
 pub mod scheduler;
 pub mod server;
