Keep the output of a resumable turn at the stores before it is passed on

Cause: the output of a turn existed only in the gateway that passed it on. The one that finished the turn stored what it had passed on itself.

Change: a stream under way has a record at the stores, found by what the client asks for, with an entry for each attempt. On routes that are resumable and store turns, an attempt is registered before it runs, and a piece is passed on once a quorum keeps it. A resumption starts from the kept output up to the client's last event; the turn is stored as beginning and rest. A beginning that wasn't kept is refused before it runs (unknown_stream_beginning). Where two streams fit that aren't alike, neither is guessed. Other routes wait for nothing; resumable ones send one more small request per replica.

--- a/crates/courseshed-edge/src/gateway/attempts.rs
+++ b/crates/courseshed-edge/src/gateway/attempts.rs
@@ -119,6 +119,8 @@
     restrictions_version: u64,
     /// Which servers may receive the next attempt, by their software version.
     pub version_requirement: VersionRequirement,
+    /// The attempt that the client goes on from, if it resumes a stream.
+    resumed_attempt: Option<String>,
     /// The partition that stores the turn, if it is stored.
     pub partition: Option<PartitionId>,
     /// Whether the request is the first of a program.
@@ -169,6 +171,7 @@
             allowed_regions: AllowedRegions::of(&route, caller.tenant().map(|tenant| &**tenant)),
             restrictions_version: version,
             version_requirement: VersionRequirement::Any,
+            resumed_attempt: None,
             partition: None,
             caller,
             phase: ProgramPhase::Running,
--- a/crates/courseshed-edge/src/gateway/attempts/resumption.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/resumption.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use super::super::program::program_key;
+use bytes::Bytes;
+use courseshed_records::{AttemptUpdate, EventMark, OutputPiece, ResumedAttempt};
+
+use super::super::program::{program_key, refusal_for};
 use super::super::refusal::Refusal;
 use super::super::version_requirement::{StreamOrigin, VersionRequirement};
 use super::{Attempts, OpenedResponse};
 use crate::metrics::{ResumptionLabels, WriteLabels};
-use crate::records::StreamVersionLookup;
+use crate::records::{AttemptLookup, OutputKeeper, StreamVersionLookup};
 
 /// Added to the time that a client waits, for requests that are under way then.
 const KEEP_MARGIN: Duration = Duration::from_secs(1);
@@ -25,36 +28,66 @@
 pub(in super::super) const RESUMED: &str = "resumed";
 /// Where the version of a stream was learned, in the log.
 const FROM_STORES: &str = "stores";
-const FROM_LIST: &str = "server_list";
 const FROM_RESPONSE: &str = "response";
 
+/// What a client goes on from when it resumes a stream.
+#[derive(Clone, Debug, Default)]
+pub(in super::super) struct Resumption {
+    /// Which servers may continue the stream.
+    pub requirement: VersionRequirement,
+    /// The attempt that the client had its last event from, if it was looked up.
+    pub attempt: Option<String>,
+    /// The output up to the client's last event, on routes that keep it.
+    pub beginning: Option<Bytes>,
+}
+
 impl Attempts {
-    /// Looks up the version at which the stream began, if the client resumes one.
+    /// Whether the output is kept at the stores while it is passed on, so that a turn which the client resumes at
+    /// another gateway can be stored whole. The stores of an output may be in any region.
+    pub(in super::super) fn keeps_output(&self) -> bool {
+        self.route.stores_turns && self.route.resumable && !self.allowed_regions.is_restricted()
+    }
+
+    /// Looks up where the stream began, if the client resumes one.
     ///
     /// # Errors
-    /// [`Refusal::UnknownStreamVersion`] if no store knows the version, or if the client doesn't name the
-    /// request that began the stream and several versions may have; [`Refusal::NoRecords`] if too few stores answered.
-    pub(in super::super) async fn find_stream_version(
-        &self,
-    ) -> Result<VersionRequirement, Refusal> {
-        if self.call.last_event.is_none() {
-            return Ok(VersionRequirement::Any);
-        }
-        let Some(first) = &self.call.resumed_request else {
-            return self.sole_version().ok_or(Refusal::UnknownStreamVersion);
+    /// [`Refusal::UnknownStreamVersion`] if no store knows the stream, or if several fit that aren't alike;
+    /// [`Refusal::UnknownStreamBeginning`] if a turn couldn't be stored whole; [`Refusal::NoRecords`] if too few
+    /// stores answered.
+    pub(in super::super) async fn find_resumption(&self) -> Result<Resumption, Refusal> {
+        let Some(last_event) = self.call.last_event else {
+            return Ok(Resumption::default());
         };
         let began = self.core.clock.now();
+        let found = match &self.call.resumed_request {
+            Some(first) if !self.route.stores_turns => self.find_version_of(first).await,
+            None if !self.route.stores_turns => match self.sole_version() {
+                Some(requirement) => Ok(Resumption {
+                    requirement,
+                    ..Resumption::default()
+                }),
+                None => Err(Refusal::UnknownStreamVersion),
+            },
+            named => self.find_attempt(named.as_deref(), last_event).await,
+        };
+        let took = self.core.clock.now().saturating_sub(began);
+        let lookup_time = &self.core.metrics.stream_version_lookup;
+        lookup_time.observe(took.as_secs_f64());
+        found
+    }
+
+    async fn find_version_of(&self, first: &str) -> Result<Resumption, Refusal> {
         let stream = self.stream_key(first);
         let found = self
             .core
             .records
             .stream_version(&stream, self.deadline)
             .await;
-        let took = self.core.clock.now().saturating_sub(began);
-        let lookup_time = &self.core.metrics.stream_version_lookup;
-        lookup_time.observe(took.as_secs_f64());
         match found {
-            StreamVersionLookup::Known(version) => Ok(VersionRequirement::version(version)),
+            StreamVersionLookup::Known(version) => Ok(Resumption {
+                requirement: VersionRequirement::version(version),
+                ..Resumption::default()
+            }),
             StreamVersionLookup::Unknown => Err(Refusal::UnknownStreamVersion),
             StreamVersionLookup::Unavailable => Err(Refusal::NoRecords),
         }
@@ -73,17 +106,80 @@
         Some(VersionRequirement::version(version.to_owned()))
     }
 
-    /// Sets the version at which a stream that the client resumes has to continue.
-    pub(in super::super) fn require_version(&mut self, requirement: VersionRequirement) {
+    async fn find_attempt(
+        &self,
+        named: Option<&str>,
+        last_event: u64,
+    ) -> Result<Resumption, Refusal> {
+        let stream = self.asked_key();
+        let records = &self.core.records;
+        let found = records
+            .resumed_attempt(&stream, named, last_event, self.deadline)
+            .await;
+        let request = self.call.request_id.as_str();
+        log::info!(event = "attempt_looked_up", request, stream = stream.as_str(), named, last_event, found = outcome_of(&found); "looked up the stream that a client resumes");
+        let AttemptLookup::Known(found) = found else {
+            return Err(Refusal::NoRecords);
+        };
+        let ResumedAttempt::Found {
+            request,
+            version: Some(version),
+            beginning,
+        } = found
+        else {
+            return Err(Refusal::UnknownStreamVersion);
+        };
+        if self.route.stores_turns && beginning.is_none() {
+            return Err(Refusal::UnknownStreamBeginning);
+        }
+        Ok(Resumption {
+            requirement: VersionRequirement::version(version),
+            attempt: Some(request),
+            beginning,
+        })
+    }
+
+    /// Sets where a stream that the client resumes has to continue.
+    pub(in super::super) fn require_version(&mut self, resumption: &Resumption) {
+        let requirement = &resumption.requirement;
         if !requirement.is_restricted() {
             return;
         }
         self.log.required_version = requirement.required_version().map(str::to_owned);
-        self.log.version_source = match self.call.resumed_request {
-            Some(_) => FROM_STORES,
-            None => FROM_LIST,
+        self.log.version_source = FROM_STORES;
+        self.version_requirement = requirement.clone();
+        self.resumed_attempt.clone_from(&resumption.attempt);
+    }
+
+    /// Registers the attempt at the stores before it runs, with the output that the client has; `None` if the route
+    /// doesn't keep outputs.
+    ///
+    /// # Errors
+    /// [`Refusal::NoRecords`] or [`Refusal::StoresFull`] if the stores can't keep the output.
+    pub(in super::super) async fn open_keeper(
+        &self,
+        beginning: Option<&Bytes>,
+    ) -> Result<Option<OutputKeeper>, Refusal> {
+        if !self.keeps_output() {
+            return Ok(None);
+        }
+        let data = beginning.cloned().unwrap_or_default();
+        let mark = self.call.last_event.map(|id| EventMark {
+            id,
+            end: data.len() as u64,
+        });
+        let version = self.version_requirement.required_version();
+        let update = AttemptUpdate {
+            output: Some(OutputPiece {
+                offset: 0,
+                data,
+                marks: mark.into_iter().collect(),
+            }),
+            ..self.attempt_update(version.map(str::to_owned))
         };
-        self.version_requirement = requirement;
+        let records = self.core.records.clone();
+        let opened = OutputKeeper::open(records, self.asked_key(), update, self.keep_time());
+        opened.await.map(Some).map_err(refusal_for)
     }
 
     /// Binds the stream to the version of the server that sent the first event which is forwarded to
@@ -111,23 +207,52 @@
         let core = self.core.clone();
         let request = self.call.request_id.clone();
         let stream = self.stream_key(&request);
-        let route_timeout = Duration::from_millis(self.route.timeout_ms);
-        let client_waits = self.call.time_left.unwrap_or(route_timeout);
-        let keep = (client_waits + KEEP_MARGIN).min(MAX_KEEP);
+        let keep = self.keep_time();
+        let asked = self.asked_key();
+        let update = self.attempt_update(Some(version.clone()));
+        let is_kept = self.keeps_output();
         actix_rt::spawn(async move {
-            let recorded = core
-                .records
-                .record_stream_version(stream, version.clone(), keep);
-            let is_recorded = recorded.await;
-            let outcome = if is_recorded { "recorded" } else { "lost" };
+            let records = &core.records;
+            let by_name = records.record_stream_version(stream, version.clone(), keep);
+            let by_content = async {
+                // With its output, it is recorded before this.
+                is_kept || records.record_attempt(asked, update, keep).await
+            };
+            let (is_recorded, is_found_by_content) = futures_util::join!(by_name, by_content);
+            let outcome = match (is_recorded, is_found_by_content) {
+                (true, true) => "recorded",
+                (true, false) => "recorded_by_name",
+                (false, _) => "lost",
+            };
             let writes = &core.metrics.stream_version_writes;
             writes.get_or_create(&WriteLabels { outcome }).inc();
-            if !is_recorded {
-                log::warn!(event = "stream_version_lost", request = request.as_str(), version = version.as_str(); "no store recorded the software version of a stream, which clients can't resume elsewhere");
+            if outcome != "recorded" {
+                log::warn!(event = "stream_version_lost", request = request.as_str(), version = version.as_str(), outcome; "too few stores recorded where a stream began, so that clients may not be able to resume it elsewhere");
             }
         });
     }
 
+    fn attempt_update(&self, version: Option<String>) -> AttemptUpdate {
+        AttemptUpdate {
+            request: self.call.request_id.clone(),
+            resumes: self.resumed_attempt.clone(),
+            version,
+            output: None,
+        }
+    }
+
+    /// How long a client may come back for the stream.
+    fn keep_time(&self) -> Duration {
+        let route_timeout = Duration::from_millis(self.route.timeout_ms);
+        let client_waits = self.call.time_left.unwrap_or(route_timeout);
+        (client_waits + KEEP_MARGIN).min(MAX_KEEP)
+    }
+
+    /// The key at the stores of all attempts that ask for the same.
+    fn asked_key(&self) -> String {
+        format!("asked/{:016x}", self.log.request_key.0)
+    }
+
     /// The key of a stream at the stores; qualified by the tenant, since tenants may use the same IDs.
     fn stream_key(&self, first_request: &str) -> String {
         program_key(self.caller.tenant_name(), first_request)
@@ -176,3 +301,12 @@
         self.core.metrics.resumptions.get_or_create(&labels).inc();
     }
 }
+
+fn outcome_of(found: &AttemptLookup) -> &'static str {
+    match found {
+        AttemptLookup::Known(ResumedAttempt::Found { .. }) => "found",
+        AttemptLookup::Known(ResumedAttempt::Unknown) => "unknown",
+        AttemptLookup::Known(ResumedAttempt::Ambiguous) => "ambiguous",
+        AttemptLookup::Unavailable => "unavailable",
+    }
+}
--- a/crates/courseshed-edge/src/gateway/program.rs
+++ b/crates/courseshed-edge/src/gateway/program.rs
@@ -159,7 +159,7 @@
     }
 }
 
-fn refusal_for(unavailable: RecordsUnavailable) -> Refusal {
+pub(super) fn refusal_for(unavailable: RecordsUnavailable) -> Refusal {
     match unavailable {
         RecordsUnavailable::NoQuorum => Refusal::NoRecords,
         RecordsUnavailable::StoresFull => Refusal::StoresFull,
--- a/crates/courseshed-edge/src/gateway/refusal.rs
+++ b/crates/courseshed-edge/src/gateway/refusal.rs
@@ -62,6 +62,8 @@
     /// The software version at which the stream began is not known, so that no server can be trusted to
     /// continue it.
     UnknownStreamVersion,
+    /// The output before the client's last event was not kept, so that the turn could not be stored whole.
+    UnknownStreamBeginning,
     /// No server of the software version at which the stream began is left.
     StreamVersionGone,
     /// The request was sent to a server, which did not return a complete response.
@@ -122,6 +124,7 @@
             Self::BudgetSpent => "budget_spent",
             Self::UnknownTurn => "unknown_turn",
             Self::UnknownStreamVersion => "unknown_stream_version",
+            Self::UnknownStreamBeginning => "unknown_stream_beginning",
             Self::StreamVersionGone => "stream_version_gone",
             Self::Broken => "broken",
             Self::ServersEnded => "servers_ended",
@@ -149,6 +152,7 @@
             | Self::NoRecords
             | Self::StoresFull
             | Self::UnknownStreamVersion
+            | Self::UnknownStreamBeginning
             | Self::StreamVersionGone
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
--- a/crates/courseshed-edge/src/gateway/stream.rs
+++ b/crates/courseshed-edge/src/gateway/stream.rs
@@ -3,7 +3,8 @@
 //! Invariants: only complete events are forwarded, each once and in order; a stream is resumed at
 //! another server only if its route allows it, at the software version at which it began, and after
 //! the previous connection was closed; the end
-//! of a stored turn is forwarded only after the turn was stored.
+//! of a stored turn is forwarded only after the turn was stored, and an event of one that the client may
+//! resume only after the stores keep the output up to it.
 
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use courseshed_records::PartitionId;
 use futures_util::{Stream, StreamExt, stream};
 use snafu::Snafu;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::attempts::{Attempts, MIN_ATTEMPT_TIME, OpenedResponse, RESUMED};
 use super::body_end::{BodyEnd, BodyProgress, Content, Ending, Framing};
@@ -26,6 +27,7 @@
 use super::refusal::Refusal;
 use super::servers::CallReport;
 use super::upstream::{BodyRead, UpstreamError};
+use crate::records::OutputKeeper;
 
 /// How long a resumable stream may be silent before it is resumed at another server.
 const MAX_SILENCE: Duration = Duration::from_millis(1200);
@@ -35,6 +37,9 @@
 /// Timeout for storing a turn after its last event.
 const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Pause before an output is sent to the stores again that too few of them keep.
+const KEEP_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Time without reading after which the client is considered stalled. Longer than delays of a busy
 /// gateway, shorter than the write timeout of servers.
 const CLIENT_STALL_TIME: Duration = Duration::from_secs(1);
@@ -69,21 +74,28 @@
             attempts.deadline,
             &attempts.memory
         ),
-        attempts.find_stream_version(),
+        attempts.find_resumption(),
     );
-    let (mut reservation, composed, requirement) = match prepared {
-        (Ok(reservation), Ok(composed), Ok(requirement)) => (reservation, composed, requirement),
+    let (mut reservation, composed, resumption) = match prepared {
+        (Ok(reservation), Ok(composed), Ok(resumption)) => (reservation, composed, resumption),
         (_, _, Err(refusal)) | (_, Err(refusal), _) | (Err(refusal), ..) => {
             attempts.record_client_resumption(refusal.as_str());
             return refuse(attempts, refusal);
         }
     };
-    attempts.require_version(requirement);
+    attempts.require_version(&resumption);
     attempts.body = composed.body;
     attempts.allowed_regions = attempts.allowed_regions.and(&composed.allowed_regions);
     if attempts.route.stores_turns {
         attempts.partition = Some(composed.partition);
     }
+    let keeper = match attempts.open_keeper(resumption.beginning.as_ref()).await {
+        Ok(keeper) => keeper,
+        Err(refusal) => {
+            attempts.record_client_resumption(refusal.as_str());
+            return refuse(attempts, refusal);
+        }
+    };
     attempts.cached_prompts.extend(composed.hint);
     if let Some(reservation) = &mut reservation {
         attempts.cached_prompts.extend(reservation.take_hints());
@@ -115,7 +127,8 @@
         partition: composed.partition,
         splitter: EventSplitter::default(),
         last_event,
-        output: BytesMut::new(),
+        output: BytesMut::from(resumption.beginning.as_deref().unwrap_or_default()),
+        keeper,
         is_first: true,
         tokens_per_event,
         last_arrival: None,
@@ -182,7 +195,10 @@
     partition: PartitionId,
     splitter: EventSplitter,
     last_event: Option<u64>,
+    /// The output of the turn, from its beginning also if the client resumed the stream.
     output: BytesMut,
+    /// Keeps the output at the stores, if the client may resume the stream.
+    keeper: Option<OutputKeeper>,
     is_first: bool,
     tokens_per_event: u64,
     /// When the current server last sent events, and how many it has sent.
@@ -205,6 +221,7 @@
         loop {
             let ready = self.take_events();
             if !ready.is_empty() {
+                self.keep_output().await?;
                 self.delivered_at = Some(Instant::now());
                 return Ok(Some(ready));
             }
@@ -221,6 +238,34 @@
         }
     }
 
+    /// Waits until the stores keep the output that is passed on next. A client must never have an event that they
+    /// lack, since it could resume the stream after it.
+    async fn keep_output(&mut self) -> Result<(), Truncated> {
+        let Some(keeper) = &mut self.keeper else {
+            return Ok(());
+        };
+        let began = Instant::now();
+        let limit = self.attempts.deadline.min(began + STORE_TIMEOUT);
+        let is_kept = loop {
+            if keeper.keep(&self.output).await.is_ok() {
+                break true;
+            }
+            if Instant::now() + KEEP_RETRY_DELAY >= limit {
+                break false;
+            }
+            sleep(KEEP_RETRY_DELAY).await;
+        };
+        let took = began.elapsed();
+        let core = &self.attempts.core;
+        core.metrics.output_keep_time.observe(took.as_secs_f64());
+        if is_kept {
+            return Ok(());
+        }
+        let request = self.attempts.call.request_id.as_str();
+        log::warn!(event = "output_not_kept", request, bytes = self.output.len(), last_event = self.last_event, took_ms = took.as_millis() as u64; "too few stores keep the output of a turn; the stream is broken off");
+        self.abort()
+    }
+
     /// Decides whether the stream that the current server sent is complete.
     fn judge(&mut self, end: BodyEnd) -> Result<(), UpstreamError> {
         let Some(opened) = &self.opened else {
@@ -274,6 +319,9 @@
                 && let Some(opened) = &self.opened
             {
                 self.attempts.bind_stream(opened);
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.set_version(opened.server_version.clone());
+                }
             }
             self.attempts.log.events += 1;
             self.server_new_events += 1;
@@ -286,6 +334,9 @@
                 self.output.extend_from_slice(data);
                 self.output.extend_from_slice(b"\n");
             }
+            if let (Some(keeper), Some(id)) = (&mut self.keeper, event.id) {
+                keeper.mark(id, self.output.len());
+            }
             ready.extend_from_slice(&event.bytes);
         }
         self.record_arrived(arrived);
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -133,6 +133,12 @@
     pub reservations_repaired: Counter,
     /// Software versions of streams that this store holds.
     pub stream_versions: Gauge<i64, AtomicI64>,
+    /// Attempts at streams that this store holds.
+    pub stream_attempts: Gauge<i64, AtomicI64>,
+    /// Bytes that their outputs count for.
+    pub stream_output_bytes: Gauge<i64, AtomicI64>,
+    /// Time until stores have kept an output before it is passed on, in seconds.
+    pub output_keep_time: Histogram,
     /// Software versions of streams that this gateway recorded at stores, by outcome.
     pub stream_version_writes: Family<WriteLabels, Counter>,
     /// Time to look up the software version of a stream, in seconds.
@@ -254,6 +260,9 @@
             reservations_repaired: Counter::default(),
             records_copied: Counter::default(),
             stream_versions: Gauge::default(),
+            stream_attempts: Gauge::default(),
+            stream_output_bytes: Gauge::default(),
+            output_keep_time: Histogram::new(DURATION_BUCKETS),
             stream_version_writes: Family::default(),
             stream_version_lookup: Histogram::new(DURATION_BUCKETS),
             records: STORE_GAUGES
@@ -463,6 +472,21 @@
             "How long the gateway took to look up the software version of a stream",
             self.stream_version_lookup.clone(),
         );
+        registry.register(
+            "stream_attempts",
+            "Attempts at streams under way that the store holds",
+            self.stream_attempts.clone(),
+        );
+        registry.register(
+            "stream_output_bytes",
+            "What the outputs of these attempts count for",
+            self.stream_output_bytes.clone(),
+        );
+        registry.register(
+            "output_keep_seconds",
+            "How long an output waited until stores kept it",
+            self.output_keep_time.clone(),
+        );
     }
 
     fn register_held(&self, registry: &mut Registry) {
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -6,7 +6,8 @@
 use courseshed_pool::{CallDemand, CallEndReport, DecisionInputs, RunningCall, Verdict};
 use courseshed_quota::{QuotaAnswer, QuotaReport};
 use courseshed_records::{
-    ChainError, ChainPart, ExportCursor, ExportPage, PartitionId, Record, Reserved, Turn,
+    AttemptReceipt, AttemptUpdate, ChainError, ChainPart, ExportCursor, ExportPage, PartitionId,
+    Record, Reserved, StreamAttempt, Turn,
 };
 use courseshed_registry::{
     ActiveRouting, Command, FleetUpdate, FollowerRevisions, LoadReport, Outcome, RoutingProof,
@@ -163,6 +164,30 @@
     /// Stores that don't know it ignore it.
     #[serde(default)]
     pub stream: Option<StreamOperation>,
+    /// An operation on streams under way, which takes the place of `operation`. Stores that don't know it ignore it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempt: Option<Box<AttemptOperation>>,
+}
+
+/// An operation on streams under way, which are found by what is asked. Stores hold them in memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AttemptOperation {
+    /// Records an attempt at a stream.
+    Record {
+        /// The stream.
+        stream: String,
+        /// The attempt.
+        update: AttemptUpdate,
+        /// How long it is kept, in milliseconds.
+        keep_ms: u64,
+    },
+    /// Reads the attempts at a stream.
+    Read {
+        /// The stream.
+        stream: String,
+        /// The event up to which their output is read.
+        through: Option<u64>,
+    },
 }
 
 /// An operation on the software versions at which streams began. Stores hold them in memory.
@@ -269,6 +294,10 @@
     /// The software version at which a stream began, after the operation; `None` if this store
     /// doesn't know it.
     StreamVersion(Option<String>),
+    /// An attempt at a stream was recorded, or there is no room for it.
+    AttemptRecorded(AttemptReceipt),
+    /// The attempts at a stream.
+    Attempts(Vec<StreamAttempt>),
 }
 
 impl RecordReply {
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -494,6 +494,7 @@
             epoch: view.epoch,
             operation,
             stream: None,
+            attempt: None,
         };
         let reply = self.send(member.node, request, ROUND_TIMEOUT).await;
         (member.node, reply)
--- a/crates/courseshed-edge/src/records/mod.rs
+++ b/crates/courseshed-edge/src/records/mod.rs
@@ -11,6 +11,7 @@
 mod requests;
 mod resync;
 mod store;
+mod stream_attempts;
 mod stream_versions;
 
 pub use chains::{ChainLookup, StoredChain};
@@ -19,4 +20,5 @@
 pub use outages::{OutageDecision, Outages};
 pub use query_order::{QueryOrder, order_of_sources};
 pub use store::{StoreError, StoreSettings, start};
+pub use stream_attempts::{AttemptLookup, OutputKeeper};
 pub use stream_versions::StreamVersionLookup;
--- a/crates/courseshed-edge/src/records/replica_client.rs
+++ b/crates/courseshed-edge/src/records/replica_client.rs
@@ -46,6 +46,7 @@
             epoch,
             operation,
             stream: None,
+            attempt: None,
         };
         send_to_store(&self.peers, self.addresses, replica.node, request, limit).await
     }
--- a/crates/courseshed-edge/src/records/store.rs
+++ b/crates/courseshed-edge/src/records/store.rs
@@ -14,6 +14,7 @@
 
 use super::disk::Disk;
 use super::replica_client::ReplicaClient;
+use super::stream_attempts::StreamAttemptTable;
 use super::stream_versions::StreamVersionTable;
 use super::{catch_up, repair, resync};
 use crate::clock::unix_time_ms;
@@ -77,6 +78,7 @@
 struct StorePeers {
     disk: Disk,
     streams: StreamVersionTable,
+    attempts: StreamAttemptTable,
 }
 
 impl Handler<FleetProtocol> for StorePeers {
@@ -86,6 +88,11 @@
         let PeerRequest::Records(mut request) = request else {
             return;
         };
+        if let Some(operation) = request.attempt.take() {
+            // Never waits for the disk.
+            reply.send(PeerReply::Records(self.attempts.answer(*operation)));
+            return;
+        }
         match request.stream.take() {
             // Never waits for the disk.
             Some(operation) => {
@@ -113,10 +120,13 @@
     log::info!(event = "store_opened", incarnation, turns = figures.turns, reservations = figures.reservations, partitions = figures.partitions, segments = figures.segments, file_bytes = figures.file_bytes, live_bytes = figures.live_bytes, took_ms = started.elapsed().as_millis() as u64; "the store is open");
     let streams = StreamVersionTable::new(settings.metrics.clone());
     tokio::spawn(streams.clone().drop_expired());
+    let attempts = StreamAttemptTable::new(settings.metrics.clone());
+    tokio::spawn(attempts.clone().drop_expired());
     let disk = Disk::start(store, settings.metrics.clone()).context(ThreadSnafu)?;
     let handler = Arc::new(StorePeers {
         disk: disk.clone(),
         streams,
+        attempts,
     });
     let started = start_peers(settings.node, settings.addresses, PeerPort::Store, handler);
     let peers = Arc::new(started.context(PeersSnafu)?);
--- /dev/null
+++ b/crates/courseshed-edge/src/records/stream_attempts.rs
@@ -0,0 +1,309 @@
+//! Streams under way at the stores: a store's table of them, and the requests of gateways.
+//!
+//! A stream is found by a key of what is asked, which alone decides its partition. A reader merges what a quorum of
+//! replicas knows, so it learns of every attempt that a quorum has recorded. On routes that store turns a piece of
+//! output is passed on once a quorum of replicas keeps it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use courseshed_records::{
+    AttemptReceipt, AttemptUpdate, EventMark, OutputPiece, PartitionId, RecordMember, RecordView,
+    ResumedAttempt, StreamAttempt, StreamAttempts, resumed_attempt,
+};
+use courseshed_types::NodeId;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use parking_lot::Mutex;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::client::{RecordClient, RecordsUnavailable};
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::protocol::{
+    AttemptOperation, ChainReading, RecordOperation, RecordReply, RecordRequest,
+};
+
+/// Timeout of a request: above the round-trip time between regions (60 ms), and below the pauses after which clients
+/// give a stream up.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// How often a store drops expired entries. Each run scans all entries.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The result of looking up the attempt that a client goes on from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptLookup {
+    /// What a quorum of replicas knows.
+    Known(ResumedAttempt),
+    /// Too few replicas answered.
+    Unavailable,
+}
+
+impl RecordClient {
+    /// Records an attempt at a stream. Returns whether a quorum of replicas took it.
+    pub async fn record_attempt(
+        &self,
+        stream: String,
+        update: AttemptUpdate,
+        keep: Duration,
+    ) -> bool {
+        let written = self.write_attempt(&stream, keep, |_| update.clone()).await;
+        written.is_ok()
+    }
+
+    /// Looks up the attempt that a client goes on from, with its output up to the client's last event.
+    pub async fn resumed_attempt(
+        &self,
+        stream: &str,
+        named: Option<&str>,
+        through: u64,
+        deadline: Instant,
+    ) -> AttemptLookup {
+        let partition = PartitionId::of_program(stream);
+        let quorum = self.partitions().view(partition).quorum();
+        let operation = |_: NodeId| AttemptOperation::Read {
+            stream: stream.to_owned(),
+            through: Some(through),
+        };
+        let mut replies = self.request_replicas(partition, &operation);
+        let mut answers = 0;
+        let mut attempts: Vec<StreamAttempt> = Vec::new();
+        let answered = async {
+            while let Some((_, reply)) = replies.next().await {
+                if let Some(RecordReply::Attempts(known)) = reply {
+                    answers += 1;
+                    attempts.extend(known);
+                }
+                if answers >= quorum {
+                    return true;
+                }
+            }
+            false
+        };
+        let limit = deadline.saturating_duration_since(Instant::now());
+        match timeout(limit, answered).await {
+            Ok(true) => AttemptLookup::Known(resumed_attempt(attempts, named)),
+            Ok(false) | Err(_) => AttemptLookup::Unavailable,
+        }
+    }
+
+    /// Writes to all replicas, and returns what those keep that answered until there was a quorum of them.
+    async fn write_attempt(
+        &self,
+        stream: &str,
+        keep: Duration,
+        update_for: impl Fn(NodeId) -> AttemptUpdate,
+    ) -> Result<Vec<(NodeId, u64)>, RecordsUnavailable> {
+        let partition = PartitionId::of_program(stream);
+        let quorum = self.partitions().view(partition).quorum();
+        let operation = |node: NodeId| AttemptOperation::Record {
+            stream: stream.to_owned(),
+            update: update_for(node),
+            keep_ms: u64::try_from(keep.as_millis()).unwrap_or(u64::MAX),
+        };
+        let mut replies = self.request_replicas(partition, &operation);
+        let mut kept = Vec::new();
+        let mut is_full = false;
+        while let Some((node, reply)) = replies.next().await {
+            match reply {
+                Some(RecordReply::AttemptRecorded(AttemptReceipt::Recorded { kept: bytes })) => {
+                    kept.push((node, bytes));
+                }
+                Some(RecordReply::AttemptRecorded(AttemptReceipt::Full)) => is_full = true,
+                _ => {}
+            }
+            if kept.len() >= quorum {
+                return Ok(kept);
+            }
+        }
+        Err(match is_full {
+            true => RecordsUnavailable::StoresFull,
+            false => RecordsUnavailable::NoQuorum,
+        })
+    }
+
+    fn request_replicas<'a>(
+        &'a self,
+        partition: PartitionId,
+        operation: &dyn Fn(NodeId) -> AttemptOperation,
+    ) -> FuturesUnordered<impl Future<Output = (NodeId, Option<RecordReply>)> + use<'a>> {
+        let partitions = self.partitions();
+        let view = partitions.view(partition);
+        let replicas = view.members.iter();
+        replicas
+            .map(|replica| {
+                let node = replica.node;
+                let request = request_to(replica, partition, view, operation(node));
+                async move { (node, self.send(node, request, REQUEST_TIMEOUT).await) }
+            })
+            .collect()
+    }
+}
+
+fn request_to(
+    replica: &RecordMember,
+    partition: PartitionId,
+    view: &RecordView,
+    operation: AttemptOperation,
+) -> RecordRequest {
+    RecordRequest {
+        incarnation: replica.incarnation,
+        partition,
+        epoch: view.epoch,
+        // What a store does that doesn't know the operations on attempts: reads a turn that doesn't exist.
+        operation: RecordOperation::Chain {
+            id: String::new(),
+            reading: ChainReading::Whole,
+        },
+        stream: None,
+        attempt: Some(Box::new(operation)),
+    }
+}
+
+/// Keeps the output of an attempt at the stores while it is passed on to the client.
+pub struct OutputKeeper {
+    records: RecordClient,
+    stream: String,
+    request: String,
+    resumes: Option<String>,
+    version: Option<String>,
+    keep: Duration,
+    marks: Vec<EventMark>,
+    /// Bytes that each replica keeps, as far as is known.
+    kept: BTreeMap<NodeId, u64>,
+}
+
+impl OutputKeeper {
+    /// Registers an attempt before it runs, with the output that it goes on from.
+    ///
+    /// # Errors
+    /// [`RecordsUnavailable`] if no quorum of replicas took it.
+    pub async fn open(
+        records: RecordClient,
+        stream: String,
+        update: AttemptUpdate,
+        keep: Duration,
+    ) -> Result<Self, RecordsUnavailable> {
+        let piece = update.output.unwrap_or_default();
+        let mut keeper = Self {
+            records,
+            stream,
+            request: update.request,
+            resumes: update.resumes,
+            version: update.version,
+            keep,
+            marks: piece.marks,
+            kept: BTreeMap::new(),
+        };
+        keeper.write(&piece.data).await?;
+        Ok(keeper)
+    }
+
+    /// Notes the version of the run.
+    pub fn set_version(&mut self, version: Option<String>) {
+        self.version = self.version.take().or(version);
+    }
+
+    /// Notes where the output of an event ends.
+    pub fn mark(&mut self, id: u64, end: usize) {
+        self.marks.push(EventMark {
+            id,
+            end: end as u64,
+        });
+    }
+
+    /// Waits until a quorum of replicas keeps the whole output so far.
+    ///
+    /// # Errors
+    /// [`RecordsUnavailable`] if they don't; the next call sends what is missing again.
+    pub async fn keep(&mut self, output: &[u8]) -> Result<(), RecordsUnavailable> {
+        self.write(output).await
+    }
+
+    async fn write(&mut self, output: &[u8]) -> Result<(), RecordsUnavailable> {
+        let update_for = |node: NodeId| AttemptUpdate {
+            request: self.request.clone(),
+            resumes: self.resumes.clone(),
+            version: self.version.clone(),
+            output: Some(self.piece_for(node, output)),
+        };
+        let written = self
+            .records
+            .write_attempt(&self.stream, self.keep, update_for)
+            .await?;
+        let length = output.len() as u64;
+        let quorum = written.len();
+        let whole = written.iter().filter(|(_, kept)| *kept >= length).count();
+        self.kept.extend(written);
+        if whole < quorum {
+            return Err(RecordsUnavailable::NoQuorum);
+        }
+        Ok(())
+    }
+
+    /// The output that a replica lacks.
+    fn piece_for(&self, node: NodeId, output: &[u8]) -> OutputPiece {
+        let offset = self.kept.get(&node).copied().unwrap_or(0);
+        let from = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(output.len());
+        let new = self.marks.iter().filter(|mark| mark.end > offset);
+        OutputPiece {
+            offset: from as u64,
+            data: Bytes::copy_from_slice(&output[from..]),
+            marks: new.copied().collect(),
+        }
+    }
+}
+
+/// The streams under way that a store holds.
+#[derive(Clone)]
+pub(super) struct StreamAttemptTable {
+    attempts: Arc<Mutex<StreamAttempts>>,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+}
+
+impl StreamAttemptTable {
+    pub(super) fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            attempts: Arc::default(),
+            clock: Clock::start(),
+            metrics,
+        }
+    }
+
+    pub(super) fn answer(&self, operation: AttemptOperation) -> RecordReply {
+        let now = self.clock.now();
+        let mut attempts = self.attempts.lock();
+        match operation {
+            AttemptOperation::Record {
+                stream,
+                update,
+                keep_ms,
+            } => {
+                let keep = Duration::from_millis(keep_ms);
+                RecordReply::AttemptRecorded(attempts.record(now, stream, update, keep))
+            }
+            AttemptOperation::Read { stream, through } => {
+                RecordReply::Attempts(attempts.attempts_at(now, &stream, through))
+            }
+        }
+    }
+
+    /// Drops expired entries until the process exits.
+    pub(super) async fn drop_expired(self) {
+        loop {
+            sleep(EXPIRY_INTERVAL).await;
+            let mut attempts = self.attempts.lock();
+            attempts.expire(self.clock.now());
+            let number = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+            self.metrics.stream_attempts.set(number(attempts.len()));
+            self.metrics
+                .stream_output_bytes
+                .set(number(attempts.charged_bytes()));
+        }
+    }
+}
--- a/crates/courseshed-edge/src/records/stream_versions.rs
+++ b/crates/courseshed-edge/src/records/stream_versions.rs
@@ -118,6 +118,7 @@
             reading: ChainReading::Whole,
         },
         stream: Some(operation),
+        attempt: None,
     }
 }
 
--- a/crates/courseshed-edge/tests/software_versions.rs
+++ b/crates/courseshed-edge/tests/software_versions.rs
@@ -89,7 +89,7 @@
 async fn read_events(address: SocketAddr, id: &str, headers: &str, last: u64) -> String {
     let mut client = TcpStream::connect(address).await.expect("connected");
     let request = format!(
-        "POST /a/x HTTP/1.1\r\nhost: a.example\r\nx-call: {id}\r\n{headers}content-length: 0\r\n\r\n"
+        "POST /a/x?y=1 HTTP/1.1\r\nhost: a.example\r\nx-call: {id}\r\n{headers}content-length: 0\r\n\r\n"
     );
     client.write_all(request.as_bytes()).await.expect("sent");
     let mut received = String::new();
@@ -336,6 +336,7 @@
         stream: Some(StreamOperation::Read {
             stream: "first".to_owned(),
         }),
+        attempt: None,
     };
     let bytes = rmp_serde::to_vec_named(&request).expect("encodable");
     let read: EarlierRequest = rmp_serde::from_slice(&bytes).expect("readable");
@@ -355,6 +356,7 @@
             reading: ChainReading::Whole,
         },
         stream: None,
+        attempt: None,
     };
     let mut value = serde_json::to_value(&request).expect("encodable");
     value
@@ -382,6 +384,7 @@
             version: "v1.2".to_owned(),
             keep_ms: 4_000,
         }),
+        attempt: None,
     };
     let bytes = rmp_serde::to_vec_named(&request).expect("encodable").len();
     println!("{bytes} bytes to record the version of a stream");
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -341,12 +341,17 @@
 
     /// Starts a second gateway and waits until it is ready.
     pub async fn start_second_gateway(&self) -> Gateway {
+        self.start_another_gateway(4).await
+    }
+
+    /// Starts a gateway at the given host of the fleet's subnet and waits until it is ready.
+    pub async fn start_another_gateway(&self, number: u8) -> Gateway {
         let [a, b, c, _] = self.subnet.octets();
         let host = |host| Ipv4Addr::new(a, b, c, host);
         let grace = Duration::from_secs(20);
         let policy = Policy::default();
         let gateway = start_gateway(
-            host(4),
+            host(number),
             host(1),
             self.addresses,
             grace,
--- a/crates/courseshed-edge/tests/support/stores.rs
+++ b/crates/courseshed-edge/tests/support/stores.rs
@@ -192,6 +192,7 @@
                 reading: ChainReading::Whole,
             },
             stream: None,
+            attempt: None,
         };
         let address = self.addresses.of(node, PeerPort::Store);
         client.peers.set_address(node, address);
--- a/crates/courseshed-records/src/lib.rs
+++ b/crates/courseshed-records/src/lib.rs
@@ -26,6 +26,7 @@
 mod segments;
 pub mod simulation;
 mod store;
+mod stream_attempts;
 mod stream_versions;
 mod tally;
 mod turn_cache;
@@ -47,6 +48,10 @@
 };
 pub use segments::JournalError;
 pub use store::{ReadError, RecordStore, StoreLimits, StoreStats};
+pub use stream_attempts::{
+    AttemptReceipt, AttemptUpdate, EventMark, OutputPiece, ResumedAttempt, StreamAttempt,
+    StreamAttempts, resumed_attempt,
+};
 pub use stream_versions::StreamVersions;
 pub use tally::{MissTally, ReservationDecision, ReservationTally, WriteTally};
 pub use view::{RecordMember, RecordView};
