Find the software version of a stream by what its client asks for, never by the list of servers

Callers saw: after servers of the old version had left, streams that clients took up without naming the request that began them were answered 200 and ran to the end, the first part from the old version and the rest from the new one.

Cause: without a name, a gateway took the only version that the service had run for 10 s, or twice the route's time, for the one that began the stream. That bounds how long clients wait, which nothing enforces; a gateway that has just started counts from its own start. No kill is needed.

Change: the record of streams under way is asked for such a client as well. What isn't known there is refused. Its place is taken by two tests that are stricter: nothing is joined however long the new version has run, at a gateway that saw both and at one that started afterwards; and a client without a name goes on with proof while both versions serve, where it was refused.

--- a/crates/courseshed-edge/src/gateway/attempts/resumption.rs
+++ b/crates/courseshed-edge/src/gateway/attempts/resumption.rs
@@ -17,10 +17,6 @@
 /// How long the version of a stream is kept at most.
 const MAX_KEEP: Duration = Duration::from_secs(600);
 
-/// How long a service must have run a single version before a stream is taken for one of it; more than
-/// twice the time that streams last.
-const SOLE_VERSION_PERIOD: Duration = Duration::from_secs(10);
-
 /// Who resumes a stream, as a metric label.
 const BY_CLIENT: &str = "client";
 const BY_GATEWAY: &str = "gateway";
@@ -61,13 +57,6 @@
         let began = self.core.clock.now();
         let found = match &self.call.resumed_request {
             Some(first) if !self.route.stores_turns => self.find_version_of(first).await,
-            None if !self.route.stores_turns => match self.sole_version() {
-                Some(requirement) => Ok(Resumption {
-                    requirement,
-                    ..Resumption::default()
-                }),
-                None => Err(Refusal::UnknownStreamVersion),
-            },
             named => self.find_attempt(named.as_deref(), last_event).await,
         };
         let took = self.core.clock.now().saturating_sub(began);
@@ -93,19 +82,6 @@
         }
     }
 
-    /// The version of a stream whose client doesn't name the request that began it: the only one that
-    /// can have begun it, judged by a list that is up to date.
-    fn sole_version(&self) -> Option<VersionRequirement> {
-        if !self.core.follower.has_controller_contact() {
-            return None;
-        }
-        let route_timeout = Duration::from_millis(self.route.timeout_ms);
-        let period = SOLE_VERSION_PERIOD.max(2 * route_timeout);
-        let servers = self.core.servers.borrow();
-        let version = servers.sole_version(&self.service, self.core.clock.now(), period)?;
-        Some(VersionRequirement::version(version.to_owned()))
-    }
-
     async fn find_attempt(
         &self,
         named: Option<&str>,
--- a/crates/courseshed-edge/src/gateway/mod.rs
+++ b/crates/courseshed-edge/src/gateway/mod.rs
@@ -38,7 +38,6 @@
 mod server;
 mod server_fate;
 mod servers;
-mod service_versions;
 mod short_codec;
 mod stream;
 mod suspect_client;
--- a/crates/courseshed-edge/src/gateway/servers.rs
+++ b/crates/courseshed-edge/src/gateway/servers.rs
@@ -24,7 +24,6 @@
 use super::region_reach::RegionReach;
 use super::round_trip::RoundTrips;
 use super::selected_server::SelectedServer;
-use super::service_versions::ServiceVersions;
 use super::version_requirement::VersionRequirement;
 use crate::follower::FleetView;
 
@@ -66,7 +65,6 @@
     region_reach: RegionReach,
     /// Round-trip times to servers, by their zone.
     round_trips: RoundTrips,
-    versions: ServiceVersions,
     serving: ServingConstraints,
 }
 
@@ -160,7 +158,6 @@
     /// Replaces the list of servers. Statistics of servers that remain are kept.
     pub fn replace(&mut self, servers: &ServerList, now: Duration) {
         for change in self.directory.follow(servers) {
-            self.versions.apply(&change, now);
             match change {
                 ListChange::Added(server) => self.update_cold_until(None, &server, now),
                 ListChange::Changed {
@@ -280,13 +277,6 @@
         servers.any(|server| requirement.allows_server(server))
     }
 
-    /// The only software version that a service has run for at least `period`, as far as this gateway
-    /// knows.
-    #[must_use]
-    pub fn sole_version(&self, service: &str, now: Duration, period: Duration) -> Option<&str> {
-        self.versions.sole_version(service, now, period)
-    }
-
     /// Returns a server of a service by its key, if it is listed and accepts new calls.
     #[must_use]
     pub fn available_by_key(&self, service: &str, key: ServerKey) -> Option<SelectedServer> {
--- a/crates/courseshed-edge/tests/software_versions.rs
+++ b/crates/courseshed-edge/tests/software_versions.rs
@@ -257,6 +257,57 @@
     .await;
 }
 
+/// Resumes a stream without a name of the request that began it.
+async fn resume_unnamed(address: SocketAddr, id: &str) -> String {
+    call(address, id, &format!("x-last: {LAST_EVENT}\r\n"), "").await
+}
+
+/// Guards against clients that bring no name and are refused, though the stores know what they ask for.
+#[actix_rt::test]
+async fn unnamed_client_resumes_at_the_software_version_that_began_the_stream() {
+    let release = Release::start(Begins::Rejected).await;
+    begin_stream(release.fleet.caller_addr, "first").await;
+    for number in 0..STREAMS {
+        let id = format!("unnamed-{number}");
+        wait_until(async || {
+            let resumed = resume_unnamed(release.second.caller_addr, &id).await;
+            assert!(!resumed.contains("v2-"), "{resumed}");
+            status(&resumed) == 200
+        })
+        .await;
+    }
+}
+
+/// Guards against a service that has run one version for some time, which is taken for the one that began a stream of
+/// its predecessor: by a gateway that saw both, and by one that started afterwards.
+#[actix_rt::test]
+async fn unnamed_client_is_refused_once_the_software_version_has_left() {
+    const SETTLED: Duration = Duration::from_secs(13);
+    let release = Release::start(Begins::Rejected).await;
+    let short = Route {
+        timeout_ms: 3_000,
+        ..resumable_route()
+    };
+    release
+        .fleet
+        .publish_table(support::table(9, vec![short], None))
+        .await;
+    begin_stream(release.fleet.caller_addr, "first").await;
+    for id in ["old-1", "old-2"] {
+        wait_until(async || release.fleet.controller.leave(id.to_owned()).await.is_ok()).await;
+    }
+    let third = release.fleet.start_another_gateway(5).await;
+    let began = tokio::time::Instant::now();
+    while began.elapsed() < SETTLED {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for address in [release.second.caller_addr, third.caller_addr] {
+            let resumed = resume_unnamed(address, "unnamed").await;
+            assert_ne!(status(&resumed), 200, "{resumed}");
+        }
+    }
+    assert_eq!(release.resumptions_at(&release.new), 0);
+}
+
 /// Guards against servers that are taken for the version of their predecessor at the same address.
 #[actix_rt::test]
 async fn software_version_belongs_to_the_incarnation_and_not_to_the_address() {
