Read the attempts at a stream from all replicas that answer

A replica that was restarted or replaced answers without the attempts that it took before. A reader that stops at a quorum could then miss the attempt that went on from another one, and take the beginning of an attempt that its client had left. The tests of resumed_turns pass.

--- a/crates/courseshed-edge/src/records/stream_attempts.rs
+++ b/crates/courseshed-edge/src/records/stream_attempts.rs
@@ -1,7 +1,7 @@
 //! Streams under way at the stores: a store's table of them, and the requests of gateways.
 //!
-//! A stream is found by a key of what is asked, which alone decides its partition. A reader merges what a quorum of
-//! replicas knows, so it learns of every attempt that a quorum has recorded. On routes that store turns a piece of
+//! A stream is found by a key of what is asked, which alone decides its partition. A reader merges what all replicas
+//! know that answer, a quorum at least. On routes that store turns a piece of
 //! output is passed on once a quorum of replicas keeps it.
 
 use std::collections::BTreeMap;
@@ -14,8 +14,9 @@
     ResumedAttempt, StreamAttempt, StreamAttempts, resumed_attempt,
 };
 use courseshed_types::NodeId;
-use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -62,30 +63,29 @@
         deadline: Instant,
     ) -> AttemptLookup {
         let partition = PartitionId::of_program(stream);
-        let quorum = self.partitions().view(partition).quorum();
+        let view = self.partitions().view(partition).clone();
+        let replicas = view.members.iter().chain(&view.former);
         let operation = |_: NodeId| AttemptOperation::Read {
             stream: stream.to_owned(),
             through: Some(through),
         };
-        let mut replies = self.request_replicas(partition, &operation);
+        let mut replies = self.request_replicas(partition, &view, replicas, &operation);
         let mut answers = 0;
         let mut attempts: Vec<StreamAttempt> = Vec::new();
+        // All of them: one that was restarted or replaced since answers without the attempts that it took.
         let answered = async {
-            while let Some((_, reply)) = replies.next().await {
+            while let Some((node, reply)) = replies.next().await {
                 if let Some(RecordReply::Attempts(known)) = reply {
-                    answers += 1;
+                    answers += usize::from(view.member(node).is_some());
                     attempts.extend(known);
                 }
-                if answers >= quorum {
-                    return true;
-                }
             }
-            false
         };
         let limit = deadline.saturating_duration_since(Instant::now());
-        match timeout(limit, answered).await {
-            Ok(true) => AttemptLookup::Known(resumed_attempt(attempts, named)),
-            Ok(false) | Err(_) => AttemptLookup::Unavailable,
+        let is_answered = timeout(limit, answered).await.is_ok();
+        match is_answered && answers >= view.quorum() {
+            true => AttemptLookup::Known(resumed_attempt(attempts, named)),
+            false => AttemptLookup::Unavailable,
         }
     }
 
@@ -97,13 +97,14 @@
         update_for: impl Fn(NodeId) -> AttemptUpdate,
     ) -> Result<Vec<(NodeId, u64)>, RecordsUnavailable> {
         let partition = PartitionId::of_program(stream);
-        let quorum = self.partitions().view(partition).quorum();
+        let view = self.partitions().view(partition).clone();
+        let quorum = view.quorum();
         let operation = |node: NodeId| AttemptOperation::Record {
             stream: stream.to_owned(),
             update: update_for(node),
             keep_ms: u64::try_from(keep.as_millis()).unwrap_or(u64::MAX),
         };
-        let mut replies = self.request_replicas(partition, &operation);
+        let mut replies = self.request_replicas(partition, &view, view.members.iter(), &operation);
         let mut kept = Vec::new();
         let mut is_full = false;
         while let Some((node, reply)) = replies.next().await {
@@ -124,19 +125,18 @@
         })
     }
 
-    fn request_replicas<'a>(
+    fn request_replicas<'a, 'view>(
         &'a self,
         partition: PartitionId,
+        view: &RecordView,
+        replicas: impl Iterator<Item = &'view RecordMember>,
         operation: &dyn Fn(NodeId) -> AttemptOperation,
-    ) -> FuturesUnordered<impl Future<Output = (NodeId, Option<RecordReply>)> + use<'a>> {
-        let partitions = self.partitions();
-        let view = partitions.view(partition);
-        let replicas = view.members.iter();
+    ) -> FuturesUnordered<BoxFuture<'a, (NodeId, Option<RecordReply>)>> {
         replicas
             .map(|replica| {
                 let node = replica.node;
                 let request = request_to(replica, partition, view, operation(node));
-                async move { (node, self.send(node, request, REQUEST_TIMEOUT).await) }
+                async move { (node, self.send(node, request, REQUEST_TIMEOUT).await) }.boxed()
             })
             .collect()
     }
