--- a/crates/courseshed-consensus/src/configuration.rs
+++ b/crates/courseshed-consensus/src/configuration.rs
@@ -194,6 +194,14 @@
     }
 
     fn promote(&mut self, replica: ReplicaId) -> Result<(), MembershipError> {
+        self.set_role_of_non_voter(replica, MemberRole::Voter)
+    }
+
+    fn set_role_of_non_voter(
+        &mut self,
+        replica: ReplicaId,
+        role: MemberRole,
+    ) -> Result<(), MembershipError> {
         let member = self
             .members
             .get_mut(&replica)
@@ -202,7 +210,7 @@
             member.role != MemberRole::Voter,
             AlreadyVoterSnafu { replica }
         );
-        member.role = MemberRole::Voter;
+        member.role = role;
         Ok(())
     }
 
@@ -217,16 +225,7 @@
     }
 
     fn replace(&mut self, voter: ReplicaId, successor: ReplicaId) -> Result<(), MembershipError> {
-        let replica = successor;
-        let member = self
-            .members
-            .get_mut(&replica)
-            .context(UnknownMemberSnafu { replica })?;
-        ensure!(
-            member.role != MemberRole::Voter,
-            AlreadyVoterSnafu { replica }
-        );
-        member.role = MemberRole::Joining;
+        self.set_role_of_non_voter(successor, MemberRole::Joining)?;
         self.remove(voter)
     }
 
--- a/crates/courseshed-consensus/src/peer/replacement.rs
+++ b/crates/courseshed-consensus/src/peer/replacement.rs
@@ -80,6 +80,11 @@
 impl Peer {
     pub(super) fn next_replacement(&self) -> Option<MembershipChange> {
         let silence = self.config.voter_silence?;
+        // Nothing changes while all members vote, which is nearly always; this is asked at each commit.
+        let removes_at_any_time = self.defect == Defect::RemovesWithoutSuccessor;
+        if !removes_at_any_time && self.all_members_vote() {
+            return None;
+        }
         let others = self.member_evidence();
         match self.defect {
             Defect::AddsBesideSilentVoters => {
@@ -102,6 +107,11 @@
         }
     }
 
+    fn all_members_vote(&self) -> bool {
+        let mut members = self.configuration().members();
+        members.all(|(_, member)| member.role == MemberRole::Voter)
+    }
+
     fn member_evidence(&self) -> Vec<MemberEvidence> {
         let Some(leader) = self.leader_state() else {
             return Vec::new();
--- a/crates/courseshed-consensus/src/simulation/faults.rs
+++ b/crates/courseshed-consensus/src/simulation/faults.rs
@@ -182,15 +182,21 @@
 
     fn pause(&mut self, target: ReplicaId) {
         let until = self.now + self.draw_millis(PAUSE_MILLIS);
+        self.freeze_until(target, until);
+    }
+
+    /// Freezes a process until a time. Returns whether it ran.
+    pub(super) fn freeze_until(&mut self, target: ReplicaId, until: Duration) -> bool {
         let process = self.process(target);
         let life = process.life;
         let Some(running) = process.awake() else {
-            return;
+            return false;
         };
         running.frozen = Some(Vec::new());
         let replica = target;
         self.events.schedule(until, Event::Resume { replica, life });
         self.count(Fault::Pause);
+        true
     }
 
     fn cut_one_way(&mut self, target: ReplicaId) {
@@ -201,10 +207,7 @@
     }
 
     fn isolate(&mut self, target: ReplicaId) {
-        for other in self.replicas() {
-            self.network.cut(target, other);
-            self.network.cut(other, target);
-        }
+        self.cut_from_all(target);
         if self.options.variant == Variant::ClocksBeyondBounds {
             let now = self.now;
             self.process(target)
@@ -212,6 +215,13 @@
                 .set_rate(now, BROKEN_CLOCK_PERMILLE);
         }
         self.reconnect_later();
+    }
+
+    pub(super) fn cut_from_all(&mut self, target: ReplicaId) {
+        for other in self.replicas() {
+            self.network.cut(target, other);
+            self.network.cut(other, target);
+        }
         self.count(Fault::ReplicaIsolated);
     }
 
--- a/crates/courseshed-consensus/src/simulation/options.rs
+++ b/crates/courseshed-consensus/src/simulation/options.rs
@@ -76,10 +76,6 @@
         Self::RestartElectionByQuorum,
     ];
 
-    /// The variants that must be caught by [`Scenario::Replacements`].
-    pub const BROKEN_REPLACEMENTS: [Self; 2] =
-        [Self::AddsBesideSilentVoters, Self::RemovesWithoutSuccessor];
-
     /// A name for people.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/courseshed-consensus/src/simulation/replacements.rs
+++ b/crates/courseshed-consensus/src/simulation/replacements.rs
@@ -181,25 +181,13 @@
 
     fn stand_still(&mut self, target: ReplicaId) {
         let until = self.now + self.draw_millis(STANDSTILL_MILLIS);
-        let process = self.process(target);
-        let life = process.life;
-        let Some(running) = process.awake() else {
-            return;
-        };
-        running.frozen = Some(Vec::new());
-        let replica = target;
-        self.events.schedule(until, Event::Resume { replica, life });
-        self.losses.count_until_return(target, until);
-        self.count(Fault::Pause);
+        if self.freeze_until(target, until) {
+            self.losses.count_until_return(target, until);
+        }
     }
 
     fn cut_off(&mut self, target: ReplicaId) {
-        let others: Vec<ReplicaId> = self.processes.keys().copied().collect();
-        for other in others {
-            self.network.cut(target, other);
-            self.network.cut(other, target);
-        }
-        self.count(Fault::ReplicaIsolated);
+        self.cut_from_all(target);
         let until = self.heal_later();
         self.losses.count_until_return(target, until);
     }
--- a/crates/courseshed-edge/src/controller/group_health.rs
+++ b/crates/courseshed-edge/src/controller/group_health.rs
@@ -1,6 +1,6 @@
 //! How many losses the group of controllers can still bear: metrics of the leader, and a log line for each change.
 
-use courseshed_consensus::{Configuration, MemberRole};
+use courseshed_consensus::{Configuration, MemberRole, ReplicaId};
 
 use super::replica::VOTER_SILENCE;
 use super::worker::Worker;
@@ -42,8 +42,8 @@
         let followers = status.followers.iter();
         let silent: Vec<u64> = followers
             .filter(|follower| now.saturating_sub(follower.last_contact) > VOTER_SILENCE)
+            .filter(|follower| is_voter(&status.configuration, follower.replica))
             .map(|follower| follower.replica.0)
-            .filter(|replica| is_voter(&status.configuration, *replica))
             .collect();
         let members = status.configuration.members();
         let waiting = members
@@ -60,6 +60,7 @@
     }
 }
 
-fn is_voter(configuration: &Configuration, replica: u64) -> bool {
-    configuration.voters().any(|voter| voter.0 == replica)
+fn is_voter(configuration: &Configuration, replica: ReplicaId) -> bool {
+    let member = configuration.member(replica);
+    member.is_some_and(|member| member.role == MemberRole::Voter)
 }
--- a/crates/courseshed-edge/src/protocol.rs
+++ b/crates/courseshed-edge/src/protocol.rs
@@ -7,7 +7,7 @@
 use courseshed_quota::{QuotaAnswer, QuotaReport};
 use courseshed_records::{
     AttemptReceipt, AttemptUpdate, ChainError, ChainPart, ExportCursor, ExportPage, PartitionId,
-    Record, Reserved, StreamAttempt, Turn,
+    Record, RecordMember, Reserved, StreamAttempt, Turn,
 };
 use courseshed_registry::{
     ActiveRouting, Command, FleetUpdate, FollowerRevisions, LoadReport, Outcome, RoutingProof,
@@ -169,6 +169,35 @@
     pub attempt: Option<Box<AttemptOperation>>,
 }
 
+impl RecordRequest {
+    /// A request for an operation on a replica's disk.
+    pub(crate) fn new(
+        replica: &RecordMember,
+        partition: PartitionId,
+        epoch: u64,
+        operation: RecordOperation,
+    ) -> Self {
+        Self {
+            incarnation: replica.incarnation,
+            partition,
+            epoch,
+            operation,
+            stream: None,
+            attempt: None,
+        }
+    }
+
+    /// A request for an operation on what a replica holds in memory, which is to be added. A store that doesn't know
+    /// that operation reads a turn that doesn't exist.
+    pub(crate) fn in_memory(replica: &RecordMember, partition: PartitionId, epoch: u64) -> Self {
+        let operation = RecordOperation::Chain {
+            id: String::new(),
+            reading: ChainReading::Whole,
+        };
+        Self::new(replica, partition, epoch, operation)
+    }
+}
+
 /// An operation on streams under way, which are found by what is asked. Stores hold them in memory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptOperation {
--- a/crates/courseshed-edge/src/records/client.rs
+++ b/crates/courseshed-edge/src/records/client.rs
@@ -488,14 +488,7 @@
         member: &RecordMember,
         operation: RecordOperation,
     ) -> (NodeId, Option<RecordReply>) {
-        let request = RecordRequest {
-            incarnation: member.incarnation,
-            partition,
-            epoch: view.epoch,
-            operation,
-            stream: None,
-            attempt: None,
-        };
+        let request = RecordRequest::new(member, partition, view.epoch, operation);
         let reply = self.send(member.node, request, ROUND_TIMEOUT).await;
         (member.node, reply)
     }
--- a/crates/courseshed-edge/src/records/replica_client.rs
+++ b/crates/courseshed-edge/src/records/replica_client.rs
@@ -40,14 +40,7 @@
         operation: RecordOperation,
         limit: Duration,
     ) -> Option<RecordReply> {
-        let request = RecordRequest {
-            incarnation: replica.incarnation,
-            partition,
-            epoch,
-            operation,
-            stream: None,
-            attempt: None,
-        };
+        let request = RecordRequest::new(replica, partition, epoch, operation);
         send_to_store(&self.peers, self.addresses, replica.node, request, limit).await
     }
 
--- a/crates/courseshed-edge/src/records/stream_attempts.rs
+++ b/crates/courseshed-edge/src/records/stream_attempts.rs
@@ -23,9 +23,7 @@
 use super::client::{RecordClient, RecordsUnavailable};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::protocol::{
-    AttemptOperation, ChainReading, RecordOperation, RecordReply, RecordRequest,
-};
+use crate::protocol::{AttemptOperation, RecordReply, RecordRequest};
 
 /// Timeout of a request: above the round-trip time between regions (60 ms), and below the pauses after which clients
 /// give a stream up.
@@ -135,33 +133,16 @@
         replicas
             .map(|replica| {
                 let node = replica.node;
-                let request = request_to(replica, partition, view, operation(node));
+                let request = RecordRequest {
+                    attempt: Some(Box::new(operation(node))),
+                    ..RecordRequest::in_memory(replica, partition, view.epoch)
+                };
                 async move { (node, self.send(node, request, REQUEST_TIMEOUT).await) }.boxed()
             })
             .collect()
     }
 }
 
-fn request_to(
-    replica: &RecordMember,
-    partition: PartitionId,
-    view: &RecordView,
-    operation: AttemptOperation,
-) -> RecordRequest {
-    RecordRequest {
-        incarnation: replica.incarnation,
-        partition,
-        epoch: view.epoch,
-        // What a store does that doesn't know the operations on attempts: reads a turn that doesn't exist.
-        operation: RecordOperation::Chain {
-            id: String::new(),
-            reading: ChainReading::Whole,
-        },
-        stream: None,
-        attempt: Some(Box::new(operation)),
-    }
-}
-
 /// Keeps the output of an attempt at the stores while it is passed on to the client.
 pub struct OutputKeeper {
     records: RecordClient,
@@ -197,7 +178,7 @@
             marks: piece.marks,
             kept: BTreeMap::new(),
         };
-        keeper.write(&piece.data).await?;
+        keeper.keep(&piece.data).await?;
         Ok(keeper)
     }
 
@@ -219,10 +200,6 @@
     /// # Errors
     /// [`RecordsUnavailable`] if they don't; the next call sends what is missing again.
     pub async fn keep(&mut self, output: &[u8]) -> Result<(), RecordsUnavailable> {
-        self.write(output).await
-    }
-
-    async fn write(&mut self, output: &[u8]) -> Result<(), RecordsUnavailable> {
         let update_for = |node: NodeId| AttemptUpdate {
             request: self.request.clone(),
             resumes: self.resumes.clone(),
--- a/crates/courseshed-edge/src/records/stream_versions.rs
+++ b/crates/courseshed-edge/src/records/stream_versions.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use courseshed_records::{PartitionId, RecordMember, RecordView, StreamVersions};
+use courseshed_records::{PartitionId, StreamVersions};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
@@ -16,7 +16,7 @@
 use super::client::RecordClient;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::protocol::{ChainReading, RecordOperation, RecordReply, RecordRequest, StreamOperation};
+use crate::protocol::{RecordReply, RecordRequest, StreamOperation};
 
 /// Timeout of a request: above the round-trip time between regions (60 ms), and a small part of the
 /// time that a client waits.
@@ -95,33 +95,16 @@
         let replicas = view.members.iter().chain(&view.former);
         replicas
             .map(|replica| {
-                let request = request_to(replica, partition, view, operation.clone());
+                let request = RecordRequest {
+                    stream: Some(operation.clone()),
+                    ..RecordRequest::in_memory(replica, partition, view.epoch)
+                };
                 self.send(replica.node, request, REQUEST_TIMEOUT)
             })
             .collect()
     }
 }
 
-fn request_to(
-    replica: &RecordMember,
-    partition: PartitionId,
-    view: &RecordView,
-    operation: StreamOperation,
-) -> RecordRequest {
-    RecordRequest {
-        incarnation: replica.incarnation,
-        partition,
-        epoch: view.epoch,
-        // What a store does that doesn't know the operations on streams: reads a turn that doesn't exist.
-        operation: RecordOperation::Chain {
-            id: String::new(),
-            reading: ChainReading::Whole,
-        },
-        stream: Some(operation),
-        attempt: None,
-    }
-}
-
 /// The versions of streams that a store holds.
 #[derive(Clone)]
 pub(super) struct StreamVersionTable {
