Keep the mark of an event without data

Callers saw: a client whose last event had no data was refused with unknown_stream_beginning when it took its turn up elsewhere.

Cause: a gateway sends each replica the marks of events that end beyond what the replica keeps. An event without data ends where the one before it does, so its mark was never sent.

Change: marks at that place are sent too; a store drops those that it has. The first of them is found by its end instead of by a walk over all marks of the stream for each piece and replica.

--- a/crates/courseshed-edge/src/records/stream_attempts.rs
+++ b/crates/courseshed-edge/src/records/stream_attempts.rs
@@ -151,6 +151,7 @@
     resumes: Option<String>,
     version: Option<String>,
     keep: Duration,
+    /// In the order of their ends.
     marks: Vec<EventMark>,
     /// Bytes that each replica keeps, as far as is known.
     kept: BTreeMap<NodeId, u64>,
@@ -226,11 +227,12 @@
         let from = usize::try_from(offset)
             .unwrap_or(usize::MAX)
             .min(output.len());
-        let new = self.marks.iter().filter(|mark| mark.end > offset);
+        // An event without data ends where the one before it does, so a mark at the offset may be new.
+        let first = self.marks.partition_point(|mark| mark.end < offset);
         OutputPiece {
             offset: from as u64,
             data: Bytes::copy_from_slice(&output[from..]),
-            marks: new.copied().collect(),
+            marks: self.marks[first..].to_vec(),
         }
     }
 }
--- a/crates/courseshed-edge/tests/resumed_turns.rs
+++ b/crates/courseshed-edge/tests/resumed_turns.rs
@@ -12,6 +12,8 @@
 
 const GRACE: std::time::Duration = std::time::Duration::from_secs(20);
 const EVENTS: u64 = 4;
+/// The event without data of turns whose input begins with `quiet`.
+const QUIET_EVENT: u64 = 2;
 
 /// Runs the same turn for each request: a resumption goes on after the last event, and a turn stops without ending after
 /// the event that its request's ID names (`begun@2`).
@@ -24,7 +26,10 @@
         let stop: u64 = stop.unwrap_or(EVENTS);
         let mut text = support::server::stream_head(request);
         for id in last + 1..=stop {
-            text += &chunk(&format!("id: {id}\ndata: {name}-{id}\n\n"));
+            text += &match request.body.starts_with("quiet") && id == QUIET_EVENT {
+                true => chunk(&format!("id: {id}\n\n")),
+                false => chunk(&format!("id: {id}\ndata: {name}-{id}\n\n")),
+            };
         }
         if stop == EVENTS {
             text += FINAL_CHUNK;
@@ -133,6 +138,21 @@
     }
 }
 
+/// Guards against a client whose last event has no data, and which is refused since nothing was kept for that event.
+#[actix_rt::test]
+async fn turn_is_resumed_after_an_event_without_data() {
+    let conversations = Conversations::start(vec![route()]).await;
+    let [first, second] = conversations.addresses();
+    let input = "quiet+";
+    read_until(first, "begun@2", "", input, QUIET_EVENT).await;
+    let resumed = call(second, "resumed", "x-last: 2\r\n", input).await;
+    assert_eq!(status(&resumed), 200, "{resumed}");
+    let answer = call(first, "next", "x-previous: resumed\r\n", "more").await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    let expected = "quiet+piece-1\npiece-3\npiece-4\nmore";
+    assert_eq!(conversations.body_of("next"), expected);
+}
+
 /// Guards against a turn that is whole only if it was resumed once.
 #[actix_rt::test]
 async fn turn_that_was_resumed_twice_is_stored_whole() {
