--- a/crates/courseshed-soak/src/fleet.rs
+++ b/crates/courseshed-soak/src/fleet.rs
@@ -110,6 +110,15 @@
     pub reason: String,
 }
 
+/// Resources of the machine of each process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MachineLimits {
+    /// Memory in bytes; `None` for the default of [`crate::node`].
+    pub memory_bytes: Option<u64>,
+    /// File descriptors that a process may open; `None` for those of this process.
+    pub descriptors: Option<u32>,
+}
+
 /// What the processes know of each other and of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeKnowledge {
@@ -117,6 +126,8 @@
     pub regions: KnownRegions,
     /// Whether gateways tell each other under which requests servers ended.
     pub shares_suspects: bool,
+    /// Their machines.
+    pub machine: MachineLimits,
 }
 
 /// The processes of one run. Dropping it kills those that still run.
@@ -236,7 +247,19 @@
     /// Where callers connect to a gateway.
     #[must_use]
     pub fn callers_address(&self, index: usize) -> SocketAddr {
-        SocketAddr::from((self.members[index].ip, self.first_port + CALLERS_PORT))
+        self.address(index, CALLERS_PORT)
+    }
+
+    /// The address of a port of a member, counted from the first port of its machine.
+    #[must_use]
+    pub fn address(&self, index: usize, port: u16) -> SocketAddr {
+        SocketAddr::from((self.members[index].ip, self.first_port + port))
+    }
+
+    /// The id of a member's process; `None` if it doesn't run.
+    #[must_use]
+    pub fn process_id(&self, index: usize) -> Option<u32> {
+        self.members[index].child.as_ref().map(Child::id)
     }
 
     /// Where operators connect to the controllers.
@@ -244,9 +267,7 @@
     pub fn operator_addresses(&self) -> Vec<SocketAddr> {
         let controllers = self.members(Role::Controller).into_iter();
         controllers
-            .map(|index| {
-                SocketAddr::from((self.members[index].ip, self.first_port + OPERATOR_PORT))
-            })
+            .map(|index| self.address(index, OPERATOR_PORT))
             .collect()
     }
 
@@ -373,7 +394,8 @@
         let errors = log.try_clone().context(FleetSnafu {
             operation: "share a log",
         })?;
-        let mut command = Command::new(&self.program);
+        let machine = self.knowledge.machine;
+        let mut command = program_command(&self.program, machine.descriptors);
         command
             .arg("node")
             .args(["--role", member.role.as_str()])
@@ -388,6 +410,9 @@
         if is_first {
             command.arg("--first-start");
         }
+        if let Some(memory) = machine.memory_bytes {
+            command.args(["--memory", &memory.to_string()]);
+        }
         if !self.knowledge.shares_suspects {
             command.arg("--keeps-suspects");
         }
@@ -457,6 +482,19 @@
     }
 }
 
+/// A command that runs a program, with a limit on its descriptors if there is one.
+fn program_command(program: &Path, descriptors: Option<u32>) -> Command {
+    let Some(descriptors) = descriptors else {
+        return Command::new(program);
+    };
+    let mut command = Command::new("/bin/sh");
+    command
+        .args(["-c", "ulimit -n \"$0\" && exec \"$@\""])
+        .arg(descriptors.to_string())
+        .arg(program);
+    command
+}
+
 /// The last error in a log: an `ERROR` line, or a panic with its message on the next line. Without one the
 /// last lines, since what a process writes before it logs has no level.
 fn last_error_of(log: &str) -> String {
--- a/crates/courseshed-soak/src/node.rs
+++ b/crates/courseshed-soak/src/node.rs
@@ -34,10 +34,9 @@
 const GRACE: Duration = Duration::from_secs(8);
 /// How long a controller that stops waits for another to lead.
 const HAND_OVER_TIME: Duration = Duration::from_millis(400);
-/// Memory and disk that a store is told of, in bytes: those of a small machine that was played.
-const STORE_MEMORY: u64 = 130_000_000;
-/// Memory that a gateway is told of, in bytes: the same machine's.
-const GATEWAY_MEMORY: u64 = 130_000_000;
+/// Memory of the machine in bytes, unless `--memory` says otherwise.
+const MEMORY: u64 = 130_000_000;
+/// Disk of a store's machine in bytes.
 const STORE_DISK: u64 = 370_000_000;
 /// Largest body that an operator sends, in bytes.
 const OPERATOR_BODY: usize = 1024 * 1024;
@@ -113,6 +112,9 @@
     /// whether a gateway tells no other under which requests servers ended
     #[argh(switch)]
     keeps_suspects: bool,
+    /// memory of its machine in bytes (130000000)
+    #[argh(option, default = "MEMORY")]
+    memory: u64,
 }
 
 impl NodeArguments {
@@ -186,7 +188,7 @@
         codec: Box::new(ShortCodec),
         policy: Policy::without(hidden),
         tenants: TenantSettings::default(),
-        memory: MemoryLimits::for_machine(GATEWAY_MEMORY),
+        memory: MemoryLimits::for_machine(arguments.memory),
     };
     let run = gateway::run(settings, signals::shutdown_signal(), GRACE);
     run.await.map_err(|error| error.to_string())
@@ -202,7 +204,7 @@
         folder: arguments.folder.clone(),
         seeds: Box::new(move || seeds.iter().copied().map(node_at).collect()),
         addresses: arguments.addresses(),
-        limits: StoreLimits::for_machine(STORE_MEMORY, Some(STORE_DISK)),
+        limits: StoreLimits::for_machine(arguments.memory, Some(STORE_DISK)),
         metrics: Arc::new(Metrics::new()),
     })
     .map_err(|error| error.to_string())?;
--- a/crates/courseshed-soak/src/run.rs
+++ b/crates/courseshed-soak/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::{Caller, Conversation};
 use crate::faults::{Fault, FaultKind, plan};
-use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions, NodeKnowledge};
+use crate::fleet::{Fleet, FleetError, FleetSize, KnownRegions, MachineLimits, NodeKnowledge};
 use crate::ledger::{Disturbed, Promise, Tally};
 use crate::node::Role;
 use crate::releases::{FIRST_VERSION, plan_with_releases};
@@ -108,6 +108,7 @@
     let knowledge = NodeKnowledge {
         regions,
         shares_suspects: options.broken != Some(Broken::KeepsSuspectsToItself),
+        machine: MachineLimits::default(),
     };
     let fleet = Fleet::start(&options.program, &options.folder, options.size, knowledge);
     let fleet = fleet.context(ProcessSnafu)?;
--- a/crates/courseshed-soak/tests/fleet.rs
+++ b/crates/courseshed-soak/tests/fleet.rs
@@ -4,13 +4,19 @@
 use std::path::Path;
 use std::time::Duration;
 
-use courseshed_soak::fleet::{EndedByItself, Fleet, FleetSize, KnownRegions, NodeKnowledge};
+use courseshed_soak::fleet::{
+    EndedByItself, Fleet, FleetSize, KnownRegions, MachineLimits, NodeKnowledge,
+};
 use courseshed_soak::node::Role;
 use tempfile::TempDir;
 
 const KNOWLEDGE: NodeKnowledge = NodeKnowledge {
     regions: KnownRegions::None,
     shares_suspects: true,
+    machine: MachineLimits {
+        memory_bytes: None,
+        descriptors: None,
+    },
 };
 const PROGRAM: &str = env!("CARGO_BIN_EXE_courseshed-soak");
 /// Ends at once with exit status 1, without a word.
