Give the HTTP library one request at a time, and bodies by turns

What callers saw: 20 clients that sent 20,000 requests without waiting took 220 to 553 MB of a gateway told of 96 MB (readiness listener 161, controller 122); 100 bodies in chunks of a byte took 172 to 239 MB, and an ordinary call waited for seconds meanwhile.

Cause: the library decodes all input that it has, up to 128 KiB at once. Its bound of 16 waiting requests is looked at before it decodes, not while it does, so that a read of 128 KiB becomes thousands of decoded requests; and its bound on a body's queue is in bytes of body, so that chunks of a byte become up to 32,768 entries a connection, whose table stays for as long as the body does.

Change: RequestGate (pure, request_gate.rs) finds the empty lines that end heads and chunked bodies. WatchedStream passes on one head, then the body by turns of 8 KiB or 256 lines when its reader asks for more, and nothing behind a request until its response is finished; 4 KiB are read ahead, so that the end of a connection is still noticed. A connection whose body was not read whole is closed after its response.

Why it works: what the library doesn't have it can't decode. No setting of the library bounds either queue.

The gate's own test plays 2,000 drawn connections: requests pass one at a time, and all of them do.

--- a/crates/courseshed-edge/src/http.rs
+++ b/crates/courseshed-edge/src/http.rs
@@ -2,19 +2,25 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::PayloadError;
+use actix_http::{
+    ConnectionType, HttpMessage, HttpService, KeepAlive, Payload, Request, Response, header,
+};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use snafu::Snafu;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::request_gate::BodyFraming;
 use crate::watched::{Connection, WatchedStream};
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -158,9 +164,15 @@
     Handle: Fn(Request) -> Answer + Clone + 'static,
     Answer: Future<Output = Response<BoxBody>> + 'static,
 {
-    let service = fn_service(move |request: Request| {
+    let service = fn_service(move |mut request: Request| {
+        let connection = connection_of(&request);
+        let framing = body_framing(&mut request);
+        connection.begin_request(framing);
+        if framing.is_some() {
+            watch_body(&mut request, connection.clone());
+        }
         let answer = handle(request);
-        async move { Ok::<_, actix_http::Error>(answer.await) }
+        async move { Ok::<_, actix_http::Error>(watch_response(answer.await, connection)) }
     });
     HttpService::build()
         .keep_alive(KeepAlive::Timeout(timing.idle))
@@ -175,3 +187,95 @@
         .await
         .unwrap_or_else(|()| unreachable!("building the service is infallible"))
 }
+
+/// How the body of a request ends; `None` if it has none.
+fn body_framing(request: &mut Request) -> Option<BodyFraming> {
+    if matches!(request.payload(), Payload::None) {
+        return None;
+    }
+    let length = content_length(request).filter(|_| !request.head().upgrade());
+    Some(length.map_or(BodyFraming::Chunked, |length| {
+        BodyFraming::Length(length as u64)
+    }))
+}
+
+/// The length of the body in bytes, if the request states it.
+#[must_use]
+pub fn content_length(request: &Request) -> Option<usize> {
+    let length = request.headers().get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
+/// Lets the connection know what the reader of the body waits for, and when the body has ended.
+fn watch_body(request: &mut Request, connection: Rc<Connection>) {
+    let body = WatchedBody {
+        body: request.take_payload(),
+        connection,
+    };
+    *request.payload() = Payload::Stream {
+        payload: Box::pin(body),
+    };
+}
+
+struct WatchedBody {
+    body: Payload,
+    connection: Rc<Connection>,
+}
+
+impl Stream for WatchedBody {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, PayloadError>>> {
+        let this = self.get_mut();
+        let next = Pin::new(&mut this.body).poll_next(context);
+        match &next {
+            Poll::Pending => this.connection.want_body(),
+            Poll::Ready(None | Some(Err(_))) => this.connection.end_body(),
+            Poll::Ready(Some(Ok(_))) => {}
+        }
+        next
+    }
+}
+
+/// Lets the connection know when the response is finished. A connection whose request body was not read
+/// whole is not used again: what follows can't be told from the rest of the body.
+fn watch_response(
+    mut response: Response<BoxBody>,
+    connection: Rc<Connection>,
+) -> Response<BoxBody> {
+    if connection.has_unread_body() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response.map_body(|_, body| BoxBody::new(WatchedResponse { body, connection }))
+}
+
+struct WatchedResponse {
+    body: BoxBody,
+    connection: Rc<Connection>,
+}
+
+impl MessageBody for WatchedResponse {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_next(context)
+    }
+}
+
+impl Drop for WatchedResponse {
+    fn drop(&mut self) {
+        self.connection.end_response();
+    }
+}
--- a/crates/courseshed-edge/src/lib.rs
+++ b/crates/courseshed-edge/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod records;
+pub mod request_gate;
 pub mod signals;
 pub mod sockets;
 pub mod watched;
--- a/crates/courseshed-edge/src/watched.rs
+++ b/crates/courseshed-edge/src/watched.rs
@@ -1,8 +1,8 @@
-//! Client connections whose write backlog can be observed, and which can be aborted, from outside
-//! the HTTP library.
+//! Client connections that can be observed and ended from outside the HTTP library, and whose input
+//! reaches the library through a [`RequestGate`].
 //!
-//! [`WatchedStream`] wraps the socket below the HTTP library and records how many bytes the socket
-//! did not accept, and since when.
+//! [`WatchedStream`] wraps the socket below the HTTP library. It records how many bytes the socket did
+//! not accept, and since when, and holds back the input that the gate does not pass on.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -12,10 +12,17 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
+use bytes::{Buf, BytesMut};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::request_gate::{BodyFraming, Phase, RequestGate};
+
+/// Input read ahead while the gate is closed, in bytes. The end of a connection is noticed behind as
+/// much.
+const READ_AHEAD_BYTES: usize = 4 * 1024;
+
 /// Observed state of a client connection.
 #[derive(Debug, Default)]
 pub struct Connection {
@@ -25,7 +32,28 @@
     blocked_since: Cell<Option<Instant>>,
     waker: RefCell<Option<Waker>>,
     is_aborted: Cell<bool>,
+    is_ended: Cell<bool>,
     is_closed: Cell<bool>,
+    gate: RefCell<RequestGate>,
+    /// Input that the gate has not passed on.
+    held: RefCell<BytesMut>,
+    phase: Cell<ObservedPhase>,
+}
+
+/// A phase and its beginning.
+#[derive(Clone, Copy, Debug)]
+struct ObservedPhase {
+    phase: Phase,
+    since: Instant,
+}
+
+impl Default for ObservedPhase {
+    fn default() -> Self {
+        Self {
+            phase: Phase::Idle,
+            since: Instant::now(),
+        }
+    }
 }
 
 impl Connection {
@@ -75,14 +103,72 @@
         }
     }
 
-    /// Aborts the connection the next time its task runs, discarding unwritten bytes.
-    pub fn cut(&self) {
-        self.is_aborted.set(true);
+    /// What the connection is doing, and since when.
+    #[must_use]
+    pub fn phase(&self) -> (Phase, Instant) {
+        let ObservedPhase { phase, since } = self.phase.get();
+        (phase, since)
+    }
+
+    fn observe_phase(&self) {
+        let phase = self.gate.borrow().phase();
+        if phase != self.phase.get().phase {
+            let since = Instant::now();
+            self.phase.set(ObservedPhase { phase, since });
+        }
+    }
+
+    /// The HTTP library handles a request; `framing` is that of its body, if it has one.
+    pub(crate) fn begin_request(&self, framing: Option<BodyFraming>) {
+        self.gate.borrow_mut().begin_request(framing);
+        self.observe_phase();
+    }
+
+    /// The reader of a request body waits for more of it.
+    pub(crate) fn want_body(&self) {
+        if self.gate.borrow_mut().want_body() {
+            self.wake();
+        }
+    }
+
+    /// The HTTP library has found the end of a request body, or an error in it.
+    pub(crate) fn end_body(&self) {
+        self.gate.borrow_mut().end_body();
+        self.observe_phase();
+    }
+
+    /// The response to a request is finished.
+    pub(crate) fn end_response(&self) {
+        self.gate.borrow_mut().end_response();
+        self.observe_phase();
+        if !self.held.borrow().is_empty() {
+            self.wake();
+        }
+    }
+
+    /// Whether the body of the current request has not been received whole.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.phase.get().phase == Phase::Body
+    }
+
+    fn wake(&self) {
         if let Some(waker) = self.waker.take() {
             waker.wake();
         }
     }
 
+    /// Ends the connection in order the next time its task runs, as if the client had closed it.
+    pub fn end(&self) {
+        self.is_ended.set(true);
+        self.wake();
+    }
+
+    /// Aborts the connection the next time its task runs, discarding unwritten bytes.
+    pub fn cut(&self) {
+        self.is_aborted.set(true);
+        self.wake();
+    }
+
     /// Sets whether the connection is reset when it is closed, also by the end of the process.
     pub fn set_reset_on_close(&self, resets: bool) {
         let socket = self.socket.borrow();
@@ -95,6 +181,79 @@
         }
     }
 
+    /// Reads what the gate passes on, at most what `buffer` has room for.
+    fn poll_input(
+        &self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_ended.get() {
+            return Poll::Ready(Ok(()));
+        }
+        let mut gate = self.gate.borrow_mut();
+        let mut held = self.held.borrow_mut();
+        if gate.is_open() && held.is_empty() {
+            return self.poll_passed(context, buffer, &mut gate, &mut held);
+        }
+        if gate.is_open() {
+            let room = held.len().min(buffer.remaining());
+            let taken = gate.take(&held[..room]);
+            buffer.put_slice(&held[..taken]);
+            held.advance(taken);
+            if held.is_empty() {
+                *held = BytesMut::new();
+            }
+            return Poll::Ready(Ok(()));
+        }
+        if let Poll::Ready(ended) = self.poll_ahead(context, &mut held) {
+            return Poll::Ready(ended);
+        }
+        if held.is_empty() {
+            gate.begin_turn();
+            return Poll::Pending;
+        }
+        gate.end_turn();
+        if gate.is_open() || gate.opens_next_turn() {
+            context.waker().wake_by_ref();
+        }
+        Poll::Pending
+    }
+
+    /// Reads into `buffer` from the socket, and holds back what the gate does not pass on.
+    fn poll_passed(
+        &self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+        gate: &mut RequestGate,
+        held: &mut BytesMut,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = self.poll_socket(|socket| socket.poll_read(context, buffer));
+        if read.is_pending() {
+            gate.begin_turn();
+        }
+        ready!(read)?;
+        let input = &buffer.filled()[before..];
+        let taken = gate.take(input);
+        held.extend_from_slice(&input[taken..]);
+        buffer.set_filled(before + taken);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads ahead until nothing more has arrived or enough is held. Ready if the connection has ended.
+    fn poll_ahead(&self, context: &mut Context<'_>, held: &mut BytesMut) -> Poll<io::Result<()>> {
+        while held.len() < READ_AHEAD_BYTES {
+            let mut bytes = [MaybeUninit::uninit(); READ_AHEAD_BYTES];
+            let mut ahead = ReadBuf::uninit(&mut bytes);
+            ready!(self.poll_socket(|socket| socket.poll_read(context, &mut ahead)))?;
+            if ahead.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            held.extend_from_slice(ahead.filled());
+        }
+        Poll::Pending
+    }
+
     fn set_waker(&self, waker: &Waker) {
         self.waker.replace(Some(waker.clone()));
     }
@@ -167,8 +326,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.connection.ensure_not_aborted()?;
-        let connection = &self.connection;
-        let read = connection.poll_socket(|socket| socket.poll_read(context, buffer));
+        let read = self.connection.poll_input(context, buffer);
+        self.connection.observe_phase();
         if read.is_pending() {
             self.connection.set_waker(context.waker());
         }
