Accept nothing but a short hello from a peer that has not named itself

What was seen: 60 connections to a node's port for peers, each with the first 6 MiB of a frame of 7 MB, took 390 MB of a gateway and of a controller told of 96 MB.

Cause: the limit of 256 MiB a frame held from the first frame on, before the other end had said who it is.

Change: the first frame of a connection may have 1 KiB, which names the peer; the larger limit is set behind it. A hello has some 30 bytes.

Why it works: the codec refuses a longer first frame by its length prefix, before it reads any of it.

Not mended: a stranger that says a valid hello.

--- a/crates/courseshed-transport/src/frame.rs
+++ b/crates/courseshed-transport/src/frame.rs
@@ -12,6 +12,8 @@
 pub const PROTOCOL_VERSION: u32 = 1;
 /// The largest frame; a longer one closes the connection.
 pub const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
+/// The largest first frame, which only names the peer. Memory for larger ones is not given to strangers.
+pub(crate) const MAX_HELLO_BYTES: usize = 1024;
 /// Bytes of the length prefix.
 pub(crate) const LENGTH_BYTES: usize = 4;
 
--- a/crates/courseshed-transport/src/listener.rs
+++ b/crates/courseshed-transport/src/listener.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     frame::{
-        BackwardFrame, ForwardFrame, Hello, LENGTH_BYTES, PROTOCOL_VERSION, codec, decode, encode,
+        BackwardFrame, ForwardFrame, Hello, LENGTH_BYTES, MAX_FRAME_BYTES, MAX_HELLO_BYTES,
+        PROTOCOL_VERSION, codec, decode, encode,
     },
     protocol::{Mechanism, PeerIdentity, Protocol, ReplySender},
     transport::Shared,
@@ -72,12 +73,14 @@
     shared.prepare(&stream)?;
     let (read_half, write_half) = stream.into_split();
     let mut reader = FramedRead::new(read_half, codec());
+    reader.decoder_mut().set_max_frame_length(MAX_HELLO_BYTES);
     let mut writer = FramedWrite::new(write_half, codec());
     let hello = timeout(HELLO_TIMEOUT, reader.next()).await;
     let hello: Hello = match hello {
         Ok(Some(frame)) => decode(&frame?)?,
         _ => return Err(io::ErrorKind::TimedOut.into()),
     };
+    reader.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
     let answer = Hello {
         version: PROTOCOL_VERSION,
         identity: shared.identity(),
