Take an early answer that ends with its connection for unfinished

Cause: an orderly close was taken for the end of such a body, whether or not the server had taken the request. Closing early is what a server does that has answered and one that gives up; the connection shows no more, since the gateway stops writing once an answer comes.

Change: Ending::ClosedEarly says that the close came before the whole request was written. For bodies without framing the verdict is unknown, which is treated as truncated, except for errors, whose status is what the client needs.

Not told apart: an upload that the systems' buffers take whole looks as if the server had read it.

--- a/crates/courseshed-edge/src/gateway/body_end.rs
+++ b/crates/courseshed-edge/src/gateway/body_end.rs
@@ -62,6 +62,8 @@
     Framing,
     /// The server closed the connection in order.
     Closed,
+    /// The same, before it had taken the whole request.
+    ClosedEarly,
     /// The connection was reset, or failed otherwise.
     Reset,
     /// Bytes that violate the framing.
@@ -77,6 +79,7 @@
         match self {
             Self::Framing => "framing",
             Self::Closed => "closed",
+            Self::ClosedEarly => "closed_early",
             Self::Reset => "reset",
             Self::Invalid => "invalid",
             Self::Silent => "silent",
@@ -204,6 +207,9 @@
     Silence,
     /// The connection was closed after the head, which an empty body and a failed server have in common.
     ClosedAfterHead,
+    /// The connection was closed before the server had taken the whole request, as a server does that has
+    /// answered and as one that failed.
+    ClosedBeforeRequestSent,
 }
 
 impl Reason {
@@ -220,6 +226,7 @@
             Self::InvalidFraming => "invalid_framing",
             Self::Silence => "silence",
             Self::ClosedAfterHead => "closed_after_head",
+            Self::ClosedBeforeRequestSent => "closed_before_request_sent",
         }
     }
 }
@@ -241,6 +248,13 @@
         }
     }
 
+    const fn unknown(reason: Reason) -> Self {
+        Self {
+            completeness: Completeness::Unknown,
+            reason,
+        }
+    }
+
     const fn truncated(reason: Reason) -> Self {
         Self {
             completeness: Completeness::Truncated,
@@ -263,13 +277,23 @@
         (Ending::Reset, _) => BodyVerdict::truncated(Reason::Reset),
         (Ending::Invalid, _) => BodyVerdict::truncated(Reason::InvalidFraming),
         (Ending::Silent, _) => BodyVerdict::truncated(Reason::Silence),
-        (Ending::Framing | Ending::Closed, _) if position == Position::WithinEvent => {
+        (Ending::Framing | Ending::Closed | Ending::ClosedEarly, _)
+            if position == Position::WithinEvent =>
+        {
             BodyVerdict::truncated(Reason::PartialEvent)
         }
         (Ending::Framing, Framing::UntilClose) => BodyVerdict::truncated(Reason::InvalidFraming),
         (Ending::Framing, _) => BodyVerdict::complete(Reason::FramedEnd),
         (Ending::Closed, Framing::UntilClose) => judge_orderly_close(position, progress.content),
-        (Ending::Closed, _) => BodyVerdict::truncated(Reason::ClosedWithinFraming),
+        (Ending::ClosedEarly, Framing::UntilClose) => match progress.content {
+            Content::Plain { is_success: false } => BodyVerdict::complete(Reason::ErrorWithoutBody),
+            Content::Plain { .. } | Content::Events => {
+                BodyVerdict::unknown(Reason::ClosedBeforeRequestSent)
+            }
+        },
+        (Ending::Closed | Ending::ClosedEarly, _) => {
+            BodyVerdict::truncated(Reason::ClosedWithinFraming)
+        }
     }
 }
 
@@ -280,9 +304,6 @@
     }
     match content {
         Content::Plain { is_success: false } => BodyVerdict::complete(Reason::ErrorWithoutBody),
-        Content::Plain { .. } | Content::Events => BodyVerdict {
-            completeness: Completeness::Unknown,
-            reason: Reason::ClosedAfterHead,
-        },
+        Content::Plain { .. } | Content::Events => BodyVerdict::unknown(Reason::ClosedAfterHead),
     }
 }
--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -149,6 +149,7 @@
             framing: Framing::Empty,
             body: BodySource::Ended,
             is_reusable: false,
+            was_fully_sent: false,
             tolerates_slow_reads,
             connect_time: is_new.then(|| began.elapsed()),
             keep_alive: DEFAULT_KEEP_ALIVE,
@@ -258,6 +259,8 @@
     framing: Framing,
     body: BodySource,
     is_reusable: bool,
+    /// Whether the request was written completely before its response arrived.
+    was_fully_sent: bool,
     /// Whether the connection tolerates a server that reads slowly.
     tolerates_slow_reads: bool,
     /// Connection setup time; `None` for a reused connection.
@@ -281,8 +284,8 @@
         is_ours: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ResponseHead, UpstreamError> {
         let exchange = async {
-            let was_fully_sent = self.send_until_answered(request).await?;
-            self.is_reusable = was_fully_sent;
+            self.was_fully_sent = self.send_until_answered(request).await?;
+            self.is_reusable = self.was_fully_sent;
             loop {
                 let head = self.read_head(is_head_request).await?;
                 if head.status.is_informational() {
@@ -405,7 +408,10 @@
                 },
             }
             match self.fill().await {
-                Ok(0) => return BodyRead::End(self.end(Ending::Closed, "")),
+                Ok(0) if self.was_fully_sent => {
+                    return BodyRead::End(self.end(Ending::Closed, ""));
+                }
+                Ok(0) => return BodyRead::End(self.end(Ending::ClosedEarly, "")),
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::InvalidData => {
                     return BodyRead::End(self.end(Ending::Invalid, error));
--- a/crates/courseshed-edge/tests/body_end.rs
+++ b/crates/courseshed-edge/tests/body_end.rs
@@ -12,9 +12,10 @@
     Framing::Chunked,
     Framing::UntilClose,
 ];
-const ENDINGS: [Ending; 5] = [
+const ENDINGS: [Ending; 6] = [
     Ending::Framing,
     Ending::Closed,
+    Ending::ClosedEarly,
     Ending::Reset,
     Ending::Invalid,
     Ending::Silent,
@@ -47,6 +48,18 @@
     orderly_close: Completeness,
 }
 
+impl Place {
+    /// The verdict if a connection that delimits the body is closed there before the server has taken the
+    /// whole request: only an error says all that the client needs.
+    fn early_close(&self) -> Completeness {
+        match self.progress.content {
+            _ if self.position == Position::WithinEvent => Truncated,
+            Content::Plain { is_success: false } => Complete,
+            Content::Plain { .. } | Content::Events => Unknown,
+        }
+    }
+}
+
 fn places() -> Vec<Place> {
     let place = |progress, position, framed_end, orderly_close| Place {
         progress,
@@ -77,9 +90,15 @@
                     (Ending::Framing, Framing::UntilClose) => Truncated,
                     (Ending::Framing, _) => place.framed_end,
                     (Ending::Closed, Framing::UntilClose) => place.orderly_close,
-                    (Ending::Closed | Ending::Reset | Ending::Invalid | Ending::Silent, _) => {
-                        Truncated
-                    }
+                    (Ending::ClosedEarly, Framing::UntilClose) => place.early_close(),
+                    (
+                        Ending::Closed
+                        | Ending::ClosedEarly
+                        | Ending::Reset
+                        | Ending::Invalid
+                        | Ending::Silent,
+                        _,
+                    ) => Truncated,
                 };
                 let verdict = judge(framing, ending, &place.progress);
                 let case = format!("{framing:?} {ending:?} {:?}", place.progress);
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -333,6 +333,27 @@
         .await;
     }
 
+    /// Registers a server that is not a mock, without a test call.
+    pub async fn add_server_at(&self, id: &str, address: SocketAddr) {
+        let server = Server {
+            id: id.to_owned(),
+            name: String::new(),
+            started_ms: None,
+            software_version: None,
+            warmup_remaining_ms: 0,
+            service: "s".to_owned(),
+            address,
+            zone: "a".to_owned(),
+            slots: SLOTS,
+            state: ServerState::Ready,
+        };
+        let registration = Registration {
+            server,
+            sequence: 1,
+        };
+        self.announce(&registration).await;
+    }
+
     /// Registers a server, or a change of one, once the controller can commit it.
     pub async fn announce(&self, registration: &Registration) {
         let controller = &self.controller;
