Treat a response with a status above 599 as a failure of its server

What callers saw: statuses 600 and 999 were passed on as answers.

Cause: the HTTP library refuses statuses below 100 and takes the others.

Change: a head with a status above 599 is no response (RFC 9110, section 15: to be treated as a server error), so that the attempt fails and its connection is given up, for a second answer on a kept connection too, since every head is read at this place.

Evidence: answer_with_an_invalid_status_is_a_failure, cases above (600) and largest (999), gave 600 and 999 before and 502 now; 000 and 099 gave 502 before and now.

--- a/crates/courseshed-edge/src/gateway/upstream.rs
+++ b/crates/courseshed-edge/src/gateway/upstream.rs
@@ -38,6 +38,8 @@
 /// bodies use a new connection, which is known to be alive and configured to tolerate servers that
 /// read slowly.
 const MAX_SOCKET_BUFFERED_BODY: usize = 32 * 1024;
+/// The largest valid status code (RFC 9110, section 15); the HTTP library refuses those below 100.
+const MAX_STATUS: u16 = 599;
 /// Read size, in bytes; small, to limit the memory held for clients that do not read.
 const READ_BYTES: usize = 8 * 1024;
 /// Maximum size of a response head, in bytes.
@@ -350,6 +352,9 @@
         loop {
             let decoded = codec.decode(&mut self.buffer);
             if let Some(head) = decoded.map_err(|error: ParseError| broken(error))? {
+                if head.status.as_u16() > MAX_STATUS {
+                    return Err(broken("invalid status code"));
+                }
                 if head.version < Version::HTTP_11
                     && head.headers().contains_key(header::TRANSFER_ENCODING)
                 {
--- a/crates/courseshed-edge/tests/early_responses.rs
+++ b/crates/courseshed-edge/tests/early_responses.rs
@@ -1,4 +1,4 @@
-//! Responses that a server sends before it has read the whole request.
+//! Responses that a server sends before it has read the whole request, and statuses that are none.
 
 mod support;
 
@@ -233,3 +233,23 @@
         assert_eq!((status, is_complete), (expected, true));
     });
 }
+
+/// Guards against a status that is none being passed on as an answer (RFC 9110, section 15).
+#[parameterized(
+    zero = { 0 },
+    below = { 99 },
+    above = { 600 },
+    largest = { 999 },
+)]
+fn answer_with_an_invalid_status_is_a_failure(status: u16) {
+    actix_rt::System::new().block_on(async {
+        let answer = RawAnswer {
+            status,
+            framing: "content-length: 20\r\n",
+            body: PART,
+            end: End::CloseAfterUpload,
+        };
+        let (status, _) = upload_to(answer, at_most_once(), SHORT_UPLOAD).await;
+        assert_eq!(status, 502);
+    });
+}
