Let a body that arrives after all stay with its connection

What callers would have seen: under memory pressure a body that was to be given up, and whose last bytes came in the same turn, was read whole, but its connection counted as closing for as long as it was open; new bodies then waited 20 ms for its memory and were refused, whatever else could have given way.

Cause: only a refused body took the mark back.

Change: the end of a body does, whichever it is. Probe limits take the number of client connections, in place of limits of which all but that was dropped.

Evidence: body_that_arrives_after_all_is_kept; the old end_body left the mark, by reading.

--- a/crates/courseshed-edge/src/client_memory.rs
+++ b/crates/courseshed-edge/src/client_memory.rs
@@ -108,14 +108,14 @@
         Self::for_clients(usize::try_from(total).unwrap_or(usize::MAX))
     }
 
-    /// Limits for a listener of probes beside clients with these limits: few connections, and no request
-    /// bodies to speak of.
+    /// Limits for a listener of probes in a process that accepts `client_connections`: few connections,
+    /// and no request bodies to speak of.
     #[must_use]
-    pub fn for_probes(&self) -> Self {
-        let connections = (self.max_connections / PROBE_SHARE).clamp(1, MAX_PROBE_CONNECTIONS);
+    pub fn for_probes(client_connections: usize) -> Self {
+        let max_connections = (client_connections / PROBE_SHARE).clamp(1, MAX_PROBE_CONNECTIONS);
         Self {
-            max_connections: connections,
-            ..Self::for_clients(connections * 2 * CONNECTION_BYTES)
+            max_connections,
+            ..Self::for_clients(max_connections * 2 * CONNECTION_BYTES)
         }
     }
 
@@ -323,10 +323,13 @@
         }
     }
 
-    /// Notes that a request body has arrived, or is no longer read.
+    /// Notes that a request body has arrived, or is no longer read. The connection goes on, even if its
+    /// body was to be given up meanwhile.
     pub fn end_body(&mut self, id: ConnectionId) {
-        if let Some(usage) = self.connections.get_mut(&id) {
-            usage.body = None;
+        if let Some(usage) = self.connections.get_mut(&id)
+            && usage.body.take().is_some()
+        {
+            usage.is_disconnecting = false;
         }
     }
 
@@ -459,13 +462,6 @@
             .any(|usage| usage.is_disconnecting)
     }
 
-    /// The body of a connection that was selected was given up, and the connection goes on.
-    pub fn keep(&mut self, id: ConnectionId) {
-        if let Some(usage) = self.connections.get_mut(&id) {
-            usage.is_disconnecting = false;
-        }
-    }
-
     fn disconnecting_bytes(&self) -> usize {
         let fixed = self.terms.connection_bytes;
         let disconnecting = self.connections.values();
--- a/crates/courseshed-edge/src/client_tracker.rs
+++ b/crates/courseshed-edge/src/client_tracker.rs
@@ -406,10 +406,7 @@
         let read = self.read_within(request, length, limit, deadline).await;
         self.tracker.memory.borrow_mut().end_body(self.id);
         if let Err(refusal) = read {
-            let mut memory = self.tracker.memory.borrow_mut();
-            memory.keep(self.id);
-            memory.set(self.id, BufferKind::Request, 0);
-            drop(memory);
+            self.set(BufferKind::Request, 0);
             self.record_refusal(refusal, length, deadline);
         }
         read
--- a/crates/courseshed-edge/src/gateway/server.rs
+++ b/crates/courseshed-edge/src/gateway/server.rs
@@ -177,7 +177,7 @@
     let readiness = listen(address).context(ListenSnafu { address })?;
     let address = settings.callers;
     let callers = listen(address).context(ListenSnafu { address })?;
-    let probes = settings.memory.for_probes();
+    let probes = MemoryLimits::for_probes(settings.memory.max_connections);
     actix_rt::spawn(serve_readiness(core.clone(), readiness, probes));
     actix_rt::spawn(serve_callers(core.clone(), callers));
     stop.await;
--- a/crates/courseshed-edge/src/metrics.rs
+++ b/crates/courseshed-edge/src/metrics.rs
@@ -636,14 +636,11 @@
     }
 }
 
-/// Memory for clients of the metrics, in bytes.
-const METRICS_BYTES: usize = 1024 * 1024;
-
 /// Serves the metrics on an address indefinitely.
 pub async fn serve_metrics(metrics: std::sync::Arc<Metrics>, address: SocketAddr) {
     match listen(address) {
         Ok(listener) => {
-            let limits = MemoryLimits::for_clients(METRICS_BYTES).for_probes();
+            let limits = MemoryLimits::for_probes(usize::MAX);
             let clients = ClientTracker::new("metrics", limits, metrics.clone());
             serve(listener, clients, HttpTiming::default, move |_| {
                 let text = metrics.text();
--- a/crates/courseshed-edge/tests/client_memory_simulation.rs
+++ b/crates/courseshed-edge/tests/client_memory_simulation.rs
@@ -293,11 +293,29 @@
     assert_eq!(selected, [large]);
     assert!(budget.is_freeing());
     budget.set(large, BufferKind::Request, 0);
-    budget.keep(large);
+    budget.end_body(large);
     assert!(budget.reserve(fresh, MAX_BODY));
     assert!(!budget.is_freeing());
 }
 
+/// Guards against a listener that waits for memory which a connection will not release: its body arrived
+/// after it was selected.
+#[test]
+fn body_that_arrives_after_all_is_kept() {
+    let mut budget = MemoryBudget::new(MemoryLimits::for_clients(TOTAL));
+    let start = Duration::from_secs(10);
+    let slow = budget.begin(start);
+    assert!(budget.reserve(slow, 4 * MAX_BODY));
+    budget.set_phase(slow, Phase::Body, start);
+    budget.set_received(slow, 0, start);
+    let fresh = budget.begin(start);
+    let later = start + Duration::from_secs(2);
+    assert_eq!(budget.make_room(fresh, MAX_BODY, later).len(), 1);
+    assert!(budget.is_freeing());
+    budget.end_body(slow);
+    assert!(!budget.is_freeing());
+}
+
 /// Large bodies leave a part of the memory to small ones.
 #[test]
 fn small_bodies_have_memory_of_their_own() {
