Build the test servers at one place, and say plainly what three comments mean

Cause: add_server_at wrote the record of a ready server again, and comments of the new tests used turns of phrase a newcomer stumbles over.

Change: ready_server and add_server_at share ready_server_at. Tests alone; no assertion, bound or crowd changed.

--- a/crates/courseshed-edge/tests/client_memory_simulation.rs
+++ b/crates/courseshed-edge/tests/client_memory_simulation.rs
@@ -331,7 +331,7 @@
     assert!(budget.reserve(small, 64 * KIB));
 }
 
-/// Without idle connections nobody who has sent a request is closed for a newcomer.
+/// A connection with a request under way is not closed to make a place.
 #[test]
 fn newcomers_take_the_places_of_the_longest_idle() {
     let limits = MemoryLimits {
--- a/crates/courseshed-edge/tests/support/mod.rs
+++ b/crates/courseshed-edge/tests/support/mod.rs
@@ -335,20 +335,8 @@
 
     /// Registers a server that is not a mock, without a test call.
     pub async fn add_server_at(&self, id: &str, address: SocketAddr) {
-        let server = Server {
-            id: id.to_owned(),
-            name: String::new(),
-            started_ms: None,
-            software_version: None,
-            warmup_remaining_ms: 0,
-            service: "s".to_owned(),
-            address,
-            zone: "a".to_owned(),
-            slots: SLOTS,
-            state: ServerState::Ready,
-        };
         let registration = Registration {
-            server,
+            server: ready_server_at(id, address),
             sequence: 1,
         };
         self.announce(&registration).await;
@@ -395,6 +383,10 @@
 
 /// A ready server of service `s` that reports no software version.
 pub fn ready_server(id: &str, mock_server: &server::MockServer) -> Server {
+    ready_server_at(id, mock_server.address)
+}
+
+fn ready_server_at(id: &str, address: SocketAddr) -> Server {
     Server {
         id: id.to_owned(),
         name: String::new(),
@@ -402,7 +394,7 @@
         software_version: None,
         warmup_remaining_ms: 0,
         service: "s".to_owned(),
-        address: mock_server.address,
+        address,
         zone: "a".to_owned(),
         slots: SLOTS,
         state: ServerState::Ready,
--- a/crates/courseshed-soak/tests/crowds.rs
+++ b/crates/courseshed-soak/tests/crowds.rs
@@ -1,8 +1,8 @@
 //! Crowds of clients that misbehave, at every listener: no process ends, each stays within the memory and
 //! the descriptors of its machine, and ordinary callers are answered.
 //!
-//! The processes are told of a small machine, and their clients of none of it. The tests check what does
-//! not depend on the machine's speed, and run one at a time.
+//! The processes are configured for a small machine. The tests check what does not depend on the
+//! machine's speed, and run one at a time.
 
 mod support;
 
--- a/crates/courseshed-soak/tests/support/crowd.rs
+++ b/crates/courseshed-soak/tests/support/crowd.rs
@@ -225,7 +225,7 @@
     }
 }
 
-/// Runs one client until its task is aborted; it keeps its connection open whatever it is told.
+/// Runs one client until its task is aborted; it keeps its connection open whatever the response.
 async fn run_client(address: SocketAddr, script: Script, progress: Rc<Progress>) {
     let mut is_counted = false;
     for _ in 0..MAX_RETURNS {
